Add the wire format between processes

Cause: entries and sidecars need one bounded format for requests and for their own duties. Conclusion: malformed, cut and oversized frames give typed errors.

--- /dev/null
+++ b/internal/wire/frame/codec.go
@@ -0,0 +1,158 @@
+package frame
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	headerBytes = 5 // four of length, one of kind
+
+	// MaxBytes bounds one frame. The largest is a Control frame that carries
+	// a block of a document; bodies are cut into pieces of MaxDataBytes.
+	MaxBytes = 1 << 20
+
+	// MaxDataBytes bounds the data of one Body or Chunk frame.
+	MaxDataBytes = 32 << 10
+
+	maxElements = 4096 // elements of an array or a map in a frame
+	maxNesting  = 8
+)
+
+// Errors of the decoder.
+var (
+	ErrTooLarge  = merry.New("frame is larger than the bound")
+	ErrMalformed = merry.New("frame is malformed")
+	ErrKind      = merry.New("frame is of another kind than expected")
+)
+
+// Frame is one decoded frame with its payload still encoded.
+type Frame struct {
+	Kind    Kind
+	Payload []byte
+}
+
+var (
+	encoder = newEncoder()
+	decoder = newDecoder()
+)
+
+func newEncoder() cbor.EncMode {
+	mode, err := cbor.EncOptions{}.EncMode()
+	if err != nil {
+		panic(err) // the options are constant; a failure is a defect of this file
+	}
+	return mode
+}
+
+func newDecoder() cbor.DecMode {
+	options := cbor.DecOptions{
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		MaxNestedLevels:  maxNesting,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}
+	mode, err := options.DecMode()
+	if err != nil {
+		panic(err) // the options are constant; a failure is a defect of this file
+	}
+	return mode
+}
+
+// Decode decodes the payload of a frame into a message.
+func Decode(f Frame, message any) error {
+	if err := decoder.Unmarshal(f.Payload, message); err != nil {
+		return merry.Wrap(ErrMalformed, merry.AppendMessagef("kind %d: %v", f.Kind, err))
+	}
+	return nil
+}
+
+// Reader reads frames from a stream. It is not safe for concurrent use.
+type Reader struct {
+	r      io.Reader
+	header [headerBytes]byte
+}
+
+// NewReader returns a reader of frames from r.
+func NewReader(r io.Reader) *Reader {
+	return &Reader{r: r}
+}
+
+// Read returns the next frame. It returns io.EOF only between two frames; a
+// stream that ends inside a frame gives io.ErrUnexpectedEOF.
+func (r *Reader) Read() (Frame, error) {
+	if _, err := io.ReadFull(r.r, r.header[:]); err != nil {
+		return Frame{}, err
+	}
+	n := binary.BigEndian.Uint32(r.header[:4])
+	if n == 0 {
+		return Frame{}, ErrMalformed
+	}
+	if n > MaxBytes {
+		return Frame{}, merry.Wrap(ErrTooLarge, merry.AppendMessagef("%d bytes", n))
+	}
+	payload := make([]byte, n-1)
+	if _, err := io.ReadFull(r.r, payload); err != nil {
+		return Frame{}, noEOF(err)
+	}
+	return Frame{Kind: Kind(r.header[4]), Payload: payload}, nil
+}
+
+// noEOF keeps a stream that ends inside a frame apart from one that ends well:
+// a reader that took the two for the same would hand on a short answer as whole.
+func noEOF(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// Expect reads the next frame, which must be of the given kind, into message.
+func (r *Reader) Expect(kind Kind, message any) error {
+	f, err := r.Read()
+	if err != nil {
+		return err
+	}
+	if f.Kind != kind {
+		return merry.Wrap(ErrKind, merry.AppendMessagef("got %d, want %d", f.Kind, kind))
+	}
+	return Decode(f, message)
+}
+
+// Writer writes frames to a stream. It is safe for concurrent use.
+type Writer struct {
+	mu  sync.Mutex
+	w   io.Writer
+	buf []byte
+}
+
+// NewWriter returns a writer of frames to w.
+func NewWriter(w io.Writer) *Writer {
+	return &Writer{w: w}
+}
+
+// Write encodes the message and writes it as one frame, in one call to the
+// underlying writer.
+func (w *Writer) Write(kind Kind, message any) error {
+	payload, err := encoder.Marshal(message)
+	if err != nil {
+		return fmt.Errorf("encode frame of kind %d: %w", kind, err)
+	}
+	if len(payload)+1 > MaxBytes {
+		return merry.Wrap(ErrTooLarge, merry.AppendMessagef("%d bytes", len(payload)+1))
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.buf = w.buf[:0]
+	w.buf = binary.BigEndian.AppendUint32(w.buf, uint32(len(payload)+1))
+	w.buf = append(w.buf, byte(kind))
+	w.buf = append(w.buf, payload...)
+	_, err = w.w.Write(w.buf)
+	return err
+}
