--- /dev/null
+++ b/internal/traffic/request/message.go
@@ -0,0 +1,176 @@
+package request
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+)
+
+// Attempt numbers the attempts of one request from 1.
+type Attempt uint32
+
+// Conn numbers the connections that one life of an entry has opened, over all
+// of its targets. It rises, so that "older" has a meaning.
+type Conn uint64
+
+// Kind is the kind of a [Message].
+type Kind uint8
+
+// Messages from entry to sidecar. One attempt uses one stream for Open, Body,
+// BodyEnd and Cancel; Resolve uses a stream of its own on a newer connection,
+// and so does the Cancel that follows it.
+const (
+	Open    Kind = iota + 1 // begins an attempt: Call, Header
+	Body                    // a part of the body: Offset, Data
+	BodyEnd                 // the body is whole: Offset is its length
+	Cancel                  // the entry wants nothing more of this attempt
+	Resolve                 // asks what became of an attempt: Offset is the first byte wanted
+)
+
+// Messages from sidecar to entry.
+const (
+	Seen           Kind = iota + 16 // the attempt is known and may run
+	Refused                         // proof that it has not run and never will: Reason, RetryAfter
+	Head                            // status and header of the answer: Status, Header
+	Chunk                           // a part of the answer: Offset, Data
+	End                             // end of the answer: Offset is its length; Reason if it broke off
+	UnknownOutcome                  // the sidecar cannot tell whether it ran: Reason
+)
+
+var kindNames = map[Kind]string{
+	Open: "open", Body: "body", BodyEnd: "bodyEnd", Cancel: "cancel", Resolve: "resolve",
+	Seen: "seen", Refused: "refused", Head: "head", Chunk: "chunk", End: "end",
+	UnknownOutcome: "unknownOutcome",
+}
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	if s, ok := kindNames[k]; ok {
+		return s
+	}
+	return fmt.Sprintf("kind(%d)", uint8(k))
+}
+
+// Field is one header field of HTTP. A name may occur more than once.
+type Field struct {
+	Name  string `cbor:"1,keyasint" json:"name"`
+	Value string `cbor:"2,keyasint" json:"value"`
+}
+
+// Call is what a sidecar needs to know of a request besides header and body.
+type Call struct {
+	Service    string        `cbor:"1,keyasint" json:"service"`
+	Workspace  string        `cbor:"2,keyasint" json:"workspace"`
+	Route      string        `cbor:"3,keyasint,omitempty" json:"route,omitempty"`
+	Method     string        `cbor:"4,keyasint" json:"method"`
+	Path       string        `cbor:"5,keyasint" json:"path"` // with its query
+	Idempotent bool          `cbor:"6,keyasint,omitempty" json:"idempotent"`
+	Remaining  time.Duration `cbor:"7,keyasint" json:"remaining"` // until the caller's deadline, at sending
+	Cost       int64         `cbor:"8,keyasint,omitempty" json:"cost"`
+	Priority   int32         `cbor:"9,keyasint,omitempty" json:"priority"`
+}
+
+// Message is one frame between entry and sidecar. Which fields are used is
+// told beside each [Kind]; the others are zero.
+type Message struct {
+	Kind        Kind             `cbor:"1,keyasint"`
+	ID          ID               `cbor:"2,keyasint"`
+	Attempt     Attempt          `cbor:"3,keyasint"`
+	Incarnation host.Incarnation `cbor:"4,keyasint,omitempty"` // the sidecar's life it is meant for, or comes from
+	Offset      uint64           `cbor:"5,keyasint,omitempty"`
+	Data        []byte           `cbor:"6,keyasint,omitempty"`
+	Status      int              `cbor:"7,keyasint,omitempty"`
+	Header      []Field          `cbor:"8,keyasint,omitempty"`
+	Call        *Call            `cbor:"9,keyasint,omitempty"`
+	Reason      Reason           `cbor:"10,keyasint,omitempty"`
+	RetryAfter  time.Duration    `cbor:"11,keyasint,omitempty"`
+}
+
+// Bounds of a [Message].
+const (
+	MaxDataBytes   = 64 << 10
+	MaxFields      = 128
+	MaxFieldBytes  = 16 << 10
+	MaxTextBytes   = 8 << 10
+	MaxRemaining   = time.Hour
+	MaxRetryAfter  = time.Hour
+	maxReasonBytes = 64
+)
+
+// ErrBadMessage reports a message that is out of bounds or incomplete.
+var ErrBadMessage = merry.New("bad request message")
+
+// Validate checks the bounds of a message that a peer has sent.
+func (m *Message) Validate() error {
+	if _, ok := kindNames[m.Kind]; !ok {
+		return bad("unknown kind %d", m.Kind)
+	}
+	if m.Attempt == 0 {
+		return bad("%s without attempt", m.Kind)
+	}
+	if len(m.Data) > MaxDataBytes {
+		return bad("%s with %d bytes of data", m.Kind, len(m.Data))
+	}
+	if m.RetryAfter < 0 || m.RetryAfter > MaxRetryAfter {
+		return bad("retry after %s", m.RetryAfter)
+	}
+	if len(m.Reason) > maxReasonBytes {
+		return bad("reason of %d bytes", len(m.Reason))
+	}
+	if err := validateHeader(m.Header); err != nil {
+		return err
+	}
+	return m.validateKind()
+}
+
+func (m *Message) validateKind() error {
+	switch m.Kind {
+	case Open:
+		if m.Call == nil {
+			return bad("open without call")
+		}
+		return m.Call.validate()
+	case Head:
+		if m.Status < 100 || m.Status > 999 {
+			return bad("status %d", m.Status)
+		}
+	}
+	return nil
+}
+
+func (c *Call) validate() error {
+	for _, s := range []string{c.Service, c.Workspace, c.Route, c.Method, c.Path} {
+		if len(s) > MaxTextBytes {
+			return bad("text of %d bytes", len(s))
+		}
+	}
+	if c.Method == "" || c.Path == "" {
+		return bad("open without method or path")
+	}
+	if c.Remaining <= 0 || c.Remaining > MaxRemaining {
+		return bad("remaining time %s", c.Remaining)
+	}
+	if c.Cost < 0 {
+		return bad("cost %d", c.Cost)
+	}
+	return nil
+}
+
+func validateHeader(h []Field) error {
+	if len(h) > MaxFields {
+		return bad("%d header fields", len(h))
+	}
+	for _, f := range h {
+		if len(f.Name)+len(f.Value) > MaxFieldBytes {
+			return bad("header field of %d bytes", len(f.Name)+len(f.Value))
+		}
+	}
+	return nil
+}
+
+func bad(format string, args ...any) error {
+	return merry.Wrap(ErrBadMessage, merry.AppendMessagef(format, args...))
+}
