--- /dev/null
+++ b/internal/wire/platform/client_test.go
@@ -0,0 +1,82 @@
+package platform_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/record/budget"
+	"wagtailshelf.example/wagtailshelf/internal/record/object"
+	standin "wagtailshelf.example/wagtailshelf/internal/standin/platform"
+	"wagtailshelf.example/wagtailshelf/internal/wire/platform"
+)
+
+// generous is a budget that no test runs into by chance.
+var generous = budget.Config{Rate: 100000, Burst: 100000}
+
+func start(t *testing.T, sc standin.Config, cc platform.Config) (*standin.Platform, *platform.Client) {
+	t.Helper()
+	p := standin.New(sc)
+	srv := httptest.NewServer(p)
+	t.Cleanup(srv.Close)
+	cc.URL = srv.URL
+	if cc.Budget.Rate == 0 {
+		cc.Budget = generous
+	}
+	c := platform.New(cc)
+	t.Cleanup(c.Close)
+	return p, c
+}
+
+func TestObjects(t *testing.T) {
+	ctx := context.Background()
+	p, c := start(t, standin.Config{}, platform.Config{})
+	put := func(key object.Key, v object.Version, value string) object.Reply {
+		return c.Do(ctx, object.Call{ID: 7, Op: object.Put, Key: key, Version: v, Value: []byte(value), Cause: "test"})
+	}
+	first := put("documents/agenda", 0, "one")
+	require.Equal(t, object.Done, first.Status, "%v", first.Err)
+	assert.Equal(t, uint64(7), first.ID)
+
+	again := put("documents/agenda", 0, "two")
+	assert.Equal(t, object.Conflict, again.Status)
+	assert.Equal(t, "one", string(again.Object.Value))
+
+	second := put("documents/agenda", first.Object.Version, "two")
+	require.Equal(t, object.Done, second.Status)
+	assert.Greater(t, second.Object.Version, first.Object.Version)
+
+	got := c.Do(ctx, object.Call{Op: object.Get, Key: "documents/agenda"})
+	assert.Equal(t, second.Object, got.Object)
+	assert.Equal(t, object.NotFound, c.Do(ctx, object.Call{Op: object.Get, Key: "documents/none"}).Status)
+
+	put("leases/x", 0, "")
+	list := c.Do(ctx, object.Call{Op: object.List, Key: "documents/"})
+	assert.Equal(t, []object.Object{got.Object}, list.Objects)
+
+	gone := c.Do(ctx, object.Call{Op: object.Delete, Key: "documents/agenda", Version: second.Object.Version})
+	assert.Equal(t, object.Done, gone.Status)
+	_, ok := p.Get("documents/agenda")
+	assert.False(t, ok)
+	assert.Contains(t, p.Calls(), standin.Calls{Cause: "test", Op: "put", Count: 4})
+}
+
+func TestWatch(t *testing.T) {
+	ctx := context.Background()
+	p, c := start(t, standin.Config{}, platform.Config{Watch: 50 * time.Millisecond})
+	old := p.Put("documents/a", []byte("old"))
+
+	objs, next, err := c.Watch(ctx, "documents/", 0)
+	require.NoError(t, err)
+	assert.Equal(t, []object.Object{old}, objs)
+	assert.Equal(t, old.Version, next)
+
+	objs, next, err = c.Watch(ctx, "documents/", next)
+	require.NoError(t, err)
+	assert.Empty(t, objs)
+	assert.Equal(t, old.Version, next)
+}
