Decode YAML strictly, with the place of every value

Settings and documents are written by people, who need every mistake reported at once with its line and column. The library's own decoder stops at the first error and follows aliases.

Decode reads the syntax tree of goccy/go-yaml into structs by itself: unknown and repeated keys, wrong forms and absent values become findings, sorted by place and bounded in number. Anchors, aliases, tags, explicit keys and deep nesting are refused by a pass over the tokens, before the recursive parser sees them.

--- /dev/null
+++ b/internal/record/source/source.go
@@ -0,0 +1,141 @@
+// Package source decodes YAML texts that people write: settings and documents.
+//
+// Decoding is strict and keeps places. A key that the Go type does not name, a
+// key that is given twice, a value of the wrong form: each becomes a finding
+// with line and column, and all of them are reported together. Anchors,
+// aliases, tags and explicit keys are refused, since they let a short text
+// expand without bound and hide from an auditor what stands at a place.
+package source
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
+	"github.com/goccy/go-yaml/parser"
+
+	"wagtailshelf.example/wagtailshelf/internal/record/finding"
+)
+
+// Bounds of a text.
+const (
+	MaxBytes    = 768 << 10 // longest text; leaves room beside it in an object of the platform
+	MaxDepth    = 16        // deepest nesting of lists and mappings in flow style
+	MaxColumn   = 96        // rightmost column at which a key or a list entry may begin
+	MaxFindings = 100       // findings after which decoding stops reporting more
+)
+
+// Source is a decoded text with the places of its values.
+type Source struct {
+	file  string
+	text  []byte
+	pos   map[string]finding.Position
+	marks map[string]finding.Position // places of keys, where those of values differ
+}
+
+// Decode reads the YAML text into the struct that into points to. Fields are
+// matched by their yaml tag. Values may be strings, booleans, numbers,
+// time.Duration, types with UnmarshalText, and structs, slices, pointers and
+// maps with string keys of those.
+//
+// Values without findings are set even if others have some, so that further
+// checks can report theirs along with them. The Source is never nil.
+func Decode(file string, text []byte, into any) (*Source, finding.List) {
+	s := &Source{
+		file:  file,
+		text:  text,
+		pos:   make(map[string]finding.Position),
+		marks: make(map[string]finding.Position),
+	}
+	root, list := s.parse()
+	if root == nil || len(list) > 0 {
+		return s, list
+	}
+	d := decoder{source: s}
+	d.value(root, reflect.ValueOf(into).Elem(), "")
+	d.list.Sort()
+	return s, d.list
+}
+
+// At returns the place of the value at a path, for example
+// "targets[2].address". For a value that is absent it is the place of the
+// nearest value around it.
+func (s *Source) At(path string) finding.Position {
+	for {
+		if p, ok := s.pos[path]; ok {
+			return p
+		}
+		if path == "" {
+			return finding.Position{File: s.file, Line: 1, Column: 1}
+		}
+		path = path[:max(strings.LastIndexAny(path, ".["), 0)]
+	}
+}
+
+// KeyAt returns the place of the key that names the value at a path, or that
+// of the value if it has no key.
+func (s *Source) KeyAt(path string) finding.Position {
+	if p, ok := s.marks[path]; ok {
+		return p
+	}
+	return s.At(path)
+}
+
+// Has reports whether the text gives a value at the path.
+func (s *Source) Has(path string) bool {
+	_, ok := s.pos[path]
+	return ok
+}
+
+// Finding makes a finding about the value at a path.
+func (s *Source) Finding(path string, c finding.Category, format string, args ...any) finding.Finding {
+	return finding.Finding{
+		Position: s.At(path),
+		Category: c,
+		Path:     path,
+		Message:  fmt.Sprintf(format, args...),
+	}
+}
+
+// parse returns the tree of the text, or what stands against reading it.
+func (s *Source) parse() (ast.Node, finding.List) {
+	if len(s.text) > MaxBytes {
+		return nil, s.whole(finding.Invalid, "the text has %d bytes; at most %d are allowed", len(s.text), MaxBytes)
+	}
+	tokens := lexer.Tokenize(string(s.text))
+	if list := s.screen(tokens); len(list) > 0 {
+		return nil, list
+	}
+	file, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		return nil, finding.List{s.syntax(err)}
+	}
+	body := bodies(file)
+	switch len(body) {
+	case 0:
+		return nil, s.whole(finding.Missing, "the text is empty")
+	case 1:
+		return body[0], nil
+	}
+	return nil, finding.List{{
+		Position: s.place(body[1].GetToken()),
+		Category: finding.Syntax,
+		Message:  "a second document begins here; a text holds one",
+	}}
+}
+
+func bodies(file *ast.File) []ast.Node {
+	var nodes []ast.Node
+	for _, doc := range file.Docs {
+		if doc.Body != nil {
+			nodes = append(nodes, doc.Body)
+		}
+	}
+	return nodes
+}
+
+func (s *Source) whole(c finding.Category, format string, args ...any) finding.List {
+	return finding.List{s.Finding("", c, format, args...)}
+}
