--- /dev/null
+++ b/internal/traffic/retry/budget.go
@@ -0,0 +1,133 @@
+package retry
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"time"
+)
+
+// Config holds the settings of a [Budget]. Zero values take the defaults of
+// [DefaultConfig].
+type Config struct {
+	Ratio     float64       // retries per first try
+	PerSecond float64       // retries a second allowed in any case, so that quiet services can retry
+	Burst     float64       // greatest balance
+	Attempts  int           // greatest number of attempts of a request, the first included
+	BackOff   time.Duration // mean wait before the first retry; doubles with each
+	MaxWait   time.Duration // longest wait
+}
+
+// DefaultConfig returns the settings that the measurements were made with.
+func DefaultConfig() Config {
+	return Config{
+		Ratio:     0.08,
+		PerSecond: 0.1,
+		Burst:     10,
+		Attempts:  3,
+		BackOff:   10 * time.Millisecond,
+		MaxWait:   time.Second,
+	}
+}
+
+// Try describes a request whose attempt has ended and may be repeated. Whether
+// a repeat is safe is decided before: the attempt did not run, or the request
+// is idempotent and nothing of the answer has gone out.
+type Try struct {
+	Attempts   int           // attempts so far
+	Deadline   time.Time     // of the request
+	Need       time.Duration // time that an attempt takes
+	RetryAfter time.Duration // asked for by the only targets left; zero if another one can be tried now
+}
+
+// Verdict says why a retry is allowed or not.
+type Verdict uint8
+
+// The verdicts on a retry.
+const (
+	Allowed      Verdict = iota + 1
+	Exhausted            // the budget is empty
+	TooMany              // the request had all of its attempts
+	PastDeadline         //  it can't be complete by its deadline
+)
+
+// Decision is the answer to a [Try].
+type Decision struct {
+	Verdict Verdict
+	Wait    time.Duration // for Allowed: wait this long before the next attempt
+}
+
+// Budget bounds the retries of one service at one entry. It isn't safe for
+// concurrent use.
+type Budget struct {
+	cfg     Config
+	rnd     *rand.Rand
+	balance float64
+	paid    time.Time
+	counts  Counts
+}
+
+// Counts tells how a budget was used.
+type Counts struct {
+	First     uint64 // first tries
+	Retries   uint64 // retries allowed
+	Exhausted uint64 // retries denied for want of budget
+}
+
+// NewBudget returns a budget with a full balance. Zero fields of cfg take their
+// defaults.
+func NewBudget(now time.Time, cfg Config, rnd *rand.Rand) *Budget {
+	def := DefaultConfig()
+	cfg.Ratio = cmp.Or(cfg.Ratio, def.Ratio)
+	cfg.PerSecond = cmp.Or(cfg.PerSecond, def.PerSecond)
+	cfg.Burst = cmp.Or(cfg.Burst, def.Burst)
+	cfg.Attempts = cmp.Or(cfg.Attempts, def.Attempts)
+	cfg.BackOff = cmp.Or(cfg.BackOff, def.BackOff)
+	cfg.MaxWait = cmp.Or(cfg.MaxWait, def.MaxWait)
+	return &Budget{cfg: cfg, rnd: rnd, balance: cfg.Burst, paid: now}
+}
+
+// First counts a first try.
+func (b *Budget) First(now time.Time) {
+	b.counts.First++
+	b.pay(now, b.cfg.Ratio)
+}
+
+// Next decides whether the request may be tried again, and takes the retry out
+// of the balance if so.
+func (b *Budget) Next(now time.Time, t Try) Decision {
+	if t.Attempts >= b.cfg.Attempts {
+		return Decision{Verdict: TooMany}
+	}
+	wait := max(b.backOff(t.Attempts), t.RetryAfter)
+	if now.Add(wait + t.Need).After(t.Deadline) {
+		return Decision{Verdict: PastDeadline}
+	}
+	b.pay(now, 0)
+	if b.balance < 1 {
+		b.counts.Exhausted++
+		return Decision{Verdict: Exhausted}
+	}
+	b.balance--
+	b.counts.Retries++
+	return Decision{Verdict: Allowed, Wait: wait}
+}
+
+// Counts returns how the budget was used so far.
+func (b *Budget) Counts() Counts { return b.counts }
+
+// pay adds to the balance, up to the burst.
+func (b *Budget) pay(now time.Time, amount float64) {
+	if d := now.Sub(b.paid); d > 0 {
+		amount += d.Seconds() * b.cfg.PerSecond
+		b.paid = now
+	}
+	b.balance = min(b.balance+amount, b.cfg.Burst)
+}
+
+// backOff returns the wait before the next attempt. It is drawn evenly between
+// nothing and twice the mean: requests that were refused together must not come
+// back together.
+func (b *Budget) backOff(attempts int) time.Duration {
+	most := 2 * b.cfg.BackOff << min(max(attempts-1, 0), 16)
+	return time.Duration(b.rnd.Int64N(int64(min(most, b.cfg.MaxWait)) + 1))
+}
--- /dev/null
+++ b/internal/traffic/target/doc.go
@@ -0,0 +1,28 @@
+// Package target chooses, at an entry, the target that gets a request.
+//
+// A [Chooser] serves one service. The entry tells it which candidates exist
+// ([Chooser.Update]), what the sidecars report about their load
+// ([Chooser.Report]), which targets are leaving or silent ([Chooser.Leave],
+// [Chooser.Suspend]) and how each request ended ([Chooser.Finish]).
+// [Chooser.Pick] then decides in this order:
+//
+//  1. A pool, by the shares that the document gives.
+//  2. Within the pool the targets of the entry's own data centre. Others are
+//     taken only if none of its own can take the request, or if its own are so
+//     loaded that the longer way is worth it.
+//  3. If the request has a prefix, the few targets that rendezvous hashing
+//     assigns to it, as long as their load is bounded by the pool's mean.
+//  4. Else the least loaded of two targets drawn by weight, or of a few more
+//     where targets are ranks of one group.
+//
+// Load is a time: the tokens of work outstanding at a target over the tokens
+// that it finishes a second. It comes from the last report, plus the work that
+// this entry has sent since the report was measured. Reports lag, so an old
+// report loses weight and the entry's own work in flight takes its place.
+//
+// Load and prefixes are hints. Whether a target may get the request at all
+// is not: a target that is leaving, silent, refusing or already tried is never
+// chosen, and Pick says so rather than choosing the least bad one.
+//
+// A Chooser isn't safe for concurrent use. Pick allocates nothing.
+package target
--- /dev/null
+++ b/internal/traffic/target/pick.go
@@ -0,0 +1,107 @@
+package target
+
+import "time"
+
+// maxChoices bounds Config.Choices and Config.RankChoices.
+const maxChoices = 8
+
+// pickFrom chooses a target of the pool, and reports whether it was chosen for
+// the request's prefix. It returns nil if none may get the request.
+func (c *Chooser) pickFrom(p *pool, at time.Duration, q *Query) (*state, bool) {
+	s, affine := c.pickSide(&p.local, at, q)
+	if s == nil {
+		return c.pickSide(&p.remote, at, q)
+	}
+	// A loaded data centre sends its excess to the others. The gain keeps two
+	// loaded data centres from sending to each other.
+	load := c.load(s, at, p.local.mean)
+	if load <= c.cfg.SpillLoad.Seconds() {
+		return s, affine
+	}
+	r, remote := c.pickSide(&p.remote, at, q)
+	if r == nil || c.load(r, at, p.remote.mean)+c.cfg.SpillGain.Seconds() > load {
+		return s, affine
+	}
+	return r, remote
+}
+
+// pickSide chooses by prefix if that is possible within the bound on load, and
+// by load otherwise.
+func (c *Chooser) pickSide(sd *side, at time.Duration, q *Query) (*state, bool) {
+	if len(sd.states) == 0 {
+		return nil, false
+	}
+	if q.Prefix != (Prefix{}) {
+		if s := c.pickAffine(sd, at, q); s != nil {
+			return s, true
+		}
+	}
+	return c.pickByLoad(sd, at, q), false
+}
+
+// pickAffine returns the first of the prefix's targets that may get the request
+// and isn't loaded beyond the bound. It returns nil if there is none.
+func (c *Chooser) pickAffine(sd *side, at time.Duration, q *Query) *state {
+	c.observe(sd, at)
+	bound := sd.mean*c.cfg.AffinityLoad + c.cfg.AffinityRoom.Seconds()
+	var owners [ownerCount]int32
+	n := sd.owners(q.Prefix, &owners)
+	for _, i := range owners[:n] {
+		s := sd.states[i]
+		if s.eligible(at, &c.cfg, q) && c.load(s, at, sd.mean) <= bound {
+			return s
+		}
+	}
+	return nil
+}
+
+// observe takes a random target into the side's mean load.
+func (c *Chooser) observe(sd *side, at time.Duration) {
+	s := sd.draw(c.rnd.Uint64())
+	if at >= s.blockedUntil() {
+		sd.observe(c.sample(s, at))
+	}
+}
+
+// pickByLoad returns the least loaded of a few targets drawn by weight, or nil if
+// no target of the side may get the request.
+func (c *Chooser) pickByLoad(sd *side, at time.Duration, q *Query) *state {
+	var best *state
+	var least float64
+	choices := c.cfg.Choices
+	found := 0
+	for range 2 * maxChoices {
+		s := sd.draw(c.rnd.Uint64())
+		if !s.eligible(at, &c.cfg, q) {
+			continue
+		}
+		if s.Group != "" {
+			choices = c.cfg.RankChoices
+		}
+		sd.observe(c.sample(s, at))
+		if load := c.load(s, at, sd.mean); best == nil || load < least {
+			best, least = s, load
+		}
+		if found++; found >= choices {
+			break
+		}
+	}
+	if best == nil {
+		return c.anyOf(sd, at, q)
+	}
+	return best
+}
+
+// anyOf walks over the side from a random place to the first target that may get
+// the request. It serves when so few are left that draws miss them.
+func (c *Chooser) anyOf(sd *side, at time.Duration, q *Query) *state {
+	n := len(sd.states)
+	first := c.rnd.IntN(n)
+	for i := range n {
+		s := sd.states[(first+i)%n]
+		if s.eligible(at, &c.cfg, q) {
+			return s
+		}
+	}
+	return nil
+}
