--- a/internal/wire/frame/codec.go
+++ b/internal/wire/frame/codec.go
@@ -14,12 +14,9 @@
 	headerBytes = 5 // four of length, one of kind
 
 	// MaxBytes bounds one frame. The largest is a Control frame that carries
-	// a block of a document; bodies are cut into pieces of MaxDataBytes.
+	// a block of a document; bodies travel in smaller pieces.
 	MaxBytes = 1 << 20
 
-	// MaxDataBytes bounds the data of one Body or Chunk frame.
-	MaxDataBytes = 32 << 10
-
 	maxElements = 4096 // elements of an array or a map in a frame
 	maxNesting  = 8
 )
--- a/internal/wire/frame/doc.go
+++ b/internal/wire/frame/doc.go
@@ -7,6 +7,7 @@
 // versions of the program can talk during a rolling restart.
 //
 // The first stream of a connection is its control stream and begins with
-// [Hello], answered by [Welcome]. Every other stream carries one request and
-// begins with [Open] or [Resolve].
+// [Hello], answered by [Welcome]. Every other stream carries one request, in
+// frames of KindRequest whose message is defined by package
+// internal/traffic/request.
 package frame
