--- /dev/null
+++ b/internal/standin/engine/price.go
@@ -0,0 +1,72 @@
+package engine
+
+import (
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+)
+
+// expertShare is the share of a balanced step that is spent in the experts.
+const expertShare = 0.6
+
+func evenPopularity(m *expertmap.Map) [][]float64 {
+	if m == nil {
+		return nil
+	}
+	shape := m.Shape()
+	shares := make([][]float64, shape.Layers)
+	for l := range shares {
+		shares[l] = make([]float64, shape.Experts)
+		for e := range shares[l] {
+			shares[l][e] = 1 / float64(shape.Experts)
+		}
+	}
+	return shares
+}
+
+// price works out each rank's time for the step that begins, and returns the
+// longest. The group's lock is held.
+func (g *Group) price() time.Duration {
+	longest := time.Duration(0)
+	for _, e := range g.ranks {
+		factor := 1 - expertShare + expertShare*e.relativeLoad()
+		if e.faults.Slow > 0 {
+			factor *= e.faults.Slow
+		}
+		e.took = time.Duration(float64(g.cfg.Step) * factor)
+		longest = max(longest, e.took)
+	}
+	return longest
+}
+
+// relativeLoad is the rank's share of the experts' work over the even share.
+func (e *Engine) relativeLoad() float64 {
+	m := e.orders.current
+	if m == nil || len(e.group.popularity) < m.Shape().Layers {
+		return 1
+	}
+	if e.priced == m && e.pricedBy == &e.group.popularity[0] {
+		return e.load
+	}
+	e.priced, e.pricedBy = m, &e.group.popularity[0]
+	e.load = rankShare(m, e.rank, e.group.popularity) * float64(m.Shape().Ranks)
+	return e.load
+}
+
+// rankShare is the share of all tokens that a rank's experts handle, if the
+// replicas of an expert share its tokens evenly.
+func rankShare(m *expertmap.Map, rank int, popularity [][]float64) float64 {
+	shape := m.Shape()
+	replicas := make([]uint16, shape.Experts)
+	total := 0.0
+	for layer := range shape.Layers {
+		m.Replicas(layer, replicas)
+		for _, expert := range m.Row(layer, rank) {
+			if expert == expertmap.Empty || int(expert) >= len(popularity[layer]) {
+				continue
+			}
+			total += popularity[layer][expert] / float64(max(1, replicas[expert]))
+		}
+	}
+	return total / float64(shape.Layers)
+}
