--- /dev/null
+++ b/internal/fleet/member/table.go
@@ -0,0 +1,272 @@
+package member
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+)
+
+// graveLife is how long the record of a member that left is kept, so that a late
+// copy of an older record does not bring it back.
+const graveLife = 2 * time.Hour
+
+// ID names one life of one member in few bytes.
+type ID uint64
+
+// IDOf returns the ID of the given life.
+func IDOf(name host.Name, inc host.Incarnation) ID {
+	return ID(mix(hashText(string(name)), uint64(inc)))
+}
+
+// hashText hashes a text; all processes get the same result.
+func hashText(s string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(s))
+	return mix(h.Sum64(), 0)
+}
+
+// mix is the finaliser of SplitMix64 over two words.
+func mix(a, b uint64) uint64 {
+	x := a ^ (b+0x9e3779b97f4a7c15)*0xbf58476d1ce4e5b9
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// entry is a member with what is kept beside its record.
+type entry struct {
+	Record
+	id     ID
+	nameID uint64
+	hash   uint64
+	leftAt time.Time
+	listed bool // was on the platform's list
+}
+
+// held is a fact with what is kept beside it.
+type held struct {
+	Fact
+	keyID   uint64
+	hash    uint64
+	expires time.Time // zero for never
+
+	settledVersion uint64
+	settledHash    uint64
+}
+
+// table is all that a member knows, with hashes kept up to date, so that
+// comparing two tables costs no pass over them.
+type table struct {
+	self    host.Name
+	records map[host.Name]*entry
+	facts   map[string]*held
+	buckets [BucketCount]uint64
+	known   uint64 // of all buckets
+	binding uint64 // of binding facts as known
+	settled uint64 // of binding facts as settled
+
+	centres map[host.DataCentre][]*entry // members that have not left, in ring order
+	names   []host.DataCentre            // the keys of centres, in order
+	dirty   bool                         // centres have to be built again
+	layout  int                          // counts how often centres were built
+}
+
+func newTable(self host.Name) *table {
+	return &table{
+		self:    self,
+		records: make(map[host.Name]*entry),
+		facts:   make(map[string]*held),
+		dirty:   true,
+	}
+}
+
+func (t *table) flip(keyID, hash uint64) {
+	t.buckets[keyID%BucketCount] ^= hash
+	t.known ^= hash
+}
+
+// mergeRecord takes in a record if it is newer than the known one.
+func (t *table) mergeRecord(now time.Time, r Record) bool {
+	e, ok := t.records[r.Identity.Name]
+	if !ok {
+		if r.State == Left || len(t.records) >= MaxMembers {
+			return false
+		}
+		e = &entry{nameID: hashText(string(r.Identity.Name))}
+		t.records[r.Identity.Name] = e
+	} else if !r.newer(&e.Record) {
+		return false
+	}
+	if r.Identity != e.Identity || (r.State == Left) != (e.State == Left) {
+		t.dirty = true
+	}
+	t.flip(e.nameID, e.hash)
+	if r.State == Left {
+		e.leftAt = now
+	}
+	e.Record = r
+	e.id = IDOf(r.Identity.Name, r.Identity.Incarnation)
+	e.hash = mix(uint64(e.id), uint64(r.Seq)<<8|uint64(r.State))
+	t.flip(e.nameID, e.hash)
+	return true
+}
+
+// merged is the result of taking in a fact.
+type merged uint8
+
+const (
+	stale    merged = iota // older than what is known, or the same
+	fresh                  // taken in
+	clashing               // another value under the same version
+)
+
+// mergeFact takes in a fact if it is newer than the known one.
+func (t *table) mergeFact(now time.Time, f Fact) merged {
+	h, ok := t.facts[f.Key]
+	if ok && f.Version < h.Version {
+		return stale
+	}
+	keyID := hashText(f.Key)
+	hash := mix(mix(keyID, f.Version), hashText(string(f.Value)))
+	switch {
+	case !ok && len(t.facts) >= MaxFacts:
+		return stale
+	case !ok:
+		h = &held{keyID: keyID}
+		t.facts[f.Key] = h
+	case f.Version == h.Version && hash == h.hash:
+		return stale
+	case f.Version == h.Version && f.Binding:
+		return clashing
+	case f.Version == h.Version && hash < h.hash:
+		return stale // both sides keep the same one of the two
+	}
+	t.forgetHash(h)
+	h.Fact = f
+	h.hash = hash
+	h.expires = time.Time{}
+	if f.Life > 0 {
+		h.expires = now.Add(f.Life)
+	}
+	t.flip(keyID, hash)
+	if f.Binding {
+		t.binding ^= hash
+	}
+	return fresh
+}
+
+func (t *table) forgetHash(h *held) {
+	t.flip(h.keyID, h.hash)
+	if h.Binding {
+		t.binding ^= h.hash
+	}
+}
+
+// settle notes that a binding fact is dealt with up to the given version.
+func (t *table) settle(key string, version uint64) {
+	h, ok := t.facts[key]
+	if !ok || !h.Binding || version <= h.settledVersion {
+		return
+	}
+	t.settled ^= h.settledHash
+	h.settledVersion = version
+	h.settledHash = 0
+	if version == h.Version {
+		h.settledHash = h.hash
+	}
+	t.settled ^= h.settledHash
+}
+
+// settledAll tells whether each of the given versions is settled.
+func (t *table) settledAll(versions []KeyVersion) bool {
+	have := make(map[uint64]uint64, len(t.facts))
+	for _, h := range t.facts {
+		if h.Binding {
+			have[h.keyID] = h.settledVersion
+		}
+	}
+	for _, v := range versions {
+		if have[v.Key] < v.Version {
+			return false
+		}
+	}
+	return true
+}
+
+// bindingVersions lists the binding facts as known.
+func (t *table) bindingVersions() []KeyVersion {
+	var out []KeyVersion
+	for _, h := range t.facts {
+		if h.Binding {
+			out = append(out, KeyVersion{Key: h.keyID, Version: h.Version})
+		}
+	}
+	slices.SortFunc(out, func(a, b KeyVersion) int { return cmp.Compare(a.Key, b.Key) })
+	return out
+}
+
+// expire drops facts whose life is over and records of members long gone.
+func (t *table) expire(now time.Time) {
+	for key, h := range t.facts {
+		if !h.expires.IsZero() && !now.Before(h.expires) {
+			t.forgetHash(h)
+			delete(t.facts, key)
+		}
+	}
+	for name, e := range t.records {
+		if e.State == Left && name != t.self && now.Sub(e.leftAt) > graveLife {
+			t.flip(e.nameID, e.hash)
+			delete(t.records, name)
+		}
+	}
+}
+
+// outgoing returns the fact with the life that is left of it.
+func (h *held) outgoing(now time.Time) Fact {
+	f := h.Fact
+	if !h.expires.IsZero() {
+		f.Life = max(h.expires.Sub(now), time.Millisecond)
+	}
+	return f
+}
+
+// sortedNames returns the names of all members in order.
+func (t *table) sortedNames() []host.Name {
+	names := make([]host.Name, 0, len(t.records))
+	for name := range t.records {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// arrange builds the rings again if the members have changed.
+func (t *table) arrange() {
+	if !t.dirty {
+		return
+	}
+	t.dirty = false
+	t.layout++
+	t.centres = make(map[host.DataCentre][]*entry)
+	for _, e := range t.records {
+		if e.State != Left {
+			dc := e.Identity.DataCentre
+			t.centres[dc] = append(t.centres[dc], e)
+		}
+	}
+	t.names = t.names[:0]
+	for dc, ring := range t.centres {
+		t.names = append(t.names, dc)
+		slices.SortFunc(ring, compareOnRing)
+	}
+	slices.Sort(t.names)
+}
+
+// compareOnRing orders by a hash of the name, so that hosts of one rack, whose
+// names are alike, are not neighbours more often than by chance.
+func compareOnRing(a, b *entry) int {
+	return cmp.Or(cmp.Compare(a.nameID, b.nameID), cmp.Compare(a.Identity.Name, b.Identity.Name))
+}
