--- a/internal/traffic/request/message.go
+++ b/internal/traffic/request/message.go
@@ -87,6 +87,7 @@
 	Call        *Call            `cbor:"9,keyasint,omitempty"`
 	Reason      Reason           `cbor:"10,keyasint,omitempty"`
 	RetryAfter  time.Duration    `cbor:"11,keyasint,omitempty"`
+	Join        bool             `cbor:"12,keyasint,omitempty"` // on Resolve and Cancel: ID is the earlier request with the same key
 }
 
 // Bounds of a [Message].
--- a/internal/traffic/request/outcome.go
+++ b/internal/traffic/request/outcome.go
@@ -37,7 +37,6 @@
 	NoTarget           Reason = "noTarget"           // no target may be tried (any more)
 	Overloaded         Reason = "overloaded"         // admission refused it
 	Draining           Reason = "draining"           // the target is leaving
-	RetryDenied        Reason = "retryDenied"        // the retry budget is spent
 	BookFull           Reason = "bookFull"           // the sidecar remembers as many requests as it may
 	NeverSeen          Reason = "neverSeen"          // the sidecar did not get the request and now never will
 	BodyIncomplete     Reason = "bodyIncomplete"     // the body did not arrive whole
