Name the messages, events and actions of a switch between maps

The engines know maps by number, and tell limit, prepared number and switch step when read back. Orders named switches by a separate id that no engine could return.

Orders and the engine's state now speak of map numbers; a number holds the fence of the planner that proposed it.

--- /dev/null
+++ b/internal/expert/group/event.go
@@ -0,0 +1,99 @@
+package group
+
+import (
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/order"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/lease"
+)
+
+// Config sets up a [Switch]. Zero durations take the defaults.
+type Config struct {
+	Self        host.Name
+	Incarnation host.Incarnation
+	Engine      order.Engine
+	Resend      time.Duration // between two questions to the same rank
+	Wait        time.Duration // a rank waits so long for an outcome before it asks
+	Turn        time.Duration // then the ranks begin to ask in doubling numbers, a turn apart
+	DeadAfter   time.Duration // a group whose switch can't end for so long forms again
+	Keep        time.Duration // weights of a refused map are kept for a next attempt
+	Retry       time.Duration // between two attempts at an order
+	Chunk       time.Duration // how much loading one order asks for, at the rank's rate
+}
+
+// Defaults of [Config].
+const (
+	DefaultResend    = 100 * time.Millisecond
+	DefaultWait      = 300 * time.Millisecond
+	DefaultTurn      = 150 * time.Millisecond
+	DefaultDeadAfter = 10 * time.Second
+	DefaultKeep      = 30 * time.Second
+	DefaultRetry     = 50 * time.Millisecond
+	DefaultChunk     = 500 * time.Millisecond
+)
+
+func (c Config) withDefaults() Config {
+	set := func(d *time.Duration, to time.Duration) {
+		if *d <= 0 {
+			*d = to
+		}
+	}
+	set(&c.Resend, DefaultResend)
+	set(&c.Wait, DefaultWait)
+	set(&c.Turn, DefaultTurn)
+	set(&c.DeadAfter, DefaultDeadAfter)
+	set(&c.Keep, DefaultKeep)
+	set(&c.Retry, DefaultRetry)
+	set(&c.Chunk, DefaultChunk)
+	return c
+}
+
+// EventKind tells what happened.
+type EventKind uint8
+
+// The kinds of events of a [Switch].
+const (
+	Tick      EventKind = iota + 1 // the time of [Switch.Deadline] has come
+	Formed                         // Event.Record was read from the platform or heard from a peer
+	Received                       // Event.Message came from Event.From
+	OrderDone                      // an order ended: Event.Result
+	ReadBack                       // the engine told its state, or that it can't: Event.State
+	Stepped                        // the first step that the engine hasn't begun is Event.Next
+	Fenced                         // Event.Fence is the planning lease's current fence
+)
+
+// Event is an input of [Switch.Handle].
+type Event struct {
+	Kind    EventKind
+	Record  *Record
+	From    host.Name
+	Message Message
+	Result  order.Result
+	State   order.State
+	Next    uint64
+	Fence   lease.Fence
+}
+
+// ActionKind tells what is to be done.
+type ActionKind uint8
+
+// The kinds of actions of a [Switch].
+const (
+	Send    ActionKind = iota + 1 // send Action.Message to Action.To; it may be lost
+	Give                          // give Action.Order to the guard in front of the engine
+	Read                          // ask the engine for its state
+	InForce                       // all ranks use the map Action.Record.Number; write it down when convenient
+	Reform                        // the group has to form under a new epoch: Action.Text says why
+	Violate                       // an invariant does not hold: Action.Text
+)
+
+// Action is an output of [Switch.Handle].
+type Action struct {
+	Kind    ActionKind
+	To      host.Name
+	Message Message
+	Order   order.Order
+	Record  Record
+	Text    string
+}
--- /dev/null
+++ b/internal/expert/group/record.go
@@ -0,0 +1,94 @@
+package group
+
+import (
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/lease"
+)
+
+// MaxNameBytes bounds the name of a group and of a host in it.
+const MaxNameBytes = 256
+
+// numberBits is the part of a map number below the fence.
+const numberBits = 24
+
+// ErrRecord reports a record that can't be read or doesn't hold together.
+var ErrRecord = merry.New("group record is invalid")
+
+// Number names a proposed map within an epoch, and the switch to it. It holds
+// the fence of the planner that proposed it in the bits above the 24 lowest, so
+// no two planners choose the same, and a later planner's are all higher.
+type Number uint64
+
+// NumberOf returns the nth number of a planner.
+func NumberOf(f lease.Fence, n uint32) Number {
+	return Number(f)<<numberBits | Number(n&(1<<numberBits-1))
+}
+
+// Fence returns the fence of the planner that proposed the map.
+func (n Number) Fence() lease.Fence {
+	return lease.Fence(n >> numberBits)
+}
+
+// Record is what the platform keeps of a group: which ranks are in lock-step,
+// and the map to begin with when the group forms. Its map may be behind the one
+// in force, because a switch doesn't wait for the platform.
+type Record struct {
+	Name   string         `cbor:"1,keyasint" json:"name"`
+	Epoch  uint64         `cbor:"2,keyasint" json:"epoch"` // rises with each forming; 0 stands for never formed
+	Fence  lease.Fence    `cbor:"3,keyasint" json:"fence"` // of the process that formed this epoch
+	Number Number         `cbor:"4,keyasint" json:"number"`
+	Ranks  []host.Name    `cbor:"5,keyasint" json:"ranks"` // rank r runs on Ranks[r]
+	Map    *expertmap.Map `cbor:"6,keyasint" json:"-"`
+}
+
+// RankOf returns the rank that runs on a host, or -1.
+func (r *Record) RankOf(name host.Name) int {
+	for i, n := range r.Ranks {
+		if n == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// Check returns [ErrRecord] if the record doesn't hold together.
+func (r *Record) Check() error {
+	if r.Name == "" || len(r.Name) > MaxNameBytes {
+		return merry.Appendf(ErrRecord, "name of %d bytes", len(r.Name))
+	}
+	if r.Map == nil {
+		return merry.Append(ErrRecord, "no map")
+	}
+	if len(r.Ranks) != r.Map.Shape().Ranks {
+		return merry.Appendf(ErrRecord, "%d hosts for %d ranks", len(r.Ranks), r.Map.Shape().Ranks)
+	}
+	seen := make(map[host.Name]bool, len(r.Ranks))
+	for _, n := range r.Ranks {
+		if n == "" || len(n) > MaxNameBytes || seen[n] {
+			return merry.Appendf(ErrRecord, "host %.20q", n)
+		}
+		seen[n] = true
+	}
+	if found := r.Map.Check(); len(found) > 0 {
+		return merry.Appendf(ErrRecord, "map: %v", found[0])
+	}
+	return nil
+}
+
+// Encode returns the record as it is kept in the platform.
+func (r *Record) Encode() ([]byte, error) {
+	return cbor.Marshal(r)
+}
+
+// DecodeRecord reads a record and checks it.
+func DecodeRecord(b []byte) (*Record, error) {
+	r := new(Record)
+	if err := cbor.Unmarshal(b, r); err != nil {
+		return nil, merry.Appendf(ErrRecord, "%v", err)
+	}
+	return r, r.Check()
+}
--- a/internal/expert/order/guard_test.go
+++ b/internal/expert/order/guard_test.go
@@ -142,15 +142,15 @@
 // wireRun drives two lives of a sidecar, planners with rising fences and a
 // network that delays copies up to the landing time and loses answers.
 type wireRun struct {
-	engine  order.Engine
-	g       *guarded
-	life    int
-	at      time.Duration
-	fence   lease.Fence
-	seq     uint64
-	copies  []landed
-	fences  lease.Fence // highest taken by an engine that checks
-	top     order.ID    // highest order in effect
+	engine order.Engine
+	g      *guarded
+	life   int
+	at     time.Duration
+	fence  lease.Fence
+	seq    uint64
+	copies []landed
+	fences lease.Fence // highest taken by an engine that checks
+	top    order.ID    // highest order in effect
 }
 
 func (r *wireRun) collect(t *rapid.T) {
--- a/internal/expert/order/order.go
+++ b/internal/expert/order/order.go
@@ -10,33 +10,6 @@
 	"wagtailshelf.example/wagtailshelf/internal/fleet/lease"
 )
 
-// SwitchID names one proposed switch of a group from one map to another. The
-// switches of an epoch are ordered by fence, then number.
-type SwitchID struct {
-	Epoch  uint64      `cbor:"1,keyasint,omitempty" json:"epoch"`
-	Fence  lease.Fence `cbor:"2,keyasint,omitempty" json:"fence"`
-	Number uint64      `cbor:"3,keyasint,omitempty" json:"number"`
-}
-
-// Compare orders switches by epoch, fence and number.
-func (s SwitchID) Compare(other SwitchID) int {
-	return cmp.Or(
-		cmp.Compare(s.Epoch, other.Epoch),
-		cmp.Compare(s.Fence, other.Fence),
-		cmp.Compare(s.Number, other.Number),
-	)
-}
-
-// IsZero tells whether the id names no switch.
-func (s SwitchID) IsZero() bool {
-	return s == SwitchID{}
-}
-
-// String formats the id as epoch.fence.number.
-func (s SwitchID) String() string {
-	return fmt.Sprintf("%d.%d.%d", s.Epoch, s.Fence, s.Number)
-}
-
 // ID names an order. A repeated order has the same ID. Incarnation is that of
 // the sidecar that gives the order, so that ids rise across its restarts.
 type ID struct {
@@ -59,33 +32,33 @@
 
 // The kinds of orders.
 const (
-	Prepare   Kind = iota + 1 // remember Order.Map under its digest, as the map to load for
-	Load                      // fetch Order.Loads from the weight store and hold them
+	Load      Kind = iota + 1 // fetch Order.Weights from the weight store and hold them
+	Prepare                   // remember Order.Map as map Order.Number; refused while its weights are not held
+	Cancel                    // forget the prepared map and a switch to it
 	Limit                     // begin no step from Order.Step on
-	Lift                      // forget the limit, if it is that of Order.Switch or of an earlier switch
-	SwitchMap                 // use the prepared map Order.Digest from Order.Step on
-	Drop                      // hold only the weights of the map Order.Digest
+	Lift                      // forget the limit
+	SwitchMap                 // use the prepared map Order.Number from Order.Step on
+	Drop                      // let go of Order.Weights
 	Form                      // leave the old lock-step; join that of Order.Epoch with Order.Map
 )
 
 // String returns the name of the kind.
 func (k Kind) String() string {
-	names := [...]string{"none", "prepare", "load", "limit", "lift", "switchMap", "drop", "form"}
+	names := [...]string{"none", "load", "prepare", "cancel", "limit", "lift", "switchMap", "drop", "form"}
 	if int(k) >= len(names) {
 		return fmt.Sprintf("kind %d", uint8(k))
 	}
 	return names[k]
 }
 
-// Order is one order to an engine.
+// Order is one order to an engine. The fields that a kind doesn't name are zero.
 type Order struct {
 	ID      ID
 	Kind    Kind
-	Epoch   uint64
-	Switch  SwitchID
-	Digest  expertmap.Digest
-	Map     *expertmap.Map // for Prepare and Form
-	Loads   []expertmap.Placement
+	Epoch   uint64 // of the group's lock-step; for Form, the one to join
+	Number  uint64 // of the map, for Prepare, SwitchMap and Form
+	Map     *expertmap.Map
+	Weights []expertmap.Placement // all on the engine's own rank
 	Step    uint64
 	Timeout time.Duration // wait for an answer to one copy; 0 stands for the guard's own
 }
@@ -107,10 +80,12 @@
 const (
 	StaleFence   Reason = "staleFence"   // a higher fence has been seen
 	StaleOrder   Reason = "staleOrder"   // a later order has been taken
-	StaleEpoch   Reason = "staleEpoch"   // the engine belongs to a later epoch
+	StaleEpoch   Reason = "staleEpoch"   // the engine belongs to another epoch
 	FenceUnknown Reason = "fenceUnknown" // the sidecar has not learnt the current fence yet
 	TooLate      Reason = "tooLate"      // the step has begun already
-	NotHeld      Reason = "notHeld"      // weights of the map are missing
+	NotHeld      Reason = "notHeld"      // weights of the map are missing, or being loaded
+	NotPrepared  Reason = "notPrepared"  // the map to switch to is not prepared
+	InUse        Reason = "inUse"        // the weights belong to a map in force or prepared
 	StoreFailed  Reason = "storeFailed"  // the weight store did not deliver
 	QueueFull    Reason = "queueFull"    // the guard holds too many orders
 	Unsupported  Reason = "unsupported"  // the engine doesn't know such orders
@@ -132,17 +107,16 @@
 	ReadsBack    bool // tells its State
 }
 
-// State is what an engine tells of the orders that it has taken.
+// State is what an engine tells of the orders that it has taken. Steps and
+// numbers are 0 if there is none.
 type State struct {
 	Known    bool // false: the engine can't tell, and nothing else is set
 	Epoch    uint64
 	Fence    lease.Fence // the highest taken
 	Next     uint64      // the first step not begun yet
-	InForce  expertmap.Digest
-	Prepared expertmap.Digest
-	Limit    uint64 // 0 without a limit
-	LimitOf  SwitchID
-	Switch   uint64 // the step of the last switch ordered, still ahead or not; 0 if there was none in this epoch
-	SwitchOf SwitchID
-	SwitchTo expertmap.Digest
+	Map      uint64      // number of the map in force
+	Prepared uint64      // number of the prepared map
+	Limit    uint64      // the first step that it may not begin
+	Switch   uint64      // the first step with the prepared map
+	Held     []expertmap.Placement
 }
