Speak the orders of the group protocol to engines

Orders and read-back had a form of their own on the wire, which no deciding package used. They now carry the ids, map numbers and refusals of package order, and an order to load weights is answered when they are held, so that the guard's timeout bounds it.

--- a/internal/standin/engine/config.go
+++ b/internal/standin/engine/config.go
@@ -30,6 +30,7 @@
 	EventLoss   float64        // share of cache events that are lost
 	LoadLag     time.Duration  // a load report is up to so old
 	IgnoreFence bool           // orders with an old fence are carried out
+	CheckIDs    bool           // orders with an id below the highest taken are refused
 	CantTell    bool           // orders can't be read back
 	Grace       time.Duration  // a kept run without a reader is cancelled after so long
 	Map         *expertmap.Map // map in force at the start, as number 1; nil for no experts
--- a/internal/standin/engine/doc.go
+++ b/internal/standin/engine/doc.go
@@ -19,6 +19,6 @@
 //	GET  /faults, PUT /faults
 //
 // What it offers of a restart: a rank that was dead forgets its orders, and its
-// group stands still until each rank has been given a formGroup order with the
-// same new epoch.
+// group stands still until each rank has been given a form order with the same
+// new epoch.
 package engine
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -36,9 +36,12 @@
 	steps   uint64
 	tokens  uint64
 	busyFor time.Duration
+	settled uint64    // of tokens: shared out among the experts
 	report  wire.Load // last load report
 	at      time.Time // of the report
 
+	expertTokens [][]float64 // by layer and expert
+
 	counted  map[string]*RunCount
 	countIDs []string
 }
--- a/internal/standin/engine/group.go
+++ b/internal/standin/engine/group.go
@@ -69,7 +69,8 @@
 	return g.step
 }
 
-// MixedSteps returns the number of steps in which ranks had different maps.
+// MixedSteps returns the number of steps in which ranks had different maps, or a
+// rank lacked weights of its map.
 // Any number above zero is a broken promise.
 func (g *Group) MixedSteps() int {
 	g.mu.Lock()
@@ -81,6 +82,9 @@
 func (g *Group) SetPopularity(shares [][]float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	for _, e := range g.ranks {
+		e.settleCounts()
+	}
 	g.popularity = shares
 }
 
@@ -142,7 +146,7 @@
 
 func (g *Group) sameMap() bool {
 	for _, e := range g.ranks {
-		if e.orders.number != g.ranks[0].orders.number {
+		if e.orders.number != g.ranks[0].orders.number || !e.orders.whole(e.orders.current) {
 			return false
 		}
 	}
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -81,26 +81,6 @@
 	reply(w, http.StatusOK, e.Counts())
 }
 
-// Counts returns what the rank did since its start.
-func (e *Engine) Counts() wire.Counts {
-	e.group.mu.Lock()
-	defer e.group.mu.Unlock()
-	c := wire.Counts{
-		Steps:   e.steps,
-		Tokens:  e.tokens,
-		Micros:  uint64(e.busyFor.Microseconds()),
-		Map:     e.orders.number,
-		Experts: make([][]uint64, len(e.group.popularity)),
-	}
-	for l, shares := range e.group.popularity {
-		c.Experts[l] = make([]uint64, len(shares))
-		for x, share := range shares {
-			c.Experts[l][x] = uint64(float64(e.tokens) * share)
-		}
-	}
-	return c
-}
-
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var ord wire.Order
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxOrderBytes)).Decode(&ord); err != nil {
@@ -123,13 +103,6 @@
 	reply(w, http.StatusOK, e.State())
 }
 
-// State reads the rank's orders back, also where Config.CantTell hides them.
-func (e *Engine) State() wire.State {
-	e.group.mu.Lock()
-	defer e.group.mu.Unlock()
-	return e.state()
-}
-
 func (e *Engine) serveFaults(w http.ResponseWriter, _ *http.Request) {
 	reply(w, http.StatusOK, e.Faults())
 }
--- a/internal/standin/engine/price.go
+++ b/internal/standin/engine/price.go
@@ -1,9 +1,11 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+	wire "wagtailshelf.example/wagtailshelf/internal/wire/engine"
 )
 
 // expertShare is the share of a balanced step that is spent in the experts.
@@ -70,3 +72,42 @@
 	}
 	return total / float64(shape.Layers)
 }
+
+// Counts returns what the rank did since its start.
+func (e *Engine) Counts() wire.Counts {
+	e.group.mu.Lock()
+	defer e.group.mu.Unlock()
+	e.settleCounts()
+	c := wire.Counts{
+		Steps:   e.steps,
+		Tokens:  e.tokens,
+		Micros:  uint64(e.busyFor.Microseconds()),
+		Map:     e.orders.number,
+		Experts: make([][]uint64, len(e.expertTokens)),
+	}
+	for l, layer := range e.expertTokens {
+		c.Experts[l] = make([]uint64, len(layer))
+		for x, n := range layer {
+			c.Experts[l][x] = uint64(n)
+		}
+	}
+	return c
+}
+
+// settleCounts shares the tokens made since the last time out among the experts,
+// by the popularity that has been in force since. The group's lock is held.
+func (e *Engine) settleCounts() {
+	fresh := float64(e.tokens - e.settled)
+	e.settled = e.tokens
+	for l, shares := range e.group.popularity {
+		if l == len(e.expertTokens) {
+			e.expertTokens = append(e.expertTokens, nil)
+		}
+		if missing := len(shares) - len(e.expertTokens[l]); missing > 0 {
+			e.expertTokens[l] = slices.Concat(e.expertTokens[l], make([]float64, missing))
+		}
+		for x, share := range shares {
+			e.expertTokens[l][x] += fresh * share
+		}
+	}
+}
--- a/internal/wire/engine/client_test.go
+++ b/internal/wire/engine/client_test.go
@@ -13,6 +13,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"wagtailshelf.example/wagtailshelf/internal/expert/order"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/lease"
 	standin "wagtailshelf.example/wagtailshelf/internal/standin/engine"
 	"wagtailshelf.example/wagtailshelf/internal/wire/engine"
 )
@@ -76,15 +78,17 @@
 	require.Len(t, events.Events, 2)
 	assert.Equal(t, engine.BlockHashes([]byte(strings.Repeat("x", 2*engine.BlockBytes)))[0], events.Events[0].Block)
 
-	reply, err := c.Order(ctx, engine.Order{Kind: engine.ChangeRole, Fence: 5, Role: "prefill"})
-	require.NoError(t, err)
-	assert.True(t, reply.Accepted)
-	reply, err = c.Order(ctx, engine.Order{Kind: engine.ChangeRole, Fence: 4, Role: "decode"})
-	require.NoError(t, err)
-	assert.Equal(t, engine.StaleFence, reply.Refusal)
+	role := func(fence lease.Fence, name string) engine.OrderReply {
+		ord := engine.Order{Kind: engine.ChangeRole, ID: order.ID{Fence: fence}, Role: name}
+		reply, err := c.Order(ctx, ord, time.Minute)
+		require.NoError(t, err)
+		return reply
+	}
+	assert.True(t, role(5, "prefill").Accepted)
+	assert.Equal(t, order.StaleFence, role(4, "decode").Reason)
 
 	state, err := c.State(ctx)
 	require.NoError(t, err)
 	assert.Equal(t, "prefill", state.Role)
-	assert.Equal(t, uint64(5), state.Fence)
+	assert.Equal(t, lease.Fence(5), state.Fence)
 }
--- a/internal/wire/engine/message.go
+++ b/internal/wire/engine/message.go
@@ -9,9 +9,6 @@
 // Bounds of values that an engine sends.
 const (
 	MaxEvents     = 4096
-	MaxNameBytes  = 256
-	MaxMapBytes   = 4 << 20
-	MaxWeights    = 1 << 16
 	MaxLayers     = 256
 	MaxExperts    = 4096
 	maxMicros     = uint64(time.Hour / time.Microsecond)
@@ -29,78 +26,6 @@
 // ErrInvalid tells that an engine's reply has a value out of bounds.
 var ErrInvalid = errors.New("engine: invalid reply")
 
-// OrderKind is what an order asks for.
-type OrderKind string
-
-// The kinds of orders.
-const (
-	LoadModel    OrderKind = "loadModel"    // Model
-	LoadWeights  OrderKind = "loadWeights"  // Weights; carried out in the background
-	DropWeights  OrderKind = "dropWeights"  // Weights
-	PrepareMap   OrderKind = "prepareMap"   // Map, Number; its weights must be loaded
-	CancelMap    OrderKind = "cancelMap"    // forgets the prepared map and its switch
-	SetStepLimit OrderKind = "setStepLimit" // Step: the first step that is not begun; 0 for none
-	SwitchMap    OrderKind = "switchMap"    // Number, Step: the first step with the prepared map
-	ChangeRole   OrderKind = "changeRole"   // Role
-	FormGroup    OrderKind = "formGroup"    // Map, Number, Epoch: starts a new life of the group
-)
-
-// Weight names the weights of one expert in one layer.
-type Weight struct {
-	Layer  uint16 `json:"layer"`
-	Expert uint16 `json:"expert"`
-}
-
-// Order is a command to an engine.
-type Order struct {
-	Kind    OrderKind `json:"kind"`
-	Fence   uint64    `json:"fence"`             // fencing number of the lease it is given under
-	Epoch   uint64    `json:"epoch"`             // life of the group that it is meant for; 0 for any
-	Model   string    `json:"model,omitempty"`   // for LoadModel
-	Weights []Weight  `json:"weights,omitempty"` // for LoadWeights and DropWeights
-	Number  uint64    `json:"number,omitempty"`  // number of the map
-	Map     []byte    `json:"map,omitempty"`     // for PrepareMap and FormGroup: the whole map in CBOR
-	Step    uint64    `json:"step,omitempty"`    // for SetStepLimit and SwitchMap
-	Role    string    `json:"role,omitempty"`    // for ChangeRole
-}
-
-// Refusal says why an engine refused an order.
-type Refusal string
-
-// The refusals that an engine gives.
-const (
-	StaleFence     Refusal = "staleFence"     // it has seen a higher fence
-	WrongEpoch     Refusal = "wrongEpoch"     // the group has been formed again
-	MissingWeights Refusal = "missingWeights" // a map needs weights that aren't loaded
-	NotPrepared    Refusal = "notPrepared"    // a switch to a map that isn't prepared
-	PassedStep     Refusal = "passedStep"     // the step has begun already
-	InUse          Refusal = "inUse"          // the weights are part of the map in force or prepared
-	BadOrder       Refusal = "badOrder"       // it can't be read or isn't known
-)
-
-// OrderReply is an engine's answer to an order.
-type OrderReply struct {
-	Accepted bool    `json:"accepted"`
-	Refusal  Refusal `json:"refusal,omitempty"`
-	Fence    uint64  `json:"fence"` // highest fence seen; 0 if fences are ignored
-	Step     uint64  `json:"step"`  // next step when the order took effect
-}
-
-// State is what an engine tells about the orders it carried out.
-type State struct {
-	Fence      uint64   `json:"fence"`
-	Epoch      uint64   `json:"epoch"`
-	Step       uint64   `json:"step"`       // next step to begin
-	StepLimit  uint64   `json:"stepLimit"`  // first step not begun; 0 for none
-	Map        uint64   `json:"map"`        // number of the map in force
-	Prepared   uint64   `json:"prepared"`   // number of the prepared map; 0 for none
-	SwitchStep uint64   `json:"switchStep"` // first step with the prepared map; 0 for none
-	Loaded     []Weight `json:"loaded"`
-	Loading    []Weight `json:"loading"`
-	Models     []string `json:"models"`
-	Role       string   `json:"role"`
-}
-
 // Load is an engine's report of its load. It lags.
 type Load struct {
 	Running      int    `json:"running"`      // requests in the batch
@@ -175,31 +100,6 @@
 	return nil
 }
 
-func (s State) check() error {
-	if len(s.Loaded) > MaxWeights || len(s.Loading) > MaxWeights || len(s.Models) > MaxWeights {
-		return fmt.Errorf("%w: too many weights or models", ErrInvalid)
-	}
-	if len(s.Role) > MaxNameBytes {
-		return fmt.Errorf("%w: role of %d bytes", ErrInvalid, len(s.Role))
-	}
-	for _, m := range s.Models {
-		if len(m) > MaxNameBytes {
-			return fmt.Errorf("%w: model name of %d bytes", ErrInvalid, len(m))
-		}
-	}
-	if s.SwitchStep != 0 && s.Prepared == 0 {
-		return fmt.Errorf("%w: switch at step %d without a prepared map", ErrInvalid, s.SwitchStep)
-	}
-	return nil
-}
-
-func (r OrderReply) check() error {
-	if r.Accepted == (r.Refusal != "") {
-		return fmt.Errorf("%w: order accepted %t with refusal %.20q", ErrInvalid, r.Accepted, r.Refusal)
-	}
-	return nil
-}
-
 func (c Counts) check() error {
 	if c.Micros > maxMicros*24*365 {
 		return fmt.Errorf("%w: %d us in steps", ErrInvalid, c.Micros)
--- a/internal/wire/engine/report.go
+++ b/internal/wire/engine/report.go
@@ -10,6 +10,9 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/order"
 )
 
 // ErrCantTell tells that an engine doesn't know what it was ordered.
@@ -66,14 +69,43 @@
 	return DecodeState(body)
 }
 
-// Order gives an order. After an error other than a [*CallError] with NotSent
-// the order may have been carried out, or may still be: read the state back.
-func (c *Client) Order(ctx context.Context, ord Order) (OrderReply, error) {
+// ReadBack is [Client.State] in the form of package order. An engine that can't
+// tell gives a state that is not known, and no error.
+func (c *Client) ReadBack(ctx context.Context) (order.State, error) {
+	s, err := c.State(ctx)
+	if errors.Is(err, ErrCantTell) {
+		return order.State{}, nil
+	}
+	if err != nil {
+		return order.State{}, err
+	}
+	return s.state(), nil
+}
+
+// Give sends one copy of an order. Lost tells that no answer came: the order may
+// have been carried out, or may still be. The connection of the copy is closed
+// by then. A copy that was certainly not sent is lost as well; the guard that
+// counts the copies need not tell these apart.
+func (c *Client) Give(ctx context.Context, o order.Order) (res order.Result, lost bool) {
+	unknown := order.Result{ID: o.ID, Kind: o.Kind, Status: order.Unknown}
+	w, err := encodeOrder(o)
+	if err != nil {
+		return unknown, true
+	}
+	reply, err := c.Order(ctx, w, c.orderTimeout(o))
+	if err != nil {
+		return unknown, true
+	}
+	return reply.result(o), false
+}
+
+// Order gives an order on a connection of its own and waits for the answer.
+func (c *Client) Order(ctx context.Context, ord Order, timeout time.Duration) (OrderReply, error) {
 	data, err := json.Marshal(ord)
 	if err != nil {
 		return OrderReply{}, &CallError{NotSent: true, Err: err}
 	}
-	code, body, err := c.exchange(ctx, Call{
+	code, body, err := c.exchange(ctx, timeout, Call{
 		Method:        http.MethodPost,
 		Path:          "/orders",
 		Header:        http.Header{"Content-Type": {"application/json"}},
@@ -93,7 +125,7 @@
 // there is no error.
 func (c *Client) Cancel(ctx context.Context, id string) error {
 	query := url.Values{"id": {id}}
-	code, _, err := c.exchange(ctx, Call{Method: http.MethodPost, Path: "/cancel", RawQuery: query.Encode(), Repeatable: true})
+	code, _, err := c.exchange(ctx, c.cfg.ReportTimeout, Call{Method: http.MethodPost, Path: "/cancel", RawQuery: query.Encode(), Repeatable: true})
 	if err != nil {
 		return err
 	}
@@ -104,7 +136,7 @@
 }
 
 func (c *Client) read(ctx context.Context, path, query string) ([]byte, error) {
-	code, body, err := c.exchange(ctx, Call{Method: http.MethodGet, Path: path, RawQuery: query, Repeatable: true})
+	code, body, err := c.exchange(ctx, c.cfg.ReportTimeout, Call{Method: http.MethodGet, Path: path, RawQuery: query, Repeatable: true})
 	if err != nil {
 		return nil, err
 	}
@@ -115,8 +147,8 @@
 }
 
 // exchange carries out a call and reads its whole answer, bounded in time and size.
-func (c *Client) exchange(ctx context.Context, call Call) (int, []byte, error) {
-	ctx, cancel := context.WithTimeoutCause(ctx, c.cfg.ReportTimeout, ErrSilent)
+func (c *Client) exchange(ctx context.Context, timeout time.Duration, call Call) (int, []byte, error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, timeout, ErrSilent)
 	defer cancel()
 	resp, err := c.Do(ctx, call)
 	if err != nil {
