Read and check the document of a service

Each team states its targets, routes, workspaces and groups in one YAML document.

A request path with more than one reading has no route: a back end may resolve it to a call that must not be repeated.

--- /dev/null
+++ b/internal/record/document/check_service.go
@@ -0,0 +1,84 @@
+package document
+
+import (
+	"slices"
+	"strings"
+
+	"wagtailshelf.example/wagtailshelf/internal/record/finding"
+)
+
+var serviceUnits = []Unit{
+	{
+		Name:  "service-name",
+		Title: "`service` is given and is a lower-case name.",
+		Why:   "It names the document's objects in the platform.",
+		run:   func(p *pass) { p.named("service", p.Service) },
+	},
+	{
+		Name:  "service-kind",
+		Title: "`kind` is `model` or `plain`.",
+		Why:   "It decides whether prompts, groups and fences have a meaning.",
+		run: func(p *pass) {
+			if p.Kind != Model && p.Kind != Plain {
+				p.report("kind", finding.Invalid, "kind must be model or plain, not %q", p.Kind)
+			}
+		},
+	},
+	{
+		Name:  "service-routing",
+		Title: "`pathPrefix`, `hosts` or both are given; a prefix begins with `/`, ends without one and has one reading; hosts are in lower case and without a port.",
+		Why:   "A service without them would get no requests, or those of others.",
+		run:   checkRouting,
+	},
+	{
+		Name:  "workspaces",
+		Title: "There is at least one workspace; names and keys are used once; each has a key and a share above zero.",
+		Why:   "Callers are known by their key. A key of two workspaces would charge one for the work of the other.",
+		run:   checkWorkspaces,
+	},
+}
+
+func checkRouting(p *pass) {
+	if p.PathPrefix == "" && len(p.Hosts) == 0 {
+		p.report("pathPrefix", finding.Missing, "pathPrefix, hosts or both must be given")
+	}
+	if !validPrefix(p.PathPrefix) {
+		p.report("pathPrefix", finding.Invalid,
+			"pathPrefix %q must begin with / and have neither a / at its end nor empty, encoded or dot segments", p.PathPrefix)
+	}
+	seen := make(map[string]string)
+	for i, h := range p.Hosts {
+		path := "hosts" + index(i)
+		p.named(path, h)
+		p.unique(seen, path, h, "host")
+	}
+}
+
+func validPrefix(prefix string) bool {
+	if prefix == "" {
+		return true
+	}
+	segments, ok := split(prefix)
+	return ok && prefix[0] == '/' && !slices.Contains(segments, "") && len(segments) > 0 &&
+		!strings.ContainsAny(prefix, "*{}?#% ")
+}
+
+func checkWorkspaces(p *pass) {
+	if len(p.Workspaces) == 0 {
+		p.report("workspaces", finding.Missing, "at least one workspace must be given; nobody could call the service")
+	}
+	names, keys := make(map[string]string), make(map[string]string)
+	for i, w := range p.Workspaces {
+		p.named(at("workspaces", i, "name"), w.Name)
+		p.unique(names, at("workspaces", i, "name"), w.Name, "workspace")
+		positive(p, at("workspaces", i, "share"), w.Share)
+		if len(w.Keys) == 0 {
+			p.report(at("workspaces", i, "keys"), finding.Missing, "workspace %q has no key; nobody could call for it", w.Name)
+		}
+		for j, k := range w.Keys {
+			if k != (KeyDigest{}) {
+				p.unique(keys, at("workspaces", i, "keys")+index(j), k.String(), "key")
+			}
+		}
+	}
+}
