--- a/internal/traffic/target/random_test.go
+++ b/internal/traffic/target/random_test.go
@@ -90,7 +90,7 @@
 					Age:         time.Duration(rapid.IntRange(0, 9000).Draw(t, "age")) * time.Millisecond,
 				})
 			},
-			"update": func(t *rapid.T) {
+			"update": func(*rapid.T) {
 				m.c.Update(all)
 			},
 			"leave": func(t *rapid.T) {
