--- /dev/null
+++ b/internal/program/entry/attempt.go
@@ -0,0 +1,237 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/record/document"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/target"
+	"wagtailshelf.example/wagtailshelf/internal/wire/frame"
+	"wagtailshelf.example/wagtailshelf/internal/wire/peer"
+)
+
+const (
+	// pickDials bounds how many targets are dialled for one attempt before the
+	// caller is told that there is none.
+	pickDials = 3
+
+	// dialTimeout bounds the wait for a connection to a target that was picked.
+	dialTimeout = 500 * time.Millisecond
+)
+
+// pick chooses a target that can be reached. One whose connection fails has
+// seen nothing of the request, so trying the next costs the caller only time.
+func (x *exchange) pick(ctx context.Context, tried []host.Name) {
+	q := target.Query{Tokens: max(1, int64(x.call.Route.Cost.Of(int64(len(x.call.Body)))))}
+	if x.call.Service.Document.Affinity.BlockBytes > 0 {
+		q.Prefix = blocksOf(x.call.Service.Document).Prefix(x.call.Workspace, x.call.Body)
+	}
+	for _, name := range tried {
+		q.Tried = append(q.Tried, target.Name(name))
+	}
+	for range pickDials {
+		p, ok := x.router.askPick(ctx, q)
+		if !ok || !p.ok {
+			x.later(request.Event{Kind: request.NothingPicked, RetryAfter: p.choice.RetryAfter})
+			return
+		}
+		dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+		conn, err := x.entry.pool.Get(dialCtx, p.address, p.host)
+		cancel()
+		if err == nil {
+			x.picked(p, conn)
+			return
+		}
+		x.router.tell(routerMessage{kind: tellEnd, choice: p.choice, end: target.End{Kind: target.Failed}})
+		q.Tried = append(q.Tried, p.choice.Name)
+	}
+	x.later(request.Event{Kind: request.NothingPicked})
+}
+
+func blocksOf(d *document.Document) target.Blocks {
+	return target.Blocks{Bytes: int(d.Affinity.BlockBytes), Leading: d.Affinity.Blocks}
+}
+
+func (x *exchange) picked(p pick, conn *peer.Conn) {
+	x.endChoice(target.Failed)
+	x.choices = append(x.choices, p)
+	x.choice = p.choice
+	x.keep(conn)
+	x.later(request.Event{
+		Kind:        request.Picked,
+		Target:      host.Name(p.choice.Name),
+		Conn:        request.Conn(conn.Number()),
+		Incarnation: conn.Peer().Incarnation,
+	})
+}
+
+// endChoice gives the newest choice back to the router.
+func (x *exchange) endChoice(kind target.EndKind) {
+	if len(x.choices) == 0 {
+		return
+	}
+	last := x.choices[len(x.choices)-1]
+	if last.choice.Name == "" {
+		return
+	}
+	x.choices[len(x.choices)-1].choice.Name = ""
+	x.router.tell(routerMessage{kind: tellEnd, choice: last.choice, end: target.End{Kind: kind}})
+}
+
+// send writes a message on the stream that belongs to its connection. Open and
+// Resolve begin a stream; all others go by the one that is there.
+func (x *exchange) send(ctx context.Context, a request.Action) {
+	stream := x.streams[a.Conn]
+	if a.Message.Kind == request.Open || a.Message.Kind == request.Resolve {
+		stream = x.openStream(ctx, a.Conn)
+	}
+	if stream == nil {
+		x.later(request.Event{Kind: request.NotSent, Attempt: a.Message.Attempt})
+		x.later(request.Event{Kind: request.ConnectionSilent, Conn: a.Conn})
+		return
+	}
+	if err := stream.Write(frame.KindRequest, a.Message); err != nil {
+		x.writeFailed(a)
+	}
+}
+
+func (x *exchange) writeFailed(a request.Action) {
+	// A body that was not written whole cannot have run: the sidecar counts its
+	// bytes. After BodyEnd a failed write proves nothing.
+	if a.Kind == request.SendBody || a.Message.Kind == request.Open {
+		x.later(request.Event{Kind: request.NotSent, Attempt: a.Message.Attempt})
+		return
+	}
+	x.later(request.Event{Kind: request.ConnectionSilent, Conn: a.Conn})
+}
+
+func (x *exchange) sendBody(a request.Action) {
+	stream := x.streams[a.Conn]
+	if stream == nil {
+		return // send has reported it
+	}
+	m := a.Message
+	body := x.call.Body
+	for len(body) > 0 {
+		n := min(len(body), request.MaxDataBytes)
+		m.Kind, m.Data = request.Body, body[:n]
+		if err := stream.Write(frame.KindRequest, m); err != nil {
+			x.writeFailed(a)
+			return
+		}
+		m.Offset += uint64(n)
+		body = body[n:]
+	}
+	m.Kind, m.Data = request.BodyEnd, nil
+	if err := stream.Write(frame.KindRequest, m); err != nil {
+		x.later(request.Event{Kind: request.ConnectionSilent, Conn: a.Conn})
+	}
+}
+
+func (x *exchange) openStream(ctx context.Context, number request.Conn) *peer.Stream {
+	conn := x.connOf(number)
+	if conn == nil {
+		return nil
+	}
+	stream, err := conn.OpenStream()
+	if err != nil {
+		return nil
+	}
+	x.streams[number] = stream
+	x.running++
+	go func() { x.readers <- x.read(ctx, conn, stream, number) }()
+	return stream
+}
+
+// read hands the sidecar's messages to the request until the stream ends.
+func (x *exchange) read(ctx context.Context, conn *peer.Conn, stream *peer.Stream, number request.Conn) error {
+	defer conn.Await()()
+	for {
+		m, err := readMessage(stream)
+		if err != nil {
+			x.put(ctx, request.Event{Kind: request.ConnectionSilent, Conn: number})
+			return err
+		}
+		if !x.put(ctx, request.Event{Kind: request.Received, Conn: number, Message: m}) {
+			return context.Cause(ctx)
+		}
+	}
+}
+
+func readMessage(stream *peer.Stream) (request.Message, error) {
+	var m request.Message
+	f, err := stream.Read()
+	if err != nil {
+		return m, err
+	}
+	if f.Kind != frame.KindRequest {
+		return m, frame.ErrKind
+	}
+	if err := frame.Decode(f, &m); err != nil {
+		return m, err
+	}
+	return m, m.Validate()
+}
+
+func (x *exchange) put(ctx context.Context, ev request.Event) bool {
+	select {
+	case x.events <- ev:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// connect opens a connection that is newer than the one that went silent.
+func (x *exchange) connect(ctx context.Context, a request.Action) {
+	address, name, ok := x.addressOf(a.Target)
+	if !ok {
+		x.later(request.Event{Kind: request.ConnectFailed, Target: a.Target})
+		return
+	}
+	x.running++
+	go func() { x.readers <- x.dial(ctx, a, address, name) }()
+}
+
+func (x *exchange) dial(ctx context.Context, a request.Action, address netip.AddrPort, name host.Name) error {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := x.entry.pool.Newer(dialCtx, address, name, uint64(a.Conn))
+	if err != nil {
+		x.put(ctx, request.Event{Kind: request.ConnectFailed, Target: a.Target})
+		return err
+	}
+	x.keep(conn)
+	x.put(ctx, request.Event{
+		Kind:        request.Connected,
+		Target:      a.Target,
+		Conn:        request.Conn(conn.Number()),
+		Incarnation: conn.Peer().Incarnation,
+	})
+	return nil
+}
+
+// addressOf returns where the sidecar of a target listens, by the document that
+// the request was routed by.
+func (x *exchange) addressOf(name host.Name) (netip.AddrPort, host.Name, bool) {
+	t := x.call.Service.Document.Target(string(name))
+	if t == nil {
+		return netip.AddrPort{}, "", false
+	}
+	return t.Address, t.Host, true
+}
+
+func (x *exchange) keep(c *peer.Conn) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.conns[request.Conn(c.Number())] = c
+}
+
+func (x *exchange) connOf(number request.Conn) *peer.Conn {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.conns[number]
+}
--- /dev/null
+++ b/internal/program/entry/count.go
@@ -0,0 +1,39 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+
+	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
+)
+
+// counts are the metrics of an entry.
+type counts struct {
+	set       *metrics.Set
+	overflows *metrics.Counter
+	attempts  *metrics.Counter
+	duration  *metrics.Histogram
+}
+
+func newCounts(set *metrics.Set) *counts {
+	return &counts{
+		set:       set,
+		overflows: set.NewCounter("wagtailshelf_ring_overflows_total"),
+		attempts:  set.NewCounter("wagtailshelf_attempts_total"),
+		duration:  set.NewHistogram("wagtailshelf_request_duration_seconds"),
+	}
+}
+
+func (c *counts) ended(service string, res request.Result, took time.Duration) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("wagtailshelf_requests_total{service=%q,outcome=%q,reason=%q}", service, res.Outcome, res.Reason)).Inc()
+	c.attempts.Add(res.Attempts)
+	c.duration.Update(took.Seconds())
+}
+
+func (c *counts) violated(l *log.Logger, invariant, evidence string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("wagtailshelf_violations_total{invariant=%q}", invariant)).Inc()
+	l.Error().Str("invariant", invariant).Str("evidence", evidence).Msg("invariant violated")
+}
--- /dev/null
+++ b/internal/program/entry/documents.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/record/document"
+	"wagtailshelf.example/wagtailshelf/internal/record/object"
+	"wagtailshelf.example/wagtailshelf/internal/wire/caller"
+)
+
+const (
+	documentPrefix object.Key   = "documents/"
+	causeDocuments object.Cause = "documents"
+	documentPause               = time.Second // between a failed read and the next
+)
+
+// followDocuments keeps the documents of the platform in force.
+func (e *Entry) followDocuments(ctx context.Context) error {
+	var since object.Version
+	for {
+		reply := e.cfg.Platform.Do(ctx, object.Call{Op: object.List, Key: documentPrefix, Cause: causeDocuments})
+		if reply.Status == object.Done {
+			for _, o := range reply.Objects {
+				e.Install(o.Key.Name(), uint64(o.Version), o.Value)
+				since = max(since, o.Version)
+			}
+		}
+		_, _, err := e.cfg.Platform.Watch(ctx, documentPrefix, since)
+		if err == nil {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-time.After(documentPause):
+		}
+	}
+}
+
+// Install puts a document in force. A number that is not higher than the one in
+// force changes nothing, whoever asks for it.
+func (e *Entry) Install(service string, number uint64, text []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	current := e.services[service]
+	if current != nil && current.Number >= number {
+		return
+	}
+	d, findings := document.Parse(service+".yaml", text)
+	if len(findings) > 0 {
+		e.log.Error().Str("service", service).Uint64("number", number).Err(findings).Msg("document does not check")
+		return
+	}
+	e.services[service] = caller.NewService(d, number)
+	e.publish()
+	if r := e.routers[service]; r != nil {
+		r.tell(routerMessage{kind: tellService, document: d})
+		return
+	}
+	e.startRouter(d)
+}
+
+// startRouter begins the routing duty of a service. The caller holds e.mu.
+func (e *Entry) startRouter(d *document.Document) {
+	r := newRouter(time.Now(), d.Service, e.log, e.counts, e.cfg.Identity.DataCentre, e.newRand(), d)
+	e.routers[d.Service] = r
+	e.duties.Add(1)
+	go func() {
+		defer e.duties.Done()
+		_ = r.serve(e.ctx) // ends with e.ctx only
+	}()
+}
+
+// publish makes the services visible to callers. The caller holds e.mu.
+func (e *Entry) publish() {
+	list := make([]*document.Document, 0, len(e.services))
+	byName := make(map[string]*caller.Service, len(e.services))
+	for name, s := range e.services {
+		list = append(list, s.Document)
+		byName[name] = s
+	}
+	e.inForce.Store(&inForce{documents: list, services: byName})
+}
+
+// inForce is what callers see: an unchanging view of the services.
+type inForce struct {
+	documents []*document.Document
+	services  map[string]*caller.Service
+}
+
+func (e *Entry) find(hostname, path string) *caller.Service {
+	view := e.inForce.Load()
+	if view == nil {
+		return nil
+	}
+	d := document.Select(view.documents, hostname, path)
+	if d == nil {
+		return nil
+	}
+	return view.services[d.Service]
+}
+
+func (e *Entry) routerOf(service string) *router {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.routers[service]
+}
--- /dev/null
+++ b/internal/program/entry/entry.go
@@ -0,0 +1,207 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/run"
+	"github.com/phuslu/log"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/target"
+	"wagtailshelf.example/wagtailshelf/internal/wire/caller"
+	"wagtailshelf.example/wagtailshelf/internal/wire/credential"
+	"wagtailshelf.example/wagtailshelf/internal/wire/frame"
+	"wagtailshelf.example/wagtailshelf/internal/wire/peer"
+	"wagtailshelf.example/wagtailshelf/internal/wire/platform"
+)
+
+const (
+	headerTimeout  = 10 * time.Second // wait for a caller's header
+	idleTimeout    = 2 * time.Minute  // of a caller's connection between requests
+	maxHeaderBytes = 32 << 10
+)
+
+// Config sets up an [Entry].
+type Config struct {
+	Identity   host.Identity
+	Callers    netip.AddrPort // to listen on for callers
+	Platform   *platform.Client
+	Keys       *credential.Store
+	Log        *log.Logger
+	Metrics    *metrics.Set
+	DrainDelay time.Duration                       // the balancer's delay in noticing that the entry is not ready
+	DrainBound time.Duration                       // longest wait for requests in flight
+	Socket     func(net.PacketConn) net.PacketConn // wraps the UDP sockets to sidecars; nil for none
+}
+
+// Entry is a running entry.
+type Entry struct {
+	cfg     Config
+	log     *log.Logger
+	counts  *counts
+	peers   *peer.Config
+	pool    *peer.Pool
+	socket  net.Listener
+	server  *http.Server
+	ctx     context.Context // of the duties and the requests
+	stop    context.CancelFunc
+	inForce atomic.Pointer[inForce]
+
+	draining atomic.Bool
+	inFlight sync.WaitGroup
+	duties   sync.WaitGroup
+
+	mu       sync.Mutex
+	services map[string]*caller.Service
+	routers  map[string]*router
+}
+
+// New opens the entry's sockets. Run serves them.
+func New(cfg Config) (*Entry, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	e := &Entry{
+		cfg:      cfg,
+		log:      cfg.Log,
+		counts:   newCounts(cfg.Metrics),
+		ctx:      ctx,
+		stop:     stop,
+		services: make(map[string]*caller.Service),
+		routers:  make(map[string]*router),
+	}
+	e.peers = &peer.Config{
+		Identity:  cfg.Identity,
+		ClientTLS: cfg.Keys.Client,
+		ServerTLS: cfg.Keys.Server(),
+		OnReport:  e.onReport,
+		Socket:    cfg.Socket,
+	}
+	e.pool = peer.NewPool(e.peers)
+	socket, err := net.Listen("tcp", cfg.Callers.String())
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	e.socket = socket
+	e.server = e.newServer()
+	return e, nil
+}
+
+func (e *Entry) newServer() *http.Server {
+	front := &caller.Front{
+		Find:  e.find,
+		Ready: e.Ready,
+		NewID: func() request.ID { return request.NewID(e.newRand()) },
+		Serve: e.serve,
+	}
+	handler := echo.New()
+	front.Mount(handler)
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// newRand returns a random source for one owner.
+func (e *Entry) newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+// Addr returns the address for callers.
+func (e *Entry) Addr() netip.AddrPort {
+	return e.socket.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Ready reports whether the entry takes new work: it has documents and is not
+// leaving. While it drains it goes on taking work, see Drain.
+func (e *Entry) Ready() bool {
+	view := e.inForce.Load()
+	return view != nil && len(view.documents) > 0
+}
+
+// Draining reports whether the entry is leaving, so that the balancer should
+// send nothing more.
+func (e *Entry) Draining() bool { return e.draining.Load() }
+
+// Run serves until ctx ends or a duty fails. Drain first where requests in
+// flight have to end well.
+func (e *Entry) Run(ctx context.Context) error {
+	defer e.stop()
+	var g run.Group
+	watch, stopWatch := context.WithCancel(ctx)
+	g.Add(func() error { return e.followDocuments(watch) }, func(error) { stopWatch() })
+	g.Add(e.serveCallers, func(error) { _ = e.server.Close() }) // callers still there are cut; Drain comes first
+	done, stopDone := context.WithCancel(ctx)
+	g.Add(func() error {
+		<-done.Done()
+		return context.Cause(done)
+	}, func(error) { stopDone() })
+	err := g.Run()
+	e.stop()
+	e.pool.Close()
+	e.duties.Wait()
+	return err
+}
+
+func (e *Entry) serveCallers() error {
+	err := e.server.Serve(e.socket)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Drain fails the entry's readiness, goes on serving while the balancer still
+// sends callers here, and returns when nothing is in flight any more, or ctx or
+// the bound ends.
+func (e *Entry) Drain(ctx context.Context) error {
+	e.draining.Store(true)
+	select {
+	case <-time.After(e.cfg.DrainDelay):
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, e.cfg.DrainBound)
+	defer cancel()
+	return e.server.Shutdown(ctx)
+}
+
+// onReport passes the load of a target on to the routers of its services.
+func (e *Entry) onReport(from *peer.Conn, m frame.Report) {
+	p := from.Peer()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for name, r := range e.routers {
+		t := targetOn(e.services[name], p.Name)
+		if t == "" {
+			continue
+		}
+		if m.Leaving {
+			r.tell(routerMessage{kind: tellLeaving, name: t, incarnation: p.Incarnation})
+			continue
+		}
+		r.tell(routerMessage{kind: tellReport, report: target.Report{
+			Name: t, Incarnation: p.Incarnation, Outstanding: m.Outstanding, Capacity: m.Capacity, Age: m.Age,
+		}})
+	}
+}
+
+// targetOn returns the service's target on a host.
+func targetOn(s *caller.Service, name host.Name) target.Name {
+	if s == nil {
+		return ""
+	}
+	return target.Name(s.TargetOn(name))
+}
--- /dev/null
+++ b/internal/program/entry/exchange.go
@@ -0,0 +1,213 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/retry"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/target"
+	"wagtailshelf.example/wagtailshelf/internal/wire/caller"
+	"wagtailshelf.example/wagtailshelf/internal/wire/peer"
+)
+
+const (
+	// exchangeRing bounds the events that wait for one request. Its readers wait
+	// when it is full, which slows the sidecar's sending.
+	exchangeRing = 64
+)
+
+// exchange carries out what the life of one request decides.
+type exchange struct {
+	entry   *Entry
+	router  *router
+	call    *caller.Call
+	answer  *caller.Answer
+	request *request.Request
+	events  chan request.Event
+	stop    context.CancelFunc
+
+	streams map[request.Conn]*peer.Stream // the newest stream by connection
+	mu      sync.Mutex                    // of conns, which dialling goroutines add to
+	conns   map[request.Conn]*peer.Conn
+	choice  target.Choice // of the newest attempt
+	choices []pick        // by attempt
+	todo    []request.Event
+	timer   *time.Timer
+	result  request.Result
+	ended   bool
+	readers chan error // ends of the goroutines that read streams and dial
+	running int
+}
+
+// serve sees a caller's request through to its outcome.
+func (e *Entry) serve(r *http.Request, c *caller.Call, a *caller.Answer) {
+	router := e.routerOf(c.Service.Document.Service)
+	if router == nil {
+		a.Problem(request.Result{Outcome: request.NotRun, Reason: caller.NotReady, RetryAfter: time.Second}, "")
+		return
+	}
+	ctx, stop := context.WithCancel(e.ctx)
+	x := &exchange{
+		entry:   e,
+		router:  router,
+		call:    c,
+		answer:  a,
+		events:  make(chan request.Event, exchangeRing),
+		stop:    stop,
+		streams: make(map[request.Conn]*peer.Stream),
+		conns:   make(map[request.Conn]*peer.Conn),
+		timer:   time.NewTimer(time.Hour),
+		readers: make(chan error, exchangeRing),
+	}
+	x.request = request.New(request.DefaultConfig(), x.spec(), x.decideRetry(ctx))
+	e.inFlight.Add(1)
+	defer e.inFlight.Done()
+	router.tell(routerMessage{kind: tellFirst})
+	x.run(ctx, r.Context())
+	x.close()
+	x.log()
+	a.Finish(x.result) // panics where the caller has to see a broken answer, so it comes last
+}
+
+func (x *exchange) spec() request.Spec {
+	c := x.call
+	return request.Spec{
+		ID: c.ID,
+		Call: request.Call{
+			Service:    c.Service.Document.Service,
+			Workspace:  c.Workspace,
+			Route:      c.Route.Path,
+			Method:     c.Method,
+			Path:       c.Path,
+			Idempotent: c.Route.Idempotent,
+			Cost:       int64(c.Route.Cost.Of(int64(len(c.Body)))),
+			Priority:   int32(c.Route.Priority),
+		},
+		Header:   c.Header,
+		Claimed:  !c.Route.Idempotent && c.Key != "",
+		Deadline: c.Deadline,
+	}
+}
+
+func (x *exchange) decideRetry(ctx context.Context) func(time.Time, retry.Try) retry.Decision {
+	return func(_ time.Time, t retry.Try) retry.Decision { return x.router.askRetry(ctx, t) }
+}
+
+// run handles events until the request has its outcome.
+func (x *exchange) run(ctx, caller context.Context) {
+	x.handle(ctx, request.Event{Kind: request.Started})
+	gone := caller.Done()
+	for !x.ended {
+		select {
+		case ev := <-x.events:
+			x.handle(ctx, ev)
+		case <-x.timer.C:
+			x.handle(ctx, request.Event{Kind: request.Tick})
+		case <-gone:
+			gone = nil
+			x.handle(ctx, request.Event{Kind: request.CallerLeft})
+		}
+	}
+}
+
+// handle decides on an event and on all that its actions give rise to.
+func (x *exchange) handle(ctx context.Context, ev request.Event) {
+	x.todo = append(x.todo[:0], ev)
+	for i := 0; i < len(x.todo); i++ {
+		now := time.Now()
+		for _, a := range x.request.Handle(now, x.todo[i]) {
+			x.apply(ctx, now, a)
+		}
+	}
+}
+
+func (x *exchange) later(ev request.Event) {
+	x.todo = append(x.todo, ev)
+}
+
+func (x *exchange) apply(ctx context.Context, now time.Time, a request.Action) {
+	switch a.Kind {
+	case request.Claim:
+		x.claim(ctx, a)
+	case request.Unclaim:
+		x.unclaim()
+	case request.Pick:
+		x.pick(ctx, a.Tried)
+	case request.Send:
+		x.send(ctx, a)
+	case request.SendBody:
+		x.sendBody(a)
+	case request.Connect:
+		x.connect(ctx, a)
+	case request.DeliverHead:
+		x.answer.Head(a.Message.Status, a.Message.Header)
+	case request.Deliver:
+		x.deliver(a.Message.Data)
+	case request.Finish:
+		x.result, x.ended = a.Result, true
+	case request.Wake:
+		x.timer.Reset(a.At.Sub(now))
+	case request.Violated:
+		x.entry.counts.violated(x.entry.log, string(a.Violation.Rule), a.Violation.Error())
+	}
+}
+
+// deliver passes bytes on to the caller. One that no longer takes them is gone.
+func (x *exchange) deliver(data []byte) {
+	if x.answer.Err() != nil {
+		return
+	}
+	x.answer.Data(data)
+	if x.answer.Err() != nil {
+		x.later(request.Event{Kind: request.CallerLeft})
+	}
+}
+
+// close ends the request's streams and awaits its goroutines.
+func (x *exchange) close() {
+	x.endChoice(endOf(x.result))
+	x.stop()
+	for _, s := range x.streams {
+		s.Finish()
+	}
+	for ; x.running > 0; x.running-- {
+		<-x.readers
+	}
+	x.timer.Stop()
+}
+
+func endOf(res request.Result) target.EndKind {
+	switch {
+	case res.Outcome == request.Answered:
+		return target.Answered
+	case res.Reason == request.CallerGone:
+		return target.Cancelled
+	case res.Outcome == request.NotRun:
+		return target.Refused
+	default:
+		return target.Failed
+	}
+}
+
+func (x *exchange) log() {
+	took := time.Since(x.call.Arrived)
+	x.entry.counts.ended(x.call.Service.Document.Service, x.result, took)
+	line := x.entry.log.Info().
+		Str("id", x.call.ID.String()).
+		Str("service", x.call.Service.Document.Service).
+		Str("workspace", x.call.Workspace).
+		Str("method", x.call.Method).
+		Str("route", x.call.Route.Path).
+		Str("target", string(x.choice.Name)).
+		Int("attempts", x.result.Attempts).
+		Str("outcome", x.result.Outcome.String()).
+		Uint64("bytes", x.result.Delivered).
+		Int64("tookMicros", took.Microseconds())
+	if x.result.Reason != request.NoReason {
+		line = line.Str("reason", string(x.result.Reason))
+	}
+	line.Msg("request ended")
+}
--- /dev/null
+++ b/internal/program/sidecar/call.go
@@ -0,0 +1,111 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/traffic/book"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
+	"wagtailshelf.example/wagtailshelf/internal/wire/caller"
+	"wagtailshelf.example/wagtailshelf/internal/wire/engine"
+)
+
+// readBytes is the size of one read of a target's answer.
+const readBytes = 32 << 10
+
+// startCall runs a request at the target in a goroutine of its own. The desk
+// learns of its end by the ring.
+func (s *Sidecar) startCall(ctx context.Context, j job) {
+	deadline := j.deadline
+	if !j.call.Idempotent {
+		deadline = deadline.Add(lateGrace)
+	}
+	callCtx, cancel := context.WithDeadline(ctx, deadline)
+	if kept := s.desk.jobs[j.id]; kept != nil {
+		kept.cancel = cancel
+	}
+	s.calls.Add(1)
+	go func() {
+		defer s.calls.Done()
+		defer cancel()
+		s.call(ctx, callCtx, j)
+	}()
+}
+
+// call reports by events under ctx, which outlives the call's own callCtx.
+func (s *Sidecar) call(ctx, callCtx context.Context, j job) {
+	resp, err := s.target.Do(callCtx, targetCall(j))
+	if err != nil {
+		s.desk.putBook(ctx, failedCall(j, err))
+		return
+	}
+	defer func() { _ = resp.Body.Close() }() // the answer has been read, or is not wanted
+	s.desk.putBook(ctx, book.Event{
+		Kind: book.EngineHead, ID: j.id, Status: resp.StatusCode, Header: answerFields(resp),
+	})
+	reason := s.copyAnswer(ctx, j, resp.Body)
+	s.desk.putBook(ctx, book.Event{Kind: book.EngineEnd, ID: j.id, Reason: reason})
+}
+
+func failedCall(j job, err error) book.Event {
+	var failed *engine.CallError
+	if errors.As(err, &failed) && failed.NotSent {
+		return book.Event{Kind: book.EngineNotReached, ID: j.id}
+	}
+	return book.Event{Kind: book.EngineEnd, ID: j.id, Reason: request.EngineBroke}
+}
+
+func (s *Sidecar) copyAnswer(ctx context.Context, j job, body io.Reader) request.Reason {
+	buf := make([]byte, readBytes)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			data := append([]byte(nil), buf[:n]...) // the book keeps it
+			s.desk.putBook(ctx, book.Event{Kind: book.EngineData, ID: j.id, Data: data})
+		}
+		if err == io.EOF {
+			return request.NoReason
+		}
+		if err != nil {
+			return request.EngineBroke
+		}
+	}
+}
+
+func targetCall(j job) engine.Call {
+	path, query, _ := strings.Cut(j.call.Path, "?")
+	if decoded, err := url.PathUnescape(path); err == nil {
+		path = decoded
+	}
+	header := make(http.Header, len(j.header)+2)
+	for _, f := range j.header {
+		header.Add(f.Name, f.Value)
+	}
+	header.Set(engine.RequestIDHeader, j.id.String())
+	header.Set(caller.WorkspaceHeader, j.call.Workspace)
+	return engine.Call{
+		Method:        j.call.Method,
+		Path:          path,
+		RawQuery:      query,
+		Header:        header,
+		Body:          strings.NewReader(string(j.body)),
+		ContentLength: int64(len(j.body)),
+		Repeatable:    j.call.Idempotent,
+		FirstByte:     time.Until(j.deadline) + lateGrace,
+	}
+}
+
+// answerFields returns the header of an answer, with its length if it has one.
+func answerFields(resp *http.Response) []request.Field {
+	fields := caller.Fields(resp.Header)
+	if resp.ContentLength >= 0 {
+		fields = append(fields, request.Field{Name: caller.LengthField, Value: strconv.FormatInt(resp.ContentLength, 10)})
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/program/sidecar/serve.go
@@ -0,0 +1,86 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+
+	"wagtailshelf.example/wagtailshelf/internal/traffic/book"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
+	"wagtailshelf.example/wagtailshelf/internal/wire/peer"
+)
+
+// serveConn carries the streams of one connection until it ends.
+func (s *Sidecar) serveConn(ctx context.Context, c *peer.Conn) {
+	s.joinConn(c)
+	defer s.leaveConn(c)
+	ended := make(chan error)
+	running := 0
+	opened := make(chan *peer.Stream)
+	failed := make(chan error, 1)
+	acceptCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	go func() { failed <- acceptStreams(acceptCtx, c, opened) }()
+	var number uint64
+	for {
+		select {
+		case stream := <-opened:
+			l := newLine(s.peerOf(c, number), stream)
+			number++
+			running++
+			go func() { ended <- s.serveLine(ctx, l) }()
+		case <-ended:
+			running--
+		case <-failed:
+			s.desk.putBook(ctx, book.Event{Kind: book.ConnectionClosed, Peer: s.peerOf(c, 0)})
+			for ; running > 0; running-- {
+				<-ended
+			}
+			return
+		}
+	}
+}
+
+func (s *Sidecar) peerOf(c *peer.Conn, stream uint64) book.Peer {
+	return book.Peer{
+		Entry:       c.Peer().Name,
+		Incarnation: c.Peer().Incarnation,
+		Conn:        request.Conn(c.Number()),
+		Stream:      stream,
+	}
+}
+
+func acceptStreams(ctx context.Context, c *peer.Conn, opened chan<- *peer.Stream) error {
+	for {
+		s, err := c.AcceptStream(ctx)
+		if err != nil {
+			return err
+		}
+		select {
+		case opened <- s:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// serveLine carries one stream until both of its directions have ended.
+func (s *Sidecar) serveLine(ctx context.Context, l *line) error {
+	if !s.desk.put(ctx, deskEvent{kind: deskOpened, line: l}) {
+		return context.Cause(ctx)
+	}
+	written := make(chan error, 1)
+	go func() {
+		err := l.write(ctx)
+		if err != nil {
+			s.desk.put(ctx, deskEvent{kind: deskLineFailed, line: l})
+		}
+		written <- err
+	}()
+	err := l.read(ctx, s.desk)
+	s.desk.putBook(ctx, book.Event{Kind: book.StreamClosed, Peer: l.peer})
+	<-written
+	if err == io.EOF {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/program/sidecar/sidecar.go
@@ -0,0 +1,127 @@
+package sidecar
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/oklog/run"
+	"github.com/phuslu/log"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/book"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/workspace"
+	"wagtailshelf.example/wagtailshelf/internal/wire/credential"
+	"wagtailshelf.example/wagtailshelf/internal/wire/engine"
+	"wagtailshelf.example/wagtailshelf/internal/wire/peer"
+)
+
+// Config sets up a [Sidecar].
+type Config struct {
+	Identity   host.Identity
+	Listen     netip.AddrPort // for peers
+	Target     netip.AddrPort
+	Keys       *credential.Store
+	Log        *log.Logger
+	Metrics    *metrics.Set
+	Admission  workspace.Config
+	DrainBound time.Duration // longest wait for requests in flight
+}
+
+// Sidecar is a running sidecar.
+type Sidecar struct {
+	cfg      Config
+	peers    *peer.Config
+	listener *peer.Listener
+	target   *engine.Client
+	desk     *desk
+	calls    sync.WaitGroup
+
+	leaving    atomic.Bool
+	leavingNow chan struct{} // makes the report duty look at once
+	sequence   uint64        // of reports; owned by the report duty
+
+	mu    sync.Mutex
+	conns map[*peer.Conn]bool
+}
+
+// New opens the sidecar's socket. Run serves it.
+func New(cfg Config) (*Sidecar, error) {
+	s := &Sidecar{
+		cfg:        cfg,
+		target:     engine.New(engine.Config{Target: cfg.Target}),
+		leavingNow: make(chan struct{}, 1),
+		conns:      make(map[*peer.Conn]bool),
+	}
+	s.peers = &peer.Config{
+		Identity:  cfg.Identity,
+		ClientTLS: cfg.Keys.Client,
+		ServerTLS: cfg.Keys.Server(),
+	}
+	listener, err := peer.Listen(s.peers, cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	s.listener = listener
+	if s.peers.Identity.Address.Port() == 0 {
+		s.peers.Identity.Address = listener.Addr()
+	}
+	s.desk = newDesk(cfg.Log, newCounts(cfg.Metrics), book.DefaultConfig(cfg.Identity.Incarnation), cfg.Admission)
+	return s, nil
+}
+
+// Addr returns the address for peers.
+func (s *Sidecar) Addr() netip.AddrPort { return s.listener.Addr() }
+
+// Run serves until ctx ends or a duty fails. Drain first where requests in
+// flight have to end well.
+func (s *Sidecar) Run(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	s.desk.run = func(j job) { s.startCall(ctx, j) }
+	var g run.Group
+	s.duty(ctx, &g, s.desk.serve)
+	s.duty(ctx, &g, s.report)
+	s.duty(ctx, &g, func(ctx context.Context) error { return s.listener.Serve(ctx, s.serveConn) })
+	g.Add(func() error {
+		<-ctx.Done()
+		return context.Cause(ctx)
+	}, func(error) {
+		stop()
+		s.listener.Close()
+	})
+	err := g.Run()
+	s.calls.Wait()
+	s.target.Close()
+	return err
+}
+
+// duty adds a duty that ends when its context does.
+func (s *Sidecar) duty(ctx context.Context, g *run.Group, serve func(context.Context) error) {
+	ctx, stop := context.WithCancel(ctx)
+	g.Add(func() error { return serve(ctx) }, func(error) { stop() })
+}
+
+// Drain refuses new work at once, tells the entries, and returns when nothing
+// is in flight any more, or ctx or the bound ends.
+func (s *Sidecar) Drain(ctx context.Context) error {
+	s.leaving.Store(true)
+	s.desk.putBook(ctx, book.Event{Kind: book.Drain})
+	select {
+	case s.leavingNow <- struct{}{}:
+	default:
+	}
+	bound := time.NewTimer(s.cfg.DrainBound)
+	defer bound.Stop()
+	select {
+	case <-s.desk.drained:
+		return nil
+	case <-bound.C:
+		return context.DeadlineExceeded
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/internal/program/trial/deployment.go
@@ -0,0 +1,290 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/program/entry"
+	"wagtailshelf.example/wagtailshelf/internal/program/sidecar"
+	"wagtailshelf.example/wagtailshelf/internal/record/object"
+	"wagtailshelf.example/wagtailshelf/internal/standin/engine"
+	standinplatform "wagtailshelf.example/wagtailshelf/internal/standin/platform"
+	"wagtailshelf.example/wagtailshelf/internal/standin/service"
+	"wagtailshelf.example/wagtailshelf/internal/wire/credential"
+	"wagtailshelf.example/wagtailshelf/internal/wire/platform"
+)
+
+// loopback is an address whose port the system chooses.
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// drainBound is longer than the longest deadline of the trial's documents.
+const drainBound = 30 * time.Second
+
+// Deployment is a running set of processes.
+type Deployment struct {
+	Platform *standinplatform.Platform
+	Entries  []*Entry
+	Targets  []*Target
+
+	ctx       context.Context
+	stop      context.CancelFunc
+	authority *credential.Authority
+	logger    *log.Logger
+	platform  *httpServer
+	lives     uint64 // incarnations given out
+	running   []*process
+}
+
+// Entry is a running entry.
+type Entry struct {
+	*entry.Entry
+	Name    host.Name
+	process *process
+}
+
+// Target is a stand-in target with its sidecar. Engine or Service is nil.
+type Target struct {
+	Name       string
+	Host       host.Name
+	DataCentre host.DataCentre
+	Engine     *engine.Engine
+	Service    *service.Service
+	Sidecar    *sidecar.Sidecar
+
+	server  *httpServer
+	process *process
+}
+
+// process is a program of the deployment that runs in goroutines of its own.
+type process struct {
+	stop context.CancelFunc
+	done chan error
+}
+
+// kill ends the process at once, as a host that fails does, and awaits its end.
+func (p *process) kill() {
+	p.stop()
+	<-p.done
+}
+
+// NewDeployment starts a platform and nothing else. Logs go to w.
+func NewDeployment(w io.Writer) (*Deployment, error) {
+	authority, err := credential.NewAuthority(time.Now())
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	d := &Deployment{
+		Platform:  standinplatform.New(standinplatform.Config{}),
+		ctx:       ctx,
+		stop:      stop,
+		authority: authority,
+		logger:    &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: w}},
+	}
+	d.platform, err = serveHTTP(d.Platform)
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	return d, nil
+}
+
+// Close ends everything that the deployment started.
+func (d *Deployment) Close() {
+	for _, p := range d.running {
+		p.stop()
+	}
+	for _, p := range d.running {
+		<-p.done
+	}
+	d.stop()
+	for _, t := range d.Targets {
+		t.server.close()
+		if t.Engine != nil {
+			t.Engine.Close()
+		}
+	}
+	d.platform.close()
+}
+
+// AddEngine starts a model engine and its sidecar.
+func (d *Deployment) AddEngine(name string, dataCentre host.DataCentre) (*Target, error) {
+	e := engine.New(engine.Config{})
+	t, err := d.addTarget(name, dataCentre, e)
+	if err != nil {
+		e.Close()
+		return nil, err
+	}
+	t.Engine = e
+	return t, nil
+}
+
+// AddService starts a plain service and its sidecar. Several targets can share
+// one service, as they would share a database.
+func (d *Deployment) AddService(name string, dataCentre host.DataCentre, s *service.Service) (*Target, error) {
+	t, err := d.addTarget(name, dataCentre, s)
+	if err != nil {
+		return nil, err
+	}
+	t.Service = s
+	return t, nil
+}
+
+func (d *Deployment) addTarget(name string, dataCentre host.DataCentre, h http.Handler) (*Target, error) {
+	server, err := serveHTTP(h)
+	if err != nil {
+		return nil, err
+	}
+	t := &Target{
+		Name:       name,
+		Host:       host.Name(fmt.Sprintf("%s-%s", dataCentre, name)),
+		DataCentre: dataCentre,
+		server:     server,
+	}
+	if err := d.startSidecar(t, loopback); err != nil {
+		server.close()
+		return nil, err
+	}
+	d.Targets = append(d.Targets, t)
+	return t, nil
+}
+
+func (d *Deployment) startSidecar(t *Target, listen netip.AddrPort) error {
+	keys, err := d.keys(t.Host, host.Sidecar)
+	if err != nil {
+		return err
+	}
+	s, err := sidecar.New(sidecar.Config{
+		Identity:   d.identity(t.Host, host.Sidecar, t.DataCentre),
+		Listen:     listen,
+		Target:     t.server.addr(),
+		Keys:       keys,
+		Log:        d.logger,
+		Metrics:    metrics.NewSet(),
+		DrainBound: drainBound,
+	})
+	if err != nil {
+		return err
+	}
+	t.Sidecar = s
+	t.process = d.start(s.Run)
+	return nil
+}
+
+// KillSidecar ends the sidecar of a target at once.
+func (d *Deployment) KillSidecar(t *Target) {
+	t.process.kill()
+}
+
+// RestartSidecar starts a new life of a sidecar that was killed, at the same address.
+func (d *Deployment) RestartSidecar(t *Target) error {
+	return d.startSidecar(t, t.Sidecar.Addr())
+}
+
+// AddEntry starts an entry. socket may wrap its UDP sockets.
+func (d *Deployment) AddEntry(name host.Name, dataCentre host.DataCentre, socket func(net.PacketConn) net.PacketConn) (*Entry, error) {
+	keys, err := d.keys(name, host.Entry)
+	if err != nil {
+		return nil, err
+	}
+	e, err := entry.New(entry.Config{
+		Identity:   d.identity(name, host.Entry, dataCentre),
+		Callers:    loopback,
+		Platform:   d.Client(),
+		Keys:       keys,
+		Log:        d.logger,
+		Metrics:    metrics.NewSet(),
+		DrainBound: drainBound,
+		Socket:     socket,
+	})
+	if err != nil {
+		return nil, err
+	}
+	started := &Entry{Entry: e, Name: name, process: d.start(e.Run)}
+	d.Entries = append(d.Entries, started)
+	return started, nil
+}
+
+// Client returns a client of the deployment's platform.
+func (d *Deployment) Client() *platform.Client {
+	return platform.New(platform.Config{URL: "http://" + d.platform.addr().String()})
+}
+
+// Put stores the text of a service's document whatever its version is.
+func (d *Deployment) Put(ctx context.Context, service, text string) error {
+	client := d.Client()
+	defer client.Close()
+	key := object.Key("documents/" + service)
+	current := client.Do(ctx, object.Call{Op: object.Get, Key: key, Cause: "trial"})
+	reply := client.Do(ctx, object.Call{
+		Op: object.Put, Key: key, Version: current.Object.Version, Value: []byte(text), Cause: "trial",
+	})
+	if reply.Status != object.Done {
+		return fmt.Errorf("document %s was not stored: status %d: %w", service, reply.Status, reply.Err)
+	}
+	return nil
+}
+
+func (d *Deployment) keys(name host.Name, role host.Role) (*credential.Store, error) {
+	id := credential.Identity{Name: name, Role: role}
+	material, err := d.authority.Issue(time.Now(), id, credential.ShortLifetime)
+	if err != nil {
+		return nil, err
+	}
+	return credential.NewStore(material, time.Now)
+}
+
+func (d *Deployment) identity(name host.Name, role host.Role, dataCentre host.DataCentre) host.Identity {
+	d.lives++
+	return host.Identity{Name: name, Role: role, DataCentre: dataCentre, Incarnation: host.Incarnation(d.lives)}
+}
+
+func (d *Deployment) start(run func(context.Context) error) *process {
+	ctx, stop := context.WithCancel(d.ctx)
+	p := &process{stop: stop, done: make(chan error, 1)}
+	go func() {
+		p.done <- run(ctx)
+		close(p.done)
+	}()
+	d.running = append(d.running, p)
+	return p
+}
+
+// httpServer is a stand-in's server.
+type httpServer struct {
+	listener net.Listener
+	server   *http.Server
+	done     chan error
+}
+
+func serveHTTP(h http.Handler) (*httpServer, error) {
+	listener, err := net.Listen("tcp", loopback.String())
+	if err != nil {
+		return nil, err
+	}
+	s := &httpServer{
+		listener: listener,
+		server:   &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second},
+		done:     make(chan error, 1),
+	}
+	go func() { s.done <- s.server.Serve(listener) }()
+	return s, nil
+}
+
+func (s *httpServer) addr() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func (s *httpServer) close() {
+	_ = s.server.Close() // calls still there are of no interest any more
+	<-s.done
+}
--- /dev/null
+++ b/internal/wire/caller/front.go
@@ -0,0 +1,228 @@
+package caller
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/record/document"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
+)
+
+const (
+	// writeGrace lets the last bytes out after the deadline has passed.
+	writeGrace = 2 * time.Second
+
+	// bodyTimeout bounds the wait for a caller's body.
+	bodyTimeout = 30 * time.Second
+
+	maxKeyBytes = 256
+)
+
+// Service is a document that is in force, prepared for look-ups.
+type Service struct {
+	Document *document.Document
+	Number   uint64 // of its acceptance
+
+	workspaces map[document.KeyDigest]*document.Workspace
+	targets    map[host.Name]string
+}
+
+// NewService prepares a document.
+func NewService(d *document.Document, number uint64) *Service {
+	s := &Service{
+		Document:   d,
+		Number:     number,
+		workspaces: make(map[document.KeyDigest]*document.Workspace),
+		targets:    make(map[host.Name]string, len(d.Targets)),
+	}
+	for _, t := range d.Targets {
+		s.targets[t.Host] = t.Name
+	}
+	for i := range d.Workspaces {
+		w := &d.Workspaces[i]
+		for _, key := range w.Keys {
+			s.workspaces[key] = w
+		}
+	}
+	return s
+}
+
+// TargetOn returns the name of the service's target on a host; empty if it has none.
+func (s *Service) TargetOn(name host.Name) string { return s.targets[name] }
+
+// Call is a caller's request, complete and checked.
+type Call struct {
+	ID        request.ID
+	Service   *Service
+	Route     *document.Route
+	Workspace string
+	Method    string
+	Path      string // below the service's prefix, with the query
+	Header    []request.Field
+	Body      []byte
+	Key       string // Idempotency-Key, or empty
+	Arrived   time.Time
+	Deadline  time.Time
+}
+
+// Front is the HTTP handler for callers.
+type Front struct {
+	// Find returns the service for a host name and a path; nil if none is in force.
+	Find func(hostname, path string) *Service
+
+	// Ready reports whether the process may take new work.
+	Ready func() bool
+
+	// NewID draws an identity for a request.
+	NewID func() request.ID
+
+	// Serve sees the request through to its outcome.
+	Serve func(r *http.Request, c *Call, a *Answer)
+}
+
+// Mount adds the handler to an echo server for every method and path.
+func (f *Front) Mount(e *echo.Echo) {
+	e.Any("/*", f.handle)
+}
+
+func (f *Front) handle(ctx echo.Context) error {
+	now := time.Now()
+	w, r := ctx.Response().Writer, ctx.Request()
+	id := f.NewID()
+	call, refusal := f.check(w, r, id, now)
+	if refusal != nil {
+		res := request.Result{Outcome: request.NotRun, Reason: refusal.reason, RetryAfter: refusal.retryAfter}
+		newAnswer(w, id, now.Add(bodyTimeout)).Problem(res, refusal.detail)
+		return nil
+	}
+	f.Serve(r, call, newAnswer(w, id, call.Deadline))
+	return nil
+}
+
+// refusal tells why a request does not begin.
+type refusal struct {
+	reason     request.Reason
+	detail     string
+	retryAfter time.Duration
+}
+
+func (f *Front) check(w http.ResponseWriter, r *http.Request, id request.ID, now time.Time) (*Call, *refusal) {
+	if !f.Ready() {
+		return nil, &refusal{reason: NotReady, retryAfter: time.Second}
+	}
+	service := f.Find(hostname(r.Host), r.URL.Path)
+	if service == nil {
+		return nil, &refusal{reason: UnknownService, detail: fmt.Sprintf("no service for host %.100q and path %.200q", r.Host, r.URL.Path)}
+	}
+	workspace := service.workspaceOf(r)
+	if workspace == nil {
+		return nil, &refusal{reason: UnknownWorkspace, detail: "the Authorization field names no workspace of the service"}
+	}
+	route := service.Document.RouteFor(r.Method, r.URL.EscapedPath())
+	if route == nil {
+		return nil, &refusal{reason: UnknownRoute, detail: fmt.Sprintf("the service has no route for %.20s %.200q", r.Method, r.URL.Path)}
+	}
+	key := r.Header.Get(KeyHeader)
+	if len(key) > maxKeyBytes {
+		return nil, &refusal{reason: BadRequest, detail: fmt.Sprintf("%s is longer than %d bytes", KeyHeader, maxKeyBytes)}
+	}
+	wait, bad := deadlineOf(r, route)
+	if bad != nil {
+		return nil, bad
+	}
+	body, bad := readBody(w, r, service.bodyBound(route))
+	if bad != nil {
+		return nil, bad
+	}
+	return &Call{
+		ID:        id,
+		Service:   service,
+		Route:     route,
+		Workspace: workspace.Name,
+		Method:    r.Method,
+		Path:      targetPath(r, service.Document.PathPrefix),
+		Header:    Fields(r.Header),
+		Body:      body,
+		Key:       key,
+		Arrived:   now,
+		Deadline:  now.Add(wait),
+	}, nil
+}
+
+// hostname returns the Host field without its port.
+func hostname(hostport string) string {
+	name, _, _ := strings.Cut(hostport, ":")
+	return strings.ToLower(name)
+}
+
+// targetPath returns the path as the target knows it, with the query.
+func targetPath(r *http.Request, prefix string) string {
+	path := strings.TrimPrefix(r.URL.EscapedPath(), prefix)
+	if path == "" {
+		path = "/"
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+func (s *Service) workspaceOf(r *http.Request) *document.Workspace {
+	credential, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || credential == "" {
+		return nil
+	}
+	return s.workspaces[document.KeyDigestOf(credential)]
+}
+
+func (s *Service) bodyBound(route *document.Route) int64 {
+	if route.MaxBody > 0 {
+		return int64(route.MaxBody)
+	}
+	return int64(s.Document.Limits.MaxBody)
+}
+
+// deadlineOf returns how long the request may take: the route's deadline, or
+// less if the caller says so.
+func deadlineOf(r *http.Request, route *document.Route) (time.Duration, *refusal) {
+	text := r.Header.Get(DeadlineHeader)
+	if text == "" {
+		return route.Deadline, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 {
+		return 0, &refusal{reason: BadRequest, detail: fmt.Sprintf("%s: %.50q is not a positive duration", DeadlineHeader, text)}
+	}
+	return min(d, route.Deadline), nil
+}
+
+// readBody reads the whole body. An attempt may have to be repeated at another
+// target, and a request that is known to be cut short must not begin.
+func readBody(w http.ResponseWriter, r *http.Request, bound int64) ([]byte, *refusal) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	tooLarge := &refusal{reason: request.BodyTooLarge, detail: fmt.Sprintf("the body is longer than %d bytes", bound)}
+	if r.ContentLength > bound {
+		return nil, tooLarge
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout)) // not all writers have one
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bound))
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
+		return nil, tooLarge
+	}
+	if err != nil {
+		return nil, &refusal{reason: request.BodyIncomplete, detail: "the body ended early"}
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/wire/caller/problem.go
@@ -0,0 +1,55 @@
+package caller
+
+import (
+	"net/http"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
+)
+
+// Reasons of refusals that come before a request begins its life at the entry.
+const (
+	UnknownService   request.Reason = "unknownService"
+	UnknownRoute     request.Reason = "unknownRoute"
+	UnknownWorkspace request.Reason = "unknownWorkspace"
+	BadRequest       request.Reason = "badRequest"
+	NotReady         request.Reason = "notReady"
+)
+
+// Problem is the body of every answer that the system itself gives.
+type Problem struct {
+	RequestID    string          `json:"requestId"`
+	Outcome      request.Outcome `json:"outcome"`
+	Reason       request.Reason  `json:"reason"`
+	Detail       string          `json:"detail,omitempty"`
+	RetryAfterMs int64           `json:"retryAfterMs,omitempty"`
+}
+
+// statusOf chooses the status code of a problem.
+func statusOf(outcome request.Outcome, reason request.Reason) int {
+	switch reason {
+	case UnknownService, UnknownRoute:
+		return http.StatusNotFound
+	case UnknownWorkspace:
+		return http.StatusUnauthorized
+	case BadRequest, request.BodyIncomplete:
+		return http.StatusBadRequest
+	case request.BodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case request.KeyClaimed:
+		return http.StatusConflict
+	}
+	if outcome == request.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	if reason == request.DeadlinePassed {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// seconds rounds up, as Retry-After counts in whole seconds and an early
+// return would meet the same refusal.
+func seconds(d time.Duration) int64 {
+	return int64((d + time.Second - 1) / time.Second)
+}
--- a/internal/wire/peer/conn.go
+++ b/internal/wire/peer/conn.go
@@ -325,5 +325,12 @@
 	s.quic.CancelWrite(0)
 }
 
+// Finish ends the stream from this side: what was written still arrives, what
+// the peer sends from now on is dropped.
+func (s *Stream) Finish() {
+	_ = s.quic.Close() // an error means that the stream has ended already
+	s.quic.CancelRead(0)
+}
+
 // SetWriteDeadline bounds later writes.
 func (s *Stream) SetWriteDeadline(t time.Time) error { return s.quic.SetWriteDeadline(t) }
--- a/internal/wire/peer/pool.go
+++ b/internal/wire/peer/pool.go
@@ -32,11 +32,21 @@
 
 // Get returns the open connection to a peer, dialling if there is none.
 func (p *Pool) Get(ctx context.Context, addr netip.AddrPort, name host.Name) (*Conn, error) {
+	return p.Newer(ctx, addr, name, 0)
+}
+
+// Newer returns a connection to a peer whose number is above than. It closes an
+// older one: what one request has found silent is silent for all of them, and
+// each is spared the wait to find out for itself.
+func (p *Pool) Newer(ctx context.Context, addr netip.AddrPort, name host.Name, than uint64) (*Conn, error) {
 	s := p.slot(addr)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conn != nil && s.conn.Err() == nil {
-		return s.conn, nil
+		if s.conn.Number() > than {
+			return s.conn, nil
+		}
+		s.conn.Close()
 	}
 	if err := ctx.Err(); err != nil {
 		return nil, err
