Plan expert maps from estimated demand

Cause: expert popularity drifts and shifts, and the hottest rank of each layer holds back the whole group; loading weights competes with drafting.

Change: internal/expert/demand estimates shares, their noise, how long they will last and the ranks' speeds from the ranks' counts. internal/expert/plan searches from the map in force for the changes that win the most per load, weighs them by the document's weights, and keeps within the weight store's pace.

--- /dev/null
+++ b/internal/expert/demand/tracker.go
@@ -0,0 +1,316 @@
+package demand
+
+import (
+	"math"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Config sets the smoothing of a [Tracker]. Zero values take the defaults.
+type Config struct {
+	Window   time.Duration // length of a window; default 1 min
+	Smooth   time.Duration // time constant of the estimate; default 10 min
+	Trail    time.Duration // time constant of the slow estimate; default 1 h
+	MinLasts time.Duration // bounds of Estimate.Lasts; default 5 min
+	MaxLasts time.Duration // default 2 h
+	// Tolerance is the part of all tokens that must have moved to other experts
+	// for an estimate to count as outdated; default 0.1.
+	Tolerance float64
+	// ShiftDeviations is how many mean deviations above the usual distance a
+	// window must lie to be set aside as a possible sharp shift; default 6.
+	ShiftDeviations float64
+	// ShiftFloor is the distance below which nothing counts as a sharp shift;
+	// default 0.05.
+	ShiftFloor float64
+}
+
+// withDefaults fills in the values that are zero.
+func (c Config) withDefaults() Config {
+	setDuration(&c.Window, time.Minute)
+	setDuration(&c.Smooth, 10*time.Minute)
+	setDuration(&c.Trail, time.Hour)
+	setDuration(&c.MinLasts, 5*time.Minute)
+	setDuration(&c.MaxLasts, 2*time.Hour)
+	setFloat(&c.Tolerance, 0.1)
+	setFloat(&c.ShiftDeviations, 6)
+	setFloat(&c.ShiftFloor, 0.05)
+	return c
+}
+
+func setDuration(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+func setFloat(f *float64, value float64) {
+	if *f == 0 {
+		*f = value
+	}
+}
+
+func (c Config) validate() error {
+	switch {
+	case c.Window <= 0, c.Smooth < c.Window, c.Trail <= c.Smooth:
+		return merry.Append(ErrConfig, "want 0 < window <= smooth < trail")
+	case c.MinLasts <= 0, c.MaxLasts < c.MinLasts:
+		return merry.Append(ErrConfig, "want 0 < minLasts <= maxLasts")
+	case !(c.Tolerance > 0), !(c.ShiftDeviations > 0), !(c.ShiftFloor > 0):
+		return merry.Append(ErrConfig, "tolerance and shift limits must be positive")
+	}
+	return nil
+}
+
+// Change is what a window did to the estimate.
+type Change uint8
+
+// The effects of a window.
+const (
+	Nothing   Change = iota // no rank counted any token; the estimate stands
+	Folded                  // the window was smoothed into the estimate
+	Suspected               // the window lies far off and was set aside
+	Dismissed               // the one set aside was a passing disturbance
+	Shifted                 // two windows agree on a new demand; the estimate jumped
+)
+
+// Estimate is what is known about the demand of a group.
+type Estimate struct {
+	Size      Size
+	Share     []float64     // part of a layer's tokens per layer and expert; each layer sums to 1
+	Deviation []float64     // standard deviation of Share
+	Speed     []float64     // per rank, relative to the group's median
+	Lasts     time.Duration // how long Share will stay good, as far as drift and past shifts tell
+	Windows   int           // windows behind the estimate since the start or the last shift
+	At        time.Time     // end of the last window that brought counts
+	Since     time.Time     // last sharp shift, zero if there was none
+}
+
+// Tracker estimates the demand of one group. It is not safe for concurrent use.
+type Tracker struct {
+	size   Size
+	cfg    Config
+	speeds speeds
+
+	open    []float64 // tokens of the window being filled
+	seen    []bool    // ranks that reported in it
+	latest  []uint64  // per rank, 1 + the last window taken
+	window  []float64 // shares of the window being folded
+	filled  []bool    // layers that have tokens in the window being folded
+	fast    []float64
+	slow    []float64
+	square  []float64 // squared distance of windows from fast, smoothed like slow
+	aside   []float64 // shares of the window set aside
+	pending bool      // whether aside is in use
+
+	windows   int
+	usual     float64 // smoothed distance of windows from the estimate
+	spread    float64 // mean deviation of that distance
+	last      time.Time
+	lastShift time.Time
+	interval  time.Duration // shortest recent time between shifts, 0 if unknown
+}
+
+// New returns a tracker that knows nothing: every expert equally popular, every
+// rank equally fast.
+func New(size Size, cfg Config) (*Tracker, error) {
+	if err := size.Validate(); err != nil {
+		return nil, err
+	}
+	cfg = cfg.withDefaults()
+	if err := cfg.validate(); err != nil {
+		return nil, err
+	}
+	n := size.cells()
+	t := &Tracker{
+		size:   size,
+		cfg:    cfg,
+		speeds: newSpeeds(size.Ranks, cfg),
+		open:   make([]float64, n),
+		seen:   make([]bool, size.Ranks),
+		latest: make([]uint64, size.Ranks),
+		window: make([]float64, n),
+		filled: make([]bool, size.Layers),
+		fast:   uniform(size),
+		slow:   uniform(size),
+		square: make([]float64, n),
+		aside:  make([]float64, n),
+	}
+	return t, nil
+}
+
+func uniform(s Size) []float64 {
+	share := make([]float64, s.cells())
+	for i := range share {
+		share[i] = 1 / float64(s.Experts)
+	}
+	return share
+}
+
+// Handle takes a rank's report into the open window and tells whether it was
+// taken. A report that was seen before, or that is older than one that was, is
+// not taken: counting it twice would make its rank's topics look popular.
+func (t *Tracker) Handle(r Report) (bool, error) {
+	if err := r.Validate(t.size); err != nil {
+		return false, err
+	}
+	if t.seen[r.Rank] || r.Window+1 <= t.latest[r.Rank] {
+		return false, nil
+	}
+	t.seen[r.Rank] = true
+	t.latest[r.Rank] = r.Window + 1
+	for i, n := range r.Counts {
+		t.open[i] += float64(n)
+	}
+	t.speeds.add(r)
+	return true, nil
+}
+
+// Close ends the open window at time now and folds it into the estimate.
+func (t *Tracker) Close(now time.Time) Change {
+	t.speeds.fold()
+	clear(t.seen)
+	if !t.normalise() {
+		return Nothing
+	}
+	t.last = now
+	d := t.distance(t.window, t.fast)
+	if t.windows == 0 {
+		return t.jump(t.window, t.window)
+	}
+	if t.pending {
+		return t.settle(now, d)
+	}
+	if t.far(d) {
+		t.pending = true
+		copy(t.aside, t.window)
+		return Suspected
+	}
+	t.fold(d)
+	return Folded
+}
+
+// settle decides on the window set aside now that the next one is known.
+func (t *Tracker) settle(now time.Time, d float64) Change {
+	t.pending = false
+	// One window far off can be a burst of one customer. Jumping to it would
+	// load weights for demand that is gone by the time they arrive. Two windows
+	// that resemble each other more than the past are a change that stays.
+	if t.far(d) && t.distance(t.window, t.aside) < d {
+		t.noteShift(now)
+		return t.jump(t.window, t.aside)
+	}
+	t.fold(d)
+	return Dismissed
+}
+
+// far tells whether a window at distance d from the estimate may be a shift.
+// The first windows only teach the usual spread.
+func (t *Tracker) far(d float64) bool {
+	const learning = 3
+	if t.windows < learning {
+		return false
+	}
+	return d > t.usual+t.cfg.ShiftDeviations*t.spread+t.cfg.ShiftFloor
+}
+
+func (t *Tracker) noteShift(now time.Time) {
+	if !t.lastShift.IsZero() {
+		t.interval = now.Sub(t.lastShift)
+	}
+	t.lastShift = now
+}
+
+// normalise turns the open window's tokens into shares and empties it. A layer
+// without tokens keeps its estimate; it reports whether any layer had some.
+func (t *Tracker) normalise() bool {
+	found := false
+	for l := range t.size.Layers {
+		cells := t.layer(t.open, l)
+		sum := 0.0
+		for _, n := range cells {
+			sum += n
+		}
+		t.filled[l] = sum > 0
+		if !t.filled[l] {
+			copy(t.layer(t.window, l), t.layer(t.fast, l))
+			continue
+		}
+		found = true
+		w := t.layer(t.window, l)
+		for e, n := range cells {
+			w[e] = n / sum
+		}
+	}
+	clear(t.open)
+	return found
+}
+
+func (t *Tracker) layer(cells []float64, l int) []float64 {
+	return cells[l*t.size.Experts : (l+1)*t.size.Experts]
+}
+
+// distance is the part of all tokens that a would send to other experts than b.
+func (t *Tracker) distance(a, b []float64) float64 {
+	sum := 0.0
+	for i, x := range a {
+		sum += math.Abs(x - b[i])
+	}
+	return sum / 2 / float64(t.size.Layers)
+}
+
+// firstNoise is the deviation of a window relative to the mean that is assumed
+// until windows show it.
+const firstNoise = 0.2
+
+// jump replaces the estimate by the mean of two windows.
+func (t *Tracker) jump(a, b []float64) Change {
+	for i, x := range a {
+		mean := (x + b[i]) / 2
+		t.fast[i] = mean
+		t.slow[i] = mean
+		if t.windows == 0 {
+			t.square[i] = firstNoise * firstNoise * mean * mean
+		}
+	}
+	first := t.windows == 0
+	t.windows = 1
+	if first {
+		return Folded
+	}
+	return Shifted
+}
+
+// fold smooths the window, at distance d, into the estimate.
+func (t *Tracker) fold(d float64) {
+	t.windows++
+	gain := t.gain(t.cfg.Smooth)
+	slow := t.gain(t.cfg.Trail)
+	for l, ok := range t.filled {
+		if ok {
+			t.foldLayer(l, gain, slow)
+		}
+	}
+	t.spread += gain * (math.Abs(d-t.usual) - t.spread)
+	t.usual += gain * (d - t.usual)
+}
+
+func (t *Tracker) foldLayer(l int, gain, slow float64) {
+	w := t.layer(t.window, l)
+	fast := t.layer(t.fast, l)
+	trail := t.layer(t.slow, l)
+	square := t.layer(t.square, l)
+	for e, x := range w {
+		r := x - fast[e]
+		square[e] += slow * (r*r - square[e])
+		fast[e] += gain * r
+		trail[e] += slow * (x - trail[e])
+	}
+}
+
+// gain is the weight of a new window for a time constant. The first windows
+// weigh more, so that the estimate starts as a plain mean.
+func (t *Tracker) gain(constant time.Duration) float64 {
+	g := 1 - math.Exp(-float64(t.cfg.Window)/float64(constant))
+	return max(g, 1/float64(t.windows))
+}
--- /dev/null
+++ b/internal/expert/plan/invariant_test.go
@@ -0,0 +1,222 @@
+package plan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/demand"
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+)
+
+// drawn is a group whose size, demand, speeds and limits are drawn at random.
+type drawn struct {
+	rt    *rapid.T
+	shape expertmap.Shape
+	cfg   Config
+	share []float64
+	speed []float64
+}
+
+func draw(rt *rapid.T) *drawn {
+	ranks := rapid.IntRange(1, 8).Draw(rt, "ranks")
+	slots := rapid.IntRange(1, 5).Draw(rt, "slots")
+	s := expertmap.Shape{
+		Layers:  rapid.IntRange(1, 3).Draw(rt, "layers"),
+		Experts: rapid.IntRange(1, ranks*slots).Draw(rt, "experts"),
+		Ranks:   ranks,
+		Slots:   slots,
+	}
+	d := &drawn{rt: rt, shape: s, share: make([]float64, s.Layers*s.Experts), speed: make([]float64, ranks)}
+	d.cfg = Config{
+		Shape:       s,
+		ExpertBytes: 100,
+		StoreRate:   rapid.Int64Range(1, 1000).Draw(rt, "rate"),
+		Burst:       time.Duration(rapid.IntRange(1, 600).Draw(rt, "burst")) * time.Second,
+		Hold:        time.Duration(rapid.IntRange(0, 20).Draw(rt, "hold")) * time.Minute,
+		RankLoads:   rapid.IntRange(1, 20).Draw(rt, "room"),
+		Work:        rapid.SampledFrom([]int{1, 500, 1_000_000}).Draw(rt, "work"),
+		Confidence:  rapid.SampledFrom([]float64{0.01, 2}).Draw(rt, "confidence"),
+		Weights:     Weights{Skew: 1, Moves: rapid.SampledFrom([]float64{0, 1, 1000}).Draw(rt, "moves")},
+	}
+	return d
+}
+
+// redraw changes demand and speeds. Many experts get nothing, some nearly all.
+func (d *drawn) redraw() {
+	one := rapid.SampledFrom([]float64{0, 0, 1, 1, 2, 5, 300})
+	for l := range d.shape.Layers {
+		share := d.share[l*d.shape.Experts : (l+1)*d.shape.Experts]
+		sum := 0.0
+		for e := range share {
+			share[e] = one.Draw(d.rt, "weight")
+			sum += share[e]
+		}
+		for e := range share {
+			share[e] /= max(sum, 1)
+		}
+	}
+	for r := range d.speed {
+		d.speed[r] = rapid.SampledFrom([]float64{1, 1, 1, 0.6, 0.1, 1.5}).Draw(d.rt, "speed")
+	}
+}
+
+func (d *drawn) estimate(now, since time.Time) demand.Estimate {
+	return demand.Estimate{
+		Share:     d.share,
+		Deviation: make([]float64, len(d.share)),
+		Speed:     d.speed,
+		Lasts:     time.Hour,
+		Windows:   10,
+		At:        now,
+		Since:     since,
+	}
+}
+
+// Over random sizes, demands and limits: every map planned is valid, a plan never
+// raises the predicted cost, loads stay within the store's pace and the ranks'
+// room, replicas stay for their hold, and the same input gives the same plan.
+func TestPlansKeepInvariants(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d := draw(rt)
+		d.redraw()
+		planner, err := New(d.cfg)
+		require.NoError(rt, err)
+		m, err := expertmap.Even(d.shape)
+		require.NoError(rt, err)
+		now, since, bytes := epoch, time.Time{}, int64(0)
+		limit := max(d.cfg.StoreRate*int64(d.cfg.Burst/time.Second), d.cfg.ExpertBytes)
+		for range rapid.IntRange(1, 6).Draw(rt, "plans") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(rt, "seconds")) * time.Second)
+			if rapid.Bool().Draw(rt, "changed") {
+				d.redraw()
+			}
+			if rapid.Bool().Draw(rt, "shift") {
+				since = now
+			}
+			e := d.estimate(now, since)
+			p, err := planner.Plan(now, m, e)
+			require.NoError(rt, err)
+			requireInvariants(rt, m, p)
+			again, err := planner.Plan(now, m, e)
+			require.NoError(rt, err)
+			require.Equal(rt, p, again)
+			bytes += p.Bytes
+			require.LessOrEqual(rt, bytes, limit+d.cfg.StoreRate*int64(now.Sub(epoch)/time.Second))
+			if p.Map != nil {
+				require.NoError(rt, planner.Installed(now, m, p.Map))
+				m = p.Map
+			}
+		}
+	})
+}
+
+// The working state that the search changes step by step must equal one computed
+// from its cells, and the time recorded with each change must be the true one.
+func TestSearchKeepsItsState(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d := draw(rt)
+		d.redraw()
+		m, err := expertmap.Even(d.shape)
+		require.NoError(rt, err)
+		share := d.share[:d.shape.Experts]
+		held := make([]bool, d.shape.Ranks*d.shape.Slots)
+		l := newLayer(d.shape, d.speed)
+		l.load(m.Layer(0), share, share, held)
+		_, before := l.hottest()
+		find := search{layer: l, work: 100_000}
+		for _, c := range find.run(nil, 50, 1) {
+			require.LessOrEqual(rt, c.time, before)
+			before = c.time
+		}
+		fresh := newLayer(d.shape, d.speed)
+		fresh.load(l.cells, share, share, held)
+		require.Equal(rt, fresh.count, l.count)
+		require.Equal(rt, fresh.holds, l.holds)
+		require.InDeltaSlice(rt, fresh.time, l.time, 1e-9)
+	})
+}
+
+// No map is below the bound on time, and none is reached with fewer loads than
+// the bound on loads.
+func TestBounds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d := draw(rt)
+		d.redraw()
+		share := d.share[:d.shape.Experts]
+		from, err := expertmap.Even(d.shape)
+		require.NoError(rt, err)
+		to, err := Resolve(d.shape, d.share, d.speed)
+		require.NoError(rt, err)
+		require.Empty(rt, to.Check())
+		to = Relabel(from, to, d.speed)
+		require.Empty(rt, to.Check())
+		l := newLayer(d.shape, d.speed)
+		l.load(to.Layer(0), share, nil, nil)
+		_, time := l.hottest()
+		if time > 0 {
+			require.GreaterOrEqual(rt, time, Bound(d.shape, share, d.speed)-1e-3)
+		}
+		diff, err := expertmap.Diff(from, to)
+		require.NoError(rt, err)
+		made := 0
+		for _, load := range diff.Loads {
+			if load.Layer == 0 {
+				made++
+			}
+		}
+		require.LessOrEqual(rt, FewestLoads(d.shape, from.Layer(0), share, d.speed, max(time, 1e-6)), made)
+	})
+}
+
+// The check at the end of each plan is the last guard before a group loads a map,
+// so each of its parts must bite. A sound session is spoilt in one way at a time.
+func TestVerifyBites(t *testing.T) {
+	spoil := map[ViolationKind]func(*session){
+		InvalidMap:   func(s *session) { s.result.Map.Set(0, 0, 0, s.result.Map.At(0, 0, 1)) },
+		LoadMismatch: func(s *session) { s.result.Loads = 0 },
+		OverPace:     func(s *session) { s.result.Allowance = 1 },
+		OverRank:     func(s *session) { s.cfg.RankLoads = 0 },
+		RaisedCost:   func(s *session) { s.result.After.Time = s.result.Before.Time + 0.1 },
+		UnpaidLoads:  func(s *session) { s.result.Won = 0 },
+		BrokenHold: func(s *session) {
+			for i := range s.held {
+				s.held[i] = true
+			}
+		},
+	}
+	for kind, change := range spoil {
+		t.Run(string(kind), func(t *testing.T) {
+			s := soundSession(t)
+			s.verify()
+			require.Equal(t, Move, s.result.Reason)
+			s = soundSession(t)
+			change(s)
+			s.verify()
+			require.Equal(t, Faulty, s.result.Reason)
+			require.Nil(t, s.result.Map)
+			kinds := make([]ViolationKind, 0, len(s.result.Violations))
+			for _, v := range s.result.Violations {
+				kinds = append(kinds, v.Kind)
+			}
+			require.Contains(t, kinds, kind)
+		})
+	}
+}
+
+// soundSession is a session that is about to be verified.
+func soundSession(t *testing.T) *session {
+	g := newGroup(t, Config{})
+	first := g.m
+	g.repeat(30, counts(shape, ramp), nil)
+	planner, err := New(Config{Shape: shape})
+	require.NoError(t, err)
+	s := newSession(planner, g.now, first, g.tracker.Estimate())
+	s.searchLayers()
+	s.choose()
+	require.Equal(t, Move, s.result.Reason)
+	s.build()
+	return s
+}
--- /dev/null
+++ b/internal/expert/plan/session.go
@@ -0,0 +1,309 @@
+package plan
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/demand"
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+)
+
+// session is the making of one proposal.
+type session struct {
+	cfg      Config
+	from     *expertmap.Map
+	estimate demand.Estimate
+	held     []bool
+	layer    *layer
+	result   Proposal
+
+	starts   []float64  // per layer: time of the hottest rank now
+	changes  [][]change // per layer
+	segments []segment
+	taken    []int  // per layer: changes that are part of the plan
+	anew     []bool // per layer: whether its changes may break holds
+	ranks    []int  // per rank: loads of the plan
+}
+
+func newSession(p *Planner, now time.Time, m *expertmap.Map, e demand.Estimate) *session {
+	layers := p.cfg.Shape.Layers
+	s := &session{
+		cfg:      p.cfg,
+		from:     m,
+		estimate: e,
+		held:     p.held(now, e),
+		layer:    newLayer(p.cfg.Shape, e.Speed),
+		starts:   make([]float64, layers),
+		changes:  make([][]change, layers),
+		taken:    make([]int, layers),
+		anew:     make([]bool, layers),
+		ranks:    make([]int, p.cfg.Shape.Ranks),
+	}
+	s.result = Proposal{
+		Horizon:   e.Lasts,
+		Weights:   p.cfg.Weights,
+		Allowance: max(0, int64(p.allowance.now(now))),
+	}
+	s.result.Before = predict(s.layer, m, e.Share)
+	s.result.After = s.result.Before
+	s.result.Reason = s.ready(now)
+	return s
+}
+
+// ready returns the reason not to plan at all, or none.
+func (s *session) ready(now time.Time) Reason {
+	switch {
+	case s.estimate.Windows < minWindows:
+		return Learning
+	case now.Sub(s.estimate.At) > s.cfg.Stale:
+		return Stale
+	}
+	return ""
+}
+
+func (s *session) decide() {
+	if s.result.Reason != "" {
+		return
+	}
+	s.searchLayers()
+	if s.result.Reason != "" {
+		return
+	}
+	s.choose()
+	if s.result.Reason != Move {
+		return
+	}
+	s.build()
+	s.verify()
+}
+
+// searchLayers finds each layer's trade-off between loads and time.
+func (s *session) searchLayers() {
+	shape := s.cfg.Shape
+	most := int(s.result.Allowance / s.cfg.ExpertBytes)
+	if most == 0 {
+		s.result.Reason = Paced
+		return
+	}
+	away := 0
+	for i := range shape.Layers {
+		if s.searchLayer(i, most) {
+			away++
+		}
+	}
+	if away == 0 {
+		s.result.Reason = Balanced
+		return
+	}
+	if len(s.segments) == 0 {
+		s.result.Reason = Stuck
+	}
+}
+
+// searchLayer tells whether the layer is further from its bound than noise
+// explains, and finds its changes if they win more than noise explains, too.
+// What noise seems to win would be lost to the next noise, and each time cost
+// loads.
+func (s *session) searchLayer(i, most int) bool {
+	shape := s.cfg.Shape
+	share := s.slice(s.estimate.Share, i)
+	s.load(i)
+	hot, start := s.layer.hottest()
+	s.starts[i] = start
+	bound := Bound(shape, share, s.estimate.Speed)
+	deviation := s.layer.deviation(hot)
+	noise := s.cfg.Confidence * highest(shape.Ranks) * deviation
+	if start <= bound+noise {
+		return false
+	}
+	floor := bound + deviation
+	find := search{layer: s.layer, work: s.cfg.Work / shape.Layers}
+	changes := find.run(nil, most, floor)
+	changes = s.restart(i, changes, most, floor)
+	if start-lowest(changes) <= noise {
+		return true
+	}
+	s.changes[i] = changes
+	s.segments = segments(s.segments, i, changes, start, floor)
+	return true
+}
+
+// highest is about how many standard deviations the highest of n normal
+// variables lies above their mean. Where many ranks are compared, some rank
+// looks hot by noise alone.
+func highest(n int) float64 {
+	const fewest = 2
+	return math.Sqrt(2 * math.Log(float64(max(n, fewest))))
+}
+
+// lowest is the shortest time that any of the changes leads to.
+func lowest(changes []change) float64 {
+	time := math.Inf(1)
+	for _, c := range changes {
+		time = min(time, c.time)
+	}
+	return time
+}
+
+func (s *session) slice(cells []float64, layer int) []float64 {
+	n := s.cfg.Shape.Experts
+	return cells[layer*n : (layer+1)*n]
+}
+
+func (s *session) load(i int) {
+	n := s.cfg.Shape.Ranks * s.cfg.Shape.Slots
+	share := s.slice(s.estimate.Share, i)
+	noise := s.slice(s.estimate.Deviation, i)
+	s.layer.load(s.from.Layer(i), share, noise, s.held[i*n:(i+1)*n])
+}
+
+// choose takes segments, the most worthwhile first, while each is worth its
+// price and there is room for its loads.
+func (s *session) choose() {
+	sortSegments(s.segments)
+	left := s.result.Allowance
+	closed := make([]bool, s.cfg.Shape.Layers)
+	paced := false
+	for _, g := range s.segments {
+		if closed[g.layer] {
+			continue
+		}
+		if !s.worth(g) {
+			closed[g.layer] = true
+			continue
+		}
+		bytes := int64(g.loads) * s.cfg.ExpertBytes
+		if bytes > left || !s.reserve(g) {
+			closed[g.layer] = true
+			paced = true
+			continue
+		}
+		left -= bytes
+		s.take(g)
+	}
+	s.settle(paced)
+}
+
+// worth tells whether a segment wins more than its price, over the time that is
+// left of the demand once everything taken and this segment has been loaded.
+func (s *session) worth(g segment) bool {
+	won, cost := s.value(g.win, s.result.Loads+g.loads), s.price(g.loads)
+	return s.weigh(won, cost)
+}
+
+// weigh compares drafting seconds won and lost by the weights of the document.
+func (s *session) weigh(won, cost float64) bool {
+	w := s.cfg.Weights
+	return w.Skew*won > w.Moves*cost*(1+s.cfg.Hysteresis)
+}
+
+// value is the drafting time in seconds that is won if a layer's relative time
+// falls by win, with loads experts loaded first.
+func (s *session) value(win float64, loads int) float64 {
+	lasts := s.estimate.Lasts.Seconds() - float64(loads)*s.cfg.loadTime()
+	return max(0, lasts) * s.cfg.ExpertPart * win / float64(s.cfg.Shape.Layers)
+}
+
+// price is the drafting time in seconds that loads experts cost.
+func (s *session) price(loads int) float64 {
+	return float64(loads) * s.cfg.loadTime() * s.cfg.Interference
+}
+
+// reserve makes room for the loads of a segment on their ranks, or tells that
+// there is none.
+func (s *session) reserve(g segment) bool {
+	for i, c := range s.changes[g.layer][g.from:g.to] {
+		if s.count(c, 1) {
+			continue
+		}
+		for _, c := range s.changes[g.layer][g.from : g.from+i+1] {
+			s.count(c, -1)
+		}
+		return false
+	}
+	return true
+}
+
+// count adds the loads of a change to its ranks and tells whether they have room.
+func (s *session) count(c change, n int) bool {
+	slots := s.cfg.Shape.Slots
+	ok := true
+	if c.other != noCell && c.also != expertmap.Empty {
+		r := int(c.other) / slots
+		s.ranks[r] += n
+		ok = s.ranks[r] <= s.cfg.RankLoads
+	}
+	if c.in != expertmap.Empty {
+		r := int(c.cell) / slots
+		s.ranks[r] += n
+		ok = ok && s.ranks[r] <= s.cfg.RankLoads
+	}
+	return ok
+}
+
+func (s *session) take(g segment) {
+	s.taken[g.layer] = g.to
+	s.result.Loads += g.loads
+	s.result.Won += seconds(s.value(g.win, 0))
+	s.result.Cost += seconds(s.price(g.loads))
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
+
+// settle decides whether what was taken is worth a change of map.
+func (s *session) settle(paced bool) {
+	r := &s.result
+	if r.Won == 0 {
+		s.explainNothing(paced)
+		return
+	}
+	cost := r.Cost + s.cfg.Switch
+	if !s.weigh(r.Won.Seconds(), cost.Seconds()) {
+		r.Cost = cost
+		r.Loads = 0
+		r.Reason = NotWorth
+		return
+	}
+	r.Cost = cost
+	r.Reason = Move
+}
+
+func (s *session) explainNothing(paced bool) {
+	r := &s.result
+	if paced {
+		r.Reason = Paced
+		return
+	}
+	best := s.segments[0]
+	r.Reason = NotWorth
+	r.Won = seconds(s.value(best.win, best.loads))
+	r.Cost = seconds(s.price(best.loads))
+}
+
+// build applies what was taken to a copy of the map in force.
+func (s *session) build() {
+	to := s.from.Clone()
+	for i, n := range s.taken {
+		if n == 0 {
+			continue
+		}
+		s.load(i)
+		find := search{layer: s.layer}
+		for _, c := range s.changes[i][:n] {
+			find.apply(c)
+		}
+		copy(to.Layer(i), s.layer.cells)
+		last := s.changes[i][n-1]
+		s.result.Layers = append(s.result.Layers, LayerStep{
+			Layer: i, Loads: int(last.loads), Before: s.starts[i], After: last.time,
+		})
+	}
+	slices.SortStableFunc(s.result.Layers, func(a, b LayerStep) int {
+		return bySlope(segment{slope: a.Before - a.After}, segment{slope: b.Before - b.After})
+	})
+	s.result.Map = to
+	s.result.After = predict(s.layer, to, s.estimate.Share)
+}
--- /dev/null
+++ b/internal/expert/plan/verify.go
@@ -0,0 +1,85 @@
+package plan
+
+import (
+	"fmt"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+)
+
+// verify checks the proposal against the invariants of plans. A proposal that
+// breaks one is thrown away: a wrong map would stop the whole group, keeping
+// the map in force costs only skew.
+func (s *session) verify() {
+	r := &s.result
+	d, err := expertmap.Diff(s.from, r.Map)
+	if err != nil {
+		s.violate(InvalidMap, "%v", err)
+		return
+	}
+	s.verifyMap()
+	s.verifyLoads(d)
+	s.verifyWorth()
+	s.verifyHolds()
+	if len(r.Violations) > 0 {
+		r.Reason, r.Map, r.After, r.Loads = Faulty, nil, r.Before, 0
+		return
+	}
+	// Changes that undo one another load less than their sum.
+	r.Loads = len(d.Loads)
+	r.Bytes = d.Bytes(s.cfg.ExpertBytes)
+}
+
+func (s *session) violate(kind ViolationKind, format string, args ...any) {
+	v := Violation{Kind: kind, Detail: fmt.Sprintf(format, args...)}
+	s.result.Violations = append(s.result.Violations, v)
+}
+
+func (s *session) verifyMap() {
+	for _, problem := range s.result.Map.Check() {
+		s.violate(InvalidMap, "%v", problem)
+	}
+}
+
+func (s *session) verifyLoads(d expertmap.Difference) {
+	r := &s.result
+	if len(d.Loads) > r.Loads {
+		s.violate(LoadMismatch, "%d loads, %d counted", len(d.Loads), r.Loads)
+	}
+	if bytes := d.Bytes(s.cfg.ExpertBytes); bytes > r.Allowance {
+		s.violate(OverPace, "%d bytes of %d", bytes, r.Allowance)
+	}
+	for rank, n := range d.Moves(s.cfg.Shape.Ranks) {
+		if n > s.cfg.RankLoads {
+			s.violate(OverRank, "%d loads on rank %d", n, rank)
+		}
+	}
+}
+
+func (s *session) verifyWorth() {
+	r := &s.result
+	if r.After.Time > r.Before.Time+least {
+		s.violate(RaisedCost, "from %v to %v", r.Before.Time, r.After.Time)
+	}
+	if !s.weigh(r.Won.Seconds(), r.Cost.Seconds()) {
+		s.violate(UnpaidLoads, "%v won for %v", r.Won, r.Cost)
+	}
+}
+
+func (s *session) verifyHolds() {
+	shape := s.cfg.Shape
+	for i, held := range s.held {
+		if !held {
+			continue
+		}
+		rank := i / shape.Slots
+		layer := rank / shape.Ranks
+		if s.anew[layer] {
+			continue
+		}
+		rank %= shape.Ranks
+		e := s.from.At(layer, rank, i%shape.Slots)
+		if e != expertmap.Empty && !s.result.Map.Holds(layer, rank, e) {
+			s.violate(BrokenHold, "expert %d on rank %d in layer %d", e, rank, layer)
+		}
+	}
+}
