--- a/internal/fleet/member/members.go
+++ b/internal/fleet/member/members.go
@@ -98,8 +98,10 @@
 
 	peers      map[host.Name]*peer // neighbours and those that probe this member
 	order      []host.Name         // the neighbours, the first ones are probed
+	layout     int                 // of the table when the neighbours were looked up
 	seq        uint64
 	refreshed  time.Time
+	synced     bool // the table has once been the same as a neighbour's
 	superseded bool
 	out        []Action
 }
--- a/internal/fleet/member/probe.go
+++ b/internal/fleet/member/probe.go
@@ -33,10 +33,11 @@
 
 // refreshOrder looks up the neighbours again if the rings have changed.
 func (m *Members) refreshOrder() {
-	if !m.table.dirty && m.order != nil {
+	if m.layout == m.table.layout {
 		return
 	}
-	m.order = []host.Name{}
+	m.layout = m.table.layout
+	m.order = nil
 	for _, e := range m.table.neighbours(m.cfg.Self.Name) {
 		m.order = append(m.order, e.Identity.Name)
 	}
@@ -173,6 +174,7 @@
 	apart := msg.Known != m.table.known
 	again := p.apart || m.joining(now)
 	p.apart = apart
+	m.synced = m.synced || !apart
 	if apart && again {
 		m.sendTo(msg.From, m.compareMessage())
 	}
@@ -181,7 +183,7 @@
 // ContactUntil returns when this member loses contact if it hears no more.
 func (m *Members) ContactUntil() time.Time {
 	full, weak := Quorum(len(m.order))
-	if full == 0 {
+	if full == 0 && !m.refreshed.IsZero() {
 		// A fleet of one process has nobody to lose contact with.
 		return m.nextAt.Add(m.cfg.Timeout)
 	}
@@ -194,7 +196,7 @@
 	}
 	last := m.refreshed
 	for _, at := range []time.Time{nth(fulls, full), nth(weaks, weak)} {
-		if at.After(last) {
+		if m.synced && at.After(last) {
 			last = at
 		}
 	}
@@ -206,7 +208,7 @@
 
 // nth returns the n-th latest of the times, or the zero time.
 func nth(times []time.Time, n int) time.Time {
-	if len(times) < n {
+	if n == 0 || len(times) < n {
 		return time.Time{}
 	}
 	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
@@ -285,9 +287,13 @@
 	}
 }
 
+// rememberTimeouts is for how many timeouts it is remembered that a member was
+// answered; package acceptance asks about the last three.
+const rememberTimeouts = 4
+
 // forgetPeers drops what is kept about members that are no neighbours any more.
 func (m *Members) forgetPeers(now time.Time) {
-	keep := 2 * m.cfg.Bound()
+	keep := rememberTimeouts * m.cfg.Bound()
 	for name, p := range m.peers {
 		if now.Sub(p.sentAt) > keep && now.Sub(p.answeredAt) > keep && !slices.Contains(m.order, name) {
 			delete(m.peers, name)
--- a/internal/fleet/member/ring.go
+++ b/internal/fleet/member/ring.go
@@ -31,7 +31,6 @@
 // takes them: its successors in its own data centre and, where that is too
 // small, members of others, those of its own region first.
 func (t *table) neighbours(name host.Name) []*entry {
-	t.arrange()
 	e, ok := t.records[name]
 	if !ok || e.State == Left {
 		return nil
@@ -72,7 +71,6 @@
 // key, by rendezvous hash. Members under suspicion are passed over; if two
 // members disagree about that, an update is sent twice or repaired a little later.
 func (t *table) relays(dc host.DataCentre, keyID uint64) []*entry {
-	t.arrange()
 	return rendezvous(t.centres[dc], keyID, relayCount)
 }
 
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -70,8 +70,7 @@
 
 	centres map[host.DataCentre][]*entry // members that have not left, in ring order
 	names   []host.DataCentre            // the keys of centres, in order
-	dirty   bool                         // centres have to be built again
-	layout  int                          // counts how often centres were built
+	layout  int                          // counts the changes of the rings
 }
 
 func newTable(self host.Name) *table {
@@ -79,7 +78,7 @@
 		self:    self,
 		records: make(map[host.Name]*entry),
 		facts:   make(map[string]*held),
-		dirty:   true,
+		centres: make(map[host.DataCentre][]*entry),
 	}
 }
 
@@ -100,8 +99,8 @@
 	} else if !r.newer(&e.Record) {
 		return false
 	}
-	if r.Identity != e.Identity || (r.State == Left) != (e.State == Left) {
-		t.dirty = true
+	if ok && e.State != Left {
+		t.unplace(e)
 	}
 	t.flip(e.nameID, e.hash)
 	if r.State == Left {
@@ -111,9 +110,41 @@
 	e.id = IDOf(r.Identity.Name, r.Identity.Incarnation)
 	e.hash = mix(uint64(e.id), uint64(r.Seq)<<8|uint64(r.State))
 	t.flip(e.nameID, e.hash)
+	if r.State != Left {
+		t.place(e)
+	}
 	return true
 }
 
+// place puts a member on the ring of its data centre.
+func (t *table) place(e *entry) {
+	t.layout++
+	dc := e.Identity.DataCentre
+	ring := t.centres[dc]
+	at, _ := slices.BinarySearchFunc(ring, e, compareOnRing)
+	t.centres[dc] = slices.Insert(ring, at, e)
+	if len(ring) == 0 {
+		i, _ := slices.BinarySearch(t.names, dc)
+		t.names = slices.Insert(t.names, i, dc)
+	}
+}
+
+func (t *table) unplace(e *entry) {
+	t.layout++
+	dc := e.Identity.DataCentre
+	ring := t.centres[dc]
+	at, ok := slices.BinarySearchFunc(ring, e, compareOnRing)
+	if !ok {
+		return
+	}
+	t.centres[dc] = slices.Delete(ring, at, at+1)
+	if len(ring) == 1 {
+		delete(t.centres, dc)
+		i, _ := slices.BinarySearch(t.names, dc)
+		t.names = slices.Delete(t.names, i, i+1)
+	}
+}
+
 // merged is the result of taking in a fact.
 type merged uint8
 
@@ -243,28 +274,6 @@
 	return names
 }
 
-// arrange builds the rings again if the members have changed.
-func (t *table) arrange() {
-	if !t.dirty {
-		return
-	}
-	t.dirty = false
-	t.layout++
-	t.centres = make(map[host.DataCentre][]*entry)
-	for _, e := range t.records {
-		if e.State != Left {
-			dc := e.Identity.DataCentre
-			t.centres[dc] = append(t.centres[dc], e)
-		}
-	}
-	t.names = t.names[:0]
-	for dc, ring := range t.centres {
-		t.names = append(t.names, dc)
-		slices.SortFunc(ring, compareOnRing)
-	}
-	slices.Sort(t.names)
-}
-
 // compareOnRing orders by a hash of the name, so that hosts of one rack, whose
 // names are alike, are not neighbours more often than by chance.
 func compareOnRing(a, b *entry) int {
--- a/internal/fleet/member/view.go
+++ b/internal/fleet/member/view.go
@@ -74,7 +74,6 @@
 // Candidates returns the n members of the given role that should carry an
 // elected duty, the first choice first.
 func (m *Members) Candidates(role host.Role, key string, n int) []host.Name {
-	m.table.arrange()
 	var all []*entry
 	for _, dc := range m.table.names {
 		for _, e := range m.table.centres[dc] {
@@ -90,11 +89,18 @@
 	return out
 }
 
-// AnsweredSince tells whether this member has answered a probe of the given one
-// at or after the given time.
-func (m *Members) AnsweredSince(name host.Name, since time.Time) bool {
-	p, ok := m.peers[name]
-	return ok && !p.answeredAt.IsZero() && !p.answeredAt.Before(since)
+// AnsweredPeers returns the members of which this one has answered a probe at or
+// after the given time.
+func (m *Members) AnsweredPeers(since time.Time) []ID {
+	var out []ID
+	for name, p := range m.peers {
+		e, ok := m.table.records[name]
+		if ok && !p.answeredAt.IsZero() && !p.answeredAt.Before(since) {
+			out = append(out, e.id)
+		}
+	}
+	slices.Sort(out)
+	return out
 }
 
 func (t *table) sortedKeys() []string {
