--- a/internal/wire/platform/client_test.go
+++ b/internal/wire/platform/client_test.go
@@ -1,7 +1,6 @@
 package platform_test
 
 import (
-	"context"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -33,7 +32,7 @@
 }
 
 func TestObjects(t *testing.T) {
-	ctx := context.Background()
+
 	p, c := start(t, standin.Config{}, platform.Config{})
 	put := func(key object.Key, v object.Version, value string) object.Reply {
 		return c.Do(ctx, object.Call{ID: 7, Op: object.Put, Key: key, Version: v, Value: []byte(value), Cause: "test"})
@@ -66,7 +65,7 @@
 }
 
 func TestWatch(t *testing.T) {
-	ctx := context.Background()
+
 	p, c := start(t, standin.Config{}, platform.Config{Watch: 50 * time.Millisecond})
 	old := p.Put("documents/a", []byte("old"))
 
