Claim Idempotency-Keys in a chain of conditional writes

A repeat of a call through another entry must be recognised even if both entries claim its key at the same moment, in groups with other claims, and with answers of the platform lost.

Hash keys to shards; a shard is a ring of segment objects whose writes form one chain of conditional updates, so that two concurrent groups always meet at the same object and version. Lost answers are read back, refused asks whose write lands are freed again, and an outage is refused or carried by memory as asked.

--- /dev/null
+++ b/internal/traffic/claim/config.go
@@ -0,0 +1,35 @@
+package claim
+
+import "time"
+
+// Config bounds a shard. All processes of a deployment must use the same
+// Segments, since it places the segments.
+type Config struct {
+	Shard        int           // this shard's number
+	Segments     int           // objects in the ring
+	SegmentBytes int           // a segment of at least this size is sealed
+	MaxBatch     int           // claims in one write
+	MaxPending   int           // claims that wait; above it they are refused
+	Retention    time.Duration // a claim holds its key for so long
+	Window       time.Duration // between the starts of two writes
+	Wait         time.Duration // a claim waits for the platform at most so long
+	Backoff      time.Duration // after a call that failed
+	RetryAfter   time.Duration // hint in refusals
+}
+
+// DefaultConfig returns the bounds of a shard: at most five writes a second,
+// and 64 segments of 64 KB, some 50,000 claims.
+func DefaultConfig(shard int) Config {
+	return Config{
+		Shard:        shard,
+		Segments:     64,
+		SegmentBytes: 64 << 10,
+		MaxBatch:     512,
+		MaxPending:   4096,
+		Retention:    10 * time.Minute,
+		Window:       200 * time.Millisecond,
+		Wait:         time.Second,
+		Backoff:      100 * time.Millisecond,
+		RetryAfter:   time.Second,
+	}
+}
--- a/internal/traffic/claim/event.go
+++ b/internal/traffic/claim/event.go
@@ -12,8 +12,8 @@
 
 // What can happen to a shard.
 const (
-	Asked    EventKind = iota + 1 // Request wants Key, and waits until Until
-	Released                      // Request has provably not run: free Key
+	Asked    EventKind = iota + 1 // Owner wants Key, and waits until Until
+	Released                      // Owner has provably not run: free Key
 	Replied                       // the platform's Reply
 	Tick                          // the time of the last Wake has come
 )
@@ -23,7 +23,7 @@
 type Event struct {
 	Kind       EventKind
 	Key        Key
-	Request    request.ID
+	Owner      request.Prior // the request that asks or gives up
 	Until      time.Time
 	MemoryOnly bool // go on without the platform while it is out
 	Reply      object.Reply
@@ -38,6 +38,8 @@
 	Granted                        // Request owns Key now
 	Taken                          // Key belongs to Owner, so Request must not run
 	Refuse                         // Key cannot be claimed now: Reason, RetryAfter
+	Overlap                        // Key was granted from memory alone, and the platform has it for Owner
+	Corrupt                        // an object of the shard cannot be read: Err; claims wait until it can
 	Wake                           // give a Tick at At; the latest Wake counts
 	Violated                       // count and log Violation
 )
@@ -48,11 +50,12 @@
 	Kind       ActionKind
 	Call       object.Call
 	Key        Key
-	Request    request.ID
-	Owner      request.ID
-	MemoryOnly bool // Granted from memory alone
+	Request    request.ID    // that asked
+	Owner      request.Prior // that has Key
+	MemoryOnly bool          // Granted from memory alone
 	Reason     request.Reason
 	RetryAfter time.Duration
+	Err        error
 	At         time.Time
 	Violation  request.Violation
 }
--- /dev/null
+++ b/internal/traffic/claim/segment.go
@@ -0,0 +1,70 @@
+package claim
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"wagtailshelf.example/wagtailshelf/internal/record/object"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
+)
+
+// ErrBadSegment reports an object that is not a segment of this shard.
+var ErrBadSegment = merry.New("bad claim segment")
+
+// entry is one step of the chain: a claim, or its end.
+type entry struct {
+	Key   Key           `cbor:"1,keyasint"`
+	Owner request.Prior `cbor:"2,keyasint"`
+	At    int64         `cbor:"3,keyasint"` // milliseconds since 1970 by the writer's clock
+	Freed bool          `cbor:"4,keyasint,omitempty"`
+}
+
+func (e entry) at() time.Time { return time.UnixMilli(e.At) }
+
+// segment is the value of one object of the ring. Entries are only ever added,
+// and none once it is sealed.
+type segment struct {
+	Sequence uint64  `cbor:"1,keyasint"` // from 1; the object is Sequence modulo the ring's size
+	Sealed   bool    `cbor:"2,keyasint,omitempty"`
+	Entries  []entry `cbor:"3,keyasint"`
+}
+
+// newest is the latest time of an entry. Writers' clocks differ, so it need not
+// be the last one's.
+func (s *segment) newest() time.Time {
+	var newest int64
+	for _, e := range s.Entries {
+		newest = max(newest, e.At)
+	}
+	return time.UnixMilli(newest)
+}
+
+func (s *segment) encode() ([]byte, error) {
+	return cbor.Marshal(s)
+}
+
+func decodeSegment(value []byte) (segment, error) {
+	var s segment
+	if len(value) > object.MaxValueBytes {
+		return s, merry.Wrap(ErrBadSegment, merry.AppendMessagef("%d bytes", len(value)))
+	}
+	if err := cbor.Unmarshal(value, &s); err != nil {
+		return s, merry.Wrap(ErrBadSegment, merry.WithCause(err))
+	}
+	if s.Sequence == 0 {
+		return s, merry.Wrap(ErrBadSegment, merry.AppendMessage("no sequence"))
+	}
+	return s, nil
+}
+
+// prefix is the common part of the keys of a shard's objects.
+func prefix(shard int) object.Key {
+	return object.Key(fmt.Sprintf("claims/%03d-", shard))
+}
+
+func (c Config) objectKey(sequence uint64) object.Key {
+	return object.Key(fmt.Sprintf("%s%03d", prefix(c.Shard), sequence%uint64(c.Segments)))
+}
--- /dev/null
+++ b/internal/traffic/claim/shard_test.go
@@ -0,0 +1,209 @@
+package claim_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/record/object"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/claim"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
+)
+
+func prior(n byte) request.Prior {
+	return request.Prior{ID: request.ID{n}, Target: "agenda-1", Incarnation: 3}
+}
+
+var key = claim.NewKey("agenda", "north", "call-17")
+
+// process is one process's shard before a store; calls wait until they are served.
+type process struct {
+	t     *testing.T
+	s     *claim.Shard
+	store *store
+	now   time.Time
+	calls []object.Call
+	all   []claim.Action
+}
+
+func newProcess(t *testing.T, s *store) *process {
+	return &process{t: t, s: claim.New(claim.DefaultConfig(0)), store: s, now: t0}
+}
+
+func (p *process) on(ev claim.Event) {
+	p.t.Helper()
+	for _, a := range p.s.Handle(p.now, ev) {
+		require.NotEqual(p.t, claim.Violated, a.Kind, "%v", a.Violation)
+		if a.Kind == claim.Call {
+			p.calls = append(p.calls, a.Call)
+			continue
+		}
+		if a.Kind != claim.Wake {
+			p.all = append(p.all, a)
+		}
+	}
+}
+
+func (p *process) ask(n byte, memoryOnly bool) {
+	p.on(claim.Event{Kind: claim.Asked, Key: key, Owner: prior(n), MemoryOnly: memoryOnly})
+}
+
+// serve lets the platform answer until no call is under way.
+func (p *process) serve() {
+	for len(p.calls) > 0 {
+		c := p.calls[0]
+		p.calls = p.calls[1:]
+		p.on(claim.Event{Kind: claim.Replied, Reply: p.store.do(c)})
+	}
+}
+
+// lose ends the next call without an answer, after it took effect or before.
+func (p *process) lose(landed bool) {
+	c := p.calls[0]
+	p.calls = p.calls[1:]
+	if landed {
+		p.store.do(c)
+	}
+	p.on(claim.Event{Kind: claim.Replied, Reply: object.Reply{ID: c.ID, Op: c.Op, Status: object.Unknown}})
+}
+
+func (p *process) after(d time.Duration) {
+	p.now = p.now.Add(d)
+	p.on(claim.Event{Kind: claim.Tick})
+}
+
+func (p *process) answers(want ...claim.ActionKind) {
+	p.t.Helper()
+	var got []claim.ActionKind
+	for _, a := range p.all {
+		got = append(got, a.Kind)
+	}
+	require.Equal(p.t, want, got)
+}
+
+// The caller repeats its call through a second entry while the first one's
+// claim is being written. Both write the same object expecting the same
+// version; the second conflicts, reads, and finds the key taken.
+func TestTwoEntriesAtOnce(t *testing.T) {
+	s := newStore()
+	a, b := newProcess(t, s), newProcess(t, s)
+	a.ask(1, false)
+	b.ask(2, false)
+	for _, p := range []*process{a, b} {
+		list := p.calls[0]
+		p.calls = nil
+		p.on(claim.Event{Kind: claim.Replied, Reply: s.do(list)})
+		require.Equal(t, object.Put, p.calls[0].Op)
+	}
+	a.serve()
+	b.serve()
+	a.answers(claim.Granted)
+	b.answers(claim.Taken)
+	require.Equal(t, prior(1), b.all[0].Owner)
+}
+
+// The caller waits a little longer. The write's answer is lost; the write is
+// read back before anyone is told, whether it had landed or not.
+func TestWriteAnswerLost(t *testing.T) {
+	for _, landed := range []bool{true, false} {
+		p := newProcess(t, newStore())
+		p.ask(1, false)
+		list := p.calls[0]
+		p.calls = nil
+		p.on(claim.Event{Kind: claim.Replied, Reply: p.store.do(list)})
+		p.lose(landed)
+		p.answers()
+		p.after(200 * time.Millisecond)
+		require.Equal(t, object.Get, p.calls[0].Op)
+		p.serve()
+		p.answers(claim.Granted)
+	}
+}
+
+// The caller is told "not run" because the platform does not answer in time.
+// Its claim lands all the same; the key is freed, so that a repeat can run.
+func TestGivenUpClaimIsFreed(t *testing.T) {
+	p := newProcess(t, newStore())
+	p.ask(1, false)
+	list := p.calls[0]
+	p.calls = nil
+	p.on(claim.Event{Kind: claim.Replied, Reply: p.store.do(list)})
+	p.lose(true)
+	p.calls = nil
+	p.after(time.Second)
+	p.answers(claim.Refuse)
+	for range 5 {
+		p.serve()
+		p.after(200 * time.Millisecond)
+	}
+	p.ask(2, false)
+	p.serve()
+	p.answers(claim.Refuse, claim.Granted)
+}
+
+// While the platform is out the document decides: the caller is refused as
+// "not run", or its call runs on a claim that only this process knows. A repeat
+// here is still recognised, and the claim is recorded when the platform is back.
+func TestPlatformOut(t *testing.T) {
+	t.Run("refuse", func(t *testing.T) {
+		p := newProcess(t, newStore())
+		p.ask(1, false)
+		p.lose(false)
+		p.after(time.Second)
+		p.answers(claim.Refuse)
+		require.Equal(t, request.ClaimUnavailable, p.all[0].Reason)
+		require.Positive(t, p.all[0].RetryAfter)
+	})
+	t.Run("memory only", func(t *testing.T) {
+		p := newProcess(t, newStore())
+		p.ask(1, true)
+		p.lose(false)
+		p.after(time.Second)
+		p.ask(2, true)
+		p.answers(claim.Granted, claim.Taken)
+		p.serve()
+		q := newProcess(t, p.store)
+		q.ask(3, false)
+		q.serve()
+		q.answers(claim.Taken)
+	})
+	t.Run("memory only in two processes", func(t *testing.T) {
+		s := newStore()
+		p, q := newProcess(t, s), newProcess(t, s)
+		for i, x := range []*process{p, q} {
+			x.ask(byte(i+1), true)
+			x.lose(false)
+			x.after(time.Second)
+			x.serve()
+		}
+		p.answers(claim.Granted)
+		q.answers(claim.Granted, claim.Overlap)
+	})
+}
+
+// The caller's key is free again after the retention, not before.
+func TestRetention(t *testing.T) {
+	p := newProcess(t, newStore())
+	p.ask(1, false)
+	p.serve()
+	p.after(10*time.Minute - time.Millisecond)
+	p.ask(2, false)
+	p.after(time.Millisecond)
+	p.ask(3, false)
+	p.serve()
+	p.answers(claim.Granted, claim.Taken, claim.Granted)
+}
+
+// Somebody has written something else into the shard's object. Claims are
+// refused after their wait; nothing is granted on a guess.
+func TestCorruptSegment(t *testing.T) {
+	s := newStore()
+	s.do(object.Call{Op: object.Put, Key: "claims/000-001", Value: []byte("x")})
+	p := newProcess(t, s)
+	p.ask(1, false)
+	p.serve()
+	p.after(time.Second)
+	p.answers(claim.Corrupt, claim.Refuse)
+	require.ErrorIs(t, p.all[0].Err, claim.ErrBadSegment)
+}
