--- a/internal/traffic/target/bench_test.go
+++ b/internal/traffic/target/bench_test.go
@@ -12,9 +12,9 @@
 func BenchmarkPick(b *testing.B) {
 	const targets, workspaces = 1300, 12000
 	prefixes := make([]Prefix, workspaces)
-	prompt := make([]byte, 2*blockBytes)
+	prompt := make([]byte, 2*blocks.Bytes)
 	for i := range prefixes {
-		prefixes[i] = PrefixOf(fmt.Sprint("workspace", i), prompt)
+		prefixes[i] = blocks.Prefix(fmt.Sprint("workspace", i), prompt)
 	}
 	tried := []Name{"a3", "a7"}
 	for _, local := range []int{59, targets} {
@@ -47,9 +47,9 @@
 
 // BenchmarkPrefix measures the hashing of a prompt of a kilobyte.
 func BenchmarkPrefix(b *testing.B) {
-	prompt := make([]byte, leadingBlocks*blockBytes)
+	prompt := make([]byte, blocks.Count*blocks.Bytes)
 	b.ReportAllocs()
 	for b.Loop() {
-		PrefixOf("workspace17", prompt)
+		blocks.Prefix("workspace17", prompt)
 	}
 }
--- a/internal/traffic/target/candidate.go
+++ b/internal/traffic/target/candidate.go
@@ -22,7 +22,7 @@
 	Name        Name
 	DataCentre  host.DataCentre
 	Pool        PoolName         // empty where the document splits no traffic
-	Weight      float64          // relative capacity within the pool; zero takes no new work
+	Weight      float64          // part of the pool's requests, relative to others; zero takes no new work
 	Group       GroupName        // set if the target is a rank of a lock-step group
 	Incarnation host.Incarnation // of its sidecar; zero until known
 	Leaving     bool             // already known to be leaving
@@ -45,7 +45,7 @@
 }
 
 // Prefix identifies the leading part of a prompt. The zero value stands for
-// a request without one. Use [PrefixOf] to make it.
+// a request without one. Use [Blocks.Prefix] to make it.
 type Prefix struct {
 	Coarse uint64 // workspace and first block: what its prompts have in common
 	Fine   uint64 // workspace and all leading blocks
--- a/internal/traffic/target/chooser_test.go
+++ b/internal/traffic/target/chooser_test.go
@@ -15,6 +15,8 @@
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+var blocks = Blocks{Bytes: 128, Count: 8}
+
 func at(d time.Duration) time.Time { return epoch.Add(d) }
 
 // candidates returns n candidates named prefix0, prefix1 and so on.
@@ -128,6 +130,31 @@
 	assert.Zero(t, share(t, c, at(0), 100, Query{Tokens: 1})["c0"], "others stand in")
 }
 
+func TestWeights(t *testing.T) {
+	cands := candidates("mtl-a", "t", 11)
+	cands[0].Weight = 0.1
+	t.Run("by load", func(t *testing.T) {
+		c := newChooser(Config{}, cands...)
+		counts := make(map[Name]int)
+		for i := range 10100 {
+			ch, _ := c.Pick(at(0), Query{Tokens: 1})
+			counts[ch.Name]++
+			if i%2 == 0 {
+				c.Finish(at(0), ch, End{Kind: Answered})
+			}
+		}
+		assert.InDelta(t, 100, counts["t0"], 40)
+	})
+	t.Run("by prefix", func(t *testing.T) {
+		c := newChooser(Config{}, cands...)
+		n := 0
+		for i := range 10100 {
+			n += share(t, c, at(0), 1, Query{Tokens: 1, Prefix: Prefix{Coarse: mix(uint64(i), 1), Fine: mix(uint64(i), 2)}})["t0"]
+		}
+		assert.InDelta(t, 100, n, 40)
+	})
+}
+
 func TestDataCentres(t *testing.T) {
 	all := append(candidates("mtl-a", "a", 2), candidates("mtl-b", "b", 2)...)
 	t.Run("own first", func(t *testing.T) {
@@ -154,8 +181,8 @@
 }
 
 func TestAffinity(t *testing.T) {
-	prompt := make([]byte, 4*blockBytes)
-	q := Query{Prefix: PrefixOf("w1", prompt), Tokens: 10}
+	prompt := make([]byte, 4*blocks.Bytes)
+	q := Query{Prefix: blocks.Prefix("w1", prompt), Tokens: 10}
 	t.Run("the same prompt meets the same target at each entry", func(t *testing.T) {
 		one := share(t, newChooser(Config{}, candidates("mtl-a", "t", 16)...), at(0), 20, q)
 		other := New(epoch, Config{DataCentre: "mtl-a"}, rand.New(rand.NewPCG(7, 7)))
@@ -167,8 +194,8 @@
 		c := newChooser(Config{}, candidates("mtl-a", "t", 16)...)
 		met := make(map[Name]bool)
 		for n := range 50 {
-			prompt[3*blockBytes] = byte(n)
-			for name := range share(t, c, at(0), 1, Query{Prefix: PrefixOf("w1", prompt), Tokens: 1}) {
+			prompt[3*blocks.Bytes] = byte(n)
+			for name := range share(t, c, at(0), 1, Query{Prefix: blocks.Prefix("w1", prompt), Tokens: 1}) {
 				met[name] = true
 			}
 		}
@@ -192,7 +219,7 @@
 		moved := 0
 		for n := range 1000 {
 			prompt[0], prompt[1] = byte(n), byte(n>>8)
-			q := Query{Prefix: PrefixOf("w", prompt), Tokens: 1}
+			q := Query{Prefix: blocks.Prefix("w", prompt), Tokens: 1}
 			a, b := share(t, before, at(0), 1, q), share(t, after, at(0), 1, q)
 			if fmt.Sprint(a) != fmt.Sprint(b) {
 				moved++
--- a/internal/traffic/target/load.go
+++ b/internal/traffic/target/load.go
@@ -88,7 +88,8 @@
 }
 
 // load returns the estimated time in seconds that the target needs for what it
-// has been given. The mean is that of the target's side.
+// has been given. The mean is that of the target's side, for a target of full
+// weight.
 //
 // A report that is up to ReportFresh old counts in full, with the work sent
 // since. Then it loses weight: an old report says little about the target, and
@@ -98,23 +99,25 @@
 func (c *Chooser) load(s *state, at time.Duration, mean float64) float64 {
 	per := c.perToken(s)
 	trust := c.trust(s, at)
+	usual := mean*s.relative + float64(s.own)*per
 	if trust == 0 {
-		return mean + float64(s.own)*per
+		return usual
 	}
 	fresh := float64(s.outstanding+s.since) * per
 	if trust == 1 {
 		return fresh
 	}
-	return trust*fresh + (1-trust)*(mean+float64(s.own)*per)
+	return trust*fresh + (1-trust)*usual
 }
 
-// sample returns the target's load for a side's mean. It leaves the mean itself
+// sample returns the target's load for its weight, for a side's mean. It leaves the mean itself
 // out, which else would feed on itself once all reports are old.
 func (c *Chooser) sample(s *state, at time.Duration) float64 {
-	if c.trust(s, at) == 0 {
-		return float64(s.own) * c.perToken(s)
+	tokens := s.own
+	if c.trust(s, at) > 0 {
+		tokens = s.outstanding + s.since
 	}
-	return float64(s.outstanding+s.since) * c.perToken(s)
+	return float64(tokens) * c.perToken(s) / s.relative
 }
 
 // trust returns the weight of the target's last report, from 0 to 1.
--- a/internal/traffic/target/pick.go
+++ b/internal/traffic/target/pick.go
@@ -48,7 +48,7 @@
 	n := sd.owners(q.Prefix, &owners)
 	for _, i := range owners[:n] {
 		s := sd.states[i]
-		if s.eligible(at, &c.cfg, q) && c.load(s, at, sd.mean) <= bound {
+		if s.eligible(at, &c.cfg, q) && c.load(s, at, sd.mean) <= bound*s.relative {
 			return s
 		}
 	}
@@ -79,7 +79,9 @@
 			choices = c.cfg.RankChoices
 		}
 		sd.observe(c.sample(s, at))
-		if load := c.load(s, at, sd.mean); best == nil || load < least {
+		// Load for the weight, so that the shares hold beyond the draw. Of two
+		// without work the first one drawn is taken.
+		if load := c.load(s, at, sd.mean) / s.relative; best == nil || load < least {
 			best, least = s, load
 		}
 		if found++; found >= choices {
--- a/internal/traffic/target/pool.go
+++ b/internal/traffic/target/pool.go
@@ -80,9 +80,13 @@
 func (sd *side) build() {
 	n := len(sd.states)
 	sd.alias = make([]alias, n)
-	var sum float64
+	var sum, most float64
 	for _, s := range sd.states {
 		sum += s.Weight
+		most = max(most, s.Weight)
+	}
+	for _, s := range sd.states {
+		s.relative = s.Weight / most
 	}
 	var small, large []int32
 	for i, s := range sd.states {
--- a/internal/traffic/target/prefix.go
+++ b/internal/traffic/target/prefix.go
@@ -5,16 +5,14 @@
 	"math/bits"
 )
 
-const (
-	// blockBytes is the length of a block of a prompt, in bytes. It is near the
-	// text of the sixteen to sixty-four tokens that engines cache as a unit.
-	blockBytes = 128
-	// leadingBlocks is how many blocks of a prompt tell where it is sent. More
-	// would tell apart prompts that share all that is worth caching.
-	leadingBlocks = 8
-	// ownerCount is how many targets share the prompts of one coarse prefix.
-	ownerCount = 4
-)
+// ownerCount is how many targets share the prompts of one coarse prefix.
+const ownerCount = 4
+
+// Blocks says which part of a prompt tells where it is sent.
+type Blocks struct {
+	Bytes int // length of a block; near what engines cache as a unit
+	Count int // blocks that count
+}
 
 // Odd multipliers with well-spread bits, from the golden ratio and the square
 // root of three.
@@ -29,24 +27,25 @@
 	return hi ^ lo
 }
 
-// PrefixOf returns the prefix of a prompt. It is the same in each process, so
-// that all entries send a prompt to the same targets. A prompt shorter than a
-// block has no prefix worth keeping.
-func PrefixOf(workspace string, prompt []byte) Prefix {
-	if len(prompt) < blockBytes {
+// Prefix returns the prefix of a prompt. It is the same in each process, so that
+// all entries send a prompt to the same targets. A prompt shorter than a block
+// has none worth keeping.
+func (b Blocks) Prefix(workspace string, prompt []byte) Prefix {
+	if b.Bytes <= 0 || len(prompt) < b.Bytes {
 		return Prefix{}
 	}
-	coarse := hashBytes(hashString(workspace), prompt[:blockBytes])
-	rest := prompt[blockBytes:min(len(prompt), blockBytes*leadingBlocks)]
-	whole := len(rest) / blockBytes * blockBytes
-	return Prefix{Coarse: coarse, Fine: hashBytes(coarse, rest[:whole])}
+	coarse := hashBytes(hashString(workspace), prompt[:b.Bytes])
+	whole := min(len(prompt)/b.Bytes, max(b.Count, 1)) * b.Bytes
+	return Prefix{Coarse: coarse, Fine: hashBytes(coarse, prompt[b.Bytes:whole])}
 }
 
-// hashBytes hashes b, whose length is a multiple of eight.
 func hashBytes(h uint64, b []byte) uint64 {
 	for ; len(b) >= 8; b = b[8:] {
 		h = mix(h, binary.LittleEndian.Uint64(b))
 	}
+	for _, c := range b {
+		h = mix(h, uint64(c)+1)
+	}
 	return mix(h, mixA)
 }
 
@@ -65,21 +64,21 @@
 // highest for it, so a workspace's common instructions are cached at a few
 // targets and not at all of them. The fine prefix orders these, so that a long
 // prompt that comes again meets the target that holds all of it.
+//
+// A target of less weight than the heaviest owns that much fewer prefixes.
 func (sd *side) owners(p Prefix, out *[ownerCount]int32) int {
 	var ranks [ownerCount]uint64
-	n := min(len(sd.keys), ownerCount)
-	for i, key := range sd.keys[:n] {
-		insert(&ranks, out, i+1, (key^p.Coarse)*mixA, int32(i))
-	}
+	n := 0
 	// This loop is most of the cost of a pick. Keys and prefixes are well mixed, so
 	// the upper bits of one product rank them, and the least rank is kept at hand.
-	least := ranks[ownerCount-1]
-	for i, key := range sd.keys[n:] {
+	var least uint64
+	for i, key := range sd.keys {
 		rank := (key ^ p.Coarse) * mixA
-		if rank <= least {
+		if rank <= least || !sd.takes(i, p.Coarse) {
 			continue
 		}
-		insert(&ranks, out, n, rank, int32(n+i))
+		n = min(n+1, ownerCount)
+		insert(&ranks, out, n, rank, int32(i))
 		least = ranks[ownerCount-1]
 	}
 	for i := range n {
@@ -88,6 +87,13 @@
 	return n
 }
 
+// takes reports whether a target takes part in ranking for a prefix: always if
+// it is among the heaviest, and in proportion to its weight otherwise.
+func (sd *side) takes(i int, coarse uint64) bool {
+	w := sd.states[i].relative
+	return w >= 1 || float64(mix(sd.keys[i], coarse)) < w*(1<<64)
+}
+
 // insert puts a rank in its place among the first n-1, which are in falling
 // order. The last of n is overwritten.
 func insert(ranks *[ownerCount]uint64, out *[ownerCount]int32, n int, rank uint64, i int32) {
--- a/internal/traffic/target/state.go
+++ b/internal/traffic/target/state.go
@@ -29,6 +29,8 @@
 	removed bool // no longer listed
 	placed  bool // on a side of a pool
 
+	relative float64 // weight over the greatest of its side
+
 	refusedUntil time.Duration
 	failures     int  // in a row
 	ejected      bool // counted in Chooser.ejected
