--- a/internal/wire/engine/call.go
+++ b/internal/wire/engine/call.go
@@ -172,6 +172,10 @@
 	if cause != nil {
 		return cause
 	}
+	if errors.Is(err, io.EOF) {
+		// A connection that ends before the head must not pass for a clean end.
+		return io.ErrUnexpectedEOF
+	}
 	return err
 }
 
