Keep a restarted stand-in rank out of the lock-step until it has joined

A rank that died and came back had epoch 0 like the others, so the group went on with a rank without a map: one mixed step in the test of re-forming. Such a rank now stands outside until a form order.

--- a/internal/standin/engine/group.go
+++ b/internal/standin/engine/group.go
@@ -136,7 +136,7 @@
 		if e.faults.Stalled || e.faults.Dead || e.orders.holds(g.step) {
 			return false
 		}
-		if e.orders.epoch != g.ranks[0].orders.epoch {
+		if g.cfg.Map != nil && (!e.orders.joined || e.orders.epoch != g.ranks[0].orders.epoch) {
 			return false
 		}
 		work = work || e.busy() || e.orders.pending()
--- a/internal/standin/engine/order.go
+++ b/internal/standin/engine/order.go
@@ -23,6 +23,7 @@
 	rank     int
 	last     order.ID // highest taken
 	epoch    uint64
+	joined   bool // takes part in the lock-step
 	current  *expertmap.Map
 	number   uint64 // of current
 	prepared *expertmap.Map
@@ -40,7 +41,7 @@
 	if m == nil {
 		return o
 	}
-	o.current, o.number = m, firstNumber
+	o.current, o.number, o.joined = m, firstNumber, true
 	for _, w := range weightsOf(m, rank) {
 		o.held[w] = true
 	}
@@ -299,7 +300,7 @@
 		return order.NotHeld
 	}
 	o.cancel()
-	o.epoch, o.limit = ord.Epoch, 0
+	o.epoch, o.joined, o.limit = ord.Epoch, true, 0
 	o.current, o.number = m, ord.Number
 	return ""
 }
