Serve operators and answer signals in one place for both programs

Cause: entry and sidecar need the same health checks, metrics, dump and end. Conclusion: a signal before the duties run no longer ends the process, since the handler is installed first.

--- /dev/null
+++ b/internal/program/process/process.go
@@ -0,0 +1,107 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/oklog/run"
+	"github.com/phuslu/log"
+)
+
+// Program is what a process runs.
+type Program struct {
+	// Run serves until its context ends.
+	Run func(ctx context.Context) error
+
+	// Drain ends the work in flight well and returns.
+	Drain func(ctx context.Context) error
+
+	// Reload reads the keys again; it is called on SIGHUP.
+	Reload func() error
+
+	Admin *Admin
+	Log   *log.Logger
+}
+
+// errStopped is why a process ends that was asked to.
+var errStopped = errors.New("stopped by a signal")
+
+// Serve runs the program until it fails, ctx ends or a signal asks it to stop.
+// The first SIGTERM or SIGINT drains it; a second one ends it at once.
+func (p *Program) Serve(ctx context.Context) error {
+	// Before the duties begin: a signal that nobody awaits ends the process at once.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	var g run.Group
+	p.add(ctx, &g, p.Run)
+	p.add(ctx, &g, p.Admin.Serve)
+	p.add(ctx, &g, func(ctx context.Context) error { return p.handleSignals(ctx, signals) })
+	err := g.Run()
+	if errors.Is(err, errStopped) || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (p *Program) add(ctx context.Context, g *run.Group, duty func(context.Context) error) {
+	ctx, stop := context.WithCancel(ctx)
+	g.Add(func() error { return duty(ctx) }, func(error) { stop() })
+}
+
+func (p *Program) handleSignals(ctx context.Context, signals <-chan os.Signal) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return p.drain(ctx, signals)
+			}
+			p.reload()
+		}
+	}
+}
+
+func (p *Program) reload() {
+	if p.Reload == nil {
+		return
+	}
+	if err := p.Reload(); err != nil {
+		p.Log.Error().Err(err).Msg("keys were not reloaded, the old ones stay in use")
+		return
+	}
+	p.Log.Info().Msg("keys reloaded")
+}
+
+// drain waits for the work in flight. A second signal means that the operator
+// does not want to wait.
+func (p *Program) drain(ctx context.Context, signals <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p.Log.Info().Msg("draining")
+	done := make(chan error, 1)
+	go func() { done <- p.Drain(ctx) }()
+	for {
+		select {
+		case err := <-done:
+			if err != nil {
+				p.Log.Warn().Err(err).Msg("drain ended early")
+				return errStopped
+			}
+			p.Log.Info().Msg("drained")
+			return errStopped
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				continue
+			}
+			p.Log.Warn().Msg("stopped by a second signal")
+			cancel()
+			<-done
+			return errStopped
+		}
+	}
+}
