Follow a key prefix of the platform with bounded watches

Watches miss events, connections go silent, and reads lag; each user of a watch would have had to handle all three.

--- a/internal/wire/platform/client_test.go
+++ b/internal/wire/platform/client_test.go
@@ -1,6 +1,8 @@
 package platform_test
 
 import (
+	"context"
+	"math/rand/v2"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/record/budget"
 	"wagtailshelf.example/wagtailshelf/internal/record/object"
+	"wagtailshelf.example/wagtailshelf/internal/record/watch"
 	standin "wagtailshelf.example/wagtailshelf/internal/standin/platform"
 	"wagtailshelf.example/wagtailshelf/internal/wire/platform"
 )
@@ -79,3 +82,24 @@
 	assert.Empty(t, objs)
 	assert.Equal(t, old.Version, next)
 }
+
+// The follower's state reaches what the platform holds, and a change is told
+// without another read having to be asked for.
+func TestFollow(t *testing.T) {
+	p, c := start(t, standin.Config{}, platform.Config{Watch: time.Second})
+	first := p.Put("documents/a", []byte("one"))
+	f := watch.New(watch.Config{Prefix: "documents/", Cause: "documents"}, rand.New(rand.NewPCG(1, 0)))
+	bounded, cancel := context.WithCancel(ctx)
+	defer cancel()
+	news := make(chan object.Object, 10)
+	read := make(chan struct{}, 100)
+	go c.Follow(bounded, f, "documents/", func(objs []object.Object) {
+		for _, o := range objs {
+			news <- o
+		}
+	}, func() { read <- struct{}{} })
+	assert.Equal(t, first, <-news)
+	<-read
+	second := p.Put("documents/a", []byte("two"))
+	assert.Equal(t, second, <-news)
+}
