Send messages of a request together, and reuse read buffers

Cause: a profile of small calls showed a third of the bytes allocated in the read buffer of each answer and a fifth in the ring of each request. Change: a writer of frames keeps messages until the last of a group; short answers cross the desk as one event; read buffers are pooled; the ring of a request holds 8 events. What is left is the scan of the book for each closed stream, 29% of the processor time at 15,000 calls.

--- a/internal/program/entry/attempt.go
+++ b/internal/program/entry/attempt.go
@@ -93,7 +93,11 @@
 		x.later(request.Event{Kind: request.ConnectionSilent, Conn: a.Conn})
 		return
 	}
-	if err := stream.Write(frame.KindRequest, a.Message); err != nil {
+	write := stream.Write
+	if a.Message.Kind == request.Open {
+		write = stream.Add // the body follows at once and takes it along
+	}
+	if err := write(frame.KindRequest, a.Message); err != nil {
 		x.writeFailed(a)
 	}
 }
--- a/internal/program/entry/exchange.go
+++ b/internal/program/entry/exchange.go
@@ -16,7 +16,11 @@
 const (
 	// exchangeRing bounds the events that wait for one request. Its readers wait
 	// when it is full, which slows the sidecar's sending.
-	exchangeRing = 64
+	exchangeRing = 8
+
+	// exchangeReaders is how many ends of readers are kept until they are awaited:
+	// the streams of a request that went silent once or twice.
+	exchangeReaders = 4
 )
 
 // exchange carries out what the life of one request decides.
@@ -60,7 +64,7 @@
 		streams: make(map[request.Conn]*peer.Stream),
 		conns:   make(map[request.Conn]*peer.Conn),
 		timer:   time.NewTimer(time.Hour),
-		readers: make(chan error, exchangeRing),
+		readers: make(chan error, exchangeReaders),
 	}
 	x.request = request.New(request.DefaultConfig(), x.spec(), x.decideRetry(ctx))
 	e.inFlight.Add(1)
--- a/internal/program/sidecar/call.go
+++ b/internal/program/sidecar/call.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/traffic/book"
@@ -19,6 +20,10 @@
 // readBytes is the size of one read of a target's answer.
 const readBytes = 32 << 10
 
+// readBuffers are reused: one for each call would be most of what a small call
+// allocates.
+var readBuffers = sync.Pool{New: func() any { return new([readBytes]byte) }}
+
 // startCall runs a request at the target in a goroutine of its own. The desk
 // learns of its end by the ring.
 func (s *Sidecar) startCall(ctx context.Context, j job) {
@@ -46,13 +51,30 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }() // the answer has been read, or is not wanted
-	s.desk.putBook(ctx, book.Event{
-		Kind: book.EngineHead, ID: j.id, Status: resp.StatusCode, Header: answerFields(resp),
-	})
+	head := book.Event{Kind: book.EngineHead, ID: j.id, Status: resp.StatusCode, Header: answerFields(resp)}
+	if resp.ContentLength >= 0 && resp.ContentLength <= readBytes {
+		s.desk.put(ctx, deskEvent{kind: deskBooks, books: wholeAnswer(j, head, resp.Body)})
+		return
+	}
+	s.desk.putBook(ctx, head)
 	reason := s.copyAnswer(ctx, j, resp.Body)
 	s.desk.putBook(ctx, book.Event{Kind: book.EngineEnd, ID: j.id, Reason: reason})
 }
 
+// wholeAnswer reads a short answer to its end, so that all of it leaves in one
+// packet.
+func wholeAnswer(j job, head book.Event, body io.Reader) []book.Event {
+	data, err := io.ReadAll(body)
+	end := book.Event{Kind: book.EngineEnd, ID: j.id}
+	if err != nil {
+		end.Reason = request.EngineBroke
+	}
+	if len(data) == 0 {
+		return []book.Event{head, end}
+	}
+	return []book.Event{head, {Kind: book.EngineData, ID: j.id, Data: data}, end}
+}
+
 func failedCall(j job, err error) book.Event {
 	var failed *engine.CallError
 	if errors.As(err, &failed) && failed.NotSent {
@@ -62,9 +84,10 @@
 }
 
 func (s *Sidecar) copyAnswer(ctx context.Context, j job, body io.Reader) request.Reason {
-	buf := make([]byte, readBytes)
+	buf := readBuffers.Get().(*[readBytes]byte)
+	defer readBuffers.Put(buf)
 	for {
-		n, err := body.Read(buf)
+		n, err := body.Read(buf[:])
 		if n > 0 {
 			data := append([]byte(nil), buf[:n]...) // the book keeps it
 			s.desk.putBook(ctx, book.Event{Kind: book.EngineData, ID: j.id, Data: data})
--- a/internal/program/sidecar/desk.go
+++ b/internal/program/sidecar/desk.go
@@ -26,6 +26,7 @@
 
 const (
 	deskBook       deskEventKind = iota + 1 // book
+	deskBooks                               // books: several events of one request
 	deskQueue                               // queue
 	deskOpened                              // line, book.Peer: a stream of an entry
 	deskLoad                                // load: asks for the queue's load
@@ -38,6 +39,7 @@
 type deskEvent struct {
 	kind   deskEventKind
 	book   book.Event
+	books  []book.Event
 	queue  workspace.Event
 	line   *line
 	load   chan<- workspace.Load
@@ -137,6 +139,10 @@
 	switch ev.kind {
 	case deskBook:
 		d.handleBook(now, ev.book)
+	case deskBooks:
+		for _, b := range ev.books {
+			d.handleBook(now, b)
+		}
 	case deskQueue:
 		d.applyQueue(now, d.queue.Handle(now, ev.queue))
 	case deskOpened:
--- a/internal/program/sidecar/line.go
+++ b/internal/program/sidecar/line.go
@@ -94,15 +94,31 @@
 		case <-l.ready:
 		}
 		batch = l.take(batch)
-		for _, m := range batch {
-			if err := l.stream.Write(frame.KindRequest, m); err != nil {
-				return err
-			}
-			if last(m.Kind) {
-				return l.stream.CloseWrite()
-			}
+		ended, err := l.writeBatch(batch)
+		if err != nil || ended {
+			return err
+		}
+	}
+}
+
+// writeBatch sends messages together and tells whether they end the stream.
+func (l *line) writeBatch(batch []request.Message) (ended bool, err error) {
+	for _, m := range batch {
+		if err := l.stream.Add(frame.KindRequest, m); err != nil {
+			return false, err
+		}
+		if last(m.Kind) {
+			ended = true
+			break
 		}
 	}
+	if err := l.stream.Flush(); err != nil {
+		return false, err
+	}
+	if ended {
+		return true, l.stream.CloseWrite()
+	}
+	return false, nil
 }
 
 func last(k request.Kind) bool {
--- a/internal/program/trial/deployment.go
+++ b/internal/program/trial/deployment.go
@@ -288,3 +288,6 @@
 	_ = s.server.Close() // calls still there are of no interest any more
 	<-s.done
 }
+
+// TargetAddr returns the address of the stand-in itself, past its sidecar.
+func (t *Target) TargetAddr() netip.AddrPort { return t.server.addr() }
--- a/internal/wire/frame/codec.go
+++ b/internal/wire/frame/codec.go
@@ -1,6 +1,7 @@
 package frame
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -11,13 +12,15 @@
 )
 
 const (
-	headerBytes = 5 // four of length, one of kind
+	lengthBytes = 4
+	headerBytes = lengthBytes + 1 // one of kind
 
 	// MaxBytes bounds one frame. The largest is a Control frame that carries
 	// a block of a document; bodies travel in smaller pieces.
 	MaxBytes = 1 << 20
 
-	maxElements = 4096 // elements of an array or a map in a frame
+	keptBuffer  = 64 << 10 // a writer's buffer that grew beyond is given back
+	maxElements = 4096     // elements of an array or a map in a frame
 	maxNesting  = 8
 )
 
@@ -39,8 +42,8 @@
 	decoder = newDecoder()
 )
 
-func newEncoder() cbor.EncMode {
-	mode, err := cbor.EncOptions{}.EncMode()
+func newEncoder() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
 	if err != nil {
 		panic(err) // the options are constant; a failure is a defect of this file
 	}
@@ -126,7 +129,7 @@
 type Writer struct {
 	mu  sync.Mutex
 	w   io.Writer
-	buf []byte
+	buf bytes.Buffer // frames added and not yet flushed
 }
 
 // NewWriter returns a writer of frames to w.
@@ -134,22 +137,55 @@
 	return &Writer{w: w}
 }
 
-// Write encodes the message and writes it as one frame, in one call to the
-// underlying writer.
+// Write encodes the message and writes it, with all that was added before, in
+// one call to the underlying writer.
 func (w *Writer) Write(kind Kind, message any) error {
-	payload, err := encoder.Marshal(message)
-	if err != nil {
-		return fmt.Errorf("encode frame of kind %d: %w", kind, err)
-	}
-	if len(payload)+1 > MaxBytes {
-		return merry.Wrap(ErrTooLarge, merry.AppendMessagef("%d bytes", len(payload)+1))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.add(kind, message); err != nil {
+		return err
 	}
+	return w.flush()
+}
+
+// Add encodes the message and keeps it for the next Write or Flush. Messages
+// that leave together share a packet.
+func (w *Writer) Add(kind Kind, message any) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.add(kind, message)
+}
+
+// Flush writes what was added.
+func (w *Writer) Flush() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.buf = w.buf[:0]
-	w.buf = binary.BigEndian.AppendUint32(w.buf, uint32(len(payload)+1))
-	w.buf = append(w.buf, byte(kind))
-	w.buf = append(w.buf, payload...)
-	_, err = w.w.Write(w.buf)
+	return w.flush()
+}
+
+// add leaves the buffer as it was if the message can't be encoded: half a frame
+// would make all that follow unreadable.
+func (w *Writer) add(kind Kind, message any) error {
+	start := w.buf.Len()
+	w.buf.Write([]byte{0, 0, 0, 0, byte(kind)}) // the length is known below
+	if err := encoder.MarshalToBuffer(message, &w.buf); err != nil {
+		w.buf.Truncate(start)
+		return fmt.Errorf("encode frame of kind %d: %w", kind, err)
+	}
+	n := w.buf.Len() - start - lengthBytes
+	if n > MaxBytes {
+		w.buf.Truncate(start)
+		return merry.Wrap(ErrTooLarge, merry.AppendMessagef("%d bytes", n))
+	}
+	binary.BigEndian.PutUint32(w.buf.Bytes()[start:], uint32(n))
+	return nil
+}
+
+func (w *Writer) flush() error {
+	_, err := w.w.Write(w.buf.Bytes())
+	w.buf.Reset()
+	if w.buf.Cap() > keptBuffer {
+		w.buf = bytes.Buffer{}
+	}
 	return err
 }
