Resume the stream of an engine that broke, and follow its step time

Cause: a connection to an engine that breaks half-way ended the answer as unknown although the run goes on in the engine; admission did not hear of the step time; an entry called itself ready after the first of its documents, which a test met as an unknown service.

--- a/internal/program/entry/documents.go
+++ b/internal/program/entry/documents.go
@@ -25,6 +25,7 @@
 				e.Install(o.Key.Name(), uint64(o.Version), o.Value)
 				since = max(since, o.Version)
 			}
+			e.learnt.Store(true)
 		}
 		_, _, err := e.cfg.Platform.Watch(ctx, documentPrefix, since)
 		if err == nil {
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -58,6 +58,7 @@
 	stop    context.CancelFunc
 	inForce atomic.Pointer[inForce]
 
+	learnt   atomic.Bool // all documents that were in force at the start are known
 	draining atomic.Bool
 	inFlight sync.WaitGroup
 	duties   sync.WaitGroup
@@ -124,12 +125,11 @@
 	return e.socket.Addr().(*net.TCPAddr).AddrPort()
 }
 
-// Ready reports whether the entry takes new work: it has documents and is not
-// leaving. While it drains it goes on taking work, see Drain.
-func (e *Entry) Ready() bool {
-	view := e.inForce.Load()
-	return view != nil && len(view.documents) > 0
-}
+// Ready reports whether the entry takes new work: it has learnt what is in
+// force. Before that it would answer a caller of a service that it has not
+// learnt of yet with "unknown service". While it drains it goes on taking work,
+// see Drain.
+func (e *Entry) Ready() bool { return e.learnt.Load() }
 
 // Draining reports whether the entry is leaving, so that the balancer should
 // send nothing more.
--- a/internal/program/sidecar/call.go
+++ b/internal/program/sidecar/call.go
@@ -45,7 +45,12 @@
 
 // call reports by events under ctx, which outlives the call's own callCtx.
 func (s *Sidecar) call(ctx, callCtx context.Context, j job) {
-	resp, err := s.target.Do(callCtx, targetCall(j))
+	c := targetCall(j)
+	if s.cfg.Model {
+		c.Header.Set(engine.KeepHeader, "true") // so that a broken stream can be resumed
+		defer s.cancelAbandoned(ctx, callCtx, j)
+	}
+	resp, err := s.target.Do(callCtx, c)
 	if err != nil {
 		s.desk.putBook(ctx, failedCall(j, err))
 		return
@@ -57,10 +62,17 @@
 		return
 	}
 	s.desk.putBook(ctx, head)
-	reason := s.copyAnswer(ctx, j, resp.Body)
+	reason := s.copyBody(ctx, callCtx, j, resp)
 	s.desk.putBook(ctx, book.Event{Kind: book.EngineEnd, ID: j.id, Reason: reason})
 }
 
+func (s *Sidecar) copyBody(ctx, callCtx context.Context, j job, resp *http.Response) request.Reason {
+	if s.cfg.Model && isEventStream(resp) {
+		return s.copyEvents(ctx, callCtx, j, resp.Body)
+	}
+	return s.copyAnswer(ctx, j, resp.Body)
+}
+
 // wholeAnswer reads a short answer to its end, so that all of it leaves in one
 // packet.
 func wholeAnswer(j job, head book.Event, body io.Reader) []book.Event {
--- a/internal/program/sidecar/count.go
+++ b/internal/program/sidecar/count.go
@@ -11,12 +11,14 @@
 type counts struct {
 	set       *metrics.Set
 	overflows *metrics.Counter
+	resumes   *metrics.Counter // engine streams resumed after their connection broke
 }
 
 func newCounts(set *metrics.Set) *counts {
 	return &counts{
 		set:       set,
 		overflows: set.NewCounter("wagtailshelf_stream_overflows_total"),
+		resumes:   set.NewCounter("wagtailshelf_engine_resumes_total"),
 	}
 }
 
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -24,6 +24,7 @@
 	Identity   host.Identity
 	Listen     netip.AddrPort // for peers
 	Target     netip.AddrPort
+	Model      bool // the target is a model engine, not a plain service
 	Keys       *credential.Store
 	Log        *log.Logger
 	Metrics    *metrics.Set
@@ -85,6 +86,9 @@
 	var g run.Group
 	s.duty(ctx, &g, s.desk.serve)
 	s.duty(ctx, &g, s.report)
+	if s.cfg.Model {
+		s.duty(ctx, &g, s.observe)
+	}
 	s.duty(ctx, &g, func(ctx context.Context) error { return s.listener.Serve(ctx, s.serveConn) })
 	g.Add(func() error {
 		<-ctx.Done()
--- /dev/null
+++ b/internal/program/sidecar/stream_test.go
@@ -0,0 +1,59 @@
+package sidecar
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/require"
+)
+
+// readEvents returns the events of a reader and its last error.
+func readEvents(r io.Reader) (text string, tokens int, err error) {
+	events := eventReader{r: r}
+	buf := make([]byte, 16)
+	var all strings.Builder
+	for {
+		whole, err := events.next(buf)
+		if err != nil {
+			return all.String(), events.tokens, err
+		}
+		all.Write(whole)
+	}
+}
+
+// An engine's connection breaks within an event. What is passed on ends with
+// the last whole event, so that the resumed stream continues at a token and the
+// caller's text has no seam.
+func TestEventReaderHoldsBackHalfEvents(t *testing.T) {
+	errBroken := errors.New("broken")
+	const whole = "data: {\"index\":0}\n\ndata: {\"index\":1}\n\n"
+	tests := []struct {
+		name   string
+		stream string
+		text   string
+		tokens int
+	}{
+		{"nothing", "", "", 0},
+		{"whole events", whole, whole, 2},
+		{"half an event", whole + "data: {\"ind", whole, 2},
+		{"half a separator", whole + "data: {}\n", whole, 2},
+		{"an event without a token", whole + "event: end\ndata: {}\n\n", whole + "event: end\ndata: {}\n\n", 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			broken := io.MultiReader(strings.NewReader(test.stream), iotest.ErrReader(errBroken))
+			text, tokens, err := readEvents(broken)
+			require.ErrorIs(t, err, errBroken)
+			require.Equal(t, test.text, text)
+			require.Equal(t, test.tokens, tokens)
+
+			text, tokens, err = readEvents(iotest.OneByteReader(strings.NewReader(test.stream)))
+			require.ErrorIs(t, err, io.EOF)
+			require.Equal(t, test.text, text)
+			require.Equal(t, test.tokens, tokens)
+		})
+	}
+}
--- a/internal/program/trial/deployment.go
+++ b/internal/program/trial/deployment.go
@@ -119,43 +119,37 @@
 // AddEngine starts a model engine and its sidecar.
 func (d *Deployment) AddEngine(name string, dataCentre host.DataCentre) (*Target, error) {
 	e := engine.New(engine.Config{})
-	t, err := d.addTarget(name, dataCentre, e)
-	if err != nil {
+	t := &Target{Name: name, DataCentre: dataCentre, Engine: e}
+	if err := d.addTarget(t, e); err != nil {
 		e.Close()
 		return nil, err
 	}
-	t.Engine = e
 	return t, nil
 }
 
 // AddService starts a plain service and its sidecar. Several targets can share
 // one service, as they would share a database.
 func (d *Deployment) AddService(name string, dataCentre host.DataCentre, s *service.Service) (*Target, error) {
-	t, err := d.addTarget(name, dataCentre, s)
-	if err != nil {
+	t := &Target{Name: name, DataCentre: dataCentre, Service: s}
+	if err := d.addTarget(t, s); err != nil {
 		return nil, err
 	}
-	t.Service = s
 	return t, nil
 }
 
-func (d *Deployment) addTarget(name string, dataCentre host.DataCentre, h http.Handler) (*Target, error) {
+func (d *Deployment) addTarget(t *Target, h http.Handler) error {
 	server, err := serveHTTP(h)
 	if err != nil {
-		return nil, err
-	}
-	t := &Target{
-		Name:       name,
-		Host:       host.Name(fmt.Sprintf("%s-%s", dataCentre, name)),
-		DataCentre: dataCentre,
-		server:     server,
+		return err
 	}
+	t.Host = host.Name(fmt.Sprintf("%s-%s", t.DataCentre, t.Name))
+	t.server = server
 	if err := d.startSidecar(t, loopback); err != nil {
 		server.close()
-		return nil, err
+		return err
 	}
 	d.Targets = append(d.Targets, t)
-	return t, nil
+	return nil
 }
 
 func (d *Deployment) startSidecar(t *Target, listen netip.AddrPort) error {
@@ -167,6 +161,7 @@
 		Identity:   d.identity(t.Host, host.Sidecar, t.DataCentre),
 		Listen:     listen,
 		Target:     t.server.addr(),
+		Model:      t.Engine != nil,
 		Keys:       keys,
 		Log:        d.logger,
 		Metrics:    metrics.NewSet(),
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -158,6 +158,7 @@
 
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, rn *run, sent int) {
 	started := false
+	first := sent // faults count the tokens of this connection
 	for {
 		p := e.progress(rn)
 		if p.faults.Silent {
@@ -170,7 +171,7 @@
 			started = true
 		}
 		for ; sent < p.emitted; sent++ {
-			if p.faults.CloseAfter > 0 && sent >= p.faults.CloseAfter {
+			if p.faults.CloseAfter > 0 && sent-first >= p.faults.CloseAfter {
 				panic(http.ErrAbortHandler)
 			}
 			writeEvent(w, "", Token{Index: sent, Token: token(rn.hash, sent)})
