--- /dev/null
+++ b/internal/wire/credential/ring.go
@@ -0,0 +1,98 @@
+package credential
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// ErrDigest reports a text that is not a SHA-256 digest in hexadecimal.
+var ErrDigest = merry.Sentinel("not a SHA-256 digest of 64 hexadecimal digits")
+
+// maxTokenBytes bounds the work that a stranger's token can cause.
+const maxTokenBytes = 512
+
+// Digest is the SHA-256 digest of a token.
+type Digest [sha256.Size]byte
+
+// DigestOf returns the digest of a token.
+func DigestOf(token string) Digest {
+	return sha256.Sum256([]byte(token))
+}
+
+// ParseDigest reads a digest from hexadecimal.
+func ParseDigest(text string) (Digest, error) {
+	var d Digest
+	if len(text) != hex.EncodedLen(len(d)) {
+		return Digest{}, ErrDigest
+	}
+	if _, err := hex.Decode(d[:], []byte(text)); err != nil {
+		return Digest{}, ErrDigest
+	}
+	return d, nil
+}
+
+// String returns the digest in hexadecimal.
+func (d Digest) String() string {
+	return hex.EncodeToString(d[:])
+}
+
+// NewToken returns a random token of 256 bits.
+func NewToken() string {
+	return rand.Text() + rand.Text()
+}
+
+// Holder is a name with the digests of the tokens that prove it. It has two
+// while a token is being replaced.
+type Holder struct {
+	Name    string
+	Digests []Digest
+}
+
+// Ring finds the holder of a token. It never changes; a new set of holders is
+// a new ring.
+type Ring struct {
+	holders map[Digest]string
+}
+
+// NewRing returns a ring of the holders. If two of them share a digest it
+// proves neither, and NewRing returns an error.
+func NewRing(holders []Holder) (*Ring, error) {
+	r := &Ring{holders: make(map[Digest]string, len(holders))}
+	for _, h := range holders {
+		for _, d := range h.Digests {
+			if other, ok := r.holders[d]; ok && other != h.Name {
+				return nil, merry.Errorf("%q and %q have the same token", other, h.Name)
+			}
+			r.holders[d] = h.Name
+		}
+	}
+	return r, nil
+}
+
+// Match returns the name of the token's holder.
+//
+// The time that the lookup takes depends on the digest, not on the token:
+// whoever measures it learns about a digest that they cannot choose, so the
+// time does not help to guess a token one character after the other. A scan of
+// all digests would cost 12,000 comparisons a call at the largest size.
+func (r *Ring) Match(token string) (string, bool) {
+	if r == nil || token == "" || len(token) > maxTokenBytes {
+		return "", false
+	}
+	name, ok := r.holders[DigestOf(token)]
+	return name, ok
+}
+
+// Proves reports whether the token has the digest, in a time that does not
+// depend on either.
+func Proves(token string, d Digest) bool {
+	if len(token) > maxTokenBytes {
+		return false
+	}
+	got := DigestOf(token)
+	return subtle.ConstantTimeCompare(got[:], d[:]) == 1
+}
--- /dev/null
+++ b/internal/wire/credential/ring_test.go
@@ -0,0 +1,59 @@
+package credential
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestRing(t *testing.T) {
+	old, current := NewToken(), NewToken()
+	r, err := NewRing([]Holder{
+		{Name: "alice", Digests: []Digest{DigestOf(old), DigestOf(current)}},
+		{Name: "bob", Digests: []Digest{DigestOf("bob's")}},
+	})
+	require.NoError(t, err)
+
+	for token, want := range map[string]string{
+		old:                        "alice",
+		current:                    "alice",
+		"bob's":                    "bob",
+		"":                         "",
+		"bob":                      "",
+		strings.Repeat("x", 1<<20): "",
+	} {
+		got, ok := r.Match(token)
+		assert.Equal(t, want, got)
+		assert.Equal(t, want != "", ok)
+	}
+	_, ok := (*Ring)(nil).Match(current)
+	assert.False(t, ok, "no ring proves nobody")
+}
+
+func TestRingRefusesSharedTokens(t *testing.T) {
+	d := []Digest{DigestOf("same")}
+	_, err := NewRing([]Holder{{Name: "alice", Digests: d}, {Name: "bob", Digests: d}})
+	assert.Error(t, err)
+}
+
+func TestParseDigest(t *testing.T) {
+	d, err := ParseDigest(DigestOf("t").String())
+	require.NoError(t, err)
+	assert.Equal(t, DigestOf("t"), d)
+	assert.True(t, Proves("t", d))
+	assert.False(t, Proves("u", d))
+	for _, text := range []string{"", "ab", strings.Repeat("g", 64), strings.Repeat("a", 65)} {
+		_, err := ParseDigest(text)
+		assert.ErrorIs(t, err, ErrDigest)
+	}
+}
+
+func ExampleRing_Match() {
+	token := "a random token, see NewToken"
+	r, _ := NewRing([]Holder{{Name: "alice", Digests: []Digest{DigestOf(token)}}})
+	fmt.Println(r.Match(token))
+	// Output: alice true
+}
