Decide switches between maps among a group's ranks

A group that uses two maps in one step sends tokens to experts that are not there. A planner that leads a switch may die at any point, messages get lost, sidecars forget what they promised, and engines come back with nothing.

Each rank loads, limits its engine before the step and promises, or refuses for good. The switch is committed if all promised, which any rank finds out by asking all; ranks begin to ask in doubling numbers when the planner is silent. A restarted sidecar reads its votes back from the engine. If the engine can't tell, the rank neither promises nor refuses, and learns the outcome from others or asks for a new epoch. Only the life of a sidecar that an epoch's record names may bring its engine into it: without that, an engine that died rejoined with the record's map after the others had switched, and the test of a dying rank found steps with two maps.

Tests tell eight stories for four kinds of engines.

--- a/internal/expert/group/event.go
+++ b/internal/expert/group/event.go
@@ -20,6 +20,8 @@
 	Keep        time.Duration // weights of a refused map are kept for a next attempt
 	Retry       time.Duration // between two attempts at an order
 	Chunk       time.Duration // how much loading one order asks for, at the rank's rate
+	Rate        int64         // bytes a second from the weight store while forming
+	ExpertBytes int64         // weights of one expert of one layer, while forming
 }
 
 // Defaults of [Config].
@@ -31,6 +33,9 @@
 	DefaultKeep      = 30 * time.Second
 	DefaultRetry     = 50 * time.Millisecond
 	DefaultChunk     = 500 * time.Millisecond
+
+	DefaultRate        = 256 << 20
+	DefaultExpertBytes = 44 << 20
 )
 
 func (c Config) withDefaults() Config {
@@ -46,13 +51,19 @@
 	set(&c.Keep, DefaultKeep)
 	set(&c.Retry, DefaultRetry)
 	set(&c.Chunk, DefaultChunk)
+	if c.Rate <= 0 {
+		c.Rate = DefaultRate
+	}
+	if c.ExpertBytes <= 0 {
+		c.ExpertBytes = DefaultExpertBytes
+	}
 	return c
 }
 
 // EventKind tells what happened.
 type EventKind uint8
 
-// The kinds of events of a [Switch].
+// The kinds of events. A [Proposer] takes Tick, Received and Start.
 const (
 	Tick      EventKind = iota + 1 // the time of [Switch.Deadline] has come
 	Formed                         // Event.Record was read from the platform or heard from a peer
@@ -61,9 +72,10 @@
 	ReadBack                       // the engine told its state, or that it can't: Event.State
 	Stepped                        // the first step that the engine hasn't begun is Event.Next
 	Fenced                         // Event.Fence is the planning lease's current fence
+	Start                          // propose Event.Proposal
 )
 
-// Event is an input of [Switch.Handle].
+// Event is an input of [Switch.Handle] and [Proposer.Handle].
 type Event struct {
 	Kind    EventKind
 	Record  *Record
@@ -73,27 +85,32 @@
 	State   order.State
 	Next    uint64
 	Fence   lease.Fence
+
+	Proposal *Proposal
 }
 
 // ActionKind tells what is to be done.
 type ActionKind uint8
 
-// The kinds of actions of a [Switch].
+// The kinds of actions. A [Proposer] gives Send, Ended and Violate.
 const (
 	Send    ActionKind = iota + 1 // send Action.Message to Action.To; it may be lost
 	Give                          // give Action.Order to the guard in front of the engine
 	Read                          // ask the engine for its state
 	InForce                       // all ranks use the map Action.Record.Number; write it down when convenient
 	Reform                        // the group has to form under a new epoch: Action.Text says why
+	Ended                         // the proposal ended as Action.Vote, Committed or Refused, because of Action.Reason
 	Violate                       // an invariant does not hold: Action.Text
 )
 
-// Action is an output of [Switch.Handle].
+// Action is an output of [Switch.Handle] and [Proposer.Handle].
 type Action struct {
 	Kind    ActionKind
 	To      host.Name
 	Message Message
 	Order   order.Order
 	Record  Record
+	Vote    Vote
+	Reason  Reason
 	Text    string
 }
--- a/internal/expert/group/message.go
+++ b/internal/expert/group/message.go
@@ -107,6 +107,7 @@
 	OpenAt  Vote        `cbor:"20,keyasint,omitempty"` // how far it has come with it
 	Floor   Number      `cbor:"21,keyasint,omitempty"` // refuses for good all up to this
 	Fence   lease.Fence `cbor:"22,keyasint,omitempty"` // highest known
+	Whole   bool        `cbor:"23,keyasint,omitempty"` // it knows the map in force by number only
 }
 
 // Check returns [ErrMessage] if the message is out of bounds.
--- /dev/null
+++ b/internal/expert/group/random_test.go
@@ -0,0 +1,125 @@
+package group_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+	"wagtailshelf.example/wagtailshelf/internal/expert/order"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/lease"
+)
+
+// faults are what may happen to a group at any moment, with their weights.
+var faults = []string{
+	"wait", "wait", "wait", "propose", "propose", "new planner", "pause planner", "resume planner",
+	"cut", "mend", "restart", "store down", "store up", "kill engine",
+}
+
+// rival is a world in which anything may fail, with two planners at a time.
+type rival struct {
+	*world
+	t     *rapid.T
+	fence lease.Fence
+}
+
+func (r *rival) any() *node {
+	return r.nodes[rapid.IntRange(0, len(r.nodes)-1).Draw(r.t, "node")]
+}
+
+func (r *rival) anyPlanner() *planner {
+	last := min(len(r.planners), 3)
+	return r.planners[len(r.planners)-1-rapid.IntRange(0, last-1).Draw(r.t, "planner")]
+}
+
+func (r *rival) happen(what string) {
+	switch what {
+	case "wait":
+		r.run(time.Duration(rapid.IntRange(1, 1500).Draw(r.t, "ms")) * time.Millisecond)
+	case "propose":
+		if p := r.anyPlanner(); !p.paused {
+			r.propose(p, rapid.IntRange(1, 10).Draw(r.t, "moves"))
+		}
+		r.run(time.Duration(rapid.IntRange(1, 400).Draw(r.t, "ms")) * time.Millisecond)
+	case "new planner":
+		r.fence++
+		r.planner(r.fence)
+	case "pause planner":
+		r.anyPlanner().paused = true
+	case "resume planner":
+		r.resume(r.anyPlanner())
+	case "cut":
+		r.any().cut = true
+	case "mend":
+		r.any().cut = false
+	case "restart":
+		n := r.any()
+		n.down = true
+		r.later(time.Duration(rapid.IntRange(0, 1500).Draw(r.t, "down"))*time.Millisecond, func() { r.boot(n) })
+	case "store down":
+		r.any().engine.storeDown = true
+	case "store up":
+		r.any().engine.storeDown = false
+	case "kill engine":
+		if rapid.IntRange(0, 3).Draw(r.t, "kill") == 0 {
+			r.kill(r.any())
+		}
+	}
+}
+
+// kill replaces a host: engine and sidecar start again with nothing.
+func (r *rival) kill(n *node) {
+	n.down = true
+	*n.engine = engine{maps: map[uint64]*expertmap.Map{}, held: map[expertmap.Placement]bool{}}
+	r.later(time.Second, func() { r.boot(n) })
+}
+
+// heal mends all faults; what is under way has to end then.
+func (r *rival) heal() {
+	r.loss, r.lossy = 0, 0
+	for _, n := range r.nodes {
+		n.cut = false
+		n.engine.storeDown = false
+	}
+	for _, p := range r.planners {
+		r.resume(p)
+	}
+}
+
+func TestAnyFaults(t *testing.T) {
+	// Messages, answers, sidecars, engines, planners and the store fail in any
+	// order. No step may see two maps, or a map without its weights, and once all
+	// ranks can talk again each switch has ended and the group makes steps.
+	for name, kind := range kinds {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) { anyFaults(t, kind) })
+		})
+	}
+}
+
+func anyFaults(t *rapid.T, kind order.Engine) {
+	ranks := rapid.IntRange(1, 5).Draw(t, "ranks")
+	r := &rival{world: newWorld(rapid.Uint64().Draw(t, "seed"), ranks, kind), t: t, fence: 5}
+	r.planner(r.fence)
+	r.loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
+	r.lossy = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "lossy")
+	r.doubled = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "doubled")
+	r.run(5 * time.Second)
+	for range rapid.IntRange(3, 20).Draw(t, "events") {
+		r.happen(rapid.SampledFrom(faults).Draw(t, "event"))
+		require.Empty(t, r.failures)
+	}
+	r.heal()
+	r.run(45 * time.Second)
+	before := r.step
+	r.run(time.Second)
+	require.Empty(t, r.failures)
+	if !r.agreed() || r.step < before+50 {
+		for _, n := range r.nodes {
+			t.Logf("%+v engine %d.%d prepared %d limit %d step %d", n.sw.View(), n.engine.epoch, n.engine.number, n.engine.prepared, n.engine.limit, r.step)
+		}
+		t.Fatalf("a switch has not ended, or the group stands still")
+	}
+}
--- /dev/null
+++ b/internal/expert/group/receive.go
@@ -0,0 +1,279 @@
+package group
+
+import (
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+)
+
+// received takes in a message. Nothing is answered before the engine has been
+// read back: an answer from a sidecar that has forgotten its votes could
+// contradict them.
+func (s *Switch) received(now time.Time, from host.Name, m Message) {
+	if s.phase == unformed || s.phase == reading || m.Check() != nil || m.Group != s.record.Name {
+		return
+	}
+	if m.Epoch != s.record.Epoch {
+		s.otherEpoch(from, m)
+		return
+	}
+	switch {
+	case m.Kind == Report:
+		s.reported(now, from, m)
+	case s.phase == unsure:
+		s.receivedUnsure(now, from, m)
+	case s.phase == settled:
+		s.receivedSettled(now, from, m)
+	}
+}
+
+// otherEpoch tells a process of an older epoch that it is behind. A rank that is
+// itself behind says nothing until it has the record.
+func (s *Switch) otherEpoch(from host.Name, m Message) {
+	if m.Epoch < s.record.Epoch && m.Kind != Report && m.Kind != Outcome {
+		s.send(from, Message{Kind: Report, Number: m.Number, Vote: Refused, Reason: StaleEpoch, Incarnation: s.cfg.Incarnation})
+	}
+}
+
+func (s *Switch) receivedSettled(now time.Time, from host.Name, m Message) {
+	switch m.Kind {
+	case Ask:
+		if m.Final {
+			s.askedToEnd(now, m.Number)
+		}
+		s.report(from, m.Number, "")
+	case Prepare:
+		s.prepare(now, from, m)
+	case Promise:
+		s.promise(now, from, m)
+	case Outcome:
+		s.outcome(now, m)
+		s.report(from, m.Number, "")
+	}
+}
+
+// voteOn returns the rank's vote on a switch.
+func (s *Switch) voteOn(n Number) Vote {
+	switch {
+	case n == 0:
+		return Unseen
+	case s.phase == unsure:
+		return Unsure
+	case n == s.inForce && (s.open == nil || s.open.stage != passed || s.open.number != n):
+		return Finished
+	case s.open != nil && s.open.number == n:
+		return s.open.vote()
+	case n <= s.floor:
+		return Refused
+	}
+	return Unseen
+}
+
+// report tells the rank's vote on a switch, and how far the rank is in general.
+func (s *Switch) report(to host.Name, n Number, why Reason) {
+	if to == "" {
+		return
+	}
+	m := Message{
+		Kind: Report, Number: n, Vote: s.voteOn(n), Reason: why, Incarnation: s.cfg.Incarnation,
+		Next: s.next, InForce: s.inForce, Floor: max(s.floor, s.inForce), Fence: s.fence, Step: s.switched,
+		Whole: s.current == nil,
+	}
+	if s.open != nil {
+		m.Open, m.OpenAt = s.open.number, s.open.vote()
+		m.Step = s.open.step
+	}
+	if s.phase == unsure {
+		m.OpenAt = Unsure
+	}
+	s.send(to, m)
+}
+
+// askedToEnd refuses for good what this rank has not promised, because a rank
+// that has promised can't go on without the outcome.
+func (s *Switch) askedToEnd(now time.Time, n Number) {
+	if s.open != nil && s.open.number == n {
+		if s.open.undecided() {
+			s.refuse(now, AskedToEnd)
+		}
+		return
+	}
+	if n != s.inForce {
+		s.floor = max(s.floor, n)
+	}
+}
+
+// refuse refuses the open switch for good and tells the planner.
+func (s *Switch) refuse(now time.Time, why Reason) {
+	o := s.open
+	s.floor = max(s.floor, o.number)
+	o.enter(now, cancelling)
+	s.dropAt = now.Add(s.cfg.Keep)
+	s.report(o.proposer, o.number, why)
+}
+
+func (s *Switch) prepare(now time.Time, from host.Name, m Message) {
+	if s.voteOn(m.Number) != Unseen {
+		s.report(from, m.Number, StaleNumber)
+		return
+	}
+	s.fenced(now, m.Number.Fence())
+	next, why := s.proposed(m)
+	if why != "" {
+		s.floor = max(s.floor, m.Number)
+		s.report(from, m.Number, why)
+		return
+	}
+	if s.open != nil {
+		if s.open.undecided() && s.open.number < m.Number {
+			s.refuse(now, Superseded)
+		}
+		// Not a refusal: the proposal is repeated, and taken once the open switch
+		// has ended here.
+		s.report(from, m.Number, Busy)
+		return
+	}
+	s.floor = max(s.floor, m.Number)
+	s.open = &open{
+		number:   m.Number,
+		m:        next,
+		proposer: from,
+		load:     s.loadingOf(next, m.Rate, m.ExpertBytes),
+		until:    now.Add(m.Remaining),
+	}
+	s.open.enter(now, loadingWeights)
+	if len(s.open.load.rest) == 0 {
+		s.open.enter(now, preparing)
+	}
+	s.report(from, m.Number, "")
+}
+
+// proposed returns the proposed map, or why the rank refuses it.
+func (s *Switch) proposed(m Message) (*expertmap.Map, Reason) {
+	if m.Incarnation != s.cfg.Incarnation {
+		// The proposal was made to an earlier life of this sidecar, which may
+		// have refused it. If this life promised, two ranks could see different
+		// outcomes.
+		return nil, OtherLife
+	}
+	if m.Number.Fence() < s.fence {
+		return nil, StaleNumber
+	}
+	next := m.Map
+	if next == nil {
+		if s.current == nil || m.Base != s.inForce {
+			return nil, BaseUnknown
+		}
+		applied, err := s.current.Apply(m.Changes)
+		if err != nil {
+			return nil, MapInvalid
+		}
+		next = applied
+	}
+	if next.Shape() != s.record.Map.Shape() || next.Digest() != m.Digest || len(next.Check()) > 0 {
+		return nil, MapInvalid
+	}
+	return next, ""
+}
+
+func (s *Switch) promise(now time.Time, from host.Name, m Message) {
+	o := s.open
+	if o == nil || o.number != m.Number {
+		if s.voteOn(m.Number) == Unseen {
+			s.floor = max(s.floor, m.Number)
+		}
+		s.report(from, m.Number, NotPrepared)
+		return
+	}
+	switch {
+	case o.stage == loaded:
+		o.step = m.Step
+		o.until = now.Add(max(m.Remaining, s.cfg.Resend))
+		o.enter(now, promising)
+		if s.next > o.step {
+			s.refuse(now, StepBegun)
+		}
+	case o.step != 0 && o.step != m.Step:
+		// Promises with different steps don't add up to a commit.
+		s.violate("promise of switch %d asked for at step %d, then %d", m.Number, o.step, m.Step)
+	default:
+		s.report(from, m.Number, "")
+	}
+}
+
+// outcome takes in the end of a switch from a rank or planner that knows it.
+func (s *Switch) outcome(now time.Time, m Message) {
+	o := s.open
+	if o == nil || o.number != m.Number {
+		if s.voteOn(m.Number) == Unseen && m.Vote == Refused {
+			s.floor = max(s.floor, m.Number)
+		}
+		return
+	}
+	switch m.Vote {
+	case Refused:
+		s.refusedByOther(now)
+	case Committed:
+		s.commit(now, m.Step)
+	case Finished:
+		if o.stage == passed {
+			s.finish(now)
+		}
+	}
+}
+
+func (s *Switch) refusedByOther(now time.Time) {
+	o := s.open
+	switch o.vote() {
+	case Committed, Passed:
+		s.violate("switch %d is refused by another rank and committed here", o.number)
+	case Refused:
+	default:
+		s.floor = max(s.floor, o.number)
+		o.enter(now, cancelling)
+		s.dropAt = now.Add(s.cfg.Keep)
+	}
+}
+
+func (s *Switch) commit(now time.Time, step uint64) {
+	o := s.open
+	switch o.vote() {
+	case Promised:
+		if step != 0 && step != o.step {
+			s.violate("switch %d is committed at step %d and promised for %d", o.number, step, o.step)
+			return
+		}
+		if o.m != nil && !s.holdsAll(o.m) {
+			s.violate("switch %d is committed without its weights", o.number)
+			return
+		}
+		o.enter(now, switching)
+	case Committed, Passed:
+	default:
+		s.violate("switch %d is committed without this rank's promise (%v)", o.number, o.vote())
+	}
+}
+
+func (s *Switch) holdsAll(m *expertmap.Map) bool {
+	for _, p := range needs(m, s.rank) {
+		if _, ok := s.held[p]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// finish ends the switch here: all ranks have begun the step, so no rank needs
+// the old map's weights any more.
+func (s *Switch) finish(now time.Time) {
+	s.closeAt(now)
+}
+
+// expire refuses what has not come to a promise in time.
+func (s *Switch) expire(now time.Time) {
+	o := s.open
+	if o != nil && o.stage <= promising && !now.Before(o.until) {
+		s.refuse(now, LoadingTooLong)
+	}
+}
--- a/internal/expert/group/record.go
+++ b/internal/expert/group/record.go
@@ -43,6 +43,11 @@
 	Number Number         `cbor:"4,keyasint" json:"number"`
 	Ranks  []host.Name    `cbor:"5,keyasint" json:"ranks"` // rank r runs on Ranks[r]
 	Map    *expertmap.Map `cbor:"6,keyasint" json:"-"`
+
+	// Lives are the sidecars' incarnations when the epoch was formed. Only these
+	// may bring their engine into it: a later life can't know whether its engine
+	// has been in it before, died and forgotten a switch.
+	Lives []host.Incarnation `cbor:"7,keyasint" json:"lives"`
 }
 
 // RankOf returns the rank that runs on a host, or -1.
@@ -63,8 +68,8 @@
 	if r.Map == nil {
 		return merry.Append(ErrRecord, "no map")
 	}
-	if len(r.Ranks) != r.Map.Shape().Ranks {
-		return merry.Appendf(ErrRecord, "%d hosts for %d ranks", len(r.Ranks), r.Map.Shape().Ranks)
+	if len(r.Ranks) != r.Map.Shape().Ranks || len(r.Lives) != len(r.Ranks) {
+		return merry.Appendf(ErrRecord, "%d hosts, %d lives for %d ranks", len(r.Ranks), len(r.Lives), r.Map.Shape().Ranks)
 	}
 	seen := make(map[host.Name]bool, len(r.Ranks))
 	for _, n := range r.Ranks {
--- /dev/null
+++ b/internal/expert/group/switch_test.go
@@ -0,0 +1,310 @@
+package group_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+	"wagtailshelf.example/wagtailshelf/internal/expert/group"
+	"wagtailshelf.example/wagtailshelf/internal/expert/order"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+)
+
+func encode(m group.Message) ([]byte, error) { return cbor.Marshal(m) }
+
+// kinds are the engines that the system meets.
+var kinds = map[string]order.Engine{
+	"checks, reads back":  {ChecksFences: true, ReadsBack: true},
+	"ignores, reads back": {ReadsBack: true},
+	"checks, can't tell":  {ChecksFences: true},
+	"ignores, can't tell": {},
+}
+
+// forEachKind runs a story for a group that has formed, with each kind of engine.
+func forEachKind(t *testing.T, ranks int, story func(t *testing.T, w *world)) {
+	for name, kind := range kinds {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(1, ranks, kind)
+			w.run(8 * time.Second)
+			require.Empty(t, w.failures)
+			require.True(t, w.agreed(), "the group has not formed")
+			story(t, w)
+			assert.Empty(t, w.failures)
+		})
+	}
+}
+
+// assertEnded checks that the switch has ended in the same way on all ranks and
+// that the group makes steps.
+func assertEnded(t *testing.T, w *world) {
+	t.Helper()
+	w.run(25 * time.Second)
+	before := w.step
+	w.run(time.Second)
+	assert.True(t, w.agreed(), "the ranks disagree")
+	assert.Greater(t, w.step, before+50, "the group stands still")
+	for _, n := range w.nodes {
+		if !w.agreed() {
+			t.Logf("%+v", n.sw.View())
+		}
+	}
+}
+
+func assertInForce(t *testing.T, w *world, want group.Number) {
+	t.Helper()
+	for _, n := range w.nodes {
+		assert.Equal(t, want, group.Number(n.engine.number))
+	}
+}
+
+func TestSwitch(t *testing.T) {
+	forEachKind(t, 4, func(t *testing.T, w *world) {
+		p := w.planner(5)
+		waits := w.waits
+		w.propose(p, 6)
+		w.run(4 * time.Second)
+		require.Len(t, p.ended, 1)
+		assert.Equal(t, group.Committed, p.ended[0].Vote)
+		assertInForce(t, w, p.p.Number())
+		assert.False(t, p.p.Busy())
+		assert.Equal(t, waits, w.waits, "a step waited for the switch")
+		assertEnded(t, w)
+		assertDropped(t, w)
+	})
+}
+
+// assertDropped checks that no engine keeps weights that its map doesn't need.
+func assertDropped(t *testing.T, w *world) {
+	t.Helper()
+	for _, n := range w.nodes {
+		m := n.engine.maps[n.engine.number]
+		for p := range n.engine.held {
+			assert.True(t, m.Holds(int(p.Layer), n.rank, p.Expert), "rank %d keeps %v", n.rank, p)
+		}
+	}
+}
+
+// stop pauses a planner for good right before it sends its nth message of a kind.
+func stop(w *world, p *planner, kind group.MessageKind, nth int) {
+	sent := 0
+	w.onSend = func(from host.Name, m group.Message) bool {
+		if from != p.name {
+			return true
+		}
+		if m.Kind == kind {
+			p.paused = p.paused || sent == nth
+			sent++
+		}
+		return !p.paused
+	}
+}
+
+func TestPlannerDies(t *testing.T) {
+	// The planner dies right before it sends its nth message of a kind. The ranks
+	// must not wait for it: those that have promised ask the others, those that
+	// have not refuse. If all had promised, the switch is committed without it.
+	points := []struct {
+		name   string
+		kind   group.MessageKind
+		nth    int
+		commit bool
+	}{
+		{"before any rank loads", group.Prepare, 0, false},
+		{"when one rank loads", group.Prepare, 1, false},
+		{"when all have loaded", group.Promise, 0, false},
+		{"when half are asked for promises", group.Promise, 2, false},
+		{"when all have promised", group.Outcome, 0, true},
+		{"when one rank knows the outcome", group.Outcome, 1, true},
+		{"when all have passed", group.Outcome, 4, true},
+	}
+	for _, point := range points {
+		t.Run(point.name, func(t *testing.T) {
+			forEachKind(t, 4, func(t *testing.T, w *world) {
+				want, _ := w.inForce()
+				reforms := w.reforms
+				p := w.planner(5)
+				stop(w, p, point.kind, point.nth)
+				w.propose(p, 6)
+				w.run(30 * time.Second) // past the time allowed for loading
+				require.True(t, p.paused, "the point was not reached")
+				assertEnded(t, w)
+				if point.commit {
+					want = p.p.Number()
+				}
+				assertInForce(t, w, want)
+				assertDropped(t, w)
+				assert.Equal(t, reforms, w.reforms, "the group had to form again")
+			})
+		})
+	}
+}
+
+func TestCommitReachesSomeRanks(t *testing.T) {
+	// The planner tells the outcome, but the messages to two ranks are lost, and
+	// then the planner is cut off. The two stop at the step and ask the others;
+	// the steps go on with the new map everywhere.
+	forEachKind(t, 4, func(t *testing.T, w *world) {
+		p := w.planner(5)
+		w.onSend = func(from host.Name, m group.Message) bool {
+			return from != p.name || m.Kind != group.Outcome
+		}
+		sent := 0
+		w.onSend = func(from host.Name, m group.Message) bool {
+			if from != p.name || m.Kind != group.Outcome {
+				return true
+			}
+			sent++
+			return sent <= 2
+		}
+		w.propose(p, 6)
+		assertEnded(t, w)
+		assertInForce(t, w, p.p.Number())
+	})
+}
+
+func TestRankStalls(t *testing.T) {
+	// A rank hears nothing and says nothing for a while, before or after its
+	// promise. Before it, the others refuse in the end or wait in the middle of
+	// the loading; after it, they stop at the step until it can be asked. No rank
+	// goes on alone.
+	for name, kind := range map[string]group.MessageKind{"before its promise": group.Promise, "after its promise": group.Outcome} {
+		t.Run(name, func(t *testing.T) {
+			forEachKind(t, 4, func(t *testing.T, w *world) {
+				p := w.planner(5)
+				n := w.nodes[2]
+				once := false
+				w.onSend = func(_ host.Name, m group.Message) bool {
+					if m.Kind == kind && !once {
+						once, n.cut = true, true
+						w.later(2*time.Second, func() { n.cut = false })
+					}
+					return true
+				}
+				w.propose(p, 6)
+				assertEnded(t, w)
+				require.True(t, once)
+				require.Len(t, p.ended, 1)
+				if kind == group.Outcome {
+					assert.Equal(t, group.Committed, p.ended[0].Vote)
+				}
+			})
+		})
+	}
+}
+
+func TestRankDies(t *testing.T) {
+	// An engine dies in the middle of a switch and comes back with nothing. The
+	// lock-step has stopped with it. Its sidecar finds that it has left the epoch,
+	// and the group forms again with all ranks on one map.
+	forEachKind(t, 4, func(t *testing.T, w *world) {
+		reforms := w.reforms
+		p := w.planner(5)
+		w.propose(p, 6)
+		w.run(120 * time.Millisecond)
+		n := w.nodes[1]
+		*n.engine = engine{maps: map[uint64]*expertmap.Map{}, held: map[expertmap.Placement]bool{}, dead: true}
+		n.down = true
+		w.run(2 * time.Second)
+		n.engine.dead = false
+		w.boot(n)
+		w.run(10 * time.Second)
+		if w.reforms == reforms {
+			w.reform(w.record.Epoch) // the member list tells of the death
+		}
+		assertEnded(t, w)
+		assert.Greater(t, w.reforms, reforms)
+	})
+}
+
+func TestPausedPlannerReturns(t *testing.T) {
+	// A planner is paused while its ranks load. Another takes the lease with a
+	// higher fence and switches the group. The first wakes up and goes on with its
+	// old fence. The ranks refuse it, in front of engines that check fences and of
+	// those that ignore them.
+	forEachKind(t, 4, func(t *testing.T, w *world) {
+		old, next := w.planner(5), w.planner(6)
+		w.propose(old, 12)
+		w.run(50 * time.Millisecond)
+		old.paused = true
+		w.propose(next, 6)
+		w.run(30 * time.Second)
+		require.NotEmpty(t, next.ended)
+		if next.ended[len(next.ended)-1].Vote != group.Committed {
+			w.propose(next, 6)
+			w.run(5 * time.Second)
+		}
+		w.resume(old)
+		w.propose(old, 6)
+		assertEnded(t, w)
+		assertInForce(t, w, next.p.Number())
+		for _, a := range old.ended {
+			assert.Equal(t, group.Refused, a.Vote)
+		}
+	})
+}
+
+func TestSidecarRestarts(t *testing.T) {
+	// A sidecar restarts when its rank has loaded, promised, or heard the outcome,
+	// and has forgotten all of it. If it denied its promise, others that have heard
+	// of the commit would go on without it. An engine that tells lets it take up
+	// where it was; with one that can't tell, another rank's knowledge or a new
+	// epoch settles it.
+	points := map[string]group.MessageKind{"loaded": group.Promise, "promised": group.Outcome}
+	for name, kind := range points {
+		for _, dies := range []bool{false, true} {
+			t.Run(name+map[bool]string{true: ", planner dies"}[dies], func(t *testing.T) {
+				forEachKind(t, 4, func(t *testing.T, w *world) {
+					p := w.planner(5)
+					n := w.nodes[2]
+					once := false
+					w.onSend = func(from host.Name, m group.Message) bool {
+						if m.Kind == kind && from == p.name && !once {
+							once = true
+							p.paused = dies
+							w.later(0, func() { n.down = true })
+							w.later(500*time.Millisecond, func() { w.boot(n) })
+						}
+						return !p.paused || from != p.name
+					}
+					reforms := w.reforms
+					w.propose(p, 6)
+					assertEnded(t, w)
+					require.True(t, once)
+					if w.kind.ReadsBack {
+						assert.Equal(t, reforms, w.reforms, "the group formed again although the engine can tell")
+					}
+				})
+			})
+		}
+	}
+}
+
+func TestWeightStoreDown(t *testing.T) {
+	// The store stops delivering to one rank in the middle of the loading. If it
+	// comes back in time the switch goes on; if not, the rank refuses and the
+	// group stays on its map. No step waits for the store.
+	for name, down := range map[string]time.Duration{"for a while": 5 * time.Second, "for long": 25 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			forEachKind(t, 4, func(t *testing.T, w *world) {
+				p := w.planner(5)
+				w.nodes[3].engine.storeDown = true
+				w.nodes[0].engine.storeDown = true
+				waits := w.waits
+				w.propose(p, 24)
+				w.run(down)
+				w.nodes[3].engine.storeDown = false
+				w.nodes[0].engine.storeDown = false
+				w.run(5 * time.Second)
+				require.Len(t, p.ended, 1)
+				assert.Equal(t, down < 20*time.Second, p.ended[0].Vote == group.Committed)
+				assertEnded(t, w)
+				assertDropped(t, w)
+				assert.Equal(t, waits, w.waits)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/expert/group/view.go
@@ -0,0 +1,42 @@
+package group
+
+import (
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/lease"
+)
+
+// View is a rank's state for dumps and status.
+type View struct {
+	Phase    string      `json:"phase"` // unformed, reading, unsure, forming or settled
+	Epoch    uint64      `json:"epoch"`
+	Rank     int         `json:"rank"`
+	Fence    lease.Fence `json:"fence"`
+	Next     uint64      `json:"nextStep"`
+	InForce  Number      `json:"inForce"`
+	Switched uint64      `json:"inForceSince"` // a step; 0 if not known
+	Open     Number      `json:"open,omitempty"`
+	Vote     string      `json:"vote,omitempty"`
+	Step     uint64      `json:"switchStep,omitempty"`
+	ToLoad   int         `json:"toLoad"` // experts still to be ordered from the weight store
+	Proposer host.Name   `json:"proposer,omitempty"`
+	Order    string      `json:"order,omitempty"` // the one without an answer
+}
+
+// View returns the rank's state.
+func (s *Switch) View() View {
+	v := View{
+		Phase: phaseNames[s.phase], Rank: -1, Fence: s.fence, Next: s.next, InForce: s.inForce,
+		Switched: s.switched, ToLoad: len(s.load.rest),
+	}
+	if s.record != nil {
+		v.Epoch, v.Rank = s.record.Epoch, s.rank
+	}
+	if s.open != nil {
+		v.Open, v.Vote, v.Step = s.open.number, s.open.vote().String(), s.open.step
+		v.Proposer, v.ToLoad = s.open.proposer, len(s.open.load.rest)
+	}
+	if s.waiting.Kind != 0 {
+		v.Order = s.waiting.Kind.String()
+	}
+	return v
+}
--- a/internal/expert/order/guard.go
+++ b/internal/expert/order/guard.go
@@ -157,7 +157,7 @@
 		return nil
 	}
 	if reason := g.refusal(o); reason != "" {
-		return []Action{{Kind: Finish, Result: Result{ID: o.ID, Kind: o.Kind, Status: Refused, Reason: reason}}}
+		return []Action{{Kind: Finish, Result: Result{ID: o.ID, Kind: o.Kind, Status: Refused, Reason: reason, Fence: g.highest}}}
 	}
 	g.highest = o.ID.Fence
 	g.queue = append(g.queue, o)
--- a/internal/expert/order/order.go
+++ b/internal/expert/order/order.go
@@ -55,7 +55,7 @@
 type Order struct {
 	ID      ID
 	Kind    Kind
-	Epoch   uint64 // of the group's lock-step; for Form, the one to join
+	Epoch   uint64 // of the group's lock-step; for Form, the one to join; 0 for any
 	Number  uint64 // of the map, for Prepare, SwitchMap and Form
 	Map     *expertmap.Map
 	Weights []expertmap.Placement // all on the engine's own rank
@@ -96,8 +96,9 @@
 	ID     ID
 	Kind   Kind
 	Status Status
-	Reason Reason // for Refused
-	Next   uint64 // the first step not begun yet, as far as the engine said
+	Reason Reason      // for Refused
+	Next   uint64      // the first step not begun yet, as far as the engine said
+	Fence  lease.Fence // the highest that the engine or its guard knows
 }
 
 // Engine says what a kind of engine checks and tells.
