--- a/internal/wire/credential/ring.go
+++ b/internal/wire/credential/ring.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"strings"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -35,6 +36,17 @@
 	return d, nil
 }
 
+// UnmarshalText reads a digest from hexadecimal, with or without "sha256:"
+// before it.
+func (d *Digest) UnmarshalText(text []byte) error {
+	got, err := ParseDigest(strings.TrimPrefix(string(text), "sha256:"))
+	if err != nil {
+		return err
+	}
+	*d = got
+	return nil
+}
+
 // String returns the digest in hexadecimal.
 func (d Digest) String() string {
 	return hex.EncodeToString(d[:])
--- a/internal/wire/credential/store.go
+++ b/internal/wire/credential/store.go
@@ -203,3 +203,13 @@
 	}
 	return nil
 }
+
+// Identity returns what the certificate proves, if the key fits it and there
+// are authorities. It does not look at dates.
+func (m Material) Identity() (Identity, error) {
+	s, err := parse(m)
+	if err != nil {
+		return Identity{}, err
+	}
+	return s.identity, nil
+}
