Measure skew against baselines, and plan with drift in mind

Change: changes of two cells at once; packing one layer anew as the last resort; its win counts only for as long as the observed rise of the step time leaves it, w/2r. The command `skew` runs the comparison.

--- a/internal/expert/demand/tracker.go
+++ b/internal/expert/demand/tracker.go
@@ -10,7 +10,7 @@
 // Config sets the smoothing of a [Tracker]. Zero values take the defaults.
 type Config struct {
 	Window   time.Duration // length of a window; default 1 min
-	Smooth   time.Duration // time constant of the estimate; default 10 min
+	Smooth   time.Duration // time constant of the estimate; default 5 min
 	Trail    time.Duration // time constant of the slow estimate; default 1 h
 	MinLasts time.Duration // bounds of Estimate.Lasts; default 5 min
 	MaxLasts time.Duration // default 2 h
@@ -28,7 +28,7 @@
 // withDefaults fills in the values that are zero.
 func (c Config) withDefaults() Config {
 	setDuration(&c.Window, time.Minute)
-	setDuration(&c.Smooth, 10*time.Minute)
+	setDuration(&c.Smooth, 5*time.Minute)
 	setDuration(&c.Trail, time.Hour)
 	setDuration(&c.MinLasts, 5*time.Minute)
 	setDuration(&c.MaxLasts, 2*time.Hour)
--- a/internal/expert/plan/curve.go
+++ b/internal/expert/plan/curve.go
@@ -13,6 +13,7 @@
 	loads int
 	win   float64 // relative time won by the layer
 	slope float64 // win per load
+	anew  bool    // packs the layer anew
 }
 
 // segments cuts the changes of a layer at the corners of the lower convex hull
@@ -34,6 +35,7 @@
 			loads: int(c.loads - last.loads),
 			win:   max(last.time, floor) - max(c.time, floor),
 			slope: slope,
+			anew:  c.anew,
 		})
 		from, last = to+1, c
 	}
--- a/internal/expert/plan/layer.go
+++ b/internal/expert/plan/layer.go
@@ -20,6 +20,7 @@
 	part  []float64 // per expert: share of one replica
 	hosts [][]uint16
 	time  []float64 // per rank
+	peak  []float64 // per rank: time of the expert that takes the longest
 	holds []uint64  // bit set of [rank][expert]
 	words int       // words of holds per rank
 }
@@ -34,6 +35,7 @@
 		part:  make([]float64, s.Experts),
 		hosts: make([][]uint16, s.Experts),
 		time:  make([]float64, s.Ranks),
+		peak:  make([]float64, s.Ranks),
 		holds: make([]uint64, s.Ranks*words),
 		words: words,
 	}
@@ -67,7 +69,7 @@
 		l.part[e] = share[e] / float64(max(n, 1))
 	}
 	for r := range l.time {
-		l.time[r] = l.sum(r)
+		l.refresh(r)
 	}
 }
 
@@ -92,15 +94,17 @@
 	return l.cells[rank*l.shape.Slots : (rank+1)*l.shape.Slots]
 }
 
-// sum computes a rank's time from its row.
-func (l *layer) sum(rank int) float64 {
-	load := 0.0
+// refresh computes a rank's time from its row.
+func (l *layer) refresh(rank int) {
+	load, peak := 0.0, 0.0
 	for _, e := range l.row(rank) {
 		if e != expertmap.Empty {
 			load += l.part[e]
+			peak = max(peak, l.part[e])
 		}
 	}
-	return load * l.inv[rank]
+	l.time[rank] = load * l.inv[rank]
+	l.peak[rank] = peak * l.inv[rank]
 }
 
 // hottest returns the slowest rank and its time.
@@ -139,13 +143,13 @@
 		l.attach(rank, in)
 		l.split(in)
 	}
-	l.time[rank] = l.sum(rank)
+	l.refresh(rank)
 }
 
 // split recomputes the part of an expert's replicas and its hosts' times.
 func (l *layer) split(e uint16) {
 	l.part[e] = l.share[e] / float64(max(l.count[e], 1))
 	for _, r := range l.hosts[e] {
-		l.time[r] = l.sum(int(r))
+		l.refresh(int(r))
 	}
 }
--- a/internal/expert/plan/planner.go
+++ b/internal/expert/plan/planner.go
@@ -17,6 +17,7 @@
 	cfg       Config
 	allowance allowance
 	loaded    []time.Time // per cell: when its expert was loaded
+	trend     trend
 }
 
 // New returns a planner whose store allowance is full and that holds no replica
@@ -30,6 +31,7 @@
 		cfg:       cfg,
 		allowance: newAllowance(cfg),
 		loaded:    make([]time.Time, cfg.Shape.Cells()),
+		trend:     trend{rise: firstRise},
 	}
 	return p, nil
 }
@@ -48,21 +50,39 @@
 // Plan proposes what to do now, given the map in force. It changes nothing in
 // the planner, so it also serves as a dry run.
 func (p *Planner) Plan(now time.Time, m *expertmap.Map, e demand.Estimate) (Proposal, error) {
+	if err := p.check(m, e); err != nil {
+		return Proposal{}, err
+	}
+	s := newSession(p, now, m, e)
+	s.decide()
+	return s.result, nil
+}
+
+// Observe learns how fast maps get worse, from the map in force and a new
+// estimate. It is called with each estimate, before [Planner.Plan].
+func (p *Planner) Observe(now time.Time, m *expertmap.Map, e demand.Estimate) error {
+	if err := p.check(m, e); err != nil {
+		return err
+	}
+	f := predict(newLayer(p.cfg.Shape, e.Speed), m, e.Share)
+	p.trend.observe(now, f.Time, e)
+	return nil
+}
+
+func (p *Planner) check(m *expertmap.Map, e demand.Estimate) error {
 	if m.Shape() != p.cfg.Shape {
-		return Proposal{}, merry.Appendf(ErrInput, "map of %+v", m.Shape())
+		return merry.Appendf(ErrInput, "map of %+v", m.Shape())
 	}
 	if err := fit(p.cfg.Shape, e.Share, e.Speed); err != nil {
-		return Proposal{}, err
+		return err
 	}
 	if len(e.Deviation) != len(e.Share) {
-		return Proposal{}, merry.Appendf(ErrInput, "%d deviations", len(e.Deviation))
+		return merry.Appendf(ErrInput, "%d deviations", len(e.Deviation))
 	}
 	if found := m.Check(); len(found) > 0 {
-		return Proposal{}, merry.Appendf(ErrInput, "map in force: %v", found[0])
+		return merry.Appendf(ErrInput, "map in force: %v", found[0])
 	}
-	s := newSession(p, now, m, e)
-	s.decide()
-	return s.result, nil
+	return nil
 }
 
 // Installed tells the planner that the group now uses map to instead of from.
@@ -76,6 +96,7 @@
 		return err
 	}
 	p.allowance.spend(now, d.Bytes(p.cfg.ExpertBytes))
+	p.trend.replaced(to)
 	for _, load := range d.Loads {
 		if slot := p.slot(to, load); slot >= 0 {
 			p.loaded[slot] = now
--- a/internal/expert/plan/resolve.go
+++ b/internal/expert/plan/resolve.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"slices"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
@@ -112,22 +113,39 @@
 func pack(cells []uint16, s expertmap.Shape, list []replica, speed []float64) {
 	used := make([]int, s.Ranks)
 	load := make([]float64, s.Ranks)
+	open := make([]int, s.Ranks) // ranks with free slots
+	for r := range open {
+		open[r] = r
+	}
 	for _, p := range list {
-		best := -1
-		for r := range s.Ranks {
-			first := r * s.Slots
-			if used[r] == s.Slots || slices.Contains(cells[first:first+used[r]], p.expert) {
-				continue
-			}
-			if best < 0 || (load[r]+p.part)*speed[best] < (load[best]+p.part)*speed[r] {
-				best = r
-			}
+		i := soonest(open, p, cells, used, load, speed, s.Slots)
+		if i < 0 {
+			continue
+		}
+		r := open[i]
+		cells[r*s.Slots+used[r]] = p.expert
+		used[r]++
+		load[r] += p.part
+		if used[r] == s.Slots {
+			open = slices.Delete(open, i, i+1)
+		}
+	}
+}
+
+// soonest is the index in open of the rank that would finish a replica first and
+// doesn't hold its expert, or -1.
+func soonest(open []int, p replica, cells []uint16, used []int, load, speed []float64, slots int) int {
+	best, finish := -1, math.Inf(1)
+	for i, r := range open {
+		at := (load[r] + p.part) / speed[r]
+		if at >= finish {
+			continue
 		}
-		if best < 0 {
+		first := r * slots
+		if slices.Contains(cells[first:first+used[r]], p.expert) {
 			continue
 		}
-		cells[best*s.Slots+used[best]] = p.expert
-		used[best]++
-		load[best] += p.part
+		best, finish = i, at
 	}
+	return best
 }
--- a/internal/expert/plan/restart.go
+++ b/internal/expert/plan/restart.go
@@ -41,7 +41,7 @@
 	for cell, e := range to {
 		if s.layer.cells[cell] != e {
 			changes = append(changes, change{
-				cell: int32(cell), other: noCell, in: e, loads: int32(loads), time: math.Inf(1),
+				cell: int32(cell), other: noCell, in: e, loads: int32(loads), time: math.Inf(1), anew: true,
 			})
 		}
 	}
--- a/internal/expert/plan/search.go
+++ b/internal/expert/plan/search.go
@@ -15,6 +15,7 @@
 	also  uint16  // new content of other
 	loads int32   // loads of this and all earlier changes of the layer
 	time  float64 // time of the layer's hottest rank after it
+	anew  bool    // part of packing the layer anew
 }
 
 // dropPrice is what dropping a replica counts for when candidates are compared.
@@ -125,7 +126,7 @@
 	less := s.part[in] - part
 	relief := s.relief(in, less)
 	for r, t := range s.time {
-		if t+part*s.inv[r]-s.largest(r) >= s.limit || s.has(r, in) {
+		if t+part*s.inv[r]-s.peak[r] >= s.limit || s.has(r, in) {
 			continue
 		}
 		first := r * s.shape.Slots
@@ -135,17 +136,6 @@
 	}
 }
 
-// largest bounds what a rank can be relieved of by giving up one expert.
-func (s *search) largest(rank int) float64 {
-	most := 0.0
-	for _, e := range s.row(rank) {
-		if e != expertmap.Empty {
-			most = max(most, s.part[e])
-		}
-	}
-	return most * s.inv[rank]
-}
-
 // relief is the potential won on the present hosts of an expert if each is
 // relieved of less.
 func (s *search) relief(e uint16, less float64) float64 {
@@ -160,24 +150,24 @@
 // tryReplace considers the expert in for the cell of rank r that holds out.
 func (s *search) tryReplace(cell, r int, out, in uint16, part, less, relief float64) {
 	s.work--
-	t := s.time[r]
-	after := t + part*s.inv[r]
-	win := relief
+	after := s.time[r] + part*s.inv[r]
 	if out != expertmap.Empty {
 		if s.count[out] < 2 || s.held[cell] {
 			return
 		}
 		after -= s.part[out] * s.inv[r]
+	}
+	win := relief + potential(s.time[r]) - potential(after)
+	if after >= s.limit || win <= s.score {
+		return
+	}
+	if out != expertmap.Empty {
 		lost, ok := s.burden(out, r, in, less)
 		if !ok {
 			return
 		}
 		win -= lost
 	}
-	if after >= s.limit {
-		return
-	}
-	win += potential(t) - potential(after)
 	s.offer(win, 1, change{cell: int32(cell), other: noCell, in: in})
 }
 
--- a/internal/expert/plan/session.go
+++ b/internal/expert/plan/session.go
@@ -15,6 +15,7 @@
 	from     *expertmap.Map
 	estimate demand.Estimate
 	held     []bool
+	trend    *trend
 	layer    *layer
 	result   Proposal
 
@@ -33,6 +34,7 @@
 		from:     m,
 		estimate: e,
 		held:     p.held(now, e),
+		trend:    &p.trend,
 		layer:    newLayer(p.cfg.Shape, e.Speed),
 		starts:   make([]float64, layers),
 		changes:  make([][]change, layers),
@@ -188,8 +190,7 @@
 // worth tells whether a segment wins more than its price, over the time that is
 // left of the demand once everything taken and this segment has been loaded.
 func (s *session) worth(g segment) bool {
-	won, cost := s.value(g.win, s.result.Loads+g.loads), s.price(g.loads)
-	return s.weigh(won, cost)
+	return s.weigh(s.value(g, s.result.Loads+g.loads), s.price(g.loads))
 }
 
 // weigh compares drafting seconds won and lost by the weights of the document.
@@ -198,11 +199,15 @@
 	return w.Skew*won > w.Moves*cost*(1+s.cfg.Hysteresis)
 }
 
-// value is the drafting time in seconds that is won if a layer's relative time
-// falls by win, with loads experts loaded first.
-func (s *session) value(win float64, loads int) float64 {
-	lasts := s.estimate.Lasts.Seconds() - float64(loads)*s.cfg.loadTime()
-	return max(0, lasts) * s.cfg.ExpertPart * win / float64(s.cfg.Shape.Layers)
+// value is the drafting time in seconds that a segment wins, with loads experts
+// loaded first.
+func (s *session) value(g segment, loads int) float64 {
+	lasts := s.estimate.Lasts.Seconds()
+	if g.anew {
+		lasts = min(lasts, s.trend.lasts(g.win))
+	}
+	lasts -= float64(loads) * s.cfg.loadTime()
+	return max(0, lasts) * s.cfg.ExpertPart * g.win / float64(s.cfg.Shape.Layers)
 }
 
 // price is the drafting time in seconds that loads experts cost.
@@ -245,7 +250,7 @@
 func (s *session) take(g segment) {
 	s.taken[g.layer] = g.to
 	s.result.Loads += g.loads
-	s.result.Won += seconds(s.value(g.win, 0))
+	s.result.Won += seconds(s.value(g, 0))
 	s.result.Cost += seconds(s.price(g.loads))
 }
 
@@ -279,7 +284,7 @@
 	}
 	best := s.segments[0]
 	r.Reason = NotWorth
-	r.Won = seconds(s.value(best.win, best.loads))
+	r.Won = seconds(s.value(best, best.loads))
 	r.Cost = seconds(s.price(best.loads))
 }
 
--- /dev/null
+++ b/internal/operator/skew/scenario.go
@@ -0,0 +1,95 @@
+// Package skew measures how well expert maps follow demand: the command that
+// compares the planner with its baselines and bounds on a generated day, and
+// writes the tables and the trade-off curve of docs/plots.
+package skew
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+	"wagtailshelf.example/wagtailshelf/internal/expert/plan"
+	"wagtailshelf.example/wagtailshelf/internal/standin/topic"
+)
+
+// The group that is measured, apart from its number of ranks.
+const (
+	layers  = 58
+	experts = 256
+	// storeRate is what the weight store gives a group, in bytes a second.
+	storeRate = 4_000_000_000
+	// expertBytes is the size of one expert's weights in one layer.
+	expertBytes = 44_000_000
+	// period is the time between plans, for the planner and for packing anew.
+	period = 5 * time.Minute
+)
+
+// slots gives a rank room for its part of the experts and a tenth more, at least
+// one.
+func slots(ranks int) int {
+	part := (experts + ranks - 1) / ranks
+	return part + max(1, (part+5)/10)
+}
+
+func shapeOf(ranks int) expertmap.Shape {
+	return expertmap.Shape{Layers: layers, Experts: experts, Ranks: ranks, Slots: slots(ranks)}
+}
+
+// scenario is a day of demand.
+type scenario struct {
+	name  string
+	terms []time.Duration
+	slow  []topic.Slow
+}
+
+// scenarios are the days that are measured: one on which topics only drift, and
+// one with two starts of term and a rank that is slow for two hours.
+func scenarios() []scenario {
+	return []scenario{
+		{name: "drift"},
+		{
+			name:  "term",
+			terms: []time.Duration{5 * time.Hour, 9 * time.Hour},
+			slow:  []topic.Slow{{Rank: 3, From: 2 * time.Hour, To: 4 * time.Hour, Speed: 0.7}},
+		},
+	}
+}
+
+func (s scenario) source(ranks int, seed uint64) *topic.Generator {
+	cfg := topic.Config{Layers: layers, Experts: experts, Ranks: ranks, Terms: s.terms, Slow: s.slow}
+	return topic.New(cfg, rand.New(rand.NewPCG(seed, uint64(ranks))))
+}
+
+// kind is a way of choosing maps.
+type kind uint8
+
+// The ways that are compared.
+const (
+	never   kind = iota // keep the first map
+	resolve             // pack anew each period
+	relabel             // pack anew, with rows given to the ranks that hold most of them
+	planned             // the planner
+)
+
+// policy is one competitor.
+type policy struct {
+	name    string
+	kind    kind
+	weights plan.Weights
+	shipped bool
+}
+
+func baselines() []policy {
+	return []policy{
+		{name: "never move", kind: never},
+		{name: "pack anew", kind: resolve},
+		{name: "pack anew, relabelled", kind: relabel},
+	}
+}
+
+func shipped() []policy {
+	return []policy{
+		{name: "planner, steady", kind: planned, weights: plan.Steady, shipped: true},
+		{name: "planner, sparing", kind: planned, weights: plan.Sparing, shipped: true},
+	}
+}
--- a/internal/standin/topic/topic.go
+++ b/internal/standin/topic/topic.go
@@ -67,6 +67,7 @@
 	At     time.Duration // end of the window since the start of the day
 	Counts []uint32      // tokens per layer and expert
 	Share  []float64     // Counts as parts of each layer's tokens
+	Mean   []float64     // Share without the noise of the window
 	Speed  []float64     // per rank, 1 is normal
 }
 
@@ -138,6 +139,7 @@
 	g.count()
 	g.setSpeeds()
 	g.window.At = g.at
+	g.window.Mean = g.mean
 	return g.window
 }
 
