Let entries listen for other processes of the system

Cause: duties of the whole fleet need to reach entries as well as sidecars. Change: an entry opens a QUIC socket for peers; both programs hand control messages to a function of their configuration and show their peer configuration. Conclusion: a duty of the fleet can be joined from outside the two programs.

--- a/internal/operator/role/entry.go
+++ b/internal/operator/role/entry.go
@@ -15,6 +15,7 @@
 	e, err := entry.New(entry.Config{
 		Identity:   b.identity,
 		Callers:    b.settings.Listen.Callers,
+		Peers:      b.settings.Listen.Peers,
 		Platform:   client,
 		Keys:       b.keys,
 		Log:        b.log,
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -36,6 +36,7 @@
 type Config struct {
 	Identity   host.Identity
 	Callers    netip.AddrPort // to listen on for callers
+	Peers      netip.AddrPort // to listen on for other processes of the system
 	Platform   *platform.Client
 	Keys       *credential.Store
 	Log        *log.Logger
@@ -43,6 +44,9 @@
 	DrainDelay time.Duration                       // the balancer's delay in noticing that the entry is not ready
 	DrainBound time.Duration                       // longest wait for requests in flight
 	Socket     func(net.PacketConn) net.PacketConn // wraps the UDP sockets to sidecars; nil for none
+
+	// OnControl is handed the messages of the fleet's own duties; it must not block.
+	OnControl func(from *peer.Conn, m frame.Control)
 }
 
 // Entry is a running entry.
@@ -52,6 +56,7 @@
 	counts  *counts
 	peers   *peer.Config
 	pool    *peer.Pool
+	fleet   *peer.Listener // for other processes; requests do not come by it
 	socket  net.Listener
 	server  *http.Server
 	ctx     context.Context // of the duties and the requests
@@ -85,19 +90,40 @@
 		ClientTLS: cfg.Keys.Client,
 		ServerTLS: cfg.Keys.Server(),
 		OnReport:  e.onReport,
+		OnControl: cfg.OnControl,
 		Socket:    cfg.Socket,
 	}
 	e.pool = peer.NewPool(e.peers)
-	socket, err := net.Listen("tcp", cfg.Callers.String())
-	if err != nil {
+	if err := e.listen(); err != nil {
 		stop()
 		return nil, err
 	}
-	e.socket = socket
 	e.server = e.newServer()
 	return e, nil
 }
 
+// listen opens both sockets or none.
+func (e *Entry) listen() error {
+	fleet, err := peer.Listen(e.peers, e.cfg.Peers)
+	if err != nil {
+		return err
+	}
+	socket, err := net.Listen("tcp", e.cfg.Callers.String())
+	if err != nil {
+		fleet.Close()
+		return err
+	}
+	e.fleet, e.socket = fleet, socket
+	e.peers.Identity.Address = fleet.Addr()
+	return nil
+}
+
+// PeerConfig returns what the entry's connections to other processes share.
+func (e *Entry) PeerConfig() *peer.Config { return e.peers }
+
+// PeersAddr returns the address for other processes of the system.
+func (e *Entry) PeersAddr() netip.AddrPort { return e.fleet.Addr() }
+
 func (e *Entry) newServer() *http.Server {
 	front := &caller.Front{
 		Find:  e.find,
@@ -142,6 +168,11 @@
 	var g run.Group
 	watch, stopWatch := context.WithCancel(ctx)
 	g.Add(func() error { return e.followDocuments(watch) }, func(error) { stopWatch() })
+	fleet, stopFleet := context.WithCancel(ctx)
+	g.Add(func() error { return e.fleet.Serve(fleet, serveFleetConn) }, func(error) {
+		stopFleet()
+		e.fleet.Close()
+	})
 	serve, stopServe := context.WithCancel(ctx)
 	g.Add(func() error { return e.serveCallers(serve) }, func(error) {
 		_ = e.server.Close() // callers still there are cut; Drain comes first
@@ -154,6 +185,15 @@
 	return err
 }
 
+// serveFleetConn keeps a connection of another process open. All that comes by it
+// are control messages, which the connection hands on by itself.
+func serveFleetConn(ctx context.Context, c *peer.Conn) {
+	select {
+	case <-ctx.Done():
+	case <-c.Closed():
+	}
+}
+
 // serveCallers serves until ctx ends. Drain makes the server return early, while
 // requests are still in flight: ending the other duties then would cut them off.
 func (e *Entry) serveCallers(ctx context.Context) error {
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/workspace"
 	"wagtailshelf.example/wagtailshelf/internal/wire/credential"
 	"wagtailshelf.example/wagtailshelf/internal/wire/engine"
+	"wagtailshelf.example/wagtailshelf/internal/wire/frame"
 	"wagtailshelf.example/wagtailshelf/internal/wire/peer"
 )
 
@@ -30,6 +31,9 @@
 	Metrics    *metrics.Set
 	Admission  workspace.Config
 	DrainBound time.Duration // longest wait for requests in flight
+
+	// OnControl is handed the messages of the fleet's own duties; it must not block.
+	OnControl func(from *peer.Conn, m frame.Control)
 }
 
 // Sidecar is a running sidecar.
@@ -61,19 +65,21 @@
 		Identity:  cfg.Identity,
 		ClientTLS: cfg.Keys.Client,
 		ServerTLS: cfg.Keys.Server(),
+		OnControl: cfg.OnControl,
 	}
 	listener, err := peer.Listen(s.peers, cfg.Listen)
 	if err != nil {
 		return nil, err
 	}
 	s.listener = listener
-	if s.peers.Identity.Address.Port() == 0 {
-		s.peers.Identity.Address = listener.Addr()
-	}
+	s.peers.Identity.Address = listener.Addr()
 	s.desk = newDesk(cfg.Log, newCounts(cfg.Metrics), book.DefaultConfig(cfg.Identity.Incarnation), cfg.Admission)
 	return s, nil
 }
 
+// PeerConfig returns what the sidecar's connections to other processes share.
+func (s *Sidecar) PeerConfig() *peer.Config { return s.peers }
+
 // Addr returns the address for peers.
 func (s *Sidecar) Addr() netip.AddrPort { return s.listener.Addr() }
 
--- a/internal/program/trial/deployment.go
+++ b/internal/program/trial/deployment.go
@@ -194,6 +194,7 @@
 	e, err := entry.New(entry.Config{
 		Identity:   d.identity(name, host.Entry, dataCentre),
 		Callers:    loopback,
+		Peers:      loopback,
 		Platform:   d.Client(),
 		Keys:       keys,
 		Log:        d.logger,
