--- a/internal/program/trial/caller.go
+++ b/internal/program/trial/caller.go
@@ -76,7 +76,7 @@
 // draft asks for a streamed draft and checks that the text is the one that
 // belongs to the request.
 func (c *callers) draft(ctx context.Context, entry netip.AddrPort, number, tokens int) callResult {
-	body := fmt.Sprintf(`{"prompt":"draft %d","max_tokens":%d}`, number, tokens)
+	body := fmt.Sprintf(`{"prompt":"draft %d","maxTokens":%d}`, number, tokens)
 	r := callResult{kind: "draft", path: "/redaction/v1/draft", body: body}
 	c.call(ctx, entry, http.MethodPost, &r, func(resp *http.Response) error {
 		text, err := readStream(resp.Body)
--- a/internal/program/trial/deployment_test.go
+++ b/internal/program/trial/deployment_test.go
@@ -75,7 +75,7 @@
 func TestWholePath(t *testing.T) {
 	d := newDeployment(t)
 	t.Run("a stream arrives whole and says so in its trailer", func(t *testing.T) {
-		resp := post(t, d, "/redaction/v1/draft", trial.LargeKey, `{"prompt":"bonjour","tokens":8}`)
+		resp := post(t, d, "/redaction/v1/draft", trial.LargeKey, `{"prompt":"bonjour","maxTokens":8}`)
 		body := requireOutcome(t, resp, http.StatusOK, "answered")
 		require.True(t, bytes.HasSuffix(body, []byte("\n\n")), "%q", body)
 	})
--- a/internal/program/trial/path_bench_test.go
+++ b/internal/program/trial/path_bench_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"slices"
 	"sync"
 	"testing"
@@ -90,3 +91,58 @@
 		}
 	}
 }
+
+// BenchmarkIdleCall measures what a call that waits for its target holds in an
+// entry and a sidecar together: the memory of calls through them less that of
+// as many calls made directly.
+func BenchmarkIdleCall(b *testing.B) {
+	const calls = 200
+	logbook := service.New()
+	d, err := trial.NewDeployment(io.Discard)
+	require.NoError(b, err)
+	b.Cleanup(d.Close)
+	target, err := d.AddService("agenda-0", "mtl-a", logbook)
+	require.NoError(b, err)
+	require.NoError(b, d.Put(context.Background(), "agenda", trial.AgendaDocument(d.Targets, "")))
+	e, err := d.AddEntry("mtl-a-entry-0", "mtl-a", nil)
+	require.NoError(b, err)
+	require.Eventually(b, e.Ready, 10*time.Second, time.Millisecond)
+	logbook.SetFaults(service.Faults{Silent: true})
+	for b.Loop() {
+		direct := heldBy(calls, "http://"+target.TargetAddr().String()+"/lists/anne")
+		through := heldBy(calls, "http://"+e.Addr().String()+"/agenda/lists/anne")
+		b.ReportMetric(float64(direct/calls), "direct-B/call")
+		b.ReportMetric(float64(through/calls), "through-B/call")
+	}
+}
+
+// heldBy returns the memory that calls in flight hold, in bytes.
+func heldBy(calls int, url string) int64 {
+	before := memory()
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for range calls {
+		wg.Go(func() {
+			r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+			if err != nil {
+				return
+			}
+			r.Header.Set("Authorization", "Bearer "+trial.LargeKey)
+			if resp, err := http.DefaultClient.Do(r); err == nil {
+				_ = resp.Body.Close()
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond) // all calls wait at the target by then
+	held := memory() - before
+	cancel()
+	wg.Wait()
+	return held
+}
+
+func memory() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
