--- a/internal/record/document/check_service.go
+++ b/internal/record/document/check_service.go
@@ -10,9 +10,9 @@
 var serviceUnits = []Unit{
 	{
 		Name:  "service-name",
-		Title: "`service` is given and is a lower-case name.",
-		Why:   "It names the document's objects in the platform.",
-		run:   func(p *pass) { p.named("service", p.Service) },
+		Title: "`service` is given and is a lower-case name without dots.",
+		Why:   "It names the document's objects in the platform, where a dot ends it.",
+		run:   checkServiceName,
 	},
 	{
 		Name:  "service-kind",
@@ -38,6 +38,13 @@
 	},
 }
 
+func checkServiceName(p *pass) {
+	p.named("service", p.Service)
+	if strings.Contains(p.Service, ".") {
+		p.report("service", finding.Invalid, "service %q must not have a dot", p.Service)
+	}
+}
+
 func checkRouting(p *pass) {
 	if p.PathPrefix == "" && len(p.Hosts) == 0 {
 		p.report("pathPrefix", finding.Missing, "pathPrefix, hosts or both must be given")
