--- a/internal/operator/role/entry.go
+++ b/internal/operator/role/entry.go
@@ -40,10 +40,11 @@
 // platform returns a client of the platform within the budget of the settings.
 func (b *base) platform() *platform.Client {
 	return platform.New(platform.Config{
-		URL:     "http://" + b.settings.Platform[0].String(),
-		Budget:  budget.Config{Rate: b.settings.Limits.PlatformCalls},
-		Timeout: b.settings.Timeouts.PlatformCall,
-		MaxWait: b.settings.Timeouts.PlatformTurn,
-		Metrics: b.metrics,
+		URL:       "http://platform",
+		Addresses: b.settings.Platform,
+		Budget:    budget.Config{Rate: b.settings.Limits.PlatformCalls},
+		Timeout:   b.settings.Timeouts.PlatformCall,
+		MaxWait:   b.settings.Timeouts.PlatformTurn,
+		Metrics:   b.metrics,
 	})
 }
