--- /dev/null
+++ b/internal/operator/command/client.go
@@ -0,0 +1,201 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/labstack/echo/v4"
+	"github.com/urfave/cli/v3"
+
+	"wagtailshelf.example/wagtailshelf/internal/wire/administration"
+	"wagtailshelf.example/wagtailshelf/internal/wire/platform"
+)
+
+const (
+	tokenVariable = "WAGTAILSHELF_TOKEN"
+	maxAnswer     = 64 << 20 // bytes
+)
+
+// Errors of the commands.
+var (
+	ErrUsage    = merry.Sentinel("usage")
+	ErrRefused  = merry.Sentinel("refused")
+	ErrFindings = merry.Sentinel("the document has findings")
+	ErrConflict = merry.Sentinel("somebody else has changed the document")
+)
+
+// client calls the administration API.
+type client struct {
+	base  string
+	token string
+	do    func(*http.Request) (*http.Response, error)
+	close func()
+}
+
+const (
+	administrationFlag = "administration"
+	platformFlag       = "platform"
+	tokenFlag          = "token-file"
+	timeoutFlag        = "timeout"
+)
+
+// serverFlags are the flags of commands that need a running process.
+func serverFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: administrationFlag, Usage: "`ADDRESS` of the administration listener of any entry"},
+		&cli.StringFlag{Name: tokenFlag, Usage: "`FILE` with the operator's token; without it, the variable " + tokenVariable},
+		&cli.DurationFlag{Name: timeoutFlag, Value: 20 * time.Second, Usage: "`DURATION` to wait for an answer"},
+	}
+}
+
+// readFlags are the flags of commands that only read. An auditor does that from
+// the platform alone.
+func readFlags() []cli.Flag {
+	return append(serverFlags(),
+		&cli.StringFlag{Name: platformFlag, Usage: "`ADDRESS` of the platform, to read from it alone"},
+	)
+}
+
+// newClient returns a client of the process or of the platform that the flags name.
+func newClient(cmd *cli.Command) (*client, error) {
+	if addr := cmd.String(platformFlag); addr != "" {
+		return platformClient(addr)
+	}
+	addr, err := netip.ParseAddrPort(cmd.String(administrationFlag))
+	if err != nil {
+		return nil, merry.Appendf(ErrUsage, "--%s: %v", administrationFlag, err)
+	}
+	token, err := readToken(cmd.String(tokenFlag))
+	if err != nil {
+		return nil, err
+	}
+	return &client{base: "http://" + addr.String(), token: token, do: http.DefaultClient.Do, close: func() {}}, nil
+}
+
+// readToken returns the token in the file, or the one in the environment. It
+// is no argument, since other users of the machine can see those.
+func readToken(file string) (string, error) {
+	if file == "" {
+		return os.Getenv(tokenVariable), nil
+	}
+	text, err := os.ReadFile(file)
+	return strings.TrimSpace(string(text)), err
+}
+
+// platformClient answers from the platform through the API's own handlers, so
+// that both ways give the same answers. It only reads.
+func platformClient(addr string) (*client, error) {
+	at, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, merry.Appendf(ErrUsage, "--%s: %v", platformFlag, err)
+	}
+	p := platform.New(platform.Config{URL: "http://" + at.String()})
+	e := echo.New()
+	api := &administration.API{
+		Records:  &administration.Records{Do: p.Do},
+		Now:      time.Now,
+		Operator: func(echo.Context) string { return "" },
+	}
+	api.Mount(e.Group(""))
+	return &client{do: inProcess(e), close: p.Close}, nil
+}
+
+func inProcess(h http.Handler) func(*http.Request) (*http.Response, error) {
+	return func(r *http.Request) (*http.Response, error) {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		return w.Result(), nil
+	}
+}
+
+// call is one call of the API.
+type call struct {
+	method  string
+	service string // "" for the list of services
+	what    string // "" for the document itself
+	query   url.Values
+	header  http.Header
+	body    []byte
+}
+
+func (c call) path() string {
+	path := "/documents"
+	for _, part := range []string{c.service, c.what} {
+		if part != "" {
+			path += "/" + url.PathEscape(part)
+		}
+	}
+	if len(c.query) > 0 {
+		path += "?" + c.query.Encode()
+	}
+	return path
+}
+
+// answer is the end of a call that was carried out.
+type answer struct {
+	code   int
+	header http.Header
+	body   []byte
+}
+
+// decode reads the answer's JSON.
+func (a *answer) decode(v any) error {
+	if err := json.Unmarshal(a.body, v); err != nil {
+		return merry.Prependf(err, "answer of the administration API")
+	}
+	return nil
+}
+
+// send carries out a call and returns its answer, whatever its status code is.
+func (c *client) send(ctx context.Context, k call) (*answer, error) {
+	req, err := http.NewRequestWithContext(ctx, k.method, c.base+k.path(), bytes.NewReader(k.body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range k.header {
+		req.Header[name] = values
+	}
+	req.Header.Set(echo.HeaderAuthorization, "Bearer "+c.token)
+	resp, err := c.do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }() // the body was read to its end or is of no use
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, err
+	}
+	return &answer{code: resp.StatusCode, header: resp.Header, body: body}, nil
+}
+
+// get carries out a call that must succeed.
+func (c *client) get(ctx context.Context, k call) (*answer, error) {
+	k.method = http.MethodGet
+	a, err := c.send(ctx, k)
+	if err != nil {
+		return nil, err
+	}
+	return a, a.ok()
+}
+
+// ok returns an error with the problem if the call failed.
+func (a *answer) ok() error {
+	if a.code == http.StatusOK {
+		return nil
+	}
+	var p administration.Problem
+	if json.Unmarshal(a.body, &p) != nil || p.Message == "" {
+		p.Message = http.StatusText(a.code)
+	}
+	return merry.Appendf(ErrRefused, "%s", p.Message)
+}
--- /dev/null
+++ b/internal/operator/command/session_test.go
@@ -0,0 +1,274 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/urfave/cli/v3"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/record/acceptance"
+	"wagtailshelf.example/wagtailshelf/internal/record/document"
+	"wagtailshelf.example/wagtailshelf/internal/record/history"
+	"wagtailshelf.example/wagtailshelf/internal/record/object"
+	"wagtailshelf.example/wagtailshelf/internal/record/status"
+	standin "wagtailshelf.example/wagtailshelf/internal/standin/platform"
+	"wagtailshelf.example/wagtailshelf/internal/wire/administration"
+	"wagtailshelf.example/wagtailshelf/internal/wire/platform"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+var epoch = time.Date(2026, 3, 2, 14, 0, 0, 0, time.UTC)
+
+// session runs commands as operators would and writes down what they print.
+type session struct {
+	t        *testing.T
+	dir      string
+	platform *standin.Platform
+	at       time.Time
+	log      bytes.Buffer
+	names    *strings.Replacer // of what differs from run to run
+	address  string
+	store    string
+}
+
+func newSession(t *testing.T) *session {
+	s := &session{t: t, dir: t.TempDir(), platform: standin.New(standin.Config{}), at: epoch}
+	store := httptest.NewServer(s.platform)
+	t.Cleanup(store.Close)
+	client := platform.New(platform.Config{URL: store.URL})
+	t.Cleanup(client.Close)
+	e := echo.New()
+	api := &administration.API{
+		Records: &administration.Records{Do: client.Do},
+		Now:     func() time.Time { return s.at },
+		Operator: func(c echo.Context) string {
+			return strings.TrimPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer token-of-")
+		},
+	}
+	api.Mount(e.Group(""))
+	server := httptest.NewServer(e)
+	t.Cleanup(server.Close)
+	s.address = strings.TrimPrefix(server.URL, "http://")
+	s.store = strings.TrimPrefix(store.URL, "http://")
+	s.names = strings.NewReplacer(s.address, "ADMINISTRATION", s.store, "PLATFORM", s.dir+"/", "")
+	return s
+}
+
+// run runs one command line as an operator. ADMINISTRATION and PLATFORM stand
+// for the addresses, and files are those of the session.
+func (s *session) run(operator, line string) error {
+	s.t.Setenv(tokenVariable, "token-of-"+operator)
+	fmt.Fprintf(&s.log, "%s$ wagtailshelf document %s\n", operator, line)
+	args := strings.Fields(strings.NewReplacer("ADMINISTRATION", s.address, "PLATFORM", s.store).Replace(line))
+	out, redirected := &s.log, new(bytes.Buffer)
+	if n := len(args); n > 2 && args[n-2] == ">" {
+		out = redirected
+	}
+	for i, arg := range args {
+		if strings.HasSuffix(arg, ".yaml") {
+			args[i] = filepath.Join(s.dir, arg)
+		}
+	}
+	file := ""
+	if out == redirected {
+		file = args[len(args)-1]
+		args = args[:len(args)-2]
+	}
+	var printed bytes.Buffer
+	root := &cli.Command{Name: "wagtailshelf", Writer: &printed, ErrWriter: &printed, Commands: commands(func() time.Time { return s.at })}
+	err := root.Run(s.t.Context(), append([]string{"wagtailshelf", "document"}, args...))
+	out.WriteString(s.names.Replace(printed.String()))
+	if file != "" {
+		s.write(file, redirected.String())
+	}
+	if err != nil {
+		fmt.Fprintf(&s.log, "error (code %d): %s\n", ExitCode(err), s.names.Replace(err.Error()))
+	}
+	s.log.WriteString("\n")
+	return err
+}
+
+func (s *session) write(file, text string) {
+	require.NoError(s.t, os.WriteFile(file, []byte(text), 0o600))
+}
+
+// edit replaces a text in a file of the session.
+func (s *session) edit(file, from, to string) {
+	name := filepath.Join(s.dir, file)
+	text, err := os.ReadFile(name)
+	require.NoError(s.t, err)
+	require.Contains(s.t, string(text), from)
+	s.write(name, strings.Replace(string(text), from, to, 1))
+	fmt.Fprintf(&s.log, "(in %s, %q becomes %q)\n\n", file, from, to)
+}
+
+// accept does what the holder of the lease does: accept the applied document
+// and write the status.
+func (s *session) accept(number acceptance.Number, st status.Status) {
+	applied, _ := s.platform.Get(document.Key("agenda"))
+	sub := document.DecodeSubmission(applied.Value)
+	var rec acceptance.Record
+	key := object.Key(acceptance.AcceptanceKind + "/agenda")
+	if old, ok := s.platform.Get(key); ok {
+		var err error
+		rec, err = acceptance.DecodeRecord(old)
+		require.NoError(s.t, err)
+	}
+	digest := acceptance.DigestOf([]byte(sub.Text))
+	rec.Service = "agenda"
+	rec.Entry = acceptance.Entry{
+		Number: number, Digest: digest, Author: sub.By, AcceptedAt: s.at, DocumentVersion: applied.Version,
+		Holder: "mtl-a-entry-1", Fence: 3,
+	}
+	rec.Recent = append(rec.Recent, rec.Entry)
+	s.platform.Put(key, rec.Encode())
+	s.platform.Put(object.Key(acceptance.TextKind+"/agenda."+digest.String()), []byte(sub.Text))
+	e := administration.EntryOf(rec.Entry)
+	s.archive(e, sub.Text)
+	st.Service, st.At, st.Holder = "agenda", s.at, "mtl-a-entry-1"
+	st.Accepted = &status.Accepted{Number: e.Number, Digest: e.Digest, By: e.By, At: e.At, Version: e.Version}
+	s.platform.Put(status.Key("agenda"), st.Encode())
+	fmt.Fprintf(&s.log, "(number %d is accepted)\n\n", number)
+}
+
+// archive adds an entry with its text to the history.
+func (s *session) archive(e history.Entry, text string) {
+	key := history.SegmentKey("agenda", 1)
+	segment := &history.Segment{}
+	if o, ok := s.platform.Get(key); ok {
+		var err error
+		segment, _, err = history.DecodeSegment(o.Value)
+		require.NoError(s.t, err)
+	}
+	e.Text = []byte(text)
+	require.NoError(s.t, segment.Add(e))
+	s.platform.Put(key, segment.Encode())
+}
+
+// golden compares what was written down with a file.
+func (s *session) golden(name string) {
+	s.t.Helper()
+	if *update {
+		require.NoError(s.t, os.WriteFile(name, s.log.Bytes(), 0o644))
+	}
+	want, err := os.ReadFile(name)
+	require.NoError(s.t, err)
+	assert.Equal(s.t, string(want), s.log.String())
+}
+
+func TestSessionOfTwoOperatorsAndAnAuditor(t *testing.T) {
+	s := newSession(t)
+	text, err := os.ReadFile("../../../examples/agenda.yaml")
+	require.NoError(t, err)
+	s.write(filepath.Join(s.dir, "agenda.yaml"), string(text))
+	admin := " --administration ADMINISTRATION "
+
+	require.NoError(t, s.run("marie", "check agenda.yaml"))
+	s.edit("agenda.yaml", "deadline: 4s", "deadlin: 4")
+	require.ErrorIs(t, s.run("marie", "check agenda.yaml"), ErrFindings)
+	require.ErrorIs(t, s.run("marie", "apply"+admin+"agenda.yaml"), ErrFindings)
+	s.edit("agenda.yaml", "deadlin: 4", "deadline: 4s")
+	require.NoError(t, s.run("marie", "apply"+admin+"agenda.yaml"))
+	require.NoError(t, s.run("marie", "status"+admin+"agenda"))
+	s.accept(1, status.Status{InForce: 4, Of: 5, Lagging: []status.Lag{{Host: "mtl-c-agenda-2"}}})
+	require.NoError(t, s.run("marie", "status"+admin))
+
+	s.at = epoch.Add(4 * time.Minute)
+	require.NoError(t, s.run("marie", "show"+admin+"agenda > hers.yaml"))
+	require.NoError(t, s.run("luc", "show"+admin+"agenda > his.yaml"))
+	s.edit("hers.yaml", "concurrency: 64", "concurrency: 48")
+	s.edit("his.yaml", "budget: 0.2", "budget: 0.1")
+	require.NoError(t, s.run("marie", "check"+admin+"hers.yaml"))
+	require.NoError(t, s.run("marie", "apply"+admin+"hers.yaml"))
+	require.ErrorIs(t, s.run("luc", "apply"+admin+"his.yaml"), ErrConflict)
+	require.NoError(t, s.run("luc", "diff"+admin+"agenda"))
+	s.accept(2, status.Status{InForce: 5, Of: 5})
+
+	s.at = epoch.Add(10 * time.Minute)
+	s.edit("hers.yaml", "queue: 128", "queue: 64")
+	require.NoError(t, s.run("marie", "apply"+admin+"hers.yaml"))
+	s.accept(3, status.Status{InForce: 5, Of: 5, Outcomes: status.Outcomes{Answered: 812, NotRun: 2}})
+	s.at = epoch.Add(11 * time.Minute)
+	require.NoError(t, s.run("auditor", "history --platform PLATFORM agenda"))
+	require.NoError(t, s.run("auditor", "history --platform PLATFORM --at 14:05 agenda"))
+	require.NoError(t, s.run("auditor", "history --platform PLATFORM --at 2026-03-02T14:05:00Z --json agenda"))
+	require.NoError(t, s.run("auditor", "diff --platform PLATFORM --from 1 --to 3 agenda"))
+	require.NoError(t, s.run("auditor", "show --platform PLATFORM --ref 2 agenda > then.yaml"))
+	then, err := os.ReadFile(filepath.Join(s.dir, "then.yaml"))
+	require.NoError(t, err)
+	assert.Contains(t, string(then), "concurrency: 48")
+	assert.Contains(t, string(then), "queue: 128")
+	require.NoError(t, s.run("auditor", "status --platform PLATFORM agenda"))
+	require.ErrorIs(t, s.run("auditor", "show --platform PLATFORM other"), ErrRefused)
+	require.ErrorIs(t, s.run("auditor", "history agenda"), ErrUsage)
+	s.golden("testdata/session.golden")
+}
+
+// waitCase is what the status says, one after the other, while an operator waits.
+type waitCase struct {
+	states []status.Status
+	want   string
+	err    error
+}
+
+func TestWaitTellsWhoLagsUntilAllHaveIt(t *testing.T) {
+	mine := administration.Receipt{Service: "agenda", Version: 20, Digest: document.DigestOf([]byte("mine"))}
+	mineAccepted := &status.Accepted{Number: 8, Digest: mine.Digest, Version: 20}
+	before := &status.Accepted{Number: 7, Version: 10}
+	cases := map[string]waitCase{
+		"in force on all": {
+			states: []status.Status{
+				{Accepted: before, InForce: 3, Of: 3},
+				{Accepted: before, Waiting: &status.Wait{Number: 8, Digest: mine.Digest, Of: 3, Missing: 1, For: []host.Name{"c"}}},
+				{Accepted: mineAccepted},
+				{Accepted: mineAccepted, InForce: 2, Of: 3, Lagging: []status.Lag{{Host: "c", Number: 7}}},
+				{Accepted: mineAccepted, InForce: 3, Of: 3},
+			},
+			want: "waiting to be taken up\nnumber 8: held by 2 of 3, waiting for c\nnumber 8: accepted, in force on 0 of 0\n" +
+				"number 8: accepted, in force on 2 of 3, c lags\nnumber 8: accepted, in force on 3 of 3\n",
+		},
+		"refused": {
+			states: []status.Status{{Accepted: before, Refused: &status.Refusal{Version: 20, Count: 1}}},
+			want:   "refused:\n\n", err: ErrFindings,
+		},
+		"superseded": {
+			states: []status.Status{{Accepted: &status.Accepted{Number: 9, By: "luc", Version: 30}}},
+			want:   "number 9 by luc was accepted, version 30\n", err: ErrSuperseded,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			out, err := waitThrough(t, c.states, &mine)
+			require.ErrorIs(t, err, c.err)
+			assert.Equal(t, c.want, out)
+		})
+	}
+}
+
+func waitThrough(t *testing.T, states []status.Status, r *administration.Receipt) (string, error) {
+	e := echo.New()
+	n := 0
+	e.GET("/documents/agenda/status", func(c echo.Context) error {
+		s := states[min(n, len(states)-1)]
+		n++
+		return c.JSON(200, s)
+	})
+	var out bytes.Buffer
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	err := wait(ctx, &out, &client{do: inProcess(e)}, r)
+	return out.String(), err
+}
--- a/internal/record/document/check_service.go
+++ b/internal/record/document/check_service.go
@@ -38,6 +38,11 @@
 	},
 }
 
+// ValidService reports whether a text has the form of a service's name.
+func ValidService(name string) bool {
+	return nameForm.MatchString(name) && !strings.Contains(name, ".")
+}
+
 func checkServiceName(p *pass) {
 	p.named("service", p.Service)
 	if strings.Contains(p.Service, ".") {
--- a/internal/record/status/status.go
+++ b/internal/record/status/status.go
@@ -173,6 +173,10 @@
 	s.textAccepted(&b)
 	s.textWaiting(&b, now)
 	s.textRefused(&b)
+	if s.At.IsZero() {
+		b.WriteString("  as of:     no status is written yet\n")
+		return b.String()
+	}
 	o := s.Outcomes
 	fmt.Fprintf(&b, "  requests:  %d answered, %d not run, %d unknown\n", o.Answered, o.NotRun, o.Unknown)
 	age := now.Sub(s.At).Round(time.Second)
@@ -191,7 +195,9 @@
 	}
 	fmt.Fprintf(b, "  accepted:  number %d, digest %s, by %s at %s\n",
 		a.Number, a.Digest.Short(), orUnknown(a.By), a.At.UTC().Format(time.RFC3339))
-	fmt.Fprintf(b, "  in force:  on %d of %d\n", s.InForce, s.Of)
+	if s.Of > 0 {
+		fmt.Fprintf(b, "  in force:  on %d of %d\n", s.InForce, s.Of)
+	}
 	for _, l := range s.Lagging {
 		fmt.Fprintf(b, "    lags:    %s has number %d\n", l.Host, l.Number)
 	}
--- /dev/null
+++ b/internal/wire/administration/administration_test.go
@@ -0,0 +1,338 @@
+package administration_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/record/acceptance"
+	"wagtailshelf.example/wagtailshelf/internal/record/document"
+	"wagtailshelf.example/wagtailshelf/internal/record/object"
+	"wagtailshelf.example/wagtailshelf/internal/record/status"
+	"wagtailshelf.example/wagtailshelf/internal/wire/administration"
+)
+
+var epoch = time.Date(2026, 3, 2, 14, 0, 0, 0, time.UTC)
+
+// shelf is a platform with faults.
+type shelf struct {
+	objects map[object.Key]object.Object
+	older   map[object.Key]object.Object
+	version object.Version
+	out     bool
+	lose    func(c object.Call) bool // the call takes effect, its answer is lost
+	drop    func(c object.Call) bool // the call is lost on its way
+	lag     func(c object.Call) bool // the read shows the state before the last write
+	puts    int
+}
+
+func newShelf() *shelf {
+	return &shelf{objects: map[object.Key]object.Object{}, older: map[object.Key]object.Object{}}
+}
+
+func (s *shelf) put(key object.Key, value []byte) object.Version {
+	s.version++
+	s.older[key] = s.objects[key]
+	s.objects[key] = object.Object{Key: key, Version: s.version, Value: value}
+	return s.version
+}
+
+func (s *shelf) do(ctx context.Context, c object.Call) object.Reply {
+	unknown := object.Reply{Op: c.Op, Status: object.Unknown, Err: errors.New("no answer")}
+	if s.out || ctx.Err() != nil || s.drop != nil && s.drop(c) {
+		return unknown
+	}
+	r := s.carryOut(c)
+	if s.lose != nil && s.lose(c) {
+		return unknown
+	}
+	return r
+}
+
+func (s *shelf) carryOut(c object.Call) object.Reply {
+	r := object.Reply{Op: c.Op, Status: object.Done}
+	current := s.objects[c.Key]
+	if c.Op != object.Put && s.lag != nil && s.lag(c) {
+		current = s.older[c.Key]
+	}
+	switch {
+	case c.Op == object.List:
+		for k, o := range s.objects {
+			if strings.HasPrefix(string(k), string(c.Key)) {
+				r.Objects = append(r.Objects, o)
+			}
+		}
+	case c.Op == object.Get && current.Version == 0:
+		r.Status = object.NotFound
+	case c.Op == object.Get:
+		r.Object = current
+	case current.Version != c.Version:
+		r.Status = object.Conflict
+	default:
+		s.puts++
+		r.Object = object.Object{Key: c.Key, Version: s.put(c.Key, c.Value)}
+	}
+	return r
+}
+
+// accept does what the holder of the lease does with the applied document.
+func (s *shelf) accept(service string, number acceptance.Number) {
+	o := s.objects[document.Key(service)]
+	sub := document.DecodeSubmission(o.Value)
+	rec, _ := acceptance.DecodeRecord(s.objects[acceptance.AcceptanceKind+"/"+object.Key(service)])
+	digest := acceptance.DigestOf([]byte(sub.Text))
+	rec.Service = service
+	rec.Entry = acceptance.Entry{
+		Number: number, Digest: digest, Author: sub.By, DocumentVersion: o.Version,
+		AcceptedAt: epoch.Add(time.Duration(number) * time.Minute), Holder: "mtl-a-entry-1", Fence: 3,
+	}
+	rec.Recent = append(rec.Recent, rec.Entry)
+	s.put(acceptance.AcceptanceKind+"/"+object.Key(service), rec.Encode())
+	s.put(object.Key(acceptance.TextKind+"/"+service+"."+digest.String()), []byte(sub.Text))
+}
+
+// desk is the API over a shelf.
+type desk struct {
+	*shelf
+	echo    *echo.Echo
+	applied []object.Version
+}
+
+func newDesk() *desk {
+	d := &desk{shelf: newShelf(), echo: echo.New()}
+	api := &administration.API{
+		Records:  &administration.Records{Do: d.do},
+		Now:      func() time.Time { return epoch },
+		Operator: func(c echo.Context) string { return c.Request().Header.Get("Operator") },
+		Applied:  func(_ string, v object.Version) { d.applied = append(d.applied, v) },
+	}
+	api.Mount(d.echo.Group(""))
+	return d
+}
+
+// call carries out a call as an operator; headers are name and value in turn.
+func (d *desk) call(operator, method, path string, body []byte, headers ...string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(method, path, bytes.NewReader(body))
+	req.Header.Set("Operator", operator)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	w := httptest.NewRecorder()
+	d.echo.ServeHTTP(w, req)
+	return w
+}
+
+func decoded[T any](t *testing.T, w *httptest.ResponseRecorder, code int) T {
+	t.Helper()
+	require.Equal(t, code, w.Code, w.Body.String())
+	var v T
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &v))
+	return v
+}
+
+func agenda(t *testing.T) []byte {
+	t.Helper()
+	text, err := os.ReadFile("../../../examples/agenda.yaml")
+	require.NoError(t, err)
+	return text
+}
+
+func changed(text []byte, from, to string) []byte {
+	return bytes.Replace(text, []byte(from), []byte(to), 1)
+}
+
+const path = "/documents/agenda"
+
+func TestADocumentIsAppliedShownAndCompared(t *testing.T) {
+	d := newDesk()
+	text := agenda(t)
+	w := d.call("marie", http.MethodPut, path, text, "If-None-Match", "*")
+	receipt := decoded[administration.Receipt](t, w, http.StatusOK)
+	assert.Equal(t, document.DigestOf(text), receipt.Digest)
+	assert.Equal(t, []object.Version{receipt.Version}, d.applied)
+	d.accept("agenda", 1)
+
+	w = d.call("luc", http.MethodGet, path, nil)
+	require.Equal(t, http.StatusOK, w.Code)
+	assert.Equal(t, string(text), w.Body.String())
+	assert.Equal(t, "marie", w.Header().Get(administration.ByHeader))
+
+	next := changed(text, "concurrency: 64", "concurrency: 48")
+	w = d.call("luc", http.MethodPut, path, next, "If-Match", w.Header().Get("ETag"))
+	receipt = decoded[administration.Receipt](t, w, http.StatusOK)
+	want := []document.Change{{Path: "limits.concurrency", Effect: document.Changed, From: "64", To: "48"}}
+	assert.Equal(t, want, receipt.Changes)
+	assert.Equal(t, want, decoded[[]document.Change](t, d.call("x", http.MethodGet, path+"/diff", nil), http.StatusOK))
+
+	d.accept("agenda", 2)
+	all := decoded[[]administration.Entry](t, d.call("x", http.MethodGet, path+"/history", nil), http.StatusOK)
+	require.Len(t, all, 2)
+	then := decoded[[]administration.Entry](t, d.call("x", http.MethodGet, path+"/history?at=2026-03-02T14:01:30Z", nil), http.StatusOK)
+	require.Len(t, then, 1)
+	assert.Equal(t, "marie", then[0].By)
+	list := decoded[[]administration.Listing](t, d.call("x", http.MethodGet, "/documents", nil), http.StatusOK)
+	require.Len(t, list, 1)
+	assert.Equal(t, "luc", list[0].By)
+	got := decoded[status.Status](t, d.call("x", http.MethodGet, path+"/status", nil), http.StatusOK)
+	assert.Equal(t, uint64(2), got.Accepted.Number)
+}
+
+// Marie and Luc read version 1 and edit it at the same moment. Marie applies
+// first. Luc is told that nothing of his was changed, who was first, and what
+// she changed since the text that he began with; her document stands.
+func TestTheSecondOfTwoOperatorsSeesTheDifference(t *testing.T) {
+	d := newDesk()
+	text := agenda(t)
+	d.call("marie", http.MethodPut, path, text, "If-None-Match", "*")
+	d.accept("agenda", 1)
+	tag := d.call("luc", http.MethodGet, path, nil).Header().Get("ETag")
+	base := document.DigestOf(text).String()
+
+	hers := changed(text, "budget: 0.2", "budget: 0.3")
+	w := d.call("marie", http.MethodPut, path, hers, "If-Match", tag, administration.BaseHeader, base)
+	require.Equal(t, http.StatusOK, w.Code)
+	his := changed(text, "concurrency: 64", "concurrency: 48")
+	w = d.call("luc", http.MethodPut, path, his, "If-Match", tag, administration.BaseHeader, base)
+	k := decoded[administration.Problem](t, w, http.StatusPreconditionFailed).Conflict
+	assert.Equal(t, "marie", k.By)
+	assert.Equal(t, document.DigestOf(text), k.Base)
+	assert.Equal(t, []document.Change{{Path: "retries.budget", Effect: document.Changed, From: "0.2", To: "0.3"}}, k.Changes)
+	assert.Equal(t, string(hers), d.call("x", http.MethodGet, path, nil).Body.String())
+}
+
+// The write takes effect and its answer is lost; the read that looks after it
+// shows the state before. The repeated write meets a conflict, which is with our
+// own value: the operator gets a receipt, and the platform one write.
+func TestApplyReadsBackALostAnswer(t *testing.T) {
+	for name, lagging := range map[string]bool{"read shows it": false, "read lags": true} {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk()
+			lost, reads := false, 0
+			d.lose = func(c object.Call) bool {
+				first := c.Op == object.Put && !lost
+				lost = lost || first
+				return first
+			}
+			d.lag = func(c object.Call) bool {
+				behind := lagging && lost && c.Key == document.Key("agenda") && reads < 3
+				reads++
+				return behind
+			}
+			w := d.call("marie", http.MethodPut, path, agenda(t), "If-None-Match", "*")
+			receipt := decoded[administration.Receipt](t, w, http.StatusOK)
+			assert.Equal(t, d.objects[document.Key("agenda")].Version, receipt.Version)
+			assert.Equal(t, 1, d.puts)
+		})
+	}
+}
+
+// The call is lost on its way to the platform: nothing has taken effect, and the
+// write is repeated under the same condition.
+func TestApplyRepeatsACallThatDidNotArrive(t *testing.T) {
+	d := newDesk()
+	n := 0
+	d.drop = func(c object.Call) bool {
+		if c.Op == object.Put {
+			n++
+		}
+		return c.Op == object.Put && n == 1
+	}
+	w := d.call("marie", http.MethodPut, path, agenda(t), "If-None-Match", "*")
+	require.Equal(t, http.StatusOK, w.Code, w.Body.String())
+	assert.Equal(t, 1, d.puts)
+}
+
+// Luc's conflict is real, but the platform's reads still show the version that
+// he edited. The answer waits for the newer one: it would otherwise say that
+// there is a conflict with his own base.
+func TestAConflictIsNotAnsweredFromALaggingRead(t *testing.T) {
+	d := newDesk()
+	text := agenda(t)
+	d.call("marie", http.MethodPut, path, text, "If-None-Match", "*")
+	d.accept("agenda", 1)
+	tag := d.call("luc", http.MethodGet, path, nil).Header().Get("ETag")
+	d.call("marie", http.MethodPut, path, changed(text, "budget: 0.2", "budget: 0.3"), "If-Match", tag)
+	reads := 0
+	d.lag = func(c object.Call) bool {
+		reads++
+		return c.Key == document.Key("agenda") && reads < 5
+	}
+	w := d.call("luc", http.MethodPut, path, changed(text, "budget: 0.2", "budget: 0.4"), "If-Match", tag)
+	k := decoded[administration.Problem](t, w, http.StatusPreconditionFailed).Conflict
+	assert.NotEqual(t, tag, k.Version)
+	assert.Len(t, k.Changes, 1)
+}
+
+func TestRefusedCallsChangeNothing(t *testing.T) {
+	text := agenda(t)
+	wrong := changed(text, "kind: plain", "kind: odd")
+	cases := map[string]struct {
+		method, path string
+		body         []byte
+		headers      []string
+		code         int
+	}{
+		"no condition":       {http.MethodPut, path, text, nil, http.StatusPreconditionRequired},
+		"odd condition":      {http.MethodPut, path, text, []string{"If-Match", "W/x"}, http.StatusBadRequest},
+		"findings":           {http.MethodPut, path, wrong, []string{"If-None-Match", "*"}, http.StatusUnprocessableEntity},
+		"another service":    {http.MethodPut, "/documents/other", text, []string{"If-None-Match", "*"}, http.StatusUnprocessableEntity},
+		"gone meanwhile":     {http.MethodPut, path, text, []string{"If-Match", `"7"`}, http.StatusPreconditionFailed},
+		"too long":           {http.MethodPut, path, bytes.Repeat([]byte("#"), 1<<20), []string{"If-None-Match", "*"}, http.StatusUnprocessableEntity},
+		"odd service":        {http.MethodPut, "/documents/a%2Fb", text, []string{"If-None-Match", "*"}, http.StatusBadRequest},
+		"unknown document":   {http.MethodGet, path, nil, nil, http.StatusNotFound},
+		"unknown status":     {http.MethodGet, path + "/status", nil, nil, http.StatusNotFound},
+		"nothing in force":   {http.MethodGet, path + "?ref=inForce", nil, nil, http.StatusNotFound},
+		"unknown number":     {http.MethodGet, path + "?ref=9", nil, nil, http.StatusNotFound},
+		"odd time":           {http.MethodGet, path + "/history?at=noon", nil, nil, http.StatusBadRequest},
+		"before all history": {http.MethodGet, path + "/history?at=2001-01-01T00:00:00Z", nil, nil, http.StatusNotFound},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk()
+			w := d.call("marie", c.method, c.path, c.body, c.headers...)
+			p := decoded[administration.Problem](t, w, c.code)
+			assert.NotEmpty(t, p.Message)
+			assert.Empty(t, d.objects)
+			assert.Empty(t, d.applied)
+		})
+	}
+}
+
+func TestInAnOutageNothingIsApplied(t *testing.T) {
+	d := newDesk()
+	d.out = true
+	w := d.call("marie", http.MethodPut, path, agenda(t), "If-None-Match", "*")
+	p := decoded[administration.Problem](t, w, http.StatusServiceUnavailable)
+	assert.Contains(t, p.Message, "nothing has changed")
+}
+
+// A workspace is dropped by a slip. The check against the document in force
+// asks for the explicit word; with it the change goes through.
+func TestADangerousChangeNeedsItsWord(t *testing.T) {
+	d := newDesk()
+	text := agenda(t)
+	d.call("marie", http.MethodPut, path, text, "If-None-Match", "*")
+	d.accept("agenda", 1)
+	tag := d.call("luc", http.MethodGet, path, nil).Header().Get("ETag")
+	start := bytes.Index(text, []byte("  - name: laval\n"))
+	end := bytes.Index(text, []byte("  - name: longueuil\n"))
+	without := append(bytes.Clone(text[:start]), text[end:]...)
+	w := d.call("luc", http.MethodPut, path, without, "If-Match", tag)
+	p := decoded[administration.Problem](t, w, http.StatusUnprocessableEntity)
+	require.Len(t, p.Findings, 1)
+	assert.Contains(t, p.Findings[0].Message, "{change: dropWorkspace, name: laval}")
+	without = append(without, "confirm:\n  - {change: dropWorkspace, name: laval}\n"...)
+	w = d.call("luc", http.MethodPut, path, without, "If-Match", tag)
+	assert.Equal(t, http.StatusOK, w.Code, w.Body.String())
+}
--- /dev/null
+++ b/internal/wire/administration/api.go
@@ -0,0 +1,260 @@
+package administration
+
+import (
+	"errors"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/labstack/echo/v4"
+
+	"wagtailshelf.example/wagtailshelf/internal/record/document"
+	"wagtailshelf.example/wagtailshelf/internal/record/finding"
+	"wagtailshelf.example/wagtailshelf/internal/record/history"
+	"wagtailshelf.example/wagtailshelf/internal/record/object"
+	"wagtailshelf.example/wagtailshelf/internal/record/status"
+)
+
+// Headers of documents.
+const (
+	DigestHeader = "Wagtailshelf-Digest" // of the text
+	ByHeader     = "Wagtailshelf-By"     // who applied it
+	BaseHeader   = "Wagtailshelf-Base"   // digest of the text that an edit began with
+)
+
+const listPath = "/documents"
+
+// MediaType is the media type of documents.
+const MediaType = "application/yaml"
+
+// API answers operators' calls. All fields but Applied are required.
+type API struct {
+	Records  *Records
+	Now      func() time.Time
+	Operator func(c echo.Context) string // name of who calls, already proven
+
+	// Applied is told of each document that was applied here, so that the
+	// holder of the lease hears of it before the platform's watch tells it.
+	Applied func(service string, v object.Version)
+}
+
+// Listing is one service in the answer to GET /documents.
+type Listing struct {
+	Service string          `json:"service"`
+	Version object.Version  `json:"version"`
+	Digest  document.Digest `json:"digest"`
+	By      string          `json:"by,omitempty"`
+	At      time.Time       `json:"at,omitzero"`
+}
+
+// Checked is the answer to a check.
+type Checked struct {
+	Findings finding.List      `json:"findings"`
+	Changes  []document.Change `json:"changes"` // from the document in force
+}
+
+// Receipt is the answer to an apply.
+type Receipt struct {
+	Service string            `json:"service"`
+	Version object.Version    `json:"version"`
+	Digest  document.Digest   `json:"digest"`
+	Changes []document.Change `json:"changes"` // from the document in force
+}
+
+// Conflict says what somebody else has done meanwhile.
+type Conflict struct {
+	Version object.Version    `json:"version"` // 0 if the document is gone
+	Digest  document.Digest   `json:"digest"`
+	By      string            `json:"by,omitempty"`
+	At      time.Time         `json:"at,omitzero"`
+	Base    document.Digest   `json:"base,omitzero"` // the text that Changes begin with
+	Changes []document.Change `json:"changes"`
+}
+
+// Problem is the answer to a call that failed.
+type Problem struct {
+	Message  string       `json:"message"`
+	Findings finding.List `json:"findings,omitempty"`
+	Conflict *Conflict    `json:"conflict,omitempty"`
+}
+
+// Entry is an accepted document in the answer to GET history.
+type Entry struct {
+	history.Entry
+	HasText bool `json:"hasText"`
+}
+
+// Mount adds the API's routes. The group must let only operators pass.
+func (a *API) Mount(g *echo.Group) {
+	g.GET(listPath, a.answer(a.list))
+	g.GET("/documents/:service", a.answer(a.show))
+	g.PUT("/documents/:service", a.answer(a.apply))
+	g.POST("/documents/:service/check", a.answer(a.check))
+	g.GET("/documents/:service/diff", a.answer(a.diff))
+	g.GET("/documents/:service/history", a.answer(a.history))
+	g.GET("/documents/:service/status", a.answer(a.status))
+}
+
+var codes = []struct {
+	err  error
+	code int
+}{
+	{ErrNotFound, http.StatusNotFound},
+	{ErrConflict, http.StatusPreconditionFailed},
+	{ErrPlatform, http.StatusServiceUnavailable},
+	{ErrUnknown, http.StatusGatewayTimeout},
+	{ErrDamaged, http.StatusBadGateway},
+	{document.ErrTooLarge, http.StatusRequestEntityTooLarge},
+	{errPrecondition, http.StatusPreconditionRequired},
+	{errInput, http.StatusBadRequest},
+}
+
+var (
+	errPrecondition = merry.Sentinel("If-Match with the version that was edited, or If-None-Match: * for a new document, is needed")
+	errInput        = merry.Sentinel("the call can't be understood")
+)
+
+// answer turns the errors of a handler into problems.
+func (a *API) answer(h echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		err := checkService(c)
+		if err == nil {
+			err = h(c)
+		}
+		for _, each := range codes {
+			if errors.Is(err, each.err) {
+				return c.JSON(each.code, Problem{Message: err.Error()})
+			}
+		}
+		return err
+	}
+}
+
+// checkService refuses names that would reach objects of another kind or service.
+func checkService(c echo.Context) error {
+	name := c.Param("service")
+	if c.Path() != listPath && !document.ValidService(name) {
+		return merry.Appendf(errInput, "%q is not the name of a service", name)
+	}
+	return nil
+}
+
+func (a *API) list(c echo.Context) error {
+	all, err := a.Records.All(c.Request().Context())
+	if err != nil {
+		return err
+	}
+	list := make([]Listing, 0, len(all))
+	for service, d := range all {
+		list = append(list, Listing{Service: service, Version: d.Version, Digest: d.Digest(), By: d.By, At: d.At})
+	}
+	slices.SortFunc(list, func(x, y Listing) int { return strings.Compare(x.Service, y.Service) })
+	return c.JSON(http.StatusOK, list)
+}
+
+func (a *API) show(c echo.Context) error {
+	ctx, service := c.Request().Context(), c.Param("service")
+	if ref := c.QueryParam("ref"); ref != "" && ref != "applied" {
+		text, err := a.Records.Text(ctx, service, ref)
+		if err != nil {
+			return err
+		}
+		if text == nil {
+			return merry.Appendf(ErrNotFound, "nothing is in force for %s", service)
+		}
+		c.Response().Header().Set(DigestHeader, document.DigestOf(text).String())
+		return c.Blob(http.StatusOK, MediaType, text)
+	}
+	d, err := a.Records.Applied(ctx, service)
+	if err != nil {
+		return err
+	}
+	h := c.Response().Header()
+	h.Set("ETag", etag(d.Version))
+	h.Set(DigestHeader, d.Digest().String())
+	h.Set(ByHeader, d.By)
+	if !d.At.IsZero() {
+		h.Set("Last-Modified", d.At.UTC().Format(http.TimeFormat))
+	}
+	return c.Blob(http.StatusOK, MediaType, []byte(d.Text))
+}
+
+func etag(v object.Version) string { return strconv.Quote(strconv.FormatUint(uint64(v), 10)) }
+
+// ParseETag reads the version from an ETag.
+func ParseETag(tag string) (object.Version, error) {
+	v, err := strconv.ParseUint(strings.Trim(tag, `"`), 10, 64)
+	if err != nil || v == 0 {
+		return 0, merry.Appendf(errInput, "%s is not an ETag of a document", tag)
+	}
+	return object.Version(v), nil
+}
+
+func (a *API) diff(c echo.Context) error {
+	ctx, service := c.Request().Context(), c.Param("service")
+	from, err := a.Records.Document(ctx, service, orDefault(c.QueryParam("from"), "inForce"))
+	if err != nil {
+		return err
+	}
+	to, err := a.Records.Document(ctx, service, orDefault(c.QueryParam("to"), "applied"))
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, listOf(document.Diff(from, to)))
+}
+
+func orDefault(s, value string) string {
+	if s == "" {
+		return value
+	}
+	return s
+}
+
+// listOf returns an empty list for nil, which JSON would show as null.
+func listOf[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
+
+func (a *API) history(c echo.Context) error {
+	all, err := a.Records.History(c.Request().Context(), c.Param("service"))
+	if err != nil {
+		return err
+	}
+	if at := c.QueryParam("at"); at != "" {
+		t, err := time.Parse(time.RFC3339, at)
+		if err != nil {
+			return merry.Appendf(errInput, "at must be a time such as 2026-03-02T14:05:00Z")
+		}
+		e, ok := history.InForceAt(all, t)
+		if !ok {
+			return merry.Appendf(ErrNotFound, "the history has nothing that was in force then")
+		}
+		all = []history.Entry{e}
+	}
+	list := make([]Entry, len(all))
+	for i, e := range all {
+		list[i] = Entry{Entry: e, HasText: e.Text != nil}
+	}
+	return c.JSON(http.StatusOK, list)
+}
+
+func (a *API) status(c echo.Context) error {
+	service := c.Param("service")
+	var s status.Status
+	s, err := a.Records.Status(c.Request().Context(), service)
+	if err != nil {
+		return err
+	}
+	if s.Accepted == nil && s.At.IsZero() {
+		if _, err := a.Records.Applied(c.Request().Context(), service); err != nil {
+			return err
+		}
+	}
+	return c.JSON(http.StatusOK, s)
+}
--- /dev/null
+++ b/internal/wire/administration/records.go
@@ -0,0 +1,352 @@
+package administration
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"wagtailshelf.example/wagtailshelf/internal/record/acceptance"
+	"wagtailshelf.example/wagtailshelf/internal/record/document"
+	"wagtailshelf.example/wagtailshelf/internal/record/history"
+	"wagtailshelf.example/wagtailshelf/internal/record/object"
+	"wagtailshelf.example/wagtailshelf/internal/record/status"
+)
+
+// Cause under which the calls of operators are counted.
+const Cause object.Cause = "operator"
+
+// Errors of [Records].
+var (
+	ErrNotFound = merry.Sentinel("there is no such document")
+	ErrConflict = merry.Sentinel("somebody else has changed the document")
+	ErrPlatform = merry.Sentinel("the platform did not answer; nothing has changed")
+	ErrUnknown  = merry.Sentinel("the platform's answer is lost: the document may be applied or not; apply the same again")
+	ErrDamaged  = merry.Sentinel("a record of the platform can't be read")
+)
+
+const (
+	applyPause = 100 * time.Millisecond // before an apply whose answer was lost is looked at
+	maxReads   = 20                     // of an object that lags
+)
+
+// Records reads and writes the platform's objects about documents.
+type Records struct {
+	// Do carries out one call.
+	Do func(ctx context.Context, c object.Call) object.Reply
+}
+
+// Applied is a document as operators want it to be in force.
+type Applied struct {
+	document.Submission
+	Version object.Version
+}
+
+// Digest returns the digest of the text.
+func (a *Applied) Digest() document.Digest { return document.DigestOf([]byte(a.Text)) }
+
+// get reads one object. It returns [ErrNotFound] or [ErrPlatform] with the reason.
+func (r *Records) get(ctx context.Context, key object.Key) (object.Object, error) {
+	reply := r.Do(ctx, object.Call{Op: object.Get, Key: key, Cause: Cause})
+	switch reply.Status {
+	case object.Done:
+		return reply.Object, nil
+	case object.NotFound:
+		return object.Object{}, merry.Appendf(ErrNotFound, "%s", key)
+	}
+	return object.Object{}, merry.Appendf(ErrPlatform, "reading %s: %v", key, reply.Err)
+}
+
+func (r *Records) list(ctx context.Context, prefix object.Key) ([]object.Object, error) {
+	reply := r.Do(ctx, object.Call{Op: object.List, Key: prefix, Cause: Cause})
+	if reply.Status != object.Done {
+		return nil, merry.Appendf(ErrPlatform, "listing %s: %v", prefix, reply.Err)
+	}
+	return reply.Objects, nil
+}
+
+// Applied returns the document that is applied.
+func (r *Records) Applied(ctx context.Context, service string) (Applied, error) {
+	o, err := r.get(ctx, document.Key(service))
+	if err != nil {
+		return Applied{}, err
+	}
+	return Applied{Submission: document.DecodeSubmission(o.Value), Version: o.Version}, nil
+}
+
+// All returns the applied documents of all services, by service.
+func (r *Records) All(ctx context.Context) (map[string]Applied, error) {
+	objects, err := r.list(ctx, document.ObjectKind+"/")
+	if err != nil {
+		return nil, err
+	}
+	all := make(map[string]Applied, len(objects))
+	for _, o := range objects {
+		all[o.Key.Name()] = Applied{Submission: document.DecodeSubmission(o.Value), Version: o.Version}
+	}
+	return all, nil
+}
+
+// Apply writes a submission if the version of the applied document still is the
+// given one, 0 if there must be none, and returns its new version. If somebody
+// else was first it returns the document that stands there with [ErrConflict].
+func (r *Records) Apply(ctx context.Context, service string, version object.Version, s document.Submission) (Applied, error) {
+	value, err := s.Encode()
+	if err != nil {
+		return Applied{}, err
+	}
+	call := object.Call{Op: object.Put, Key: document.Key(service), Version: version, Value: value, Cause: Cause}
+	for {
+		reply := r.Do(ctx, call)
+		switch reply.Status {
+		case object.Done:
+			return Applied{Submission: s, Version: reply.Object.Version}, nil
+		case object.Conflict:
+			return r.conflict(ctx, call, reply.Object)
+		case object.Unknown:
+		default:
+			return Applied{}, merry.Appendf(ErrPlatform, "writing %s: %v", call.Key, reply.Err)
+		}
+		if err := r.lost(ctx, call); err != nil {
+			return r.settled(err, s)
+		}
+	}
+}
+
+// written tells that a write whose answer was lost has taken effect.
+type written struct{ version object.Version }
+
+func (w written) Error() string { return fmt.Sprintf("written as version %d", w.version) }
+
+// lost finds out what became of a write whose answer was lost. It returns nil
+// if the write is to be repeated. The first one may still be on its way: both
+// have one version as condition, so at most one of them takes effect.
+func (r *Records) lost(ctx context.Context, c object.Call) error {
+	select {
+	case <-ctx.Done():
+		return ErrUnknown
+	case <-time.After(applyPause):
+	}
+	o, err := r.get(ctx, c.Key)
+	switch {
+	case errors.Is(err, ErrNotFound) && c.Version == 0:
+		return nil
+	case err != nil && ctx.Err() != nil:
+		return ErrUnknown
+	case err != nil:
+		return nil // the repeat will tell
+	case bytes.Equal(o.Value, c.Value):
+		return written{version: o.Version}
+	}
+	return nil
+}
+
+func (r *Records) settled(err error, s document.Submission) (Applied, error) {
+	var w written
+	if errors.As(err, &w) {
+		return Applied{Submission: s, Version: w.version}, nil
+	}
+	return Applied{}, err
+}
+
+// conflict looks at what stands there after a conflict. A value that is equal,
+// its time and author included, is our own: an earlier try has taken effect. A
+// read that still shows the version of the condition lags, and is repeated: it
+// would tell the operator that nothing has changed.
+func (r *Records) conflict(ctx context.Context, c object.Call, o object.Object) (Applied, error) {
+	for try := 0; o.Version <= c.Version && try < maxReads; try++ {
+		var err error
+		o, err = r.get(ctx, c.Key)
+		if errors.Is(err, ErrNotFound) && c.Version != 0 {
+			return Applied{}, ErrConflict
+		}
+		if err != nil && !errors.Is(err, ErrNotFound) {
+			return Applied{}, err
+		}
+		if o.Version > c.Version {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return Applied{}, ErrPlatform
+		case <-time.After(applyPause):
+		}
+	}
+	stands := Applied{Submission: document.DecodeSubmission(o.Value), Version: o.Version}
+	if bytes.Equal(o.Value, c.Value) {
+		return stands, nil
+	}
+	return stands, ErrConflict
+}
+
+// Record returns the record of the acceptance, or an empty one if nothing was
+// accepted so far.
+func (r *Records) Record(ctx context.Context, service string) (acceptance.Record, error) {
+	o, err := r.get(ctx, acceptance.AcceptanceKind+"/"+object.Key(service))
+	if errors.Is(err, ErrNotFound) {
+		return acceptance.Record{Service: service}, nil
+	}
+	if err != nil {
+		return acceptance.Record{}, err
+	}
+	rec, err := acceptance.DecodeRecord(o)
+	if err != nil {
+		return rec, merry.Appendf(ErrDamaged, "%s: %v", o.Key, err)
+	}
+	return rec, nil
+}
+
+// InForce returns the text of the accepted document, or nil if there is none.
+func (r *Records) InForce(ctx context.Context, service string) ([]byte, error) {
+	for try := 0; ; try++ {
+		rec, err := r.Record(ctx, service)
+		if err != nil || rec.Entry.Number == 0 {
+			return nil, err
+		}
+		text, err := r.text(ctx, service, rec.Entry.Digest)
+		// The text is gone if the next document was accepted in between.
+		if !errors.Is(err, ErrNotFound) || try == maxReads {
+			return text, err
+		}
+	}
+}
+
+func (r *Records) text(ctx context.Context, service string, d acceptance.Digest) ([]byte, error) {
+	key := object.Key(acceptance.TextKind + "/" + service + "." + d.String())
+	o, err := r.get(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	if acceptance.DigestOf(o.Value) != d {
+		return nil, merry.Appendf(ErrDamaged, "%s does not have the text of its digest", key)
+	}
+	return o.Value, nil
+}
+
+// History returns all accepted documents that the platform has a record of, in
+// the order of their numbers. With [ErrDamaged] it returns what could be read.
+func (r *Records) History(ctx context.Context, service string) ([]history.Entry, error) {
+	rec, err := r.Record(ctx, service)
+	if err != nil {
+		return nil, err
+	}
+	older, err := r.older(ctx, service)
+	if err != nil {
+		return nil, err
+	}
+	segments, err := r.list(ctx, history.Prefix(service))
+	if err != nil {
+		return nil, err
+	}
+	archived, damage := history.Read(segments)
+	recorded := entries(append(older.Entries, rec.Recent...))
+	if rec.Entry.Number > 0 {
+		recorded = append(recorded, entries([]acceptance.Entry{rec.Entry})...)
+	}
+	merged, err := history.Merge(archived, recorded)
+	if err := errors.Join(damage, err); err != nil {
+		return merged, merry.Appendf(ErrDamaged, "%v", err)
+	}
+	return merged, nil
+}
+
+func (r *Records) older(ctx context.Context, service string) (acceptance.History, error) {
+	o, err := r.get(ctx, acceptance.HistoryKind+"/"+object.Key(service))
+	if errors.Is(err, ErrNotFound) {
+		return acceptance.History{}, nil
+	}
+	if err != nil {
+		return acceptance.History{}, err
+	}
+	h, err := acceptance.DecodeHistory(o.Value)
+	if err != nil {
+		return h, merry.Appendf(ErrDamaged, "%s: %v", o.Key, err)
+	}
+	return h, nil
+}
+
+func entries(list []acceptance.Entry) []history.Entry {
+	out := make([]history.Entry, len(list))
+	for i, e := range list {
+		out[i] = EntryOf(e)
+	}
+	return out
+}
+
+// EntryOf returns an accepted document as the history has it, without its text.
+func EntryOf(e acceptance.Entry) history.Entry {
+	return history.Entry{
+		Number: uint64(e.Number), Digest: document.Digest(e.Digest), By: e.Author, At: e.AcceptedAt,
+		Holder: e.Holder, Fence: uint64(e.Fence), Version: e.DocumentVersion, LeftOut: e.LeftOut,
+	}
+}
+
+// Status returns the status. Where none was written yet, or an older one than
+// the record of the acceptance, it has what the record says.
+func (r *Records) Status(ctx context.Context, service string) (status.Status, error) {
+	rec, err := r.Record(ctx, service)
+	if err != nil {
+		return status.Status{}, err
+	}
+	s := status.Status{Service: service}
+	o, err := r.get(ctx, status.Key(service))
+	if err == nil {
+		if s, err = status.Decode(o.Value); err != nil {
+			return s, merry.Appendf(ErrDamaged, "%s: %v", o.Key, err)
+		}
+	}
+	if err != nil && !errors.Is(err, ErrNotFound) {
+		return s, err
+	}
+	if n := uint64(rec.Entry.Number); n > 0 && (s.Accepted == nil || s.Accepted.Number < n) {
+		s.Accepted = acceptedOf(rec.Entry)
+		s.InForce, s.Lagging = 0, nil // what the status says is about an older document
+	}
+	return s, nil
+}
+
+func acceptedOf(e acceptance.Entry) *status.Accepted {
+	return &status.Accepted{
+		Number: uint64(e.Number), Digest: document.Digest(e.Digest),
+		By: e.Author, At: e.AcceptedAt, Version: e.DocumentVersion,
+	}
+}
+
+// Document returns the document that a reference names: "applied", "inForce" or
+// a number of the history. It is nil for "inForce" if nothing is accepted.
+func (r *Records) Document(ctx context.Context, service, ref string) (*document.Document, error) {
+	text, err := r.Text(ctx, service, ref)
+	if err != nil || text == nil {
+		return nil, err
+	}
+	d, _ := document.Parse(service+".yaml", text) // whether it checks doesn't matter for reading it
+	return d, nil
+}
+
+// Text returns the text that a reference names.
+func (r *Records) Text(ctx context.Context, service, ref string) ([]byte, error) {
+	switch ref {
+	case "applied":
+		a, err := r.Applied(ctx, service)
+		return []byte(a.Text), err
+	case "inForce":
+		return r.InForce(ctx, service)
+	}
+	all, err := r.History(ctx, service)
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range all {
+		if fmt.Sprint(e.Number) == ref || strings.HasPrefix(e.Digest.String(), ref) && len(ref) >= 12 {
+			if e.Text == nil {
+				return nil, merry.Appendf(ErrNotFound, "the text of number %d was not kept", e.Number)
+			}
+			return e.Text, nil
+		}
+	}
+	return nil, merry.Appendf(ErrNotFound, "%s %s", service, ref)
+}
