Carry the planning of a group as a leased duty

Cause: plans need the ranks' counts, one planner at a time, and a way from a proposed map to the group's switch and its record.

Change: internal/expert/planner holds the duty: its lease, a question to the ranks each window (four ranks' counts in turn, so the holder's traffic does not grow with the group), the plan, the group's proposer, the record and a status for operators. Ranks answer through a Reporter.

--- a/internal/expert/plan/config.go
+++ b/internal/expert/plan/config.go
@@ -27,9 +27,13 @@
 // competes with live drafting.
 var (
 	Steady  = Weights{Skew: 3, Moves: 1}
-	Sparing = Weights{Skew: 1, Moves: 30}
+	Sparing = Weights{Skew: 1, Moves: 100}
 )
 
+// DefaultExpertPart is the part of an ideal step that the experts take, unless
+// the configuration says otherwise.
+const DefaultExpertPart = 0.5
+
 // Config describes a group to its planner. Zero values take the defaults.
 type Config struct {
 	Shape       expertmap.Shape
@@ -71,7 +75,7 @@
 	setInt(&c.ExpertBytes, 44_000_000)
 	setInt(&c.StoreRate, 1_000_000_000)
 	setFloat(&c.Interference, 0.1)
-	setFloat(&c.ExpertPart, 0.5)
+	setFloat(&c.ExpertPart, DefaultExpertPart)
 	setFloat(&c.Hysteresis, 0.5)
 	setFloat(&c.Confidence, 1.5)
 	setInt(&c.Switch, 50*time.Millisecond)
--- a/internal/expert/plan/planner.go
+++ b/internal/expert/plan/planner.go
@@ -105,6 +105,18 @@
 	return nil
 }
 
+// Refused tells the planner that a proposal did not come in force. Its loads are
+// charged all the same: the ranks may have made all of them before one refused.
+func (p *Planner) Refused(now time.Time, proposal Proposal) {
+	p.allowance.spend(now, proposal.Bytes)
+}
+
+// ExpertBytes returns the size of the weights of one expert of one layer.
+func (p *Planner) ExpertBytes() int64 { return p.cfg.ExpertBytes }
+
+// StoreRate returns the bytes a second that may be loaded.
+func (p *Planner) StoreRate() int64 { return p.cfg.StoreRate }
+
 // slot is the cell of a placement in a map, or -1.
 func (p *Planner) slot(m *expertmap.Map, at expertmap.Placement) int {
 	s := p.cfg.Shape
--- /dev/null
+++ b/internal/expert/planner/status.go
@@ -0,0 +1,77 @@
+package planner
+
+import (
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/demand"
+	"wagtailshelf.example/wagtailshelf/internal/expert/group"
+	"wagtailshelf.example/wagtailshelf/internal/expert/plan"
+)
+
+// maxMoves bounds the moves that a status remembers.
+const maxMoves = 20
+
+// Status is what the planner knows of a group, as operators and auditors read it.
+type Status struct {
+	At     time.Time    `json:"at"`
+	Epoch  uint64       `json:"epoch"`
+	Map    group.Number `json:"map"`
+	Digest string       `json:"digest"`
+
+	Skew    float64       `json:"skew"`      // hottest rank over mean rank, layer by layer
+	Time    float64       `json:"time"`      // step time of the experts relative to the ideal
+	Ranks   []float64     `json:"rankTime"`  // per rank, relative to the ideal
+	Speed   []float64     `json:"rankSpeed"` // per rank, relative to the median
+	Lasts   time.Duration `json:"lasts"`     // how long the demand is expected to last
+	Shifted time.Time     `json:"lastShift"` // last sharp shift, zero if none was seen
+	Plan    plan.Proposal `json:"plan"`      // what the planner would do now
+	Why     string        `json:"why"`       // the same in one sentence
+	Moves   []Change      `json:"moves"`     // the newest last
+}
+
+// Change is one planned map and what became of it.
+type Change struct {
+	At        time.Time    `json:"at"`
+	Outcome   string       `json:"outcome"`
+	Reason    group.Reason `json:"reason,omitempty"`
+	Loads     int          `json:"loads"`
+	Bytes     int64        `json:"bytes"`
+	Before    float64      `json:"before"`             // step time of the experts relative to the ideal
+	Predicted float64      `json:"predicted"`          // the same with the new map
+	Measured  float64      `json:"measured,omitempty"` // the same by the next window
+}
+
+// observe takes in a window's estimate and the plan made from it.
+func (s *Status) observe(g settled, e demand.Estimate, p plan.Proposal) {
+	s.Epoch = g.record.Epoch
+	s.Map = g.number
+	s.Digest = g.m.Digest().String()
+	s.Skew = p.Before.Skew
+	s.Time = p.Before.Time
+	s.Ranks = p.Before.Ranks
+	s.Speed = e.Speed
+	s.Lasts = e.Lasts
+	s.Shifted = e.Since
+	s.Plan = p
+	s.Plan.Before.Ranks, s.Plan.After.Ranks = nil, nil
+	s.Why = p.String()
+	if n := len(s.Moves); n > 0 && s.Moves[n-1].Measured == 0 && s.Moves[n-1].Outcome == group.Committed.String() {
+		s.Moves[n-1].Measured = p.Before.Time
+	}
+}
+
+// ended takes in how a planned map ended.
+func (s *Status) ended(now time.Time, p plan.Proposal, a group.Action) {
+	s.Moves = append(s.Moves, Change{
+		At:        now,
+		Outcome:   a.Vote.String(),
+		Reason:    a.Reason,
+		Loads:     p.Loads,
+		Bytes:     p.Bytes,
+		Before:    p.Before.Time,
+		Predicted: p.After.Time,
+	})
+	if n := len(s.Moves); n > maxMoves {
+		s.Moves = s.Moves[n-maxMoves:]
+	}
+}
