Try a deployment of some sixty plain processes under failures

The trial in one process can't kill, pause or drain a process, and shares one clock and one scheduler. The rig starts entries, sidecars and stand-ins as plain processes with mutual TLS, strikes them by a seeded order of failures, forgets UDP flows at a relay, changes documents, and compares what callers were told with what the stand-ins counted.

--- /dev/null
+++ b/cmd/processrig/cluster.go
@@ -0,0 +1,266 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/record/budget"
+	"wagtailshelf.example/wagtailshelf/internal/wire/credential"
+	"wagtailshelf.example/wagtailshelf/internal/wire/platform"
+)
+
+const (
+	// readyTimeout bounds the start of the whole deployment.
+	readyTimeout = 60 * time.Second
+	// balanceEvery is how often the balancer looks at an entry. It is shorter
+	// than the delay for which a draining entry still takes work.
+	balanceEvery = 250 * time.Millisecond
+)
+
+var dataCentres = []string{"mtl-a", "mtl-b", "mtl-c"}
+
+// node is an entry or a sidecar.
+type node struct {
+	*child
+	dataCentre string
+	callers    netip.AddrPort // of an entry
+	peers      netip.AddrPort
+	admin      netip.AddrPort
+	target     *node  // of a sidecar: its stand-in
+	relay      *relay // of a sidecar
+	model      bool
+	ready      atomic.Bool // of an entry: at the balancer's last look
+}
+
+// cluster is the whole deployment.
+type cluster struct {
+	opts      options
+	dir       string
+	token     string
+	http      *http.Client
+	platform  *node
+	client    *platform.Client
+	entries   []*node
+	sidecars  []*node
+	processes []*node
+}
+
+func newCluster(o options, dir string) *cluster {
+	return &cluster{opts: o, dir: dir, token: credential.NewToken(), http: &http.Client{Timeout: 5 * time.Second}}
+}
+
+func (c *cluster) close() {
+	for _, p := range c.processes {
+		if state, _ := p.now(); state != down {
+			p.kill()
+		}
+		if p.relay != nil {
+			p.relay.close()
+		}
+	}
+}
+
+// start brings up the platform, the stand-ins, the sidecars and the entries.
+func (c *cluster) start(ctx context.Context) error {
+	var err error
+	if c.platform, err = c.standin("platform", "platform"); err != nil {
+		return err
+	}
+	c.client = platform.New(platform.Config{
+		URL:    "http://" + c.platform.callers.String(),
+		Budget: budget.Config{Rate: 1000, Burst: 1000},
+	})
+	for i := range c.opts.engines + c.opts.services {
+		if err := c.addSidecar(i); err != nil {
+			return err
+		}
+	}
+	for i := range c.opts.entries {
+		c.addEntry(i)
+	}
+	if err := c.issueKeys(); err != nil {
+		return err
+	}
+	for _, n := range append(append([]*node{}, c.sidecars...), c.entries...) {
+		if err := c.launch(n); err != nil {
+			return err
+		}
+	}
+	if err := c.applyAll(ctx, 0); err != nil {
+		return err
+	}
+	if err := c.awaitReady(ctx); err != nil {
+		return err
+	}
+	for _, e := range c.entries {
+		go c.balance(ctx, e)
+	}
+	return nil
+}
+
+func (c *cluster) child(name, kind string, args ...string) *child {
+	return &child{name: name, kind: kind, path: c.opts.binary, args: args, log: filepath.Join(c.dir, name+".log")}
+}
+
+// standin starts a stand-in, which chooses its port itself.
+func (c *cluster) standin(name, kind string) (*node, error) {
+	n := &node{child: c.child(name, kind, "standin", kind)}
+	line, err := n.child.start(true)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	if n.callers, err = netip.ParseAddrPort(line); err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	c.processes = append(c.processes, n)
+	return n, nil
+}
+
+func (c *cluster) addSidecar(i int) error {
+	dc := dataCentres[i%len(dataCentres)]
+	kind := "engine"
+	if i >= c.opts.engines {
+		kind = "service"
+	}
+	name := fmt.Sprintf("%s-%s-%d", dc, kind, i)
+	target, err := c.standin("target-"+name, kind)
+	if err != nil {
+		return err
+	}
+	n := &node{dataCentre: dc, target: target, model: kind == "engine", peers: freeAddr("udp"), admin: freeAddr("tcp")}
+	n.child = c.child(name, "sidecar", "sidecar", "--settings", filepath.Join(c.dir, name+".yaml"))
+	if n.relay, err = newRelay(n.peers); err != nil {
+		return err
+	}
+	c.sidecars = append(c.sidecars, n)
+	c.processes = append(c.processes, n)
+	return nil
+}
+
+func (c *cluster) addEntry(i int) {
+	dc := dataCentres[i%len(dataCentres)]
+	name := fmt.Sprintf("%s-entry-%d", dc, i)
+	n := &node{dataCentre: dc, callers: freeAddr("tcp"), peers: freeAddr("udp"), admin: freeAddr("tcp")}
+	n.child = c.child(name, "entry", "entry", "--settings", filepath.Join(c.dir, name+".yaml"))
+	c.entries = append(c.entries, n)
+	c.processes = append(c.processes, n)
+}
+
+// issueKeys has the product's own command make all keys.
+func (c *cluster) issueKeys() error {
+	for role, nodes := range map[string][]*node{"entry": c.entries, "sidecar": c.sidecars} {
+		args := []string{"keys", "issue", "--dir", filepath.Join(c.dir, "keys"), "--role", role}
+		for _, n := range nodes {
+			args = append(args, n.name)
+		}
+		if out, err := exec.Command(c.opts.binary, args...).CombinedOutput(); err != nil {
+			return fmt.Errorf("keys: %w: %s", err, out)
+		}
+	}
+	return nil
+}
+
+// launch writes a node's settings and starts it.
+func (c *cluster) launch(n *node) error {
+	file := filepath.Join(c.dir, n.name+".yaml")
+	if err := os.WriteFile(file, []byte(c.settings(n)), 0o600); err != nil {
+		return err
+	}
+	if _, err := n.child.start(false); err != nil {
+		return fmt.Errorf("%s: %w", n.name, err)
+	}
+	return nil
+}
+
+func (c *cluster) settings(n *node) string {
+	var b strings.Builder
+	keys := filepath.Join(c.dir, "keys", n.name)
+	fmt.Fprintf(&b, "role: %s\nname: %s\ndataCentre: %s\nregion: montreal\n", n.kind, n.name, n.dataCentre)
+	fmt.Fprintf(&b, "listen:\n  peers: %s\n  administration: %s\n", n.peers, n.admin)
+	if n.kind == "entry" {
+		fmt.Fprintf(&b, "  callers: %s\n", n.callers)
+	} else {
+		kind := "plain"
+		if n.model {
+			kind = "model"
+		}
+		fmt.Fprintf(&b, "target: {address: %s, kind: %s}\n", n.target.callers, kind)
+	}
+	fmt.Fprintf(&b, "platform: [%s]\nseeds:\n", c.platform.callers)
+	for _, e := range c.entries[:min(3, len(c.entries))] {
+		fmt.Fprintf(&b, "  - %s\n", e.peers)
+	}
+	fmt.Fprintf(&b, "tls: {certificateFile: %s/certificate.pem, keyFile: %s/key.pem, authoritiesFile: %s/authorities.pem}\n", keys, keys, keys)
+	fmt.Fprintf(&b, "operators: [{name: rig, tokens: [%s]}]\n", credential.DigestOf(c.token))
+	fmt.Fprintf(&b, "drain: {delay: 1s, bound: 11m}\n")
+	return b.String()
+}
+
+func (c *cluster) awaitReady(ctx context.Context) error {
+	deadline := time.Now().Add(readyTimeout)
+	for _, e := range c.entries {
+		for !c.look(ctx, e) {
+			if time.Now().After(deadline) || ctx.Err() != nil {
+				return errors.New(e.name + " did not become ready")
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// balance looks at an entry's readiness as the balancer does, until ctx ends.
+func (c *cluster) balance(ctx context.Context, e *node) {
+	for ctx.Err() == nil {
+		c.look(ctx, e)
+		time.Sleep(balanceEvery)
+	}
+}
+
+// look asks an entry whether it is ready, and notes it.
+func (c *cluster) look(ctx context.Context, e *node) bool {
+	bounded, cancel := context.WithTimeout(ctx, balanceEvery)
+	defer cancel()
+	req, err := http.NewRequestWithContext(bounded, http.MethodGet, "http://"+e.admin.String()+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		e.ready.Store(false)
+		return false
+	}
+	resp.Body.Close()
+	ready := resp.StatusCode == http.StatusOK
+	e.ready.Store(ready)
+	return ready
+}
+
+// freeAddr finds a free port on loopback. Another program could take it before
+// the child does; the child then fails to start, and the run with it.
+func freeAddr(network string) netip.AddrPort {
+	if network == "udp" {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			return netip.AddrPort{}
+		}
+		defer conn.Close()
+		return netip.MustParseAddrPort(conn.LocalAddr().String())
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	defer ln.Close()
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
--- a/internal/wire/engine/failure_test.go
+++ b/internal/wire/engine/failure_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -185,13 +186,16 @@
 		return err
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
+	text, err := standin.ReadStream(resp.Body)
+	assert.True(t, strings.HasPrefix(standin.Answer([]byte("Bonjour")), text))
 	return err
 }
 
 // An engine breaks a stream half-way, stops sending, or dies. The reader sees an
 // error and never a clean end, so a short answer can't pass for a whole one.
 func TestShortAnswer(t *testing.T) {
+	_, healthy := start(t, standin.Config{})
+	require.NoError(t, read(t, healthy, draft("r1", "Bonjour")))
 	for name, f := range map[string]standin.Faults{
 		"closes": {CloseAfter: 3},
 		"stalls": {Stalled: true},
