Join entry, book and engine by an unreliable network in a random run

The promises of a request hold over both halves together, so single tests of either are not enough.

Add a world in virtual time: two entries, three sidecars with engines, and packets that are late, doubled, reordered or lost with their connection, while processes die and return and streams end in good order. Checked at each step: one outcome, delivered bytes a prefix of an own answer, nothing that was called not run runs, one run of what may not be repeated. The claims' platform now shows old states too.

--- a/internal/traffic/book/book.go
+++ b/internal/traffic/book/book.go
@@ -55,7 +55,6 @@
 	case StreamClosed:
 		b.streamClosed(now, ev.Peer, ev.Settled)
 	case ConnectionClosed:
-		b.connectionClosed(ev.Peer)
 		b.forgetPeer(now, func(l listener) bool {
 			l.peer.Stream = ev.Peer.Stream
 			return l.peer == ev.Peer
--- a/internal/traffic/book/connection.go
+++ b/internal/traffic/book/connection.go
@@ -21,9 +21,8 @@
 // each stream once; a repeat can only be a fault, and would run a request
 // again after its id has been forgotten.
 type streams struct {
-	closed bool
-	floor  uint64 // all below it have begun, or are treated so
-	begun  map[uint64]struct{}
+	floor uint64 // all below it have begun, or are treated so
+	begun map[uint64]struct{}
 }
 
 // begin notes a stream and tells whether it is new.
@@ -69,7 +68,7 @@
 		o.conns[p.Conn] = s
 		o.bound(b.cfg.MaxConnections)
 	}
-	return !s.closed && p.Conn >= o.retiredBefore
+	return p.Conn >= o.retiredBefore
 }
 
 // bound retires the oldest connections beyond n. Their requests are known by
@@ -94,10 +93,3 @@
 func (b *Book) retireOlder(p Peer) {
 	b.origins[p.Entry].retire(p.Conn)
 }
-
-func (b *Book) connectionClosed(p Peer) {
-	if !b.admitPeer(p) {
-		return
-	}
-	b.origins[p.Entry].conns[p.Conn].closed = true
-}
--- /dev/null
+++ b/internal/traffic/book/main_test.go
@@ -0,0 +1,20 @@
+package book_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed, so that a run without flags is always the same one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/traffic/book/sidecar_test.go
@@ -0,0 +1,167 @@
+package book_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/book"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
+)
+
+// sidecar is a book with an admission that grants most, and an engine.
+type sidecar struct {
+	w      *world
+	name   host.Name
+	life   host.Incarnation
+	book   *book.Book // nil while the process is down
+	cancel map[request.ID]bool
+	drains bool
+}
+
+func (s *sidecar) start() {
+	s.life++
+	s.drains = false
+	cfg := book.DefaultConfig(s.life)
+	// Small enough that answers leave the buffer and windows overflow.
+	cfg.MaxAnswerBytes, cfg.MaxConnections, cfg.StreamWindow = 400, 4, 8
+	cfg.AnswerRetention, cfg.JoinRetention = 100*time.Millisecond, 200*time.Millisecond
+	s.book = book.New(cfg)
+	s.cancel = make(map[request.ID]bool)
+}
+
+func (s *sidecar) is(life host.Incarnation) bool {
+	return s.book != nil && s.life == life
+}
+
+func (s *sidecar) die() {
+	s.book = nil
+	for _, e := range s.w.entries {
+		if c := e.conns[s]; c != nil {
+			c.goSilent()
+		}
+	}
+	if !s.w.chance(s.w.f.stays) {
+		s.w.after(s.w.between(50*time.Millisecond, 2*time.Second), s.start)
+	}
+}
+
+// later runs in this life only.
+func (s *sidecar) later(d time.Duration, run func()) {
+	life := s.life
+	s.w.after(d, func() {
+		if s.is(life) {
+			run()
+		}
+	})
+}
+
+func (s *sidecar) handle(ev book.Event) {
+	if ev.Kind == book.Drain {
+		s.drains = true
+	}
+	for _, a := range s.book.Handle(s.w.now, ev) {
+		s.act(a)
+	}
+}
+
+func (s *sidecar) act(a book.Action) {
+	switch a.Kind {
+	case book.Send:
+		if c := s.connection(a.Peer); c != nil {
+			c.toEntry(a.Peer.Stream, a.Message)
+		}
+	case book.CloseStream:
+		s.closeStream(a.Peer)
+	case book.Admit:
+		s.later(s.w.between(0, 20*time.Millisecond), func() { s.admit(a.ID) })
+	case book.Run:
+		s.later(s.w.between(0, time.Millisecond), func() { s.run(a.ID) })
+	case book.CancelEngine:
+		s.cancel[a.ID] = true
+	case book.Wake:
+		s.later(a.At.Sub(s.w.now), func() { s.handle(book.Event{Kind: book.Tick}) })
+	case book.Violated:
+		s.w.fail("%v", a.Violation)
+	}
+}
+
+func (s *sidecar) admit(id request.ID) {
+	if s.w.chance(s.w.f.rejected) {
+		s.handle(book.Event{Kind: book.Rejected, ID: id, Reason: request.Overloaded, RetryAfter: time.Second})
+		return
+	}
+	s.handle(book.Event{Kind: book.Admitted, ID: id})
+}
+
+// run is the engine. Each run of a request has an answer of its own, so that
+// bytes of two runs can be told apart.
+func (s *sidecar) run(id request.ID) {
+	w := s.w
+	if w.chance(w.f.engineAway) {
+		s.handle(book.Event{Kind: book.EngineNotReached, ID: id})
+		return
+	}
+	part := fmt.Sprintf("%s/%d/%s/%d;", id, len(w.ran[id]), s.name, s.life)
+	answer := strings.Repeat(part, 1+w.rng.IntN(16))
+	w.ran[id] = append(w.ran[id], answer)
+	w.checkRuns(id)
+	at := w.between(5*time.Millisecond, 100*time.Millisecond)
+	s.later(at, func() { s.handle(book.Event{Kind: book.EngineHead, ID: id, Status: 200}) })
+	s.generate(id, answer, at)
+}
+
+func (s *sidecar) generate(id request.ID, answer string, at time.Duration) {
+	w := s.w
+	broken, stalls := w.chance(w.f.engineBreaks), w.chance(w.f.engineStalls)
+	for rest := answer; rest != ""; {
+		n := min(len(rest), 40)
+		piece := rest[:n]
+		rest = rest[n:]
+		at += w.between(5*time.Millisecond, 40*time.Millisecond)
+		if len(rest) < len(answer)/2 {
+			if broken {
+				break
+			}
+			if stalls {
+				at += 30 * time.Second
+				stalls = false
+			}
+		}
+		s.later(at, func() {
+			if !s.cancel[id] {
+				s.handle(book.Event{Kind: book.EngineData, ID: id, Data: []byte(piece)})
+			}
+		})
+	}
+	reason := request.NoReason
+	if broken {
+		reason = request.EngineBroke
+	}
+	s.later(at+time.Millisecond, func() { s.handle(book.Event{Kind: book.EngineEnd, ID: id, Reason: reason}) })
+}
+
+func (s *sidecar) connection(p book.Peer) *conn {
+	for _, e := range s.w.entries {
+		if e.name == p.Entry {
+			return e.all[connKey{int(p.Incarnation), p.Conn}]
+		}
+	}
+	return nil
+}
+
+// closeStream shows at the entry as a lost stream.
+func (s *sidecar) closeStream(p book.Peer) {
+	c := s.connection(p)
+	if c == nil {
+		return
+	}
+	c.carry("reset", func() {
+		c.entry.each(c.life, func(t *trip) {
+			if t.streams[streamKey{p.Conn, p.Stream}] {
+				t.handle(request.Event{Kind: request.ConnectionSilent, Conn: p.Conn})
+			}
+		})
+	})
+}
--- a/internal/traffic/claim/platform_test.go
+++ b/internal/traffic/claim/platform_test.go
@@ -1,6 +1,7 @@
 package claim_test
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -15,37 +16,49 @@
 type store struct {
 	version object.Version
 	objects map[object.Key]object.Object
+	before  map[object.Key]object.Object // the state before the last
+	lagging func() bool                  // for each object read: show the state before
 	writes  int
 	refused int // writes that conflicted
 	bytes   int
 }
 
 func newStore() *store {
-	return &store{objects: make(map[object.Key]object.Object)}
+	return &store{
+		objects: make(map[object.Key]object.Object),
+		before:  make(map[object.Key]object.Object),
+		lagging: func() bool { return false },
+	}
 }
 
 func (s *store) do(c object.Call) object.Reply {
 	r := object.Reply{ID: c.ID, Op: c.Op, Status: object.Done}
 	switch c.Op {
 	case object.Get:
-		o, ok := s.objects[c.Key]
-		if !ok {
+		o := s.read(c.Key)
+		if o.Version == 0 {
 			r.Status = object.NotFound
 		}
 		r.Object = o
 	case object.List:
-		for k, o := range s.objects {
-			if strings.HasPrefix(string(k), string(c.Key)) {
+		for _, k := range slices.Sorted(maps.Keys(s.objects)) {
+			if o := s.read(k); o.Version > 0 && strings.HasPrefix(string(k), string(c.Key)) {
 				r.Objects = append(r.Objects, o)
 			}
 		}
-		slices.SortFunc(r.Objects, func(a, b object.Object) int { return strings.Compare(string(a.Key), string(b.Key)) })
 	case object.Put:
 		s.put(c, &r)
 	}
 	return r
 }
 
+func (s *store) read(k object.Key) object.Object {
+	if s.lagging() {
+		return s.before[k]
+	}
+	return s.objects[k]
+}
+
 func (s *store) put(c object.Call, r *object.Reply) {
 	s.writes++
 	s.bytes += len(c.Value)
@@ -58,5 +71,6 @@
 	}
 	s.version++
 	r.Object = object.Object{Key: c.Key, Version: s.version, Value: slices.Clone(c.Value)}
+	s.before[c.Key] = old
 	s.objects[c.Key] = r.Object
 }
--- a/internal/traffic/claim/random_test.go
+++ b/internal/traffic/claim/random_test.go
@@ -44,11 +44,12 @@
 func newWorld(t *rapid.T) *world {
 	cfg := claim.DefaultConfig(0)
 	// Small enough that a run goes several times around the ring.
-	cfg.Segments, cfg.SegmentBytes, cfg.Retention = 3, 250, 5*time.Second
+	cfg.Segments, cfg.SegmentBytes, cfg.Retention = 3, 100, 5*time.Second
 	w := &world{
 		t: t, cfg: cfg, now: t0, store: newStore(),
 		holds: make(map[claim.Key]holding), asked: make(map[request.ID]time.Time),
 	}
+	w.store.lagging = func() bool { return rapid.IntRange(0, 9).Draw(t, "lag") == 0 }
 	for range 3 {
 		w.shards = append(w.shards, claim.New(cfg))
 		w.lives = append(w.lives, 0)
@@ -89,7 +90,7 @@
 func (w *world) ask(p int) {
 	w.ids++
 	owner := request.Prior{ID: request.ID{byte(w.ids), byte(w.ids >> 8), byte(w.ids >> 16)}}
-	k := claim.NewKey("s", "w", fmt.Sprint(rapid.IntRange(0, 3).Draw(w.t, "key")))
+	k := claim.NewKey("s", "w", fmt.Sprint(rapid.IntRange(0, 5).Draw(w.t, "key")))
 	w.asked[owner.ID] = w.now
 	w.handle(p, claim.Event{Kind: claim.Asked, Key: k, Owner: owner})
 }
@@ -144,8 +145,8 @@
 }
 
 // The caller's call runs once, whichever entries it is repeated through: three
-// processes claim four keys, and the platform delays, loses, refuses and
-// reorders their calls while processes restart.
+// processes claim six keys, and the platform delays, loses, refuses and
+// reorders their calls and shows old states, while processes restart.
 func TestRandomClaims(t *testing.T) {
 	grants := 0
 	rapid.Check(t, func(t *rapid.T) {
