Join the history and the status to the acceptance of documents

A new holder offers what it has in force to the history, so an entry that its predecessor did not get to write is there afterwards; who applied it stands in the record of the acceptance, and reading joins both. Two digests under one number are reported as a violation and the one that stands there stays.

--- a/internal/operator/command/apply.go
+++ b/internal/operator/command/apply.go
@@ -213,7 +213,7 @@
 		return inForce(s)
 	case a != nil && a.Version > r.Version:
 		return fmt.Sprintf("number %d by %s was accepted, version %d", a.Number, a.By, a.Version), true, ErrSuperseded
-	case s.Waiting != nil && s.Waiting.Digest == r.Digest:
+	case s.Waiting != nil && s.Waiting.Version == r.Version:
 		return waiting(s.Waiting), false, nil
 	}
 	return "waiting to be taken up", false, nil
@@ -234,7 +234,7 @@
 const maxNamed = 8
 
 func waiting(k *status.Wait) string {
-	line := fmt.Sprintf("number %d: held by %d of %d", k.Number, k.Of-k.Missing, k.Of)
+	line := fmt.Sprintf("version %d: held by %d of %d", k.Version, k.Holding, k.Of)
 	for i, name := range k.For {
 		if i == maxNamed {
 			return line + ", ..."
--- a/internal/operator/command/session_test.go
+++ b/internal/operator/command/session_test.go
@@ -22,6 +22,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/record/document"
 	"wagtailshelf.example/wagtailshelf/internal/record/history"
 	"wagtailshelf.example/wagtailshelf/internal/record/object"
+	"wagtailshelf.example/wagtailshelf/internal/record/register"
 	"wagtailshelf.example/wagtailshelf/internal/record/status"
 	standin "wagtailshelf.example/wagtailshelf/internal/standin/platform"
 	"wagtailshelf.example/wagtailshelf/internal/wire/administration"
@@ -136,7 +137,7 @@
 	rec.Recent = append(rec.Recent, rec.Entry)
 	s.platform.Put(key, rec.Encode())
 	s.platform.Put(object.Key(acceptance.TextKind+"/agenda."+digest.String()), []byte(sub.Text))
-	e := administration.EntryOf(rec.Entry)
+	e := register.EntryOf(rec.Entry)
 	s.archive(e, sub.Text)
 	st.Service, st.At, st.Holder = "agenda", s.at, "mtl-a-entry-1"
 	st.Accepted = &status.Accepted{Number: e.Number, Digest: e.Digest, By: e.By, At: e.At, Version: e.Version}
@@ -232,12 +233,12 @@
 		"in force on all": {
 			states: []status.Status{
 				{Accepted: before, InForce: 3, Of: 3},
-				{Accepted: before, Waiting: &status.Wait{Number: 8, Digest: mine.Digest, Of: 3, Missing: 1, For: []host.Name{"c"}}},
+				{Accepted: before, Waiting: &status.Wait{Version: 20, Holding: 2, Of: 3, For: []host.Name{"c"}}},
 				{Accepted: mineAccepted},
 				{Accepted: mineAccepted, InForce: 2, Of: 3, Lagging: []status.Lag{{Host: "c", Number: 7}}},
 				{Accepted: mineAccepted, InForce: 3, Of: 3},
 			},
-			want: "waiting to be taken up\nnumber 8: held by 2 of 3, waiting for c\nnumber 8: accepted, in force on 0 of 0\n" +
+			want: "waiting to be taken up\nversion 20: held by 2 of 3, waiting for c\nnumber 8: accepted, in force on 0 of 0\n" +
 				"number 8: accepted, in force on 2 of 3, c lags\nnumber 8: accepted, in force on 3 of 3\n",
 		},
 		"refused": {
--- a/internal/record/document/check_service.go
+++ b/internal/record/document/check_service.go
@@ -43,6 +43,19 @@
 	return nameForm.MatchString(name) && !strings.Contains(name, ".")
 }
 
+// CheckService reports a document that stands under another service's name.
+func (d *Document) CheckService(file, service string) finding.List {
+	if d.Service == service || d.Service == "" {
+		return nil
+	}
+	return finding.List{{
+		Position: finding.Position{File: file, Line: 1, Column: 1},
+		Category: finding.Invalid,
+		Path:     "service",
+		Message:  "the document is that of service " + d.Service + ", not of " + service,
+	}}
+}
+
 func checkServiceName(p *pass) {
 	p.named("service", p.Service)
 	if strings.Contains(p.Service, ".") {
--- a/internal/record/history/archive.go
+++ b/internal/record/history/archive.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -207,15 +208,23 @@
 	})
 }
 
-// skipWritten drops waiting entries that the history has already.
+// skipWritten drops waiting entries that the history has already. Two digests
+// under one number can't both have been accepted: the one that stands there
+// stays, and the violation is reported.
 func (s *shelf) skipWritten(a *Archive) {
 	for len(s.waiting) > 0 && s.waiting[0].Number <= s.segment.last.Number {
-		a.out = append(a.out, Action{Kind: Archived, Service: s.service, Entry: s.waiting[0]})
+		e := s.waiting[0]
 		s.waiting = s.waiting[1:]
+		if e.Number == s.segment.last.Number && e.Digest != s.segment.last.Digest {
+			err := fmt.Errorf("number %d: %w: %s stands, %s was offered", e.Number, ErrTwoDigests, s.segment.last.Digest, e.Digest)
+			a.out = append(a.out, Action{Kind: Damage, Service: s.service, Entry: e, Err: err})
+			continue
+		}
+		a.out = append(a.out, Action{Kind: Archived, Service: s.service, Entry: e})
 	}
 }
 
-// begin turns to a new segment. It keeps the number of the last entry, so that
+// begin turns to a new segment. It keeps number and digest of the last entry, so that
 // nothing is written twice; the first text of the new segment is whole.
 func (s *shelf) begin() {
 	if s.version != 0 {
@@ -223,7 +232,7 @@
 	}
 	s.number++
 	s.version = 0
-	s.segment = &Segment{last: Entry{Number: s.segment.last.Number}}
+	s.segment = &Segment{last: Entry{Number: s.segment.last.Number, Digest: s.segment.last.Digest}}
 }
 
 func (a *Archive) call(s *shelf, c object.Call) {
--- a/internal/record/history/entry.go
+++ b/internal/record/history/entry.go
@@ -1,7 +1,9 @@
 package history
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -47,8 +49,10 @@
 }
 
 // Merge joins entries from several records, such as the archive and the record
-// of the acceptance. Of two entries with one number, the one with a text is kept.
-// Two digests under one number are an error: they can't both have been in force.
+// of the acceptance. Of two entries with one number, one that names its holder
+// goes before one that was added by a process that did not accept it, and the
+// text is taken from the one that has it. Two digests under one number are an
+// error: they can't both have been in force.
 func Merge(lists ...[]Entry) ([]Entry, error) {
 	byNumber := make(map[uint64]Entry)
 	var err error
@@ -56,15 +60,22 @@
 		other, ok := byNumber[e.Number]
 		if ok && other.Digest != e.Digest {
 			err = fmt.Errorf("number %d: digests %s and %s: %w", e.Number, other.Digest.Short(), e.Digest.Short(), ErrTwoDigests)
+			continue
 		}
-		if !ok || other.Text == nil {
-			byNumber[e.Number] = e
-		}
-	}
-	merged := make([]Entry, 0, len(byNumber))
-	for _, e := range byNumber {
-		merged = append(merged, e)
+		byNumber[e.Number] = joined(other, e)
 	}
-	slices.SortFunc(merged, func(a, b Entry) int { return int(int64(a.Number) - int64(b.Number)) })
+	merged := slices.Collect(maps.Values(byNumber))
+	slices.SortFunc(merged, func(a, b Entry) int { return cmp.Compare(a.Number, b.Number) })
 	return merged, err
 }
+
+func joined(a, b Entry) Entry {
+	whole, part := a, b
+	if a.Number == 0 || a.Holder == "" && b.Holder != "" {
+		whole, part = b, a
+	}
+	if whole.Text == nil {
+		whole.Text = part.Text
+	}
+	return whole
+}
--- a/internal/record/history/history_test.go
+++ b/internal/record/history/history_test.go
@@ -254,12 +254,15 @@
 }
 
 func TestMergeKeepsTextsAndReportsTwoDigests(t *testing.T) {
-	bare := entry(1, "one\n")
-	bare.Text = nil
-	merged, err := history.Merge([]history.Entry{entry(2, "two\n"), entry(1, "one\n")}, []history.Entry{bare})
+	recorded := entry(1, "one\n")
+	recorded.Text, recorded.Holder = nil, "mtl-a-entry-1"
+	archived := entry(1, "one\n")
+	archived.By = ""
+	merged, err := history.Merge([]history.Entry{entry(2, "two\n"), archived}, []history.Entry{recorded})
 	require.NoError(t, err)
 	require.Len(t, merged, 2)
 	assert.Equal(t, "one\n", string(merged[0].Text))
+	assert.Equal(t, recorded.By, merged[0].By)
 	_, err = history.Merge(merged, []history.Entry{entry(2, "other\n")})
 	require.ErrorIs(t, err, history.ErrTwoDigests)
 }
--- a/internal/record/status/board.go
+++ b/internal/record/status/board.go
@@ -190,11 +190,7 @@
 	p.changed = p.changed || ev.Kind != Requested
 	switch ev.Kind {
 	case Accept:
-		if p.accepted == nil || ev.Accepted.Number > p.accepted.Number {
-			p.accepted = &ev.Accepted
-			p.wait = nil
-			p.forgetRefusal(ev.Accepted.Version)
-		}
+		p.accept(ev.Accepted)
 	case Holding:
 		// Reports can come out of order; what is in force never goes back.
 		p.numbers[ev.Host] = max(p.numbers[ev.Host], ev.Number)
@@ -209,8 +205,15 @@
 	}
 }
 
-func (p *panel) forgetRefusal(accepted object.Version) {
-	if p.refused != nil && p.refused.Version <= accepted {
+// accept takes in an accepted document. A lower number is old news. The same one
+// may come again with more about it: first as being in force, then as accepted.
+func (p *panel) accept(a Accepted) {
+	if p.accepted != nil && (a.Number < p.accepted.Number || a.Number == p.accepted.Number && a.Version == 0) {
+		return
+	}
+	p.accepted = &a
+	p.wait = nil
+	if p.refused != nil && p.refused.Version <= a.Version {
 		p.refused = nil
 	}
 }
--- a/internal/record/status/status.go
+++ b/internal/record/status/status.go
@@ -52,12 +52,11 @@
 
 // Wait is an acceptance that is under way.
 type Wait struct {
-	Number  uint64          `json:"number"`
-	Digest  document.Digest `json:"digest"`
-	Since   time.Time       `json:"since"`
-	Of      int             `json:"of"`           // processes that have to hold the text
-	Missing int             `json:"missing"`      // of these, that don't say so yet
-	For     []host.Name     `json:"for,omitzero"` // the first of the missing
+	Version object.Version `json:"version"` // of documents/<service>
+	Since   time.Time      `json:"since"`
+	Holding int            `json:"holding"`       // processes that hold the text
+	Of      int            `json:"of"`            // processes that are known
+	For     []host.Name    `json:"for,omitempty"` // those that can't be left out and are silent
 }
 
 // Refusal is a document that was applied and failed a check.
@@ -211,8 +210,8 @@
 	if w == nil {
 		return
 	}
-	fmt.Fprintf(b, "  waiting:   number %d, digest %s, for %v: %d of %d hold it\n",
-		w.Number, w.Digest.Short(), now.Sub(w.Since).Round(time.Second), w.Of-w.Missing, w.Of)
+	fmt.Fprintf(b, "  waiting:   version %d, for %v: %d of %d hold it\n",
+		w.Version, now.Sub(w.Since).Round(time.Second), w.Holding, w.Of)
 	for _, name := range w.For {
 		fmt.Fprintf(b, "    for:     %s\n", name)
 	}
--- a/internal/record/status/status_test.go
+++ b/internal/record/status/status_test.go
@@ -165,7 +165,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		long := rapid.SampledFrom([]string{"x", "\x00", "é", "\"", "\u2028"}).Draw(t, "rune")
 		n := rapid.IntRange(0, 2000).Draw(t, "entries")
-		s := status.Status{Service: "agenda", Refused: &status.Refusal{Count: n}, Waiting: &status.Wait{Missing: n}}
+		s := status.Status{Service: "agenda", Refused: &status.Refusal{Count: n}, Waiting: &status.Wait{Of: n}}
 		for i := range n {
 			s.Lagging = append(s.Lagging, status.Lag{Host: host.Name(fmt.Sprintf("host-%060d", i))})
 			s.Waiting.For = append(s.Waiting.For, host.Name(fmt.Sprintf("host-%060d", i)))
@@ -183,7 +183,7 @@
 	s := status.Status{
 		Service: "agenda", At: epoch.Add(time.Minute), Holder: "mtl-a-entry-1", Accepted: &a, InForce: 4, Of: 5,
 		Lagging:  []status.Lag{{Host: "mtl-c-agenda-2", Number: 6}},
-		Waiting:  &status.Wait{Number: 8, Digest: document.DigestOf([]byte{8}), Since: epoch.Add(time.Minute), Of: 5, Missing: 1, For: []host.Name{"mtl-c-agenda-2"}},
+		Waiting:  &status.Wait{Version: 95, Since: epoch.Add(time.Minute), Holding: 4, Of: 5, For: []host.Name{"mtl-c-agenda-2"}},
 		Refused:  &status.Refusal{Version: 93, Count: 1, Findings: finding.List{{Position: finding.Position{File: "agenda.yaml", Line: 4, Column: 3}, Category: finding.Missing, Message: "targets[0].dataCentre is missing"}}},
 		Outcomes: status.Outcomes{Answered: 1200, NotRun: 3},
 	}
@@ -193,7 +193,7 @@
 	//   accepted:  number 7, digest ca358758f6d2, by marie at 2026-03-02T14:00:00Z
 	//   in force:  on 4 of 5
 	//     lags:    mtl-c-agenda-2 has number 6
-	//   waiting:   number 8, digest beead77994cf, for 3s: 4 of 5 hold it
+	//   waiting:   version 95, for 3s: 4 of 5 hold it
 	//     for:     mtl-c-agenda-2
 	//   refused:   version 93, with 1 findings
 	//     agenda.yaml:4:3: targets[0].dataCentre is missing (missing)
--- a/internal/wire/administration/apply.go
+++ b/internal/wire/administration/apply.go
@@ -11,7 +11,6 @@
 	"github.com/labstack/echo/v4"
 
 	"wagtailshelf.example/wagtailshelf/internal/record/document"
-	"wagtailshelf.example/wagtailshelf/internal/record/finding"
 	"wagtailshelf.example/wagtailshelf/internal/record/object"
 	"wagtailshelf.example/wagtailshelf/internal/record/source"
 )
@@ -48,12 +47,7 @@
 		return nil, Checked{}, err
 	}
 	d, findings := document.Check(service+".yaml", text, before)
-	if d.Service != "" && d.Service != service {
-		findings = append(findings, finding.Finding{
-			Position: finding.Position{File: service + ".yaml", Line: 1, Column: 1}, Category: finding.Invalid, Path: "service",
-			Message: "the document is that of service " + d.Service + ", not of " + service,
-		})
-	}
+	findings = append(findings, d.CheckService(service+".yaml", service)...)
 	return d, Checked{Findings: listOf(findings), Changes: listOf(document.Diff(before, d))}, nil
 }
 
--- a/internal/wire/administration/records.go
+++ b/internal/wire/administration/records.go
@@ -14,6 +14,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/record/document"
 	"wagtailshelf.example/wagtailshelf/internal/record/history"
 	"wagtailshelf.example/wagtailshelf/internal/record/object"
+	"wagtailshelf.example/wagtailshelf/internal/record/register"
 	"wagtailshelf.example/wagtailshelf/internal/record/status"
 )
 
@@ -243,9 +244,9 @@
 		return nil, err
 	}
 	archived, damage := history.Read(segments)
-	recorded := entries(append(older.Entries, rec.Recent...))
+	recorded := register.EntriesOf(append(older.Entries, rec.Recent...))
 	if rec.Entry.Number > 0 {
-		recorded = append(recorded, entries([]acceptance.Entry{rec.Entry})...)
+		recorded = append(recorded, register.EntryOf(rec.Entry))
 	}
 	merged, err := history.Merge(archived, recorded)
 	if err := errors.Join(damage, err); err != nil {
@@ -269,22 +270,6 @@
 	return h, nil
 }
 
-func entries(list []acceptance.Entry) []history.Entry {
-	out := make([]history.Entry, len(list))
-	for i, e := range list {
-		out[i] = EntryOf(e)
-	}
-	return out
-}
-
-// EntryOf returns an accepted document as the history has it, without its text.
-func EntryOf(e acceptance.Entry) history.Entry {
-	return history.Entry{
-		Number: uint64(e.Number), Digest: document.Digest(e.Digest), By: e.Author, At: e.AcceptedAt,
-		Holder: e.Holder, Fence: uint64(e.Fence), Version: e.DocumentVersion, LeftOut: e.LeftOut,
-	}
-}
-
 // Status returns the status. Where none was written yet, or an older one than
 // the record of the acceptance, it has what the record says.
 func (r *Records) Status(ctx context.Context, service string) (status.Status, error) {
@@ -302,18 +287,22 @@
 	if err != nil && !errors.Is(err, ErrNotFound) {
 		return s, err
 	}
-	if n := uint64(rec.Entry.Number); n > 0 && (s.Accepted == nil || s.Accepted.Number < n) {
-		s.Accepted = acceptedOf(rec.Entry)
-		s.InForce, s.Lagging = 0, nil // what the status says is about an older document
-	}
-	return s, nil
+	return refreshed(s, rec), nil
 }
 
-func acceptedOf(e acceptance.Entry) *status.Accepted {
-	return &status.Accepted{
-		Number: uint64(e.Number), Digest: document.Digest(e.Digest),
-		By: e.Author, At: e.AcceptedAt, Version: e.DocumentVersion,
-	}
+// refreshed puts what the record of the acceptance says into a status. The
+// record is written with the acceptance; the status follows it.
+func refreshed(s status.Status, rec acceptance.Record) status.Status {
+	n := uint64(rec.Entry.Number)
+	if n == 0 || s.Accepted != nil && s.Accepted.Number > n {
+		return s
+	}
+	if s.Accepted == nil || s.Accepted.Number < n {
+		s.InForce, s.Lagging = 0, nil // these are about an older document
+	}
+	accepted := register.AcceptedOf(rec.Entry)
+	s.Accepted = &accepted
+	return s
 }
 
 // Document returns the document that a reference names: "applied", "inForce" or
