Let claims carry their own end, and refuse at once in a long outage

Retention and window come from a service's document and may differ between processes for some seconds after a change. An end that each reader works out for itself would make them disagree about who holds a key.

Entries carry the time they were written and the time they end. Shards belong to a service.

--- a/internal/traffic/claim/chain.go
+++ b/internal/traffic/claim/chain.go
@@ -14,13 +14,13 @@
 // owned is a claim in the index.
 type owned struct {
 	owner request.Prior
-	at    time.Time
+	until time.Time
 }
 
 // slot is what is known of an object of the ring.
 type slot struct {
 	version object.Version
-	newest  time.Time
+	until   time.Time
 }
 
 // chain is this process's view of the shard's segments. The view may lag: then
@@ -55,7 +55,7 @@
 			return true, merry.Wrap(ErrBadSegment, merry.AppendMessagef("sequence %d in %s", s.Sequence, o.Key))
 		}
 		segments = append(segments, s)
-		slots[o.Key] = slot{version: o.Version, newest: s.newest()}
+		slots[o.Key] = slot{version: o.Version, until: s.until()}
 	}
 	slices.SortFunc(segments, func(a, b segment) int { return cmp.Compare(a.Sequence, b.Sequence) })
 	if err := c.checkListing(segments); err != nil {
@@ -121,7 +121,7 @@
 }
 
 func (c *chain) advance() {
-	c.slots[c.key()] = slot{version: c.version, newest: c.head.newest()}
+	c.slots[c.key()] = slot{version: c.version, until: c.head.until()}
 	c.head = segment{Sequence: c.head.Sequence + 1}
 	c.version = c.slots[c.key()].version
 }
@@ -141,11 +141,11 @@
 		})
 		return
 	}
-	c.owners[e.Key] = owned{owner: e.Owner, at: e.at()}
+	c.owners[e.Key] = owned{owner: e.Owner, until: e.until()}
 }
 
 func (c *chain) expired(o owned, now time.Time) bool {
-	return !now.Before(o.at.Add(c.cfg.Retention))
+	return !now.Before(o.until)
 }
 
 // holder returns who has the key now.
@@ -163,7 +163,7 @@
 		return false
 	}
 	old, ok := c.slots[c.key()]
-	return ok && now.Before(old.newest.Add(c.cfg.Retention))
+	return ok && now.Before(old.until)
 }
 
 // prune forgets claims whose retention is over.
--- a/internal/traffic/claim/config.go
+++ b/internal/traffic/claim/config.go
@@ -5,6 +5,7 @@
 // Config bounds a shard. All processes of a deployment must use the same
 // Segments, since it places the segments.
 type Config struct {
+	Service      string        // whose claims these are
 	Shard        int           // this shard's number
 	Segments     int           // objects in the ring
 	SegmentBytes int           // a segment of at least this size is sealed
@@ -19,8 +20,9 @@
 
 // DefaultConfig returns the bounds of a shard: at most five writes a second,
 // and 64 segments of 64 KB, some 50,000 claims.
-func DefaultConfig(shard int) Config {
+func DefaultConfig(service string, shard int) Config {
 	return Config{
+		Service:      service,
 		Shard:        shard,
 		Segments:     64,
 		SegmentBytes: 64 << 10,
--- a/internal/traffic/claim/random_test.go
+++ b/internal/traffic/claim/random_test.go
@@ -42,7 +42,7 @@
 }
 
 func newWorld(t *rapid.T) *world {
-	cfg := claim.DefaultConfig(0)
+	cfg := claim.DefaultConfig("agenda", 0)
 	// Small enough that a run goes several times around the ring.
 	cfg.Segments, cfg.SegmentBytes, cfg.Retention = 3, 100, 5*time.Second
 	w := &world{
--- a/internal/traffic/claim/reply.go
+++ b/internal/traffic/claim/reply.go
@@ -16,6 +16,10 @@
 	}
 	op := s.call
 	s.call = 0
+	s.failures++
+	if r.Status != object.Unknown && r.Status != object.Refused {
+		s.failures = 0
+	}
 	switch op {
 	case object.List:
 		s.listed(now, r)
--- a/internal/traffic/claim/segment.go
+++ b/internal/traffic/claim/segment.go
@@ -18,11 +18,13 @@
 type entry struct {
 	Key   Key           `cbor:"1,keyasint"`
 	Owner request.Prior `cbor:"2,keyasint"`
-	At    int64         `cbor:"3,keyasint"` // milliseconds since 1970 by the writer's clock
+	At    int64         `cbor:"3,keyasint"` // when it was written; milliseconds since 1970 by the writer's clock
 	Freed bool          `cbor:"4,keyasint,omitempty"`
+	Until int64         `cbor:"5,keyasint,omitempty"` // when a claim ends, by the same clock
 }
 
-func (e entry) at() time.Time { return time.UnixMilli(e.At) }
+func (e entry) at() time.Time    { return time.UnixMilli(e.At) }
+func (e entry) until() time.Time { return time.UnixMilli(e.Until) }
 
 // segment is the value of one object of the ring. Entries are only ever added,
 // and none once it is sealed.
@@ -32,14 +34,13 @@
 	Entries  []entry `cbor:"3,keyasint"`
 }
 
-// newest is the latest time of an entry. Writers' clocks differ, so it need not
-// be the last one's.
-func (s *segment) newest() time.Time {
-	var newest int64
+// until is when the last of the segment's claims ends.
+func (s *segment) until() time.Time {
+	var until int64
 	for _, e := range s.Entries {
-		newest = max(newest, e.At)
+		until = max(until, e.Until)
 	}
-	return time.UnixMilli(newest)
+	return time.UnixMilli(until)
 }
 
 func (s *segment) encode() ([]byte, error) {
@@ -61,10 +62,10 @@
 }
 
 // prefix is the common part of the keys of a shard's objects.
-func prefix(shard int) object.Key {
-	return object.Key(fmt.Sprintf("claims/%03d-", shard))
+func (c Config) prefix() object.Key {
+	return object.Key(fmt.Sprintf("claims/%s-%03d-", c.Service, c.Shard))
 }
 
 func (c Config) objectKey(sequence uint64) object.Key {
-	return object.Key(fmt.Sprintf("%s%03d", prefix(c.Shard), sequence%uint64(c.Segments)))
+	return object.Key(fmt.Sprintf("%s%03d", c.prefix(), sequence%uint64(c.Segments)))
 }
--- a/internal/traffic/claim/shard.go
+++ b/internal/traffic/claim/shard.go
@@ -15,6 +15,10 @@
 	CauseRead  object.Cause = "claimReadBack"
 )
 
+// outFailures is how many calls in a row must fail for the platform to count as
+// out. From then on only an ask that comes when a call is due waits for it.
+const outFailures = 2
+
 // ask is a claim that waits for its record in the platform.
 type ask struct {
 	key        Key
@@ -39,6 +43,7 @@
 	unsure    bool      // read back before the next Put
 	lost      bool      // a Put that was not answered may still land
 	changed   bool      // the view has: settle all asks
+	failures  int       // calls in a row that got no answer
 	retryAt   time.Time
 	nextWrite time.Time
 	wakeAt    time.Time
@@ -56,6 +61,12 @@
 	}
 }
 
+// Configure changes the retention and the window, as the document in force
+// states them. Claims that were written keep the end that they have.
+func (s *Shard) Configure(retention, window time.Duration) {
+	s.cfg.Retention, s.cfg.Window = retention, window
+}
+
 // Handle takes an event and returns what is to be done, in order.
 func (s *Shard) Handle(now time.Time, ev Event) []Action {
 	s.out = nil
@@ -83,6 +94,9 @@
 		return
 	}
 	until := now.Add(s.cfg.Wait)
+	if s.failures >= outFailures && now.Before(s.retryAt) {
+		until = now // the platform is out: the caller learns it at once
+	}
 	if !ev.Until.IsZero() && ev.Until.Before(until) {
 		until = ev.Until
 	}
@@ -212,7 +226,7 @@
 	}
 	switch {
 	case !s.chain.loaded:
-		s.begin(object.Call{Op: object.List, Key: prefix(s.cfg.Shard), Cause: CauseLoad})
+		s.begin(object.Call{Op: object.List, Key: s.cfg.prefix(), Cause: CauseLoad})
 	case s.unsure:
 		s.begin(object.Call{Op: object.Get, Key: s.chain.key(), Cause: CauseRead})
 	case !now.Before(s.nextWrite):
@@ -263,13 +277,14 @@
 func (s *Shard) batch(now time.Time) []entry {
 	var batch []entry
 	batch = append(batch, s.frees[:min(len(s.frees), s.cfg.MaxBatch)]...)
+	until := now.Add(s.cfg.Retention).UnixMilli()
 	taken := make(map[Key]struct{})
 	for _, a := range s.asks {
 		if _, ok := taken[a.key]; ok || len(batch) >= 2*s.cfg.MaxBatch {
 			continue
 		}
 		taken[a.key] = struct{}{}
-		batch = append(batch, entry{Key: a.key, Owner: a.owner, At: now.UnixMilli()})
+		batch = append(batch, entry{Key: a.key, Owner: a.owner, At: now.UnixMilli(), Until: until})
 	}
 	return batch
 }
--- a/internal/traffic/claim/shard_test.go
+++ b/internal/traffic/claim/shard_test.go
@@ -28,7 +28,7 @@
 }
 
 func newProcess(t *testing.T, s *store) *process {
-	return &process{t: t, s: claim.New(claim.DefaultConfig(0)), store: s, now: t0}
+	return &process{t: t, s: claim.New(claim.DefaultConfig("agenda", 0)), store: s, now: t0}
 }
 
 func (p *process) on(ev claim.Event) {
@@ -182,6 +182,24 @@
 	})
 }
 
+// While the platform is out for long, callers need not wait to be refused. One
+// ask in each backoff goes to the platform, and finds it when it is back.
+func TestPlatformOutForLong(t *testing.T) {
+	p := newProcess(t, newStore())
+	p.ask(1, false)
+	for range 2 {
+		p.lose(false)
+		p.after(100 * time.Millisecond)
+	}
+	p.lose(false)
+	p.ask(2, false)
+	p.answers(claim.Refuse)
+	p.after(100 * time.Millisecond)
+	p.serve()
+	p.ask(3, false)
+	p.answers(claim.Refuse, claim.Granted, claim.Taken)
+}
+
 // The caller's key is free again after the retention, not before.
 func TestRetention(t *testing.T) {
 	p := newProcess(t, newStore())
@@ -199,7 +217,7 @@
 // refused after their wait; nothing is granted on a guess.
 func TestCorruptSegment(t *testing.T) {
 	s := newStore()
-	s.do(object.Call{Op: object.Put, Key: "claims/000-001", Value: []byte("x")})
+	s.do(object.Call{Op: object.Put, Key: "claims/agenda-000-001", Value: []byte("x")})
 	p := newProcess(t, s)
 	p.ask(1, false)
 	p.serve()
