Keep a part that is due at once from spinning

A collector that heard of a stage before its own process knew the service was due for ever and never served; a copy whose stage was overtaken likewise. A process in that state would keep a core busy. Both are mended, each deadline that does not move on is now a violation, and calls whose reply never comes are read back. A renewal of the lease whose answer was lost no longer brings back a fence that was given up.

--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -305,6 +305,13 @@
 	if !now.Before(l.until) {
 		return out
 	}
+	if a.record.Fence == l.fence {
+		// A renewal whose answer was lost turns up after the lease was given up.
+		// Whoever held it has forgotten what it did under this fence, so it
+		// begins again under a new one.
+		l.nextAt = now
+		return out
+	}
 	l.held = true
 	l.fence = a.record.Fence
 	return append(out, Action{Kind: Gained, Fence: l.fence})
--- a/internal/record/acceptance/collector.go
+++ b/internal/record/acceptance/collector.go
@@ -1,6 +1,7 @@
 package acceptance
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -86,11 +87,8 @@
 
 // tick sends what was gathered, and turns to the platform where the holder is silent.
 func (k *collector) tick(now time.Time) {
-	for _, service := range k.replica.services() {
-		c, ok := k.stages[service]
-		if !ok {
-			continue
-		}
+	for _, service := range slices.Sorted(maps.Keys(k.stages)) {
+		c := k.stages[service]
 		if !c.flushAt.IsZero() && !now.Before(c.flushAt) {
 			k.flush(now, service, c)
 		}
--- a/internal/record/acceptance/holder.go
+++ b/internal/record/acceptance/holder.go
@@ -48,7 +48,8 @@
 	lastHold time.Time // when the last new member said that it holds the text
 	tellAt   time.Time // when it is next reported who is waited for
 	retryAt  time.Time
-	calling  bool
+	callID   uint64    // of the call on its way, 0 if there is none
+	calledAt time.Time // when it was made
 
 	history        History
 	historyVersion object.Version
@@ -61,6 +62,8 @@
 	// reloadInterval is how often all documents are read again, in case a watch
 	// has gone silent and the news of a change was lost too.
 	reloadInterval = 30 * time.Second
+	// replyPatience is how long a reply may take; the adapter's own bound is shorter.
+	replyPatience = 5 * time.Second
 	// waitReport is after how long it is reported who is waited for.
 	waitReport = 2 * time.Second
 )
@@ -90,7 +93,6 @@
 	op      object.Op
 	service string
 	fence   lease.Fence
-	phase   phase
 	digest  Digest
 }
 
@@ -204,6 +206,11 @@
 		if j.phase == spreading {
 			h.evaluate(now, j)
 		}
+		if j.callID != 0 && now.Sub(j.calledAt) >= replyPatience {
+			// The reply was lost on its way to here: go on as after a lost answer.
+			j.callID = 0
+			h.retry(now, j)
+		}
 		if !j.retryAt.IsZero() && !now.Before(j.retryAt) {
 			j.retryAt = time.Time{}
 			h.resume(now, j)
@@ -219,6 +226,9 @@
 	next := h.listAt
 	for _, j := range h.jobs {
 		next = sooner(next, j.retryAt)
+		if j.callID != 0 {
+			next = sooner(next, j.calledAt.Add(replyPatience))
+		}
 		if j.phase == spreading {
 			next = sooner(next, j.tellAt)
 		}
@@ -255,7 +265,7 @@
 			h.observed(now, reply.Object)
 		}
 	default:
-		h.written(now, h.job(p.service), p, reply)
+		h.written(now, h.job(p.service), reply.ID, p, reply)
 	}
 }
 
--- a/internal/record/acceptance/process.go
+++ b/internal/record/acceptance/process.go
@@ -214,6 +214,10 @@
 	p.settleParts(now)
 	p.tick(now)
 	p.settleParts(now)
+	if !p.Deadline().After(now) {
+		// A part that is due again at once would keep a core busy for nothing.
+		p.out = append(p.out, Action{Kind: Violate, Violation: "a deadline does not move on"})
+	}
 	return p.out
 }
 
--- a/internal/record/acceptance/reading.go
+++ b/internal/record/acceptance/reading.go
@@ -28,8 +28,7 @@
 		if c.fetch.active() && !now.Before(c.fetch.nextAt) {
 			r.fetchNext(now, c)
 		}
-		open := (c.doubtful() || c.refusal != "") && !c.hold.nextAt.IsZero()
-		if open && !now.Before(c.hold.nextAt) {
+		if c.asking() && !now.Before(c.hold.nextAt) {
 			r.ask(now, c)
 		}
 	}
@@ -40,10 +39,9 @@
 func (r *Replica) deadline() time.Time {
 	next := r.listAt
 	for _, c := range r.copies {
-		for _, at := range []time.Time{c.fetch.nextAt, c.hold.nextAt} {
-			if !at.IsZero() && at.Before(next) {
-				next = at
-			}
+		next = sooner(next, c.fetch.nextAt)
+		if c.asking() {
+			next = sooner(next, c.hold.nextAt)
 		}
 	}
 	return next
--- a/internal/record/acceptance/replica.go
+++ b/internal/record/acceptance/replica.go
@@ -64,6 +64,11 @@
 	return c.stage != 0 && !c.stage.isClosed() && c.staged.Number > c.accepted && c.text != nil
 }
 
+// asking tells whether this process goes on saying that it holds, or refuses, a text.
+func (c *copyOf) asking() bool {
+	return (c.doubtful() || c.refusal != "") && !c.hold.nextAt.IsZero()
+}
+
 // Replica keeps the documents of one process. It is not safe for use by several
 // goroutines.
 type Replica struct {
--- a/internal/record/acceptance/stage.go
+++ b/internal/record/acceptance/stage.go
@@ -55,40 +55,42 @@
 		return
 	}
 	c.Op = object.Put
-	h.send(j, c)
+	h.send(now, j, c)
 }
 
-func (h *Holder) send(j *job, c object.Call) {
-	j.calling = true
-	h.call(c, holderCall{service: j.service, phase: j.phase, digest: j.digest})
+func (h *Holder) send(now time.Time, j *job, c object.Call) {
+	h.call(c, holderCall{service: j.service, digest: j.digest})
+	j.callID = h.callID
+	j.calledAt = now
 }
 
 // resume goes on after a pause: it reads back what may have been written.
 func (h *Holder) resume(now time.Time, j *job) {
 	switch j.phase {
 	case idle:
-		h.reread(j)
+		h.reread(now, j)
 	case storing:
 		h.put(now, j, object.Call{Key: textKey(j.service, j.digest), Value: j.text, Cause: CauseText})
 	case staging, accepting:
-		h.reread(j)
+		h.reread(now, j)
 	case archiving:
 		h.archive(now, j)
 	}
 }
 
-func (h *Holder) reread(j *job) {
-	h.send(j, object.Call{Op: object.Get, Key: recordKey(j.service), Cause: CauseAccept})
+func (h *Holder) reread(now time.Time, j *job) {
+	h.send(now, j, object.Call{Op: object.Get, Key: recordKey(j.service), Cause: CauseAccept})
 }
 
 // written takes in the end of a write, or of the read that follows a lost answer.
-func (h *Holder) written(now time.Time, j *job, p holderCall, reply object.Reply) {
-	j.calling = false
-	if p.cause == CauseHistory {
-		h.archiveAnswered(now, j, p, reply)
+// The end of an older call is late: what it says has been read back since.
+func (h *Holder) written(now time.Time, j *job, id uint64, p holderCall, reply object.Reply) {
+	if id != j.callID {
 		return
 	}
-	if p.op == object.Delete || p.phase != j.phase {
+	j.callID = 0
+	if p.cause == CauseHistory {
+		h.archiveAnswered(now, j, p, reply)
 		return
 	}
 	switch j.phase {
@@ -150,7 +152,7 @@
 	case p.op == object.Get && reply.Status == object.NotFound && j.version == 0:
 		h.again(now, j)
 	case reply.Status == object.Conflict:
-		h.reread(j)
+		h.reread(now, j)
 	default:
 		// Refused, or lost: in either case what stands there now decides.
 		h.retry(now, j)
@@ -406,9 +408,9 @@
 
 // archive copies the older half of the recent entries to the history: it reads
 // the history and writes it back with the entries added.
-func (h *Holder) archive(_ time.Time, j *job) {
+func (h *Holder) archive(now time.Time, j *job) {
 	j.phase = archiving
-	h.send(j, object.Call{Op: object.Get, Key: historyKey(j.service), Cause: CauseHistory})
+	h.send(now, j, object.Call{Op: object.Get, Key: historyKey(j.service), Cause: CauseHistory})
 }
 
 func (h *Holder) archiveAnswered(now time.Time, j *job, p holderCall, reply object.Reply) {
--- a/internal/record/acceptance/world_test.go
+++ b/internal/record/acceptance/world_test.go
@@ -14,7 +14,6 @@
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
 	"wagtailshelf.example/wagtailshelf/internal/fleet/member"
 	"wagtailshelf.example/wagtailshelf/internal/record/finding"
-	"wagtailshelf.example/wagtailshelf/internal/record/object"
 )
 
 // world joins processes by links with delays, and to a platform.
@@ -188,9 +187,9 @@
 
 func (w *world) feed(n *node, ev Event) {
 	if n.paused {
-		gen := n.gen
+		life := n.id.Incarnation
 		n.waiting = append(n.waiting, func() {
-			if n.gen == gen {
+			if n.p != nil && n.id.Incarnation == life {
 				w.feed(n, ev)
 			}
 		})
@@ -219,7 +218,9 @@
 		w.after(0, do)
 	}
 	n.waiting = nil
-	w.schedule(n)
+	if n.p != nil {
+		w.schedule(n)
+	}
 }
 
 func (w *world) act(n *node, a Action) {
@@ -406,10 +407,24 @@
 		}
 		w.run(5 * time.Millisecond)
 	}
-	w.t.Fatalf("did not come about within %s", limit)
+	w.t.Fatalf("did not come about within %s%s", limit, w.dump())
 	return 0
 }
 
+// dump tells what each process knows.
+func (w *world) dump() string {
+	var b strings.Builder
+	for _, n := range w.nodes {
+		if n.p == nil {
+			fmt.Fprintf(&b, "\n%s stopped", n.id.Name)
+			continue
+		}
+		d := n.p.Dump(w.local(n))
+		fmt.Fprintf(&b, "\n%s paused=%t work=%s lease=%v docs=%+v changes=%+v", n.id.Name, n.paused, d.WorkLeft, d.Lease, d.Documents, d.Changes)
+	}
+	return b.String()
+}
+
 func ready(t *testing.T, n, centres int) *world {
 	t.Helper()
 	w := newWorld(t, 7)
@@ -420,5 +435,3 @@
 	require.NotNil(t, w.holder())
 	return w
 }
-
-var _ = object.Done
