Keep Idempotency-Keys in the platform from the entry

Calls with a key were refused as notRun, since no duty kept claims.

Each service has a claim desk in each entry, which carries out its shard's calls to the platform and answers requests. A grant that comes after the request has ended is freed. A repeat joins the answer of the request that holds its key, also while that is still on its way to the target; a key that is used for another call is refused (422). Dumps show the shards, and wagtailshelf_claims_total counts their answers.

A test through two entries logs an outcome once for calls one after the other, eight at once, and none with the platform out.

--- a/internal/program/entry/count.go
+++ b/internal/program/entry/count.go
@@ -33,6 +33,10 @@
 	c.duration.Update(took.Seconds())
 }
 
+func (c *counts) claimed(service, result string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("wagtailshelf_claims_total{service=%q,result=%q}", service, result)).Inc()
+}
+
 func (c *counts) violated(l *log.Logger, invariant, evidence string) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("wagtailshelf_violations_total{invariant=%q}", invariant)).Inc()
 	l.Error().Str("invariant", invariant).Str("evidence", evidence).Msg("invariant violated")
--- a/internal/program/entry/documents.go
+++ b/internal/program/entry/documents.go
@@ -57,9 +57,11 @@
 	e.publish()
 	if r := e.routers[service]; r != nil {
 		r.tell(routerMessage{kind: tellService, document: d})
+		e.claims[service].tell(claimMessage{kind: tellTimes, document: d})
 		return
 	}
 	e.startRouter(d)
+	e.startClaims(d)
 }
 
 // startRouter begins the routing duty of a service. The caller holds e.mu.
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -71,6 +71,7 @@
 	mu       sync.Mutex
 	services map[string]*caller.Service
 	routers  map[string]*router
+	claims   map[string]*claimDesk
 }
 
 // New opens the entry's sockets. Run serves them.
@@ -84,6 +85,7 @@
 		stop:     stop,
 		services: make(map[string]*caller.Service),
 		routers:  make(map[string]*router),
+		claims:   make(map[string]*claimDesk),
 	}
 	e.peers = &peer.Config{
 		Identity:  cfg.Identity,
--- a/internal/program/entry/exchange.go
+++ b/internal/program/entry/exchange.go
@@ -78,7 +78,7 @@
 
 func (x *exchange) spec() request.Spec {
 	c := x.call
-	return request.Spec{
+	spec := request.Spec{
 		ID: c.ID,
 		Call: request.Call{
 			Service:    c.Service.Document.Service,
@@ -94,6 +94,10 @@
 		Claimed:  !c.Route.Idempotent && c.Key != "",
 		Deadline: c.Deadline,
 	}
+	if spec.Claimed {
+		spec.Print = x.print()
+	}
+	return spec
 }
 
 func (x *exchange) decideRetry(ctx context.Context) func(time.Time, retry.Try) retry.Decision {
@@ -180,6 +184,7 @@
 	for ; x.running > 0; x.running-- {
 		<-x.readers
 	}
+	x.hearLate(x.entry.ctx)
 	x.timer.Stop()
 }
 
--- a/internal/program/entry/state.go
+++ b/internal/program/entry/state.go
@@ -15,6 +15,7 @@
 	Draining    bool           `json:"draining"`
 	Services    []ServiceState `json:"services"`
 	Routers     []RouterState  `json:"routers"`
+	Claims      []ClaimState   `json:"claims"`
 	Connections []ConnState    `json:"connections"`
 }
 
@@ -48,6 +49,11 @@
 			return State{}, context.Cause(ctx)
 		}
 	}
+	claims, err := e.claimStates(ctx, state.Services)
+	if err != nil {
+		return State{}, err
+	}
+	state.Claims = claims
 	for _, c := range e.pool.Open() {
 		sent, received := c.Bytes()
 		state.Connections = append(state.Connections, ConnState{Peer: c.Peer(), Number: c.Number(), Sent: sent, Received: received})
--- /dev/null
+++ b/internal/program/trial/requests_test.go
@@ -0,0 +1,83 @@
+package trial_test
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/program/trial"
+	standinplatform "wagtailshelf.example/wagtailshelf/internal/standin/platform"
+	"wagtailshelf.example/wagtailshelf/internal/wire/caller"
+)
+
+// postKeyed logs an outcome through one of the entries, with an Idempotency-Key.
+func postKeyed(t *testing.T, d *trial.Deployment, entry int, key, body string) *http.Response {
+	t.Helper()
+	url := "http://" + d.Entries[entry].Addr().String() + "/agenda/outcomes"
+	r, err := http.NewRequestWithContext(testContext(t), http.MethodPost, url, strings.NewReader(body))
+	require.NoError(t, err)
+	r.Header.Set("Authorization", "Bearer "+trial.SmallKey)
+	r.Header.Set(caller.KeyHeader, key)
+	resp, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+// A volunteer's app logs the outcome of a call and, unsure whether it arrived,
+// logs it again through another entry. The outcome is logged once, and both
+// calls get its answer. The platform's outage refuses the call as not run.
+func TestKeyedCallsThroughTwoEntries(t *testing.T) {
+	d := newDeployment(t)
+	second, err := d.AddEntry("mtl-a-entry-1", "mtl-a", nil)
+	require.NoError(t, err)
+	require.Eventually(t, second.Ready, testTimeout, 5*time.Millisecond)
+	logbook := d.Targets[2].Service
+	const body = `{"call":"c7","outcome":"reached"}`
+	requireRuns := func(t *testing.T, want int) {
+		t.Helper()
+		runs := 0
+		for _, l := range logbook.Logged() {
+			runs += l.Count
+		}
+		require.Equal(t, want, runs)
+	}
+
+	t.Run("one after the other", func(t *testing.T) {
+		first := requireOutcome(t, postKeyed(t, d, 0, "k1", body), http.StatusCreated, "answered")
+		again := requireOutcome(t, postKeyed(t, d, 1, "k1", body), http.StatusCreated, "answered")
+		require.Equal(t, first, again)
+		requireRuns(t, 1)
+	})
+	t.Run("at once", func(t *testing.T) {
+		var wg sync.WaitGroup
+		responses := make([]*http.Response, 8)
+		for i := range responses {
+			wg.Go(func() { responses[i] = postKeyed(t, d, i%2, "k2", body) })
+		}
+		wg.Wait()
+		answered := 0
+		for _, r := range responses {
+			if r.StatusCode == http.StatusCreated {
+				answered++
+			} else {
+				requireOutcome(t, r, http.StatusConflict, "unknown")
+			}
+		}
+		require.Positive(t, answered)
+		requireRuns(t, 2)
+	})
+	t.Run("for another call", func(t *testing.T) {
+		requireOutcome(t, postKeyed(t, d, 1, "k1", `{"call":"c8"}`), http.StatusUnprocessableEntity, "notRun")
+	})
+	t.Run("while the platform is out", func(t *testing.T) {
+		d.Platform.SetFaults(standinplatform.Faults{Outage: true})
+		defer d.Platform.SetFaults(standinplatform.Faults{})
+		requireOutcome(t, postKeyed(t, d, 0, "k3", body), http.StatusServiceUnavailable, "notRun")
+		requireRuns(t, 2)
+	})
+}
--- a/internal/traffic/request/answer.go
+++ b/internal/traffic/request/answer.go
@@ -31,8 +31,19 @@
 	case End:
 		r.end(now, m)
 	case UnknownOutcome:
-		r.lost(now, m.Reason)
+		r.unknown(now, m)
+	}
+}
+
+// unknown asks again where the request that holds the key may only be on its
+// way to its target: both may have been made at the same moment.
+func (r *Request) unknown(now time.Time, m Message) {
+	if r.joined && m.Reason == NeverSeen && now.Before(r.resolveBy) {
+		r.phase = joining
+		r.retryAt = now.Add(r.cfg.JoinWait)
+		return
 	}
+	r.lost(now, m.Reason)
 }
 
 // cancelLate repeats the Cancel of an attempt that was left behind on a
@@ -136,7 +147,7 @@
 	switch r.phase {
 	case claiming:
 		r.pickAgain = true
-	case opened, resolving:
+	case opened, resolving, joining:
 		r.connect(now)
 	}
 }
--- a/internal/traffic/request/config.go
+++ b/internal/traffic/request/config.go
@@ -9,6 +9,7 @@
 	MinRemaining time.Duration // an attempt with less time than this is not begun
 	ResolveWait  time.Duration // wait for one connection, or for one reply to Resolve
 	ResolveLimit time.Duration // wait for all of that together, before the answer began
+	JoinWait     time.Duration // before asking again for the request that holds the key
 	RetryAfter   time.Duration // hint for the caller where no sidecar gave one
 }
 
@@ -18,6 +19,7 @@
 		MinRemaining: 20 * time.Millisecond,
 		ResolveWait:  300 * time.Millisecond,
 		ResolveLimit: 3 * time.Second,
+		JoinWait:     20 * time.Millisecond,
 		RetryAfter:   time.Second,
 	}
 }
@@ -28,5 +30,6 @@
 	Call     Call // Remaining is set at each sending
 	Header   []Field
 	Claimed  bool      // not repeatable and with an Idempotency-Key: claim it first
+	Print    uint64    // digest of what the caller sent; tells a repeat from another request with the same key
 	Deadline time.Time // when the caller has waited long enough
 }
--- a/internal/traffic/request/event.go
+++ b/internal/traffic/request/event.go
@@ -45,6 +45,7 @@
 	ID          ID               `cbor:"1,keyasint" json:"id"`
 	Target      host.Name        `cbor:"2,keyasint,omitempty" json:"target,omitempty"`
 	Incarnation host.Incarnation `cbor:"3,keyasint,omitempty" json:"incarnation,omitempty"`
+	Print       uint64           `cbor:"4,keyasint,omitempty" json:"print,omitempty"`
 }
 
 // ActionKind is the kind of an [Action].
--- a/internal/traffic/request/outcome.go
+++ b/internal/traffic/request/outcome.go
@@ -51,6 +51,7 @@
 	TargetSilent       Reason = "targetSilent"       // no fresh connection or no reply to Resolve
 	CallerGone         Reason = "callerGone"         // the caller went away
 	KeyClaimed         Reason = "keyClaimed"         // its Idempotency-Key belongs to an earlier request
+	KeyReused          Reason = "keyReused"          // its Idempotency-Key was used before, for something else
 	ClaimUnavailable   Reason = "claimUnavailable"   // the platform could not record the claim
 	ClaimsFull         Reason = "claimsFull"         // no room for claims within the retention
 	InvariantViolation Reason = "invariantViolation" // the sidecar contradicted itself
--- a/internal/traffic/request/request.go
+++ b/internal/traffic/request/request.go
@@ -18,6 +18,7 @@
 	opened           // Open was sent, or a reply to Resolve has come
 	connecting       // Connect was asked, in order to resolve
 	resolving        // Resolve was sent
+	joining          // until retryAt: the request that holds the key was not there yet
 	done
 )
 
@@ -132,12 +133,16 @@
 	r.target, r.incarnation, r.conn = ev.Target, ev.Incarnation, ev.Conn
 	if r.spec.Claimed && !r.claimed {
 		r.phase = claiming
-		r.emit(Action{Kind: Claim, Prior: Prior{ID: r.id, Target: r.target, Incarnation: r.incarnation}})
+		r.emit(Action{Kind: Claim, Prior: r.prior()})
 		return
 	}
 	r.open(now)
 }
 
+func (r *Request) prior() Prior {
+	return Prior{ID: r.id, Target: r.target, Incarnation: r.incarnation, Print: r.spec.Print}
+}
+
 func (r *Request) nothingPicked(ev Event) {
 	if r.phase != picking {
 		return
@@ -174,6 +179,11 @@
 		r.claimGranted(now)
 		return
 	}
+	if p.Print != r.spec.Print {
+		// Its answer would be the answer to another request.
+		r.fail(KeyReused)
+		return
+	}
 	r.joined, r.live, r.seen = true, true, true
 	if p.Target == "" {
 		r.fail(KeyClaimed)
@@ -232,6 +242,10 @@
 		if !now.Before(r.retryAt) {
 			r.connect(now)
 		}
+	case joining:
+		if !now.Before(r.retryAt) {
+			r.resolve(now)
+		}
 	}
 }
 
@@ -347,7 +361,7 @@
 	}
 	at := r.spec.Deadline
 	switch r.phase {
-	case backingOff:
+	case backingOff, joining:
 		at = earlier(at, r.retryAt)
 	case connecting, resolving:
 		at = earlier(at, earlier(r.retryAt, r.resolveBy))
--- a/internal/traffic/request/request_test.go
+++ b/internal/traffic/request/request_test.go
@@ -268,6 +268,18 @@
 		}
 		l.ended(request.Answered, request.NoReason)
 	})
+	t.Run("comes before it", func(t *testing.T) {
+		l := begin(t)
+		l.connected("mtl-b-1", 2, 5)
+		for range 2 {
+			m := request.Message{Kind: request.UnknownOutcome, ID: prior.ID, Attempt: 1, Reason: request.NeverSeen}
+			l.on(request.Event{Kind: request.Received, Conn: 2, Message: m})
+			l.tickAfter(20 * time.Millisecond)
+			require.Equal(t, request.Resolve, l.last(request.Send).Message.Kind)
+		}
+		l.tickAfter(3 * time.Second)
+		l.ended(request.Unknown, request.KeyClaimed)
+	})
 	t.Run("refusal there proves nothing", func(t *testing.T) {
 		l := begin(t)
 		l.connected("mtl-b-1", 2, 5)
@@ -275,6 +287,12 @@
 		l.on(request.Event{Kind: request.Received, Conn: 2, Message: m})
 		l.ended(request.Unknown, request.KeyClaimed)
 	})
+	t.Run("for another request", func(t *testing.T) {
+		l := newLife(t, false, true)
+		l.picked("mtl-a-1", 1)
+		l.on(request.Event{Kind: request.ClaimTaken, Prior: request.Prior{ID: request.ID{9}, Target: "mtl-b-1", Print: 1}})
+		l.ended(request.NotRun, request.KeyReused)
+	})
 	t.Run("target is gone", func(t *testing.T) {
 		l := begin(t)
 		l.connected("mtl-b-1", 2, 6)
--- a/internal/wire/caller/problem.go
+++ b/internal/wire/caller/problem.go
@@ -38,6 +38,8 @@
 		return http.StatusRequestEntityTooLarge
 	case request.KeyClaimed:
 		return http.StatusConflict
+	case request.KeyReused:
+		return http.StatusUnprocessableEntity
 	}
 	if outcome == request.NotRun {
 		return http.StatusServiceUnavailable
