Give the rig's processes ports that nothing else takes

Ports now lie below those that the system hands out, and a process that ends early fails the start. Documents are in the platform before the first entry reads them: an entry that had read one of two was ready and refused the other service's calls. Counts are read again when the machine is too busy to answer in time.

--- a/cmd/processrig/cluster.go
+++ b/cmd/processrig/cluster.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,9 @@
 	// balanceEvery is how often the balancer looks at an entry. It is shorter
 	// than the delay for which a draining entry still takes work.
 	balanceEvery = 250 * time.Millisecond
+
+	firstPort = 21000
+	lastPort  = 30000
 )
 
 var dataCentres = []string{"mtl-a", "mtl-b", "mtl-c"}
@@ -53,10 +57,11 @@
 	entries   []*node
 	sidecars  []*node
 	processes []*node
+	port      uint16 // the last one given out
 }
 
 func newCluster(o options, dir string) *cluster {
-	return &cluster{opts: o, dir: dir, token: credential.NewToken(), http: &http.Client{Timeout: 5 * time.Second}}
+	return &cluster{opts: o, dir: dir, port: firstPort, token: credential.NewToken(), http: &http.Client{Timeout: 5 * time.Second}}
 }
 
 func (c *cluster) close() {
@@ -91,17 +96,22 @@
 	if err := c.issueKeys(); err != nil {
 		return err
 	}
-	for _, n := range append(append([]*node{}, c.sidecars...), c.entries...) {
+	// An entry is ready once it has read what documents there are, so they come
+	// first.
+	if err := c.applyAll(ctx, 0); err != nil {
+		return err
+	}
+	for _, n := range slices.Concat(c.sidecars, c.entries) {
 		if err := c.launch(n); err != nil {
 			return err
 		}
 	}
-	if err := c.applyAll(ctx, 0); err != nil {
-		return err
-	}
 	if err := c.awaitReady(ctx); err != nil {
 		return err
 	}
+	if early := checkEnds(c); len(early) > 0 {
+		return errors.New(strings.Join(early, "; "))
+	}
 	for _, e := range c.entries {
 		go c.balance(ctx, e)
 	}
@@ -137,7 +147,7 @@
 	if err != nil {
 		return err
 	}
-	n := &node{dataCentre: dc, target: target, model: kind == "engine", peers: freeAddr("udp"), admin: freeAddr("tcp")}
+	n := &node{dataCentre: dc, target: target, model: kind == "engine", peers: c.freeAddr(), admin: c.freeAddr()}
 	n.child = c.child(name, "sidecar", "sidecar", "--settings", filepath.Join(c.dir, name+".yaml"))
 	if n.relay, err = newRelay(n.peers); err != nil {
 		return err
@@ -150,7 +160,7 @@
 func (c *cluster) addEntry(i int) {
 	dc := dataCentres[i%len(dataCentres)]
 	name := fmt.Sprintf("%s-entry-%d", dc, i)
-	n := &node{dataCentre: dc, callers: freeAddr("tcp"), peers: freeAddr("udp"), admin: freeAddr("tcp")}
+	n := &node{dataCentre: dc, callers: c.freeAddr(), peers: c.freeAddr(), admin: c.freeAddr()}
 	n.child = c.child(name, "entry", "entry", "--settings", filepath.Join(c.dir, name+".yaml"))
 	c.entries = append(c.entries, n)
 	c.processes = append(c.processes, n)
@@ -246,21 +256,30 @@
 	return ready
 }
 
-// freeAddr finds a free port on loopback. Another program could take it before
-// the child does; the child then fails to start, and the run with it.
-func freeAddr(network string) netip.AddrPort {
-	if network == "udp" {
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			return netip.AddrPort{}
+// freeAddr finds a free port on loopback. The ports lie below those that the
+// system hands out by itself, so that no relay and no client takes one before
+// the process that it is meant for has started.
+func (c *cluster) freeAddr() netip.AddrPort {
+	for c.port < lastPort {
+		c.port++
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), c.port)
+		if isFree(addr) {
+			return addr
 		}
-		defer conn.Close()
-		return netip.MustParseAddrPort(conn.LocalAddr().String())
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return netip.AddrPort{}
+}
+
+func isFree(addr netip.AddrPort) bool {
+	conn, err := net.ListenPacket("udp", addr.String())
 	if err != nil {
-		return netip.AddrPort{}
+		return false
+	}
+	conn.Close()
+	ln, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return false
 	}
-	defer ln.Close()
-	return netip.MustParseAddrPort(ln.Addr().String())
+	ln.Close()
+	return true
 }
--- a/cmd/processrig/report.go
+++ b/cmd/processrig/report.go
@@ -15,6 +15,8 @@
 	"wagtailshelf.example/wagtailshelf/internal/standin/service"
 )
 
+const getTries = 4
+
 // report prints what happened and returns whether all promises held.
 func report(c *cluster, w *watcher, l *load) bool {
 	printOutcomes(l.calls)
@@ -167,7 +169,18 @@
 	return broken
 }
 
+// get reads a stand-in's count, with a few tries: the machine may be busy.
 func (c *cluster) get(n *node, path string, v any) error {
+	var err error
+	for range getTries {
+		if err = c.getOnce(n, path, v); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func (c *cluster) getOnce(n *node, path string, v any) error {
 	resp, err := c.http.Get("http://" + n.callers.String() + path)
 	if err != nil {
 		return err
