Bound waiting to a part of the deadline, and measure in a queueing model

Under overload a request that waited for most of its time was often finished too late, and was refused late if at all.

A request now waits for a quarter of the time it has left, and is given 1.5 times the mean time at the target. Reports carry the limit, and the thresholds of load are in units of the service time: in seconds they suited neither a call of 10 ms nor one of 2 s.

--- /dev/null
+++ b/cmd/routingrig/main.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"wagtailshelf.example/wagtailshelf/internal/traffic/target"
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:  "routingrig",
+		Usage: "measure routing, admission and retries in a queueing model",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "run", Value: "overload", Usage: "overload, affinity, fairness or retries"},
+			&cli.Uint64Flag{Name: "seed", Value: 1},
+		},
+		Action: func(_ context.Context, c *cli.Command) error { return measure(c.String("run"), c.Uint64("seed")) },
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func measure(name string, seed uint64) error {
+	sc := base()
+	sc.seed = seed
+	sc.capacity = capacityOf(sc)
+	fmt.Printf("16 targets answer %.0f requests a second without prefixes kept by choice\n\n", sc.capacity)
+	switch name {
+	case "overload":
+		overload(sc)
+	case "affinity":
+		affinity(sc)
+	case "fairness":
+		fairness(sc)
+	case "retries":
+		retries(sc)
+	default:
+		return fmt.Errorf("no run %q", name)
+	}
+	return nil
+}
+
+// capacityOf measures the rate at which the targets answer when they have always
+// enough to do: random choice, all sound, admission that refuses the rest.
+func capacityOf(sc scenario) float64 {
+	sc.policy = random
+	sc.retries = noRetries
+	sc.capacity = 1
+	sc.load = 1200
+	sc.warm, sc.length = 10*time.Second, 20*time.Second
+	s := run(sc)
+	return float64(s.ends[answeredEnd]) / sc.length.Seconds()
+}
+
+// named is a policy with the name that the tables show.
+type named struct {
+	name   string
+	policy newPolicy
+}
+
+func policies() []named {
+	return []named{
+		{"round robin", roundRobin},
+		{"random", random},
+		{"least requests", leastRequests},
+		{"wagtailshelf", chooser(target.Config{}, true)},
+	}
+}
+
+// condition is a fault or a lag that a run is made under.
+type condition struct {
+	name  string
+	apply func(*scenario)
+}
+
+func conditions() []condition {
+	return []condition{
+		{"all sound", func(*scenario) {}},
+		{"one target 4 times slower", func(sc *scenario) { sc.slowTargets = 1 }},
+		{"the same, reports 1 s late", func(sc *scenario) { sc.slowTargets, sc.reportLag = 1, time.Second }},
+	}
+}
+
+func overload(sc scenario) {
+	fmt.Println("| condition | load | policy | admission | goodput | p50 | p99 | refused | refused within p99 | late |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|")
+	for _, cond := range conditions() {
+		for _, load := range []float64{0.8, 2, 5} {
+			for _, p := range policies() {
+				for _, admission := range []bool{false, true} {
+					run := sc
+					run.load, run.policy, run.admission = load, p.policy, admission
+					cond.apply(&run)
+					row(cond.name, p.name, run)
+				}
+			}
+		}
+	}
+}
+
+func row(cond, policy string, sc scenario) {
+	s := run(sc)
+	offered := float64(s.first)
+	admission := "none"
+	if sc.admission {
+		admission = "queue"
+	}
+	fmt.Printf("| %s | %.1f | %s | %s | %.3f | %s | %s | %.1f%% | %s | %.1f%% |\n",
+		cond, sc.load, policy, admission,
+		float64(s.ends[answeredEnd])/(sc.capacity*sc.length.Seconds()),
+		ms(quantile(s.took, 0.5)), ms(quantile(s.took, 0.99)),
+		100*float64(s.ends[refusedEnd])/offered, ms(quantile(s.refusedIn, 0.99)),
+		100*float64(s.ends[lateEnd])/offered)
+}
+
+func ms(d time.Duration) string { return fmt.Sprintf("%d ms", d.Milliseconds()) }
+
+func affinity(sc scenario) {
+	fmt.Println("| load | prefix bound | prompt tokens kept | goodput | p50 | p99 | step p50 | step p99 |")
+	fmt.Println("|---|---|---|---|---|---|---|---|")
+	for _, load := range []float64{0.5, 0.8, 1.2, 2} {
+		for _, bound := range []float64{0, 1.05, 1.25, 1.5, 2, 4, 1000} {
+			run := sc
+			run.load = load
+			run.policy = chooser(target.Config{AffinityLoad: max(bound, 1)}, bound > 0)
+			affinityRow(bound, run)
+		}
+	}
+}
+
+func affinityRow(bound float64, sc scenario) {
+	s := run(sc)
+	name := fmt.Sprint(bound)
+	switch bound {
+	case 0:
+		name = "no affinity"
+	case 1000:
+		name = "unbounded"
+	}
+	fmt.Printf("| %.1f | %s | %.1f%% | %.3f | %s | %s | %.1f ms | %.1f ms |\n", sc.load, name,
+		100*float64(s.kept)/float64(s.prompt),
+		float64(s.ends[answeredEnd])/(sc.capacity*sc.length.Seconds()),
+		ms(quantile(s.took, 0.5)), ms(quantile(s.took, 0.99)),
+		1000*quantile(s.steps, 0.5).Seconds(), 1000*quantile(s.steps, 0.99).Seconds())
+}
+
+// fairness has ten workspaces that each ask for 0.08 of capacity. Then the first
+// asks for ten times its equal share.
+func fairness(sc scenario) {
+	equal := []float64{1, 1, 1, 1, 1, 1, 1, 1, 1, 1}
+	fmt.Println("| policy | admission | others' goodput before | with the large one | change | p99 before | p99 with |")
+	fmt.Println("|---|---|---|---|---|---|---|")
+	for _, p := range policies() {
+		for _, admission := range []bool{false, true} {
+			before := sc
+			before.policy, before.admission = p.policy, admission
+			before.weights, before.load = equal, 0.8
+			after := before
+			after.weights = append([]float64{12.5}, equal[1:]...)
+			after.load = 0.08 * 21.5
+			a, b := run(before), run(after)
+			fmt.Printf("| %s | %t | %d | %d | %+.1f%% | %s | %s |\n", p.name, admission, a.others(), b.others(),
+				100*(float64(b.others())/float64(a.others())-1), ms(quantile(a.took, 0.99)), ms(quantile(b.took, 0.99)))
+		}
+	}
+}
+
+// retries has half of the targets fail each request at once.
+func retries(sc scenario) {
+	fmt.Println("| policy | retries | load | attempts per request | goodput |")
+	fmt.Println("|---|---|---|---|---|")
+	for _, load := range []float64{0.4, 0.8} {
+		for _, p := range policies() {
+			for _, kind := range []retryKind{noRetries, alwaysRetries, budgetRetries} {
+				run := sc
+				run.policy, run.retries, run.load, run.failing = p.policy, kind, load, sc.targets/2
+				retryRow(p.name, run)
+			}
+		}
+	}
+}
+
+func retryRow(policy string, sc scenario) {
+	s := run(sc)
+	name := [...]string{"none", "up to two", "budget"}[sc.retries]
+	fmt.Printf("| %s | %s | %.1f | %.3f | %.3f |\n", policy, name, sc.load,
+		float64(s.attempts)/float64(s.first), float64(s.ends[answeredEnd])/(sc.capacity*sc.length.Seconds()))
+}
--- a/internal/traffic/target/candidate.go
+++ b/internal/traffic/target/candidate.go
@@ -41,6 +41,7 @@
 	Incarnation host.Incarnation
 	Outstanding int64         // tokens of work queued or running
 	Capacity    float64       // tokens a second that the target can finish
+	Limit       int           // requests that may run at once; zero if unknown
 	Age         time.Duration // time between the measurement and now, summed over relays
 }
 
@@ -88,7 +89,9 @@
 	RetryAfter time.Duration // for Refused: the target takes no work before this has passed
 }
 
-// Config holds the settings of a Chooser. Zero values take the defaults of
+// Config holds the settings of a Chooser. Loads in it are in units of the usual
+// service time: a target that runs as many requests as it may has a load of
+// about 1, and one with a queue has more. Zero values take the defaults of
 // [DefaultConfig].
 type Config struct {
 	DataCentre   host.DataCentre // the entry's own
@@ -96,9 +99,9 @@
 	ReportFresh  time.Duration   // age up to which a report counts in full
 	ReportTTL    time.Duration   // age from which a report counts for nothing
 	AffinityLoad float64         // a prefix's target may be this many times as loaded as the mean
-	AffinityRoom time.Duration   // load that a prefix's target may have in any case
-	SpillLoad    time.Duration   // load of the own data centre from which others are looked at
-	SpillGain    time.Duration   // load that a target elsewhere must be better by
+	AffinityRoom float64         // load that a prefix's target may have in any case
+	SpillLoad    float64         // load of the own data centre from which others are looked at
+	SpillGain    float64         // load that a target elsewhere must be better by
 	Choices      int             // targets drawn and compared
 	RankChoices  int             // targets drawn and compared where they are ranks of a group
 	EjectAfter   int             // failures in a row that take a target out for a while
@@ -110,12 +113,12 @@
 // DefaultConfig returns the settings that the measurements were made with.
 func DefaultConfig() Config {
 	return Config{
-		ReportFresh:  2 * time.Second,
-		ReportTTL:    6 * time.Second,
+		ReportFresh:  200 * time.Millisecond,
+		ReportTTL:    2 * time.Second,
 		AffinityLoad: 1.25,
-		AffinityRoom: 100 * time.Millisecond,
-		SpillLoad:    500 * time.Millisecond,
-		SpillGain:    200 * time.Millisecond,
+		AffinityRoom: 0.25,
+		SpillLoad:    0.5,
+		SpillGain:    0.1,
 		Choices:      2,
 		RankChoices:  4,
 		EjectAfter:   3,
--- a/internal/traffic/target/chooser.go
+++ b/internal/traffic/target/chooser.go
@@ -21,9 +21,12 @@
 	epoch      time.Time
 	states     map[Name]*state
 	pools      []*pool
-	shares     float64 // sum over pools
-	typical    capacities
-	perTypical float64 // seconds a token at the typical capacity
+	shares     float64       // sum over pools
+	typical    geometricMean // of capacities
+	perTypical float64       // seconds a token at the typical capacity
+	streams    geometricMean // of the times that a request takes for a token
+	perStream  float64       // its mean; zero if unknown
+	meanTokens float64       // moving mean of the requests' tokens
 	ejected    int
 	violations []Violation
 }
@@ -130,6 +133,7 @@
 // target may get it; Choice.RetryAfter then says when one may.
 func (c *Chooser) Pick(now time.Time, q Query) (Choice, bool) {
 	at := now.Sub(c.epoch)
+	c.meanTokens += (float64(q.Tokens) - c.meanTokens) / meanOver
 	first := c.drawPool()
 	for i := range c.pools {
 		p := c.pools[(first+i)%len(c.pools)]
--- a/internal/traffic/target/load.go
+++ b/internal/traffic/target/load.go
@@ -11,32 +11,33 @@
 	minCapacity = 0.01
 	maxCapacity = 1e7
 	maxDrain    = time.Hour
+	maxLimit    = 1 << 20
 	// capacityBand is how many times above or below the typical capacity a target
 	// is believed to be.
 	capacityBand = 8
 )
 
-// capacities is the geometric mean of the capacities reported. One absurd
-// report moves it little, where it would make an arithmetic mean useless.
-type capacities struct {
+// geometricMean is a mean of reported values. One absurd report moves it little,
+// where it would make an arithmetic mean useless.
+type geometricMean struct {
 	n    int
 	logs float64
 }
 
-func (m *capacities) add(v float64) {
+func (m *geometricMean) add(v float64) {
 	m.n++
 	m.logs += math.Log(v)
 }
 
-func (m *capacities) remove(v float64) {
+func (m *geometricMean) remove(v float64) {
 	m.n--
 	m.logs -= math.Log(v)
 }
 
-// mean returns 1 if there was no report, so that load then is in tokens.
-func (m *capacities) mean() float64 {
+// mean returns none if there was no report.
+func (m *geometricMean) mean(none float64) float64 {
 	if m.n == 0 {
-		return 1
+		return none
 	}
 	return math.Exp(m.logs / float64(m.n))
 }
@@ -61,9 +62,13 @@
 	s.measuredAt = measured
 	s.outstanding = r.Outstanding
 	s.perToken = 1 / r.Capacity
+	s.perStream = float64(r.Limit) / r.Capacity
 	s.since = s.sentSince(measured)
 	c.typical.add(r.Capacity)
-	c.perTypical = 1 / c.typical.mean()
+	if s.perStream > 0 {
+		c.streams.add(s.perStream)
+	}
+	c.remean()
 	return true
 }
 
@@ -71,7 +76,7 @@
 	if math.IsNaN(r.Capacity) || r.Capacity < minCapacity || r.Capacity > maxCapacity {
 		return false
 	}
-	if r.Outstanding < 0 || r.Age < 0 {
+	if r.Outstanding < 0 || r.Age < 0 || r.Limit < 0 || r.Limit > maxLimit {
 		return false
 	}
 	return float64(r.Outstanding)/r.Capacity <= maxDrain.Seconds()
@@ -84,14 +89,27 @@
 	}
 	s.reported = false
 	c.typical.remove(1 / s.perToken)
-	c.perTypical = 1 / c.typical.mean()
+	if s.perStream > 0 {
+		c.streams.remove(s.perStream)
+	}
+	c.remean()
 }
 
+// remean works the means out again. Without any report load is in tokens.
+func (c *Chooser) remean() {
+	c.perTypical = 1 / c.typical.mean(1)
+	c.perStream = c.streams.mean(0)
+}
+
+// serviceTime returns the seconds that a request takes at a target, usually; or
+// zero if that isn't known.
+func (c *Chooser) serviceTime() float64 { return c.perStream * c.meanTokens }
+
 // load returns the estimated time in seconds that the target needs for what it
 // has been given. The mean is that of the target's side, for a target of full
 // weight.
 //
-// A report that is up to ReportFresh old counts in full, with the work sent
+// A report up to ReportFresh old counts in full, with the work sent
 // since. Then it loses weight: an old report says little about the target, and
 // the entries that all saw the same low figure would all send there. What takes
 // its place is the mean, plus the entry's own work in flight, which is never
--- a/internal/traffic/target/pick.go
+++ b/internal/traffic/target/pick.go
@@ -15,11 +15,12 @@
 	// A loaded data centre sends its excess to the others. The gain keeps two
 	// loaded data centres from sending to each other.
 	load := c.load(s, at, p.local.mean)
-	if load <= c.cfg.SpillLoad.Seconds() {
+	service := c.serviceTime()
+	if service == 0 || load <= c.cfg.SpillLoad*service {
 		return s, affine
 	}
 	r, remote := c.pickSide(&p.remote, at, q)
-	if r == nil || c.load(r, at, p.remote.mean)+c.cfg.SpillGain.Seconds() > load {
+	if r == nil || c.load(r, at, p.remote.mean)+c.cfg.SpillGain*service > load {
 		return s, affine
 	}
 	return r, remote
@@ -43,7 +44,7 @@
 // and isn't loaded beyond the bound. It returns nil if there is none.
 func (c *Chooser) pickAffine(sd *side, at time.Duration, q *Query) *state {
 	c.observe(sd, at)
-	bound := sd.mean*c.cfg.AffinityLoad + c.cfg.AffinityRoom.Seconds()
+	bound := sd.mean*c.cfg.AffinityLoad + c.room()
 	var owners [ownerCount]int32
 	n := sd.owners(q.Prefix, &owners)
 	for _, i := range owners[:n] {
@@ -55,6 +56,15 @@
 	return nil
 }
 
+// room returns the load that a prefix's target may have in any case. Until
+// service times are reported it is that of one request.
+func (c *Chooser) room() float64 {
+	if service := c.serviceTime(); service > 0 {
+		return c.cfg.AffinityRoom * service
+	}
+	return c.meanTokens * c.perTypical
+}
+
 // observe takes a random target into the side's mean load.
 func (c *Chooser) observe(sd *side, at time.Duration) {
 	s := sd.draw(c.rnd.Uint64())
--- a/internal/traffic/target/state.go
+++ b/internal/traffic/target/state.go
@@ -38,7 +38,8 @@
 	reported    bool
 	measuredAt  time.Duration // when the last report was measured
 	outstanding int64         // tokens, as reported
-	perToken    float64       // seconds a token, as reported
+	perToken    float64       // seconds that the target takes for a token, as reported
+	perStream   float64       // seconds that each request takes for a token; zero if unknown
 	inFlight    int           // attempts of this entry
 	own         int64         // tokens of this entry in flight
 	since       int64         // of these, sent after measuredAt
--- a/internal/traffic/workspace/expiry.go
+++ b/internal/traffic/workspace/expiry.go
@@ -5,10 +5,25 @@
 	"time"
 )
 
-// latest returns the latest time at which a request can start and be complete by
-// its deadline.
+// latest returns the latest time at which a request may start: it has to be
+// complete by its deadline, and it waits no longer than its part.
 func (q *Queue) latest(it *item) time.Time {
-	return it.Deadline.Add(-q.limiter.service(it.Tokens))
+	service := q.limiter.service(it.Tokens)
+	at := it.Deadline.Add(-time.Duration(q.cfg.ServiceMargin * float64(service)))
+	if it.patience.Before(at) {
+		return it.patience
+	}
+	return at
+}
+
+// patience returns how long a request waits that has the given time left.
+//
+// Under overload a queue is always as long as it may be. Waiting for most of the
+// time gains nothing then: the target is busy with a short queue as with a long
+// one, every caller waits longer, and more answers come too late for the
+// estimates that were wrong.
+func (q *Queue) patience(left time.Duration) time.Duration {
+	return time.Duration(q.cfg.WaitPart * float64(left))
 }
 
 func (q *Queue) tooLate(now time.Time, it *item) bool { return now.After(q.latest(it)) }
--- a/internal/traffic/workspace/flow.go
+++ b/internal/traffic/workspace/flow.go
@@ -9,9 +9,10 @@
 // item is a request in the queue, from its arrival to its end.
 type item struct {
 	Request
-	flow    *flow
-	running bool
-	started time.Time
+	flow     *flow
+	patience time.Time // it starts by then or not at all
+	running  bool
+	started  time.Time
 }
 
 // flow is the work of one workspace in one tier. Tags are virtual times: tokens
--- a/internal/traffic/workspace/queue.go
+++ b/internal/traffic/workspace/queue.go
@@ -52,6 +52,8 @@
 	cfg.QueueLimit = cmp.Or(cfg.QueueLimit, def.QueueLimit)
 	cfg.Weight = cmp.Or(cfg.Weight, def.Weight)
 	cfg.BackgroundPart = cmp.Or(cfg.BackgroundPart, def.BackgroundPart)
+	cfg.WaitPart = cmp.Or(cfg.WaitPart, def.WaitPart)
+	cfg.ServiceMargin = cmp.Or(cfg.ServiceMargin, def.ServiceMargin)
 	cfg.FirstPerToken = cmp.Or(cfg.FirstPerToken, def.FirstPerToken)
 }
 
@@ -112,11 +114,11 @@
 	t := q.tier(r.Priority)
 	f := t.flow(r.Workspace, q.weight(r.Workspace))
 	wait := q.wait(f, r.Priority)
-	if late := wait + q.limiter.service(r.Tokens) - r.Deadline.Sub(now); late > 0 {
+	it := &item{Request: r, flow: f, patience: now.Add(q.patience(r.Deadline.Sub(now)))}
+	if late := now.Add(wait).Sub(q.latest(it)); late > 0 {
 		q.refuse(r.Ticket, DeadlineTooClose, late)
 		return
 	}
-	it := &item{Request: r, flow: f}
 	if q.queued >= q.cfg.QueueLimit && !q.makeRoom(it) {
 		q.refuse(r.Ticket, QueueFull, wait)
 		return
--- a/internal/traffic/workspace/request.go
+++ b/internal/traffic/workspace/request.go
@@ -119,6 +119,8 @@
 	Weight         float64       // weight of a workspace that Shares does not name
 	Shares         []Share       // weights by workspace
 	BackgroundPart float64       // part of the limit that background requests may take
+	WaitPart       float64       // part of the time to its deadline that a request may wait
+	ServiceMargin  float64       // time that a request is given at the target, over the mean for its tokens
 	FirstPerToken  time.Duration // time that a request takes per token, until measured
 }
 
@@ -133,6 +135,8 @@
 		QueueLimit:     256,
 		Weight:         1,
 		BackgroundPart: 0.5,
+		WaitPart:       0.25,
+		ServiceMargin:  1.5,
 		FirstPerToken:  5 * time.Millisecond,
 	}
 }
