Read settings again on SIGHUP, operators and inline keys included

SIGHUP read only key files again, so that keys that stand in the settings and operators' tokens could not be replaced without a restart.

--- a/internal/operator/role/role.go
+++ b/internal/operator/role/role.go
@@ -52,6 +52,7 @@
 
 // base is what both roles are built from.
 type base struct {
+	file     string // with the settings, or "-"
 	settings setting.Settings
 	identity host.Identity
 	keys     *credential.Store
@@ -74,7 +75,12 @@
 	if s.Role != role {
 		return nil, merry.Wrap(ErrRole, merry.AppendMessagef("%s is for role %s", file, s.Role))
 	}
-	return build(s, cmd.Root().Writer)
+	b, err := build(s, cmd.Root().Writer)
+	if err != nil {
+		return nil, err
+	}
+	b.file = file
+	return b, nil
 }
 
 func read(cmd *cli.Command, file string) ([]byte, error) {
@@ -134,15 +140,6 @@
 	}
 }
 
-// reload reads the keys again, from the files that the settings name.
-func (b *base) reload() error {
-	material, err := b.settings.TLS.Material(os.ReadFile)
-	if err != nil {
-		return err
-	}
-	return b.keys.Replace(material)
-}
-
 // serve runs a program with its server for operators.
 func (b *base) serve(ctx context.Context, p *process.Program) error {
 	p.Log = b.log
--- a/internal/wire/credential/ring.go
+++ b/internal/wire/credential/ring.go
@@ -6,6 +6,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"strings"
+	"sync/atomic"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -64,27 +65,33 @@
 	Digests []Digest
 }
 
-// Ring finds the holder of a token. It never changes; a new set of holders is
-// a new ring.
+// Ring finds the holder of a token. It is safe for concurrent use.
 type Ring struct {
-	holders map[Digest]string
+	holders atomic.Pointer[map[Digest]string]
 }
 
 // NewRing returns a ring of the holders. If two of them share a digest it
 // proves neither, and NewRing returns an error.
 func NewRing(holders []Holder) (*Ring, error) {
-	r := &Ring{holders: make(map[Digest]string, len(holders))}
+	byDigest := make(map[Digest]string, len(holders))
 	for _, h := range holders {
 		for _, d := range h.Digests {
-			if other, ok := r.holders[d]; ok && other != h.Name {
+			if other, ok := byDigest[d]; ok && other != h.Name {
 				return nil, merry.Errorf("%q and %q have the same token", other, h.Name)
 			}
-			r.holders[d] = h.Name
+			byDigest[d] = h.Name
 		}
 	}
+	r := &Ring{}
+	r.holders.Store(&byDigest)
 	return r, nil
 }
 
+// Replace puts the holders of another ring in the place of those in use.
+func (r *Ring) Replace(other *Ring) {
+	r.holders.Store(other.holders.Load())
+}
+
 // Match returns the name of the token's holder.
 //
 // The time that the lookup takes depends on the digest, not on the token:
@@ -95,7 +102,7 @@
 	if r == nil || token == "" || len(token) > maxTokenBytes {
 		return "", false
 	}
-	name, ok := r.holders[DigestOf(token)]
+	name, ok := (*r.holders.Load())[DigestOf(token)]
 	return name, ok
 }
 
--- a/internal/wire/credential/ring_test.go
+++ b/internal/wire/credential/ring_test.go
@@ -33,6 +33,19 @@
 	assert.False(t, ok, "no ring proves nobody")
 }
 
+func TestRingReplace(t *testing.T) {
+	before, err := NewRing([]Holder{{Name: "alice", Digests: []Digest{DigestOf("old")}}})
+	require.NoError(t, err)
+	after, err := NewRing([]Holder{{Name: "bob", Digests: []Digest{DigestOf("new")}}})
+	require.NoError(t, err)
+	before.Replace(after)
+	_, ok := before.Match("old")
+	assert.False(t, ok)
+	name, ok := before.Match("new")
+	assert.True(t, ok)
+	assert.Equal(t, "bob", name)
+}
+
 func TestRingRefusesSharedTokens(t *testing.T) {
 	d := []Digest{DigestOf("same")}
 	_, err := NewRing([]Holder{{Name: "alice", Digests: d}, {Name: "bob", Digests: d}})
