--- a/cmd/processrig/chaos.go
+++ b/cmd/processrig/chaos.go
@@ -12,6 +12,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/standin/engine"
 	"wagtailshelf.example/wagtailshelf/internal/standin/platform"
+	"wagtailshelf.example/wagtailshelf/internal/standin/service"
 )
 
 // Times of the failures.
@@ -92,10 +93,10 @@
 
 // strike causes one failure.
 func (x *chaos) strike() {
-	sidecar := x.cluster.sidecars[x.rand.IntN(len(x.cluster.sidecars))]
+	sidecar := x.sidecar()
 	entry := x.cluster.entries[x.rand.IntN(len(x.cluster.entries))]
 	pause := pauseLeast + time.Duration(x.rand.Int64N(int64(pauseMost-pauseLeast)))
-	switch x.rand.IntN(9) {
+	switch x.rand.IntN(11) {
 	case 0:
 		x.during("sidecar killed", sidecar, func() { x.restart(sidecar) })
 	case 1:
@@ -113,10 +114,31 @@
 	case 7:
 		x.during("platform out", x.cluster.platform, func() { x.fail(x.cluster.platform, platform.Faults{Outage: true}, platform.Faults{}, outage) })
 	case 8:
-		if sidecar.model {
-			x.during("engine stalled", sidecar, func() { x.fail(sidecar.target, engine.Faults{Stalled: true}, engine.Faults{}, stall) })
-		}
+		x.strikeTarget(sidecar, "stalled", engine.Faults{Stalled: true}, service.Faults{Slowness: stall / 2})
+	case 9:
+		x.strikeTarget(sidecar, "breaks off", engine.Faults{CloseAfter: 5}, service.Faults{LoseAnswer: true})
+	case 10:
+		x.strikeTarget(sidecar, "silent", engine.Faults{Silent: true}, service.Faults{Silent: true})
+	}
+}
+
+// sidecar picks one, plain and model alike often: there are fewer plain ones.
+func (x *chaos) sidecar() *node {
+	all := x.cluster.sidecars
+	models := x.cluster.opts.engines
+	if len(all) > models && x.rand.IntN(2) == 0 {
+		return all[models+x.rand.IntN(len(all)-models)]
+	}
+	return all[x.rand.IntN(len(all))]
+}
+
+// strikeTarget causes a failure of the stand-in behind a sidecar.
+func (x *chaos) strikeTarget(s *node, what string, model engine.Faults, plain service.Faults) {
+	if s.model {
+		x.during("engine "+what, s, func() { x.fail(s.target, model, engine.Faults{}, stall) })
+		return
 	}
+	x.during("service "+what, s, func() { x.fail(s.target, plain, service.Faults{}, stall) })
 }
 
 // during causes a failure unless the node has one already.
--- a/internal/operator/standin/standin.go
+++ b/internal/operator/standin/standin.go
@@ -16,20 +16,21 @@
 
 	"github.com/urfave/cli/v3"
 
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
 	"wagtailshelf.example/wagtailshelf/internal/standin/engine"
 	"wagtailshelf.example/wagtailshelf/internal/standin/platform"
 	"wagtailshelf.example/wagtailshelf/internal/standin/service"
 )
 
 const (
-	listenFlag       = "listen"
-	readHeaderLimit  = 5 * time.Second
-	shutdownTimeout  = time.Second
-	defaultAddresses = "127.0.0.1:0"
+	listenFlag      = "listen"
+	anyPort         = "127.0.0.1:0"
+	readHeaderLimit = 5 * time.Second
+	shutdownTimeout = time.Second
 )
 
 // Commands returns the command "standin" and its three subcommands. Each prints
-// its address on the first line of its output and runs until SIGTERM.
+// the addresses that it serves, one a line, and runs until SIGTERM.
 func Commands() []*cli.Command {
 	return []*cli.Command{{
 		Name:  "standin",
@@ -43,7 +44,7 @@
 }
 
 func listen() cli.Flag {
-	return &cli.StringFlag{Name: listenFlag, Value: defaultAddresses, Usage: "`ADDRESS` to listen on"}
+	return &cli.StringFlag{Name: listenFlag, Value: anyPort, Usage: "`ADDRESS` to listen on"}
 }
 
 func platformCommand() *cli.Command {
@@ -70,31 +71,54 @@
 func engineCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "engine",
-		Usage: "a model engine of one rank",
+		Usage: "a model engine, or a group of ranks in lock-step",
 		Flags: []cli.Flag{
 			listen(),
+			&cli.IntFlag{Name: "ranks", Value: 1, Usage: "`NUMBER` of ranks; each prints its address, those after the first at any port"},
+			&cli.IntFlag{Name: "layers", Value: 4, Usage: "expert `LAYERS` of a group"},
+			&cli.IntFlag{Name: "experts", Value: 16, Usage: "`EXPERTS` a layer of a group"},
+			&cli.IntFlag{Name: "slots", Value: 6, Usage: "expert `SLOTS` a rank and layer of a group"},
 			&cli.DurationFlag{Name: "step", Value: engine.DefaultStep, Usage: "time of one step"},
 			&cli.IntFlag{Name: "batch", Value: engine.DefaultMaxBatch, Usage: "requests in a step"},
 			&cli.DurationFlag{Name: "load-lag", Value: 200 * time.Millisecond, Usage: "age of load reports"},
 			&cli.DurationFlag{Name: "event-delay", Value: 300 * time.Millisecond, Usage: "delay of cache events"},
 			&cli.FloatFlag{Name: "event-loss", Value: 0.01, Usage: "share of cache events lost"},
 			&cli.BoolFlag{Name: "ignore-fence", Usage: "carry out orders with an old fence"},
+			&cli.BoolFlag{Name: "check-ids", Usage: "refuse late copies of orders"},
 			&cli.BoolFlag{Name: "cant-tell", Usage: "refuse to read orders back"},
 		},
-		Action: func(ctx context.Context, cmd *cli.Command) error {
-			e := engine.New(engine.Config{
-				Step:        cmd.Duration("step"),
-				MaxBatch:    cmd.Int("batch"),
-				LoadLag:     cmd.Duration("load-lag"),
-				EventDelay:  cmd.Duration("event-delay"),
-				EventLoss:   cmd.Float("event-loss"),
-				IgnoreFence: cmd.Bool("ignore-fence"),
-				CantTell:    cmd.Bool("cant-tell"),
-			})
-			defer e.Close()
-			return serve(ctx, cmd, e)
-		},
+		Action: runEngine,
+	}
+}
+
+func runEngine(ctx context.Context, cmd *cli.Command) error {
+	cfg := engine.Config{
+		Step:        cmd.Duration("step"),
+		MaxBatch:    cmd.Int("batch"),
+		LoadLag:     cmd.Duration("load-lag"),
+		EventDelay:  cmd.Duration("event-delay"),
+		EventLoss:   cmd.Float("event-loss"),
+		IgnoreFence: cmd.Bool("ignore-fence"),
+		CheckIDs:    cmd.Bool("check-ids"),
+		CantTell:    cmd.Bool("cant-tell"),
+	}
+	ranks := cmd.Int("ranks")
+	if ranks > 1 {
+		even, err := expertmap.Even(expertmap.Shape{
+			Layers: cmd.Int("layers"), Experts: cmd.Int("experts"), Ranks: ranks, Slots: cmd.Int("slots"),
+		})
+		if err != nil {
+			return err
+		}
+		cfg.Map = even
+	}
+	g := engine.NewGroup(cfg, max(1, ranks))
+	defer g.Close()
+	handlers := make([]http.Handler, max(1, ranks))
+	for i := range handlers {
+		handlers[i] = g.Rank(i)
 	}
+	return serve(ctx, cmd, handlers...)
 }
 
 func serviceCommand() *cli.Command {
@@ -108,24 +132,41 @@
 	}
 }
 
-func serve(ctx context.Context, cmd *cli.Command, h http.Handler) error {
+// serve serves the first handler at the address asked for and the others at any
+// port, until SIGTERM.
+func serve(ctx context.Context, cmd *cli.Command, handlers ...http.Handler) error {
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	ln, err := net.Listen("tcp", cmd.String(listenFlag))
-	if err != nil {
-		return err
+	ended := make(chan error, len(handlers))
+	address := cmd.String(listenFlag)
+	for _, h := range handlers {
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(cmd.Root().Writer, ln.Addr())
+		go func() { ended <- serveOne(ctx, ln, h) }()
+		address = anyPort
+	}
+	for range handlers {
+		if err := <-ended; err != nil {
+			return err
+		}
 	}
-	fmt.Fprintln(cmd.Root().Writer, ln.Addr())
+	return nil
+}
+
+func serveOne(ctx context.Context, ln net.Listener, h http.Handler) error {
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderLimit}
-	go func() {
-		<-ctx.Done()
+	stop := context.AfterFunc(ctx, func() {
 		bounded, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
 		if srv.Shutdown(bounded) != nil {
 			// Streams and watches that last longer are cut: it is a stand-in.
 			_ = srv.Close()
 		}
-	}()
+	})
+	defer stop()
 	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
--- a/internal/standin/engine/doc.go
+++ b/internal/standin/engine/doc.go
@@ -16,6 +16,8 @@
 //	GET  /counts         steps, tokens, step time, tokens by expert
 //	POST /orders         one order
 //	GET  /orders         what was ordered; 501 if Config.CantTell is set
+//	GET  /group          the group's next step, and steps with mixed maps
+//	PUT  /popularity     share of the tokens by layer and expert
 //	GET  /faults, PUT /faults
 //
 // What it offers of a restart: a rank that was dead forgets its orders, and its
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -34,6 +34,8 @@
 	mux.HandleFunc("GET /counts", e.serveCounts)
 	mux.HandleFunc("POST /orders", e.serveOrder)
 	mux.HandleFunc("GET /orders", e.serveState)
+	mux.HandleFunc("GET /group", e.serveGroup)
+	mux.HandleFunc("PUT /popularity", e.servePopularity)
 	mux.HandleFunc("GET /faults", e.serveFaults)
 	mux.HandleFunc("PUT /faults", e.serveSetFaults)
 	return mux
@@ -103,6 +105,28 @@
 	reply(w, http.StatusOK, e.State())
 }
 
+// GroupState is what a group tells of its lock-step.
+type GroupState struct {
+	Ranks      int    `json:"ranks"`
+	Next       uint64 `json:"next"`       // the first step not begun yet
+	MixedSteps int    `json:"mixedSteps"` // steps whose ranks had different maps
+}
+
+func (e *Engine) serveGroup(w http.ResponseWriter, _ *http.Request) {
+	g := e.group
+	reply(w, http.StatusOK, GroupState{Ranks: len(g.ranks), Next: g.Step(), MixedSteps: g.MixedSteps()})
+}
+
+func (e *Engine) servePopularity(w http.ResponseWriter, r *http.Request) {
+	var shares [][]float64
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxOrderBytes)).Decode(&shares); err != nil {
+		problem(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	e.group.SetPopularity(shares)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (e *Engine) serveFaults(w http.ResponseWriter, _ *http.Request) {
 	reply(w, http.StatusOK, e.Faults())
 }
