--- a/internal/program/setting/setting_test.go
+++ b/internal/program/setting/setting_test.go
@@ -21,10 +21,11 @@
 var update = flag.Bool("update", false, "rewrite the table in docs/OPERATIONS.md")
 
 const (
-	examples = "../../../examples/settings/*.yaml"
-	page     = "../../../docs/OPERATIONS.md"
-	begin    = "<!-- settings: begin -->\n"
-	end      = "<!-- settings: end -->"
+	examples     = "../../../examples/settings/*.yaml"
+	tourExamples = "../../../examples/tour/[es]*.yaml"
+	page         = "../../../docs/OPERATIONS.md"
+	begin        = "<!-- settings: begin -->\n"
+	end          = "<!-- settings: end -->"
 )
 
 const entryText = `role: entry
@@ -63,10 +64,20 @@
 	}
 }
 
+func TestTourDocument(t *testing.T) {
+	text, err := os.ReadFile("../../../examples/tour/drafts.yaml")
+	require.NoError(t, err)
+	_, list := document.Check("drafts.yaml", text, nil)
+	assert.NoError(t, list.Err())
+}
+
 func TestExamples(t *testing.T) {
 	files, err := filepath.Glob(examples)
 	require.NoError(t, err)
-	require.Len(t, files, 4)
+	tour, err := filepath.Glob(tourExamples)
+	require.NoError(t, err)
+	files = append(files, tour...)
+	require.Len(t, files, 6)
 	roles := make(map[host.Role]int)
 	for _, file := range files {
 		t.Run(filepath.Base(file), func(t *testing.T) {
@@ -79,7 +90,7 @@
 			require.NoError(t, err)
 		})
 	}
-	assert.Equal(t, map[host.Role]int{host.Entry: 2, host.Sidecar: 2}, roles)
+	assert.Equal(t, map[host.Role]int{host.Entry: 3, host.Sidecar: 3}, roles)
 }
 
 // The writer sees all slips of a text at once, each at its place.
