--- a/internal/expert/plan/config.go
+++ b/internal/expert/plan/config.go
@@ -64,7 +64,7 @@
 	// RankLoads is how many experts a rank can hold beside those of the map in
 	// force, and so load for one change of map; default 64.
 	RankLoads int
-	// Work bounds the candidates compared in one plan; default 8 million.
+	// Work bounds the candidates compared in one plan; default 5 million.
 	Work int
 }
 
@@ -83,7 +83,7 @@
 	setInt(&c.Burst, 5*time.Minute)
 	setInt(&c.Stale, 10*time.Minute)
 	setInt(&c.RankLoads, 64)
-	setInt(&c.Work, 8_000_000)
+	setInt(&c.Work, 5_000_000)
 	return c
 }
 
--- a/internal/expert/planner/duty.go
+++ b/internal/expert/planner/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/demand"
@@ -70,6 +71,14 @@
 // Holds tells whether the duty is this process's at now.
 func (d *Duty) Holds(now time.Time) bool { return d.lease.Holds(now) }
 
+// Status returns what the duty knows of the group, as of the last window.
+func (d *Duty) Status() Status {
+	s := d.status
+	// The other slices are replaced, not changed, by later windows.
+	s.Moves = slices.Clone(s.Moves)
+	return s
+}
+
 // Deadline returns when the next [Tick] is due. The zero time means never.
 func (d *Duty) Deadline() time.Time {
 	at := d.lease.Deadline()
--- a/internal/expert/planner/message.go
+++ b/internal/expert/planner/message.go
@@ -12,7 +12,7 @@
 
 const (
 	maxNameBytes    = 256
-	maxMessageBytes = 4 << 20
+	maxMessageBytes = 1 << 20 // of a frame
 	maxBusy         = time.Hour
 	maxSteps        = 1 << 32
 )
--- a/internal/operator/skew/chart.go
+++ b/internal/operator/skew/chart.go
@@ -99,7 +99,13 @@
 		if err != nil {
 			return err
 		}
-		labels.Offset = vg.Point{X: vg.Points(-40), Y: vg.Points(8)}
+		labels.Offset = vg.Point{Y: vg.Points(8)}
+		if r.kind != never {
+			labels.TextStyle[0].XAlign = draw.XRight
+		}
+		if r.kind == resolve {
+			labels.Offset.Y = vg.Points(-16) // beside it lies the same, relabelled
+		}
 		p.Add(s, labels)
 	}
 	return nil
--- a/internal/operator/skew/command.go
+++ b/internal/operator/skew/command.go
@@ -22,7 +22,8 @@
 			&cli.StringSliceFlag{Name: "scenario", Usage: "days to measure", Value: []string{"drift", "term"}},
 			&cli.IntSliceFlag{Name: "ranks", Usage: "sizes of groups to compare", Value: []int{16, 64, 256}},
 			&cli.IntFlag{Name: "curve", Usage: "ranks of the group of the trade-off curve, 0 for none", Value: 64},
-			&cli.FloatFlag{Name: "hours", Usage: "length of the day to generate", Value: 12},
+			&cli.IntFlag{Name: "slots", Usage: "slots per rank and layer; 0 for a tenth more than the experts need"},
+			&cli.FloatFlag{Name: "hours", Usage: "length of the day to generate", Value: 6},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the demand", Value: 1},
 			&cli.StringFlag{Name: "out", Usage: "directory for the tables and plots", Value: "docs/plots"},
 		},
@@ -33,6 +34,7 @@
 func act(ctx context.Context, cmd *cli.Command) error {
 	m := measurement{
 		hours: cmd.Float("hours"),
+		slots: cmd.Int("slots"),
 		seed:  cmd.Uint64("seed"),
 		out:   cmd.String("out"),
 		w:     cmd.Root().Writer,
@@ -58,6 +60,7 @@
 // measurement is one invocation of the command.
 type measurement struct {
 	hours float64
+	slots int // per rank and layer, 0 for the default
 	seed  uint64
 	out   string
 	w     io.Writer // the tables as they come
@@ -73,7 +76,7 @@
 	m.writeHead(&page, "Skew and loads: "+s.name)
 	for _, ranks := range sizes {
 		policies := append(baselines(), shipped()...)
-		list, err := run(ctx, s, ranks, m.hours, m.seed, policies)
+		list, err := run(ctx, s, shapeOf(ranks, m.slots), m.hours, m.seed, policies)
 		if err != nil {
 			return err
 		}
@@ -90,7 +93,7 @@
 		return nil
 	}
 	policies := append(append(baselines(), shipped()...), curve()...)
-	list, err := run(ctx, s, ranks, m.hours, m.seed, policies)
+	list, err := run(ctx, s, shapeOf(ranks, m.slots), m.hours, m.seed, policies)
 	if err != nil {
 		return err
 	}
--- a/internal/operator/skew/run.go
+++ b/internal/operator/skew/run.go
@@ -15,7 +15,7 @@
 // result is what one policy did with one day.
 type result struct {
 	policy
-	ranks    int
+	shape    expertmap.Shape
 	hours    float64
 	skews    []float64 // per window
 	steady   []float64 // per window, on the demand without its noise
@@ -38,8 +38,8 @@
 }
 
 // run measures the policies on the same day.
-func run(ctx context.Context, s scenario, ranks int, hours float64, seed uint64, policies []policy) ([]result, error) {
-	r, err := newRun(s, ranks, seed, policies)
+func run(ctx context.Context, s scenario, shape expertmap.Shape, hours float64, seed uint64, policies []policy) ([]result, error) {
+	r, err := newRun(s, shape, seed, policies)
 	if err != nil {
 		return nil, err
 	}
@@ -70,13 +70,13 @@
 	planned     time.Time
 }
 
-func newRun(s scenario, ranks int, seed uint64, policies []policy) (*day, error) {
-	size := demand.Size{Layers: layers, Experts: experts, Ranks: ranks}
+func newRun(s scenario, shape expertmap.Shape, seed uint64, policies []policy) (*day, error) {
+	size := demand.Size{Layers: shape.Layers, Experts: shape.Experts, Ranks: shape.Ranks}
 	tracker, err := demand.New(size, demand.Config{})
 	if err != nil {
 		return nil, err
 	}
-	d := &day{shape: shapeOf(ranks), source: s.source(ranks, seed), tracker: tracker, start: time.Unix(0, 0)}
+	d := &day{shape: shape, source: s.source(shape.Ranks, seed), tracker: tracker, start: time.Unix(0, 0)}
 	for _, p := range policies {
 		planner, err := plan.New(plan.Config{
 			Shape:       d.shape,
@@ -87,7 +87,7 @@
 		if err != nil {
 			return nil, err
 		}
-		d.competitors = append(d.competitors, &competitor{result: result{policy: p, ranks: ranks}, planner: planner})
+		d.competitors = append(d.competitors, &competitor{result: result{policy: p, shape: shape}, planner: planner})
 	}
 	return d, nil
 }
--- a/internal/operator/skew/table.go
+++ b/internal/operator/skew/table.go
@@ -13,7 +13,7 @@
 		return nil
 	}
 	first := list[0]
-	_, err := fmt.Fprintf(w, "\n### %s, %d ranks of %d slots, %g h\n\n%s", s.name, first.ranks, slots(first.ranks), first.hours, header)
+	_, err := fmt.Fprintf(w, "\n### %s, %d ranks of %d slots, %g h\n\n%s", s.name, first.shape.Ranks, first.shape.Slots, first.hours, header)
 	if err != nil {
 		return err
 	}
@@ -25,7 +25,7 @@
 	return nil
 }
 
-const header = "| policy | skew, mean | skew, p99 | without noise, mean | over bound, mean | loads/h | GB/h | changes/h | loads/fewest | plan ms, mean | plan ms, max | plan MB |\n" +
+const header = "| policy | skew, mean | skew, p99 | without noise, mean | over bound, mean | loads/h | GB/h | changes/h | fewest loads/h | plan ms, mean | plan ms, max | plan MB |\n" +
 	"|---|---|---|---|---|---|---|---|---|---|---|---|\n"
 
 func (r result) writeRow(w io.Writer) error {
@@ -38,7 +38,7 @@
 		r.loadsPerHour(),
 		r.loadsPerHour()*expertBytes/1e9,
 		float64(r.changes)/r.hours,
-		r.overFewest(),
+		r.fewestPerHour(),
 		milliseconds(r.meanPlanning()),
 		milliseconds(r.longestPlanning()),
 		float64(r.memory)/1e6,
@@ -57,11 +57,13 @@
 	return float64(r.loads) / r.hours
 }
 
-func (r result) overFewest() string {
-	if r.fewest == 0 {
+// fewestPerHour is the lower bound for what the plans reached. It is loose: it
+// lets the present replicas divide an expert's tokens at will.
+func (r result) fewestPerHour() string {
+	if r.kind != planned {
 		return ""
 	}
-	return fmt.Sprintf("%.1f", float64(r.loads)/float64(r.fewest))
+	return fmt.Sprintf("%.0f", float64(r.fewest)/r.hours)
 }
 
 func (r result) meanPlanning() time.Duration {
