--- a/internal/wire/credential/credential_test.go
+++ b/internal/wire/credential/credential_test.go
@@ -45,12 +45,26 @@
 	return s
 }
 
+// connect returns the two ends of a connection. It buffers, unlike net.Pipe: two
+// ends that send an alert at the same time would wait for each other for ever.
+func connect(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	near, err = net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	far, err = l.Accept()
+	require.NoError(t, err)
+	return near, far
+}
+
 // handshake connects the two configurations and returns what each end saw. A
 // client learns only from its first read whether the server took its
 // certificate, so the server sends one byte.
 func handshake(t *testing.T, client, server *tls.Config) (clientState, serverState tls.ConnectionState, err error) {
 	t.Helper()
-	near, far := net.Pipe()
+	near, far := connect(t)
 	c, s := tls.Client(near, client), tls.Server(far, server)
 	done := make(chan error, 1)
 	go func() {
--- a/internal/wire/credential/store.go
+++ b/internal/wire/credential/store.go
@@ -102,8 +102,9 @@
 		NextProtos:   []string{Protocol},
 		Certificates: []tls.Certificate{cur.certificate},
 		ClientAuth:   tls.RequireAnyClientCert,
-		// A resumed session skips the exchange of certificates, so that a
-		// host whose authority was withdrawn would still get in.
+		// A resumed session shows the certificate of its first handshake, so
+		// that a host would go on proving itself with a replaced one, and data
+		// sent ahead of a resumed handshake can be replayed.
 		SessionTicketsDisabled: true,
 		Time:                   s.now,
 		VerifyConnection: func(cs tls.ConnectionState) error {
