--- /dev/null
+++ b/internal/expert/group/measure_test.go
@@ -0,0 +1,68 @@
+package group_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+	"wagtailshelf.example/wagtailshelf/internal/expert/group"
+	"wagtailshelf.example/wagtailshelf/internal/expert/order"
+)
+
+// TestMeasure prints what switches cost at three sizes of group. It runs only
+// with GROUP_MEASURE set, because it takes a minute.
+func TestMeasure(t *testing.T) {
+	if os.Getenv("GROUP_MEASURE") == "" {
+		t.Skip("GROUP_MEASURE is not set")
+	}
+	const switches = 20
+	fmt.Println("ranks moves   loss  steps waits messages   kB  decide-ms  spread-ms")
+	for _, ranks := range []int{16, 64, 256} {
+		for _, moves := range []int{64, 1000} {
+			for _, loss := range []float64{0, 0.001, 0.01} {
+				measure(t, ranks, moves, loss, switches)
+			}
+		}
+	}
+}
+
+func measure(t *testing.T, ranks, moves int, loss float64, switches int) {
+	shape := expertmap.Shape{Layers: 58, Experts: 256, Ranks: ranks, Slots: 256/ranks + 2}
+	w := newWorldOf(uint64(ranks+moves), shape, order.Engine{ChecksFences: true, ReadsBack: true})
+	w.delay = func() time.Duration {
+		d := time.Duration(200+w.rng.IntN(1800)) * time.Microsecond
+		if w.rng.IntN(100) == 0 {
+			d += time.Duration(5+w.rng.IntN(25)) * time.Millisecond
+		}
+		return d
+	}
+	for at := time.Duration(0); !w.agreed(); at += time.Second {
+		require.Less(t, at, 10*time.Minute)
+		w.run(time.Second)
+	}
+	w.run(5 * time.Second)
+	w.loss, w.messages, w.bytes, w.waits = loss, 0, 0, 0
+	steps := w.step
+	w.rate = int64(moves) * expertBytes // a second of loading
+	p := w.planner(5)
+	var decided, spread time.Duration
+	for range switches {
+		p.ended = nil
+		w.propose(p, moves)
+		ended := w.until(func() bool { return len(p.ended) > 0 })
+		require.Equal(t, group.Committed, p.ended[0].Vote)
+		decided += ended - w.loadedAt
+		spread += w.until(func() bool { return !p.p.Busy() }) - w.loadedAt
+		w.run(time.Second)
+	}
+	require.Empty(t, w.failures)
+	n := switches
+	fmt.Printf("%5d %5d %6.3f %6d %5d %8d %4d %10.1f %10.1f\n", ranks, moves, loss, w.step-steps, w.waits,
+		w.messages/n, w.bytes/n/1000, millis(decided)/float64(n), millis(spread)/float64(n))
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/expert/group/propose.go
+++ b/internal/expert/group/propose.go
@@ -48,6 +48,10 @@
 	return p
 }
 
+// loadingAsks is how many resend intervals pass between two questions to a rank
+// that loads.
+const loadingAsks = 10
+
 // step is how far a proposal has come.
 type step uint8
 
@@ -79,6 +83,7 @@
 	since    time.Time // start of the step
 	until    time.Time
 	sendAt   time.Time
+	tries    int // times that a step's messages have been sent
 	floor    Number
 
 	out []Action
@@ -144,11 +149,13 @@
 	p.at = at
 	p.since = now
 	p.sendAt = now
+	p.tries = 0
 }
 
 // repeat sends what some ranks have not answered, and gives up in time.
 func (p *Proposer) repeat(now time.Time) {
 	p.sendAt = now.Add(p.resend)
+	p.tries++
 	if !now.Before(p.until) {
 		p.expire(now)
 	}
@@ -167,7 +174,8 @@
 		return Message{Kind: Ask}, !p.free[rank]
 	case loads:
 		if v >= Loading {
-			return Message{Kind: Ask, Number: p.number}, v < Loaded
+			// It reports by itself when it has loaded; only lost reports are asked for.
+			return Message{Kind: Ask, Number: p.number}, v < Loaded && p.tries%loadingAsks == 0
 		}
 		m := p.prepares[rank]
 		m.Remaining = max(p.until.Sub(now), 0)
--- a/internal/expert/group/switch_test.go
+++ b/internal/expert/group/switch_test.go
@@ -283,6 +283,35 @@
 	}
 }
 
+func TestRestartedRankIsNotTheOnlyWitness(t *testing.T) {
+	// The outcome reaches one rank, which is then cut off for a while. The planner
+	// dies, and another rank's sidecar restarts. The rest ask. If the restarted
+	// rank denied its promise, they would go on with the old map and the first
+	// rank with the new one.
+	forEachKind(t, 4, func(t *testing.T, w *world) {
+		p := w.planner(5)
+		first, restarted := w.nodes[0], w.nodes[2]
+		told := false
+		w.onSend = func(from host.Name, m group.Message) bool {
+			if from != p.name || m.Kind != group.Outcome || told {
+				return from != p.name || !told
+			}
+			told, p.paused = true, true
+			w.later(5*time.Millisecond, func() { first.cut = true })
+			w.later(3*time.Second, func() { first.cut = false })
+			w.later(0, func() { restarted.down = true })
+			w.later(100*time.Millisecond, func() { w.boot(restarted) })
+			return true
+		}
+		w.propose(p, 6)
+		assertEnded(t, w)
+		require.True(t, told)
+		if w.kind.ReadsBack {
+			assertInForce(t, w, p.p.Number())
+		}
+	})
+}
+
 func TestWeightStoreDown(t *testing.T) {
 	// The store stops delivering to one rank in the middle of the loading. If it
 	// comes back in time the switch goes on; if not, the rank refuses and the
--- a/internal/expert/group/world_test.go
+++ b/internal/expert/group/world_test.go
@@ -21,106 +21,6 @@
 
 var start = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
 
-// engine is one rank's engine: it obeys orders and takes part in steps.
-type engine struct {
-	epoch, number, prepared uint64
-	limit, switchAt         uint64
-	fence                   lease.Fence
-	maps                    map[uint64]*expertmap.Map
-	held                    map[expertmap.Placement]bool
-	storeDown               bool
-	dead                    bool
-}
-
-func (e *engine) take(w *world, n *node, o order.Order) order.Result {
-	r := order.Result{ID: o.ID, Kind: o.Kind, Status: order.Refused, Next: w.step, Fence: e.fence}
-	switch {
-	case w.kind.ChecksFences && o.ID.Fence < e.fence:
-		r.Reason = order.StaleFence
-	case o.Kind != order.Form && o.Epoch != 0 && o.Epoch != e.epoch, o.Kind == order.Form && o.Epoch <= e.epoch:
-		r.Reason = order.StaleEpoch
-	default:
-		if o.ID.Fence < e.fence {
-			w.fail("engine %d: order with fence %d takes effect after %d", n.rank, o.ID.Fence, e.fence)
-		}
-		e.fence = o.ID.Fence
-		r.Reason = e.obey(w, n, o)
-	}
-	if r.Reason == "" {
-		r.Status = order.Done
-	}
-	return r
-}
-
-func (e *engine) obey(w *world, n *node, o order.Order) order.Reason {
-	switch o.Kind {
-	case order.Load:
-		if e.storeDown {
-			return order.StoreFailed
-		}
-		for _, p := range o.Weights {
-			e.held[p] = true
-		}
-	case order.Prepare:
-		if !e.holds(o.Map, n.rank) {
-			return order.NotHeld
-		}
-		e.maps[o.Number] = o.Map
-		e.prepared, e.switchAt = o.Number, 0
-	case order.Cancel:
-		e.prepared, e.switchAt = 0, 0
-	case order.Limit:
-		if o.Step < w.step {
-			return order.TooLate
-		}
-		e.limit = o.Step
-	case order.Lift:
-		e.limit = 0
-	case order.SwitchMap:
-		if e.prepared != o.Number {
-			return order.NotPrepared
-		}
-		if o.Step < w.step {
-			return order.TooLate
-		}
-		e.switchAt = o.Step
-	case order.Drop:
-		for _, p := range o.Weights {
-			delete(e.held, p)
-		}
-	case order.Form:
-		if !e.holds(o.Map, n.rank) {
-			return order.NotHeld
-		}
-		e.epoch, e.number, e.prepared, e.limit, e.switchAt = o.Epoch, o.Number, 0, 0, 0
-		e.maps[o.Number] = o.Map
-	}
-	return ""
-}
-
-func (e *engine) holds(m *expertmap.Map, rank int) bool {
-	for layer := range m.Shape().Layers {
-		for _, x := range m.Row(layer, rank) {
-			if x != expertmap.Empty && !e.held[expertmap.Placement{Rank: uint16(rank), Layer: uint16(layer), Expert: x}] {
-				return false
-			}
-		}
-	}
-	return true
-}
-
-func (e *engine) state(w *world) order.State {
-	if !w.kind.ReadsBack {
-		return order.State{}
-	}
-	st := order.State{Known: true, Epoch: e.epoch, Fence: e.fence, Next: w.step, Map: e.number,
-		Prepared: e.prepared, Limit: e.limit, Switch: e.switchAt}
-	for p := range e.held {
-		st.Held = append(st.Held, p)
-	}
-	return st
-}
-
 // node is a host: a sidecar with its guard, and an engine.
 type node struct {
 	rank   int
@@ -162,6 +62,7 @@
 	stepAt   time.Duration
 	stepTime time.Duration
 	delay    func() time.Duration
+	rate     int64   // of the weight store
 	loss     float64 // of messages between processes
 	lossy    float64 // of answers to orders
 	doubled  float64 // messages that arrive twice, the second time late
@@ -169,22 +70,29 @@
 	waits    int // steps that began late because of a limit
 	waiting  bool
 	messages int
+	loadedAt time.Duration // when promises were last asked for
 	bytes    int
 	reforms  int
 	forming  bool
 	failures []string
 	checked  map[*expertmap.Map]bool
+	asked    map[uint64]time.Duration                   // by step
 	onSend   func(from host.Name, m group.Message) bool // false drops the message
 }
 
 func newWorld(seed uint64, ranks int, kind order.Engine) *world {
+	return newWorldOf(seed, expertmap.Shape{Layers: 2, Experts: 2 * ranks, Ranks: ranks, Slots: 4}, kind)
+}
+
+func newWorldOf(seed uint64, shape expertmap.Shape, kind order.Engine) *world {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 1)), kind: kind, due: map[time.Duration][]func(){},
 		checked: map[*expertmap.Map]bool{},
-		step:    1, stepTime: 4500 * time.Microsecond,
+		step:    1, stepTime: 4500 * time.Microsecond, rate: 64 * expertBytes,
 	}
 	w.delay = func() time.Duration { return time.Duration(200+w.rng.IntN(1800)) * time.Microsecond }
-	m, err := expertmap.Even(expertmap.Shape{Layers: 2, Experts: 2 * ranks, Ranks: ranks, Slots: 4})
+	ranks := shape.Ranks
+	m, err := expertmap.Even(shape)
 	if err != nil {
 		panic(err)
 	}
@@ -222,7 +130,7 @@
 	n.life++
 	n.down = false
 	n.sw = group.New(group.Config{
-		Self: n.name, Incarnation: n.life, Engine: w.kind, Rate: 64 * expertBytes, ExpertBytes: expertBytes,
+		Self: n.name, Incarnation: n.life, Engine: w.kind, Rate: w.rate, ExpertBytes: expertBytes,
 		Keep: 2 * time.Second, DeadAfter: 3 * time.Second,
 	})
 	n.guard = order.NewGuard(order.Config{Engine: w.kind, Timeout: 200 * time.Millisecond, Landing: landingTime})
@@ -253,15 +161,21 @@
 		layer, rank := w.rng.IntN(m.Shape().Layers), w.rng.IntN(len(w.nodes))
 		e := uint16(w.rng.IntN(m.Shape().Experts))
 		if !to.Holds(layer, rank, e) {
-			to.Set(layer, rank, 2+w.rng.IntN(2), e)
+			to.Set(layer, rank, w.firstSpare()+w.rng.IntN(m.Shape().Slots-w.firstSpare()), e)
 		}
 	}
 	w.proposed(p, p.p.Handle(w.now(), group.Event{Kind: group.Start, Proposal: &group.Proposal{
 		Record: w.record, Base: base, BaseMap: m, Map: to, Fence: p.fence,
-		ExpertBytes: expertBytes, StoreRate: 64 * expertBytes, StepTime: w.stepTime, Patience: 20 * time.Second,
+		ExpertBytes: expertBytes, StoreRate: w.rate, StepTime: w.stepTime, Patience: 20 * time.Second,
 	}}))
 }
 
+// firstSpare is the first slot of a rank that no expert depends on.
+func (w *world) firstSpare() int {
+	s := w.record.Map.Shape()
+	return (s.Experts + s.Ranks - 1) / s.Ranks
+}
+
 // inForce is the newest map that any engine uses in the epoch.
 func (w *world) inForce() (group.Number, *expertmap.Map) {
 	number, m := w.record.Number, w.record.Map
@@ -276,6 +190,9 @@
 
 func (w *world) send(from host.Name, a group.Action) {
 	w.messages++
+	if a.Message.Kind == group.Promise {
+		w.loadedAt = max(w.loadedAt, w.promisedAt(a.Message))
+	}
 	if b, err := encode(a.Message); err == nil {
 		w.bytes += len(b)
 	}
@@ -294,6 +211,17 @@
 	}
 }
 
+// promisedAt returns when promises for a step were first asked for.
+func (w *world) promisedAt(m group.Message) time.Duration {
+	if w.asked == nil {
+		w.asked = map[uint64]time.Duration{}
+	}
+	if _, ok := w.asked[m.Step]; !ok {
+		w.asked[m.Step] = w.at
+	}
+	return w.asked[m.Step]
+}
+
 func (w *world) deliver(from, to host.Name, m group.Message) {
 	if n := w.node(from); n != nil && n.cut {
 		return
@@ -535,3 +463,11 @@
 		return v.Phase != "settled" || v.Open != 0 || v.InForce != w.nodes[0].sw.View().InForce
 	})
 }
+
+// until runs until something holds, and returns when that was.
+func (w *world) until(holds func() bool) time.Duration {
+	for end := w.at + 10*time.Minute; w.at < end && !holds(); {
+		w.run(tickTime)
+	}
+	return w.at
+}
