Route by what sidecars say, and give each choice back for what it was

The router took a target to be serving until told otherwise, and counted each attempt that was followed by another as a failure of its target: three requests declined for one workspace would have taken the target from all.

Silent targets are sought on a new connection. Refusals are given back with their reason, ends are no longer dropped when the ring is full, and an entry takes its subset of the targets. A router that has just started keeps requests for up to a second until the first report is there, in place of refusing them.

--- a/internal/program/entry/attempt.go
+++ b/internal/program/entry/attempt.go
@@ -45,7 +45,7 @@
 			x.picked(p, conn)
 			return
 		}
-		x.router.tell(routerMessage{kind: tellEnd, choice: p.choice, end: target.End{Kind: target.Failed}})
+		x.router.end(ctx, p.choice, target.End{Kind: target.Failed})
 		q.Tried = append(q.Tried, p.choice.Name)
 	}
 	x.later(request.Event{Kind: request.NothingPicked})
@@ -56,7 +56,7 @@
 }
 
 func (x *exchange) picked(p pick, conn *peer.Conn) {
-	x.endChoice(target.Failed)
+	x.endChoice(target.End{Kind: target.Failed})
 	x.choices = append(x.choices, p)
 	x.choice = p.choice
 	x.keep(conn)
@@ -68,19 +68,6 @@
 	})
 }
 
-// endChoice gives the newest choice back to the router.
-func (x *exchange) endChoice(kind target.EndKind) {
-	if len(x.choices) == 0 {
-		return
-	}
-	last := x.choices[len(x.choices)-1]
-	if last.choice.Name == "" {
-		return
-	}
-	x.choices[len(x.choices)-1].choice.Name = ""
-	x.router.tell(routerMessage{kind: tellEnd, choice: last.choice, end: target.End{Kind: kind}})
-}
-
 // send writes a message on the stream that belongs to its connection. Open and
 // Resolve begin a stream; all others go by the one that is there.
 func (x *exchange) send(ctx context.Context, a request.Action) {
--- a/internal/program/entry/count.go
+++ b/internal/program/entry/count.go
@@ -12,18 +12,20 @@
 
 // counts are the metrics of an entry.
 type counts struct {
-	set       *metrics.Set
-	overflows *metrics.Counter
-	attempts  *metrics.Counter
-	duration  *metrics.Histogram
+	set           *metrics.Set
+	overflows     *metrics.Counter
+	probeFailures *metrics.Counter // sidecars that were asked for a sign of life and not reached
+	attempts      *metrics.Counter
+	duration      *metrics.Histogram
 }
 
 func newCounts(set *metrics.Set) *counts {
 	return &counts{
-		set:       set,
-		overflows: set.NewCounter("wagtailshelf_ring_overflows_total"),
-		attempts:  set.NewCounter("wagtailshelf_attempts_total"),
-		duration:  set.NewHistogram("wagtailshelf_request_duration_seconds"),
+		set:           set,
+		overflows:     set.NewCounter("wagtailshelf_ring_overflows_total"),
+		probeFailures: set.NewCounter("wagtailshelf_probe_failures_total"),
+		attempts:      set.NewCounter("wagtailshelf_attempts_total"),
+		duration:      set.NewHistogram("wagtailshelf_request_duration_seconds"),
 	}
 }
 
--- a/internal/program/entry/documents.go
+++ b/internal/program/entry/documents.go
@@ -66,7 +66,7 @@
 
 // startRouter begins the routing duty of a service. The caller holds e.mu.
 func (e *Entry) startRouter(d *document.Document) {
-	r := newRouter(time.Now(), d.Service, e.log, e.counts, e.cfg.Identity.DataCentre, e.newRand(), d)
+	r := e.newRouter(time.Now(), d)
 	e.routers[d.Service] = r
 	e.duties.Add(1)
 	go func() {
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -72,6 +72,7 @@
 	services map[string]*caller.Service
 	routers  map[string]*router
 	claims   map[string]*claimDesk
+	entries  map[host.Name]target.Member // entries of the fleet, this one included once it is known
 }
 
 // New opens the entry's sockets. Run serves them.
@@ -86,6 +87,7 @@
 		services: make(map[string]*caller.Service),
 		routers:  make(map[string]*router),
 		claims:   make(map[string]*claimDesk),
+		entries:  make(map[host.Name]target.Member),
 	}
 	e.peers = &peer.Config{
 		Identity:  cfg.Identity,
@@ -227,31 +229,3 @@
 	defer cancel()
 	return e.server.Shutdown(ctx)
 }
-
-// onReport passes the load of a target on to the routers of its services.
-func (e *Entry) onReport(from *peer.Conn, m frame.Report) {
-	p := from.Peer()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for name, r := range e.routers {
-		t := targetOn(e.services[name], p.Name)
-		if t == "" {
-			continue
-		}
-		if m.Leaving {
-			r.tell(routerMessage{kind: tellLeaving, name: t, incarnation: p.Incarnation})
-			continue
-		}
-		r.tell(routerMessage{kind: tellReport, report: target.Report{
-			Name: t, Incarnation: p.Incarnation, Outstanding: m.Outstanding, Capacity: m.Capacity, Age: m.Age,
-		}})
-	}
-}
-
-// targetOn returns the service's target on a host.
-func targetOn(s *caller.Service, name host.Name) target.Name {
-	if s == nil {
-		return ""
-	}
-	return target.Name(s.TargetOn(name))
-}
--- a/internal/program/entry/exchange.go
+++ b/internal/program/entry/exchange.go
@@ -126,6 +126,7 @@
 	x.todo = append(x.todo[:0], ev)
 	for i := 0; i < len(x.todo); i++ {
 		now := time.Now()
+		x.noteRefusal(x.todo[i])
 		for _, a := range x.request.Handle(now, x.todo[i]) {
 			x.apply(ctx, now, a)
 		}
@@ -188,19 +189,6 @@
 	x.timer.Stop()
 }
 
-func endOf(res request.Result) target.EndKind {
-	switch {
-	case res.Outcome == request.Answered:
-		return target.Answered
-	case res.Reason == request.CallerGone:
-		return target.Cancelled
-	case res.Outcome == request.NotRun:
-		return target.Refused
-	default:
-		return target.Failed
-	}
-}
-
 func (x *exchange) log() {
 	took := time.Since(x.call.Arrived)
 	x.entry.counts.ended(x.call.Service.Document.Service, x.result, took)
--- a/internal/program/entry/router.go
+++ b/internal/program/entry/routing.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -10,8 +9,10 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
 	"wagtailshelf.example/wagtailshelf/internal/record/document"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/leaving"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/retry"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/target"
+	"wagtailshelf.example/wagtailshelf/internal/wire/peer"
 )
 
 // routerRing bounds the messages that wait for a router. Whoever has one more
@@ -28,7 +29,7 @@
 	tellFirst                                // a first try
 	tellReport                               // report
 	tellLeaving                              // name, incarnation
-	tellLife                                 // name, incarnation: its sidecar is heard from
+	tellMember                               // member, present
 	tellService                              // document
 	askRouter                                // state
 )
@@ -43,6 +44,8 @@
 	name        target.Name
 	incarnation host.Incarnation
 	document    *document.Document
+	member      target.Member
+	present     bool // of member
 	picked      chan<- pick
 	try         retry.Try
 	decision    chan<- retry.Decision
@@ -59,39 +62,64 @@
 
 // RouterState is what a dump shows of a service's router.
 type RouterState struct {
-	Service string       `json:"service"`
-	Targets int          `json:"targets"`
-	Retries retry.Counts `json:"retries"`
+	Service string        `json:"service"`
+	Targets []TargetState `json:"targets"`
+	Retries retry.Counts  `json:"retries"`
+}
+
+// TargetState is what a dump shows of a target that the router may choose.
+type TargetState struct {
+	target.Status
+	Leaving leaving.Status `json:"leaving"`
 }
 
 // router owns the choice of targets and the retry budget of one service.
 type router struct {
 	service string
+	self    target.Member
 	log     *log.Logger
 	counts  *counts
 	ring    chan routerMessage
-	rng     *rand.Rand
-
-	chooser *target.Chooser
-	budget  *retry.Budget
-	targets map[target.Name]*document.Target
+	pool    *peer.Pool
+
+	chooser  *target.Chooser
+	tracker  *leaving.Tracker
+	budget   *retry.Budget
+	document *document.Document
+	targets  map[target.Name]*document.Target // those of the entry's subset
+	entries  []target.Member
+	timer    *time.Timer // of the tracker
+
+	began   time.Time
+	met     bool // a sidecar was heard from
+	waiting []routerMessage
+	probing map[target.Name]bool
+	probes  chan probeEnd
 }
 
-func newRouter(now time.Time, service string, l *log.Logger, c *counts, dataCentre host.DataCentre, rng *rand.Rand, d *document.Document) *router {
-	cfg := target.Config{DataCentre: dataCentre}
-	if d.Affinity.LoadBound > 0 {
-		cfg.AffinityLoad = d.Affinity.LoadBound
-	}
+// newRouter returns the router of a service. The caller holds e.mu.
+func (e *Entry) newRouter(now time.Time, d *document.Document) *router {
+	rng := e.newRand()
+	cfg := target.Config{DataCentre: e.cfg.Identity.DataCentre, AffinityLoad: d.Affinity.LoadBound}
 	r := &router{
-		service: service,
-		log:     l,
-		counts:  c,
+		service: d.Service,
+		self:    target.Member{Name: e.cfg.Identity.Name, DataCentre: e.cfg.Identity.DataCentre},
+		log:     e.log,
+		counts:  e.counts,
 		ring:    make(chan routerMessage, routerRing),
-		rng:     rng,
+		pool:    e.pool,
 		chooser: target.New(now, cfg, rng),
+		tracker: leaving.New(leaving.DefaultConfig()),
 		budget:  retry.NewBudget(now, retryConfig(d), rng),
+		targets: make(map[target.Name]*document.Target),
+		timer:   time.NewTimer(time.Hour),
+		began:   now,
+		probing: make(map[target.Name]bool),
+		probes:  make(chan probeEnd),
+
+		document: d,
+		entries:  e.knownEntries(),
 	}
-	r.update(d)
 	return r
 }
 
@@ -104,22 +132,35 @@
 	}
 }
 
-// serve answers until ctx ends.
+// serve answers until ctx ends, and then awaits the probes on their way.
 func (r *router) serve(ctx context.Context) error {
+	defer r.timer.Stop()
+	r.update(ctx, time.Now())
 	for {
 		select {
 		case <-ctx.Done():
+			for range r.probing {
+				<-r.probes
+			}
 			return context.Cause(ctx)
 		case m := <-r.ring:
-			r.handle(time.Now(), m)
+			r.handle(ctx, time.Now(), m)
+		case end := <-r.probes:
+			r.probeEnded(end)
+		case <-r.timer.C:
+			r.track(ctx, time.Now(), leaving.Event{Kind: leaving.Tick})
+		}
+		r.answerWaiting(time.Now())
+		for _, v := range r.chooser.Violations() {
+			r.counts.violated(r.log, v.Invariant, v.Evidence)
 		}
 	}
 }
 
-func (r *router) handle(now time.Time, m routerMessage) {
+func (r *router) handle(ctx context.Context, now time.Time, m routerMessage) {
 	switch m.kind {
 	case askPick:
-		m.picked <- r.pick(now, m.query)
+		r.answerPick(now, m)
 	case tellEnd:
 		r.chooser.Finish(now, m.choice, m.end)
 	case askRetry:
@@ -127,18 +168,16 @@
 	case tellFirst:
 		r.budget.First(now)
 	case tellReport:
-		r.chooser.Report(now, m.report)
+		r.report(ctx, now, m.report)
 	case tellLeaving:
-		r.chooser.Leave(m.name, m.incarnation)
-	case tellLife:
-		r.chooser.Resume(m.name, m.incarnation)
+		r.leaves(ctx, now, m.name, m.incarnation)
+	case tellMember:
+		r.member(ctx, now, m)
 	case tellService:
-		r.update(m.document)
+		r.document = m.document
+		r.update(ctx, now)
 	case askRouter:
-		m.state <- RouterState{Service: r.service, Targets: len(r.targets), Retries: r.budget.Counts()}
-	}
-	for _, v := range r.chooser.Violations() {
-		r.counts.violated(r.log, v.Invariant, v.Evidence)
+		m.state <- r.state(now)
 	}
 }
 
@@ -151,25 +190,22 @@
 	return pick{choice: choice, address: t.Address, host: t.Host, ok: true}
 }
 
-func (r *router) update(d *document.Document) {
-	r.targets = make(map[target.Name]*document.Target, len(d.Targets))
-	candidates := make([]target.Candidate, 0, len(d.Targets))
-	for i := range d.Targets {
-		t := &d.Targets[i]
-		r.targets[target.Name(t.Name)] = t
-		candidates = append(candidates, target.Candidate{
-			Name:       target.Name(t.Name),
-			DataCentre: t.DataCentre,
-			Weight:     d.ShareOf(t),
-			Group:      target.GroupName(t.Group),
-			Leaving:    t.Leaving,
-		})
+func (r *router) state(now time.Time) RouterState {
+	s := RouterState{Service: r.service, Retries: r.budget.Counts()}
+	for _, st := range r.chooser.Statuses(now) {
+		s.Targets = append(s.Targets, TargetState{Status: st, Leaving: r.tracker.Status(now, st.Name)})
 	}
-	r.chooser.Update(candidates)
+	return s
+}
+
+// end gives a choice back. Were it dropped, the target would seem to have the
+// request's work for good.
+func (r *router) end(ctx context.Context, ch target.Choice, end target.End) {
+	r.ask(ctx, routerMessage{kind: tellEnd, choice: ch, end: end})
 }
 
 // tell hands the router a message that needs no answer. A full ring drops it:
-// reports and ends come again or age away, and a request must not wait for them.
+// reports come again, and a request must not wait for them.
 func (r *router) tell(m routerMessage) {
 	select {
 	case r.ring <- m:
--- /dev/null
+++ b/internal/program/entry/routing_end.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/target"
+)
+
+// noteRefusal gives the choice of a refused attempt back with the reason. Left to
+// the next pick it would count as a failure of the target, and three requests
+// that one workspace has too many would take the target from all others.
+func (x *exchange) noteRefusal(ev request.Event) {
+	m := &ev.Message
+	if ev.Kind != request.Received || m.Kind != request.Refused {
+		return
+	}
+	i := int(m.Attempt) - 1
+	if i < 0 || i >= len(x.choices) {
+		return
+	}
+	if m.Reason == request.Draining {
+		ch := x.choices[i].choice
+		x.router.tell(routerMessage{kind: tellLeaving, name: ch.Name, incarnation: ch.Incarnation})
+	}
+	x.endAttempt(i, endOfRefusal(m.Reason, m.RetryAfter))
+}
+
+// endOfRefusal tells what a refusal says about the target.
+func endOfRefusal(reason request.Reason, after time.Duration) target.End {
+	switch reason {
+	case request.Overloaded, request.DeadlinePassed:
+		return target.End{Kind: target.Declined, RetryAfter: after}
+	case request.BookFull, request.Draining:
+		return target.End{Kind: target.Refused, RetryAfter: after}
+	case request.EngineUnreachable, request.TargetSilent, request.NeverSeen, request.BodyIncomplete:
+		return target.End{Kind: target.Failed}
+	default:
+		return target.End{Kind: target.Cancelled} // nothing
+	}
+}
+
+// endOf tells what the outcome of a request says about its last target.
+func endOf(res request.Result) target.End {
+	switch {
+	case res.Outcome == request.Answered:
+		return target.End{Kind: target.Answered}
+	case res.Reason == request.CallerGone:
+		return target.End{Kind: target.Cancelled}
+	case res.Outcome == request.NotRun:
+		return endOfRefusal(res.Reason, res.RetryAfter)
+	default:
+		return target.End{Kind: target.Failed}
+	}
+}
+
+// endChoice gives the newest choice back to the router.
+func (x *exchange) endChoice(end target.End) {
+	if len(x.choices) > 0 {
+		x.endAttempt(len(x.choices)-1, end)
+	}
+}
+
+// endAttempt gives the choice of an attempt back, once.
+func (x *exchange) endAttempt(i int, end target.End) {
+	ch := x.choices[i].choice
+	if ch.Name == "" {
+		return
+	}
+	x.choices[i].choice.Name = ""
+	x.router.end(x.entry.ctx, ch, end)
+}
--- /dev/null
+++ b/internal/program/entry/routing_targets.go
@@ -0,0 +1,198 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/member"
+	"wagtailshelf.example/wagtailshelf/internal/record/document"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/leaving"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/target"
+	"wagtailshelf.example/wagtailshelf/internal/wire/frame"
+	"wagtailshelf.example/wagtailshelf/internal/wire/peer"
+)
+
+// subset bounds the targets of a service that an entry holds connections to. It
+// covers all of them at today's sizes.
+var subset = target.SubsetSize{Local: 24, Remote: 12}
+
+// update takes the targets of the document in force that fall to this entry.
+func (r *router) update(ctx context.Context, now time.Time) {
+	d := r.document
+	candidates := make([]target.Candidate, 0, len(d.Targets))
+	for i := range d.Targets {
+		t := &d.Targets[i]
+		candidates = append(candidates, target.Candidate{
+			Name:       target.Name(t.Name),
+			DataCentre: t.DataCentre,
+			Weight:     d.ShareOf(t),
+			Group:      target.GroupName(t.Group),
+			Suspended:  true, // until the tracker knows better
+		})
+	}
+	candidates = target.Subset(r.self, r.entries, candidates, subset)
+	before := r.targets
+	r.targets = make(map[target.Name]*document.Target, len(candidates))
+	for _, c := range candidates {
+		r.targets[c.Name] = d.Target(string(c.Name))
+	}
+	r.forget(ctx, now, before)
+	r.chooser.Update(candidates)
+	for _, c := range candidates {
+		r.track(ctx, now, leaving.Event{
+			Kind:    leaving.Statement,
+			Name:    c.Name,
+			Source:  leaving.Document,
+			Leaving: r.targets[c.Name].Leaving,
+		})
+		r.resume(c.Name)
+	}
+}
+
+// forget drops what is known of targets that are gone, or that are another
+// process now. The connection to a sidecar stays: requests may still be on it.
+func (r *router) forget(ctx context.Context, now time.Time, before map[target.Name]*document.Target) {
+	for name, old := range before {
+		t := r.targets[name]
+		if t == nil || t.Address != old.Address || t.Host != old.Host {
+			r.track(ctx, now, leaving.Event{Kind: leaving.Forget, Name: name})
+		}
+	}
+}
+
+// resume brings a target back that the tracker knows to be serving; the list of
+// candidates says nothing about that.
+func (r *router) resume(name target.Name) {
+	if inc, ok := r.tracker.Serving(name); ok {
+		r.chooser.Resume(name, inc)
+	}
+}
+
+// track tells the tracker of an event and the chooser of what follows from it.
+func (r *router) track(ctx context.Context, now time.Time, ev leaving.Event) {
+	for _, a := range r.tracker.Handle(now, ev) {
+		switch a.Kind {
+		case leaving.Left:
+			r.chooser.Leave(a.Name, a.Incarnation)
+			r.log.Info().Str("service", r.service).Str("target", string(a.Name)).
+				Uint64("incarnation", uint64(a.Incarnation)).Str("source", a.Source.String()).Msg("target is leaving")
+		case leaving.Suspend:
+			r.chooser.Suspend(a.Name)
+			r.log.Warn().Str("service", r.service).Str("target", string(a.Name)).Msg("target is silent")
+		case leaving.Resume:
+			r.chooser.Resume(a.Name, a.Incarnation)
+			r.met = true
+		case leaving.Probe:
+			r.probe(ctx, a.Name)
+		case leaving.SetTimer:
+			r.timer.Reset(a.At.Sub(now))
+		case leaving.Violated:
+			r.counts.violated(r.log, a.Violation.Invariant, a.Violation.Evidence)
+		}
+	}
+}
+
+// report takes a report of load, which is also the sidecar's word that it isn't
+// leaving. One that came about a target of another entry's subset is left alone.
+func (r *router) report(ctx context.Context, now time.Time, m target.Report) {
+	if r.targets[m.Name] == nil {
+		return
+	}
+	r.track(ctx, now, leaving.Event{Kind: leaving.Word, Name: m.Name, Incarnation: m.Incarnation, Age: m.Age})
+	r.chooser.Report(now, m)
+}
+
+func (r *router) leaves(ctx context.Context, now time.Time, name target.Name, inc host.Incarnation) {
+	if r.targets[name] == nil {
+		return
+	}
+	r.track(ctx, now, leaving.Event{
+		Kind: leaving.Statement, Name: name, Source: leaving.Sidecar, Leaving: true, Incarnation: inc,
+	})
+}
+
+// member takes an entry in, or out, of those that share the targets.
+func (r *router) member(ctx context.Context, now time.Time, m routerMessage) {
+	i := slices.IndexFunc(r.entries, func(e target.Member) bool { return e.Name == m.member.Name })
+	if (i >= 0) == m.present {
+		return
+	}
+	if m.present {
+		r.entries = append(r.entries, m.member)
+	} else {
+		r.entries = slices.Delete(r.entries, i, i+1)
+	}
+	if len(r.document.Targets) > min(subset.Local, subset.Remote) {
+		r.update(ctx, now)
+	}
+}
+
+// onReport passes the load of a target on to the routers of its services.
+func (e *Entry) onReport(from *peer.Conn, m frame.Report) {
+	p := from.Peer()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for name, r := range e.routers {
+		t := target.Name(e.services[name].TargetOn(p.Name))
+		if t == "" {
+			continue
+		}
+		if m.Leaving {
+			r.tell(routerMessage{kind: tellLeaving, name: t, incarnation: p.Incarnation})
+			continue
+		}
+		r.tell(routerMessage{kind: tellReport, report: target.Report{
+			Name:        t,
+			Incarnation: p.Incarnation,
+			Outstanding: m.Outstanding,
+			Capacity:    m.Capacity,
+			Limit:       int(m.Limit),
+			Age:         m.Age,
+		}})
+	}
+}
+
+// MemberChanged takes in what the fleet knows about a member: that a sidecar is
+// leaving, which may come this way when the sidecar itself can't be heard, and
+// which entries there are. It does not block.
+func (e *Entry) MemberChanged(rec member.Record) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if rec.Identity.Role == host.Entry {
+		e.entryChanged(rec)
+		return
+	}
+	if rec.State != member.Leaving {
+		return
+	}
+	for name, r := range e.routers {
+		if t := e.services[name].TargetOn(rec.Identity.Name); t != "" {
+			r.tell(routerMessage{kind: tellLeaving, name: target.Name(t), incarnation: rec.Identity.Incarnation})
+		}
+	}
+}
+
+// knownEntries returns the entries of the fleet. The caller holds e.mu.
+func (e *Entry) knownEntries() []target.Member {
+	known := make([]target.Member, 0, len(e.entries))
+	for _, m := range e.entries {
+		known = append(known, m)
+	}
+	return known
+}
+
+// entryChanged keeps the entries that share the targets. The caller holds e.mu.
+func (e *Entry) entryChanged(rec member.Record) {
+	m := target.Member{Name: rec.Identity.Name, DataCentre: rec.Identity.DataCentre}
+	present := rec.State == member.Alive || rec.State == member.Suspect
+	if present {
+		e.entries[m.Name] = m
+	} else {
+		delete(e.entries, m.Name)
+	}
+	for _, r := range e.routers {
+		r.tell(routerMessage{kind: tellMember, member: m, present: present})
+	}
+}
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -49,8 +49,10 @@
 	leavingNow chan struct{} // makes the report duty look at once
 	sequence   uint64        // of reports; owned by the report duty
 
-	mu    sync.Mutex
-	conns map[*peer.Conn]bool
+	mu         sync.Mutex
+	conns      map[*peer.Conn]bool
+	lastReport frame.Report // zero before the first
+	reportedAt time.Time
 }
 
 // New opens the sidecar's socket. Run serves it.
--- a/internal/traffic/leaving/event.go
+++ b/internal/traffic/leaving/event.go
@@ -72,7 +72,7 @@
 
 // DefaultConfig returns the settings that the measurements were made with.
 func DefaultConfig() Config {
-	return Config{Silence: 2 * time.Second, Probe: 700 * time.Millisecond}
+	return Config{Silence: 3 * time.Second, Probe: 1200 * time.Millisecond}
 }
 
 // Violation is an invariant that does not hold, with the evidence.
--- a/internal/traffic/leaving/tracker.go
+++ b/internal/traffic/leaving/tracker.go
@@ -40,7 +40,7 @@
 // valid until the next call.
 //
 // A target that is new to the tracker begins suspended, where Config.Silence is
-// set, and is resumed by the first word from its sidecar.
+// set. Its sidecar is asked at once, and its first word resumes the target.
 func (t *Tracker) Handle(now time.Time, ev Event) []Action {
 	t.actions = t.actions[:0]
 	switch ev.Kind {
@@ -72,6 +72,10 @@
 		s = &state{name: name, suspended: t.cfg.Silence > 0, heard: now.Add(-t.cfg.Silence)}
 		t.states[name] = s
 		t.order = append(t.order, s)
+		if s.suspended {
+			s.probed = now
+			t.act(Action{Kind: Probe, Name: name})
+		}
 	}
 	return s
 }
--- a/internal/traffic/leaving/tracker_test.go
+++ b/internal/traffic/leaving/tracker_test.go
@@ -23,6 +23,9 @@
 	m.Run()
 }
 
+// cfg has a shorter silence than the default, so that the steps read easily.
+var cfg = Config{Silence: 2 * time.Second, Probe: 700 * time.Millisecond}
+
 func at(d time.Duration) time.Time { return epoch.Add(d) }
 
 func word(inc host.Incarnation) Event {
@@ -35,7 +38,7 @@
 
 // served returns a tracker that knows target t, serving in incarnation 1.
 func served(t require.TestingT) *Tracker {
-	tr := New(DefaultConfig())
+	tr := New(cfg)
 	tr.Handle(at(0), word(1))
 	requireServing(t, tr, true)
 	return tr
@@ -127,8 +130,8 @@
 		assert.Empty(t, kinds(tr.Handle(at(3*time.Second), ev)), "too old to resume on")
 	})
 	t.Run("a new target waits for word", func(t *testing.T) {
-		tr := New(DefaultConfig())
-		tr.Handle(at(0), says(List, false, 0))
+		tr := New(cfg)
+		assert.Equal(t, []ActionKind{Probe}, kinds(tr.Handle(at(0), says(List, false, 0))))
 		requireServing(t, tr, false)
 		assert.Equal(t, []ActionKind{Probe}, kinds(tr.Handle(at(time.Second), tick)))
 	})
@@ -189,7 +192,7 @@
 
 func (w *world) pass(t *rapid.T) {
 	for range rapid.IntRange(1, 20).Draw(t, "ticks") {
-		w.now = w.now.Add(DefaultConfig().Probe / 4)
+		w.now = w.now.Add(cfg.Probe / 4)
 		w.handle(t, Event{Kind: Tick})
 	}
 }
@@ -207,7 +210,7 @@
 // never gives work to a life that began to leave longer ago than the bound.
 func TestRandomised(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{tr: New(DefaultConfig()), now: epoch, inc: 1}
+		w := &world{tr: New(cfg), now: epoch, inc: 1}
 		t.Repeat(map[string]func(*rapid.T){
 			"":        w.check,
 			"speak":   w.speak,
