Move requests away from an engine that stands still

It sends the head of a stream before its first step, which bound the request to it; and nothing looked for silence. Change: the sidecar holds the head back until the first event; a model engine whose step stands still or whose load can't be read for 2 s, and which sends nothing, loses the requests that wait for their first byte and may be repeated; a plain service loses them after half of their time; a paused stream is resumed after 3 s. A first try took the engine's own count of running requests, which freezes with its reports, and found nothing. A request whose answer has begun there still waits for its deadline.

--- a/internal/program/sidecar/call.go
+++ b/internal/program/sidecar/call.go
@@ -17,6 +17,16 @@
 	"wagtailshelf.example/wagtailshelf/internal/wire/engine"
 )
 
+const (
+	// minFirstByte is the shortest wait for the head of an answer.
+	minFirstByte = 100 * time.Millisecond
+
+	// streamIdle is how long an engine's stream may pause before it is resumed on
+	// another connection. A step takes milliseconds, so this is a silent
+	// connection or a stalled rank; resuming does no harm to the latter.
+	streamIdle = 3 * time.Second
+)
+
 // readBytes is the size of one read of a target's answer.
 const readBytes = 32 << 10
 
@@ -46,8 +56,10 @@
 // call reports by events under ctx, which outlives the call's own callCtx.
 func (s *Sidecar) call(ctx, callCtx context.Context, j job) {
 	c := targetCall(j)
+	c.FirstByte = s.firstByte(j)
 	if s.cfg.Model {
 		c.Header.Set(engine.KeepHeader, "true") // so that a broken stream can be resumed
+		c.Idle = streamIdle
 		defer s.cancelAbandoned(ctx, callCtx, j)
 	}
 	resp, err := s.target.Do(callCtx, c)
@@ -61,15 +73,15 @@
 		s.desk.put(ctx, deskEvent{kind: deskBooks, books: wholeAnswer(j, head, resp.Body)})
 		return
 	}
-	s.desk.putBook(ctx, head)
-	reason := s.copyBody(ctx, callCtx, j, resp)
+	reason := s.copyBody(ctx, callCtx, j, head, resp)
 	s.desk.putBook(ctx, book.Event{Kind: book.EngineEnd, ID: j.id, Reason: reason})
 }
 
-func (s *Sidecar) copyBody(ctx, callCtx context.Context, j job, resp *http.Response) request.Reason {
+func (s *Sidecar) copyBody(ctx, callCtx context.Context, j job, head book.Event, resp *http.Response) request.Reason {
 	if s.cfg.Model && isEventStream(resp) {
-		return s.copyEvents(ctx, callCtx, j, resp.Body)
+		return s.copyEvents(ctx, callCtx, j, head, resp.Body)
 	}
+	s.desk.putBook(ctx, head)
 	return s.copyAnswer(ctx, j, resp.Body)
 }
 
@@ -87,6 +99,19 @@
 	return []book.Event{head, {Kind: book.EngineData, ID: j.id, Data: data}, end}
 }
 
+// firstByte bounds the wait for the head of an answer. A plain service that stays
+// silent for half of the time is given up while there is time left to ask
+// another target. The head of a model's answer may come late for good reasons;
+// its silence is found out by observe. A call that may not be repeated has no
+// other target to go to, so it waits.
+func (s *Sidecar) firstByte(j job) time.Duration {
+	left := time.Until(j.deadline)
+	if j.call.Idempotent && !s.cfg.Model {
+		return max(left/2, minFirstByte)
+	}
+	return left + lateGrace
+}
+
 func failedCall(j job, err error) book.Event {
 	var failed *engine.CallError
 	if errors.As(err, &failed) && failed.NotSent {
@@ -132,7 +157,6 @@
 		Body:          strings.NewReader(string(j.body)),
 		ContentLength: int64(len(j.body)),
 		Repeatable:    j.call.Idempotent,
-		FirstByte:     time.Until(j.deadline) + lateGrace,
 	}
 }
 
--- a/internal/program/sidecar/desk.go
+++ b/internal/program/sidecar/desk.go
@@ -33,6 +33,7 @@
 	deskState                               // state: asks for the desk's state
 	deskLimits                              // limits: new settings of admission
 	deskLineFailed                          // line could not be written
+	deskSilent                              // the engine does not answer
 )
 
 // deskEvent is what the other duties tell the desk.
@@ -62,6 +63,7 @@
 	nextTicket workspace.Ticket
 	drained    chan struct{}
 	isDrained  bool
+	lastData   time.Time // when the target sent something last
 	bookTimer  *time.Timer
 	queueTimer *time.Timer
 	todo       []deskEvent // events that actions gave rise to
@@ -75,7 +77,9 @@
 	header   []request.Field
 	body     []byte
 	deadline time.Time
+	started  time.Time // handed over to the target
 	cancel   context.CancelFunc
+	begun    bool // the head of its answer has come
 	broken   bool // the target gave no whole answer
 }
 
@@ -155,6 +159,8 @@
 		ev.state <- d.state()
 	case deskLimits:
 		d.queue.Configure(ev.limits)
+	case deskSilent:
+		d.giveUpSilent(now)
 	}
 }
 
@@ -162,6 +168,11 @@
 	switch ev.Kind {
 	case book.StreamClosed:
 		d.closeLine(ev.Peer)
+	case book.EngineHead, book.EngineData:
+		d.lastData = now
+		if j := d.jobs[ev.ID]; j != nil {
+			j.begun = true
+		}
 	case book.EngineEnd, book.EngineNotReached:
 		if j := d.jobs[ev.ID]; j != nil {
 			j.broken = ev.Reason != request.NoReason || ev.Kind == book.EngineNotReached
@@ -174,6 +185,22 @@
 	}
 }
 
+// giveUpSilent ends the calls that wait in vain for an engine that stands still
+// and whose requests can move to another target. Their ends come by the ring.
+func (d *desk) giveUpSilent(now time.Time) {
+	if now.Sub(d.lastData) < stalledAfter {
+		return // it is its reports that stand still
+	}
+	for _, j := range d.jobs {
+		if j.cancel == nil || j.begun || !j.call.Idempotent {
+			continue
+		}
+		if now.Sub(j.started) >= stalledAfter {
+			j.cancel()
+		}
+	}
+}
+
 func (d *desk) later(ev deskEvent) {
 	d.todo = append(d.todo, ev)
 }
@@ -189,7 +216,7 @@
 	case book.Withdraw:
 		d.withdraw(a.ID)
 	case book.Run:
-		d.start(a)
+		d.start(now, a)
 	case book.CancelEngine:
 		if j := d.jobs[a.ID]; j != nil && j.cancel != nil {
 			j.cancel()
@@ -245,13 +272,13 @@
 	return j
 }
 
-func (d *desk) start(a book.Action) {
+func (d *desk) start(now time.Time, a book.Action) {
 	j := d.jobs[a.ID]
 	if j == nil {
 		d.later(deskEvent{kind: deskBook, book: book.Event{Kind: book.EngineNotReached, ID: a.ID}})
 		return
 	}
-	j.call, j.header, j.body = a.Call, a.Header, a.Body
+	j.call, j.header, j.body, j.started = a.Call, a.Header, a.Body, now
 	d.run(*j)
 }
 
--- a/internal/program/sidecar/observe_test.go
+++ b/internal/program/sidecar/observe_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
 	"wagtailshelf.example/wagtailshelf/internal/wire/engine"
 )
 
@@ -36,3 +37,59 @@
 		})
 	}
 }
+
+func TestStalled(t *testing.T) {
+	at := func(ms int, step uint64) observation {
+		return observation{at: time.Unix(0, 0).Add(time.Duration(ms) * time.Millisecond), load: engine.Load{Step: step}}
+	}
+	tests := []struct {
+		name string
+		seen []observation
+		want bool
+	}{
+		{"first", []observation{at(0, 0)}, false},
+		{"steps", []observation{at(0, 100), at(2500, 101)}, false},
+		{"no step for long", []observation{at(0, 100), at(1000, 100), at(2000, 100)}, true},
+		{"no step for a moment", []observation{at(0, 100), at(1900, 100)}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var p progress
+			stalled := false
+			for _, o := range test.seen {
+				stalled = p.stalled(o)
+			}
+			require.Equal(t, test.want, stalled)
+		})
+	}
+}
+
+// A rank of a lock-step group stalls: its engine still answers reads of its load,
+// but makes no step and sends nothing. Requests that wait for their first byte
+// would wait for their whole deadline. Those that may be repeated are ended, so
+// that they move to another target; what may not be repeated, has begun or has
+// only just been handed over stays.
+func TestGiveUpSilent(t *testing.T) {
+	now := time.Unix(100, 0)
+	tests := []struct {
+		name string
+		job  job
+		data time.Time // when the engine sent something last
+		want bool
+	}{
+		{"waits in vain", job{call: request.Call{Idempotent: true}, started: now.Add(-3 * time.Second)}, time.Time{}, true},
+		{"may not be repeated", job{started: now.Add(-3 * time.Second)}, time.Time{}, false},
+		{"has begun", job{call: request.Call{Idempotent: true}, started: now.Add(-3 * time.Second), begun: true}, time.Time{}, false},
+		{"handed over just now", job{call: request.Call{Idempotent: true}, started: now.Add(-time.Second)}, time.Time{}, false},
+		{"others get answers", job{call: request.Call{Idempotent: true}, started: now.Add(-3 * time.Second)}, now.Add(-time.Second), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			cancelled := false
+			test.job.cancel = func() { cancelled = true }
+			d := &desk{jobs: map[request.ID]*job{{1}: &test.job}, lastData: test.data}
+			d.giveUpSilent(now)
+			require.Equal(t, test.want, cancelled)
+		})
+	}
+}
--- a/internal/program/sidecar/stream.go
+++ b/internal/program/sidecar/stream.go
@@ -83,13 +83,14 @@
 
 // copyEvents passes an engine's stream on, and resumes it where its connection
 // broke: the run goes on in the engine, and only the connection is lost.
-func (s *Sidecar) copyEvents(ctx, callCtx context.Context, j job, body io.ReadCloser) request.Reason {
+func (s *Sidecar) copyEvents(ctx, callCtx context.Context, j job, head book.Event, body io.ReadCloser) request.Reason {
 	tokens := 0
 	for resumes := 0; ; resumes++ {
-		n, err := s.copyWholeEvents(ctx, j, body)
+		n, err := s.copyWholeEvents(ctx, j, &head, body)
 		tokens += n
 		_ = body.Close() // it has ended
 		if err == io.EOF {
+			s.putHead(ctx, &head)
 			return request.NoReason
 		}
 		if resumes == maxResumes {
@@ -103,7 +104,10 @@
 	}
 }
 
-func (s *Sidecar) copyWholeEvents(ctx context.Context, j job, body io.Reader) (tokens int, err error) {
+// copyWholeEvents holds the head back until the first event. An engine sends it
+// before its first step; passed on then, it would bind the request to an engine
+// that may never make a step, while another could answer.
+func (s *Sidecar) copyWholeEvents(ctx context.Context, j job, head *book.Event, body io.Reader) (tokens int, err error) {
 	buf := readBuffers.Get().(*[readBytes]byte)
 	defer readBuffers.Put(buf)
 	events := eventReader{r: body}
@@ -112,10 +116,19 @@
 		if err != nil {
 			return events.tokens, err
 		}
+		s.putHead(ctx, head)
 		s.desk.putBook(ctx, book.Event{Kind: book.EngineData, ID: j.id, Data: whole})
 	}
 }
 
+// putHead passes the head on, once.
+func (s *Sidecar) putHead(ctx context.Context, head *book.Event) {
+	if head.Kind != 0 {
+		s.desk.putBook(ctx, *head)
+		*head = book.Event{}
+	}
+}
+
 // resume asks for a run's stream from a token on; nil if the engine has none.
 // It names a run that exists and begins none, so asking twice does no harm.
 func (s *Sidecar) resume(callCtx context.Context, j job, tokens int) io.ReadCloser {
--- a/internal/program/trial/stage.go
+++ b/internal/program/trial/stage.go
@@ -46,6 +46,11 @@
 		doc:  "an engine closes its streams half-way",
 		run:  (*session).breakStreams,
 	},
+	{
+		name: "engineStalls",
+		doc:  "an engine makes no more steps, and its streams neither move nor break",
+		run:  (*session).stallEngine,
+	},
 	{
 		name: "answerLost",
 		doc:  "the agenda logs an outcome and loses its answer",
@@ -167,6 +172,14 @@
 	return nil
 }
 
+func (s *session) stallEngine(ctx context.Context) error {
+	victim := s.redaction[1].Engine
+	victim.SetFaults(engine.Faults{Stalled: true})
+	s.drafts(ctx, callsPerStage)
+	victim.SetFaults(engine.Faults{})
+	return nil
+}
+
 // loseAnswers checks that a call with an effect is never reported as not run.
 func (s *session) loseAnswers(ctx context.Context) error {
 	s.logbook.SetFaults(service.Faults{LoseAnswer: true})
