--- a/internal/traffic/workspace/queue.go
+++ b/internal/traffic/workspace/queue.go
@@ -17,6 +17,7 @@
 // Queue admits requests to one target.
 type Queue struct {
 	cfg         Config
+	weights     map[Name]float64 // from Config.Shares
 	limiter     limiter
 	items       map[Ticket]*item
 	front       *tier // Normal and High
@@ -33,10 +34,11 @@
 func New(cfg Config) *Queue {
 	cfg.fill()
 	q := &Queue{
-		cfg:   cfg,
-		items: make(map[Ticket]*item),
-		front: newTier(),
-		back:  newTier(),
+		cfg:     cfg,
+		weights: weightsOf(cfg.Shares),
+		items:   make(map[Ticket]*item),
+		front:   newTier(),
+		back:    newTier(),
 	}
 	q.limiter = newLimiter(&q.cfg)
 	return q
@@ -62,6 +64,7 @@
 func (q *Queue) Configure(cfg Config) {
 	cfg.fill()
 	q.cfg = cfg
+	q.weights = weightsOf(cfg.Shares)
 	q.limiter.limit = min(max(q.limiter.limit, float64(cfg.MinLimit)), float64(cfg.MaxLimit))
 }
 
@@ -141,14 +144,20 @@
 }
 
 func (q *Queue) weight(name Name) float64 {
-	for _, s := range q.cfg.Shares {
-		if s.Workspace == name && s.Weight > 0 {
-			return s.Weight
-		}
+	if w := q.weights[name]; w > 0 {
+		return w
 	}
 	return q.cfg.Weight
 }
 
+func weightsOf(shares []Share) map[Name]float64 {
+	weights := make(map[Name]float64, len(shares))
+	for _, s := range shares {
+		weights[s.Workspace] = s.Weight
+	}
+	return weights
+}
+
 // wait estimates how long a new request of the flow waits before it starts. It
 // waits until the virtual time has reached its tag; but never longer than all
 // that is queued takes, since the target doesn't idle.
--- a/internal/traffic/workspace/queue_test.go
+++ b/internal/traffic/workspace/queue_test.go
@@ -259,7 +259,7 @@
 	m.waiting = append(m.waiting, m.next)
 	ev := arrive(m.next, Name(fmt.Sprint("w", rapid.IntRange(0, 5).Draw(t, "workspace"))), rapid.Int64Range(1, 500).Draw(t, "tokens"), 0)
 	ev.Request.Deadline = m.now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "deadline")) * time.Millisecond)
-	ev.Request.Priority = Priority(rapid.IntRange(0, 2).Draw(t, "priority"))
+	ev.Request.Priority = Priority(rapid.IntRange(0, 4).Draw(t, "priority"))
 	m.handle(t, ev)
 }
 
--- a/internal/traffic/workspace/request.go
+++ b/internal/traffic/workspace/request.go
@@ -12,13 +12,14 @@
 // Priority orders requests.
 type Priority uint8
 
-// The priorities. Normal and High order a workspace's own requests only, so that
-// no workspace gains from marking all of its requests as High. Background
+// The priorities, by the numbers that documents and messages use; any other
+// number counts as Normal. Normal and High order a workspace's own requests only,
+// so that no workspace gains from marking all of its requests as High. Background
 // requests of all workspaces wait until nothing else does.
 const (
-	Normal Priority = iota
+	Background Priority = iota + 1
+	Normal
 	High
-	Background
 )
 
 // Request is a request that asks to be admitted.
