Let admission recover from a stall, and slow calls speak only at the limit

After a stall the mean time for a token was so long that every request was refused as too late, so that no call could correct it, for good. And a plain service whose calls differ took its own slow calls for overload: its baseline was the fastest sixteen calls lately.

An idle target now takes any request whose deadline lies ahead. The baseline of call time is a mean over a minute, only calls at a limit in use move the limit, and they take it down to a quarter of the first limit at the most.

--- a/internal/traffic/workspace/expiry.go
+++ b/internal/traffic/workspace/expiry.go
@@ -28,6 +28,13 @@
 
 func (q *Queue) tooLate(now time.Time, it *item) bool { return now.After(q.latest(it)) }
 
+// mayTry reports whether a request is run though the estimate says that it can't
+// be complete in time: only if nothing else runs. After the target has stalled
+// the estimate is bad, and with all requests refused nothing would correct it.
+func (q *Queue) mayTry(now time.Time, it *item) bool {
+	return q.running() == 0 && now.Before(it.Deadline)
+}
+
 // expectExpiry makes sure that the timer fires when the request has become too
 // late.
 func (q *Queue) expectExpiry(it *item) {
--- a/internal/traffic/workspace/limit.go
+++ b/internal/traffic/workspace/limit.go
@@ -17,9 +17,15 @@
 	headroom = 0.9
 	// inUse is the part of the limit that must be running for it to rise.
 	inUse = 0.8
-	// The moving means of call time go back over so many calls.
+	// callPart is the part of the first limit that call times leave of it.
+	callPart = 4
+	// shortMean is the number of calls that the mean time of a call goes back over.
 	shortMean = 16
-	longMean  = 512
+	// usualOver is the time that the usual time of a call goes back over. It is
+	// long against an overload, which would else soon count as usual.
+	usualOver = time.Minute
+	// firstCalls is the number of calls at the start that are averaged evenly.
+	firstCalls = 64
 )
 
 // limiter adapts the number of requests that may run at once.
@@ -29,7 +35,9 @@
 	moved    time.Time // last change
 	steps    bool      // the engine reports steps
 	perToken float64   // seconds, mean over the last calls
-	usual    float64   // seconds, mean over many calls
+	usual    float64   // seconds, mean over a long time
+	calls    int       // that the means have seen
+	called   time.Time // end of the last one
 }
 
 func newLimiter(cfg *Config) limiter {
@@ -56,12 +64,17 @@
 // call takes the time that a request took at the target.
 func (l *limiter) call(now time.Time, running int, d time.Duration, tokens int64) {
 	per := d.Seconds() / float64(tokens)
-	l.perToken += (per - l.perToken) / shortMean
-	l.usual += (per - l.usual) / longMean
-	// The usual time follows falls at once, so that a service which starts slowly
-	// isn't measured against its start for long.
-	l.usual = min(l.usual, l.perToken)
-	if l.steps {
+	l.calls++
+	l.perToken += (per - l.perToken) / float64(min(l.calls, shortMean))
+	weight := min(1, now.Sub(l.called).Seconds()/usualOver.Seconds())
+	if l.calls <= firstCalls {
+		weight = 1 / float64(l.calls)
+	}
+	l.usual += (per - l.usual) * weight
+	l.called = now
+	// A service whose calls differ has slow ones without being overloaded. Only at
+	// a limit that is in use do slow calls speak for that.
+	if l.steps || float64(running) < inUse*l.limit {
 		return
 	}
 	l.adapt(now, running, l.perToken/(l.usual*l.cfg.SlowFactor))
@@ -78,10 +91,19 @@
 	default:
 		return
 	}
-	l.limit = min(max(l.limit, float64(l.cfg.MinLimit)), float64(l.cfg.MaxLimit))
+	l.limit = min(max(l.limit, l.least()), float64(l.cfg.MaxLimit))
 	l.moved = now
 }
 
+// least returns the bound that the limit doesn't fall below. Call times tell less
+// than step times, so they don't take the limit as far down.
+func (l *limiter) least() float64 {
+	if l.steps {
+		return float64(l.cfg.MinLimit)
+	}
+	return float64(max(l.cfg.MinLimit, l.cfg.FirstLimit/callPart))
+}
+
 // capacity returns the tokens a second that the target can finish: by Little's
 // law the requests that run at once over the time that each takes for a token.
 func (l *limiter) capacity() float64 { return l.limit / l.perToken }
--- a/internal/traffic/workspace/queue.go
+++ b/internal/traffic/workspace/queue.go
@@ -118,7 +118,7 @@
 	f := t.flow(r.Workspace, q.weight(r.Workspace))
 	wait := q.wait(f, r.Priority)
 	it := &item{Request: r, flow: f, patience: now.Add(q.patience(r.Deadline.Sub(now)))}
-	if late := now.Add(wait).Sub(q.latest(it)); late > 0 {
+	if late := now.Add(wait).Sub(q.latest(it)); late > 0 && !q.mayTry(now, it) {
 		q.refuse(r.Ticket, DeadlineTooClose, late)
 		return
 	}
@@ -257,7 +257,7 @@
 		if it == nil {
 			break
 		}
-		if q.tooLate(now, it) {
+		if q.tooLate(now, it) && !q.mayTry(now, it) {
 			q.giveUp(it, DeadlineTooClose)
 			continue
 		}
