Tell ranks of new epochs without the platform or a lease

Forming a group needed the holder of a lease, the lives of all sidecars from somewhere else, and a rank that missed a record needed the platform to get it.

Each rank now tells a few keepers which life of its sidecar is there and which epoch it knows, and asks them for a new epoch. A keeper answers a rank that is behind with the record. Keepers need no lease: a record is written on condition of the one before, and takes over the planning lease's fence. A newer document changes the ranks; an older one can't.

With a record announced before it is written, or a lost answer taken as done, TestFormersAgree fails; with a rank missing, TestFormsOnceLivesAreKnown; without backoff, TestPlatformOutForAnHour.

--- a/internal/expert/expertmap/map.go
+++ b/internal/expert/expertmap/map.go
@@ -17,7 +17,7 @@
 
 // Bounds of a map. A decoder refuses a map beyond them before it allocates.
 const (
-	MaxLayers  = 512
+	MaxLayers  = 1024
 	MaxExperts = 4096
 	MaxRanks   = 2048
 	MaxSlots   = 256
--- a/internal/expert/group/event.go
+++ b/internal/expert/group/event.go
@@ -10,6 +10,7 @@
 
 // Config sets up a [Switch]. Zero durations take the defaults.
 type Config struct {
+	Group       string
 	Self        host.Name
 	Incarnation host.Incarnation
 	Engine      order.Engine
@@ -17,6 +18,7 @@
 	Wait        time.Duration // a rank waits so long for an outcome before it asks
 	Turn        time.Duration // then the ranks begin to ask in doubling numbers, a turn apart
 	DeadAfter   time.Duration // a group whose switch can't end for so long forms again
+	Heartbeat   time.Duration // between two words to the keepers
 	Keep        time.Duration // weights of a refused map are kept for a next attempt
 	Retry       time.Duration // between two attempts at an order
 	Chunk       time.Duration // how much loading one order asks for, at the rank's rate
@@ -32,6 +34,7 @@
 	DefaultDeadAfter = 10 * time.Second
 	DefaultKeep      = 30 * time.Second
 	DefaultRetry     = 50 * time.Millisecond
+	DefaultHeartbeat = 5 * time.Second
 	DefaultChunk     = 500 * time.Millisecond
 
 	DefaultRate        = 256 << 20
@@ -50,6 +53,7 @@
 	set(&c.DeadAfter, DefaultDeadAfter)
 	set(&c.Keep, DefaultKeep)
 	set(&c.Retry, DefaultRetry)
+	set(&c.Heartbeat, DefaultHeartbeat)
 	set(&c.Chunk, DefaultChunk)
 	if c.Rate <= 0 {
 		c.Rate = DefaultRate
@@ -66,7 +70,8 @@
 // The kinds of events. A [Proposer] takes Tick, Received and Start.
 const (
 	Tick      EventKind = iota + 1 // the time of [Switch.Deadline] has come
-	Formed                         // Event.Record was read from the platform or heard from a peer
+	Formed                         // Event.Record was read from the platform
+	Kept                           // Event.Keepers are the hosts that form the group anew when asked
 	Received                       // Event.Message came from Event.From
 	OrderDone                      // an order ended: Event.Result
 	ReadBack                       // the engine told its state, or that it can't: Event.State
@@ -79,6 +84,7 @@
 type Event struct {
 	Kind    EventKind
 	Record  *Record
+	Keepers []host.Name
 	From    host.Name
 	Message Message
 	Result  order.Result
--- a/internal/expert/group/former.go
+++ b/internal/expert/group/former.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"slices"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
@@ -12,39 +13,36 @@
 // Cause is the cause under which the platform calls of this package are counted.
 const Cause object.Cause = "group"
 
-// Kind is the kind of the objects that hold the groups' records.
-const Kind = "groups"
-
-// Waits between two tries at the platform. They double up to the longest.
+// Times of a [Former]. Waits between two tries at the platform double up to the
+// longest.
 const (
 	formerRetry      = 200 * time.Millisecond
 	formerRetryMost  = 10 * time.Second
 	formerCallWithin = 2 * time.Second
+	formerLifeTime   = 15 * time.Second // a sidecar silent for longer is not there
 )
 
+// missing stands for the version of a record that is known not to exist.
+const missing object.Version = 1<<64 - 1
+
 // FormerEventKind tells what happened.
 type FormerEventKind uint8
 
 // The kinds of events of a [Former].
 const (
 	FormerTick     FormerEventKind = iota + 1 // the time of [Former.Deadline] has come
-	FormerHeld                                // the lease is held with FormerEvent.Fence
-	FormerLost                                // the lease is lost
-	FormerMembers                             // FormerEvent.Lives are the present sidecars of the ranks' hosts
-	FormerAsked                               // FormerEvent.Epoch has to be followed by a new one
-	FormerSwitched                            // the group uses map FormerEvent.Number in FormerEvent.Epoch
+	FormerDesired                             // the document wants the ranks and the shape of FormerEvent.Record
+	FormerReceived                            // FormerEvent.Message, Alive or Renew, came from FormerEvent.From
 	FormerReply                               // the platform answered: FormerEvent.Reply
 )
 
 // FormerEvent is an input of [Former.Handle].
 type FormerEvent struct {
-	Kind   FormerEventKind
-	Fence  lease.Fence
-	Lives  map[host.Name]host.Incarnation
-	Epoch  uint64
-	Number Number
-	Map    *expertmap.Map // nil if only the number is known
-	Reply  object.Reply
+	Kind    FormerEventKind
+	Record  *Record
+	From    host.Name
+	Message Message
+	Reply   object.Reply
 }
 
 // FormerActionKind tells what is to be done.
@@ -52,58 +50,72 @@
 
 // The kinds of actions of a [Former].
 const (
-	FormerCall     FormerActionKind = iota + 1 // make FormerAction.Call
-	FormerAnnounce                             // tell the ranks FormerAction.Record
-	FormerViolate                              // an invariant does not hold: FormerAction.Text
+	FormerCall    FormerActionKind = iota + 1 // make FormerAction.Call
+	FormerSend                                // send FormerAction.Message to FormerAction.To; it may be lost
+	FormerViolate                             // an invariant does not hold: FormerAction.Text
 )
 
 // FormerAction is an output of [Former.Handle].
 type FormerAction struct {
-	Kind   FormerActionKind
-	Call   object.Call
-	Record *Record
-	Text   string
+	Kind    FormerActionKind
+	Call    object.Call
+	To      host.Name
+	Message Message
+	Text    string
+}
+
+// FormerConfig sets up a [Former].
+type FormerConfig struct {
+	Record object.Key // of the group
+	Lease  object.Key // of the planning of the group, whose fence a new epoch takes over
 }
 
-// Former keeps a group's record in the platform for the holder of the group's
-// lease: it forms the group under a new epoch when asked, and writes down the
-// map in force after a switch. Neither is on a switch's path. While the platform
-// is out it waits, and the group goes on with what it has. It is not safe for
-// use by several goroutines.
+// life is a sidecar as it was last heard of.
+type life struct {
+	incarnation host.Incarnation
+	at          time.Time
+}
+
+// Former forms a group under a new epoch when a rank asks for it or the document
+// changes its ranks, and tells the ranks. A few ranks' hosts have one each. They
+// need no lease: an epoch exists when the platform has taken its record, which is
+// written on condition of the one before, and two that try at once cost a call.
+// While the platform is out, the group goes on with the record it has. It is not
+// safe for use by several goroutines.
 type Former struct {
-	key object.Key
+	cfg FormerConfig
 
-	held    bool
-	fence   lease.Fence
-	record  *Record
+	desired *Record
+	record  *Record // as the platform holds it, as far as known
 	version object.Version
-	lives   map[host.Name]host.Incarnation
-
-	asked    uint64 // the epoch that has to be followed by a new one
-	switched FormerEvent
+	fence   lease.Fence
+	fenced  bool // the fence has been read for the epoch to be written
+	lives   map[host.Name]life
+	asked   uint64 // the epoch that has to be followed by a new one, and
+	renew   bool   // whether there is one
 
 	callID  uint64
 	calling object.Op // 0 without a call on its way
+	key     object.Key
 	writing *Record
 	callAt  time.Time // when the next call may be made, or the present one counts as lost
 	wait    time.Duration
-	told    uint64 // the last epoch announced
+	told    uint64 // the last epoch that all ranks were told of
 
 	out []FormerAction
 }
 
-// NewFormer returns the keeper of a group's record. A first record is used if
-// the platform has none.
-func NewFormer(first *Record) *Former {
-	return &Former{key: object.Key(Kind + "/" + first.Name), record: first, wait: formerRetry}
+// NewFormer returns a former that waits for a document.
+func NewFormer(cfg FormerConfig) *Former {
+	return &Former{cfg: cfg, wait: formerRetry, lives: make(map[host.Name]life)}
 }
 
-// Record returns the record as last read or written.
+// Record returns the record as the platform holds it, or nil if it isn't known.
 func (f *Former) Record() *Record { return f.record }
 
 // Deadline returns when the next [FormerTick] is due. The zero time means never.
 func (f *Former) Deadline() time.Time {
-	if !f.held || (f.calling == 0 && f.wanted() == nil && f.version != 0) {
+	if f.desired == nil {
 		return time.Time{}
 	}
 	return f.callAt
@@ -113,18 +125,10 @@
 func (f *Former) Handle(now time.Time, ev FormerEvent) []FormerAction {
 	f.out = nil
 	switch ev.Kind {
-	case FormerHeld:
-		f.hold(now, ev.Fence)
-	case FormerLost:
-		f.held = false
-	case FormerMembers:
-		f.lives = ev.Lives
-	case FormerAsked:
-		f.asked = max(f.asked, ev.Epoch)
-	case FormerSwitched:
-		if ev.Epoch > f.switched.Epoch || ev.Number > f.switched.Number {
-			f.switched = ev
-		}
+	case FormerDesired:
+		f.desire(now, ev.Record)
+	case FormerReceived:
+		f.received(now, ev.From, ev.Message)
 	case FormerReply:
 		f.reply(now, ev.Reply)
 	}
@@ -132,22 +136,52 @@
 	return f.out
 }
 
-// hold begins to keep the record. It is read first, because the last holder may
-// have written it.
-func (f *Former) hold(now time.Time, fence lease.Fence) {
-	if f.held && f.fence == fence {
+func (f *Former) desire(now time.Time, r *Record) {
+	if f.desired != nil && r.Document <= f.desired.Document {
 		return
 	}
-	f.held = true
-	f.fence = fence
-	f.version = 0
-	f.calling = 0
+	f.desired = r
 	f.callAt = now
-	f.wait = formerRetry
+}
+
+func (f *Former) received(now time.Time, from host.Name, m Message) {
+	if m.Check() != nil || f.desired == nil || m.Group != f.desired.Name {
+		return
+	}
+	if m.Kind != Alive && m.Kind != Renew {
+		return
+	}
+	f.lives[from] = life{m.Incarnation, now}
+	if len(f.lives) > 2*expertmap.MaxRanks {
+		clear(f.lives) // hosts of earlier documents; those of this one are heard again
+	}
+	if m.Kind == Renew && (!f.renew || m.Epoch > f.asked) {
+		f.asked, f.renew = m.Epoch, true
+		f.fenced = false
+	}
+	f.compare(now, from, m.Epoch)
+	if f.calling == 0 && f.version != 0 && f.wanted(now) != nil {
+		f.callAt = now
+	}
+}
+
+// compare brings a rank up to date that is behind, or itself.
+func (f *Former) compare(now time.Time, from host.Name, epoch uint64) {
+	if f.record == nil {
+		return
+	}
+	if epoch < f.record.Epoch && f.record.Epoch > 0 {
+		f.tell(from)
+		return
+	}
+	if epoch > f.record.Epoch && f.calling == 0 && f.version != 0 {
+		f.version = 0 // another host's former has written a newer record
+		f.callAt = now
+	}
 }
 
 func (f *Former) advance(now time.Time) {
-	if !f.held || now.Before(f.callAt) {
+	if f.desired == nil || now.Before(f.callAt) {
 		return
 	}
 	if f.calling != 0 {
@@ -155,50 +189,62 @@
 		return
 	}
 	if f.version == 0 {
-		f.call(now, object.Call{Op: object.Get})
+		f.call(now, f.cfg.Record, object.Call{Op: object.Get})
 		return
 	}
-	if r := f.wanted(); r != nil {
+	r := f.wanted(now)
+	switch {
+	case r == nil:
+		f.callAt = now.Add(formerLifeTime)
+	case !f.fenced:
+		f.call(now, f.cfg.Lease, object.Call{Op: object.Get})
+	default:
 		f.write(now, r)
 	}
 }
 
-// wanted returns the record to write, or nil if it is as it should be.
-func (f *Former) wanted() *Record {
-	r := *f.record
-	if f.switched.Epoch == r.Epoch && f.switched.Number > r.Number && f.switched.Map != nil {
-		r.Number, r.Map = f.switched.Number, f.switched.Map
-	}
-	if f.asked >= r.Epoch {
-		lives, ok := f.livesOf(&r)
-		if !ok {
-			return nil // a rank has no sidecar; there is no group to form
+// wanted returns the record of a new epoch, or nil if none is wanted or a rank
+// has no sidecar that could join it.
+func (f *Former) wanted(now time.Time) *Record {
+	r := *f.desired
+	if f.record != nil {
+		if !f.reshaped() && !(f.renew && f.asked >= f.record.Epoch) {
+			return nil
 		}
-		r.Epoch++
-		r.Fence = f.fence
-		r.Lives = lives
+		r = *f.record
+	}
+	if f.record == nil || f.reshaped() {
+		r.Ranks, r.Document = f.desired.Ranks, f.desired.Document
 	}
-	if r.Epoch == f.record.Epoch && r.Number == f.record.Number {
-		return nil
+	if r.Map.Shape() != f.desired.Map.Shape() && r.Document == f.desired.Document {
+		r.Map = f.desired.Map
+	}
+	r.Epoch++
+	r.Fence = max(r.Fence, f.fence)
+	r.Number = max(r.Number, 1)
+	r.Lives = make([]host.Incarnation, len(r.Ranks))
+	for rank, name := range r.Ranks {
+		l := f.lives[name]
+		if l.incarnation == 0 || now.Sub(l.at) > formerLifeTime {
+			return nil
+		}
+		r.Lives[rank] = l.incarnation
 	}
 	return &r
 }
 
-func (f *Former) livesOf(r *Record) ([]host.Incarnation, bool) {
-	lives := make([]host.Incarnation, len(r.Ranks))
-	for rank, name := range r.Ranks {
-		lives[rank] = f.lives[name]
-		if lives[rank] == 0 {
-			return nil, false
-		}
+// reshaped tells whether a newer document wants other ranks or another shape.
+func (f *Former) reshaped() bool {
+	if f.desired.Document <= f.record.Document {
+		return false
 	}
-	return lives, true
+	return !slices.Equal(f.desired.Ranks, f.record.Ranks) || f.desired.Map.Shape() != f.record.Map.Shape()
 }
 
 func (f *Former) write(now time.Time, r *Record) {
 	b, err := r.Encode()
 	if err != nil || r.Check() != nil || len(b) > object.MaxValueBytes {
-		f.out = append(f.out, FormerAction{Kind: FormerViolate, Text: "a record to write is invalid"})
+		f.violate("a record to write is invalid")
 		f.callAt = now.Add(formerRetryMost)
 		return
 	}
@@ -207,16 +253,13 @@
 	if version == missing {
 		version = 0
 	}
-	f.call(now, object.Call{Op: object.Put, Version: version, Value: b})
+	f.call(now, f.cfg.Record, object.Call{Op: object.Put, Version: version, Value: b})
 }
 
-// missing stands for an object that is known not to exist.
-const missing object.Version = 1<<64 - 1
-
-func (f *Former) call(now time.Time, c object.Call) {
+func (f *Former) call(now time.Time, key object.Key, c object.Call) {
 	f.callID++
-	c.ID, c.Key, c.Cause = f.callID, f.key, Cause
-	f.calling = c.Op
+	c.ID, c.Key, c.Cause = f.callID, key, Cause
+	f.calling, f.key = c.Op, key
 	f.callAt = now.Add(formerCallWithin)
 	f.out = append(f.out, FormerAction{Kind: FormerCall, Call: c})
 }
@@ -231,20 +274,22 @@
 	f.calling = 0
 	f.callAt = now
 	switch {
-	case r.Status == object.Done && op == object.Put:
+	case r.Status == object.Unknown || r.Status == object.Refused:
+		f.unknown(now)
+	case f.key == f.cfg.Lease:
+		f.readFence(now, r)
+	case r.Status == object.Conflict:
+		f.version = 0
+		f.callAt = now.Add(formerRetry) // another host's former writes too
+	case r.Status == object.NotFound:
+		f.version = missing
+	case op == object.Put:
 		f.wait = formerRetry
 		f.version = r.Object.Version
 		f.learn(f.writing)
-	case r.Status == object.Done:
-		f.wait = formerRetry
-		f.read(now, r.Object)
-	case r.Status == object.NotFound:
-		f.version = missing
-	case r.Status == object.Conflict:
-		f.version = 0
-		f.callAt = now.Add(formerRetry) // another holder writes; two must not race in a tight loop
 	default:
-		f.unknown(now)
+		f.wait = formerRetry
+		f.readRecord(now, r.Object)
 	}
 }
 
@@ -256,14 +301,29 @@
 	f.wait = min(2*f.wait, formerRetryMost)
 }
 
-func (f *Former) read(now time.Time, o object.Object) {
+func (f *Former) readFence(now time.Time, r object.Reply) {
+	if r.Status == object.NotFound {
+		f.fenced = true
+		return
+	}
+	l, err := lease.Decode(r.Object.Value)
+	if err != nil {
+		f.violate("lease " + string(f.cfg.Lease) + ": " + err.Error())
+		f.callAt = now.Add(formerRetryMost)
+		return
+	}
+	f.fence = max(f.fence, l.Fence)
+	f.fenced = true
+}
+
+func (f *Former) readRecord(now time.Time, o object.Object) {
 	r, err := DecodeRecord(o.Value)
 	if err != nil {
-		f.out = append(f.out, FormerAction{Kind: FormerViolate, Text: "record " + string(f.key) + ": " + err.Error()})
+		f.violate("record " + string(f.cfg.Record) + ": " + err.Error())
 		f.callAt = now.Add(formerRetryMost)
 		return
 	}
-	if r.Epoch < f.record.Epoch {
+	if f.record != nil && r.Epoch < f.record.Epoch {
 		f.unknown(now) // a lagging read
 		return
 	}
@@ -271,11 +331,25 @@
 	f.learn(r)
 }
 
-// learn takes up a record that the platform holds.
+// learn takes up a record that the platform holds, and tells all ranks of a new
+// epoch.
 func (f *Former) learn(r *Record) {
 	f.record = r
-	if r.Epoch > f.told {
-		f.told = r.Epoch
-		f.out = append(f.out, FormerAction{Kind: FormerAnnounce, Record: r})
+	if r.Epoch <= f.told {
+		return
+	}
+	f.told = r.Epoch
+	f.fenced = false
+	for _, name := range r.Ranks {
+		f.tell(name)
 	}
 }
+
+func (f *Former) tell(to host.Name) {
+	m := Message{Kind: Announce, Group: f.record.Name, Epoch: f.record.Epoch, Record: f.record}
+	f.out = append(f.out, FormerAction{Kind: FormerSend, To: to, Message: m})
+}
+
+func (f *Former) violate(text string) {
+	f.out = append(f.out, FormerAction{Kind: FormerViolate, Text: text})
+}
--- a/internal/expert/group/loading.go
+++ b/internal/expert/group/loading.go
@@ -46,7 +46,7 @@
 // loadingOf returns what the rank has to load for a map. It asks for nothing
 // that the engine is known to hold.
 func (s *Switch) loadingOf(m *expertmap.Map, rate, expertBytes int64) loading {
-	each := time.Duration(float64(expertBytes) / float64(rate) * float64(time.Second))
+	each := time.Duration(min(float64(expertBytes)/float64(rate)*float64(time.Second), float64(MaxPatience)))
 	l := loading{each: each, chunk: 1}
 	if each > 0 {
 		l.chunk = max(1, int(s.cfg.Chunk/each))
--- a/internal/expert/group/message.go
+++ b/internal/expert/group/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
@@ -24,11 +25,14 @@
 
 // The kinds of messages.
 const (
-	Ask     MessageKind = iota + 1 // to a rank: report on switch Message.Number, or on yourself if it is 0
-	Prepare                        // to a rank: load the weights of the proposed map
-	Promise                        // to a rank: promise to stop before Message.Step
-	Report                         // from a rank
-	Outcome                        // to a rank: Message.Vote is Refused, Committed or Finished
+	Ask      MessageKind = iota + 1 // to a rank: report on switch Message.Number, or on yourself if it is 0
+	Prepare                         // to a rank: load the weights of the proposed map
+	Promise                         // to a rank: promise to stop before Message.Step
+	Report                          // from a rank
+	Outcome                         // to a rank: Message.Vote is Refused, Committed or Finished
+	Alive                           // to a keeper: this life of the rank's sidecar is there, in Message.Epoch
+	Renew                           // to a keeper: Message.Epoch has to be followed by a new one
+	Announce                        // to a rank: Message.Record
 )
 
 // Vote is how far a rank has come with a switch.
@@ -89,7 +93,7 @@
 	Base        Number             `cbor:"5,keyasint,omitempty"`
 	Changes     []expertmap.Change `cbor:"6,keyasint,omitempty"`
 	Map         *expertmap.Map     `cbor:"7,keyasint,omitempty"`
-	Digest      expertmap.Digest   `cbor:"8,keyasint"`
+	Digest      expertmap.Digest   `cbor:"8,keyasint,omitzero"`
 	Rate        int64              `cbor:"9,keyasint,omitempty"`  // bytes a second from the weight store
 	ExpertBytes int64              `cbor:"10,keyasint,omitempty"` // weights of one expert of one layer
 	Remaining   time.Duration      `cbor:"11,keyasint,omitempty"` // until the rank may give up waiting
@@ -108,12 +112,44 @@
 	Floor   Number      `cbor:"21,keyasint,omitempty"` // refuses for good all up to this
 	Fence   lease.Fence `cbor:"22,keyasint,omitempty"` // highest known
 	Whole   bool        `cbor:"23,keyasint,omitempty"` // it knows the map in force by number only
+
+	Record *Record `cbor:"24,keyasint,omitempty"` // Announce
+}
+
+var decoder = newDecoder()
+
+func newDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: max(MaxChanges, expertmap.MaxRanks),
+		MaxNestedLevels:  8,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant; a failure is a defect of this file
+	}
+	return mode
+}
+
+// Encode returns the message as it travels.
+func (m *Message) Encode() ([]byte, error) {
+	return cbor.Marshal(m)
+}
+
+// Decode reads a message and checks it. It returns [ErrMessage] or [ErrRecord]
+// for what is out of bounds.
+func Decode(b []byte) (Message, error) {
+	var m Message
+	if err := decoder.Unmarshal(b, &m); err != nil {
+		return m, merry.Appendf(ErrMessage, "%v", err)
+	}
+	return m, m.Check()
 }
 
 // Check returns [ErrMessage] if the message is out of bounds.
 func (m *Message) Check() error {
 	switch {
-	case m.Kind < Ask || m.Kind > Outcome:
+	case m.Kind < Ask || m.Kind > Announce:
 		return merry.Appendf(ErrMessage, "kind %d", m.Kind)
 	case m.Group == "" || len(m.Group) > MaxNameBytes || len(m.Reason) > MaxNameBytes:
 		return merry.Append(ErrMessage, "name or reason out of bounds")
@@ -139,6 +175,11 @@
 		if m.Number == 0 || m.Step == 0 {
 			return merry.Append(ErrMessage, "promise without number or step")
 		}
+	case Announce:
+		if m.Record == nil || m.Record.Name != m.Group || m.Record.Epoch != m.Epoch {
+			return merry.Append(ErrMessage, "announcement without a record of the group and epoch")
+		}
+		return m.Record.Check()
 	case Outcome:
 		if m.Number == 0 || (m.Vote != Refused && m.Vote != Committed && m.Vote != Finished) {
 			return merry.Appendf(ErrMessage, "outcome %v of switch %d", m.Vote, m.Number)
--- a/internal/expert/group/orders.go
+++ b/internal/expert/group/orders.go
@@ -32,9 +32,7 @@
 		fence = max(fence, s.open.number.Fence())
 	}
 	o.ID = order.ID{Fence: fence, Incarnation: s.cfg.Incarnation, Sequence: s.sequence}
-	if o.Kind != order.Load {
-		o.Epoch = s.record.Epoch
-	}
+	o.Epoch = s.record.Epoch
 	s.waiting = o
 	s.waitingFor = s.record.Epoch
 	s.emit(Action{Kind: Give, Order: o})
--- a/internal/expert/group/receive.go
+++ b/internal/expert/group/receive.go
@@ -11,7 +11,14 @@
 // read back: an answer from a sidecar that has forgotten its votes could
 // contradict them.
 func (s *Switch) received(now time.Time, from host.Name, m Message) {
-	if s.phase == unformed || s.phase == reading || m.Check() != nil || m.Group != s.record.Name {
+	if m.Check() != nil {
+		return
+	}
+	if m.Kind == Announce {
+		s.announced(now, m.Record)
+		return
+	}
+	if s.phase == unformed || s.phase == reading || m.Group != s.record.Name {
 		return
 	}
 	if m.Epoch != s.record.Epoch {
@@ -28,6 +35,14 @@
 	}
 }
 
+// announced takes in a record that a keeper sends. An epoch that a keeper
+// announces has been written to the platform, so it is the only one of its number.
+func (s *Switch) announced(now time.Time, r *Record) {
+	if r.Name == s.cfg.Group {
+		s.formed(now, r)
+	}
+}
+
 // otherEpoch tells a process of an older epoch that it is behind. A rank that is
 // itself behind says nothing until it has the record.
 func (s *Switch) otherEpoch(from host.Name, m Message) {
--- a/internal/expert/group/record.go
+++ b/internal/expert/group/record.go
@@ -48,6 +48,10 @@
 	// may bring their engine into it: a later life can't know whether its engine
 	// has been in it before, died and forgotten a switch.
 	Lives []host.Incarnation `cbor:"7,keyasint" json:"lives"`
+
+	// Document is the accepted number of the document that the ranks and the
+	// map's shape come from.
+	Document uint64 `cbor:"8,keyasint" json:"document"`
 }
 
 // RankOf returns the rank that runs on a host, or -1.
--- a/internal/expert/group/switch.go
+++ b/internal/expert/group/switch.go
@@ -53,6 +53,8 @@
 	since      time.Time // unsure: since when
 	unsures    []bool    // unsure: which ranks are unsure too
 	reformAt   time.Time // not before this another Reform is asked for
+	keepers    []host.Name
+	aliveAt    time.Time // when to tell the keepers next
 
 	out []Action
 }
@@ -68,6 +70,9 @@
 	switch ev.Kind {
 	case Formed:
 		s.formed(now, ev.Record)
+	case Kept:
+		s.keepers = ev.Keepers
+		s.aliveAt = now
 	case Received:
 		s.received(now, ev.From, ev.Message)
 	case OrderDone:
@@ -85,6 +90,7 @@
 
 // advance does what is due at now.
 func (s *Switch) advance(now time.Time) {
+	s.sayAlive(now)
 	switch s.phase {
 	case reading:
 		s.readAgain(now)
@@ -99,7 +105,7 @@
 
 // Deadline returns when the next [Tick] is due. The zero time means never.
 func (s *Switch) Deadline() time.Time {
-	var d time.Time
+	d := s.aliveAt
 	if s.phase == reading || s.phase == unsure {
 		d = earliest(d, s.askAt)
 	}
@@ -245,10 +251,28 @@
 	}
 	s.reformAt = now.Add(s.cfg.DeadAfter)
 	s.emit(Action{Kind: Reform, Record: *s.record, Text: fmt.Sprintf(format, args...)})
+	for _, name := range s.keepers {
+		s.send(name, Message{Kind: Renew, Incarnation: s.cfg.Incarnation})
+	}
+}
+
+// sayAlive tells the keepers which life of the sidecar is there and which epoch
+// it knows. A keeper answers with the record if there is a newer one, so a rank
+// that missed it needs no platform.
+func (s *Switch) sayAlive(now time.Time) {
+	if s.aliveAt.IsZero() || now.Before(s.aliveAt) {
+		return
+	}
+	s.aliveAt = now.Add(s.cfg.Heartbeat)
+	for _, name := range s.keepers {
+		s.send(name, Message{Kind: Alive, Incarnation: s.cfg.Incarnation})
+	}
 }
 
 func (s *Switch) send(to host.Name, m Message) {
-	m.Group = s.record.Name
-	m.Epoch = s.record.Epoch
+	m.Group = s.cfg.Group
+	if s.record != nil {
+		m.Group, m.Epoch = s.record.Name, s.record.Epoch
+	}
 	s.emit(Action{Kind: Send, To: to, Message: m})
 }
--- a/internal/expert/order/order.go
+++ b/internal/expert/order/order.go
@@ -55,7 +55,7 @@
 type Order struct {
 	ID      ID
 	Kind    Kind
-	Epoch   uint64 // of the group's lock-step; for Form, the one to join; 0 for any
+	Epoch   uint64 // of the group's lock-step; Load and Form may be ahead of the engine's
 	Number  uint64 // of the map, for Prepare, SwitchMap and Form
 	Map     *expertmap.Map
 	Weights []expertmap.Placement // all on the engine's own rank
