--- a/internal/record/acceptance/dump.go
+++ b/internal/record/acceptance/dump.go
@@ -79,11 +79,18 @@
 	for _, service := range p.replica.services() {
 		d.Documents = append(d.Documents, p.replica.copies[service].dump())
 	}
+	d.Changes = p.Changes()
+	return d
+}
+
+// Changes returns what this process does about the services as the holder.
+func (p *Process) Changes() []ChangeDump {
+	var out []ChangeDump
 	for _, service := range p.holder.services() {
 		j := p.holder.jobs[service]
-		d.Changes = append(d.Changes, ChangeDump{Service: service, Phase: phaseNames[j.phase], Desired: j.desired, Holding: len(j.ids)})
+		out = append(out, ChangeDump{Service: service, Phase: phaseNames[j.phase], Desired: j.desired, Holding: len(j.ids)})
 	}
-	return d
+	return out
 }
 
 func (c *copyOf) dump() DocumentDump {
--- a/internal/record/acceptance/holder.go
+++ b/internal/record/acceptance/holder.go
@@ -151,7 +151,10 @@
 	}
 	j := h.job(o.Key.Name())
 	if o.Version <= j.desired {
-		return // a watch or a read that lags
+		// A watch or a read that lags, or the read that completes what a watch
+		// showed before this holder was ready.
+		h.consider(now, j)
+		return
 	}
 	text, author, err := h.cfg.Desired(o.Value)
 	if err != nil {
