Test a target that leaves under load, and sidecars out of reach

Two tests drive the programs: a target leaves without any list while eight callers go on, and comes back in a new life; an entry goes deaf to its sidecars, refuses at once after the silence, and finds them again.

--- /dev/null
+++ b/internal/program/trial/routing_test.go
@@ -0,0 +1,170 @@
+package trial_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/program/entry"
+	"wagtailshelf.example/wagtailshelf/internal/program/trial"
+	"wagtailshelf.example/wagtailshelf/internal/standin/service"
+)
+
+// newAgenda starts an entry before two targets of the scheduling app.
+func newAgenda(t *testing.T, socket func(net.PacketConn) net.PacketConn) (*trial.Deployment, *service.Service) {
+	t.Helper()
+	d, err := trial.NewDeployment(io.Discard)
+	require.NoError(t, err)
+	t.Cleanup(d.Close)
+	logbook := service.New()
+	for _, name := range []string{"agenda-0", "agenda-1"} {
+		_, err := d.AddService(name, "mtl-a", logbook)
+		require.NoError(t, err)
+	}
+	require.NoError(t, d.Put(testContext(t), "agenda", trial.AgendaDocument(d.Targets, "")))
+	e, err := d.AddEntry("mtl-a-entry-0", "mtl-a", socket)
+	require.NoError(t, err)
+	require.Eventually(t, e.Ready, testTimeout, 5*time.Millisecond)
+	return d, logbook
+}
+
+// targetState returns what the entry's router knows of a target.
+func targetState(t *testing.T, d *trial.Deployment, name string) entry.TargetState {
+	t.Helper()
+	state, err := d.Entries[0].State(testContext(t))
+	require.NoError(t, err)
+	for _, s := range state.Routers[0].Targets {
+		if string(s.Name) == name {
+			return s
+		}
+	}
+	require.Failf(t, "no such target", "%s", name)
+	return entry.TargetState{}
+}
+
+func requireEligible(t *testing.T, d *trial.Deployment, name string, want bool) {
+	t.Helper()
+	require.Eventually(t, func() bool { return targetState(t, d, name).Eligible == want }, testTimeout, 10*time.Millisecond)
+}
+
+// The list is frozen: there is none. A target leaves while callers go on. Its
+// sidecar refuses new work from that moment and tells the entry, which sends the
+// callers elsewhere. None of them sees anything of it, and the sidecar ends when
+// its last request has.
+func TestTargetLeavesUnderLoad(t *testing.T) {
+	d, _ := newAgenda(t, nil)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var calls, failures atomic.Int64
+	for range 8 {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				calls.Add(1)
+				resp := callGet(t, d, "/agenda/lists/anne", trial.SmallKey)
+				if resp.StatusCode != http.StatusOK {
+					failures.Add(1)
+				}
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return calls.Load() > 100 }, testTimeout, time.Millisecond)
+	require.NoError(t, d.Targets[0].Sidecar.Drain(context.Background()))
+	requireEligible(t, d, "agenda-0", false)
+	seen := calls.Load()
+	require.Eventually(t, func() bool { return calls.Load() > seen+100 }, testTimeout, time.Millisecond)
+	close(stop)
+	wg.Wait()
+	require.Zero(t, failures.Load(), "of %d calls", calls.Load())
+	left := targetState(t, d, "agenda-0")
+	require.True(t, left.Leaving.Left)
+	require.Zero(t, left.InFlight)
+
+	t.Run("and comes back in a new life only", func(t *testing.T) {
+		d.KillSidecar(d.Targets[0])
+		require.NoError(t, d.RestartSidecar(d.Targets[0]))
+		requireEligible(t, d, "agenda-0", true)
+	})
+}
+
+// callGet makes a call from a goroutine of a test.
+func callGet(t *testing.T, d *trial.Deployment, path, key string) *http.Response {
+	r, err := http.NewRequest(http.MethodGet, "http://"+d.Entries[0].Addr().String()+path, nil)
+	if err != nil {
+		t.Error(err)
+		return &http.Response{}
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Error(err)
+		return &http.Response{}
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp
+}
+
+// deafSocket is a UDP socket that receives nothing while its switch is on.
+type deafSocket struct {
+	net.PacketConn
+	udp  *net.UDPConn
+	deaf *atomic.Bool
+}
+
+// ReadFrom drops what arrives while the switch is on.
+func (s *deafSocket) ReadFrom(b []byte) (int, net.Addr, error) {
+	for {
+		n, addr, err := s.PacketConn.ReadFrom(b)
+		if err != nil || !s.deaf.Load() {
+			return n, addr, err
+		}
+	}
+}
+
+// SetReadBuffer sets the size of the receive buffer, which QUIC asks for.
+func (s *deafSocket) SetReadBuffer(bytes int) error { return s.udp.SetReadBuffer(bytes) }
+
+// SetWriteBuffer sets the size of the send buffer, which QUIC asks for.
+func (s *deafSocket) SetWriteBuffer(bytes int) error { return s.udp.SetWriteBuffer(bytes) }
+
+// SyscallConn gives access to the socket's options.
+func (s *deafSocket) SyscallConn() (syscall.RawConn, error) { return s.udp.SyscallConn() }
+
+// An entry's packets reach the sidecars and theirs don't reach it, on old
+// connections and on new ones. A sidecar that began to leave now couldn't tell
+// it. After three seconds without word the entry gives work to none of them: its
+// callers are refused at once rather than at their deadline. When the way is
+// open again it finds the sidecars by itself.
+func TestSidecarsOutOfReach(t *testing.T) {
+	var deaf atomic.Bool
+	d, _ := newAgenda(t, func(c net.PacketConn) net.PacketConn {
+		udp, ok := c.(*net.UDPConn)
+		if !ok {
+			return c
+		}
+		return &deafSocket{PacketConn: c, udp: udp, deaf: &deaf}
+	})
+	require.Equal(t, http.StatusOK, callGet(t, d, "/agenda/lists/anne", trial.SmallKey).StatusCode)
+	deaf.Store(true)
+	requireEligible(t, d, "agenda-0", false)
+	requireEligible(t, d, "agenda-1", false)
+	resp := post(t, d, "/agenda/outcomes", trial.SmallKey, `{"call":"c1","outcome":"reached"}`)
+	requireOutcome(t, resp, http.StatusServiceUnavailable, "notRun")
+	deaf.Store(false)
+	requireEligible(t, d, "agenda-0", true)
+	requireEligible(t, d, "agenda-1", true)
+	require.Equal(t, http.StatusOK, callGet(t, d, "/agenda/lists/anne", trial.SmallKey).StatusCode)
+}
