--- a/cmd/capacityrig/deployment.go
+++ b/cmd/capacityrig/deployment.go
@@ -127,21 +127,19 @@
 
 // sidecar starts a sidecar before a target.
 func (d *deployment) sidecar(target *process, kind string) error {
-	p, err := d.role(host.Sidecar, func(addr netip.Addr) string {
-		return fmt.Sprintf("target: {address: %s, kind: %s}\n", target.at(standinPort), kind)
-	})
+	p, err := d.role(host.Sidecar, fmt.Sprintf("target: {address: %s, kind: %s}\n", target.at(standinPort), kind))
 	d.sidecars = append(d.sidecars, p)
 	return err
 }
 
 // entry starts an entry.
 func (d *deployment) entry() error {
-	p, err := d.role(host.Entry, func(netip.Addr) string { return "" })
+	p, err := d.role(host.Entry, "")
 	d.entries = append(d.entries, p)
 	return err
 }
 
-func (d *deployment) role(role host.Role, more func(netip.Addr) string) (*process, error) {
+func (d *deployment) role(role host.Role, more string) (*process, error) {
 	addr := d.addr()
 	name := fmt.Sprintf("%s-%d", role, d.next)
 	m, err := d.authority.Issue(time.Now(), credential.Identity{Name: host.Name(name), Role: role}, credential.ShortLifetime)
@@ -154,7 +152,7 @@
 	if role == host.Entry {
 		fmt.Fprintf(&b, "  callers: %s\n", netip.AddrPortFrom(addr, callersPort))
 	}
-	fmt.Fprintf(&b, "platform: [%s]\n%s", d.platform.at(standinPort), more(addr))
+	fmt.Fprintf(&b, "platform: [%s]\n%s", d.platform.at(standinPort), more)
 	if len(d.entries) > 0 {
 		fmt.Fprintf(&b, "seeds: [%s]\n", d.entries[0].at(peersPort))
 	}
