Write again at once after a conflict, and spread many that conflict

A process whose write conflicted waited its window once more, and met the others at the next one: of 4 processes with 50 claims/s and a 200 ms window 690 of some 1,000 claims were refused in 20 s.

Retry at once after a conflict; from the third in a row, after a random pause.

--- a/internal/program/entry/requestsclaims.go
+++ b/internal/program/entry/requestsclaims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/phuslu/log"
@@ -69,7 +70,7 @@
 	timer    *time.Timer
 }
 
-func newClaimDesk(d *document.Document, p *platform.Client, l *log.Logger, c *counts) *claimDesk {
+func newClaimDesk(d *document.Document, rng *rand.Rand, p *platform.Client, l *log.Logger, c *counts) *claimDesk {
 	k := &claimDesk{
 		service: d.Service, log: l, counts: c, platform: p,
 		ring:    make(chan claimMessage, claimRing),
@@ -79,7 +80,7 @@
 		timer:   time.NewTimer(time.Hour),
 	}
 	for i := range claimShards {
-		k.shards = append(k.shards, claim.New(claim.DefaultConfig(d.Service, i)))
+		k.shards = append(k.shards, claim.New(claim.DefaultConfig(d.Service, i), rng))
 	}
 	k.configure(d)
 	return k
@@ -218,7 +219,7 @@
 
 // startClaims begins the claims of a service. The caller holds e.mu.
 func (e *Entry) startClaims(d *document.Document) {
-	k := newClaimDesk(d, e.cfg.Platform, e.log, e.counts)
+	k := newClaimDesk(d, e.newRand(), e.cfg.Platform, e.log, e.counts)
 	e.claims[d.Service] = k
 	e.duties.Add(1)
 	go func() {
--- a/internal/traffic/claim/random_test.go
+++ b/internal/traffic/claim/random_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -51,7 +52,7 @@
 	}
 	w.store.lagging = func() bool { return rapid.IntRange(0, 9).Draw(t, "lag") == 0 }
 	for range 3 {
-		w.shards = append(w.shards, claim.New(cfg))
+		w.shards = append(w.shards, claim.New(cfg, rand.New(rand.NewPCG(1, 1))))
 		w.lives = append(w.lives, 0)
 	}
 	return w
@@ -132,7 +133,7 @@
 	}
 	switch {
 	case what == 11 && rapid.IntRange(0, 9).Draw(w.t, "restart") == 0:
-		w.shards[p] = claim.New(w.cfg)
+		w.shards[p] = claim.New(w.cfg, rand.New(rand.NewPCG(1, 1)))
 		w.lives[p]++
 	case what >= 9:
 		w.now = w.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(w.t, "ms")) * time.Millisecond)
--- a/internal/traffic/claim/reply.go
+++ b/internal/traffic/claim/reply.go
@@ -50,6 +50,7 @@
 	case object.Done:
 		s.landed(now, r.Object.Version)
 	case object.Conflict:
+		s.conflicted(now)
 		if len(r.Object.Value) == 0 {
 			s.unsure = true // read what is there
 			return
@@ -68,7 +69,23 @@
 	}
 }
 
+// conflicted lets the next write begin early. The window has been waited for
+// already; waiting again would let the other processes win each time. Many
+// processes, on the other hand, would meet again and again without a pause.
+func (s *Shard) conflicted(now time.Time) {
+	s.conflicts++
+	s.nextWrite = now
+	if s.conflicts <= freeConflicts {
+		return
+	}
+	longest := min(s.cfg.Window, firstPause<<min(s.conflicts-freeConflicts, maxDoublings))
+	if longest > 0 {
+		s.nextWrite = now.Add(time.Duration(s.rng.Int64N(int64(longest))))
+	}
+}
+
 func (s *Shard) landed(now time.Time, v object.Version) {
+	s.conflicts = 0
 	sealed := s.written.Sealed
 	s.chain.version = v
 	s.chain.extend(s.written)
--- a/internal/traffic/claim/shard.go
+++ b/internal/traffic/claim/shard.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -19,6 +20,13 @@
 // out. From then on only an ask that comes when a call is due waits for it.
 const outFailures = 2
 
+// Pauses after conflicts in a row.
+const (
+	freeConflicts = 2
+	firstPause    = 4 * time.Millisecond
+	maxDoublings  = 8
+)
+
 // ask is a claim that waits for its record in the platform.
 type ask struct {
 	key        Key
@@ -31,6 +39,7 @@
 // Shard decides the claims of one shard in one process.
 type Shard struct {
 	cfg    Config
+	rng    *rand.Rand
 	chain  chain
 	asks   []ask
 	frees  []entry
@@ -43,6 +52,7 @@
 	unsure    bool      // read back before the next Put
 	lost      bool      // a Put that was not answered may still land
 	changed   bool      // the view has: settle all asks
+	conflicts int       // in a row
 	failures  int       // calls in a row that got no answer
 	retryAt   time.Time
 	nextWrite time.Time
@@ -52,8 +62,10 @@
 }
 
 // New returns a shard that has not read the platform yet.
-func New(cfg Config) *Shard {
+// rng spreads the writes of many processes that conflict.
+func New(cfg Config, rng *rand.Rand) *Shard {
 	return &Shard{
+		rng:    rng,
 		cfg:    cfg,
 		chain:  chain{cfg: cfg},
 		memory: make(map[Key]request.Prior),
--- a/internal/traffic/claim/shard_test.go
+++ b/internal/traffic/claim/shard_test.go
@@ -1,6 +1,7 @@
 package claim_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -28,7 +29,7 @@
 }
 
 func newProcess(t *testing.T, s *store) *process {
-	return &process{t: t, s: claim.New(claim.DefaultConfig("agenda", 0)), store: s, now: t0}
+	return &process{t: t, s: claim.New(claim.DefaultConfig("agenda", 0), rand.New(rand.NewPCG(1, 1))), store: s, now: t0}
 }
 
 func (p *process) on(ev claim.Event) {
