--- a/internal/record/document/parse_test.go
+++ b/internal/record/document/parse_test.go
@@ -179,3 +179,20 @@
 		})
 	}
 }
+
+func BenchmarkCheckAndDiff(b *testing.B) {
+	text := large(1300, 300)
+	inForce, _ := document.Parse("f", []byte(text))
+	next := []byte(strings.Replace(text, "name: t7,", "name: t7, weight: 2,", 1))
+	for b.Loop() {
+		d, _ := document.Check("f", next, inForce)
+		document.Diff(inForce, d)
+	}
+}
+
+func BenchmarkRouteFor(b *testing.B) {
+	d := parsed(b, string(example(b, "agenda")))
+	for b.Loop() {
+		d.RouteFor("POST", "/agenda/calls/4711/outcome")
+	}
+}
--- a/internal/record/status/status_test.go
+++ b/internal/record/status/status_test.go
@@ -205,3 +205,28 @@
 	//   requests:  1200 answered, 3 not run, 0 unknown
 	//   as of:     2026-03-02T14:01:00Z, 3s ago, by mtl-a-entry-1
 }
+
+// One change of one service in the largest fleet: each member says that it has
+// it in force, and the status is written as often as is due.
+func BenchmarkChange(b *testing.B) {
+	const members, services = 1640, 39
+	board := newBoard()
+	for i := range members {
+		board.Handle(epoch, status.Event{Kind: status.Joined, Host: host.Name(fmt.Sprintf("host-%d", i))})
+	}
+	s := &shelf{}
+	s.run(board, epoch, status.Event{Kind: status.Gained, Fence: 1})
+	for i := range services - 1 {
+		board.Handle(epoch, status.Event{Kind: status.Accept, Service: fmt.Sprintf("other-%d", i), Accepted: accepted(1)})
+	}
+	now, number := epoch, uint64(0)
+	for b.Loop() {
+		number++
+		s.run(board, now, status.Event{Kind: status.Accept, Service: "agenda", Accepted: accepted(number)})
+		for i := range members {
+			now = now.Add(time.Millisecond)
+			name := host.Name(fmt.Sprintf("host-%d", i))
+			s.run(board, now, status.Event{Kind: status.Holding, Service: "agenda", Host: name, Number: number})
+		}
+	}
+}
