--- a/internal/fleet/member/members.go
+++ b/internal/fleet/member/members.go
@@ -100,6 +100,8 @@
 	started time.Time
 	nextAt  time.Time
 
+	expireAt time.Time
+
 	peers     map[host.Name]*peer // neighbours and those that probe this member
 	order     []host.Name         // the neighbours, the first ones are probed
 	layout    int                 // of the table when the neighbours were looked up
--- a/internal/fleet/member/probe.go
+++ b/internal/fleet/member/probe.go
@@ -46,8 +46,11 @@
 func (m *Members) tick(now time.Time) {
 	spreadOut := m.cfg.Interval / 8
 	m.nextAt = now.Add(m.cfg.Interval - spreadOut + time.Duration(m.rng.Int64N(int64(2*spreadOut)+1)))
-	m.table.expire(now)
-	m.forgetPeers(now)
+	if !now.Before(m.expireAt) {
+		m.expireAt = now.Add(expireInterval)
+		m.table.expire(now)
+		m.forgetPeers(now)
+	}
 	m.askSeeds()
 	for _, name := range m.due(now) {
 		m.probe(now, name, Probe)
@@ -56,6 +59,9 @@
 	m.probeFar(now)
 }
 
+// expireInterval is how often the whole table is looked through.
+const expireInterval = 10 * time.Second
+
 // askSeeds asks the processes of the settings while nobody else is known.
 func (m *Members) askSeeds() {
 	if len(m.order) > 0 {
--- a/internal/fleet/member/spread.go
+++ b/internal/fleet/member/spread.go
@@ -34,13 +34,21 @@
 // process is a relay itself it does the relay's part at once.
 func (m *Members) spread(records []Record, facts []Fact) {
 	for _, r := range records {
-		m.spreadOne(hashText(string(r.Identity.Name)), &Message{Kind: Update, Members: []Record{r}}, ToAll, "")
+		m.spreadOne(recordKey(&r), &Message{Kind: Update, Members: []Record{r}}, ToAll, "")
 	}
 	for _, f := range facts {
-		m.spreadOne(hashText(f.Key), &Message{Kind: Update, Facts: []Fact{f}}, ToAll, "")
+		m.spreadOne(factKey(&f), &Message{Kind: Update, Facts: []Fact{f}}, ToAll, "")
 	}
 }
 
+// recordKey and factKey choose the relays. The version is part of it, so that
+// the many changes of one fact are not all passed on by the same members.
+func recordKey(r *Record) uint64 {
+	return mix(uint64(IDOf(r.Identity.Name, r.Identity.Incarnation)), uint64(r.Seq))
+}
+
+func factKey(f *Fact) uint64 { return mix(hashText(f.Key), f.Version) }
+
 func (m *Members) spreadOne(keyID uint64, msg *Message, hop Hop, from host.Name) {
 	relays := m.table.relays(m.cfg.Self.DataCentre, keyID)
 	for _, r := range relays {
@@ -100,13 +108,13 @@
 		if !m.takeRecord(now, r) {
 			continue
 		}
-		m.passOn(now, hashText(string(r.Identity.Name)), &Message{Kind: Update, Members: []Record{r}}, msg)
+		m.passOn(now, recordKey(&r), &Message{Kind: Update, Members: []Record{r}}, msg)
 	}
 	for _, f := range msg.Facts {
 		if !m.learn(now, f) {
 			continue
 		}
-		m.passOn(now, hashText(f.Key), &Message{Kind: Update, Facts: []Fact{f}}, msg)
+		m.passOn(now, factKey(&f), &Message{Kind: Update, Facts: []Fact{f}}, msg)
 	}
 	if len(msg.Buckets) > 0 {
 		m.compared(now, &Message{Kind: Update, From: msg.From, Buckets: msg.Buckets})
--- a/internal/record/acceptance/world_test.go
+++ b/internal/record/acceptance/world_test.go
@@ -36,6 +36,8 @@
 	onForce  func(n *node, d Document)
 	spent    time.Duration // processor time in the processes, measured if timed
 	timed    bool
+
+	unchecked bool // the promises are not asserted all along, to save time
 }
 
 // failer is the part of testing.T that a rapid run has as well.
@@ -328,6 +330,9 @@
 // check asserts the promises that hold between processes.
 func (w *world) check() {
 	w.t.Helper()
+	if w.unchecked {
+		return
+	}
 	for service, all := range w.accepted {
 		for _, a := range all {
 			if w.now.Sub(a.at) < bound {
