Count where a document is in force without a message

The status had only this process's own number, so a wait for a document would never have ended. Reports of each member would cost the holder a connection to each of them on every change. The acceptance has already proven that a member with contact has the document in force by the bound of contact; the register counts those that answer their neighbours from then on, and names the others.

Commands end with 3 for a conflict and 2 for wrong usage.

--- a/internal/operator/command/apply.go
+++ b/internal/operator/command/apply.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -243,15 +242,3 @@
 	}
 	return line
 }
-
-// ExitCode returns the code with which the program ends after an error of these
-// commands: 3 for a conflict, 2 for wrong usage, else 1.
-func ExitCode(err error) int {
-	switch {
-	case errors.Is(err, ErrConflict):
-		return 3
-	case errors.Is(err, ErrUsage):
-		return 2
-	}
-	return 1
-}
--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -30,13 +30,17 @@
 func Commands() []*cli.Command { return commands(time.Now) }
 
 func commands(now func() time.Time) []*cli.Command {
+	all := []*cli.Command{
+		checkCommand(), applyCommand(), showCommand(),
+		diffCommand(), historyCommand(now), statusCommand(now),
+	}
+	for _, c := range all {
+		c.Action = exiting(c.Action)
+	}
 	return []*cli.Command{{
-		Name:  "document",
-		Usage: "check, apply and read the documents of the services",
-		Commands: []*cli.Command{
-			checkCommand(), applyCommand(), showCommand(),
-			diffCommand(), historyCommand(now), statusCommand(now),
-		},
+		Name:     "document",
+		Usage:    "check, apply and read the documents of the services",
+		Commands: all,
 	}}
 }
 
--- a/internal/operator/command/session_test.go
+++ b/internal/operator/command/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"net/http/httptest"
@@ -90,13 +91,19 @@
 	}
 	var printed bytes.Buffer
 	root := &cli.Command{Name: "wagtailshelf", Writer: &printed, ErrWriter: &printed, Commands: commands(func() time.Time { return s.at })}
+	root.ExitErrHandler = func(context.Context, *cli.Command, error) {} // it would end the test
 	err := root.Run(s.t.Context(), append([]string{"wagtailshelf", "document"}, args...))
 	out.WriteString(s.names.Replace(printed.String()))
 	if file != "" {
 		s.write(file, redirected.String())
 	}
 	if err != nil {
-		fmt.Fprintf(&s.log, "error (code %d): %s\n", ExitCode(err), s.names.Replace(err.Error()))
+		code := 1
+		var exit cli.ExitCoder
+		if errors.As(err, &exit) {
+			code = exit.ExitCode()
+		}
+		fmt.Fprintf(&s.log, "error (code %d): %s\n", code, s.names.Replace(err.Error()))
 	}
 	s.log.WriteString("\n")
 	return err
--- a/internal/record/register/register.go
+++ b/internal/record/register/register.go
@@ -74,6 +74,7 @@
 type copyInForce struct {
 	document acceptance.Document
 	entry    history.Entry // of that number, if this process has accepted it
+	since    time.Time     // when it came in force here
 }
 
 // Register joins the history and the status to the acceptance. It is not safe
@@ -85,7 +86,8 @@
 	board   *status.Board
 	copies  map[string]copyInForce
 	waits   map[string]status.Wait
-	members map[host.Name]bool
+	members map[host.Name]presence
+	settled settling
 	out     []Action
 }
 
@@ -97,9 +99,9 @@
 		board:   status.NewBoard(self, rng),
 		copies:  make(map[string]copyInForce),
 		waits:   make(map[string]status.Wait),
-		members: make(map[host.Name]bool),
+		members: make(map[host.Name]presence),
 	}
-	r.join(time.Time{}, self)
+	r.join(time.Time{}, self, member.Alive)
 	return r
 }
 
@@ -110,13 +112,20 @@
 
 // Deadline returns when the next Tick is due, or the zero time.
 func (r *Register) Deadline() time.Time {
-	next, other := r.archive.Deadline(), r.board.Deadline()
-	if next.IsZero() || !other.IsZero() && other.Before(next) {
-		return other
+	next := sooner(r.archive.Deadline(), r.board.Deadline())
+	if r.held {
+		next = sooner(next, r.settled.dueAt)
 	}
 	return next
 }
 
+func sooner(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // Handle takes in one event and returns what is to be done.
 func (r *Register) Handle(now time.Time, ev Event) []Action {
 	r.out = nil
@@ -135,6 +144,7 @@
 		r.toBoard(now, status.Event{Kind: status.Tick})
 		r.toArchive(now, history.Event{Kind: history.Tick})
 	}
+	r.settle(now)
 	return r.out
 }
 
@@ -167,6 +177,7 @@
 // the history has already is not written again.
 func (r *Register) gained(now time.Time, fence uint64) {
 	r.held = true
+	r.settled.await(now)
 	r.toArchive(now, history.Event{Kind: history.Gained})
 	r.toBoard(now, status.Event{Kind: status.Gained, Fence: fence})
 	for _, service := range slices.Sorted(maps.Keys(r.copies)) {
@@ -191,7 +202,9 @@
 func (r *Register) inForce(now time.Time, d acceptance.Document) {
 	c := r.copies[d.Service]
 	c.document = d
+	c.since = now
 	r.copies[d.Service] = c
+	r.settled.await(now)
 	r.toBoard(now, status.Event{
 		Kind: status.Accept, Service: d.Service,
 		Accepted: status.Accepted{Number: uint64(d.Number), Digest: document.Digest(d.Digest), At: now.UTC()},
@@ -234,11 +247,18 @@
 		r.toBoard(now, status.Event{Kind: status.Gone, Host: name})
 		return
 	}
-	r.join(now, name)
+	r.join(now, name, rec.State)
 }
 
-func (r *Register) join(now time.Time, name host.Name) {
-	r.members[name] = true
+func (r *Register) join(now time.Time, name host.Name, state member.State) {
+	p, known := r.members[name]
+	answers := state != member.Suspect
+	if !known || answers && !p.answers {
+		p.since = now
+		r.settled.await(now)
+	}
+	p.answers = answers
+	r.members[name] = p
 	r.toBoard(now, status.Event{Kind: status.Joined, Host: name})
 }
 
--- a/internal/record/register/register_test.go
+++ b/internal/record/register/register_test.go
@@ -125,7 +125,7 @@
 
 func TestHolderRecordsWhatItAccepts(t *testing.T) {
 	s, r := newShelf(), newRegister("a")
-	now := s.run(r, epoch, joined("b", member.Alive), joined("c", member.Leaving), gained())
+	now := s.run(r, epoch, joined("b", member.Alive), joined("c", member.Suspect), gained())
 	now = s.run(r, now, register.Event{Kind: register.Moved, Changes: []acceptance.ChangeDump{
 		{Service: "agenda", Phase: "spreading", Desired: 10, Holding: 2},
 	}}, acted(acceptance.Action{Kind: acceptance.Waiting, Service: "agenda", Names: []host.Name{"c"}}),
@@ -149,12 +149,35 @@
 	s.run(r, now, joined("c", member.Left))
 	got = s.status(t)
 	assert.True(t, got.Settled())
+	assert.Equal(t, 2, got.Of)
 	entries := s.history(t)
 	require.Len(t, entries, 1)
 	assert.Equal(t, "one\n", string(entries[0].Text))
 	assert.Equal(t, "marie", entries[0].By)
 }
 
+// Host c does not answer while number 2 is accepted, and is named as lagging. It
+// answers again; by the bound it has learnt the number, or takes no new work, so
+// it is counted from then on and not before.
+func TestAMemberIsCountedOnlyAfterTheBound(t *testing.T) {
+	s, r := newShelf(), newRegister("a")
+	now := s.run(r, epoch, gained(), joined("b", member.Alive), joined("c", member.Alive), inForce(1, "one\n"), accepted(1, "one\n"))
+	require.Empty(t, s.status(t).Lagging)
+	now = s.run(r, now, joined("c", member.Suspect), inForce(2, "two\n"), accepted(2, "two\n"))
+	assert.Equal(t, []status.Lag{{Host: "c", Number: 1}}, s.status(t).Lagging)
+
+	for _, a := range r.Handle(now, joined("c", member.Alive)) {
+		require.NotEqual(t, register.Call, a.Kind)
+	}
+	bound := member.Config{Timeout: member.DefaultTimeout}.Bound()
+	r.Handle(now.Add(bound-time.Millisecond), register.Event{Kind: register.Tick})
+	got, _ := r.Status(now, "agenda")
+	assert.Equal(t, 2, got.InForce)
+	r.Handle(now.Add(bound), register.Event{Kind: register.Tick})
+	got, _ = r.Status(now, "agenda")
+	assert.Equal(t, 3, got.InForce)
+}
+
 // The holder accepts number 2 and dies before the history has it. The next
 // holder has the text in force and adds it; who applied it stands in the record
 // of the acceptance, and both together answer the auditor.
--- a/internal/record/status/board.go
+++ b/internal/record/status/board.go
@@ -132,6 +132,15 @@
 	return s, true
 }
 
+// Holds returns the number of a service that a process is known to have in force.
+func (b *Board) Holds(service string, name host.Name) uint64 {
+	p, ok := b.panels[service]
+	if !ok {
+		return 0
+	}
+	return p.numbers[name]
+}
+
 // Handle takes in one event and returns the calls to be made.
 func (b *Board) Handle(now time.Time, ev Event) []Action {
 	b.out = nil
@@ -187,21 +196,33 @@
 // all the time and wait for the next refresh.
 func (b *Board) observed(ev Event) {
 	p := b.panel(ev.Service)
-	p.changed = p.changed || ev.Kind != Requested
+	switch ev.Kind {
+	case Requested:
+		p.outcomes[ev.Host] = ev.Outcomes
+		return
+	case Holding:
+		p.holds(ev.Host, ev.Number)
+		return
+	}
+	p.changed = true
 	switch ev.Kind {
 	case Accept:
 		p.accept(ev.Accepted)
-	case Holding:
-		// Reports can come out of order; what is in force never goes back.
-		p.numbers[ev.Host] = max(p.numbers[ev.Host], ev.Number)
 	case Waiting:
 		p.wait = ev.Wait
 	case Refused:
 		if p.accepted == nil || ev.Refusal.Version > p.accepted.Version {
 			p.refused = &ev.Refusal
 		}
-	case Requested:
-		p.outcomes[ev.Host] = ev.Outcomes
+	}
+}
+
+// holds takes in what a member has in force. Reports can come out of order;
+// what is in force never goes back.
+func (p *panel) holds(name host.Name, number uint64) {
+	if number > p.numbers[name] {
+		p.numbers[name] = number
+		p.changed = true
 	}
 }
 
