--- a/internal/traffic/leaving/tracker.go
+++ b/internal/traffic/leaving/tracker.go
@@ -154,6 +154,7 @@
 	}
 	s.incarnation = inc
 	s.left = false
+	t.unhear(s)
 	t.report(s, List)
 	if s.out {
 		// The list or the document still stands against it. Whoever keeps the mark
@@ -176,6 +177,19 @@
 	t.resumeOrNot(s)
 }
 
+// unhear forgets the signs of an earlier life. Its last word says nothing about
+// this one, whose first may have been under way for long.
+func (t *Tracker) unhear(s *state) {
+	if t.cfg.Silence <= 0 {
+		return
+	}
+	s.heard = time.Time{}
+	if !s.suspended {
+		s.suspended = true
+		t.act(Action{Kind: Suspend, Name: s.name})
+	}
+}
+
 // stating returns which of List and Document says that the target is leaving.
 func (s *state) stating() Source {
 	if s.stated[List] {
--- a/internal/traffic/leaving/tracker_test.go
+++ b/internal/traffic/leaving/tracker_test.go
@@ -14,11 +14,14 @@
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// TestMain fixes the seed of the randomised run, unless the command line gives one.
+// TestMain fixes the seed and the length of the randomised run, unless the command
+// line gives them.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = f.Value.Set("1")
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			_ = f.Value.Set(value)
+		}
 	}
 	m.Run()
 }
@@ -71,7 +74,7 @@
 			}
 			assert.Empty(t, tr.Handle(at(4), word(1)))
 			requireServing(t, tr, false)
-			assert.Equal(t, []ActionKind{Resume}, kinds(tr.Handle(at(5), word(2))))
+			assert.Equal(t, []ActionKind{Suspend, Resume}, kinds(tr.Handle(at(5), word(2))))
 		})
 	}
 }
@@ -90,13 +93,28 @@
 		requireServing(t, tr, false)
 		assert.Empty(t, kinds(tr.Handle(at(3*time.Second), word(1))))
 	})
+	t.Run("the first word of a new life comes late", func(t *testing.T) {
+		// A target left and began a new life, which spoke once and then began to leave.
+		// That word arrives after the silence. It tells of the new life, but not that
+		// it serves now.
+		tr := served(t)
+		tr.Handle(at(1), says(Sidecar, true, 1))
+		late := word(2)
+		late.Age = 2500 * time.Millisecond
+		tr.Handle(at(3*time.Second), late)
+		requireServing(t, tr, false)
+		assert.Equal(t, []ActionKind{Resume}, kinds(tr.Handle(at(3*time.Second), word(2))))
+	})
 	t.Run("the list lags over a restart", func(t *testing.T) {
 		// A host is replaced. The list says that it's leaving, and goes on saying so
 		// after the new life has begun. The new life is kept out while the list
 		// stands, and gets work when the list has caught up.
 		tr := served(t)
 		tr.Handle(at(1), says(List, true, 0))
-		assert.Equal(t, []Action{{Kind: Left, Name: "t", Incarnation: 2, Source: List}}, tr.Handle(at(2), word(2)))
+		assert.Equal(t, []Action{
+			{Kind: Suspend, Name: "t"},
+			{Kind: Left, Name: "t", Incarnation: 2, Source: List},
+		}, tr.Handle(at(2), word(2)))
 		requireServing(t, tr, false)
 		assert.Equal(t, []Action{{Kind: Resume, Name: "t", Incarnation: 2}}, tr.Handle(at(3), says(List, false, 0)))
 	})
--- a/internal/traffic/target/random_test.go
+++ b/internal/traffic/target/random_test.go
@@ -13,11 +13,14 @@
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
 )
 
-// TestMain fixes the seed of the randomised run, unless the command line gives one.
+// TestMain fixes the seed and the length of the randomised run, unless the command
+// line gives them.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = f.Value.Set("1")
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			_ = f.Value.Set(value)
+		}
 	}
 	m.Run()
 }
