Plan at once after a sharp shift, and follow the document's ranks

Cause: after a shift the estimate counted as one window, though it is made of two, so the plan due then was put off by a whole period of 5 min. A host whose rank changed or ended in the document went on seeking the lease.

Change: a shift counts as two windows; until an estimate has ten, a plan is made after each. A refused switch waits a period. The rank and the seeking follow the document in force.

Conclusion: the minutes after a shift no longer last five of them too long.

--- a/internal/expert/demand/demand_test.go
+++ b/internal/expert/demand/demand_test.go
@@ -138,7 +138,8 @@
 	e := f.tracker.Estimate()
 	requireShare(t, e, 0, 0, 8.0/15, 1e-9)
 	require.Equal(t, f.now, e.Since)
-	require.Equal(t, 1, e.Windows)
+	require.Equal(t, 2, e.Windows)
+	require.False(t, e.Settled())
 }
 
 // One customer's batch fills a single window and is gone in the next. Jumping to
--- a/internal/expert/demand/estimate.go
+++ b/internal/expert/demand/estimate.go
@@ -9,6 +9,13 @@
 // meanAbs is the mean absolute value of a normal variable of deviation 1.
 const meanAbs = 0.7979
 
+// settledWindows is how many windows make an estimate about as good as it gets.
+const settledWindows = 10
+
+// Settled tells whether the estimate is about as good as it gets. Before, each
+// window still makes it better, so it is worth planning anew after each.
+func (e *Estimate) Settled() bool { return e.Windows >= settledWindows }
+
 // Estimate returns a copy of what is known now.
 func (t *Tracker) Estimate() Estimate {
 	deviation := make([]float64, len(t.square))
--- a/internal/expert/demand/tracker.go
+++ b/internal/expert/demand/tracker.go
@@ -273,11 +273,11 @@
 			t.square[i] = firstNoise * firstNoise * mean * mean
 		}
 	}
-	first := t.windows == 0
-	t.windows = 1
-	if first {
+	if t.windows == 0 {
+		t.windows = 1
 		return Folded
 	}
+	t.windows = 2
 	return Shifted
 }
 
--- a/internal/expert/planner/event.go
+++ b/internal/expert/planner/event.go
@@ -33,7 +33,7 @@
 	Window    time.Duration // between two questions to the ranks
 	Wait      time.Duration // for their answers
 	PerWindow int           // ranks asked for their counts per window
-	Period    time.Duration // between two plans, unless the demand shifts sharply
+	Period    time.Duration // between two plans, once the estimate has settled
 
 	Demand demand.Config
 	Plan   plan.Config // its shape comes from the group's record
@@ -46,7 +46,7 @@
 	if c.PerWindow <= 0 {
 		c.PerWindow = DefaultPerWindow
 	}
-	c.Lease.Key = object.Key("leases/plan-" + c.Service + "-" + c.Group)
+	c.Lease.Key = LeaseKey(c.Service, c.Group)
 	c.Lease.Self = c.Self
 	c.Demand.Window = c.Window
 	return c
@@ -58,6 +58,11 @@
 	}
 }
 
+// LeaseKey is the key of the lease of a group's planning in the platform.
+func LeaseKey(service, group string) object.Key {
+	return object.Key("leases/plan-" + service + "-" + group)
+}
+
 // RecordKey is the key of a group's record in the platform.
 func RecordKey(service, group string) object.Key {
 	return object.Key("groups/" + service + "-" + group)
--- a/internal/expert/planner/propose.go
+++ b/internal/expert/planner/propose.go
@@ -29,6 +29,9 @@
 	}
 	d.shifted = false
 	d.planAt = now.Add(d.cfg.Period)
+	if !e.Settled() {
+		d.planAt = now // at the next window
+	}
 	d.readAt = now // the group may have formed again
 	d.out = append(d.out, Action{Kind: Planned, Proposal: p})
 	if p.Map != nil {
@@ -81,6 +84,7 @@
 	d.status.ended(now, p, a)
 	if a.Vote != group.Committed {
 		d.planner.Refused(now, p)
+		d.planAt = now.Add(d.cfg.Period) // what refused it once will often do so again
 		if a.Reason == group.BaseUnknown || a.Reason == group.StaleEpoch {
 			d.readAt = now
 		}
--- a/internal/operator/skew/run.go
+++ b/internal/operator/skew/run.go
@@ -108,7 +108,7 @@
 	if d.competitors[0].m == nil {
 		return d.begin(e)
 	}
-	due := now.Sub(d.planned) >= period || change == demand.Shifted
+	due := now.Sub(d.planned) >= period || change == demand.Shifted || !e.Settled()
 	if due {
 		d.planned = now
 	}
--- a/internal/program/planner/planner.go
+++ b/internal/program/planner/planner.go
@@ -7,10 +7,10 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/oklog/run"
 	"github.com/phuslu/log"
 
@@ -41,7 +41,7 @@
 	Identity host.Identity
 	Service  string
 	Group    string
-	Rank     uint16
+	Rank     uint16 // of this host, until a document names its ranks
 	Platform *platform.Client
 	Engine   *engine.Client
 	Log      *log.Logger
@@ -65,7 +65,7 @@
 type Planner struct {
 	cfg       Config
 	duty      *planner.Duty
-	reporter  *planner.Reporter
+	rank      atomic.Int32 // of this host in the document in force, or -1
 	inbox     chan delivery
 	questions chan delivery
 	replies   chan object.Reply
@@ -78,10 +78,9 @@
 func New(cfg Config) *Planner {
 	duty := cfg.Duty
 	duty.Service, duty.Group, duty.Self = cfg.Service, cfg.Group, cfg.Identity
-	return &Planner{
+	p := &Planner{
 		cfg:       cfg,
 		duty:      planner.New(duty, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		reporter:  planner.NewReporter(cfg.Group, cfg.Rank),
 		inbox:     make(chan delivery, inboxSize),
 		questions: make(chan delivery, questionSize),
 		replies:   make(chan object.Reply, replySize),
@@ -89,6 +88,8 @@
 		states:    make(chan chan State),
 		counts:    newCounts(cfg.Metrics, cfg.Service, cfg.Group),
 	}
+	p.rank.Store(int32(cfg.Rank))
+	return p
 }
 
 // Deliver hands over a message of the topics plan and group. It doesn't block: a
@@ -103,6 +104,7 @@
 
 // Install puts a document in force. Only the last one before Run looks counts.
 func (p *Planner) Install(d *document.Document) {
+	p.rank.Store(p.rankIn(d))
 	for _, g := range d.Groups {
 		if g.Name != p.cfg.Group {
 			continue
@@ -121,6 +123,25 @@
 	}
 }
 
+// rankIn is the rank that a document gives this host, or -1 if it gives the ranks
+// to others.
+func (p *Planner) rankIn(d *document.Document) int32 {
+	named := false
+	for _, t := range d.Targets {
+		if t.Group != p.cfg.Group {
+			continue
+		}
+		if t.Host == p.cfg.Identity.Name {
+			return int32(t.Rank)
+		}
+		named = true
+	}
+	if named {
+		return -1
+	}
+	return p.rank.Load()
+}
+
 // Run plans and answers until ctx ends.
 func (p *Planner) Run(ctx context.Context) error {
 	ctx, stop := context.WithCancel(ctx)
@@ -135,9 +156,7 @@
 
 // plan is the duty that owns the deciding state.
 func (p *Planner) plan(ctx context.Context) error {
-	if p.cfg.Rank < Seekers {
-		p.handle(ctx, planner.Event{Kind: planner.Seek})
-	}
+	p.seek(ctx)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -154,12 +173,22 @@
 			p.handle(ctx, planner.Event{Kind: planner.Replied, Reply: r})
 		case ev := <-p.settings:
 			p.handle(ctx, ev)
+			p.seek(ctx)
 		case c := <-p.states:
 			c <- p.state()
 		}
 	}
 }
 
+// seek seeks the lease on the first ranks, and gives it up elsewhere.
+func (p *Planner) seek(ctx context.Context) {
+	kind := planner.Resign
+	if r := p.rank.Load(); r >= 0 && r < Seekers {
+		kind = planner.Seek
+	}
+	p.handle(ctx, planner.Event{Kind: kind})
+}
+
 // wait is the time to the duty's next tick.
 func (p *Planner) wait() time.Duration {
 	const idle = time.Minute
@@ -205,8 +234,8 @@
 }
 
 func (p *Planner) receiveSwitch(ctx context.Context, d delivery) {
-	var m group.Message
-	if cbor.Unmarshal(d.m.Payload, &m) != nil || m.Check() != nil {
+	m, err := group.Decode(d.m.Payload)
+	if err != nil {
 		p.counts.invalid.Inc()
 		return
 	}
@@ -227,7 +256,7 @@
 	case planner.Call:
 		go p.call(ctx, a.Call)
 	case planner.Tell:
-		payload, err := cbor.Marshal(&a.Switch)
+		payload, err := a.Switch.Encode()
 		p.send(a.To, frame.TopicGroup, payload, err)
 	case planner.Ask:
 		payload, err := a.Message.Encode()
@@ -268,19 +297,27 @@
 
 // answer is the duty that reads the engine's counts for whoever plans.
 func (p *Planner) answer(ctx context.Context) error {
+	var reporter *planner.Reporter
+	rank := int32(-1)
 	for {
 		select {
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		case d := <-p.questions:
-			p.answerOne(ctx, d)
+			if now := p.rank.Load(); now != rank {
+				rank = now
+				reporter = planner.NewReporter(p.cfg.Group, uint16(now))
+			}
+			if rank >= 0 {
+				p.answerOne(ctx, reporter, d)
+			}
 		}
 	}
 }
 
 // answerOne leaves a question unanswered if the engine does not say what it did:
 // the planner goes by the other ranks then.
-func (p *Planner) answerOne(ctx context.Context, d delivery) {
+func (p *Planner) answerOne(ctx context.Context, r *planner.Reporter, d delivery) {
 	q, err := planner.Decode(d.m.Payload)
 	if err != nil {
 		return
@@ -290,7 +327,7 @@
 		p.counts.silent.Inc()
 		return
 	}
-	m := p.reporter.Answer(d.from, q, snapshot(c))
+	m := r.Answer(d.from, q, snapshot(c))
 	if m == nil {
 		return
 	}
--- a/internal/program/planner/planner_test.go
+++ b/internal/program/planner/planner_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
 
@@ -128,8 +127,8 @@
 
 // agree is a rank that does whatever the planner asks for.
 func (d *deployment) agree(planner, rank host.Name, m frame.Control) {
-	var q group.Message
-	require.NoError(d.t, cbor.Unmarshal(m.Payload, &q))
+	q, err := group.Decode(m.Payload)
+	require.NoError(d.t, err)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	votes := map[group.MessageKind]group.Vote{group.Prepare: group.Loaded, group.Promise: group.Promised, group.Outcome: q.Vote}
@@ -143,7 +142,7 @@
 	if q.Kind == group.Outcome && q.Vote == group.Finished {
 		d.inForce = q.Number
 	}
-	payload, err := cbor.Marshal(&a)
+	payload, err := a.Encode()
 	require.NoError(d.t, err)
 	d.planners[planner].Deliver(rank, frame.Control{Topic: frame.TopicGroup, Payload: payload})
 }
