--- a/internal/expert/group/recover.go
+++ b/internal/expert/group/recover.go
@@ -99,18 +99,22 @@
 
 // verify compares a read of a settled rank's engine with what it should be.
 func (s *Switch) verify(now time.Time, st order.State) {
+	if s.waiting.Kind != 0 {
+		s.stepped(now, st.Next) // the rest may have changed since
+		return
+	}
 	if st.Epoch < s.record.Epoch {
 		s.reform(now, "engine of %s has left epoch %d", s.cfg.Self, s.record.Epoch)
 		return
 	}
 	fresh := st.Next >= s.next
 	s.stepped(now, st.Next)
-	if s.open == nil && s.waiting.Kind == 0 && fresh && Number(st.Map) != s.inForce {
+	if s.open == nil && fresh && Number(st.Map) != s.inForce {
 		s.violate("engine uses map %d, the group map %d", st.Map, s.inForce)
 		s.reform(now, "engine of %s uses map %d", s.cfg.Self, st.Map)
 		return
 	}
-	if s.open != nil || s.waiting.Kind != 0 || (st.Limit == 0 && st.Prepared == 0) {
+	if s.open != nil || (st.Limit == 0 && st.Prepared == 0) {
 		return
 	}
 	// An order of the sidecar's earlier life landed after the engine was read.
