--- a/internal/program/trial/caller.go
+++ b/internal/program/trial/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -23,20 +24,31 @@
 	outcomeNotRun   = "notRun"
 	outcomeUnknown  = "unknown"
 	outcomeMissing  = "missing" // the system said nothing, which is a fault
+	outcomeBroken   = "broken"  // the entry died, and the connection to it with it
+)
+
+// Kinds of calls.
+const (
+	kindDraft = "draft"
+	kindLog   = "log"
+	kindList  = "list"
 )
 
 // callResult is what a caller saw of one call.
 type callResult struct {
 	stage   string
-	kind    string // "draft", "log", "list"
+	kind    string
 	path    string
 	body    string
 	key     string
+	token   string // credential of the workspace; LargeKey if empty
 	id      string
 	outcome string
 	reason  string
 	wrong   string // how the answer is not the request's own; empty if it is
 	took    time.Duration
+
+	mayBreak bool // the entry is about to die
 }
 
 // callers makes calls as the clients of a deployment do, and keeps what they saw.
@@ -77,7 +89,7 @@
 // belongs to the request.
 func (c *callers) draft(ctx context.Context, entry netip.AddrPort, number, tokens int) callResult {
 	body := fmt.Sprintf(`{"prompt":"draft %d","maxTokens":%d}`, number, tokens)
-	r := callResult{kind: "draft", path: "/redaction/v1/draft", body: body}
+	r := callResult{kind: kindDraft, path: "/redaction/v1/draft", body: body}
 	c.call(ctx, entry, http.MethodPost, &r, func(resp *http.Response) error {
 		text, err := readStream(resp.Body)
 		want := engine.Answer([]byte(body))
@@ -92,10 +104,16 @@
 	return r
 }
 
+// send makes a call whose answer is not looked into.
+func (c *callers) send(ctx context.Context, entry netip.AddrPort, method string, r callResult) callResult {
+	c.call(ctx, entry, method, &r, drain)
+	return r
+}
+
 // logOutcome logs the outcome of a call, which must not happen twice.
 func (c *callers) logOutcome(ctx context.Context, entry netip.AddrPort, number int, key string) callResult {
 	r := callResult{
-		kind: "log", path: "/agenda/outcomes", key: key,
+		kind: kindLog, path: "/agenda/outcomes", key: key,
 		body: fmt.Sprintf(`{"call":"call-%d","outcome":"reached"}`, number),
 	}
 	c.call(ctx, entry, http.MethodPost, &r, drain)
@@ -104,7 +122,7 @@
 
 // list fetches a call list.
 func (c *callers) list(ctx context.Context, entry netip.AddrPort, number int) callResult {
-	r := callResult{kind: "list", path: fmt.Sprintf("/agenda/lists/volunteer-%d", number)}
+	r := callResult{kind: kindList, path: fmt.Sprintf("/agenda/lists/volunteer-%d", number)}
 	c.call(ctx, entry, http.MethodGet, &r, drain)
 	return r
 }
@@ -125,13 +143,16 @@
 		r.outcome, r.reason = outcomeMissing, err.Error()
 		return
 	}
-	req.Header.Set("Authorization", "Bearer "+LargeKey)
+	req.Header.Set("Authorization", "Bearer "+cmp.Or(r.token, LargeKey))
 	if r.key != "" {
 		req.Header.Set(caller.KeyHeader, r.key)
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
 		r.outcome, r.reason = outcomeMissing, err.Error()
+		if r.mayBreak {
+			r.outcome = outcomeBroken
+		}
 		return
 	}
 	defer func() { _ = resp.Body.Close() }() // read below, or not wanted
@@ -161,6 +182,15 @@
 // errStream reports an event stream that ended with the system's error event.
 var errStream = errors.New("error event")
 
+// streamError returns what an error event says.
+func streamError(data string) error {
+	var p struct{ Outcome, Reason string }
+	if err := json.Unmarshal([]byte(data), &p); err != nil {
+		return err
+	}
+	return fmt.Errorf("%w: %s, %s", errStream, p.Outcome, p.Reason)
+}
+
 // readStream returns the text of an event stream, and an error if the stream
 // has no end event.
 func readStream(r io.Reader) (string, error) {
@@ -180,7 +210,7 @@
 		}
 		switch event {
 		case caller.ErrorEvent:
-			return text.String(), fmt.Errorf("%w: %s", errStream, data)
+			return text.String(), streamError(data)
 		case "end":
 			ended = true
 		default:
--- a/internal/program/trial/deployment.go
+++ b/internal/program/trial/deployment.go
@@ -42,6 +42,8 @@
 	platform  *httpServer
 	lives     uint64 // incarnations given out
 	running   []*process
+	stores    []*credential.Store
+	sets      []*metrics.Set
 }
 
 // Entry is a running entry.
@@ -164,7 +166,7 @@
 		Model:      t.Engine != nil,
 		Keys:       keys,
 		Log:        d.logger,
-		Metrics:    metrics.NewSet(),
+		Metrics:    d.newSet(),
 		DrainBound: drainBound,
 	})
 	if err != nil {
@@ -198,7 +200,7 @@
 		Platform:   d.Client(),
 		Keys:       keys,
 		Log:        d.logger,
-		Metrics:    metrics.NewSet(),
+		Metrics:    d.newSet(),
 		DrainBound: drainBound,
 		Socket:     socket,
 	})
@@ -230,15 +232,6 @@
 	return nil
 }
 
-func (d *Deployment) keys(name host.Name, role host.Role) (*credential.Store, error) {
-	id := credential.Identity{Name: name, Role: role}
-	material, err := d.authority.Issue(time.Now(), id, credential.ShortLifetime)
-	if err != nil {
-		return nil, err
-	}
-	return credential.NewStore(material, time.Now)
-}
-
 func (d *Deployment) identity(name host.Name, role host.Role, dataCentre host.DataCentre) host.Identity {
 	d.lives++
 	return host.Identity{Name: name, Role: role, DataCentre: dataCentre, Incarnation: host.Incarnation(d.lives)}
--- a/internal/program/trial/run.go
+++ b/internal/program/trial/run.go
@@ -16,7 +16,7 @@
 const (
 	engines  = 4
 	services = 2
-	entries  = 2
+	entries  = 3
 )
 
 // Run goes through all stages. Progress goes to progress, the log lines of the
@@ -27,7 +27,7 @@
 		return nil, err
 	}
 	defer d.Close()
-	s := &session{Deployment: d, callers: newCallers(), holes: &holes{}, logbook: service.New()}
+	s := &session{Deployment: d, callers: newCallers(), holes: &holes{}, logbook: service.New(), checked: make(map[promise]int), breaches: []breach{}}
 	defer s.callers.close()
 	if err := s.build(ctx); err != nil {
 		return nil, err
@@ -43,6 +43,7 @@
 		report.Stages = append(report.Stages, s.summary(st, time.Since(begun)))
 	}
 	s.checkCalls()
+	report.Promises = s.promiseReports()
 	report.Breaches = s.breaches
 	return report, nil
 }
@@ -92,40 +93,3 @@
 	}
 	return nil
 }
-
-// checkCalls holds all calls against the promises, by what the targets ran.
-func (s *session) checkCalls() {
-	for _, r := range s.callers.all() {
-		s.callers.begin(r.stage)
-		if r.outcome == outcomeMissing {
-			s.breach("every request is answered once", "%s: %s", r.kind, r.reason)
-		}
-		if r.wrong != "" {
-			s.breach("each client receives its own whole answer", "%s", r.wrong)
-		}
-		if r.outcome == outcomeNotRun && s.ran(r) {
-			s.breach("not run is true", "%s %s ran, its caller was told %s", r.kind, r.id, r.reason)
-		}
-	}
-	if n := s.logbook.Duplicates(); n > 0 {
-		s.breach("a request that may not be repeated runs at most once", "%d outcomes were logged twice", n)
-	}
-}
-
-// ran tells whether any target ran a call.
-func (s *session) ran(r callResult) bool {
-	if r.kind == "log" {
-		for _, l := range s.logbook.Logged() {
-			if l.Body == r.body {
-				return true
-			}
-		}
-		return false
-	}
-	for _, t := range s.redaction {
-		if r.id != "" && t.Engine.Runs(r.id).Starts > 0 {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/program/trial/stage.go
+++ b/internal/program/trial/stage.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -13,7 +12,7 @@
 const (
 	callsPerStage = 24
 	draftTokens   = 24
-	leavingBound  = 4 * time.Second // a leaving target gets no new work after this
+	leavingBound  = 2 * time.Second // a leaving target gets no new work after this
 	readyBound    = 10 * time.Second
 )
 
@@ -56,6 +55,36 @@
 		doc:  "the agenda logs an outcome and loses its answer",
 		run:  (*session).loseAnswers,
 	},
+	{
+		name: "callsRepeated",
+		doc:  "outcomes are logged with a key, and again through another entry",
+		run:  (*session).repeatCalls,
+	},
+	{
+		name: "platformOut",
+		doc:  "the platform refuses all calls: drafts go on, calls with a key are refused",
+		run:  (*session).outage,
+	},
+	{
+		name: "keysReplaced",
+		doc:  "all certificates and their authority are replaced while drafts stream",
+		run:  (*session).replaceKeys,
+	},
+	{
+		name: "largeWorkspace",
+		doc:  "a large workspace asks for far more than the engines can do, a small one for little",
+		run:  (*session).floodTargets,
+	},
+	{
+		name: "badInput",
+		doc:  "unknown services, routes, workspaces, and bodies over the bound",
+		run:  (*session).sendBadInput,
+	},
+	{
+		name: "twoAtOnce",
+		doc:  "connections go silent while an engine closes its streams",
+		run:  (*session).failTwice,
+	},
 	{
 		name: "targetLeaves",
 		doc:  "the document says that a target is leaving",
@@ -66,6 +95,11 @@
 		doc:  "a sidecar is asked to stop while drafts stream through it",
 		run:  (*session).drainSidecar,
 	},
+	{
+		name: "entryKilled",
+		doc:  "an entry dies while outcomes are logged through it; callers repeat them elsewhere",
+		run:  (*session).killEntry,
+	},
 	{
 		name: "entryDrained",
 		doc:  "an entry is asked to stop while drafts stream through it",
@@ -82,25 +116,15 @@
 	agenda    []*Target
 	logbook   *service.Service
 	number    int
+	checked   map[promise]int
 	breaches  []breach
 }
 
-// breach is a promise that the trial saw broken.
-type breach struct {
-	Stage   string `json:"stage"`
-	Promise string `json:"promise"`
-	Detail  string `json:"detail"`
-}
-
 func (s *session) next() int {
 	s.number++
 	return s.number
 }
 
-func (s *session) breach(promise, format string, args ...any) {
-	s.breaches = append(s.breaches, breach{Stage: s.callers.stage, Promise: promise, Detail: fmt.Sprintf(format, args...)})
-}
-
 // together runs n calls at once and waits for all of them.
 func (s *session) together(n int, call func(i, number int) callResult) []callResult {
 	results := make([]callResult, n)
@@ -207,7 +231,7 @@
 	if err != nil {
 		return err
 	}
-	s.checkAllAnswered("a graceful shutdown cuts off nothing", results)
+	s.checkAllAnswered(nothingCut, results)
 	s.checkUntouched(victim, func() { s.drafts(ctx, callsPerStage) })
 	return nil
 }
@@ -224,15 +248,13 @@
 	if err := victim.Drain(ctx); err != nil {
 		return err
 	}
-	s.checkAllAnswered("a graceful shutdown cuts off nothing", <-done)
+	s.checkAllAnswered(nothingCut, <-done)
 	return nil
 }
 
-func (s *session) checkAllAnswered(promise string, results []callResult) {
+func (s *session) checkAllAnswered(p promise, results []callResult) {
 	for _, r := range results {
-		if r.outcome != outcomeAnswered {
-			s.breach(promise, "%s %s: %s", r.kind, r.outcome, r.reason)
-		}
+		s.check(p, r.outcome == outcomeAnswered, "%s %s: %s", r.kind, r.outcome, r.reason)
 	}
 }
 
@@ -240,9 +262,8 @@
 func (s *session) checkUntouched(t *Target, calls func()) {
 	before := len(s.runsAt(t))
 	calls()
-	if after := len(s.runsAt(t)); after > before {
-		s.breach("a leaving target receives no new work", "%s ran %d more requests", t.Name, after-before)
-	}
+	after := len(s.runsAt(t))
+	s.check(leavingUntouched, after == before, "%s ran %d more requests", t.Name, after-before)
 }
 
 // runsAt returns the ids of the callers' requests that a target's engine began.
