Spread the ranks of a group by the entry's own work

In lock-step the slowest rank sets the pace, and two choices on reports half a second apart spread requests less evenly than least requests does.

Ranks are now chosen over all data centres by the least own work, in tokens and requests; an owner of the prefix is taken if it has at most one usual request more. The rig's steps now cost by context too, and one request in twenty has a long prompt of its own.

--- a/cmd/routingrig/engine.go
+++ b/cmd/routingrig/engine.go
@@ -9,9 +9,9 @@
 
 const (
 	stepBase      = 4500 * time.Microsecond
-	stepPerReq    = 250 * time.Microsecond
+	stepPerReq    = 120 * time.Microsecond
+	stepPerKept   = 100 * time.Nanosecond // for each token of a running request's context
 	stepPerPrompt = 10 * time.Microsecond
-	chunk         = 1024 // prompt tokens read in a step
 	cacheTokens   = 24000
 	fifoPlaces    = 96 // requests at once, where there is no admission
 )
@@ -179,15 +179,16 @@
 
 // plan returns the requests of the next step and the time that it takes.
 func (e *engine) plan() ([]*request, time.Duration) {
-	budget := chunk
-	read := 0
+	budget := e.w.sc.chunk
+	read, context := 0, 0
 	for _, r := range e.running {
 		n := min(r.read, budget)
 		r.read -= n
+		context += r.common + r.topic + r.own - r.read + r.given
 		budget -= n
 		read += n
 	}
-	d := stepBase + time.Duration(len(e.running))*stepPerReq + time.Duration(read)*stepPerPrompt
+	d := stepBase + time.Duration(len(e.running))*stepPerReq + time.Duration(context)*stepPerKept + time.Duration(read)*stepPerPrompt
 	return slices.Clone(e.running), time.Duration(float64(d) * e.slow)
 }
 
--- a/cmd/routingrig/main.go
+++ b/cmd/routingrig/main.go
@@ -202,18 +202,17 @@
 // rank with the longest.
 func ranks(sc scenario) {
 	sc.lockstep = true
-	fmt.Println("| load | policy | skew mean | skew p99 | goodput | p50 | p99 |")
-	fmt.Println("|---|---|---|---|---|---|---|")
+	fmt.Println("| prompt tokens a step | load | policy | skew mean | skew p99 | goodput | p50 | p99 |")
+	fmt.Println("|---|---|---|---|---|---|---|---|")
 	all := append(policies()[:3:3],
 		named{"two choices", chooser(target.Config{}, false, "")},
-		named{"four choices", chooser(target.Config{}, false, "group")},
-		named{"eight choices", chooser(target.Config{RankChoices: 8}, false, "group")},
-		named{"prefix, then four", chooser(target.Config{}, true, "group")},
+		named{"ranks", chooser(target.Config{}, false, "group")},
+		named{"ranks, prefix", chooser(target.Config{}, true, "group")},
 	)
-	for _, load := range []float64{0.5, 0.8} {
+	for _, chunk := range []int{1024, 320} {
 		for _, p := range all {
 			run := sc
-			run.load, run.policy = load, p.policy
+			run.load, run.policy, run.chunk = 0.5, p.policy, chunk
 			rankRow(p.name, run)
 		}
 	}
@@ -226,7 +225,7 @@
 		sum += v
 	}
 	slices.Sort(s.skews)
-	fmt.Printf("| %.1f | %s | %.3f | %.3f | %.3f | %s | %s |\n", sc.load, policy,
+	fmt.Printf("| %d | %.1f | %s | %.3f | %.3f | %.3f | %s | %s |\n", sc.chunk, sc.load, policy,
 		sum/float64(len(s.skews)), s.skews[len(s.skews)*99/100],
 		float64(s.ends[answeredEnd])/(sc.capacity*sc.length.Seconds()),
 		ms(quantile(s.took, 0.5)), ms(quantile(s.took, 0.99)))
--- a/cmd/routingrig/request.go
+++ b/cmd/routingrig/request.go
@@ -34,6 +34,8 @@
 	commonTokens = 400
 	topicTokens  = 800
 	meanOwn      = 100
+	longPart     = 0.05 // of the requests have a long prompt of their own
+	meanLong     = 2000
 	meanOutput   = 80
 	topics       = 60
 	// promptCost is the work of reading a prompt token, in tokens given.
@@ -44,6 +46,10 @@
 func (w *world) request() *request {
 	ws := w.sc.workspaceOf(w.rnd.Float64())
 	topic := int(float64(topics) * math.Pow(w.rnd.Float64(), 2))
+	own := 1 + int(w.rnd.ExpFloat64()*meanOwn)
+	if w.rnd.Float64() < longPart {
+		own += int((1 + w.rnd.ExpFloat64()) * meanLong)
+	}
 	output := 20 + int(w.rnd.ExpFloat64()*(meanOutput-20))
 	r := &request{
 		ticket:    workspace.Ticket(w.seq),
@@ -52,7 +58,7 @@
 		deadline:  w.now + w.sc.deadline,
 		common:    commonTokens,
 		topic:     topicTokens,
-		own:       1 + int(w.rnd.ExpFloat64()*meanOwn),
+		own:       own,
 		output:    output,
 		prefix: target.Prefix{
 			Coarse: uint64(ws+1) * 0x9e3779b97f4a7c15,
--- a/cmd/routingrig/scenario.go
+++ b/cmd/routingrig/scenario.go
@@ -35,6 +35,7 @@
 	slowBy      float64
 	failing     int
 	lockstep    bool // the targets are ranks of one group
+	chunk       int  // prompt tokens that a target reads in a step
 }
 
 // base is what the scenarios have in common: the sizes of today.
@@ -53,6 +54,7 @@
 		reportEvery: 500 * time.Millisecond,
 		reportLag:   10 * time.Millisecond,
 		slowBy:      4,
+		chunk:       1024,
 	}
 }
 
--- a/internal/traffic/target/candidate.go
+++ b/internal/traffic/target/candidate.go
@@ -105,7 +105,6 @@
 	SpillLoad    float64         // load of the own data centre from which others are looked at
 	SpillGain    float64         // load that a target elsewhere must be better by
 	Choices      int             // targets drawn and compared
-	RankChoices  int             // targets drawn and compared where they are ranks of a group
 	EjectAfter   int             // failures in a row that take a target out for a while
 	EjectFor     time.Duration   // first time out; doubles with each further failure
 	EjectMax     time.Duration   // longest time out
@@ -122,7 +121,6 @@
 		SpillLoad:    1,
 		SpillGain:    0.5,
 		Choices:      2,
-		RankChoices:  4,
 		EjectAfter:   3,
 		EjectFor:     500 * time.Millisecond,
 		EjectMax:     30 * time.Second,
@@ -140,7 +138,6 @@
 	cfg.SpillLoad = cmp.Or(cfg.SpillLoad, def.SpillLoad)
 	cfg.SpillGain = cmp.Or(cfg.SpillGain, def.SpillGain)
 	cfg.Choices = min(cmp.Or(cfg.Choices, def.Choices), maxChoices)
-	cfg.RankChoices = min(cmp.Or(cfg.RankChoices, def.RankChoices), maxChoices)
 	cfg.EjectAfter = cmp.Or(cfg.EjectAfter, def.EjectAfter)
 	cfg.EjectFor = cmp.Or(cfg.EjectFor, def.EjectFor)
 	cfg.EjectMax = cmp.Or(cfg.EjectMax, def.EjectMax)
--- a/internal/traffic/target/chooser_test.go
+++ b/internal/traffic/target/chooser_test.go
@@ -325,3 +325,29 @@
 	assert.NotZero(t, share(t, c, at(time.Millisecond), 200, Query{Tokens: 1})[first.Name])
 	assert.Len(t, share(t, c, at(time.Second), 50, q), 1, "back at its own target")
 }
+
+func TestRanks(t *testing.T) {
+	ranks := append(candidates("mtl-a", "a", 6), candidates("mtl-b", "b", 2)...)
+	for i := range ranks {
+		ranks[i].Group = "drafting"
+	}
+	for name, q := range map[string]Query{
+		"without prefix": {Tokens: 10},
+		"one prefix":     {Tokens: 10, Prefix: Prefix{Coarse: 5, Fine: 7}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newChooser(Config{}, ranks...)
+			c.Report(at(0), Report{Name: "a0", Incarnation: 1, Capacity: 1000}) // says it's idle, which is no reason
+			counts := make(map[Name]int)
+			for range 80 {
+				ch, ok := c.Pick(at(0), q)
+				require.True(t, ok)
+				counts[ch.Name]++
+			}
+			require.Len(t, counts, 8)
+			for name, n := range counts {
+				assert.InDelta(t, 10, n, 2, "%s", name)
+			}
+		})
+	}
+}
--- a/internal/traffic/target/doc.go
+++ b/internal/traffic/target/doc.go
@@ -12,8 +12,10 @@
 //     loaded that the longer way is worth it.
 //  3. If the request has a prefix, the few targets that rendezvous hashing
 //     assigns to it, as long as their load is bounded by the pool's mean.
-//  4. Else the least loaded of two targets drawn by weight, or of a few more
-//     where targets are ranks of one group.
+//  4. Else the less loaded of two targets drawn by weight.
+//
+// Ranks of a group that runs in lock-step are chosen otherwise: in any data
+// centre, the one with the least work of this entry.
 //
 // Load is a time: the tokens of work outstanding at a target over the tokens
 // that it finishes a second. It comes from the last report, plus the work that
--- a/internal/traffic/target/pick.go
+++ b/internal/traffic/target/pick.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// maxChoices bounds Config.Choices and Config.RankChoices.
+// maxChoices bounds Config.Choices.
 const maxChoices = 8
 
 // pickFrom chooses a target of the pool, and reports whether it was chosen for
@@ -32,6 +32,9 @@
 	if len(sd.states) == 0 {
 		return nil, false
 	}
+	if sd.ranks {
+		return c.pickRank(sd, at, q)
+	}
 	if q.Prefix != (Prefix{}) {
 		if s := c.pickAffine(sd, at, q); s != nil {
 			return s, true
@@ -81,23 +84,19 @@
 func (c *Chooser) pickByLoad(sd *side, at time.Duration, q *Query) *state {
 	var best *state
 	var least float64
-	choices := c.cfg.Choices
 	found := 0
 	for range 2 * maxChoices {
 		s := sd.draw(c.rnd.Uint64())
 		if s == best || !s.eligible(at, &c.cfg, q) {
 			continue
 		}
-		if s.Group != "" {
-			choices = c.cfg.RankChoices
-		}
 		sd.observe(c.sample(s, at))
 		// Load for the weight, so that the shares hold beyond the draw. Of two
 		// without work the first one drawn is taken.
 		if load := c.load(s, at, sd.mean) / s.relative; best == nil || load < least {
 			best, least = s, load
 		}
-		if found++; found >= choices {
+		if found++; found >= c.cfg.Choices {
 			break
 		}
 	}
--- a/internal/traffic/target/pool.go
+++ b/internal/traffic/target/pool.go
@@ -15,6 +15,7 @@
 // side is the part of a pool in the entry's own data centre, or in the others.
 type side struct {
 	states []*state
+	ranks  bool     // of a group in lock-step
 	keys   []uint64 // of states, for rendezvous hashing
 	alias  []alias
 
@@ -40,7 +41,8 @@
 			byName[s.Pool] = p
 			c.pools = append(c.pools, p)
 		}
-		p.add(s, c.cfg.DataCentre == s.DataCentre)
+		// Ranks wait for each other wherever they are, so all of them share the work.
+		p.add(s, c.cfg.DataCentre == s.DataCentre || s.Group != "")
 	}
 	c.shares = 0
 	for _, p := range c.pools {
@@ -72,6 +74,7 @@
 		return
 	}
 	s.placed = true
+	sd.ranks = sd.ranks || s.Group != ""
 	sd.states = append(sd.states, s)
 	s.key = hashString(string(s.Name))
 	sd.keys = append(sd.keys, s.key)
