Take documents from the fleet in both roles

Entries put in force whatever documents/<service> held, without a check by the others and without an acceptance. The commands entry and sidecar now make their process a member of the fleet: entries are ready while they have contact, and put accepted documents in force; sidecars take limits and shares from them and refuse new work as not run while they have no contact. Entries introduce themselves to the sidecars of the documents' targets, so seeds are not needed for these. Dumps show the members, the documents and the lease.

--- a/internal/operator/role/entry.go
+++ b/internal/operator/role/entry.go
@@ -22,6 +22,8 @@
 		Metrics:    b.metrics,
 		DrainDelay: b.settings.Drain.Delay,
 		DrainBound: b.settings.Drain.Bound,
+		Fleet:      true,
+		Seeds:      b.settings.Seeds,
 	})
 	if err != nil {
 		return err
--- a/internal/operator/role/sidecar.go
+++ b/internal/operator/role/sidecar.go
@@ -9,6 +9,8 @@
 )
 
 func runSidecar(ctx context.Context, b *base) error {
+	client := b.platform()
+	defer client.Close()
 	s, err := sidecar.New(sidecar.Config{
 		Identity:   b.identity,
 		Listen:     b.settings.Listen.Peers,
@@ -18,6 +20,8 @@
 		Log:        b.log,
 		Metrics:    b.metrics,
 		DrainBound: b.settings.Drain.Bound,
+		Platform:   client,
+		Seeds:      b.settings.Seeds,
 	})
 	if err != nil {
 		return err
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/phuslu/log"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/program/fleet"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/target"
 	"wagtailshelf.example/wagtailshelf/internal/wire/caller"
@@ -45,6 +46,11 @@
 	DrainBound time.Duration                       // longest wait for requests in flight
 	Socket     func(net.PacketConn) net.PacketConn // wraps the UDP sockets to sidecars; nil for none
 
+	// Fleet makes the entry a member of the fleet, which accepts the documents.
+	// Without it the entry puts in force what it reads; for tests of other parts.
+	Fleet bool
+	Seeds []netip.AddrPort // other processes, from which the entry learns of the rest
+
 	// OnControl is handed the messages of the fleet's own duties; it must not block.
 	OnControl func(from *peer.Conn, m frame.Control)
 }
@@ -63,6 +69,8 @@
 	stop    context.CancelFunc
 	inForce atomic.Pointer[inForce]
 
+	membership *fleet.Fleet // nil without Config.Fleet
+
 	learnt   atomic.Bool // all documents that were in force at the start are known
 	draining atomic.Bool
 	inFlight sync.WaitGroup
@@ -94,7 +102,7 @@
 		ClientTLS: cfg.Keys.Client,
 		ServerTLS: cfg.Keys.Server(),
 		OnReport:  e.onReport,
-		OnControl: cfg.OnControl,
+		OnControl: e.onControl,
 		Socket:    cfg.Socket,
 	}
 	e.pool = peer.NewPool(e.peers)
@@ -102,6 +110,9 @@
 		stop()
 		return nil, err
 	}
+	if cfg.Fleet {
+		e.membership = e.newMembership()
+	}
 	e.server = e.newServer()
 	return e, nil
 }
@@ -159,7 +170,15 @@
 // force. Before that it would answer a caller of a service that it has not
 // learnt of yet with "unknown service". While it drains it goes on taking work,
 // see Drain.
-func (e *Entry) Ready() bool { return e.learnt.Load() }
+//
+// An entry that has lost contact with the fleet is not ready either: a document
+// may be in force elsewhere that it does not know of.
+func (e *Entry) Ready() bool {
+	if e.membership != nil {
+		return e.membership.TakesWork()
+	}
+	return e.learnt.Load()
+}
 
 // Draining reports whether the entry is leaving, so that the balancer should
 // send nothing more.
@@ -171,7 +190,11 @@
 	defer e.stop()
 	var g run.Group
 	watch, stopWatch := context.WithCancel(ctx)
-	g.Add(func() error { return e.followDocuments(watch) }, func(error) { stopWatch() })
+	follow := e.followDocuments
+	if e.membership != nil {
+		follow = e.membership.Run
+	}
+	g.Add(func() error { return follow(watch) }, func(error) { stopWatch() })
 	fleet, stopFleet := context.WithCancel(ctx)
 	g.Add(func() error { return e.fleet.Serve(fleet, serveFleetConn) }, func(error) {
 		stopFleet()
@@ -220,6 +243,9 @@
 // the bound ends.
 func (e *Entry) Drain(ctx context.Context) error {
 	e.draining.Store(true)
+	if e.membership != nil {
+		e.membership.Leave()
+	}
 	select {
 	case <-time.After(e.cfg.DrainDelay):
 	case <-ctx.Done():
--- a/internal/program/entry/state.go
+++ b/internal/program/entry/state.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/record/acceptance"
 )
 
 // State is what a dump shows.
@@ -17,6 +18,8 @@
 	Routers     []RouterState  `json:"routers"`
 	Claims      []ClaimState   `json:"claims"`
 	Connections []ConnState    `json:"connections"`
+
+	Fleet *acceptance.Dump `json:"fleet,omitempty"`
 }
 
 // ServiceState is one document in force.
@@ -54,6 +57,13 @@
 		return State{}, err
 	}
 	state.Claims = claims
+	if e.membership != nil {
+		dump, err := e.membership.Dump(ctx)
+		if err != nil {
+			return State{}, err
+		}
+		state.Fleet = &dump
+	}
 	for _, c := range e.pool.Open() {
 		sent, received := c.Bytes()
 		state.Connections = append(state.Connections, ConnState{Peer: c.Peer(), Number: c.Number(), Sent: sent, Received: received})
--- a/internal/program/fleet/fleet.go
+++ b/internal/program/fleet/fleet.go
@@ -192,6 +192,9 @@
 func (f *Fleet) decide(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	if f.cfg.Changed != nil {
+		f.cfg.Changed(f.process.Members().Self())
+	}
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/program/fleet/fleet_test.go
+++ b/internal/program/fleet/fleet_test.go
@@ -71,10 +71,7 @@
 		Name: host.Name(fmt.Sprintf("%s-%d", role, i)), Role: role,
 		DataCentre: host.DataCentre(fmt.Sprintf("dc-%d", i%2)), Incarnation: host.Incarnation(len(d.processes) + 1),
 	}
-	material, err := d.authority.Issue(time.Now(), credential.Identity{Name: id.Name, Role: id.Role}, credential.ShortLifetime)
-	require.NoError(d.t, err)
-	keys, err := credential.NewStore(material, time.Now)
-	require.NoError(d.t, err)
+	keys := d.keys(id.Name, id.Role)
 	p := &process{metrics: metrics.NewSet(), done: make(chan error, 2)}
 	cfg := &peer.Config{
 		Identity: id, ClientTLS: keys.Client, ServerTLS: keys.Server(),
@@ -130,12 +127,17 @@
 func (d *deployment) apply(concurrency int) {
 	text, err := os.ReadFile("../../../examples/agenda.yaml")
 	require.NoError(d.t, err)
+	value := strings.ReplaceAll(string(text), "concurrency: 64", fmt.Sprintf("concurrency: %d", concurrency))
+	require.Contains(d.t, value, fmt.Sprintf("concurrency: %d", concurrency))
+	d.put(value)
+}
+
+// put stores a document of the scheduling app.
+func (d *deployment) put(value string) {
 	client := platform.New(platform.Config{URL: d.url})
 	defer client.Close()
 	const key = object.Key("documents/agenda")
 	now := client.Do(context.Background(), object.Call{Op: object.Get, Key: key, Cause: "test"})
-	value := strings.ReplaceAll(string(text), "concurrency: 64", fmt.Sprintf("concurrency: %d", concurrency))
-	require.Contains(d.t, value, fmt.Sprintf("concurrency: %d", concurrency))
 	r := client.Do(context.Background(), object.Call{Op: object.Put, Key: key, Version: now.Object.Version, Value: []byte(value), Cause: "test"})
 	require.Equal(d.t, object.Done, r.Status)
 }
--- a/internal/program/sidecar/desk.go
+++ b/internal/program/sidecar/desk.go
@@ -57,6 +57,8 @@
 	ring   chan deskEvent
 	run    func(job) // starts a call to the target; it reports by the ring
 
+	isolated func() bool // no new work may begin; nil for never
+
 	lines      map[book.Peer]*line
 	jobs       map[request.ID]*job
 	tickets    map[workspace.Ticket]request.ID
@@ -236,6 +238,10 @@
 }
 
 func (d *desk) admit(a book.Action) {
+	if d.isolated != nil && d.isolated() {
+		d.refuseIsolated(a.ID)
+		return
+	}
 	d.nextTicket++
 	j := &job{id: a.ID, ticket: d.nextTicket, deadline: a.Arrived.Add(a.Call.Remaining)}
 	d.jobs[a.ID] = j
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -12,12 +12,14 @@
 	"github.com/phuslu/log"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/program/fleet"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/book"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/workspace"
 	"wagtailshelf.example/wagtailshelf/internal/wire/credential"
 	"wagtailshelf.example/wagtailshelf/internal/wire/engine"
 	"wagtailshelf.example/wagtailshelf/internal/wire/frame"
 	"wagtailshelf.example/wagtailshelf/internal/wire/peer"
+	"wagtailshelf.example/wagtailshelf/internal/wire/platform"
 )
 
 // Config sets up a [Sidecar].
@@ -32,6 +34,11 @@
 	Admission  workspace.Config
 	DrainBound time.Duration // longest wait for requests in flight
 
+	// Platform makes the sidecar a member of the fleet. Without it the sidecar
+	// takes no document; for tests of other parts.
+	Platform *platform.Client
+	Seeds    []netip.AddrPort // other processes, from which the sidecar learns of the rest
+
 	// OnControl is handed the messages of the fleet's own duties; it must not block.
 	OnControl func(from *peer.Conn, m frame.Control)
 }
@@ -43,7 +50,9 @@
 	listener *peer.Listener
 	target   *engine.Client
 	desk     *desk
-	calls    sync.WaitGroup
+
+	membership *fleet.Fleet // nil without Config.Platform
+	calls      sync.WaitGroup
 
 	leaving    atomic.Bool
 	leavingNow chan struct{} // makes the report duty look at once
@@ -67,7 +76,7 @@
 		Identity:  cfg.Identity,
 		ClientTLS: cfg.Keys.Client,
 		ServerTLS: cfg.Keys.Server(),
-		OnControl: cfg.OnControl,
+		OnControl: s.onControl,
 	}
 	listener, err := peer.Listen(s.peers, cfg.Listen)
 	if err != nil {
@@ -76,6 +85,10 @@
 	s.listener = listener
 	s.peers.Identity.Address = listener.Addr()
 	s.desk = newDesk(cfg.Log, newCounts(cfg.Metrics), book.DefaultConfig(cfg.Identity.Incarnation), cfg.Admission)
+	if cfg.Platform != nil {
+		s.membership = s.newMembership()
+		s.desk.isolated = func() bool { return !s.membership.TakesWork() }
+	}
 	return s, nil
 }
 
@@ -94,6 +107,9 @@
 	var g run.Group
 	s.duty(ctx, &g, s.desk.serve)
 	s.duty(ctx, &g, s.report)
+	if s.membership != nil {
+		s.duty(ctx, &g, s.membership.Run)
+	}
 	if s.cfg.Model {
 		s.duty(ctx, &g, s.observe)
 	}
@@ -121,6 +137,9 @@
 // is in flight any more, or ctx or the bound ends.
 func (s *Sidecar) Drain(ctx context.Context) error {
 	s.leaving.Store(true)
+	if s.membership != nil {
+		s.membership.Leave()
+	}
 	s.desk.putBook(ctx, book.Event{Kind: book.Drain})
 	select {
 	case s.leavingNow <- struct{}{}:
--- a/internal/program/sidecar/state.go
+++ b/internal/program/sidecar/state.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/record/acceptance"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/workspace"
 )
 
@@ -21,6 +22,8 @@
 	Leaving     bool          `json:"leaving"`
 	Connections []ConnState   `json:"connections"`
 	Desk        DeskState     `json:"desk"`
+
+	Fleet *acceptance.Dump `json:"fleet,omitempty"`
 }
 
 // ConnState is one connection of an entry.
@@ -53,8 +56,13 @@
 	}
 	select {
 	case state.Desk = <-answer:
-		return state, nil
 	case <-ctx.Done():
 		return State{}, context.Cause(ctx)
 	}
+	if s.membership == nil {
+		return state, nil
+	}
+	dump, err := s.membership.Dump(ctx)
+	state.Fleet = &dump
+	return state, err
 }
