--- /dev/null
+++ b/internal/program/sidecar/group.go
@@ -0,0 +1,21 @@
+package sidecar
+
+import (
+	"wagtailshelf.example/wagtailshelf/internal/program/rank"
+)
+
+// newGroup returns the part that this host's engine has in an expert group, or nil
+// if there can be none: a plain service has no experts, and without the platform
+// no document tells which group the host is in.
+func (s *Sidecar) newGroup() *rank.Member {
+	if !s.cfg.Model || s.cfg.Platform == nil {
+		return nil
+	}
+	return rank.NewMember(rank.MemberConfig{
+		Peers:    s.peers,
+		Platform: s.cfg.Platform,
+		Engine:   s.target,
+		Log:      s.cfg.Log,
+		Metrics:  s.cfg.Metrics,
+	})
+}
