Keep the text whichever of acceptance and being in force comes first

A test with a real fleet over QUIC showed a history without texts: the holder is told of the acceptance before the document is in force at itself, and the entry was archived without it. The register now waits for both parts. The same test showed the status write after the first of several members was counted, so that the others waited a second more.

--- a/internal/record/register/register.go
+++ b/internal/record/register/register.go
@@ -205,6 +205,7 @@
 	c.since = now
 	r.copies[d.Service] = c
 	r.settled.await(now)
+	r.record(now, d.Service)
 	r.toBoard(now, status.Event{
 		Kind: status.Accept, Service: d.Service,
 		Accepted: status.Accepted{Number: uint64(d.Number), Digest: document.Digest(d.Digest), At: now.UTC()},
@@ -215,13 +216,22 @@
 func (r *Register) accepted(now time.Time, service string, accepted acceptance.Entry) {
 	c := r.copies[service]
 	c.entry = EntryOf(accepted)
-	if c.document.Digest == accepted.Digest {
-		c.entry.Text = c.document.Text
-	}
 	r.copies[service] = c
 	delete(r.waits, service)
 	r.toBoard(now, status.Event{Kind: status.Waiting, Service: service})
 	r.toBoard(now, status.Event{Kind: status.Accept, Service: service, Accepted: AcceptedOf(accepted)})
+	r.record(now, service)
+}
+
+// record offers what this process has accepted to the history once it has both
+// parts: the entry and the text come one after the other, in either order.
+func (r *Register) record(now time.Time, service string) {
+	c := r.copies[service]
+	if c.entry.Number == 0 || c.entry.Number != uint64(c.document.Number) {
+		return
+	}
+	c.entry.Text = c.document.Text
+	r.copies[service] = c
 	r.toArchive(now, history.Event{Kind: history.Accepted, Service: service, Entry: c.entry})
 }
 
--- a/internal/record/register/register_test.go
+++ b/internal/record/register/register_test.go
@@ -178,6 +178,18 @@
 	assert.Equal(t, 3, got.InForce)
 }
 
+func TestTheTextIsKeptWhicheverComesFirst(t *testing.T) {
+	s, r := newShelf(), newRegister("a")
+	now := s.run(r, epoch, gained(), accepted(1, "one\n"), inForce(1, "one\n"))
+	s.run(r, now, inForce(2, "two\n"), accepted(2, "two\n"))
+	entries := s.history(t)
+	require.Len(t, entries, 2)
+	for i, text := range []string{"one\n", "two\n"} {
+		assert.Equal(t, text, string(entries[i].Text))
+		assert.Equal(t, "marie", entries[i].By)
+	}
+}
+
 // The holder accepts number 2 and dies before the history has it. The next
 // holder has the text in force and adds it; who applied it stands in the record
 // of the acceptance, and both together answer the auditor.
--- a/internal/record/status/board.go
+++ b/internal/record/status/board.go
@@ -157,6 +157,11 @@
 	case Answered:
 		b.answered(now, ev.Reply)
 	case Tick:
+	case Holding:
+		// Reports come in bunches. The Tick that is due at once writes them all;
+		// a write for the first would make the others wait for the next.
+		b.panel(ev.Service).holds(ev.Host, ev.Number)
+		return nil
 	default:
 		b.observed(ev)
 	}
@@ -196,13 +201,9 @@
 // all the time and wait for the next refresh.
 func (b *Board) observed(ev Event) {
 	p := b.panel(ev.Service)
-	switch ev.Kind {
-	case Requested:
+	if ev.Kind == Requested {
 		p.outcomes[ev.Host] = ev.Outcomes
 		return
-	case Holding:
-		p.holds(ev.Host, ev.Number)
-		return
 	}
 	p.changed = true
 	switch ev.Kind {
