Give a quiet night's counts the weight that they have

Change: a window with few tokens weighs less, sampling counts into the noise of the estimate, and what lies off by sampling alone is no shift.

Conclusion: the map that fits in the evening is still there in the morning.

--- a/internal/expert/demand/estimate.go
+++ b/internal/expert/demand/estimate.go
@@ -18,10 +18,9 @@
 
 // Estimate returns a copy of what is known now.
 func (t *Tracker) Estimate() Estimate {
-	deviation := make([]float64, len(t.square))
-	scale := t.noiseScale()
-	for i, s := range t.square {
-		deviation[i] = math.Sqrt(s * scale)
+	deviation := make([]float64, len(t.variance))
+	for i, v := range t.variance {
+		deviation[i] = math.Sqrt(v)
 	}
 	return Estimate{
 		Size:      t.size,
@@ -35,16 +34,6 @@
 	}
 }
 
-// noiseScale is the variance of an exponentially smoothed mean relative to
-// that of one window.
-func (t *Tracker) noiseScale() float64 {
-	if t.windows == 0 {
-		return 1
-	}
-	g := t.gain(t.cfg.Smooth)
-	return max(g/(2-g), 1/float64(t.windows)/2)
-}
-
 // lasts is the time in which the drift seen now moves Tolerance of all tokens,
 // or the time between the last two sharp shifts if that is shorter.
 func (t *Tracker) lasts(deviation []float64) time.Duration {
--- a/internal/expert/demand/tracker.go
+++ b/internal/expert/demand/tracker.go
@@ -92,16 +92,17 @@
 	cfg    Config
 	speeds speeds
 
-	open    []float64 // tokens of the window being filled
-	seen    []bool    // ranks that reported in it
-	latest  []uint64  // per rank, 1 + the last window taken
-	window  []float64 // shares of the window being folded
-	filled  []bool    // layers that have tokens in the window being folded
-	fast    []float64
-	slow    []float64
-	square  []float64 // squared distance of windows from fast, smoothed like slow
-	aside   []float64 // shares of the window set aside
-	pending bool      // whether aside is in use
+	open     []float64 // tokens of the window being filled
+	seen     []bool    // ranks that reported in it
+	latest   []uint64  // per rank, 1 + the last window taken
+	window   []float64 // shares of the window being folded
+	tokens   []float64 // per layer, in the window being folded
+	fast     []float64
+	slow     []float64
+	square   []float64 // variance of the demand's own noise in one window, without that of sampling
+	variance []float64 // of fast
+	aside    []float64 // shares of the window set aside
+	pending  bool      // whether aside is in use
 
 	windows   int
 	usual     float64 // smoothed distance of windows from the estimate
@@ -123,18 +124,19 @@
 	}
 	n := size.cells()
 	t := &Tracker{
-		size:   size,
-		cfg:    cfg,
-		speeds: newSpeeds(size.Ranks, cfg),
-		open:   make([]float64, n),
-		seen:   make([]bool, size.Ranks),
-		latest: make([]uint64, size.Ranks),
-		window: make([]float64, n),
-		filled: make([]bool, size.Layers),
-		fast:   uniform(size),
-		slow:   uniform(size),
-		square: make([]float64, n),
-		aside:  make([]float64, n),
+		size:     size,
+		cfg:      cfg,
+		speeds:   newSpeeds(size.Ranks, cfg),
+		open:     make([]float64, n),
+		seen:     make([]bool, size.Ranks),
+		latest:   make([]uint64, size.Ranks),
+		window:   make([]float64, n),
+		tokens:   make([]float64, size.Layers),
+		fast:     uniform(size),
+		slow:     uniform(size),
+		square:   make([]float64, n),
+		variance: make([]float64, n),
+		aside:    make([]float64, n),
 	}
 	return t, nil
 }
@@ -205,13 +207,29 @@
 }
 
 // far tells whether a window at distance d from the estimate may be a shift.
-// The first windows only teach the usual spread.
+// The first windows only teach the usual spread. Few tokens lie far off by chance.
 func (t *Tracker) far(d float64) bool {
 	const learning = 3
 	if t.windows < learning {
 		return false
 	}
-	return d > t.usual+t.cfg.ShiftDeviations*t.spread+t.cfg.ShiftFloor
+	usual := max(t.usual, t.chance())
+	return d > usual+t.cfg.ShiftDeviations*t.spread+t.cfg.ShiftFloor
+}
+
+// chance is the distance that sampling alone puts between the window and the
+// estimate.
+func (t *Tracker) chance() float64 {
+	sum := 0.0
+	for l, n := range t.tokens {
+		if n == 0 {
+			continue
+		}
+		for _, p := range t.layer(t.fast, l) {
+			sum += math.Sqrt(p / n)
+		}
+	}
+	return sum * meanAbs / 2 / float64(t.size.Layers)
 }
 
 func (t *Tracker) noteShift(now time.Time) {
@@ -231,8 +249,8 @@
 		for _, n := range cells {
 			sum += n
 		}
-		t.filled[l] = sum > 0
-		if !t.filled[l] {
+		t.tokens[l] = sum
+		if sum == 0 {
 			copy(t.layer(t.window, l), t.layer(t.fast, l))
 			continue
 		}
@@ -265,15 +283,17 @@
 
 // jump replaces the estimate by the mean of two windows.
 func (t *Tracker) jump(a, b []float64) Change {
+	first := t.windows == 0
 	for i, x := range a {
 		mean := (x + b[i]) / 2
 		t.fast[i] = mean
 		t.slow[i] = mean
-		if t.windows == 0 {
+		if first {
 			t.square[i] = firstNoise * firstNoise * mean * mean
 		}
+		t.variance[i] = t.noise(i) / 2
 	}
-	if t.windows == 0 {
+	if first {
 		t.windows = 1
 		return Folded
 	}
@@ -281,30 +301,43 @@
 	return Shifted
 }
 
+// noise is the variance of one window's share, from the demand's own noise and
+// from sampling.
+func (t *Tracker) noise(i int) float64 {
+	n := t.tokens[i/t.size.Experts]
+	return max(0, t.square[i]) + t.fast[i]/max(n, 1)
+}
+
 // fold smooths the window, at distance d, into the estimate.
 func (t *Tracker) fold(d float64) {
 	t.windows++
 	gain := t.gain(t.cfg.Smooth)
-	slow := t.gain(t.cfg.Trail)
-	for l, ok := range t.filled {
-		if ok {
-			t.foldLayer(l, gain, slow)
+	for l, n := range t.tokens {
+		if n > 0 {
+			t.foldLayer(l, n)
 		}
 	}
 	t.spread += gain * (math.Abs(d-t.usual) - t.spread)
 	t.usual += gain * (d - t.usual)
 }
 
-func (t *Tracker) foldLayer(l int, gain, slow float64) {
-	w := t.layer(t.window, l)
-	fast := t.layer(t.fast, l)
-	trail := t.layer(t.slow, l)
-	square := t.layer(t.square, l)
-	for e, x := range w {
-		r := x - fast[e]
-		square[e] += slow * (r*r - square[e])
-		fast[e] += gain * r
-		trail[e] += slow * (x - trail[e])
+// enough is how many tokens per expert and minute give a window its full weight.
+// At night the few tokens of a window say little, and following them would move
+// experts by chance. Sampling puts 5% of noise on as many.
+const enough = 400
+
+func (t *Tracker) foldLayer(l int, tokens float64) {
+	weight := min(1, tokens/float64(t.size.Experts)/(enough*t.cfg.Window.Minutes()))
+	gain := weight * t.gain(t.cfg.Smooth)
+	slow := weight * t.gain(t.cfg.Trail)
+	first := l * t.size.Experts
+	for e, x := range t.layer(t.window, l) {
+		i := first + e
+		r := x - t.fast[i]
+		t.square[i] += slow * (r*r - t.fast[i]/tokens - t.square[i])
+		t.variance[i] = (1-gain)*(1-gain)*t.variance[i] + gain*gain*t.noise(i)
+		t.fast[i] += gain * r
+		t.slow[i] += slow * (x - t.slow[i])
 	}
 }
 
--- a/internal/expert/plan/plan_test.go
+++ b/internal/expert/plan/plan_test.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -222,6 +223,26 @@
 	require.Greater(t, chased(0.01), 10*3*perHour)
 }
 
+// At night the same customers ask for a hundredth of the tokens, so a window's
+// shares are off by a quarter by chance alone. Moving experts by them would leave
+// the group badly balanced in the morning, and cost loads in between.
+func TestQuietNight(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 5))
+	g := newGroup(t, Config{})
+	pass := func(windows int, scale float64) {
+		for range windows {
+			g.step(counts(shape, func(e int) uint32 {
+				mean := scale * float64(ramp(e))
+				return uint32(max(0, math.Round(mean+math.Sqrt(mean)*rng.NormFloat64())))
+			}), nil)
+		}
+	}
+	pass(60, 1)
+	evening := g.loads
+	pass(120, 0.01)
+	require.LessOrEqual(t, g.loads-evening, 2)
+}
+
 // A loaded replica stays in its place for the hold, unless the demand shifts: what
 // it was loaded for is gone then.
 func TestHold(t *testing.T) {
