Let repeats of a call follow its request to another target

A repeat joined the target that the claim named.

A request that moves notes its new target in the claim, and a repeat that does not find it asks again whose the key is. A key that was freed meanwhile proves that nothing ran, so the repeat runs itself. Until then its outcome stays unknown, never notRun.

Add the measurement of outcomes by failure.

--- a/internal/program/entry/claim.go
+++ b/internal/program/entry/claim.go
@@ -60,6 +60,12 @@
 	}
 }
 
+// reclaim notes where the request goes now, for repeats of it. One that is lost
+// leaves them to ask at the earlier target, which cannot answer them.
+func (x *exchange) reclaim(p request.Prior) {
+	x.claims().tell(claimMessage{kind: tellShard, event: claim.Event{Kind: claim.Moved, Key: x.key(), Owner: p}})
+}
+
 // unclaim frees the key of a request that did not run. If the ring is full the
 // key stays taken until its retention ends, which is safe.
 func (x *exchange) unclaim() {
--- a/internal/program/entry/exchange.go
+++ b/internal/program/entry/exchange.go
@@ -141,6 +141,8 @@
 	switch a.Kind {
 	case request.Claim:
 		x.claim(ctx, a)
+	case request.Reclaim:
+		x.reclaim(a.Prior)
 	case request.Unclaim:
 		x.unclaim()
 	case request.Pick:
--- a/internal/traffic/book/entry_test.go
+++ b/internal/traffic/book/entry_test.go
@@ -19,20 +19,21 @@
 	number request.Conn
 }
 
-type streamKey struct {
-	conn   request.Conn
+type streamOf struct {
+	conn   *conn
 	stream uint64
 }
 
 // entry is one entry process: its connections and the trips of its requests.
 type entry struct {
-	w     *world
-	name  host.Name
-	life  int
-	next  request.Conn
-	conns map[*sidecar]*conn // the one in use
-	all   map[connKey]*conn
-	trips []*trip
+	w       *world
+	name    host.Name
+	life    int
+	next    request.Conn
+	conns   map[*sidecar]*conn // the one in use
+	all     map[connKey]*conn
+	trips   []*trip
+	streams map[streamOf]*trip
 }
 
 func (e *entry) die() {
@@ -57,6 +58,14 @@
 	}
 }
 
+// tripOf returns the request that a stream belongs to, if this life has it.
+func (e *entry) tripOf(c *conn, stream uint64) *trip {
+	if e.life != c.life {
+		return nil
+	}
+	return e.streams[streamOf{c, stream}]
+}
+
 func (e *entry) connect(s *sidecar) *conn {
 	e.next++
 	c := &conn{w: e.w, number: e.next, entry: e, life: e.life, side: s, peer: s.life, lanes: make(map[string]*lane), sent: make(map[uint64][]request.Message)}
@@ -75,14 +84,18 @@
 	id         request.ID
 	key        string
 	idempotent bool
-	prior      request.ID // joined
-	streams    map[streamKey]bool
+	prior      request.ID              // joined
 	current    map[request.Conn]uint64 // the stream of the attempt on each connection
 	wake       time.Time
 	got        []byte
 	result     *request.Result
 	finishes   int
 	lost       bool // its entry died
+	at         *sidecar
+	on         *conn
+	headSeen   bool
+	touched    bool // by the failure that is measured
+	partial    bool // its answer had begun by then
 	began      time.Time
 	took       time.Duration
 }
@@ -90,7 +103,7 @@
 func (w *world) arrive(e *entry, idempotent bool, key string, patience time.Duration) *trip {
 	t := &trip{
 		e: e, key: key, idempotent: idempotent, began: w.now,
-		streams: make(map[streamKey]bool), current: make(map[request.Conn]uint64),
+		current: make(map[request.Conn]uint64),
 	}
 	binary.BigEndian.PutUint64(t.id[:], uint64(len(w.trips)+1))
 	spec := request.Spec{
@@ -137,6 +150,10 @@
 		w.after(0, func() { t.pick(a.Tried) })
 	case request.Claim:
 		w.after(w.between(3*time.Millisecond, 50*time.Millisecond), func() { t.claim(a.Prior) })
+	case request.Reclaim:
+		if w.claims[t.key].ID == t.id {
+			w.claims[t.key] = a.Prior
+		}
 	case request.Unclaim:
 		if w.claims[t.key].ID == t.id {
 			delete(w.claims, t.key)
@@ -147,6 +164,8 @@
 		t.sendBody(a)
 	case request.Connect:
 		t.connect(a)
+	case request.DeliverHead:
+		t.headSeen = true
 	case request.Deliver:
 		t.deliver(a.Message)
 	case request.Finish:
@@ -162,7 +181,7 @@
 	w := t.e.w
 	var open []*sidecar
 	for _, s := range w.sidecars {
-		if s.book != nil && !slices.Contains(tried, s.name) {
+		if s.book != nil && !s.drains && !slices.Contains(tried, s.name) {
 			open = append(open, s)
 		}
 	}
@@ -175,6 +194,7 @@
 	if c == nil {
 		c = t.e.connect(s)
 	}
+	t.at, t.on = s, c
 	t.handle(request.Event{Kind: request.Picked, Target: s.name, Conn: c.number, Incarnation: c.peer})
 }
 
@@ -190,6 +210,7 @@
 		return
 	}
 	w.claims[t.key] = p
+	t.prior = request.ID{}
 	t.handle(request.Event{Kind: request.ClaimGranted})
 }
 
@@ -200,7 +221,7 @@
 	}
 	if m.Kind == request.Open || m.Kind == request.Resolve {
 		t.current[n] = c.stream
-		t.streams[streamKey{n, c.stream}] = true
+		t.e.streams[streamOf{c, c.stream}] = t
 		c.stream++
 	}
 	stream, ok := t.current[n]
--- /dev/null
+++ b/internal/traffic/book/measure_test.go
@@ -0,0 +1,141 @@
+package book_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/traffic/book"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
+)
+
+var measure = flag.Bool("measure", false, "run the measurements of docs/MEASUREMENTS.md")
+
+// touch marks the requests that are in flight at a sidecar, or on a connection.
+func (w *world) touch(s *sidecar, c *conn) {
+	for _, t := range w.trips {
+		if t.result == nil && !t.lost && t.at == s && (c == nil || t.on == c) {
+			t.touched, t.partial = true, t.headSeen
+		}
+	}
+}
+
+// often disturbs the world twice a second.
+func often(disturb func(w *world)) func(w *world) {
+	return func(w *world) {
+		var again func()
+		again = func() {
+			disturb(w)
+			w.after(500*time.Millisecond, again)
+		}
+		w.after(500*time.Millisecond, again)
+	}
+}
+
+func anySidecar(w *world) *sidecar {
+	up := slices.DeleteFunc(slices.Clone(w.sidecars), func(s *sidecar) bool { return s.book == nil || s.drains })
+	if len(up) < 2 {
+		return nil
+	}
+	return up[w.rng.IntN(len(up))]
+}
+
+func silence(w *world) {
+	if s := anySidecar(w); s != nil {
+		if c := w.entries[w.rng.IntN(len(w.entries))].conns[s]; c != nil && !c.silent {
+			w.touch(s, c)
+			c.goSilent()
+		}
+	}
+}
+
+func kill(w *world) {
+	if s := anySidecar(w); s != nil {
+		w.touch(s, nil)
+		s.die()
+	}
+}
+
+func drainOne(w *world) {
+	if s := anySidecar(w); s != nil {
+		w.touch(s, nil)
+		s.handle(book.Event{Kind: book.Drain})
+		s.later(4*time.Second, func() {
+			for _, e := range w.entries {
+				if c := e.conns[s]; c != nil {
+					c.close()
+				}
+			}
+			s.die()
+		})
+	}
+}
+
+// TestMeasureUnknown prints how the requests end that a failure touches.
+func TestMeasureUnknown(t *testing.T) {
+	if !*measure {
+		t.Skip("a measurement; run it with -args -measure")
+	}
+	tests := []struct {
+		name    string
+		f       faults
+		disturb func(w *world)
+	}{
+		{"a connection goes silent, new ones work", faults{}, often(silence)},
+		{"the same, and late packets arrive by the silent one", faults{late: 50, wakes: 1000}, often(silence)},
+		{"a sidecar dies and returns within 2 s", faults{}, often(kill)},
+		{"a target's host dies for good", faults{stays: 1000}, func(w *world) { w.after(5*time.Second, func() { kill(w) }) }},
+		{"a sidecar drains, and ends 4 s later", faults{}, often(drainOne)},
+		{"the engine is not reached", faults{engineAway: 100}, nil},
+		{"the engine closes half way", faults{engineBreaks: 100}, nil},
+		{"the engine stalls half way", faults{engineStalls: 100}, nil},
+		{"admission refuses", faults{rejected: 300}, nil},
+		{"packets late, doubled and out of order", faults{late: 20, doubled: 20, reordered: 50}, nil},
+		{"the platform refuses claims", faults{claimFailed: 1000}, nil},
+		{"callers leave", faults{callerLeaves: 100}, nil},
+	}
+	fmt.Println("| failure | requests | idempotent, before the first byte | answered | notRun | unknown | after it | answered | notRun | unknown | not repeatable: touched | answered | notRun | unknown | slowest outcome | reasons of unknown |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, tt := range tests {
+		w := newWorld(7, tt.f, true, 2, 6)
+		w.crowd(8000, 40*time.Second)
+		if tt.disturb != nil {
+			tt.disturb(w)
+		}
+		w.run(60 * time.Second)
+		require.Empty(t, w.failure)
+		var slowest time.Duration
+		var count [3][4]int
+		reasons := make(map[request.Reason]int)
+		for _, x := range w.trips {
+			kind := 2
+			if x.idempotent && !x.partial {
+				kind = 0
+			} else if x.idempotent {
+				kind = 1
+			}
+			if tt.disturb != nil && !x.touched || x.result == nil {
+				continue
+			}
+			slowest = max(slowest, x.took)
+			count[kind][0]++
+			count[kind][x.result.Outcome]++
+			if x.result.Outcome == request.Unknown {
+				reasons[x.result.Reason]++
+			}
+		}
+		fmt.Printf("| %s | %d |", tt.name, len(w.trips))
+		for _, c := range count {
+			fmt.Printf(" %d | %s | %s | %s |", c[0], share(c, request.Answered), share(c, request.NotRun), share(c, request.Unknown))
+		}
+		fmt.Printf(" %s | %v |\n", slowest.Round(10*time.Millisecond), reasons)
+	}
+}
+
+func share(c [4]int, o request.Outcome) string {
+	return fmt.Sprintf("%.1f%%", 100*float64(c[o])/float64(max(1, c[0])))
+}
--- a/internal/traffic/book/random_test.go
+++ b/internal/traffic/book/random_test.go
@@ -47,7 +47,7 @@
 func TestRandomRequests(t *testing.T) {
 	steps, outcomes := 0, make(map[string]int)
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(rapid.Uint64().Draw(t, "seed"), drawFaults(t), 2, 3)
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), drawFaults(t), false, 2, 3)
 		w.crowd(80, 4*time.Second)
 		w.run(60 * time.Second)
 		if w.failure != "" {
--- a/internal/traffic/book/sidecar_test.go
+++ b/internal/traffic/book/sidecar_test.go
@@ -24,9 +24,11 @@
 	s.life++
 	s.drains = false
 	cfg := book.DefaultConfig(s.life)
-	// Small enough that answers leave the buffer and windows overflow.
-	cfg.MaxAnswerBytes, cfg.MaxConnections, cfg.StreamWindow = 400, 4, 8
-	cfg.AnswerRetention, cfg.JoinRetention = 100*time.Millisecond, 200*time.Millisecond
+	if !s.w.roomy {
+		// Small enough that answers leave the buffer and windows overflow.
+		cfg.MaxAnswerBytes, cfg.MaxConnections, cfg.StreamWindow = 400, 4, 8
+		cfg.AnswerRetention, cfg.JoinRetention = 100*time.Millisecond, 200*time.Millisecond
+	}
 	s.book = book.New(cfg)
 	s.cancel = make(map[request.ID]bool)
 }
@@ -158,10 +160,8 @@
 		return
 	}
 	c.carry("reset", func() {
-		c.entry.each(c.life, func(t *trip) {
-			if t.streams[streamKey{p.Conn, p.Stream}] {
-				t.handle(request.Event{Kind: request.ConnectionSilent, Conn: p.Conn})
-			}
-		})
+		if t := c.entry.tripOf(c, p.Stream); t != nil {
+			t.handle(request.Event{Kind: request.ConnectionSilent, Conn: p.Conn})
+		}
 	})
 }
--- a/internal/traffic/book/world_test.go
+++ b/internal/traffic/book/world_test.go
@@ -53,6 +53,7 @@
 // virtual time.
 type world struct {
 	f        faults
+	roomy    bool // books have the bounds of production
 	rng      *rand.Rand
 	now      time.Time
 	seq      int
@@ -67,15 +68,15 @@
 	failure  string // the first invariant found broken
 }
 
-func newWorld(seed uint64, f faults, entries, sidecars int) *world {
+func newWorld(seed uint64, f faults, roomy bool, entries, sidecars int) *world {
 	w := &world{
-		f: f, rng: rand.New(rand.NewPCG(seed, 1)), now: t0,
+		f: f, roomy: roomy, rng: rand.New(rand.NewPCG(seed, 1)), now: t0,
 		ran:    make(map[request.ID][]string),
 		claims: make(map[string]request.Prior),
 		byKey:  make(map[string]map[request.ID]struct{}),
 	}
 	for i := range entries {
-		w.entries = append(w.entries, &entry{w: w, name: host.Name(fmt.Sprintf("entry-%d", i)), life: 1, conns: make(map[*sidecar]*conn)})
+		w.entries = append(w.entries, &entry{w: w, name: host.Name(fmt.Sprintf("entry-%d", i)), life: 1, conns: make(map[*sidecar]*conn), streams: make(map[streamOf]*trip)})
 	}
 	for i := range sidecars {
 		s := &sidecar{w: w, name: host.Name(fmt.Sprintf("target-%d", i))}
@@ -185,6 +186,15 @@
 	})
 }
 
+// close ends the connection in good order, so that the entry learns it at once.
+func (c *conn) close() {
+	c.silent = true
+	delete(c.entry.conns, c.side)
+	c.entry.each(c.life, func(t *trip) {
+		t.handle(request.Event{Kind: request.ConnectionSilent, Conn: c.number})
+	})
+}
+
 func (c *conn) from(stream uint64) book.Peer {
 	return book.Peer{Entry: c.entry.name, Incarnation: host.Incarnation(c.life), Conn: c.number, Stream: stream}
 }
@@ -253,10 +263,8 @@
 
 func (c *conn) toEntry(stream uint64, m request.Message) {
 	c.carry(fmt.Sprint("in", stream), func() {
-		c.entry.each(c.life, func(t *trip) {
-			if t.streams[streamKey{c.number, stream}] {
-				t.handle(request.Event{Kind: request.Received, Conn: c.number, Message: m})
-			}
-		})
+		if t := c.entry.tripOf(c, stream); t != nil {
+			t.handle(request.Event{Kind: request.Received, Conn: c.number, Message: m})
+		}
 	})
 }
--- a/internal/traffic/claim/event.go
+++ b/internal/traffic/claim/event.go
@@ -13,6 +13,7 @@
 // What can happen to a shard.
 const (
 	Asked    EventKind = iota + 1 // Owner wants Key, and waits until Until
+	Moved                         // Owner has Key, and goes to another target than before
 	Released                      // Owner has provably not run: free Key
 	Replied                       // the platform's Reply
 	Tick                          // the time of the last Wake has come
--- a/internal/traffic/claim/random_test.go
+++ b/internal/traffic/claim/random_test.go
@@ -82,7 +82,12 @@
 	}
 	w.grants++
 	w.holds[a.Key] = holding{id: a.Request, askedAt: w.asked[a.Request]}
-	if rapid.IntRange(0, 3).Draw(w.t, "free") == 0 {
+	switch rapid.IntRange(0, 3).Draw(w.t, "then") {
+	case 1:
+		moved := a.Owner
+		moved.Target = "elsewhere"
+		w.handle(p, claim.Event{Kind: claim.Moved, Key: a.Key, Owner: moved})
+	case 0:
 		delete(w.holds, a.Key)
 		w.handle(p, claim.Event{Kind: claim.Released, Key: a.Key, Owner: a.Owner})
 	}
--- a/internal/traffic/claim/reply.go
+++ b/internal/traffic/claim/reply.go
@@ -125,16 +125,14 @@
 // the old one, so none of them can land any more.
 func (s *Shard) moved() {
 	s.changed, s.lost = true, false
-	s.dropFrees()
+	s.dropNotes()
 	s.dropGivenUp()
 }
 
-// dropFrees removes the releases that the chain has.
-func (s *Shard) dropFrees() {
+// dropNotes removes the notes that the chain has.
+func (s *Shard) dropNotes() {
 	for _, e := range s.chain.applied {
-		if e.Freed {
-			s.frees = slices.DeleteFunc(s.frees, func(f entry) bool { return f.Owner.ID == e.Owner.ID })
-		}
+		s.notes = slices.DeleteFunc(s.notes, func(n entry) bool { return n.Owner == e.Owner && n.Freed == e.Freed })
 	}
 }
 
--- a/internal/traffic/claim/shard.go
+++ b/internal/traffic/claim/shard.go
@@ -42,7 +42,7 @@
 	rng    *rand.Rand
 	chain  chain
 	asks   []ask
-	frees  []entry
+	notes  []entry               // ends and moves of claims that wait to be written
 	memory map[Key]request.Prior // granted from memory alone, and not recorded yet
 	gaveUp map[request.ID]Key    // refused while a write that holds them may still land
 
@@ -85,6 +85,8 @@
 	switch ev.Kind {
 	case Asked:
 		s.asked(now, ev)
+	case Moved:
+		s.note(entry{Key: ev.Key, Owner: ev.Owner, At: now.UnixMilli(), Until: now.Add(s.cfg.Retention).UnixMilli()})
 	case Released:
 		s.released(now, ev)
 	case Replied:
@@ -133,8 +135,12 @@
 }
 
 func (s *Shard) free(now time.Time, k Key, owner request.Prior) {
-	if len(s.frees) < s.cfg.MaxPending {
-		s.frees = append(s.frees, entry{Key: k, Owner: owner, At: now.UnixMilli(), Freed: true})
+	s.note(entry{Key: k, Owner: owner, At: now.UnixMilli(), Freed: true})
+}
+
+func (s *Shard) note(e entry) {
+	if len(s.notes) < s.cfg.MaxPending {
+		s.notes = append(s.notes, e)
 	}
 }
 
@@ -249,7 +255,7 @@
 // hasWork counts refused asks too: until another write has moved the version
 // on, theirs may land and would hold their keys for nobody.
 func (s *Shard) hasWork() bool {
-	return len(s.asks)+len(s.frees)+len(s.gaveUp) > 0
+	return len(s.asks)+len(s.notes)+len(s.gaveUp) > 0
 }
 
 func (s *Shard) begin(c object.Call) {
@@ -288,7 +294,8 @@
 
 func (s *Shard) batch(now time.Time) []entry {
 	var batch []entry
-	batch = append(batch, s.frees[:min(len(s.frees), s.cfg.MaxBatch)]...)
+	s.notes = slices.DeleteFunc(s.notes, func(n entry) bool { return !n.Freed && !s.holds(now, n) })
+	batch = append(batch, s.notes[:min(len(s.notes), s.cfg.MaxBatch)]...)
 	until := now.Add(s.cfg.Retention).UnixMilli()
 	taken := make(map[Key]struct{})
 	for _, a := range s.asks {
@@ -301,6 +308,13 @@
 	return batch
 }
 
+// holds tells whether the note's request still has its key. A move that is
+// noted for another one would take the key away from it.
+func (s *Shard) holds(now time.Time, n entry) bool {
+	holder, held := s.chain.holder(now, n.Key)
+	return held && holder.ID == n.Owner.ID
+}
+
 func (s *Shard) refuseAll(reason request.Reason) {
 	kept := s.asks[:0]
 	for _, a := range s.asks {
--- a/internal/traffic/claim/shard_test.go
+++ b/internal/traffic/claim/shard_test.go
@@ -201,6 +201,24 @@
 	p.answers(claim.Refuse, claim.Granted, claim.Taken)
 }
 
+// The caller repeats a call whose request has gone to another target since it
+// was claimed; the repeat learns where it is now.
+func TestMovedClaim(t *testing.T) {
+	p := newProcess(t, newStore())
+	p.ask(1, false)
+	p.serve()
+	moved := prior(1)
+	moved.Target = "agenda-2"
+	p.on(claim.Event{Kind: claim.Moved, Key: key, Owner: moved})
+	p.after(time.Second)
+	p.serve()
+	q := newProcess(t, p.store)
+	q.ask(2, false)
+	q.serve()
+	q.answers(claim.Taken)
+	require.Equal(t, moved, q.all[0].Owner)
+}
+
 // The caller's key is free again after the retention, not before.
 func TestRetention(t *testing.T) {
 	p := newProcess(t, newStore())
--- a/internal/traffic/claim/state.go
+++ b/internal/traffic/claim/state.go
@@ -8,7 +8,7 @@
 	Version  uint64 `json:"version"`  // of its object
 	Claims   int    `json:"claims"`   // in force or not pruned yet
 	Waiting  int    `json:"waiting"`  // asks
-	Frees    int    `json:"frees"`    // releases that are not written yet
+	Notes    int    `json:"notes"`    // ends and moves that are not written yet
 	Memory   int    `json:"memory"`   // granted from memory alone
 	Failures int    `json:"failures"` // calls in a row that got no answer
 }
@@ -22,7 +22,7 @@
 		Version:  uint64(s.chain.version),
 		Claims:   len(s.chain.owners),
 		Waiting:  len(s.asks),
-		Frees:    len(s.frees),
+		Notes:    len(s.notes),
 		Memory:   len(s.memory),
 		Failures: s.failures,
 	}
--- a/internal/traffic/request/answer.go
+++ b/internal/traffic/request/answer.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"slices"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
@@ -10,6 +11,9 @@
 // request has moved on; passing one on would join two generations.
 func (r *Request) received(now time.Time, ev Event) {
 	m := ev.Message
+	if slices.Contains(r.left, m.ID) {
+		return
+	}
 	if m.ID != r.id {
 		r.violate(OwnBytes, "message of request %s", m.ID)
 		return
@@ -35,17 +39,26 @@
 	}
 }
 
-// unknown asks again where the request that holds the key may only be on its
-// way to its target: both may have been made at the same moment.
 func (r *Request) unknown(now time.Time, m Message) {
-	if r.joined && m.Reason == NeverSeen && now.Before(r.resolveBy) {
-		r.phase = joining
-		r.retryAt = now.Add(r.cfg.JoinWait)
+	if r.joined && m.Reason == NeverSeen {
+		r.joinLater(now, m.Reason)
 		return
 	}
 	r.lost(now, m.Reason)
 }
 
+// joinLater asks again for the request that holds the key. It may still be on
+// its way to its target, when both were made at the same moment, or have gone
+// to another one.
+func (r *Request) joinLater(now time.Time, reason Reason) {
+	if r.headDelivered || !now.Add(r.cfg.JoinWait).Before(r.joinBy) {
+		r.fail(reason)
+		return
+	}
+	r.phase = joining
+	r.retryAt = now.Add(r.cfg.JoinWait)
+}
+
 // cancelLate repeats the Cancel of an attempt that was left behind on a
 // connection which was silent then: without it the engine would work on for
 // nobody. Once is enough, since the stream that carries the answer ends by it.
@@ -57,7 +70,7 @@
 		return
 	}
 	r.lateCancelled = m.Attempt
-	r.emit(Action{Kind: Send, Target: r.tried[m.Attempt-1], Conn: c,
+	r.emit(Action{Kind: Send, Target: r.targets[m.Attempt-1], Conn: c,
 		Message: Message{Kind: Cancel, ID: r.id, Attempt: m.Attempt}})
 }
 
@@ -78,7 +91,7 @@
 	switch {
 	case r.joined:
 		// Only the request that holds the key knows of its other attempts.
-		r.fail(m.Reason)
+		r.joinLater(now, m.Reason)
 	case r.headDelivered:
 		r.violate(NotRunIsProved, "refused after the answer began: %s", m.Reason)
 		r.fail(InvariantViolation)
--- a/internal/traffic/request/event.go
+++ b/internal/traffic/request/event.go
@@ -54,6 +54,7 @@
 // What a request asks of its adapter.
 const (
 	Claim       ActionKind = iota + 1 // claim the request's Idempotency-Key for Prior
+	Reclaim                           // the key's request goes to another target now: Prior
 	Unclaim                           // the request did not run: free its key
 	Pick                              // choose a target that is not in Tried, and connect to it
 	Send                              // send Message to Target by Conn
@@ -72,7 +73,7 @@
 	Kind      ActionKind
 	Target    host.Name
 	Conn      Conn
-	Prior     Prior // on Claim: this request and the target that it will be sent to
+	Prior     Prior // on Claim and Reclaim: this request and the target that it will be sent to
 	Tried     []host.Name
 	Message   Message
 	Result    Result
--- a/internal/traffic/request/request.go
+++ b/internal/traffic/request/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
@@ -18,7 +19,7 @@
 	opened           // Open was sent, or a reply to Resolve has come
 	connecting       // Connect was asked, in order to resolve
 	resolving        // Resolve was sent
-	joining          // until retryAt: the request that holds the key was not there yet
+	joining          // until retryAt: the request that holds the key was not there
 	done
 )
 
@@ -31,7 +32,8 @@
 	phase       phase
 	id          ID // of the messages; the prior request's after joining it
 	attempt     Attempt
-	tried       []host.Name // by attempt
+	targets     []host.Name // by attempt
+	tried       []host.Name // that Open was sent to
 	target      host.Name
 	incarnation host.Incarnation
 	openConn    Conn // that the attempt's Open went by
@@ -39,6 +41,7 @@
 	live        bool // the attempt may be running: no proof to the contrary
 	seen        bool // the sidecar has shown that it knows the attempt
 	doubt       bool // an attempt that was left behind may have run
+	left        []ID // requests that were joined before
 	joined      bool // carries the answer of the request that holds the key
 	claimed     bool
 	pickAgain   bool // the picked connection went silent while the claim was asked
@@ -48,6 +51,7 @@
 	hint          time.Duration // the longest RetryAfter heard
 	retryAt       time.Time
 	resolveBy     time.Time
+	joinBy        time.Time // bound of the waits for the request that holds the key
 	wakeAt        time.Time
 	lateCancelled Attempt
 
@@ -136,6 +140,9 @@
 		r.emit(Action{Kind: Claim, Prior: r.prior()})
 		return
 	}
+	if r.claimed && len(r.tried) > 0 {
+		r.emit(Action{Kind: Reclaim, Prior: r.prior()})
+	}
 	r.open(now)
 }
 
@@ -159,7 +166,7 @@
 	if r.phase != claiming {
 		return
 	}
-	r.claimed = true
+	r.claimed, r.doubt = true, false
 	if r.pickAgain {
 		r.pickAgain = false
 		r.pick()
@@ -179,22 +186,39 @@
 		r.claimGranted(now)
 		return
 	}
+	r.pickAgain = false
+	r.left = slices.DeleteFunc(r.left, func(id ID) bool { return id == p.ID })
 	if p.Print != r.spec.Print {
 		// Its answer would be the answer to another request.
 		r.fail(KeyReused)
 		return
 	}
-	r.joined, r.live, r.seen = true, true, true
+	r.joined, r.live, r.seen, r.doubt = true, true, true, true
 	if p.Target == "" {
 		r.fail(KeyClaimed)
 		return
 	}
+	if r.joinBy.IsZero() {
+		r.joinBy = now.Add(r.cfg.ResolveLimit)
+	}
+	r.resolveBy = time.Time{}
 	r.id, r.target, r.incarnation, r.conn = p.ID, p.Target, p.Incarnation, 0
 	r.attempt++
-	r.tried = append(r.tried, p.Target)
+	r.targets = append(r.targets, p.Target)
 	r.connect(now)
 }
 
+// claimAgain asks whose the key is now. Its request may have moved to another
+// target, or have ended without being run, so that this one may run.
+func (r *Request) claimAgain() {
+	r.left = append(r.left, r.id)
+	r.id = r.spec.ID
+	r.joined, r.live = false, false
+	r.pickAgain = true
+	r.phase = claiming
+	r.emit(Action{Kind: Claim, Prior: r.prior()})
+}
+
 func (r *Request) claimRefused(ev Event) {
 	if r.phase != claiming {
 		return
@@ -210,6 +234,7 @@
 	}
 	r.phase = opened
 	r.attempt++
+	r.targets = append(r.targets, r.target)
 	r.tried = append(r.tried, r.target)
 	r.openConn = r.conn
 	r.live, r.seen = true, false
@@ -244,7 +269,7 @@
 		}
 	case joining:
 		if !now.Before(r.retryAt) {
-			r.resolve(now)
+			r.claimAgain()
 		}
 	}
 }
@@ -254,7 +279,7 @@
 // given up on learns it now, with a hint when to come back.
 func (r *Request) tryAgain(now time.Time, reason Reason) {
 	d := r.retry(now, retry.Try{
-		Attempts: int(r.attempt),
+		Attempts: len(r.tried),
 		Deadline: r.spec.Deadline,
 		Need:     r.cfg.MinRemaining,
 	})
@@ -303,7 +328,7 @@
 	if res.RetryAfter == 0 {
 		res.RetryAfter = r.cfg.RetryAfter
 	}
-	if r.joined && !r.headDelivered {
+	if (r.joined || r.spec.Claimed && r.doubt) && !r.headDelivered {
 		res.Reason = KeyClaimed
 	}
 	r.finish(res)
@@ -319,7 +344,10 @@
 		res.Outcome = Unknown
 	}
 	r.phase = done
-	res.Attempts = int(r.attempt)
+	res.Attempts = len(r.tried)
+	if r.joined {
+		res.Attempts++
+	}
 	res.Delivered = r.delivered
 	if res.Outcome == NotRun && r.claimed {
 		r.emit(Action{Kind: Unclaim})
--- a/internal/traffic/request/request_test.go
+++ b/internal/traffic/request/request_test.go
@@ -63,9 +63,9 @@
 	l.on(request.Event{Kind: request.Connected, Target: target, Conn: c, Incarnation: i})
 }
 
-func (l *life) tickAfter(d time.Duration) {
+func (l *life) tickAfter(d time.Duration) []request.Action {
 	l.now = l.now.Add(d)
-	l.on(request.Event{Kind: request.Tick})
+	return l.on(request.Event{Kind: request.Tick})
 }
 
 func (l *life) last(kind request.ActionKind) request.Action {
@@ -271,22 +271,37 @@
 	t.Run("comes before it", func(t *testing.T) {
 		l := begin(t)
 		l.connected("mtl-b-1", 2, 5)
-		for range 2 {
-			m := request.Message{Kind: request.UnknownOutcome, ID: prior.ID, Attempt: 1, Reason: request.NeverSeen}
+		for attempt := range request.Attempt(2) {
+			m := request.Message{Kind: request.UnknownOutcome, ID: prior.ID, Attempt: attempt + 1, Reason: request.NeverSeen}
 			l.on(request.Event{Kind: request.Received, Conn: 2, Message: m})
-			l.tickAfter(20 * time.Millisecond)
+			out := l.tickAfter(20 * time.Millisecond)
+			require.Equal(t, request.Claim, out[0].Kind)
+			l.on(request.Event{Kind: request.ClaimTaken, Prior: prior})
+			l.connected("mtl-b-1", 2, 5)
 			require.Equal(t, request.Resolve, l.last(request.Send).Message.Kind)
 		}
 		l.tickAfter(3 * time.Second)
 		l.ended(request.Unknown, request.KeyClaimed)
 	})
-	t.Run("refusal there proves nothing", func(t *testing.T) {
+	refused := func(t *testing.T) *life {
 		l := begin(t)
 		l.connected("mtl-b-1", 2, 5)
 		m := request.Message{Kind: request.Refused, ID: prior.ID, Attempt: 1, Reason: request.Overloaded}
 		l.on(request.Event{Kind: request.Received, Conn: 2, Message: m})
+		l.tickAfter(20 * time.Millisecond)
+		return l
+	}
+	t.Run("refusal there proves nothing", func(t *testing.T) {
+		l := refused(t)
+		l.on(request.Event{Kind: request.ClaimRefused, Reason: request.ClaimUnavailable})
 		l.ended(request.Unknown, request.KeyClaimed)
 	})
+	t.Run("freed key proves that it was not run", func(t *testing.T) {
+		l := refused(t)
+		l.on(request.Event{Kind: request.ClaimGranted})
+		l.on(request.Event{Kind: request.NothingPicked})
+		l.ended(request.NotRun, request.NoTarget)
+	})
 	t.Run("for another request", func(t *testing.T) {
 		l := newLife(t, false, true)
 		l.picked("mtl-a-1", 1)
