--- a/internal/expert/demand/demand_test.go
+++ b/internal/expert/demand/demand_test.go
@@ -202,6 +202,34 @@
 	require.Greater(t, e.Lasts, 30*time.Minute)
 }
 
+// At night the same customers ask for a hundredth of the tokens. Windows differ by
+// a quarter by chance then. That is no shift, and the estimate of the evening must
+// still be there in the morning.
+func TestQuietNight(t *testing.T) {
+	rng := rand.New(rand.NewPCG(9, 9))
+	size := Size{Layers: 20, Experts: 32, Ranks: 1}
+	f := newFeed(t, size, Config{})
+	window := func(mean float64) []uint32 {
+		counts := make([]uint32, size.cells())
+		for i := range counts {
+			counts[i] = uint32(math.Max(0, math.Round(mean+math.Sqrt(mean)*rng.NormFloat64())))
+		}
+		return counts
+	}
+	for i := range 180 {
+		mean := 2000.0
+		if i >= 60 {
+			mean = 20
+		}
+		require.Equal(t, Folded, f.close(Report{Counts: window(mean)}), "window %d", i)
+	}
+	off := 0.0
+	for _, share := range f.tracker.Estimate().Share {
+		off += math.Abs(32*share-1) / float64(size.cells())
+	}
+	require.Less(t, off, 0.03)
+}
+
 // One rank throttles to 70%. Its speed must fall to that, the others' stay at
 // exactly 1, and it must rise again both when the rank shows that it recovered
 // and when it no longer gets any work to show it with.
--- a/internal/expert/plan/plan_test.go
+++ b/internal/expert/plan/plan_test.go
@@ -307,6 +307,26 @@
 	return p
 }
 
+// A layer packed anew is due again when drift has made up for what it won. How fast
+// that goes is learnt from the maps in force; what a sharp shift does is no drift.
+func TestTrend(t *testing.T) {
+	g := newGroup(t, Config{})
+	tr := &g.planner.trend
+	e := demand.Estimate{Share: []float64{1}, Speed: []float64{1}}
+	now := epoch
+	for range 600 {
+		now = now.Add(time.Minute)
+		tr.observe(now, 1+now.Sub(epoch).Seconds()/1000, e)
+	}
+	require.InDelta(t, 0.001, tr.rise, 1e-5)
+	e.Since = now
+	tr.observe(now.Add(time.Minute), 9, e)
+	require.InDelta(t, 0.001, tr.rise, 1e-5)
+	s := &session{cfg: g.planner.cfg, trend: tr, estimate: demand.Estimate{Lasts: time.Hour}}
+	ratio := s.value(segment{win: 0.2}, 0) / s.value(segment{win: 0.2, anew: true}, 0)
+	require.InDelta(t, 36, ratio, 1) // an hour, and half of 200 s
+}
+
 // The weight store serves two loads a minute. After a shift the planner must get
 // by with that, and say that it is paced when it has used it up.
 func TestPacing(t *testing.T) {
--- a/internal/expert/planner/duty_test.go
+++ b/internal/expert/planner/duty_test.go
@@ -26,6 +26,17 @@
 	require.True(t, w.m.Equal(w.record().Map))
 }
 
+// As long as each window makes the estimate better, a plan is made after each;
+// once it is as good as it gets, one per period.
+func TestPeriods(t *testing.T) {
+	w := newWorld(t)
+	w.add("rank-0")
+	w.pass(12*time.Minute, steep)
+	require.InDelta(t, 10, len(w.planned), 1)
+	w.pass(50*time.Minute, steep)
+	require.InDelta(t, 20, len(w.planned), 1)
+}
+
 // Two processes seek the lease. The holder stops without a word; the other takes
 // over under a higher fence, and begins from the record with the map in force.
 func TestHolderDies(t *testing.T) {
--- a/internal/expert/planner/event.go
+++ b/internal/expert/planner/event.go
@@ -21,6 +21,9 @@
 	DefaultWait      = 3 * time.Second
 	DefaultPerWindow = 4
 	DefaultPeriod    = 5 * time.Minute
+	// DefaultLease is longer than that of other duties: a group loses nothing by
+	// a planner that is replaced half a minute later, and each group has a lease.
+	DefaultLease = 20 * time.Second
 )
 
 // Config sets up a [Duty]. Zero values take the defaults.
@@ -43,6 +46,7 @@
 	setDuration(&c.Window, DefaultWindow)
 	setDuration(&c.Wait, DefaultWait)
 	setDuration(&c.Period, DefaultPeriod)
+	setDuration(&c.Lease.Length, DefaultLease)
 	if c.PerWindow <= 0 {
 		c.PerWindow = DefaultPerWindow
 	}
--- a/internal/expert/planner/world_test.go
+++ b/internal/expert/planner/world_test.go
@@ -41,6 +41,7 @@
 	duties  map[host.Name]*Duty
 	held    map[host.Name]bool // duties whose process is paused
 
+	planned    []time.Time
 	ended      []Action
 	violations []string
 	fences     []uint64 // of the maps that ranks were asked to load, in order
@@ -93,6 +94,8 @@
 			}
 		case Ask:
 			w.ask(name, a)
+		case Planned:
+			w.planned = append(w.planned, w.now)
 		case Ended:
 			w.ended = append(w.ended, a)
 		case Violate:
