Give each workspace its own retries, and compare no load beyond the limit

Its refusals used up the retries of the service, and choices by the length of its queues bunched the others.

Retries are paid for by workspace, and a load beyond the limit counts as the limit.

--- a/cmd/routingrig/entry.go
+++ b/cmd/routingrig/entry.go
@@ -36,7 +36,7 @@
 
 func (e *entry) accept(r *request) {
 	e.w.stats.arrived(e.w, r)
-	e.budget.First(e.w.time())
+	e.budget.First(string(e.w.sc.name(r.workspace)))
 	e.attempt(r)
 }
 
@@ -104,7 +104,7 @@
 func (e *entry) again(r *request) {
 	switch e.w.sc.retries {
 	case budgetRetries:
-		d := e.budget.Next(e.w.time(), retry.Try{Attempts: r.attempts, Deadline: epoch.Add(r.deadline), Need: time.Second})
+		d := e.budget.Next(e.w.time(), retry.Try{Workspace: string(e.w.sc.name(r.workspace)), Attempts: r.attempts, Deadline: epoch.Add(r.deadline), Need: time.Second})
 		if d.Verdict == retry.Allowed {
 			e.w.after(d.Wait, func() { e.attempt(r) })
 			return
--- a/internal/program/entry/exchange.go
+++ b/internal/program/entry/exchange.go
@@ -69,7 +69,7 @@
 	x.request = request.New(request.DefaultConfig(), x.spec(), x.decideRetry(ctx))
 	e.inFlight.Add(1)
 	defer e.inFlight.Done()
-	router.tell(routerMessage{kind: tellFirst})
+	router.tell(routerMessage{kind: tellFirst, workspace: c.Workspace})
 	x.run(ctx, r.Context())
 	x.close()
 	x.log()
@@ -101,7 +101,10 @@
 }
 
 func (x *exchange) decideRetry(ctx context.Context) func(time.Time, retry.Try) retry.Decision {
-	return func(_ time.Time, t retry.Try) retry.Decision { return x.router.askRetry(ctx, t) }
+	return func(_ time.Time, t retry.Try) retry.Decision {
+		t.Workspace = x.call.Workspace
+		return x.router.askRetry(ctx, t)
+	}
 }
 
 // run handles events until the request has its outcome.
--- a/internal/program/entry/routing.go
+++ b/internal/program/entry/routing.go
@@ -26,7 +26,7 @@
 	askPick     routerMessageKind = iota + 1 // query, picked
 	tellEnd                                  // choice, end
 	askRetry                                 // allowed
-	tellFirst                                // a first try
+	tellFirst                                // workspace: a first try
 	tellReport                               // report
 	tellLeaving                              // name, incarnation
 	tellMember                               // member, present
@@ -47,6 +47,7 @@
 	member      target.Member
 	present     bool // of member
 	picked      chan<- pick
+	workspace   string
 	try         retry.Try
 	decision    chan<- retry.Decision
 	state       chan<- RouterState
@@ -166,7 +167,7 @@
 	case askRetry:
 		m.decision <- r.budget.Next(now, m.try)
 	case tellFirst:
-		r.budget.First(now)
+		r.budget.First(m.workspace)
 	case tellReport:
 		r.report(ctx, now, m.report)
 	case tellLeaving:
--- a/internal/traffic/retry/budget.go
+++ b/internal/traffic/retry/budget.go
@@ -9,9 +9,9 @@
 // Config holds the settings of a [Budget]. Zero values take the defaults of
 // [DefaultConfig].
 type Config struct {
-	Ratio     float64       // retries per first try
-	PerSecond float64       // retries a second allowed in any case, so that quiet services can retry
-	Burst     float64       // greatest balance
+	Ratio     float64       // retries per first try of a workspace
+	PerSecond float64       // retries a second of all workspaces allowed in any case, so that quiet services can retry
+	Burst     float64       // greatest balance of a workspace, and of the service
 	Attempts  int           // greatest number of attempts of a request, the first included
 	BackOff   time.Duration // mean wait before the first retry; doubles with each
 	MaxWait   time.Duration // longest wait
@@ -33,6 +33,7 @@
 // a repeat is safe is decided before: the attempt did not run, or the request
 // is idempotent and nothing of the answer has gone out.
 type Try struct {
+	Workspace  string
 	Attempts   int           // attempts so far
 	Deadline   time.Time     // of the request
 	Need       time.Duration // time that an attempt takes
@@ -56,14 +57,23 @@
 	Wait    time.Duration // for Allowed: wait this long before the next attempt
 }
 
+// accounts is how many accounts the workspaces of a service share. Two that share
+// one share their retries, which the sum over all bounds in any case.
+const accounts = 256
+
 // Budget bounds the retries of one service at one entry. It isn't safe for
 // concurrent use.
+//
+// Each workspace pays for its own retries. From one purse the workspace whose
+// requests are refused for being too many would take all, and the few of others
+// that another target could serve would get none.
 type Budget struct {
-	cfg     Config
-	rnd     *rand.Rand
-	balance float64
-	paid    time.Time
-	counts  Counts
+	cfg    Config
+	rnd    *rand.Rand
+	own    [accounts]float64
+	common float64
+	paid   time.Time
+	counts Counts
 }
 
 // Counts tells how a budget was used.
@@ -73,7 +83,7 @@
 	Exhausted uint64 // retries denied for want of budget
 }
 
-// NewBudget returns a budget with a full balance. Zero fields of cfg take their
+// NewBudget returns a budget whose common balance is full. Zero fields of cfg take their
 // defaults.
 func NewBudget(now time.Time, cfg Config, rnd *rand.Rand) *Budget {
 	def := DefaultConfig()
@@ -83,13 +93,14 @@
 	cfg.Attempts = cmp.Or(cfg.Attempts, def.Attempts)
 	cfg.BackOff = cmp.Or(cfg.BackOff, def.BackOff)
 	cfg.MaxWait = cmp.Or(cfg.MaxWait, def.MaxWait)
-	return &Budget{cfg: cfg, rnd: rnd, balance: cfg.Burst, paid: now}
+	return &Budget{cfg: cfg, rnd: rnd, common: cfg.Burst, paid: now}
 }
 
-// First counts a first try.
-func (b *Budget) First(now time.Time) {
+// First counts a first try of a workspace.
+func (b *Budget) First(workspace string) {
 	b.counts.First++
-	b.pay(now, b.cfg.Ratio)
+	own := b.account(workspace)
+	*own = min(*own+b.cfg.Ratio, b.cfg.Burst)
 }
 
 // Next decides whether the request may be tried again, and takes the retry out
@@ -102,12 +113,10 @@
 	if now.Add(wait + t.Need).After(t.Deadline) {
 		return Decision{Verdict: PastDeadline}
 	}
-	b.pay(now, 0)
-	if b.balance < 1 {
+	if !b.charge(now, b.account(t.Workspace)) {
 		b.counts.Exhausted++
 		return Decision{Verdict: Exhausted}
 	}
-	b.balance--
 	b.counts.Retries++
 	return Decision{Verdict: Allowed, Wait: wait}
 }
@@ -115,13 +124,28 @@
 // Counts returns how the budget was used so far.
 func (b *Budget) Counts() Counts { return b.counts }
 
-// pay adds to the balance, up to the burst.
-func (b *Budget) pay(now time.Time, amount float64) {
+// charge takes a retry out of the workspace's balance, or out of the common one.
+func (b *Budget) charge(now time.Time, own *float64) bool {
 	if d := now.Sub(b.paid); d > 0 {
-		amount += d.Seconds() * b.cfg.PerSecond
+		b.common = min(b.common+d.Seconds()*b.cfg.PerSecond, b.cfg.Burst)
 		b.paid = now
 	}
-	b.balance = min(b.balance+amount, b.cfg.Burst)
+	for _, balance := range []*float64{own, &b.common} {
+		if *balance >= 1 {
+			*balance--
+			return true
+		}
+	}
+	return false
+}
+
+// account returns the balance of a workspace. The hash is FNV-1a.
+func (b *Budget) account(workspace string) *float64 {
+	h := uint32(2166136261)
+	for i := range len(workspace) {
+		h = (h ^ uint32(workspace[i])) * 16777619
+	}
+	return &b.own[h%accounts]
 }
 
 // backOff returns the wait before the next attempt. It is drawn evenly between
--- a/internal/traffic/retry/budget_test.go
+++ b/internal/traffic/retry/budget_test.go
@@ -15,7 +15,7 @@
 }
 
 func try(attempts int) Try {
-	return Try{Attempts: attempts, Deadline: epoch.Add(time.Hour)}
+	return Try{Workspace: "a", Attempts: attempts, Deadline: epoch.Add(time.Hour)}
 }
 
 func TestNext(t *testing.T) {
@@ -25,7 +25,7 @@
 		b := newBudget(Config{Ratio: 0.1, PerSecond: 0.001, Burst: 5})
 		retries := 0
 		for range 1000 {
-			b.First(epoch)
+			b.First("a")
 			for n := 1; b.Next(epoch, try(n)).Verdict == Allowed; n++ {
 				retries++
 			}
@@ -40,6 +40,20 @@
 		assert.Equal(t, Exhausted, b.Next(epoch, try(1)).Verdict)
 		assert.Equal(t, Allowed, b.Next(epoch.Add(time.Second), try(1)).Verdict)
 	})
+	t.Run("a workspace that is refused uses up its own", func(t *testing.T) {
+		// One workspace asks for far too much and is refused. Another's few refused
+		// requests could be served by another target and still get their retries.
+		b := newBudget(Config{Ratio: 0.1, PerSecond: 0.001, Burst: 5})
+		for range 1000 {
+			b.First("large")
+			b.Next(epoch, Try{Workspace: "large", Attempts: 1, Deadline: epoch.Add(time.Hour)})
+			b.First("a")
+		}
+		for range 5 {
+			assert.Equal(t, Allowed, b.Next(epoch, try(1)).Verdict)
+		}
+		assert.Equal(t, Exhausted, b.Next(epoch, try(1)).Verdict)
+	})
 	t.Run("attempts are bounded", func(t *testing.T) {
 		assert.Equal(t, TooMany, newBudget(Config{}).Next(epoch, try(3)).Verdict)
 	})
--- a/internal/traffic/retry/doc.go
+++ b/internal/traffic/retry/doc.go
@@ -2,7 +2,7 @@
 // and when.
 //
 // Each service has one [Budget] at each entry. First tries pay a fraction of a
-// retry into it and each retry takes a whole one out. So when many targets
+// retry into it, for their workspace, and each retry takes a whole one out. So when many targets
 // fail, the work offered to the rest grows by that fraction and no more,
 // where unbounded retries would multiply it just when capacity is short.
 package retry
--- a/internal/traffic/target/pick.go
+++ b/internal/traffic/target/pick.go
@@ -93,7 +93,7 @@
 		sd.observe(c.sample(s, at))
 		// Load for the weight, so that the shares hold beyond the draw. Of two
 		// without work the first one drawn is taken.
-		if load := c.load(s, at, sd.mean) / s.relative; best == nil || load < least {
+		if load := c.comparable(c.load(s, at, sd.mean)) / s.relative; best == nil || load < least {
 			best, least = s, load
 		}
 		if found++; found >= c.cfg.Choices {
@@ -119,3 +119,14 @@
 	}
 	return nil
 }
+
+// comparable returns a load as targets are compared by. Beyond the limit it counts
+// no further: what is more are queues, mostly of workspaces that ask for too much,
+// and no other workspace waits behind them. Sending the others away from the
+// longer queues would only bunch them at some targets.
+func (c *Chooser) comparable(load float64) float64 {
+	if service := c.serviceTime(); service > 0 {
+		return min(load, service)
+	}
+	return load
+}
