Apply a changed document's affinity and retries to the running router

A router took the bound of affinity and the retry settings of the document it began with, and a document that came in force while its ring was full was dropped. Both settings now follow each document, and the ring is waited for.

--- a/internal/program/entry/documents.go
+++ b/internal/program/entry/documents.go
@@ -56,7 +56,7 @@
 	e.services[service] = caller.NewService(d, number)
 	e.publish()
 	if r := e.routers[service]; r != nil {
-		r.tell(routerMessage{kind: tellService, document: d})
+		r.ask(e.ctx, routerMessage{kind: tellService, document: d}) // not dropped when the ring is full
 		e.claims[service].tell(claimMessage{kind: tellTimes, document: d})
 		return
 	}
--- a/internal/program/entry/routing.go
+++ b/internal/program/entry/routing.go
@@ -101,7 +101,6 @@
 // newRouter returns the router of a service. The caller holds e.mu.
 func (e *Entry) newRouter(now time.Time, d *document.Document) *router {
 	rng := e.newRand()
-	cfg := target.Config{DataCentre: e.cfg.Identity.DataCentre, AffinityLoad: d.Affinity.LoadBound}
 	r := &router{
 		service: d.Service,
 		self:    target.Member{Name: e.cfg.Identity.Name, DataCentre: e.cfg.Identity.DataCentre},
@@ -109,9 +108,9 @@
 		counts:  e.counts,
 		ring:    make(chan routerMessage, routerRing),
 		pool:    e.pool,
-		chooser: target.New(now, cfg, rng),
+		chooser: target.New(now, target.Config{}, rng), // update gives the settings
 		tracker: leaving.New(leaving.DefaultConfig()),
-		budget:  retry.NewBudget(now, retryConfig(d), rng),
+		budget:  retry.NewBudget(now, retry.Config{}, rng),
 		targets: make(map[target.Name]*document.Target),
 		timer:   time.NewTimer(time.Hour),
 		began:   now,
--- a/internal/program/entry/routing_targets.go
+++ b/internal/program/entry/routing_targets.go
@@ -21,6 +21,8 @@
 // update takes the targets of the document in force that fall to this entry.
 func (r *router) update(ctx context.Context, now time.Time) {
 	d := r.document
+	r.budget.Configure(retryConfig(d))
+	r.chooser.Configure(target.Config{DataCentre: r.self.DataCentre, AffinityLoad: d.Affinity.LoadBound})
 	candidates := make([]target.Candidate, 0, len(d.Targets))
 	for i := range d.Targets {
 		t := &d.Targets[i]
@@ -156,7 +158,7 @@
 
 // MemberChanged takes in what the fleet knows about a member: that a sidecar is
 // leaving, which may come this way when the sidecar itself can't be heard, and
-// which entries there are. It does not block.
+// which entries there are. It blocks no longer than routers take to decide.
 func (e *Entry) MemberChanged(rec member.Record) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -193,6 +195,6 @@
 		delete(e.entries, m.Name)
 	}
 	for _, r := range e.routers {
-		r.tell(routerMessage{kind: tellMember, member: m, present: present})
+		r.ask(e.ctx, routerMessage{kind: tellMember, member: m, present: present})
 	}
 }
--- a/internal/traffic/retry/budget.go
+++ b/internal/traffic/retry/budget.go
@@ -83,9 +83,17 @@
 	Exhausted uint64 // retries denied for want of budget
 }
 
-// NewBudget returns a budget whose common balance is full. Zero fields of cfg take their
-// defaults.
+// NewBudget returns a budget whose common balance is full. Zero fields of cfg take
+// their defaults.
 func NewBudget(now time.Time, cfg Config, rnd *rand.Rand) *Budget {
+	b := &Budget{rnd: rnd, paid: now}
+	b.Configure(cfg)
+	b.common = b.cfg.Burst
+	return b
+}
+
+// Configure takes new settings. Balances stay, down to the new burst.
+func (b *Budget) Configure(cfg Config) {
 	def := DefaultConfig()
 	cfg.Ratio = cmp.Or(cfg.Ratio, def.Ratio)
 	cfg.PerSecond = cmp.Or(cfg.PerSecond, def.PerSecond)
@@ -93,7 +101,11 @@
 	cfg.Attempts = cmp.Or(cfg.Attempts, def.Attempts)
 	cfg.BackOff = cmp.Or(cfg.BackOff, def.BackOff)
 	cfg.MaxWait = cmp.Or(cfg.MaxWait, def.MaxWait)
-	return &Budget{cfg: cfg, rnd: rnd, common: cfg.Burst, paid: now}
+	b.cfg = cfg
+	b.common = min(b.common, cfg.Burst)
+	for i := range b.own {
+		b.own[i] = min(b.own[i], cfg.Burst)
+	}
 }
 
 // First counts a first try of a workspace.
--- a/internal/traffic/target/chooser.go
+++ b/internal/traffic/target/chooser.go
@@ -39,6 +39,12 @@
 	return &Chooser{cfg: cfg, rnd: rnd, epoch: now, states: make(map[Name]*state), perTypical: 1}
 }
 
+// Configure takes new settings. They hold for pools from the next Update on.
+func (c *Chooser) Configure(cfg Config) {
+	cfg.fill()
+	c.cfg = cfg
+}
+
 // Update replaces the candidates. What is known about a candidate that stays is
 // kept, in particular that it is leaving or suspended: a document says nothing
 // about that, so it can't undo it.
