Go on from the map in force when a planner dies before its record

Cause: the planner that led a switch writes the group's record afterwards. If it died in between, the record stayed behind: the next holder planned from an old map, the ranks refused each of its plans, and nobody was left who would write a newer record.

Change: a seeker of the lease follows the switches at its own rank. The next holder plans from the map that it has seen come in force, and writes it down first. The end of a planner awaits its calls of the platform.

Conclusion: a test has the holder die there, and fails without the change.

--- a/internal/expert/planner/duty.go
+++ b/internal/expert/planner/duty.go
@@ -23,6 +23,7 @@
 	lease    *lease.Lease
 	proposer *group.Proposer
 
+	follow  follower
 	group   settled
 	tracker *demand.Tracker
 	planner *plan.Planner
@@ -102,6 +103,9 @@
 // Handle takes in one event and returns what is to be done.
 func (d *Duty) Handle(now time.Time, ev Event) []Action {
 	d.out = nil
+	if ev.Kind == Told {
+		d.follow.take(ev.Switch)
+	}
 	d.seek(now, ev)
 	if !d.lease.Holds(now) {
 		return d.out
@@ -111,6 +115,7 @@
 		d.replied(now, ev.Reply)
 	case Told:
 		d.drive(now, group.Event{Kind: group.Received, From: ev.From, Message: ev.Switch})
+		d.catchUp()
 	case Answered:
 		d.answered(ev)
 	}
--- a/internal/expert/planner/duty_test.go
+++ b/internal/expert/planner/duty_test.go
@@ -51,6 +51,31 @@
 	require.Less(t, w.status().Skew, 1.1)
 }
 
+// The holder leads the group to a new map and dies before the record is written.
+// Plans from the record's map are refused from then on, as the ranks have another.
+// The next holder followed the switch at its own rank, so it must go on from the
+// map in force and bring the record up to date.
+func TestHolderDiesBeforeTheRecord(t *testing.T) {
+	w := newWorld(t)
+	w.add("rank-0")
+	w.add("rank-1")
+	w.drop = 1000
+	for len(w.ended) == 0 {
+		w.pass(time.Second, steep)
+	}
+	w.pass(time.Second, steep)
+	w.held["rank-0"], w.drop = true, 0
+	require.Equal(t, group.Number(1), w.record().Number)
+	require.Greater(t, w.inForce, group.Number(1))
+	w.pass(5*time.Minute, steep)
+	require.True(t, w.duties["rank-1"].Holds(w.now))
+	require.Equal(t, w.inForce, w.record().Number)
+	require.True(t, w.m.Equal(w.record().Map))
+	before := w.inForce
+	w.pass(20*time.Minute, func(e int) uint64 { return steep(shape.Experts - 1 - e) })
+	require.Greater(t, w.inForce, before)
+}
+
 // The holder is paused past the end of its lease and another takes over. When it
 // goes on, everything it had queued arrives at once. It must neither ask, plan nor
 // tell anybody anything: its map numbers would be refused, but its loads would
--- a/internal/expert/planner/event.go
+++ b/internal/expert/planner/event.go
@@ -86,7 +86,7 @@
 	Seek                          // try to get the lease and keep it
 	Resign                        // give the lease up
 	Replied                       // Event.Reply holds the end of a call
-	Told                          // Event.Switch came from Event.From
+	Told                          // Event.Switch came from Event.From, to this host's rank or planner
 	Answered                      // Event.Message came from Event.From
 	Settings                      // the document in force has these Event.Weights and Event.StoreRate
 )
--- /dev/null
+++ b/internal/expert/planner/follow_test.go
@@ -0,0 +1,63 @@
+package planner
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+	"wagtailshelf.example/wagtailshelf/internal/expert/group"
+)
+
+// What a planner takes for the map in force is the base of its plans. It must
+// count only what all ranks have promised, in the present epoch, with the very
+// content that was proposed.
+func TestFollower(t *testing.T) {
+	first, err := expertmap.Even(shape)
+	require.NoError(t, err)
+	second := first.Clone()
+	second.Set(0, 0, 4, 1)
+	changes, err := expertmap.Changes(first, second)
+	require.NoError(t, err)
+	announce := group.Message{Kind: group.Announce, Epoch: 3, Record: &group.Record{Epoch: 3, Number: 5, Map: first}}
+	prepare := group.Message{Kind: group.Prepare, Epoch: 3, Number: 7, Base: 5, Changes: changes, Digest: second.Digest()}
+	vote := func(v group.Vote) group.Message {
+		return group.Message{Kind: group.Outcome, Epoch: 3, Number: 7, Vote: v}
+	}
+	change := func(m group.Message, f func(*group.Message)) group.Message {
+		f(&m)
+		return m
+	}
+	cases := []struct {
+		name  string
+		m     group.Message
+		then  group.Message
+		taken bool
+	}{
+		{"committed", prepare, vote(group.Committed), true},
+		{"finished", prepare, vote(group.Finished), true},
+		{"in force elsewhere", prepare, group.Message{Kind: group.Report, Epoch: 3, InForce: 7}, true},
+		{"whole map", change(prepare, func(m *group.Message) { m.Base, m.Changes, m.Map = 1, nil, second }), vote(group.Committed), true},
+		{"only promised", prepare, vote(group.Promised), false},
+		{"refused", prepare, vote(group.Refused), false},
+		{"another switch committed", prepare, change(vote(group.Committed), func(m *group.Message) { m.Number = 8 }), false},
+		{"outcome of an older epoch", prepare, change(vote(group.Committed), func(m *group.Message) { m.Epoch = 2 }), false},
+		{"proposed in an older epoch", change(prepare, func(m *group.Message) { m.Epoch = 2 }), vote(group.Committed), false},
+		{"changes to a map that is not known", change(prepare, func(m *group.Message) { m.Base = 4 }), vote(group.Committed), false},
+		{"other content than proposed", change(prepare, func(m *group.Message) { m.Digest[0]++ }), vote(group.Committed), false},
+		{"older number", change(prepare, func(m *group.Message) { m.Number = 4 }), change(vote(group.Committed), func(m *group.Message) { m.Number = 4 }), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var f follower
+			f.take(announce)
+			f.take(c.m)
+			f.take(c.then)
+			require.Equal(t, c.taken, f.newer(3, 5))
+			require.False(t, f.newer(2, 5))
+			if c.taken {
+				require.True(t, f.m.Equal(second))
+			}
+		})
+	}
+}
--- a/internal/expert/planner/record.go
+++ b/internal/expert/planner/record.go
@@ -106,6 +106,16 @@
 		d.pending = nil
 	}
 	d.resize()
+	d.catchUp()
+}
+
+// catchUp takes over the map in force that the record lacks.
+func (d *Duty) catchUp() {
+	if d.group.record == nil || d.pending != nil || !d.follow.newer(d.group.record.Epoch, d.group.number) {
+		return
+	}
+	d.group.number, d.group.m = d.follow.number, d.follow.m
+	d.unsaved = true
 }
 
 // resize makes tracker and planner fit the group's shape.
--- a/internal/expert/planner/world_test.go
+++ b/internal/expert/planner/world_test.go
@@ -78,6 +78,7 @@
 	d := New(Config{Service: "s", Group: "g", Self: host.Identity{Name: name, Incarnation: 1}}, rand.New(rand.NewPCG(1, uint64(len(w.duties)))))
 	w.duties[name] = d
 	w.hand(name, Event{Kind: Settings, Weights: plan.Steady, StoreRate: 1e9, ExpertBytes: 1e6})
+	w.hand(name, Event{Kind: Told, Switch: group.Message{Kind: group.Announce, Group: "g", Epoch: 1, Record: w.record()}})
 	w.hand(name, Event{Kind: Seek})
 	return d
 }
@@ -89,6 +90,9 @@
 		case Call:
 			w.hand(name, Event{Kind: Replied, Reply: w.call(a.Call)})
 		case Tell:
+			if _, ok := w.duties[a.To]; ok && a.To != name {
+				w.hand(a.To, Event{Kind: Told, From: name, Switch: a.Switch})
+			}
 			if reply, ok := w.tell(a.To, a.Switch); ok {
 				w.hand(name, Event{Kind: Told, From: a.To, Switch: reply})
 			}
--- a/internal/program/planner/planner.go
+++ b/internal/program/planner/planner.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -72,6 +73,7 @@
 	settings  chan planner.Event
 	states    chan chan State
 	counts    *counts
+	calls     sync.WaitGroup // of the platform
 }
 
 // New returns a planner that does nothing before [Planner.Run].
@@ -151,7 +153,10 @@
 		ctx, stop := context.WithCancel(ctx)
 		g.Add(func() error { return duty(ctx) }, func(error) { stop() })
 	}
-	return g.Run()
+	err := g.Run()
+	stop()
+	p.calls.Wait()
+	return err
 }
 
 // plan is the duty that owns the deciding state.
@@ -239,9 +244,7 @@
 		p.counts.invalid.Inc()
 		return
 	}
-	if m.Kind == group.Report {
-		p.handle(ctx, planner.Event{Kind: planner.Told, From: d.from, Switch: m})
-	}
+	p.handle(ctx, planner.Event{Kind: planner.Told, From: d.from, Switch: m})
 }
 
 // handle hands an event to the duty and carries out what it wants.
@@ -254,6 +257,7 @@
 func (p *Planner) apply(ctx context.Context, a planner.Action) {
 	switch a.Kind {
 	case planner.Call:
+		p.calls.Add(1)
 		go p.call(ctx, a.Call)
 	case planner.Tell:
 		payload, err := a.Switch.Encode()
@@ -278,8 +282,9 @@
 }
 
 // call makes one call of the platform. The reply finds its reader while the
-// planner runs.
+// planner runs; Run awaits the end of all calls.
 func (p *Planner) call(ctx context.Context, c object.Call) {
+	defer p.calls.Done()
 	reply := p.cfg.Platform.Do(ctx, c)
 	select {
 	case p.replies <- reply:
