Send a request again to a target that had never seen it

Cause: where all connections went silent at once, each request found out after 700 ms that its target had never seen it, and was then moved to the next target, whose connection was as silent; with two targets, or with the retry budget spent, it ended as notRun although both targets were well. A first try did not help: the end of the stream that carried the refusal was taken for silence, so that the fresh connection was closed under all of its requests. Change: after a refusal on a fresh connection that says never seen, the request goes to the same target by that connection, twice at most, without the retry budget; a stream that ends after its last message is no silence. Conclusion: requests on connections that went silent together are answered after one wait.

--- a/internal/program/entry/attempt.go
+++ b/internal/program/entry/attempt.go
@@ -149,6 +149,11 @@
 		if !x.put(ctx, request.Event{Kind: request.Received, Conn: number, Message: m}) {
 			return context.Cause(ctx)
 		}
+		// The sidecar ends a stream after its last message. Taken for silence, that
+		// end would close the connection under all other requests on it.
+		if m.Kind.Last() {
+			return nil
+		}
 	}
 }
 
--- a/internal/program/sidecar/line.go
+++ b/internal/program/sidecar/line.go
@@ -107,7 +107,7 @@
 		if err := l.stream.Add(frame.KindRequest, m); err != nil {
 			return false, err
 		}
-		if last(m.Kind) {
+		if m.Kind.Last() {
 			ended = true
 			break
 		}
@@ -121,10 +121,6 @@
 	return false, nil
 }
 
-func last(k request.Kind) bool {
-	return k == request.End || k == request.Refused || k == request.UnknownOutcome
-}
-
 // read hands the entry's messages to the desk until the stream ends.
 func (l *line) read(ctx context.Context, d *desk) error {
 	for {
--- a/internal/traffic/request/answer.go
+++ b/internal/traffic/request/answer.go
@@ -97,12 +97,27 @@
 		r.fail(InvariantViolation)
 	case m.Reason == WrongIncarnation && c != r.openConn:
 		r.lost(now, TargetRestarted)
+	case r.neverArrived(c, m.Reason):
+		r.live = false
+		r.resends++
+		r.open(now)
 	default:
 		r.live = false
 		r.tryAgain(now, m.Reason)
 	}
 }
 
+// neverArrived tells that the connection was at fault and not the target, which
+// has just answered on a fresh one. The request goes there again at once: it
+// adds no load, so the retry budget is not for it, and where all connections
+// went silent together every other target would look just as bad.
+func (r *Request) neverArrived(c Conn, reason Reason) bool {
+	if c == r.openConn || c != r.conn || r.resends >= maxResends {
+		return false
+	}
+	return reason == NeverSeen || reason == BodyIncomplete
+}
+
 func (r *Request) head(m Message) {
 	if r.headDelivered {
 		return
--- a/internal/traffic/request/message.go
+++ b/internal/traffic/request/message.go
@@ -54,6 +54,11 @@
 	return fmt.Sprintf("kind(%d)", uint8(k))
 }
 
+// Last tells whether a message from a sidecar is the last one of its stream.
+func (k Kind) Last() bool {
+	return k == End || k == Refused || k == UnknownOutcome
+}
+
 // Field is one header field of HTTP. A name may occur more than once.
 type Field struct {
 	Name  string `cbor:"1,keyasint" json:"name"`
--- a/internal/traffic/request/request.go
+++ b/internal/traffic/request/request.go
@@ -9,6 +9,10 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/retry"
 )
 
+// maxResends bounds how often a request goes to the same target again because
+// its connection was at fault.
+const maxResends = 2
+
 type phase uint8
 
 const (
@@ -46,6 +50,7 @@
 	claimed     bool
 	pickAgain   bool // the picked connection went silent while the claim was asked
 
+	resends       int // to the same target, which had not seen the attempt
 	headDelivered bool
 	delivered     uint64
 	hint          time.Duration // the longest RetryAfter heard
