Keep the records of groups apart whose names have hyphens

Cause: service and group were joined by a hyphen, which both names may have, so group "b-c" of service "a" and group "c" of service "a-b" shared a record and a status.

Change: a slash stands between them, in the keys of record and status.

Conclusion: the key of the lease still has the hyphen; the rank's part reads it under a name of its own and has to change with it.

--- a/internal/expert/planner/duty_test.go
+++ b/internal/expert/planner/duty_test.go
@@ -238,3 +238,10 @@
 		require.NoError(t, err)
 	})
 }
+
+// Names may have hyphens, so keys that are joined by one would let two groups share
+// a record.
+func TestKeysDoNotCollide(t *testing.T) {
+	require.NotEqual(t, RecordKey("a", "b-c"), RecordKey("a-b", "c"))
+	require.NotEqual(t, StatusKey("a", "b-c"), StatusKey("a-b", "c"))
+}
--- a/internal/expert/planner/event.go
+++ b/internal/expert/planner/event.go
@@ -67,14 +67,16 @@
 	return object.Key("leases/plan-" + service + "-" + group)
 }
 
-// RecordKey is the key of a group's record in the platform.
+// RecordKey is the key of a group's record in the platform. A slash stands between
+// the two names, as no name has one: with a hyphen, group "b-c" of service "a" and
+// group "c" of service "a-b" would write over each other's record.
 func RecordKey(service, group string) object.Key {
-	return object.Key("groups/" + service + "-" + group)
+	return object.Key("groups/" + service + "/" + group)
 }
 
 // StatusKey is the key of a group's status in the platform.
 func StatusKey(service, group string) object.Key {
-	return object.Key("groupstatus/" + service + "-" + group)
+	return object.Key("groupstatus/" + service + "/" + group)
 }
 
 // EventKind tells what happened.
