Ask what became of a call that may not be repeated until its deadline

Change: the bound of 3 s holds for requests that can be tried elsewhere and for streams; what may not be repeated is asked for as long as its caller waits.

--- a/internal/traffic/request/answer.go
+++ b/internal/traffic/request/answer.go
@@ -181,14 +181,27 @@
 }
 
 func (r *Request) connect(now time.Time) {
-	if r.resolveBy.IsZero() {
-		r.resolveBy = now.Add(r.cfg.ResolveLimit)
-	}
+	r.limitResolve(now)
 	r.phase = connecting
 	r.retryAt = now.Add(r.cfg.ResolveWait)
 	r.emit(Action{Kind: Connect, Target: r.target, Conn: r.conn})
 }
 
+// limitResolve bounds the wait for the sidecar to tell what became of the
+// attempt. A request that may not be repeated can go nowhere else, and "unknown"
+// leaves its caller with the choice between losing it and doubling it: a sidecar
+// that was paused for some seconds can still tell, so the wait lasts as long as
+// the caller's. The others are better off elsewhere, or with an end that shows.
+func (r *Request) limitResolve(now time.Time) {
+	if !r.resolveBy.IsZero() {
+		return
+	}
+	r.resolveBy = now.Add(r.cfg.ResolveLimit)
+	if !r.spec.Call.Idempotent && !r.headDelivered && !r.joined {
+		r.resolveBy = r.spec.Deadline
+	}
+}
+
 // connected resolves the attempt. A Resolve on the connection of its own Open
 // could overtake the Open and be told that it was never seen; the sidecar
 // rules that out by retiring all connections that are older than the Resolve's.
@@ -201,20 +214,27 @@
 		return
 	}
 	r.conn = ev.Conn
-	if ev.Incarnation != r.incarnation {
+	if ev.Incarnation != r.incarnation && r.joined {
 		r.lost(now, TargetRestarted)
 		return
 	}
 	r.resolve(now)
 }
 
+// resolve also asks a later life of the sidecar, which knows nothing of the
+// attempt: the engine may still have the run. What it needs in order to ask the
+// engine goes with the message.
 func (r *Request) resolve(now time.Time) {
-	if r.resolveBy.IsZero() {
-		r.resolveBy = now.Add(r.cfg.ResolveLimit)
-	}
+	r.limitResolve(now)
 	r.phase = resolving
 	r.retryAt = now.Add(r.cfg.ResolveWait)
-	r.send(Message{Kind: Resolve, Offset: r.delivered, Incarnation: r.incarnation, Join: r.joined})
+	m := Message{Kind: Resolve, Offset: r.delivered, Incarnation: r.incarnation, Join: r.joined}
+	if !r.joined {
+		call := r.spec.Call
+		call.Remaining = r.remaining(now)
+		m.Call, m.Header = &call, r.spec.Header
+	}
+	r.send(m)
 }
 
 // connectFailed moves an idempotent request on, for its host is likely gone.
--- a/internal/traffic/request/message.go
+++ b/internal/traffic/request/message.go
@@ -27,7 +27,7 @@
 	Body                    // a part of the body: Offset, Data
 	BodyEnd                 // the body is whole: Offset is its length
 	Cancel                  // the entry wants nothing more of this attempt
-	Resolve                 // asks what became of an attempt: Offset is the first byte wanted
+	Resolve                 // asks what became of an attempt: Offset is the first byte wanted. Call, Header: for a later life
 )
 
 // Messages from sidecar to entry.
@@ -133,12 +133,12 @@
 }
 
 func (m *Message) validateKind() error {
+	if m.Call != nil {
+		return m.Call.validate()
+	}
 	switch m.Kind {
 	case Open:
-		if m.Call == nil {
-			return bad("open without call")
-		}
-		return m.Call.validate()
+		return bad("open without call")
 	case Head:
 		if m.Status < 100 || m.Status > 999 {
 			return bad("status %d", m.Status)
