Don't wait for a host that surely takes no new work

In a trial with three entries and three sidecars as processes, the entry that held the lease was killed. Members that have not answered for the bound of contact are now marked as silent; the status names them, and the wait ends without them.

--- a/internal/operator/command/apply.go
+++ b/internal/operator/command/apply.go
@@ -21,7 +21,7 @@
 	versionFlag     = "version"
 	waitFlag        = "wait"
 	waitTimeoutFlag = "wait-timeout"
-	pollEvery       = 250 * time.Millisecond
+	pollEvery       = 500 * time.Millisecond // each costs the platform two calls
 )
 
 // Errors of a wait.
@@ -225,9 +225,9 @@
 			line += ", ..."
 			break
 		}
-		line += fmt.Sprintf(", %s lags", l.Host)
+		line += ", " + l.String()
 	}
-	return line, s.Of > 0 && s.InForce == s.Of, nil
+	return line, s.Settled(), nil
 }
 
 const maxNamed = 8
--- a/internal/record/register/register.go
+++ b/internal/record/register/register.go
@@ -263,12 +263,11 @@
 func (r *Register) join(now time.Time, name host.Name, state member.State) {
 	p, known := r.members[name]
 	answers := state != member.Suspect
-	if !known || answers && !p.answers {
-		p.since = now
-		r.settled.await(now)
+	if known && answers == p.answers {
+		return
 	}
-	p.answers = answers
-	r.members[name] = p
+	r.members[name] = presence{answers: answers, since: now}
+	r.settled.await(now)
 	r.toBoard(now, status.Event{Kind: status.Joined, Host: name})
 }
 
--- a/internal/record/register/settle.go
+++ b/internal/record/register/settle.go
@@ -32,27 +32,42 @@
 }
 
 // settle counts the members for which the bound has passed as having in force
-// what this process has. One that does not answer is not counted: it takes no
-// new work, and the status names it.
+// what this process has. One that has not answered for as long takes no new
+// work, and is marked as silent.
 func (r *Register) settle(now time.Time) {
 	if !r.held || r.settled.dueAt.IsZero() || now.Before(r.settled.dueAt) {
 		return
 	}
 	r.settled.dueAt = time.Time{}
+	for name, p := range r.members {
+		if !p.answers && r.reached(now, p.since) {
+			r.toBoard(now, status.Event{Kind: status.Joined, Host: name, Silent: true})
+		}
+	}
 	for service, c := range r.copies {
-		for name, p := range r.members {
-			at := later(c.since, p.since).Add(contactBound)
-			if now.Before(at) {
-				r.settled.dueAt = sooner(r.settled.dueAt, at)
-				continue
-			}
-			number := uint64(c.document.Number)
-			if p.answers && r.board.Holds(service, name) < number {
-				r.toBoard(now, status.Event{
-					Kind: status.Holding, Service: service, Host: name, Number: number,
-				})
-			}
+		r.count(now, service, c)
+	}
+}
+
+// reached tells whether the bound has passed since a time; if not, the next look
+// is when it does.
+func (r *Register) reached(now, since time.Time) bool {
+	at := since.Add(contactBound)
+	if now.Before(at) {
+		r.settled.dueAt = sooner(r.settled.dueAt, at)
+		return false
+	}
+	return true
+}
+
+// count looks at all members for one service.
+func (r *Register) count(now time.Time, service string, c copyInForce) {
+	number := uint64(c.document.Number)
+	for name, p := range r.members {
+		if !p.answers || r.board.Holds(service, name) >= number || !r.reached(now, later(c.since, p.since)) {
+			continue
 		}
+		r.toBoard(now, status.Event{Kind: status.Holding, Service: service, Host: name, Number: number})
 	}
 }
 
--- a/internal/record/status/board.go
+++ b/internal/record/status/board.go
@@ -32,7 +32,7 @@
 	Gained    EventKind = iota + 1 // this process holds the lease with Event.Fence
 	Lost                           // another one may hold it
 	Accept                         // Event.Accepted of Event.Service is accepted
-	Joined                         // Event.Host should have all documents in force
+	Joined                         // Event.Host should have all documents in force, unless it is Event.Silent
 	Gone                           // Event.Host need not any more
 	Holding                        // Event.Host has Event.Number of Event.Service in force
 	Waiting                        // Event.Wait is under way, or nil: nothing is
@@ -48,6 +48,7 @@
 	Service  string
 	Fence    uint64
 	Host     host.Name
+	Silent   bool
 	Number   uint64
 	Accepted Accepted
 	Wait     *Wait
@@ -68,7 +69,7 @@
 	rng     *rand.Rand
 	held    bool
 	fence   uint64
-	members map[host.Name]bool
+	members map[host.Name]bool // whether it is silent
 	panels  map[string]*panel
 	calls   map[uint64]*panel
 	lastID  uint64
@@ -151,7 +152,7 @@
 		b.held = false
 		clear(b.calls)
 	case Joined:
-		b.joined(ev.Host)
+		b.joined(ev.Host, ev.Silent)
 	case Gone:
 		b.gone(ev.Host)
 	case Answered:
@@ -179,11 +180,11 @@
 	}
 }
 
-func (b *Board) joined(name host.Name) {
-	if b.members[name] {
+func (b *Board) joined(name host.Name, silent bool) {
+	if was, known := b.members[name]; known && was == silent {
 		return
 	}
-	b.members[name] = true
+	b.members[name] = silent
 	for _, p := range b.panels {
 		p.changed = true
 	}
@@ -259,18 +260,34 @@
 		return s
 	}
 	s.Of = len(b.members)
-	for name := range b.members {
-		if n := p.numbers[name]; n < p.accepted.Number {
-			s.Lagging = append(s.Lagging, Lag{Host: name, Number: n})
+	for name, silent := range b.members {
+		n := p.numbers[name]
+		if n >= p.accepted.Number {
+			continue
+		}
+		s.Lagging = append(s.Lagging, Lag{Host: name, Number: n, Silent: silent})
+		if silent {
+			s.Silent++
 		}
 	}
 	s.InForce = s.Of - len(s.Lagging)
 	slices.SortFunc(s.Lagging, func(x, y Lag) int {
-		return cmp.Or(cmp.Compare(x.Number, y.Number), cmp.Compare(x.Host, y.Host))
+		// Those that may be looked into come first.
+		return cmp.Or(compareBool(x.Silent, y.Silent), cmp.Compare(x.Number, y.Number), cmp.Compare(x.Host, y.Host))
 	})
 	return s
 }
 
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case y:
+		return -1
+	}
+	return 1
+}
+
 // due returns when a panel is written next.
 func (p *panel) due() time.Time {
 	at := p.wroteAt.Add(refreshEvery)
--- a/internal/record/status/status.go
+++ b/internal/record/status/status.go
@@ -47,7 +47,21 @@
 // Lag is a process that has an older document in force.
 type Lag struct {
 	Host   host.Name `json:"host"`
-	Number uint64    `json:"number"` // in force there; 0 if none is
+	Number uint64    `json:"number"` // in force there; 0 if that is not known
+	// Silent means that it has not answered its neighbours for so long that it
+	// takes no new work.
+	Silent bool `json:"silent,omitempty"`
+}
+
+// String says what is known of the process.
+func (l Lag) String() string {
+	if l.Silent {
+		return string(l.Host) + " does not answer, and takes no new work"
+	}
+	if l.Number == 0 {
+		return string(l.Host) + " is not known to have any"
+	}
+	return fmt.Sprintf("%s has number %d", l.Host, l.Number)
 }
 
 // Wait is an acceptance that is under way.
@@ -88,18 +102,19 @@
 	Fence    uint64    `json:"fence"`
 	Holder   host.Name `json:"holder"` // the process that wrote it
 	Accepted *Accepted `json:"accepted,omitempty"`
-	InForce  int       `json:"inForce"` // processes that have the accepted document in force
-	Of       int       `json:"of"`      // processes that should
+	InForce  int       `json:"inForce"`          // processes that have the accepted document in force
+	Silent   int       `json:"silent,omitempty"` // of the others, those that take no new work
+	Of       int       `json:"of"`               // processes that are known
 	Lagging  []Lag     `json:"lagging,omitempty"`
 	Waiting  *Wait     `json:"waiting,omitempty"`
 	Refused  *Refusal  `json:"refused,omitempty"`
 	Outcomes Outcomes  `json:"outcomes"`
 }
 
-// Settled tells whether the accepted document is in force on all processes and
-// no other one is under way.
+// Settled tells whether the accepted document is in force on all processes that
+// take new work and no other one is under way.
 func (s *Status) Settled() bool {
-	return s.Accepted != nil && s.Waiting == nil && s.Of > 0 && s.InForce == s.Of
+	return s.Accepted != nil && s.Waiting == nil && s.InForce > 0 && s.InForce+s.Silent == s.Of
 }
 
 // Encode returns the status as it is stored, within its bounds.
@@ -198,7 +213,7 @@
 		fmt.Fprintf(b, "  in force:  on %d of %d\n", s.InForce, s.Of)
 	}
 	for _, l := range s.Lagging {
-		fmt.Fprintf(b, "    lags:    %s has number %d\n", l.Host, l.Number)
+		fmt.Fprintf(b, "    lags:    %s\n", l)
 	}
 	if more := s.Of - s.InForce - len(s.Lagging); more > 0 && len(s.Lagging) > 0 {
 		fmt.Fprintf(b, "    and %d more\n", more)
--- a/internal/record/status/status_test.go
+++ b/internal/record/status/status_test.go
@@ -97,10 +97,20 @@
 	assert.Equal(t, []status.Lag{{Host: "c", Number: 0}, {Host: "b", Number: 6}}, got.Lagging)
 	assert.False(t, got.Settled())
 
+	s.run(b, epoch, status.Event{Kind: status.Joined, Host: "c", Silent: true})
+	s.run(b, epoch, status.Event{Kind: status.Holding, Service: "agenda", Host: "b", Number: 7})
+	s.run(b, b.Deadline(), status.Event{Kind: status.Tick})
+	without := s.read(t)
+	assert.Equal(t, []status.Lag{{Host: "c", Silent: true}}, without.Lagging)
+	assert.True(t, without.Settled(), "a silent process takes no new work")
+	s.run(b, epoch, status.Event{Kind: status.Joined, Host: "c"})
+	s.run(b, b.Deadline(), status.Event{Kind: status.Tick})
+	again := s.read(t)
+	assert.False(t, again.Settled())
+
 	late := status.Event{Kind: status.Holding, Service: "agenda", Host: "a", Number: 5}
 	s.run(b, epoch, late) // a report that was overtaken
 	s.run(b, epoch, status.Event{Kind: status.Gone, Host: "c"})
-	s.run(b, epoch, status.Event{Kind: status.Holding, Service: "agenda", Host: "b", Number: 7})
 	s.run(b, b.Deadline(), status.Event{Kind: status.Tick})
 	done := s.read(t)
 	assert.True(t, done.Settled())
