Bring about the failures that acceptance is meant for, and mend three

Each failure has a test with its story: lost answers, a paused holder, lagging reads, starts while the platform is out or a text is staged, hosts, racks and regions that fail or are cut off, a long outage, checks that differ between programs, a silent watch, and a long history.

They found: an outage that began between a stage and the answer to its acceptance left every member in doubt, so that all took no new work until it was over; what one data centre had missed was hardly ever found by comparison with another one; and the history was moved again and again.

Before its lease lapses, the holder now lets an acceptance count that it could not confirm: all with contact hold the text, and whoever holds the lease next records it. A difference with a member elsewhere is settled at once.

--- a/internal/fleet/member/probe.go
+++ b/internal/fleet/member/probe.go
@@ -176,11 +176,12 @@
 }
 
 // compareIfApart starts a comparison if the other side knows something else. One
-// difference is most often news on its way, so it takes two in a row, except for
-// a process that has just started.
+// difference with a neighbour is most often news on its way, so it takes two in a
+// row; not so for a process that has just started, and for a member elsewhere,
+// which is hardly ever asked twice.
 func (m *Members) compareIfApart(now time.Time, msg *Message, p *peer) {
 	apart := msg.Known != m.table.known
-	again := p.apart || m.joining(now)
+	again := p.apart || m.joining(now) || !slices.Contains(m.order, msg.From)
 	p.apart = apart
 	if !apart && msg.Credit > NoCredit {
 		m.established = true
--- a/internal/record/acceptance/holder.go
+++ b/internal/record/acceptance/holder.go
@@ -47,6 +47,7 @@
 	answered map[member.ID]bool
 	lastHold time.Time // when the last new member said that it holds the text
 	tellAt   time.Time // when it is next reported who is waited for
+	decided  bool      // the acceptance counts though its write is not confirmed
 	retryAt  time.Time
 	callID   uint64    // of the call on its way, 0 if there is none
 	calledAt time.Time // when it was made
@@ -213,6 +214,9 @@
 		if j.phase == spreading {
 			h.evaluate(now, j)
 		}
+		if j.phase == accepting && !h.leaseIsFresh(now) {
+			h.decide(now, j)
+		}
 		if j.callID != 0 && now.Sub(j.calledAt) >= replyPatience {
 			// The reply was lost on its way to here: go on as after a lost answer.
 			j.callID = 0
@@ -232,6 +236,9 @@
 	}
 	next := sooner(h.listAt, h.rosterDeadline())
 	for _, j := range h.jobs {
+		if j.phase == accepting && !j.decided {
+			next = sooner(next, h.lease.Until().Add(-h.cfg.leaseLength()/3))
+		}
 		next = sooner(next, j.retryAt)
 		if j.callID != 0 {
 			next = sooner(next, j.calledAt.Add(replyPatience))
@@ -318,7 +325,8 @@
 		h.violate("acceptance record cannot be read: " + string(o.Key) + ": " + err.Error())
 		return
 	}
-	if o.Version < j.version || rec.Entry.Number < h.replica.copyOf(j.service).accepted {
+	accepted := h.replica.copyOf(j.service).accepted
+	if o.Version < j.version || rec.Entry.Number+1 < accepted {
 		// A read that lags. Writing on it would only meet a conflict.
 		j.retryAt = now.Add(retryInterval)
 		return
@@ -339,6 +347,10 @@
 	if rec.Staged != nil {
 		j.attempt = max(j.attempt, rec.Staged.Attempt)
 	}
+	if rec.Entry.Number < accepted {
+		h.recover(now, j)
+		return
+	}
 	h.consider(now, j)
 }
 
--- a/internal/record/acceptance/message.go
+++ b/internal/record/acceptance/message.go
@@ -150,10 +150,9 @@
 )
 
 // acceptedFact tells all members which document is in force. Its version is the
-// number.
+// number. Nothing else is in it: whoever publishes the number says the same.
 type acceptedFact struct {
-	Digest Digest      `cbor:"1,keyasint"`
-	Fence  lease.Fence `cbor:"2,keyasint"`
+	Digest Digest `cbor:"1,keyasint"`
 }
 
 // stageFact offers a text to all members. Its version is a [StageVersion].
--- a/internal/record/acceptance/process.go
+++ b/internal/record/acceptance/process.go
@@ -144,6 +144,7 @@
 	leaving   bool
 	seeking   bool
 	seekAt    time.Time // when the candidates are next looked at
+	contact   bool      // as of the last look
 	local     []Action  // actions of the parts for each other
 	out       []Action
 }
@@ -284,7 +285,8 @@
 	if at := p.replica.refreshed(); !at.IsZero() {
 		p.toMembers(now, member.Event{Kind: member.Refreshed, At: at})
 	}
-	if !now.Before(p.seekAt) {
+	if contact := p.members.Contact(now); !now.Before(p.seekAt) || contact != p.contact {
+		p.contact = contact
 		p.seek(now)
 	}
 }
--- a/internal/record/acceptance/process_test.go
+++ b/internal/record/acceptance/process_test.go
@@ -1,19 +1,383 @@
 package acceptance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/member"
+	"wagtailshelf.example/wagtailshelf/internal/record/object"
 )
 
+// acceptBound is the time within which a change has to be in force.
+const acceptBound = 11 * time.Second
+
+// assertInForce waits until a number is in force on all that run.
+func assertInForce(t *testing.T, w *world, number Number, limit time.Duration) time.Duration {
+	t.Helper()
+	took := w.until(limit, func() bool { return w.settled("agenda", number) })
+	w.run(bound) // the promises are checked all along
+	return took
+}
+
+func assertWork(t *testing.T, w *world, want bool, nodes ...*node) {
+	t.Helper()
+	var wrong []host.Name
+	for _, n := range nodes {
+		if w.takesWork(n) != want {
+			wrong = append(wrong, n.id.Name)
+		}
+	}
+	assert.Empty(t, wrong, "processes for which taking new work is not %t", want)
+}
+
+// spare returns a running process that neither holds the lease nor is a seed.
+func spare(w *world) *node {
+	for _, n := range w.nodes[1:] {
+		if n.p != nil && n != w.holder() && n != w.nodes[len(w.nodes)/2] {
+			return n
+		}
+	}
+	return nil
+}
+
+// cutOff cuts hosts off from all others, both ways.
+func cutOff(w *world, side func(n *node) bool) {
+	w.cut = func(from, to *node) bool { return side(from) != side(to) }
+}
+
+func inRegion(region host.Region) func(n *node) bool {
+	return func(n *node) bool { return n.id.Region == region }
+}
+
+// phaseIs tells how far the holder has come.
+func phaseIs(w *world, want phase) func() bool {
+	return func() bool {
+		h := w.holder()
+		if h == nil {
+			return false
+		}
+		j, ok := h.p.holder.jobs["agenda"]
+		return ok && j.phase == want
+	}
+}
+
 func TestDocumentComesInForceEverywhere(t *testing.T) {
 	w := ready(t, 30, 3)
 	w.apply("agenda", "second")
-	took := w.until(3*time.Second, func() bool { return w.settled("agenda", 2) })
-	t.Log("in force on all after", took)
+	assertInForce(t, w, 2, time.Second)
+	assertWork(t, w, true, w.nodes...)
+}
+
+// The operator's change is accepted, but the answer to the write is lost on its
+// way to the holder. Told "failed", it would stage the same again under another
+// number; it reads the record back instead, and nobody hears of it before.
+func TestAnswerToAcceptanceIsLost(t *testing.T) {
+	w := ready(t, 12, 3)
+	lost := 0
+	w.platform.loseAnswer = func(c object.Call) bool {
+		if c.Cause == CauseAccept && c.Op == object.Put && lost == 0 {
+			lost++
+			return true
+		}
+		return false
+	}
+	w.apply("agenda", "second")
+	assertInForce(t, w, 2, 3*time.Second)
+	assert.Equal(t, 1, lost)
+	assert.Len(t, w.accepted["agenda"], 2)
+}
+
+// The holder is paused while a change spreads; its lease lapses, another process
+// takes over and accepts a newer text. Then the first one goes on with what it
+// decided before: its writes and its word that the stage is open must not count.
+func TestPausedHolderGoesOn(t *testing.T) {
+	w := ready(t, 12, 3)
+	old := w.holder()
+	w.apply("agenda", "second")
+	w.until(time.Second, phaseIs(w, spreading))
+	w.pause(old)
+	w.run(3 * time.Second)
+	w.apply("agenda", "third")
+	w.until(acceptBound, func() bool { return w.settled("agenda", 2) })
+	require.NotEqual(t, old, w.holder())
+	w.resume(old)
+	assertInForce(t, w, 2, time.Second)
+	assert.Equal(t, "third", string(old.p.replica.copyOf("agenda").inForce.Text))
+	assertWork(t, w, true, w.nodes...)
+}
+
+// The platform answers reads with what stood there before the last write. A new
+// holder that took this for the truth would stage under a number that is in
+// force, and a process would go back to an older document.
+func TestLaggingReads(t *testing.T) {
+	w := ready(t, 12, 3)
+	w.apply("agenda", "second")
+	assertInForce(t, w, 2, time.Second)
+	w.platform.lagging = func(c object.Call) bool { return c.Cause != CauseStart }
+	w.stop(w.holder())
+	w.run(8 * time.Second)
+	w.apply("agenda", "third")
+	w.run(3 * time.Second)
+	w.platform.lagging = nil
+	assertInForce(t, w, 3, acceptBound)
+}
+
+// A host is replaced while the platform is out. Its process learns members,
+// numbers and text from its neighbours, and takes work; before that it took none.
+func TestStartWhilePlatformIsOut(t *testing.T) {
+	w := ready(t, 20, 2)
+	n := spare(w)
+	w.platform.out = true
+	w.stop(n)
+	w.run(10 * time.Second)
+	w.start(n)
+	assertWork(t, w, false, n)
+	w.until(5*time.Second, func() bool { return w.takesWork(n) })
+	assert.Equal(t, Number(1), n.number("agenda"))
+	w.run(10 * time.Second)
+	assertWork(t, w, true, w.nodes...)
+}
+
+// A process starts after the others were offered a text and before it is
+// accepted. It must not come up with the older document for good: either the
+// holder waits for it, or it hears of the acceptance before it takes work.
+func TestStartBetweenStageAndAcceptance(t *testing.T) {
+	w := ready(t, 12, 3)
+	n := spare(w)
+	w.stop(n)
+	w.platform.slow = func(c object.Call) time.Duration {
+		if c.Cause == CauseAccept {
+			return 700 * time.Millisecond
+		}
+		return 0
+	}
+	w.apply("agenda", "second")
+	w.until(acceptBound, phaseIs(w, accepting))
+	w.start(n)
+	assertInForce(t, w, 2, acceptBound)
+	assertWork(t, w, true, n)
+}
+
+// A host fails just after a change was applied. Its process never says that it
+// holds the text; its neighbours do not hear it either, so it has lost contact
+// after a timeout and is left out, well before the bound. Once it has been silent
+// for a while it costs the changes that follow no time.
+func TestHostFailsDuringStaging(t *testing.T) {
+	w := ready(t, 30, 3)
+	w.stop(spare(w))
+	w.apply("agenda", "second")
+	took := assertInForce(t, w, 2, acceptBound)
+	t.Log("accepted after", took)
+	w.run(silentTimeouts * member.DefaultTimeout)
+	w.apply("agenda", "third")
+	took = assertInForce(t, w, 3, acceptBound)
+	assert.Less(t, took, time.Second, "a host that is known to have failed holds up each change")
+}
+
+// The process that holds the lease dies with a change half spread. The lease has
+// to lapse first; then another process carries the change on.
+func TestHolderFailsDuringStaging(t *testing.T) {
+	w := ready(t, 30, 3)
+	w.apply("agenda", "second")
+	w.until(time.Second, phaseIs(w, spreading))
+	w.stop(w.holder())
+	took := assertInForce(t, w, 2, acceptBound)
+	t.Log("accepted after", took)
+}
+
+// A switch with a quarter of a data centre fails: its hosts may still hear each
+// other. Too few of each one's neighbours are among them, so they lose contact
+// one after the other, and the change is accepted without them.
+func TestRackIsCutOff(t *testing.T) {
+	w := ready(t, 120, 3)
+	rack := make(map[*node]bool)
+	for _, n := range w.nodes {
+		if n.id.DataCentre == "dc1" && len(rack) < 10 && n != w.holder() && n != w.nodes[60] {
+			rack[n] = true
+			n.cutOff = true
+		}
+	}
+	cutOff(w, func(n *node) bool { return rack[n] })
+	w.apply("agenda", "second")
+	w.until(acceptBound, func() bool { return len(w.accepted["agenda"]) == 2 })
+	w.run(bound)
+	for n := range rack {
+		assertWork(t, w, false, n)
+	}
+	w.cut = nil
+	for n := range rack {
+		n.cutOff = false
+	}
+	assertInForce(t, w, 2, acceptBound)
+	w.run(5 * time.Second)
+	assertWork(t, w, true, w.nodes...)
+}
+
+// A region is cut off from the others and from the platform before it was
+// offered the text. Its hosts hear each other and go on, with the document in
+// force; so nothing is accepted, and it is reported who is waited for.
+func TestRegionIsCutOffDuringStaging(t *testing.T) {
+	w := ready(t, 36, 6)
+	far := inRegion("region1")
+	require.False(t, far(w.holder()))
+	cutOff(w, far)
+	for _, n := range w.nodes {
+		n.cutOff = far(n)
+	}
+	w.apply("agenda", "second")
+	w.run(30 * time.Second)
+	assert.Len(t, w.accepted["agenda"], 1)
+	assert.Len(t, w.lastNote["agenda"], 18)
+	assertWork(t, w, true, w.nodes...)
+	w.cut = nil
+	assertInForce(t, w, 2, acceptBound)
+}
+
+// A region holds the text and is cut off before it hears that it was accepted.
+// If its hosts went on, they would run an older document than the rest. They
+// take no new work until the platform, which they reach, tells the outcome.
+func TestRegionIsCutOffBeforeAcceptance(t *testing.T) {
+	w := ready(t, 36, 6)
+	far := inRegion("region1")
+	w.platform.slow = func(c object.Call) time.Duration {
+		if c.Cause == CauseAccept && c.Op == object.Put {
+			return 300 * time.Millisecond
+		}
+		return 0
+	}
+	w.apply("agenda", "second")
+	w.until(3*time.Second, phaseIs(w, accepting))
+	cutOff(w, far)
 	for _, n := range w.nodes {
-		assert.True(t, w.takesWork(n), n.id.Name)
+		n.cutOff = far(n)
+	}
+	w.run(bound)
+	var cut []*node
+	for _, n := range w.nodes {
+		if far(n) {
+			cut = append(cut, n)
+		}
+	}
+	assertWork(t, w, false, cut...)
+	for _, n := range cut {
+		n.cutOff = false
+	}
+	assertInForce(t, w, 2, 3*time.Second)
+	w.run(2 * time.Second)
+	assertWork(t, w, true, cut...)
+}
+
+// The platform is out for long, from the middle of a change on, so that nobody can
+// read whether the change was recorded. All go on, and nothing more is accepted.
+// When it returns, what was decided is recorded, and the fleet does not fall upon it.
+func TestPlatformIsOutForLong(t *testing.T) {
+	w := ready(t, 8, 2)
+	w.apply("agenda", "second")
+	w.until(time.Second, phaseIs(w, spreading))
+	w.platform.out = true
+	w.apply("agenda", "third")
+	w.run(10 * time.Second)
+	assertWork(t, w, true, w.nodes...)
+	before := w.platform.calls
+	w.run(20 * time.Minute)
+	assert.Less(t, float64(w.platform.calls-before)/1200, 4.0, "calls a second during the outage")
+	assertWork(t, w, true, w.nodes...)
+	assert.True(t, w.settled("agenda", 2))
+	w.platform.out = false
+	before = w.platform.calls
+	w.run(2 * time.Second)
+	assert.Less(t, w.platform.calls-before, 40, "calls in the first two seconds")
+	assertInForce(t, w, 3, acceptBound)
+	rec, err := DecodeRecord(w.platform.objects[recordKey("agenda")])
+	require.NoError(t, err)
+	require.Len(t, rec.Recent, 3)
+	assert.Equal(t, DigestOf([]byte("second")), rec.Recent[1].Digest)
+}
+
+// A text fails the check of the holder, or only that of one member, whose program
+// is another version. In both cases the operator is told, and nothing changes.
+func TestTextFailsACheck(t *testing.T) {
+	w := ready(t, 12, 3)
+	w.apply("agenda", "bad")
+	w.run(2 * time.Second)
+	require.Len(t, w.rejected, 1)
+	assert.NotEmpty(t, w.rejected[0].Findings)
+	n := spare(w)
+	n.p.replica.check = func(service string, _ []byte) (out findings) { return checkText(service, []byte("bad")) }
+	w.apply("agenda", "good")
+	w.run(2 * time.Second)
+	require.Len(t, w.rejected, 2)
+	assert.Equal(t, []host.Name{n.id.Name}, w.rejected[1].Names)
+	assert.True(t, w.settled("agenda", 1))
+	assertWork(t, w, true, w.nodes...)
+}
+
+// A document that is in force no longer checks on a newer program. A process with
+// that program must still put it in force: it was accepted.
+func TestAcceptedTextNoLongerChecks(t *testing.T) {
+	w := ready(t, 12, 3)
+	n := spare(w)
+	w.stop(n)
+	w.run(time.Second)
+	w.start(n)
+	n.p.replica.check = func(service string, _ []byte) (out findings) { return checkText(service, []byte("bad")) }
+	w.until(5*time.Second, func() bool { return w.takesWork(n) })
+	assert.Equal(t, Number(1), n.number("agenda"))
+	assert.NotEmpty(t, n.p.replica.copyOf("agenda").inForce.Findings)
+}
+
+// The platform's watch has gone silent and shows nothing. The entry at which the
+// document was applied tells the holder; and if that is lost too, the holder reads
+// all documents every now and then.
+func TestWatchIsSilent(t *testing.T) {
+	w := ready(t, 12, 3)
+	w.platform.mute = true
+	v := w.platform.store(documentKey("agenda"), []byte("second"))
+	w.feed(spare(w), Event{Kind: Publish, Facts: []member.Fact{DesiredFact("agenda", uint64(v))}})
+	assertInForce(t, w, 2, time.Second)
+	w.platform.store(documentKey("agenda"), []byte("third"))
+	assertInForce(t, w, 3, reloadInterval+time.Second)
+}
+
+// Many changes of one service: the record keeps the last entries, the older ones
+// move to the history, and none is missing.
+func TestHistoryIsComplete(t *testing.T) {
+	w := ready(t, 6, 3)
+	const changes = 3 * maxRecent
+	for i := range changes {
+		w.apply("agenda", fmt.Sprintf("text %d", i))
+		w.until(3*time.Second, func() bool { return w.settled("agenda", Number(i+2)) })
+	}
+	rec, err := DecodeRecord(w.platform.objects[recordKey("agenda")])
+	require.NoError(t, err)
+	history, err := DecodeHistory(w.platform.objects[historyKey("agenda")].Value)
+	require.NoError(t, err)
+	history.Append(rec.Recent)
+	require.Len(t, history.Entries, changes+1)
+	for i, e := range history.Entries {
+		assert.Equal(t, Number(i+1), e.Number)
+	}
+	assert.LessOrEqual(t, len(rec.Recent), maxRecent)
+}
+
+// A process is restarted under the same name while its predecessor, which was
+// paused, goes on. The older life must end: both would act for one host.
+func TestEarlierLifeIsSuperseded(t *testing.T) {
+	w := ready(t, 12, 3)
+	n := spare(w)
+	life := n.p
+	w.start(n)
+	w.until(5*time.Second, func() bool { return w.takesWork(n) })
+	msg := &member.Message{Kind: member.Update, From: "x", Incarnation: 1, Members: []member.Record{n.p.members.Self()}}
+	actions := life.Handle(w.local(n), Event{Kind: Received, Envelope: &Envelope{Member: msg}})
+	found := false
+	for _, a := range actions {
+		found = found || a.Kind == Superseded
 	}
-	w.run(20 * time.Second)
+	assert.True(t, found)
 }
--- a/internal/record/acceptance/reading.go
+++ b/internal/record/acceptance/reading.go
@@ -112,8 +112,7 @@
 	if rec.Entry.Number == 0 {
 		return
 	}
-	f := newFact(acceptedPrefix+rec.Service, uint64(rec.Entry.Number),
-		acceptedFact{Digest: rec.Entry.Digest, Fence: rec.Entry.Fence})
+	f := newFact(acceptedPrefix+rec.Service, uint64(rec.Entry.Number), acceptedFact{Digest: rec.Entry.Digest})
 	r.emit(Action{Kind: publish, Fact: f})
 }
 
--- a/internal/record/acceptance/shelf_test.go
+++ b/internal/record/acceptance/shelf_test.go
@@ -20,6 +20,7 @@
 	calls   int
 	callsBy map[object.Cause]int
 	out     bool
+	mute    bool // watches show nothing
 
 	loseAnswer func(c object.Call) bool          // the call takes effect, its answer is lost
 	lagging    func(c object.Call) bool          // the read shows the state before the last write
@@ -38,7 +39,7 @@
 	s.version++
 	s.older[key] = s.objects[key]
 	s.objects[key] = object.Object{Key: key, Version: s.version, Value: bytes.Clone(value)}
-	if key.Kind() == DocumentKind {
+	if key.Kind() == DocumentKind && !s.mute {
 		s.notify(s.objects[key])
 	}
 	return s.version
--- a/internal/record/acceptance/stage.go
+++ b/internal/record/acceptance/stage.go
@@ -27,7 +27,7 @@
 		h.reject(j, Action{Kind: Rejected, Service: j.service, Version: j.desired, Findings: found})
 		return
 	}
-	if len(j.record.Recent) >= maxRecent && j.archived < j.record.Recent[len(j.record.Recent)/2].Number {
+	if len(j.record.Recent) >= maxRecent && j.archived < j.record.Recent[len(j.record.Recent)-maxRecent/2-1].Number {
 		h.archive(now, j)
 		return
 	}
@@ -214,7 +214,9 @@
 	}
 	j.phase = idle
 	h.replica.publishRecord(&j.record)
-	h.emit(Action{Kind: Accepted, Service: j.service, Entry: j.record.Entry})
+	if !j.decided {
+		h.emit(Action{Kind: Accepted, Service: j.service, Entry: j.record.Entry})
+	}
 	h.dropTexts(j)
 	h.consider(now, j)
 }
@@ -321,6 +323,13 @@
 
 // evaluate accepts the staged text once all members that may take new work hold it.
 func (h *Holder) evaluate(now time.Time, j *job) {
+	if h.replica.copyOf(j.service).accepted >= j.fact.Number {
+		// Another holder decided on a text under this number, and could not record
+		// it any more; see decide.
+		h.closeStage(j)
+		h.reread(now, j)
+		return
+	}
 	if !h.leaseIsFresh(now) {
 		// The platform does not renew the lease. Members that hold the text would
 		// soon be in doubt for as long as it is out, and take no new work.
@@ -364,6 +373,37 @@
 	h.accept(now, j, silent)
 }
 
+// decide lets an acceptance count whose write has not been answered, when the
+// lease is about to lapse because the platform is out.
+//
+// Without this, no member could learn the outcome before the platform returns,
+// and all of them, being in doubt, would take no new work until then. The text may
+// count because every member with contact holds it, and nobody can accept another
+// one without them: whoever holds the lease next learns of it from them, and
+// records it; see recover.
+func (h *Holder) decide(now time.Time, j *job) {
+	if j.decided || !h.lease.Holds(now) {
+		return
+	}
+	j.decided = true
+	h.replica.publishRecord(&j.next)
+	h.emit(Action{Kind: Accepted, Service: j.service, Entry: j.next.Entry})
+}
+
+// recover records an acceptance that its holder could not record, or not for
+// sure. The write is conditional: if the record read was only an old one, it fails.
+func (h *Holder) recover(now time.Time, j *job) {
+	c := h.replica.copyOf(j.service)
+	entry := Entry{Number: c.accepted, Digest: c.digest, AcceptedAt: now.UTC(), Holder: h.self.Name, Fence: h.fence}
+	if s := j.record.Staged; s != nil && s.Digest == c.digest {
+		entry.DocumentVersion = s.DocumentVersion
+	}
+	if j.digest == c.digest {
+		entry.Author = j.author
+	}
+	h.writeEntry(now, j, entry)
+}
+
 func containsID(ids []member.ID, id member.ID) bool {
 	for _, other := range ids {
 		if other == id {
@@ -375,12 +415,8 @@
 
 // accept writes the acceptance.
 func (h *Holder) accept(now time.Time, j *job, leftOut []host.Name) {
-	j.phase = accepting
 	staged := j.record.Staged
-	j.next = j.record
-	j.next.Fence = h.fence
-	j.next.Staged = nil
-	j.next.Entry = Entry{
+	h.writeEntry(now, j, Entry{
 		Number:          staged.Number,
 		Digest:          staged.Digest,
 		Author:          j.author,
@@ -389,7 +425,16 @@
 		Holder:          h.self.Name,
 		Fence:           h.fence,
 		LeftOut:         leftOut[:min(len(leftOut), maxLeftOut)],
-	}
+	})
+}
+
+func (h *Holder) writeEntry(now time.Time, j *job, e Entry) {
+	j.phase = accepting
+	j.decided = false
+	j.next = j.record
+	j.next.Fence = h.fence
+	j.next.Staged = nil
+	j.next.Entry = e
 	j.next.Recent = append(trimRecent(j.record.Recent, j.archived), j.next.Entry)
 	h.put(now, j, object.Call{Key: recordKey(j.service), Version: j.version, Value: j.next.Encode(), Cause: CauseAccept})
 }
--- a/internal/record/acceptance/world_test.go
+++ b/internal/record/acceptance/world_test.go
@@ -151,9 +151,11 @@
 	n.p = nil
 }
 
-func checkText(_ string, text []byte) finding.List {
+type findings = finding.List
+
+func checkText(_ string, text []byte) findings {
 	if strings.Contains(string(text), "bad") {
-		return finding.List{{Category: finding.Invalid, Message: "bad text"}}
+		return findings{{Category: finding.Invalid, Message: "bad text"}}
 	}
 	return nil
 }
