Count what the other entries have sent since a late report

With reports 1 s late and one slow target, the median at 0.8 of capacity was 1,203 ms, above the 992 ms of round robin: three entries chose alike by the same report, and each knew of its own work only.

What an entry has sent since a report is now taken times the entries that share the targets, which routers learn from the fleet and take for two until then.

--- a/internal/program/entry/routing_targets.go
+++ b/internal/program/entry/routing_targets.go
@@ -18,11 +18,14 @@
 // covers all of them at today's sizes.
 var subset = target.SubsetSize{Local: 24, Remote: 12}
 
+// unknownSharers is how many entries are taken to share the targets before the
+// fleet is known.
+const unknownSharers = 2
+
 // update takes the targets of the document in force that fall to this entry.
 func (r *router) update(ctx context.Context, now time.Time) {
 	d := r.document
 	r.budget.Configure(retryConfig(d))
-	r.chooser.Configure(target.Config{DataCentre: r.self.DataCentre, AffinityLoad: d.Affinity.LoadBound})
 	candidates := make([]target.Candidate, 0, len(d.Targets))
 	for i := range d.Targets {
 		t := &d.Targets[i]
@@ -35,6 +38,11 @@
 		})
 	}
 	candidates = target.Subset(r.self, r.entries, candidates, subset)
+	r.chooser.Configure(target.Config{
+		DataCentre:   r.self.DataCentre,
+		Sharers:      r.sharers(len(candidates)),
+		AffinityLoad: d.Affinity.LoadBound,
+	})
 	before := r.targets
 	r.targets = make(map[target.Name]*document.Target, len(candidates))
 	for _, c := range candidates {
@@ -53,6 +61,14 @@
 	}
 }
 
+// sharers returns how many entries send to each target of the subset.
+func (r *router) sharers(served int) int {
+	if len(r.entries) == 0 {
+		return unknownSharers
+	}
+	return max(1, len(r.entries)*served/max(1, len(r.document.Targets)))
+}
+
 // forget drops what is known of targets that are gone, or that are another
 // process now. The connection to a sidecar stays: requests may still be on it.
 func (r *router) forget(ctx context.Context, now time.Time, before map[target.Name]*document.Target) {
@@ -126,9 +142,7 @@
 	} else {
 		r.entries = slices.Delete(r.entries, i, i+1)
 	}
-	if len(r.document.Targets) > min(subset.Local, subset.Remote) {
-		r.update(ctx, now)
-	}
+	r.update(ctx, now)
 }
 
 // onReport passes the load of a target on to the routers of its services.
--- a/internal/traffic/target/candidate.go
+++ b/internal/traffic/target/candidate.go
@@ -97,6 +97,7 @@
 // [DefaultConfig].
 type Config struct {
 	DataCentre   host.DataCentre // the entry's own
+	Sharers      int             // entries that send to the same targets, this one included
 	Pools        []PoolShare     // shares by pool; pools not named here share the rest by their weight
 	ReportFresh  time.Duration   // age up to which a report counts in full
 	ReportTTL    time.Duration   // age from which a report counts for nothing
@@ -114,6 +115,7 @@
 // DefaultConfig returns the settings that the measurements were made with.
 func DefaultConfig() Config {
 	return Config{
+		Sharers:      1,
 		ReportFresh:  200 * time.Millisecond,
 		ReportTTL:    2 * time.Second,
 		AffinityLoad: 1.25,
@@ -131,6 +133,7 @@
 // fill sets the fields that are zero to their defaults.
 func (cfg *Config) fill() {
 	def := DefaultConfig()
+	cfg.Sharers = max(cmp.Or(cfg.Sharers, def.Sharers), 1)
 	cfg.ReportFresh = cmp.Or(cfg.ReportFresh, def.ReportFresh)
 	cfg.ReportTTL = max(cmp.Or(cfg.ReportTTL, def.ReportTTL), cfg.ReportFresh+1)
 	cfg.AffinityLoad = cmp.Or(cfg.AffinityLoad, def.AffinityLoad)
--- a/internal/traffic/target/chooser_test.go
+++ b/internal/traffic/target/chooser_test.go
@@ -268,6 +268,19 @@
 		c.Report(at(2*time.Second), Report{Name: "t0", Incarnation: 1, Outstanding: 50, Capacity: 100, Age: time.Second})
 		assert.EqualValues(t, 50, s.since)
 	})
+	t.Run("other entries send as much", func(t *testing.T) {
+		// Three entries have the same late report of an idle target. Each sends it a
+		// third of what it would take, and not all of it.
+		c := newChooser(Config{Sharers: 3}, two...)
+		report(c, at(0), "t0", 300, 1000)
+		report(c, at(0), "t1", 0, 1000)
+		counts := make(map[Name]int)
+		for range 30 {
+			ch, _ := c.Pick(at(0), Query{Tokens: 10})
+			counts[ch.Name]++
+		}
+		assert.InDelta(t, 10, counts["t0"], 2)
+	})
 	t.Run("work that ends is taken back", func(t *testing.T) {
 		c := newChooser(Config{}, two[0])
 		c.Pick(at(0), Query{Tokens: 10})
--- a/internal/traffic/target/load.go
+++ b/internal/traffic/target/load.go
@@ -121,7 +121,7 @@
 	if trust == 0 {
 		return usual
 	}
-	fresh := float64(s.outstanding+s.since) * per
+	fresh := float64(s.outstanding+c.sentSince(s)) * per
 	if trust == 1 {
 		return fresh
 	}
@@ -133,11 +133,17 @@
 func (c *Chooser) sample(s *state, at time.Duration) float64 {
 	tokens := s.own
 	if c.trust(s, at) > 0 {
-		tokens = s.outstanding + s.since
+		tokens = s.outstanding + c.sentSince(s)
 	}
 	return float64(tokens) * c.perToken(s) / s.relative
 }
 
+// sentSince estimates what all entries have sent since the report was measured,
+// from what this one has. They choose alike by the same report: without the
+// others' part, a target that was idle in a late report gets the work of all of
+// them until the next one.
+func (c *Chooser) sentSince(s *state) int64 { return s.since * int64(c.cfg.Sharers) }
+
 // trust returns the weight of the target's last report, from 0 to 1.
 func (c *Chooser) trust(s *state, at time.Duration) float64 {
 	if !s.reported {
