--- a/internal/program/entry/count.go
+++ b/internal/program/entry/count.go
@@ -17,6 +17,7 @@
 	probeFailures *metrics.Counter // sidecars that were asked for a sign of life and not reached
 	attempts      *metrics.Counter
 	duration      *metrics.Histogram
+	tally         *tally
 }
 
 func newCounts(set *metrics.Set) *counts {
@@ -26,6 +27,7 @@
 		probeFailures: set.NewCounter("wagtailshelf_probe_failures_total"),
 		attempts:      set.NewCounter("wagtailshelf_attempts_total"),
 		duration:      set.NewHistogram("wagtailshelf_request_duration_seconds"),
+		tally:         newTally(),
 	}
 }
 
@@ -33,6 +35,7 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("wagtailshelf_requests_total{service=%q,outcome=%q,reason=%q}", service, res.Outcome, res.Reason)).Inc()
 	c.attempts.Add(res.Attempts)
 	c.duration.Update(took.Seconds())
+	c.tally.add(service, res.Outcome)
 }
 
 func (c *counts) claimed(service, result string) {
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -195,6 +195,9 @@
 		follow = e.membership.Run
 	}
 	g.Add(func() error { return follow(watch) }, func(error) { stopWatch() })
+	if e.membership != nil {
+		g.Add(func() error { return e.spreadOutcomes(watch) }, func(error) { stopWatch() })
+	}
 	fleet, stopFleet := context.WithCancel(ctx)
 	g.Add(func() error { return e.fleet.Serve(fleet, serveFleetConn) }, func(error) {
 		stopFleet()
--- a/internal/record/register/register.go
+++ b/internal/record/register/register.go
@@ -26,24 +26,22 @@
 
 // The kinds of events.
 const (
-	Acted     EventKind = iota + 1 // the process's part for acceptance returned Event.Action
-	Moved                          // Event.Changes is what its holder does about the services
-	Holding                        // Event.Host has Event.Number of Event.Service in force
-	Requested                      // Event.Outcomes of Event.Host for Event.Service, since it started
-	Answered                       // Event.Reply is the end of a call
-	Tick                           // the time of [Register.Deadline] has come
+	Acted    EventKind = iota + 1 // the process's part for acceptance returned Event.Action
+	Moved                         // Event.Changes is what its holder does about the services
+	Holding                       // Event.Host has Event.Number of Event.Service in force
+	Answered                      // Event.Reply is the end of a call
+	Tick                          // the time of [Register.Deadline] has come
 )
 
 // Event is an input of [Register.Handle].
 type Event struct {
-	Kind     EventKind
-	Action   acceptance.Action
-	Changes  []acceptance.ChangeDump
-	Service  string
-	Host     host.Name
-	Number   acceptance.Number
-	Outcomes status.Outcomes
-	Reply    object.Reply
+	Kind    EventKind
+	Action  acceptance.Action
+	Changes []acceptance.ChangeDump
+	Service string
+	Host    host.Name
+	Number  acceptance.Number
+	Reply   object.Reply
 }
 
 // ActionKind tells what is to be done.
@@ -136,8 +134,6 @@
 		r.moved(now, ev.Changes)
 	case Holding:
 		r.toBoard(now, status.Event{Kind: status.Holding, Service: ev.Service, Host: ev.Host, Number: uint64(ev.Number)})
-	case Requested:
-		r.toBoard(now, status.Event{Kind: status.Requested, Service: ev.Service, Host: ev.Host, Outcomes: ev.Outcomes})
 	case Answered:
 		r.answered(now, ev.Reply)
 	case Tick:
@@ -169,6 +165,8 @@
 		r.waits[a.Service] = w
 	case acceptance.Changed:
 		r.changed(now, a.Record)
+	case acceptance.Learned:
+		r.learned(now, a.Fact)
 	}
 }
 
--- a/internal/record/register/register_test.go
+++ b/internal/record/register/register_test.go
@@ -1,6 +1,7 @@
 package register_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"strings"
@@ -111,6 +112,13 @@
 	}})
 }
 
+// learned is what an entry tells the fleet of its requests.
+func learned(name host.Name, answered uint64) register.Event {
+	counts := map[string]status.Outcomes{"agenda": {Answered: answered}, "other": {NotRun: 1}}
+	facts := register.OutcomeFacts(epoch, name, 3, counts)
+	return acted(acceptance.Action{Kind: acceptance.Learned, Fact: facts[0]})
+}
+
 func gained() register.Event { return acted(acceptance.Action{Kind: acceptance.Gained, Fence: 2}) }
 
 func joined(name host.Name, state member.State) register.Event {
@@ -139,12 +147,12 @@
 
 	now = s.run(r, now, inForce(1, "one\n"), accepted(1, "one\n"),
 		register.Event{Kind: register.Holding, Service: "agenda", Host: "b", Number: 1},
-		register.Event{Kind: register.Requested, Service: "agenda", Host: "b", Outcomes: status.Outcomes{Answered: 5}})
+		learned("b", 5), learned("c", 2))
 	got = s.status(t)
 	assert.Nil(t, got.Waiting)
 	assert.Equal(t, "marie", got.Accepted.By)
 	assert.Equal(t, []status.Lag{{Host: "c", Silent: true}}, got.Lagging)
-	assert.Equal(t, uint64(5), got.Outcomes.Answered)
+	assert.Equal(t, uint64(7), got.Outcomes.Answered)
 
 	s.run(r, now, joined("c", member.Left))
 	got = s.status(t)
@@ -245,6 +253,28 @@
 	assert.Empty(t, r.Check("agenda", dangerous))
 }
 
+func TestOutcomeFactsFitTheirBoundsAndOddOnesAreLeftOut(t *testing.T) {
+	counts := make(map[string]status.Outcomes)
+	for i := range 39 {
+		name := fmt.Sprintf("service-%055d", i)
+		counts[name] = status.Outcomes{Answered: 1 << 63, NotRun: 1 << 63, Unknown: 1 << 63}
+	}
+	facts := register.OutcomeFacts(epoch, host.Name(strings.Repeat("h", 63)), 340, counts)
+	assert.Len(t, facts, 5)
+	for _, f := range facts {
+		require.NoError(t, f.Check())
+	}
+	r := newRegister("a")
+	for _, f := range []member.Fact{
+		{Key: "outcomes/"}, {Key: "outcomes//0"}, {Key: "outcomes/b/0", Value: []byte{0xff}},
+		{Key: "outcomes/b/0", Value: []byte("\x81\x84\x63../\x01\x01\x01")}, {Key: "another/b/0"},
+	} {
+		r.Handle(epoch, acted(acceptance.Action{Kind: acceptance.Learned, Fact: f}))
+	}
+	_, known := r.Status(epoch, "../")
+	assert.False(t, known)
+}
+
 func TestTwoDigestsUnderOneNumberAreAViolation(t *testing.T) {
 	s, r := newShelf(), newRegister("a")
 	s.run(r, epoch, gained(), inForce(1, "one\n"), accepted(1, "one\n"))
