Don't take a restarted rank's clearing up for a refusal

A rank whose engine can't tell restarted after a switch had ended, and cleared limit and prepared map under that switch's number. A late copy of the outcome then seemed to contradict a refusal, and an invariant was reported violated.

Clearing up stands for no switch and has no number.

--- a/internal/expert/group/recover.go
+++ b/internal/expert/group/recover.go
@@ -87,7 +87,6 @@
 	case st.Prepared != 0:
 		o.enter(now, cancelling)
 	case st.Limit != 0:
-		o.number = s.floor
 		o.enter(now, releasing)
 	case s.inForce != 0:
 		// Others may wait to hear that this rank has begun the last switch.
@@ -119,8 +118,15 @@
 	}
 	// An order of the sidecar's earlier life landed after the engine was read.
 	// Nobody waits for it, and the group would stop at the limit for good.
-	s.open = &open{number: max(s.floor, Number(st.Prepared))}
-	s.floor = s.open.number
+	s.floor = max(s.floor, Number(st.Prepared))
+	s.clean(now)
+}
+
+// clean lets the engine forget a prepared map and a limit that no switch needs.
+// It stands for no switch, so it has no number: under the number of a switch that
+// has ended, a late message about that one would seem to contradict it.
+func (s *Switch) clean(now time.Time) {
+	s.open = &open{}
 	s.open.enter(now, cancelling)
 }
 
@@ -195,11 +201,10 @@
 		s.current = s.record.Map
 		s.held.add(needs(s.current, s.rank))
 	}
-	s.open = &open{number: n, adopted: true}
 	if v == Refused {
-		s.open.enter(now, cancelling)
+		s.clean(now)
 		return
 	}
-	s.open.step = step
+	s.open = &open{number: n, adopted: true, step: step}
 	s.open.enter(now, switching)
 }
--- a/internal/expert/group/switch_test.go
+++ b/internal/expert/group/switch_test.go
@@ -334,3 +334,23 @@
 		})
 	}
 }
+
+func TestOutcomeArrivesAfterRestart(t *testing.T) {
+	// A switch has ended everywhere. A sidecar restarts and clears up after its
+	// earlier life when a late copy of the outcome arrives. It must not take its
+	// clearing up for a refusal of that switch.
+	forEachKind(t, 3, func(t *testing.T, w *world) {
+		p := w.planner(5)
+		w.propose(p, 6)
+		w.run(4 * time.Second)
+		n := w.nodes[1]
+		w.boot(n)
+		late := group.Message{Kind: group.Outcome, Group: w.record.Name, Epoch: w.record.Epoch, Number: p.p.Number(), Vote: group.Committed, Step: 1}
+		for range 50 {
+			w.run(5 * time.Millisecond)
+			w.deliver(p.name, n.name, late)
+		}
+		assertEnded(t, w)
+		assertInForce(t, w, p.p.Number())
+	})
+}
