Take changes of the entries in at the tracker's ticks

Each entry that was new or had changed made every router work its subset out again. At 340 entries and 1,300 targets that takes some 80 ms, and a start brings 340 such changes at once.

--- a/internal/program/entry/routing.go
+++ b/internal/program/entry/routing.go
@@ -89,6 +89,7 @@
 	document *document.Document
 	targets  map[target.Name]*document.Target // those of the entry's subset
 	entries  []target.Member
+	stale    bool        // entries have changed since the last update
 	timer    *time.Timer // of the tracker
 
 	began   time.Time
@@ -148,7 +149,7 @@
 		case end := <-r.probes:
 			r.probeEnded(end)
 		case <-r.timer.C:
-			r.track(ctx, time.Now(), leaving.Event{Kind: leaving.Tick})
+			r.tick(ctx, time.Now())
 		}
 		r.answerWaiting(time.Now())
 		for _, v := range r.chooser.Violations() {
@@ -172,7 +173,7 @@
 	case tellLeaving:
 		r.leaves(ctx, now, m.name, m.incarnation)
 	case tellMember:
-		r.member(ctx, now, m)
+		r.member(m)
 	case tellService:
 		r.document = m.document
 		r.update(ctx, now)
--- a/internal/program/entry/routing_targets.go
+++ b/internal/program/entry/routing_targets.go
@@ -25,6 +25,7 @@
 // update takes the targets of the document in force that fall to this entry.
 func (r *router) update(ctx context.Context, now time.Time) {
 	d := r.document
+	r.stale = false
 	r.budget.Configure(retryConfig(d))
 	candidates := make([]target.Candidate, 0, len(d.Targets))
 	for i := range d.Targets {
@@ -132,7 +133,7 @@
 }
 
 // member takes an entry in, or out, of those that share the targets.
-func (r *router) member(ctx context.Context, now time.Time, m routerMessage) {
+func (r *router) member(m routerMessage) {
 	i := slices.IndexFunc(r.entries, func(e target.Member) bool { return e.Name == m.member.Name })
 	if (i >= 0) == m.present {
 		return
@@ -142,7 +143,16 @@
 	} else {
 		r.entries = slices.Delete(r.entries, i, i+1)
 	}
-	r.update(ctx, now)
+	r.stale = true
+}
+
+// tick gives the tracker its time, and takes in changes of the entries. These come
+// in bursts, and working a subset out at the large size takes some 80 ms.
+func (r *router) tick(ctx context.Context, now time.Time) {
+	r.track(ctx, now, leaving.Event{Kind: leaving.Tick})
+	if r.stale {
+		r.update(ctx, now)
+	}
 }
 
 // onReport passes the load of a target on to the routers of its services.
