Go on with the runs that a dead sidecar left at its engine

An entry resolves an attempt with the next life of its sidecar too. The book there asks the engine for the run, begins none, and goes on with the answer from the byte that the entry lacks. An engine that has no such run proves nothing, so the outcome stays unknown then. A sidecar that ends no longer cancels its runs at the engine.

--- a/internal/program/sidecar/count.go
+++ b/internal/program/sidecar/count.go
@@ -9,16 +9,18 @@
 
 // counts are the metrics of a sidecar.
 type counts struct {
-	set       *metrics.Set
-	overflows *metrics.Counter
-	resumes   *metrics.Counter // engine streams resumed after their connection broke
+	set        *metrics.Set
+	overflows  *metrics.Counter
+	recoveries *metrics.Counter // runs of an earlier life gone on with
+	resumes    *metrics.Counter // engine streams resumed after their connection broke
 }
 
 func newCounts(set *metrics.Set) *counts {
 	return &counts{
-		set:       set,
-		overflows: set.NewCounter("wagtailshelf_stream_overflows_total"),
-		resumes:   set.NewCounter("wagtailshelf_engine_resumes_total"),
+		set:        set,
+		overflows:  set.NewCounter("wagtailshelf_stream_overflows_total"),
+		recoveries: set.NewCounter("wagtailshelf_engine_recoveries_total"),
+		resumes:    set.NewCounter("wagtailshelf_engine_resumes_total"),
 	}
 }
 
--- a/internal/program/sidecar/desk.go
+++ b/internal/program/sidecar/desk.go
@@ -55,6 +55,7 @@
 	book   *book.Book
 	queue  *workspace.Queue
 	ring   chan deskEvent
+	goOn   func(job) // does so for a run that is there already
 	run    func(job) // starts a call to the target; it reports by the ring
 
 	isolated func() bool // no new work may begin; nil for never
@@ -73,16 +74,17 @@
 
 // job is a request on its way to the target.
 type job struct {
-	id       request.ID
-	ticket   workspace.Ticket
-	call     request.Call
-	header   []request.Field
-	body     []byte
-	deadline time.Time
-	started  time.Time // handed over to the target
-	cancel   context.CancelFunc
-	begun    bool // the head of its answer has come
-	broken   bool // the target gave no whole answer
+	id        request.ID
+	ticket    workspace.Ticket
+	call      request.Call
+	header    []request.Field
+	body      []byte
+	deadline  time.Time
+	started   time.Time // handed over to the target
+	cancel    context.CancelFunc
+	begun     bool // the head of its answer has come
+	recovered bool // begun by an earlier life of the sidecar
+	broken    bool // the target gave no whole answer
 }
 
 func newDesk(l *log.Logger, c *counts, bookCfg book.Config, queueCfg workspace.Config) *desk {
@@ -177,6 +179,9 @@
 		}
 	case book.EngineEnd, book.EngineNotReached:
 		if j := d.jobs[ev.ID]; j != nil {
+			if j.recovered {
+				d.forget(ev.ID) // admission does not know it
+			}
 			j.broken = ev.Reason != request.NoReason || ev.Kind == book.EngineNotReached
 		}
 	case book.Drain:
@@ -219,6 +224,8 @@
 		d.withdraw(a.ID)
 	case book.Run:
 		d.start(now, a)
+	case book.Recover:
+		d.recover(a)
 	case book.CancelEngine:
 		if j := d.jobs[a.ID]; j != nil && j.cancel != nil {
 			j.cancel()
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -84,7 +84,9 @@
 	}
 	s.listener = listener
 	s.peers.Identity.Address = listener.Addr()
-	s.desk = newDesk(cfg.Log, newCounts(cfg.Metrics), book.DefaultConfig(cfg.Identity.Incarnation), cfg.Admission)
+	bounds := book.DefaultConfig(cfg.Identity.Incarnation)
+	bounds.Recovers = cfg.Model
+	s.desk = newDesk(cfg.Log, newCounts(cfg.Metrics), bounds, cfg.Admission)
 	if cfg.Platform != nil {
 		s.membership = s.newMembership()
 		s.desk.isolated = func() bool { return !s.membership.TakesWork() }
@@ -104,6 +106,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	s.desk.run = func(j job) { s.startCall(ctx, j) }
+	s.desk.goOn = func(j job) { s.startRecovery(ctx, j) }
 	var g run.Group
 	s.duty(ctx, &g, s.desk.serve)
 	s.duty(ctx, &g, s.report)
--- a/internal/program/sidecar/stream.go
+++ b/internal/program/sidecar/stream.go
@@ -155,10 +155,10 @@
 // begun so that it outlives its connection, so closing that is not enough: the
 // engine would make tokens for nobody until its own grace is over.
 func (s *Sidecar) cancelAbandoned(ctx, callCtx context.Context, j job) {
-	if callCtx.Err() == nil {
-		return
+	if callCtx.Err() == nil || ctx.Err() != nil {
+		return // a sidecar that ends leaves its runs to its next life
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
 	if err := s.target.Cancel(ctx, j.id.String()); err != nil {
 		s.cfg.Log.Warn().Str("id", j.id.String()).Err(err).Msg("run was not cancelled at the engine")
--- a/internal/program/trial/requests_test.go
+++ b/internal/program/trial/requests_test.go
@@ -1,6 +1,8 @@
 package trial_test
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -81,3 +83,32 @@
 		requireRuns(t, 2)
 	})
 }
+
+// A volunteer reads a draft as it is written. The sidecar dies half way and
+// comes back; it asks the engine for the run, and the draft goes on from the
+// byte that the volunteer has. The engine began one run.
+func TestSidecarDiesWithinAStream(t *testing.T) {
+	d := newDeployment(t)
+	resp := post(t, d, "/redaction/v1/draft", trial.LargeKey, `{"prompt":"bonjour","maxTokens":120}`)
+	first := make([]byte, 64)
+	_, err := io.ReadFull(resp.Body, first)
+	require.NoError(t, err)
+	id := resp.Header.Get(caller.RequestIDHeader)
+	for _, target := range d.Targets[:2] {
+		if target.Engine.Runs(id).Starts > 0 {
+			d.KillSidecar(target)
+			require.NoError(t, d.RestartSidecar(target))
+		}
+	}
+	rest := requireOutcome(t, resp, http.StatusOK, "answered")
+	events := strings.Split(strings.TrimSuffix(string(first)+string(rest), "\n\n"), "\n\n")
+	require.Len(t, events, 121)
+	for i, event := range events[:120] {
+		require.Contains(t, event, fmt.Sprintf(`"index":%d,`, i))
+	}
+	starts := 0
+	for _, target := range d.Targets[:2] {
+		starts += target.Engine.Runs(id).Starts
+	}
+	require.Equal(t, 1, starts)
+}
--- a/internal/traffic/book/answer.go
+++ b/internal/traffic/book/answer.go
@@ -25,7 +25,7 @@
 		return
 	}
 	for _, l := range r.listeners {
-		b.sendChunks(r, l, r.length(), ev.Data)
+		b.sendFrom(r, l, ev.Data)
 	}
 	r.kept = append(r.kept, ev.Data...)
 	b.bytes += len(ev.Data)
@@ -72,6 +72,17 @@
 	return oldest
 }
 
+// sendFrom sends new data, or as much of it as a listener does not have yet: a
+// recovered answer comes from its beginning again.
+func (b *Book) sendFrom(r *record, l listener, data []byte) {
+	offset := r.length()
+	if l.from > offset {
+		skip := min(l.from-offset, uint64(len(data)))
+		offset, data = offset+skip, data[skip:]
+	}
+	b.sendChunks(r, l, offset, data)
+}
+
 func (b *Book) sendChunks(r *record, l listener, offset uint64, data []byte) {
 	for len(data) > 0 {
 		n := min(len(data), request.MaxDataBytes)
@@ -114,16 +125,16 @@
 // wanted offset. Before it says that it never saw an id it retires all older
 // connections of the entry: the original, were it still on its way, must not
 // run after that. The retirement is the tombstone.
-func (b *Book) resolve(p Peer, m request.Message) {
+func (b *Book) resolve(now time.Time, p Peer, m request.Message) {
 	b.beginStream(p)
-	if m.Incarnation != b.cfg.Incarnation {
-		b.sendUnknown(p, m, request.TargetRestarted)
-		return
-	}
 	if !m.Join {
 		b.retireOlder(p)
 	}
 	r := b.records[m.ID]
+	if m.Incarnation != b.cfg.Incarnation && (r == nil || !r.recovered) {
+		b.recover(now, p, m)
+		return
+	}
 	switch {
 	case r == nil && m.Join:
 		// Its own entry may still be about to send it.
@@ -139,12 +150,44 @@
 	}
 }
 
+// recover goes on with a run that an earlier life of the sidecar may have begun.
+// The engine knows it by its id and begins none, so this runs nothing twice.
+// That the engine has no such run proves nothing: the earlier life's hand-over
+// may have been cut off on its way, or the run may have ended.
+func (b *Book) recover(now time.Time, p Peer, m request.Message) {
+	known := b.records[m.ID] != nil
+	if !b.cfg.Recovers || known || m.Join || m.Call == nil || len(b.records) >= b.cfg.MaxRequests {
+		b.sendUnknown(p, m, request.TargetRestarted)
+		return
+	}
+	r := &record{
+		id: m.ID, attempt: m.Attempt, owner: p, call: *m.Call, state: running, recovered: true,
+		arrived: now, deadline: now.Add(m.Call.Remaining),
+		listeners: []listener{{peer: p, attempt: m.Attempt, from: m.Offset}},
+	}
+	b.records[m.ID] = r
+	b.order = append(b.order, r)
+	b.byPeer[p] = r
+	b.emit(Action{Kind: Recover, ID: r.id, Call: r.call, Header: m.Header, Arrived: now})
+}
+
+// notRecovered ends a request whose run the engine does not have.
+func (b *Book) notRecovered(r *record) {
+	for _, l := range r.listeners {
+		b.tellOne(r, l, request.Message{Kind: request.UnknownOutcome, Reason: request.TargetRestarted})
+	}
+	b.forget(r)
+}
+
 func (b *Book) attach(r *record, p Peer, m request.Message) {
-	l := listener{peer: p, attempt: m.Attempt, join: m.Join}
+	l := listener{peer: p, attempt: m.Attempt, join: m.Join, from: m.Offset}
 	if r.status != 0 && m.Offset < r.base {
 		b.tellOne(r, l, request.Message{Kind: request.End, Offset: r.length(), Reason: request.AnswerDropped})
 		return
 	}
+	if m.Offset > r.length() && r.recovered && r.state == running {
+		m.Offset = r.length() // the rest is on its way from the engine
+	}
 	if m.Offset > r.length() {
 		b.violate(request.OwnBytes, r.id, "resolve from %d of %d bytes", m.Offset, r.length())
 		b.sendUnknown(p, m, request.AnswerDropped)
--- a/internal/traffic/book/book.go
+++ b/internal/traffic/book/book.go
@@ -96,7 +96,7 @@
 	case request.Cancel:
 		b.cancel(now, p, m)
 	case request.Resolve:
-		b.resolve(p, m)
+		b.resolve(now, p, m)
 	default:
 		b.emit(Action{Kind: CloseStream, Peer: p})
 	}
@@ -214,6 +214,10 @@
 		b.release(r)
 		return
 	}
+	if r.recovered {
+		b.notRecovered(r)
+		return
+	}
 	if r.status != 0 {
 		b.violate(request.NotRunIsProved, id, "engine not reached, but its answer began")
 		return
--- a/internal/traffic/book/config.go
+++ b/internal/traffic/book/config.go
@@ -9,6 +9,7 @@
 // Config bounds a book. All durations are of elapsed time.
 type Config struct {
 	Incarnation     host.Incarnation // of the sidecar
+	Recovers        bool             // the engine resumes runs that an earlier life began
 	MaxRequests     int              // ids kept; above it new work is refused
 	MaxBodyBytes    int              // of one request
 	MaxAnswerBytes  int              // kept of one answer for replay; the latest
--- a/internal/traffic/book/event.go
+++ b/internal/traffic/book/event.go
@@ -29,7 +29,7 @@
 	EngineHead                            // ID's answer has begun: Status, Header
 	EngineData                            // the next part of ID's answer: Data
 	EngineEnd                             // ID's answer has ended; Reason if it broke off
-	EngineNotReached                      // no byte of ID can have reached the engine
+	EngineNotReached                      // no byte of ID can have reached the engine; after Recover: it has no such run
 	Drain                                 // the target is leaving: refuse new work from now on
 	Tick                                  // time has passed
 )
@@ -59,6 +59,7 @@
 	Admit                              // ask admission to let ID run: Call, Arrived
 	Withdraw                           // ID waits for admission no longer
 	Run                                // hand ID over to the engine: Call, Header, Body
+	Recover                            // go on with ID's answer from its beginning if the engine has the run: Call, Header, Arrived; begin none
 	CancelEngine                       // end ID's stream at the engine
 	Release                            // ID runs no longer: give its place in admission back
 	Drained                            // Drain was asked and nothing waits or runs any more
--- a/internal/traffic/book/record.go
+++ b/internal/traffic/book/record.go
@@ -19,6 +19,7 @@
 type listener struct {
 	peer    Peer
 	attempt request.Attempt // that its entry expects in messages
+	from    uint64          // the first byte that it lacks
 	join    bool            // it belongs to another request with the same key
 }
 
@@ -36,6 +37,7 @@
 	listeners []listener
 
 	forgotten  bool
+	recovered  bool // handed over by an earlier life, if at all
 	holdsPlace bool // admission counts it as running
 	status     int
 	answer     []request.Field
--- a/internal/traffic/book/sidecar_test.go
+++ b/internal/traffic/book/sidecar_test.go
@@ -18,6 +18,8 @@
 	book   *book.Book // nil while the process is down
 	cancel map[request.ID]bool
 	drains bool
+	keeps  bool // the engine keeps its runs when their sidecar dies
+	runs   map[request.ID]string
 }
 
 func (s *sidecar) start() {
@@ -29,6 +31,7 @@
 		cfg.MaxAnswerBytes, cfg.MaxConnections, cfg.StreamWindow = 400, 4, 8
 		cfg.AnswerRetention, cfg.JoinRetention = 100*time.Millisecond, 200*time.Millisecond
 	}
+	cfg.Recovers = s.keeps
 	s.book = book.New(cfg)
 	s.cancel = make(map[request.ID]bool)
 }
@@ -80,6 +83,8 @@
 		s.later(s.w.between(0, 20*time.Millisecond), func() { s.admit(a.ID) })
 	case book.Run:
 		s.later(s.w.between(0, time.Millisecond), func() { s.run(a.ID) })
+	case book.Recover:
+		s.later(s.w.between(0, 5*time.Millisecond), func() { s.recover(a.ID) })
 	case book.CancelEngine:
 		s.cancel[a.ID] = true
 	case book.Wake:
@@ -108,12 +113,28 @@
 	part := fmt.Sprintf("%s/%d/%s/%d;", id, len(w.ran[id]), s.name, s.life)
 	answer := strings.Repeat(part, 1+w.rng.IntN(16))
 	w.ran[id] = append(w.ran[id], answer)
+	if s.keeps {
+		s.runs[id] = answer
+		w.after(3*time.Second, func() { delete(s.runs, id) })
+	}
 	w.checkRuns(id)
 	at := w.between(5*time.Millisecond, 100*time.Millisecond)
 	s.later(at, func() { s.handle(book.Event{Kind: book.EngineHead, ID: id, Status: 200}) })
 	s.generate(id, answer, at)
 }
 
+// recover is the engine's answer to a sidecar that asks for a run of an earlier
+// life.
+func (s *sidecar) recover(id request.ID) {
+	answer, ok := s.runs[id]
+	if !ok {
+		s.handle(book.Event{Kind: book.EngineNotReached, ID: id})
+		return
+	}
+	s.handle(book.Event{Kind: book.EngineHead, ID: id, Status: 200})
+	s.generate(id, answer, 0)
+}
+
 func (s *sidecar) generate(id request.ID, answer string, at time.Duration) {
 	w := s.w
 	broken, stalls := w.chance(w.f.engineBreaks), w.chance(w.f.engineStalls)
--- a/internal/traffic/book/world_test.go
+++ b/internal/traffic/book/world_test.go
@@ -79,7 +79,7 @@
 		w.entries = append(w.entries, &entry{w: w, name: host.Name(fmt.Sprintf("entry-%d", i)), life: 1, conns: make(map[*sidecar]*conn), streams: make(map[streamOf]*trip)})
 	}
 	for i := range sidecars {
-		s := &sidecar{w: w, name: host.Name(fmt.Sprintf("target-%d", i))}
+		s := &sidecar{w: w, name: host.Name(fmt.Sprintf("target-%d", i)), keeps: i%2 == 0, runs: make(map[request.ID]string)}
 		s.start()
 		w.sidecars = append(w.sidecars, s)
 	}
