End the wait in the status with the lease

The holder lost its lease, took it again, and wrote a status that waited for the document that had been accepted: its own part still listed what it had begun. A register without the lease now tells nothing of that, and forgets its waits. Each half was taken out on a scratch copy: the new test failed both times.

--- a/internal/record/register/register.go
+++ b/internal/record/register/register.go
@@ -149,10 +149,7 @@
 	case acceptance.Gained:
 		r.gained(now, uint64(a.Fence))
 	case acceptance.Lost:
-		r.held = false
-		clear(r.waits)
-		r.toBoard(now, status.Event{Kind: status.Lost})
-		r.toArchive(now, history.Event{Kind: history.Lost})
+		r.lost(now)
 	case acceptance.InForce:
 		r.inForce(now, a.Document)
 	case acceptance.Accepted:
@@ -184,6 +181,17 @@
 	}
 }
 
+// lost forgets what this process was doing as the holder: another one does it.
+func (r *Register) lost(now time.Time) {
+	r.held = false
+	r.toBoard(now, status.Event{Kind: status.Lost})
+	r.toArchive(now, history.Event{Kind: history.Lost})
+	for service := range r.waits {
+		r.toBoard(now, status.Event{Kind: status.Waiting, Service: service})
+	}
+	clear(r.waits)
+}
+
 // entryOf returns the entry of what is in force here. Who applied it is not
 // known to a process that did not accept it; the record of the acceptance has it,
 // and goes before this entry where both are read.
@@ -269,8 +277,12 @@
 	r.toBoard(now, status.Event{Kind: status.Joined, Host: name})
 }
 
-// moved takes in how far the holder has come with each service.
+// moved takes in how far the holder has come with each service. What it began
+// before it lost the lease is not its to tell any more.
 func (r *Register) moved(now time.Time, changes []acceptance.ChangeDump) {
+	if !r.held {
+		return
+	}
 	for _, c := range changes {
 		w, waiting := r.waits[c.Service]
 		if c.Phase == "idle" {
--- a/internal/record/register/register_test.go
+++ b/internal/record/register/register_test.go
@@ -222,6 +222,26 @@
 	assert.Equal(t, "two\n", string(merged[1].Text))
 }
 
+// The holder loses the lease while it waits for a member, and gains it again
+// after another one has accepted the document. Its own part still lists what it
+// had begun. The status must not show a wait that nobody is in.
+func TestALostLeaseEndsTheWait(t *testing.T) {
+	s, r := newShelf(), newRegister("a")
+	begun := register.Event{Kind: register.Moved, Changes: []acceptance.ChangeDump{
+		{Service: "agenda", Phase: "accepting", Desired: 10, Holding: 1},
+	}}
+	now := s.run(r, epoch, gained(), begun)
+	require.NotNil(t, s.status(t).Waiting)
+	lost := acted(acceptance.Action{Kind: acceptance.Lost})
+	regained := acted(acceptance.Action{Kind: acceptance.Gained, Fence: 4})
+	now = s.run(r, now, lost)
+	now = s.run(r, now, regained)
+	assert.Nil(t, s.status(t).Waiting, "nothing has begun again")
+	now = s.run(r, now, begun, lost, inForce(1, "one\n"), begun)
+	s.run(r, now, regained)
+	assert.Nil(t, s.status(t).Waiting, "another holder has accepted it")
+}
+
 func TestRefusalsAreInTheStatus(t *testing.T) {
 	s, r := newShelf(), newRegister("a")
 	now := s.run(r, epoch, gained(), acted(acceptance.Action{
