Replace silent connections between members in time to keep contact

An entry whose connections had gone silent lost contact for some six seconds: QUIC gives up a connection on which nothing is awaited after nine seconds only, and contact is lost after three.

--- a/internal/program/fleet/links.go
+++ b/internal/program/fleet/links.go
@@ -19,18 +19,24 @@
 	// linkIdle is after how long an own connection that was not used is closed.
 	// Neighbours are probed each second, so theirs stay open.
 	linkIdle = 10 * time.Second
-	// freshFor is how long a connection of another process is trusted for
-	// answers after it last brought a message. Something between the two ends
-	// may have lost track of it since; then the own connection gets through.
-	freshFor = 2500 * time.Millisecond
+	// freshFor is how long a connection is trusted after it last brought a
+	// message, or was opened. Something between the two ends may have lost track
+	// of it since: it swallows all, while a new one works. Neighbours answer
+	// each second, so that one that misses an answer is replaced in time for the
+	// next probe to keep the contact, which is lost after three seconds. A
+	// connection that QUIC pings is given up after nine seconds only.
+	freshFor = 1500 * time.Millisecond
 )
 
 // link is the way to one address.
 type link struct {
-	name    host.Name
-	usedAt  time.Time
-	dialing bool
-	pending []frame.Control
+	name     host.Name
+	usedAt   time.Time
+	openedAt time.Time // of the connection with the number
+	number   uint64
+	silent   uint64 // connections up to this number are not used any more
+	dialing  bool
+	pending  []frame.Control
 }
 
 // inbound is a connection that another process opened.
@@ -74,10 +80,10 @@
 	if l.closed {
 		return
 	}
-	if in, ok := l.in[name]; ok && time.Since(in.heardAt) < freshFor && in.conn.Err() == nil {
-		if in.conn.Send(m) == nil {
-			return
-		}
+	in, ok := l.in[name]
+	heard := ok && time.Since(in.heardAt) < freshFor
+	if heard && in.conn.Err() == nil && in.conn.Send(m) == nil {
+		return
 	}
 	k, ok := l.out[to]
 	if !ok {
@@ -94,6 +100,9 @@
 		return
 	}
 	k.dialing = true
+	if !heard && time.Since(k.openedAt) > freshFor {
+		k.silent = k.number
+	}
 	l.dialled.Add(1)
 	go l.flush(ctx, to, k)
 }
@@ -102,9 +111,12 @@
 // ends when nothing waits any more; the owner is the WaitGroup of links.
 func (l *links) flush(ctx context.Context, to netip.AddrPort, k *link) {
 	defer l.dialled.Done()
-	c, err := l.pool.Get(ctx, to, k.name)
+	c, err := l.pool.Newer(ctx, to, k.name, k.silent)
 	for {
 		l.mu.Lock()
+		if err == nil && c.Number() != k.number {
+			k.number, k.openedAt = c.Number(), time.Now()
+		}
 		pending := k.pending
 		k.pending = nil
 		if len(pending) == 0 || err != nil {
