--- a/internal/program/trial/deployment.go
+++ b/internal/program/trial/deployment.go
@@ -31,6 +31,10 @@
 
 // Deployment is a running set of processes.
 type Deployment struct {
+	// Fleet makes the processes members of a fleet that accepts documents.
+	// Without it each entry puts in force what it reads; for tests of the path.
+	Fleet bool
+
 	Platform *standinplatform.Platform
 	Entries  []*Entry
 	Targets  []*Target
@@ -43,6 +47,7 @@
 	lives     uint64 // incarnations given out
 	running   []*process
 	stores    []*credential.Store
+	stored    map[string]string // documents by service
 	sets      []*metrics.Set
 }
 
@@ -90,6 +95,7 @@
 		ctx:       ctx,
 		stop:      stop,
 		authority: authority,
+		stored:    make(map[string]string),
 		logger:    &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: w}},
 	}
 	d.platform, err = serveHTTP(d.Platform)
@@ -159,16 +165,20 @@
 	if err != nil {
 		return err
 	}
-	s, err := sidecar.New(sidecar.Config{
+	cfg := sidecar.Config{
 		Identity:   d.identity(t.Host, host.Sidecar, t.DataCentre),
 		Listen:     listen,
 		Target:     t.server.addr(),
 		Model:      t.Engine != nil,
 		Keys:       keys,
-		Log:        d.logger,
+		Log:        d.loggerOf(t.Host),
 		Metrics:    d.newSet(),
 		DrainBound: drainBound,
-	})
+	}
+	if d.Fleet {
+		cfg.Platform, cfg.Seeds = d.Client(), d.seeds()
+	}
+	s, err := sidecar.New(cfg)
 	if err != nil {
 		return err
 	}
@@ -199,10 +209,12 @@
 		Peers:      loopback,
 		Platform:   d.Client(),
 		Keys:       keys,
-		Log:        d.logger,
+		Log:        d.loggerOf(name),
 		Metrics:    d.newSet(),
 		DrainBound: drainBound,
 		Socket:     socket,
+		Fleet:      d.Fleet,
+		Seeds:      d.seeds(),
 	})
 	if err != nil {
 		return nil, err
@@ -212,6 +224,25 @@
 	return started, nil
 }
 
+// loggerOf returns a logger that names the process's host in each line.
+func (d *Deployment) loggerOf(name host.Name) *log.Logger {
+	own := *d.logger
+	own.Context = log.NewContext(nil).Str("host", string(name)).Value()
+	return &own
+}
+
+// seeds returns addresses of processes that were started before.
+func (d *Deployment) seeds() []netip.AddrPort {
+	var seeds []netip.AddrPort
+	for _, e := range d.Entries {
+		seeds = append(seeds, e.PeersAddr())
+	}
+	for _, t := range d.Targets {
+		seeds = append(seeds, t.Sidecar.Addr())
+	}
+	return seeds
+}
+
 // Client returns a client of the deployment's platform.
 func (d *Deployment) Client() *platform.Client {
 	return platform.New(platform.Config{URL: "http://" + d.platform.addr().String()})
@@ -229,6 +260,7 @@
 	if reply.Status != object.Done {
 		return fmt.Errorf("document %s was not stored: status %d: %w", service, reply.Status, reply.Err)
 	}
+	d.stored[service] = text
 	return nil
 }
 
