--- a/internal/traffic/book/measure_test.go
+++ b/internal/traffic/book/measure_test.go
@@ -24,15 +24,15 @@
 	}
 }
 
-// often disturbs the world twice a second.
-func often(disturb func(w *world)) func(w *world) {
+// each disturbs the world again and again.
+func each(pause time.Duration, disturb func(w *world)) func(w *world) {
 	return func(w *world) {
 		var again func()
 		again = func() {
 			disturb(w)
-			w.after(500*time.Millisecond, again)
+			w.after(pause, again)
 		}
-		w.after(500*time.Millisecond, again)
+		w.after(pause, again)
 	}
 }
 
@@ -81,27 +81,34 @@
 		t.Skip("a measurement; run it with -args -measure")
 	}
 	tests := []struct {
-		name    string
-		f       faults
-		disturb func(w *world)
+		name     string
+		f        faults
+		sidecars int
+		keeps    bool // engines keep their runs when their sidecar dies
+		disturb  func(w *world)
 	}{
-		{"a connection goes silent, new ones work", faults{}, often(silence)},
-		{"the same, and late packets arrive by the silent one", faults{late: 50, wakes: 1000}, often(silence)},
-		{"a sidecar dies and returns within 2 s", faults{}, often(kill)},
-		{"a target's host dies for good", faults{stays: 1000}, func(w *world) { w.after(5*time.Second, func() { kill(w) }) }},
-		{"a sidecar drains, and ends 4 s later", faults{}, often(drainOne)},
-		{"the engine is not reached", faults{engineAway: 100}, nil},
-		{"the engine closes half way", faults{engineBreaks: 100}, nil},
-		{"the engine stalls half way", faults{engineStalls: 100}, nil},
-		{"admission refuses", faults{rejected: 300}, nil},
-		{"packets late, doubled and out of order", faults{late: 20, doubled: 20, reordered: 50}, nil},
-		{"the platform refuses claims", faults{claimFailed: 1000}, nil},
-		{"callers leave", faults{callerLeaves: 100}, nil},
+		{"a connection goes silent, new ones work", faults{}, 6, false, each(500*time.Millisecond, silence)},
+		{"the same, and late packets arrive by the silent one", faults{late: 50, wakes: 1000}, 6, false, each(500*time.Millisecond, silence)},
+		{"a sidecar dies and returns within 2 s", faults{}, 6, false, each(500*time.Millisecond, kill)},
+		{"the same, and engines keep their runs", faults{}, 6, true, each(500*time.Millisecond, kill)},
+		{"a target's host dies for good", faults{stays: 1000}, 24, true, each(2*time.Second, kill)},
+		{"a sidecar drains, and ends 4 s later", faults{}, 6, false, each(500*time.Millisecond, drainOne)},
+		{"the engine is not reached", faults{engineAway: 100}, 6, false, nil},
+		{"the engine closes half way", faults{engineBreaks: 100}, 6, false, nil},
+		{"the engine stalls half way", faults{engineStalls: 100}, 6, false, nil},
+		{"admission refuses", faults{rejected: 300}, 6, false, nil},
+		{"packets late, doubled and out of order", faults{late: 20, doubled: 20, reordered: 50}, 6, false, nil},
+		{"the platform refuses claims", faults{claimFailed: 1000}, 6, false, nil},
+		{"callers leave", faults{callerLeaves: 100}, 6, false, nil},
 	}
 	fmt.Println("| failure | requests | idempotent, before the first byte | answered | notRun | unknown | after it | answered | notRun | unknown | not repeatable: touched | answered | notRun | unknown | slowest outcome | reasons of unknown |")
 	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, tt := range tests {
-		w := newWorld(7, tt.f, true, 2, 6)
+		w := newWorld(7, tt.f, true, 2, tt.sidecars)
+		for _, s := range w.sidecars {
+			s.keeps = tt.keeps
+			s.start()
+		}
 		w.crowd(8000, 40*time.Second)
 		if tt.disturb != nil {
 			tt.disturb(w)
--- a/internal/traffic/claim/shard_test.go
+++ b/internal/traffic/claim/shard_test.go
@@ -217,6 +217,17 @@
 	q.serve()
 	q.answers(claim.Taken)
 	require.Equal(t, moved, q.all[0].Owner)
+
+	// A move that comes after the end of its claim takes the key from nobody.
+	for _, kind := range []claim.EventKind{claim.Released, claim.Moved} {
+		p.on(claim.Event{Kind: kind, Key: key, Owner: moved})
+		p.after(time.Second)
+		p.serve()
+	}
+	q = newProcess(t, p.store)
+	q.ask(3, false)
+	q.serve()
+	q.answers(claim.Granted)
 }
 
 // The caller's key is free again after the retention, not before.
