Refuse a document that would take another service's requests

Each team writes its own document, and nothing kept two of them from naming the same prefix and host: requests went to whichever service's name sorts first. The API and the holder of the lease now compare prefix and hosts with those of the other services in force. The holder reads one document's routing at a time: all of them at once, 40 ms each at the largest size, would cost it its contact.

--- a/internal/program/entry/administration.go
+++ b/internal/program/entry/administration.go
@@ -5,6 +5,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"wagtailshelf.example/wagtailshelf/internal/record/document"
 	"wagtailshelf.example/wagtailshelf/internal/record/object"
 	"wagtailshelf.example/wagtailshelf/internal/wire/administration"
 )
@@ -17,10 +18,20 @@
 		Now:      time.Now,
 		Operator: operator,
 		Applied:  e.applied,
+		InForce:  e.documents,
 	}
 	api.Mount(g)
 }
 
+// documents returns the documents in force here.
+func (e *Entry) documents() []*document.Document {
+	view := e.inForce.Load()
+	if view == nil {
+		return nil
+	}
+	return view.documents
+}
+
 // applied tells the fleet of a document that an operator applied here.
 func (e *Entry) applied(service string, version object.Version) {
 	if e.membership != nil {
--- a/internal/record/document/check.go
+++ b/internal/record/document/check.go
@@ -8,21 +8,31 @@
 	"wagtailshelf.example/wagtailshelf/internal/record/source"
 )
 
+// Against tells what a check compares a document with.
+type Against uint8
+
+// What checks compare with.
+const (
+	Itself  Against = iota
+	InForce         // the document in force of the same service
+	Others          // the documents in force of the other services
+)
+
 // Unit is one check of a document. The table of units is also what the schema
 // page is made from.
 type Unit struct {
-	Name     string // in kebab case, names the check on the schema page
-	Title    string // what must hold, in one sentence
-	Why      string // what would go wrong otherwise
-	OnChange bool   // compares with the document in force
-	run      func(p *pass)
+	Name    string // in kebab case, names the check on the schema page
+	Title   string // what must hold, in one sentence
+	Why     string // what would go wrong otherwise
+	Against Against
+	run     func(p *pass)
 }
 
-// Units returns all checks: those of a document for itself, then those of a
-// change.
+// Units returns all checks: those of a document for itself, those of a change,
+// then those beside other services.
 func Units() []Unit {
 	var all []Unit
-	for _, table := range [][]Unit{serviceUnits, targetUnits, routeUnits, limitUnits, groupUnits, changeUnits} {
+	for _, table := range [][]Unit{serviceUnits, targetUnits, routeUnits, limitUnits, groupUnits, changeUnits, besideUnits} {
 		all = append(all, table...)
 	}
 	return all
@@ -33,13 +43,13 @@
 	*Document
 	src     *source.Source
 	inForce *Document // nil if there is none
+	others  []*Document
 	list    finding.List
 }
 
-func (d *Document) check(src *source.Source, inForce *Document) finding.List {
-	p := &pass{Document: d, src: src, inForce: inForce}
+func (p *pass) check() finding.List {
 	for _, u := range Units() {
-		if u.OnChange && inForce == nil {
+		if u.Against == InForce && p.inForce == nil {
 			continue
 		}
 		u.run(p)
--- a/internal/record/document/check_change.go
+++ b/internal/record/document/check_change.go
@@ -17,10 +17,10 @@
 		run:   checkConfirmForm,
 	},
 	{
-		Name:     "same-service",
-		Title:    "`service` does not change.",
-		Why:      "A renamed document would be another service; the history of the first would end without a word.",
-		OnChange: true,
+		Name:    "same-service",
+		Title:   "`service` does not change.",
+		Why:     "A renamed document would be another service; the history of the first would end without a word.",
+		Against: InForce,
 		run: func(p *pass) {
 			if p.Service != p.inForce.Service {
 				p.report("service", finding.Invalid, "the document in force is that of service %q", p.inForce.Service)
@@ -28,18 +28,18 @@
 		},
 	},
 	{
-		Name:     "dangerous-change",
-		Title:    "Each dangerous change has its explicit word in `confirm`.",
-		Why:      "A slip in an editor must not shut out customers, end a running group or allow a call to be repeated.",
-		OnChange: true,
-		run:      checkDangers,
+		Name:    "dangerous-change",
+		Title:   "Each dangerous change has its explicit word in `confirm`.",
+		Why:     "A slip in an editor must not shut out customers, end a running group or allow a call to be repeated.",
+		Against: InForce,
+		run:     checkDangers,
 	},
 	{
-		Name:     "spent-confirmation",
-		Title:    "`confirm` has no word for a change that this document doesn't make.",
-		Why:      "A word left behind would confirm the same change when it is made by a slip later.",
-		OnChange: true,
-		run:      checkSpent,
+		Name:    "spent-confirmation",
+		Title:   "`confirm` has no word for a change that this document doesn't make.",
+		Why:     "A word left behind would confirm the same change when it is made by a slip later.",
+		Against: InForce,
+		run:     checkSpent,
 	},
 }
 
@@ -195,3 +195,27 @@
 	}
 	return false
 }
+
+var besideUnits = []Unit{{
+	Name:    "own-routing",
+	Title:   "No other service has the same `pathPrefix` for all hosts or for one of the same `hosts`.",
+	Why:     "One team would get the requests of another. Which one's would depend on the order of their names.",
+	Against: Others,
+	run:     checkOwnRouting,
+}}
+
+func checkOwnRouting(p *pass) {
+	for _, other := range p.others {
+		if other.Service == p.Service || other.PathPrefix != p.PathPrefix {
+			continue
+		}
+		if len(p.Hosts) == 0 && len(other.Hosts) == 0 {
+			p.report("pathPrefix", finding.Duplicate, "service %q has the same pathPrefix", other.Service)
+		}
+		for i, h := range p.Hosts {
+			if slices.Contains(other.Hosts, h) {
+				p.report("hosts"+index(i), finding.Duplicate, "service %q has the same host and pathPrefix", other.Service)
+			}
+		}
+	}
+}
--- a/internal/record/document/parse.go
+++ b/internal/record/document/parse.go
@@ -39,8 +39,8 @@
 }
 
 // Check reads and checks a document that is to follow the one in force, which
-// may be nil.
-func Check(file string, text []byte, inForce *Document) (*Document, finding.List) {
+// may be nil, beside those of other services.
+func Check(file string, text []byte, inForce *Document, others ...*Document) (*Document, finding.List) {
 	d := &Document{text: text, digest: DigestOf(text)}
 	d.beforeDecoding()
 	src, list := source.Decode(file, text, d)
@@ -49,7 +49,8 @@
 	if len(list) > 0 && d.Service == "" {
 		return d, list
 	}
-	list = append(list, d.check(src, inForce)...)
+	p := &pass{Document: d, src: src, inForce: inForce, others: others}
+	list = append(list, p.check()...)
 	list.Sort()
 	return d, list
 }
--- a/internal/record/document/parse_test.go
+++ b/internal/record/document/parse_test.go
@@ -112,6 +112,33 @@
 	assert.Contains(t, list[0].Message, "take the word out")
 }
 
+// A team takes over the prefix of another by a slip or by copying its document.
+// The requests of one of the two would go astray, so the second one is refused.
+func TestAServiceCantTakeAnothersRouting(t *testing.T) {
+	other := strings.Replace(minimal, "service: s", "service: other", 1)
+	hosts := func(text, list string) string {
+		return strings.Replace(text, "pathPrefix: /s", "hosts: "+list, 1)
+	}
+	cases := map[string]struct {
+		text, other string
+		findings    int
+	}{
+		"same prefix":          {minimal, other, 1},
+		"longer prefix":        {strings.Replace(minimal, "/s\n", "/s/t\n", 1), other, 0},
+		"one host shared":      {hosts(minimal, "[a, b]"), hosts(other, "[b, c]"), 1},
+		"hosts differ":         {hosts(minimal, "[a]"), hosts(other, "[b]"), 0},
+		"named against all":    {minimal + "hosts: [a]\n", other, 0},
+		"the service's own":    {minimal, minimal, 0},
+		"two prefixes, a host": {minimal + "hosts: [a]\n", strings.Replace(other, "/s\n", "/o\n", 1) + "hosts: [a]\n", 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, list := document.Check("f", []byte(c.text), nil, parsed(t, c.other))
+			assert.Len(t, list, c.findings, list.Error())
+		})
+	}
+}
+
 func TestDigestIsThatOfTheText(t *testing.T) {
 	d := parsed(t, minimal)
 	assert.Equal(t, document.DigestOf([]byte(minimal)), d.Digest())
--- a/internal/record/document/schema.go
+++ b/internal/record/document/schema.go
@@ -117,15 +117,17 @@
 		fmt.Fprintf(&b, "| `%s` | %s |\n", d.danger, d.doc)
 	}
 	b.WriteString("\n## Checks of a document\n\n| check | what must hold | or else |\n|---|---|---|\n")
-	writeUnits(&b, false)
+	writeUnits(&b, Itself)
 	b.WriteString("\n## Checks against the document in force\n\n| check | what must hold | or else |\n|---|---|---|\n")
-	writeUnits(&b, true)
+	writeUnits(&b, InForce)
+	b.WriteString("\n## Checks beside other services\n\n| check | what must hold | or else |\n|---|---|---|\n")
+	writeUnits(&b, Others)
 	return b.String()
 }
 
-func writeUnits(b *strings.Builder, onChange bool) {
+func writeUnits(b *strings.Builder, against Against) {
 	for _, u := range Units() {
-		if u.OnChange == onChange {
+		if u.Against == against {
 			fmt.Fprintf(b, "| %s | %s | %s |\n", u.Name, u.Title, u.Why)
 		}
 	}
--- a/internal/record/register/entry.go
+++ b/internal/record/register/entry.go
@@ -1,6 +1,9 @@
 package register
 
 import (
+	"maps"
+	"slices"
+
 	"wagtailshelf.example/wagtailshelf/internal/record/acceptance"
 	"wagtailshelf.example/wagtailshelf/internal/record/document"
 	"wagtailshelf.example/wagtailshelf/internal/record/finding"
@@ -41,14 +44,47 @@
 }
 
 // Check checks a text before it is staged and at each member, as the acceptance
-// asks for it. The holder of the lease compares it with the document in force
+// asks for it. The holder of the lease compares it with the documents in force
 // too; a member that has an older one in force for a moment would find changes
 // that nobody makes, and a refusal of one member refuses the document.
 func (r *Register) Check(service string, text []byte) finding.List {
 	var inForce *document.Document
-	if c, ok := r.copies[service]; ok && r.held {
-		inForce, _ = document.Parse(service+".yaml", c.document.Text)
+	var others []*document.Document
+	if r.held {
+		inForce, others = r.documents(service)
 	}
-	d, list := document.Check(service+".yaml", text, inForce)
+	d, list := document.Check(service+".yaml", text, inForce, others...)
 	return append(list, d.CheckService(service+".yaml", service)...)
 }
+
+// documents returns the document in force of a service, nil if there is none,
+// and where the requests of the others come from.
+func (r *Register) documents(service string) (own *document.Document, others []*document.Document) {
+	for _, name := range slices.Sorted(maps.Keys(r.copies)) {
+		c := r.copies[name]
+		switch {
+		case name != service && c.routing != nil:
+			others = append(others, c.routing)
+		case name == service && c.document.Number > 0:
+			own, _ = document.Parse(name+".yaml", c.document.Text)
+		}
+	}
+	return own, others
+}
+
+// readRouting reads where the requests of one service come from, if that is not
+// known yet. To read a large document takes 40 ms, and the process that answers
+// probes is the one that waits: all documents at once would cost it its contact.
+func (r *Register) readRouting() {
+	if !r.held {
+		return
+	}
+	for name, c := range r.copies {
+		if c.routing == nil && c.document.Number > 0 {
+			d, _ := document.Parse(name+".yaml", c.document.Text)
+			c.routing = &document.Document{Service: d.Service, PathPrefix: d.PathPrefix, Hosts: d.Hosts}
+			r.copies[name] = c
+			return
+		}
+	}
+}
--- a/internal/record/register/register.go
+++ b/internal/record/register/register.go
@@ -71,8 +71,9 @@
 // copyInForce is what this process has in force of one service.
 type copyInForce struct {
 	document acceptance.Document
-	entry    history.Entry // of that number, if this process has accepted it
-	since    time.Time     // when it came in force here
+	entry    history.Entry      // of that number, if this process has accepted it
+	since    time.Time          // when it came in force here
+	routing  *document.Document // where its requests come from; nil if not read yet
 }
 
 // Register joins the history and the status to the acceptance. It is not safe
@@ -141,6 +142,7 @@
 		r.toArchive(now, history.Event{Kind: history.Tick})
 	}
 	r.settle(now)
+	r.readRouting()
 	return r.out
 }
 
@@ -209,6 +211,7 @@
 	c := r.copies[d.Service]
 	c.document = d
 	c.since = now
+	c.routing = nil
 	r.copies[d.Service] = c
 	r.settled.await(now)
 	r.record(now, d.Service)
--- a/internal/record/register/register_test.go
+++ b/internal/record/register/register_test.go
@@ -269,6 +269,10 @@
 	list := r.Check("agenda", dangerous)
 	require.Len(t, list, 1)
 	assert.Equal(t, finding.Unsafe, list[0].Category)
+	taken := []byte(strings.Replace(text, "service: agenda", "service: other", 1))
+	list = r.Check("other", taken)
+	require.Len(t, list, 1)
+	assert.Equal(t, finding.Duplicate, list[0].Category)
 	s.run(r, epoch, acted(acceptance.Action{Kind: acceptance.Lost}))
 	assert.Empty(t, r.Check("agenda", dangerous))
 }
--- a/internal/wire/administration/administration_test.go
+++ b/internal/wire/administration/administration_test.go
@@ -107,6 +107,7 @@
 	*shelf
 	echo    *echo.Echo
 	applied []object.Version
+	inForce []*document.Document
 }
 
 func newDesk() *desk {
@@ -115,6 +116,7 @@
 		Records:  &administration.Records{Do: d.do},
 		Now:      func() time.Time { return epoch },
 		Operator: func(c echo.Context) string { return c.Request().Header.Get("Operator") },
+		InForce:  func() []*document.Document { return d.inForce },
 		Applied:  func(_ string, v object.Version) { d.applied = append(d.applied, v) },
 	}
 	api.Mount(d.echo.Group(""))
@@ -336,3 +338,14 @@
 	w = d.call("luc", http.MethodPut, path, without, "If-Match", tag)
 	assert.Equal(t, http.StatusOK, w.Code, w.Body.String())
 }
+
+func TestAnotherServicesRoutingIsRefused(t *testing.T) {
+	d := newDesk()
+	text := agenda(t)
+	other, _ := document.Parse("other", changed(text, "service: agenda", "service: other"))
+	d.inForce = []*document.Document{other}
+	w := d.call("marie", http.MethodPut, path, text, "If-None-Match", "*")
+	p := decoded[administration.Problem](t, w, http.StatusUnprocessableEntity)
+	require.Len(t, p.Findings, 1)
+	assert.Contains(t, p.Findings[0].Message, "other")
+}
--- a/internal/wire/administration/api.go
+++ b/internal/wire/administration/api.go
@@ -30,7 +30,7 @@
 // MediaType is the media type of documents.
 const MediaType = "application/yaml"
 
-// API answers operators' calls. All fields but Applied are required.
+// API answers operators' calls. All fields but Applied and InForce are required.
 type API struct {
 	Records  *Records
 	Now      func() time.Time
@@ -39,6 +39,10 @@
 	// Applied is told of each document that was applied here, so that the
 	// holder of the lease hears of it before the platform's watch tells it.
 	Applied func(service string, v object.Version)
+
+	// InForce returns the documents in force at this process, to check one
+	// beside those of other services without reading all from the platform.
+	InForce func() []*document.Document
 }
 
 // Listing is one service in the answer to GET /documents.
--- a/internal/wire/administration/apply.go
+++ b/internal/wire/administration/apply.go
@@ -46,7 +46,11 @@
 	if err != nil {
 		return nil, Checked{}, err
 	}
-	d, findings := document.Check(service+".yaml", text, before)
+	var others []*document.Document
+	if a.InForce != nil {
+		others = a.InForce()
+	}
+	d, findings := document.Check(service+".yaml", text, before, others...)
 	findings = append(findings, d.CheckService(service+".yaml", service)...)
 	return d, Checked{Findings: listOf(findings), Changes: listOf(document.Diff(before, d))}, nil
 }
