Let the share of a data centre hold, and drop pools that nothing used

A document that gave a data centre half a share had no effect: each entry sent all to its own while that could take it.

An entry now keeps of its requests what its data centre's share is of the largest one. Pools of fixed shares, which no document can state, are gone.

--- a/internal/program/entry/routing_targets.go
+++ b/internal/program/entry/routing_targets.go
@@ -42,6 +42,7 @@
 	r.chooser.Configure(target.Config{
 		DataCentre:   r.self.DataCentre,
 		Sharers:      r.sharers(len(candidates)),
+		Keep:         keepOf(d, r.self.DataCentre),
 		AffinityLoad: d.Affinity.LoadBound,
 	})
 	before := r.targets
@@ -62,6 +63,30 @@
 	}
 }
 
+// keepOf returns the part of its requests that a data centre keeps: what the
+// document's share for it is of the largest share of a data centre. Entries would
+// else send all to their own, whatever the shares say.
+func keepOf(d *document.Document, own host.DataCentre) float64 {
+	most := 0.0
+	for i := range d.Targets {
+		most = max(most, shareOf(d, d.Targets[i].DataCentre))
+	}
+	if most == 0 {
+		return 1
+	}
+	return shareOf(d, own) / most
+}
+
+func shareOf(d *document.Document, dc host.DataCentre) float64 {
+	share := 1.0
+	for _, s := range d.Shares {
+		if s.DataCentre == dc {
+			share *= s.Share
+		}
+	}
+	return share
+}
+
 // sharers returns how many entries send to each target of the subset.
 func (r *router) sharers(served int) int {
 	if len(r.entries) == 0 {
--- a/internal/program/entry/routing_test.go
+++ b/internal/program/entry/routing_test.go
@@ -45,3 +45,13 @@
 	assert.Equal(t, 10, r.sharers(100))
 	assert.Equal(t, 1, r.sharers(1))
 }
+
+func TestKeepOf(t *testing.T) {
+	d := &document.Document{
+		Targets: []document.Target{{DataCentre: "mtl-a"}, {DataCentre: "mtl-b"}, {DataCentre: "mtl-c"}},
+		Shares:  []document.Share{{DataCentre: "mtl-a", Share: 0.5}, {DataCentre: "mtl-b", Share: 2}, {Target: "x", Share: 9}},
+	}
+	assert.InDelta(t, 0.25, keepOf(d, "mtl-a"), 1e-9)
+	assert.InDelta(t, 1, keepOf(d, "mtl-b"), 1e-9)
+	assert.InDelta(t, 0.5, keepOf(d, "mtl-c"), 1e-9)
+}
--- a/internal/traffic/target/candidate.go
+++ b/internal/traffic/target/candidate.go
@@ -10,9 +10,6 @@
 // Name identifies a target within its service.
 type Name string
 
-// PoolName names a set of targets that gets a fixed share of the requests.
-type PoolName string
-
 // GroupName names a set of ranks that run in lock-step. It is empty for a
 // target that stands alone.
 type GroupName string
@@ -21,20 +18,13 @@
 type Candidate struct {
 	Name        Name
 	DataCentre  host.DataCentre
-	Pool        PoolName         // empty where the document splits no traffic
-	Weight      float64          // part of the pool's requests, relative to others; zero takes no new work
+	Weight      float64          // part of the requests, relative to others; zero takes no new work
 	Group       GroupName        // set if the target is a rank of a lock-step group
 	Incarnation host.Incarnation // of its sidecar; zero until known
 	Leaving     bool             // already known to be leaving
 	Suspended   bool             // silent: takes no new work until heard from
 }
 
-// PoolShare is a pool's part of the requests, relative to the other pools.
-type PoolShare struct {
-	Pool  PoolName
-	Share float64
-}
-
 // Report is what a sidecar says about the load of its target.
 type Report struct {
 	Name        Name
@@ -98,7 +88,7 @@
 type Config struct {
 	DataCentre   host.DataCentre // the entry's own
 	Sharers      int             // entries that send to the same targets, this one included
-	Pools        []PoolShare     // shares by pool; pools not named here share the rest by their weight
+	Keep         float64         // part of the requests that the own data centre takes if it can; 1 by default
 	ReportFresh  time.Duration   // age up to which a report counts in full
 	ReportTTL    time.Duration   // age from which a report counts for nothing
 	AffinityLoad float64         // a prefix's target may be this many times as loaded as the mean
@@ -116,6 +106,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Sharers:      1,
+		Keep:         1,
 		ReportFresh:  200 * time.Millisecond,
 		ReportTTL:    2 * time.Second,
 		AffinityLoad: 1.25,
@@ -134,6 +125,7 @@
 func (cfg *Config) fill() {
 	def := DefaultConfig()
 	cfg.Sharers = max(cmp.Or(cfg.Sharers, def.Sharers), 1)
+	cfg.Keep = cmp.Or(cfg.Keep, def.Keep)
 	cfg.ReportFresh = cmp.Or(cfg.ReportFresh, def.ReportFresh)
 	cfg.ReportTTL = max(cmp.Or(cfg.ReportTTL, def.ReportTTL), cfg.ReportFresh+1)
 	cfg.AffinityLoad = cmp.Or(cfg.AffinityLoad, def.AffinityLoad)
--- a/internal/traffic/target/chooser.go
+++ b/internal/traffic/target/chooser.go
@@ -20,8 +20,8 @@
 	rnd        *rand.Rand
 	epoch      time.Time
 	states     map[Name]*state
-	pools      []*pool
-	shares     float64       // sum over pools
+	local      side
+	remote     side
 	typical    geometricMean // of capacities
 	perTypical float64       // seconds a token at the typical capacity
 	streams    geometricMean // of the times that a request takes for a token
@@ -39,7 +39,7 @@
 	return &Chooser{cfg: cfg, rnd: rnd, epoch: now, states: make(map[Name]*state), perTypical: 1}
 }
 
-// Configure takes new settings. They hold for pools from the next Update on.
+// Configure takes new settings. A new data centre holds from the next Update on.
 func (c *Chooser) Configure(cfg Config) {
 	cfg.fill()
 	c.cfg = cfg
@@ -141,15 +141,11 @@
 func (c *Chooser) Pick(now time.Time, q Query) (Choice, bool) {
 	at := now.Sub(c.epoch)
 	c.meanTokens += (float64(q.Tokens) - c.meanTokens) / meanOver
-	first := c.drawPool()
-	for i := range c.pools {
-		p := c.pools[(first+i)%len(c.pools)]
-		s, affine := c.pickFrom(p, at, &q)
-		if s != nil {
-			return c.start(s, at, &q, affine)
-		}
+	s, affine := c.choose(at, &q)
+	if s == nil {
+		return Choice{RetryAfter: c.wait(at, &q)}, false
 	}
-	return Choice{RetryAfter: c.wait(at, &q)}, false
+	return c.start(s, at, &q, affine)
 }
 
 // start is the only way by which a target gets an attempt, so it checks once
--- a/internal/traffic/target/chooser_test.go
+++ b/internal/traffic/target/chooser_test.go
@@ -136,15 +136,6 @@
 	})
 }
 
-func TestPools(t *testing.T) {
-	stable, canary := candidates("mtl-a", "s", 4), candidates("mtl-a", "c", 1)
-	canary[0].Pool = "canary"
-	c := newChooser(Config{Pools: []PoolShare{{Pool: "", Share: 95}, {Pool: "canary", Share: 5}}}, append(stable, canary...)...)
-	assert.InDelta(t, 500, share(t, c, at(0), 10000, Query{Tokens: 1})["c0"], 60)
-	c.Leave("c0", 1)
-	assert.Zero(t, share(t, c, at(0), 100, Query{Tokens: 1})["c0"], "others stand in")
-}
-
 func TestWeights(t *testing.T) {
 	cands := candidates("mtl-a", "t", 11)
 	cands[0].Weight = 0.1
@@ -176,6 +167,10 @@
 		counts := share(t, newChooser(Config{}, all...), at(0), 100, Query{Tokens: 1})
 		assert.Equal(t, 100, counts["a0"]+counts["a1"])
 	})
+	t.Run("others for what its share doesn't keep", func(t *testing.T) {
+		counts := share(t, newChooser(Config{Keep: 0.75}, all...), at(0), 1000, Query{Tokens: 1})
+		assert.InDelta(t, 250, counts["b0"]+counts["b1"], 40)
+	})
 	t.Run("others when its own are loaded", func(t *testing.T) {
 		c := newChooser(Config{}, all...)
 		for _, cand := range all {
--- a/internal/traffic/target/doc.go
+++ b/internal/traffic/target/doc.go
@@ -6,13 +6,12 @@
 // [Chooser.Suspend]) and how each request ended ([Chooser.Finish]).
 // [Chooser.Pick] then decides in this order:
 //
-//  1. A pool, by the shares that the document gives.
-//  2. Within the pool the targets of the entry's own data centre. Others are
-//     taken only if none of its own can take the request, or if its own are so
-//     loaded that the longer way is worth it.
-//  3. If the request has a prefix, the few targets that rendezvous hashing
-//     assigns to it, as long as their load is bounded by the pool's mean.
-//  4. Else the less loaded of two targets drawn by weight.
+//  1. The targets of the entry's own data centre, for the part of the requests
+//     that its share lets it keep. Others are taken for the rest, if none of its own can
+//     take the request, or if its own are so loaded that the longer way is worth it.
+//  2. If the request has a prefix, the few targets that rendezvous hashing
+//     assigns to it, as long as their load is bounded by the mean.
+//  3. Else the less loaded of two targets drawn by weight.
 //
 // Ranks of a group that runs in lock-step are chosen otherwise: in any data
 // centre, the one with the least work of this entry.
--- a/internal/traffic/target/pick.go
+++ b/internal/traffic/target/pick.go
@@ -5,22 +5,27 @@
 // maxChoices bounds Config.Choices.
 const maxChoices = 8
 
-// pickFrom chooses a target of the pool, and reports whether it was chosen for
-// the request's prefix. It returns nil if none may get the request.
-func (c *Chooser) pickFrom(p *pool, at time.Duration, q *Query) (*state, bool) {
-	s, affine := c.pickSide(&p.local, at, q)
+// choose returns a target, and reports whether it was chosen for the request's
+// prefix. It returns nil if none may get the request.
+func (c *Chooser) choose(at time.Duration, q *Query) (*state, bool) {
+	if c.cfg.Keep < 1 && c.rnd.Float64() >= c.cfg.Keep {
+		if s, affine := c.pickSide(&c.remote, at, q); s != nil {
+			return s, affine
+		}
+	}
+	s, affine := c.pickSide(&c.local, at, q)
 	if s == nil {
-		return c.pickSide(&p.remote, at, q)
+		return c.pickSide(&c.remote, at, q)
 	}
 	// A loaded data centre sends its excess to the others. The gain keeps two
 	// loaded data centres from sending to each other.
-	load := c.load(s, at, p.local.mean)
+	load := c.load(s, at, c.local.mean)
 	service := c.serviceTime()
 	if service == 0 || load <= c.cfg.SpillLoad*service {
 		return s, affine
 	}
-	r, remote := c.pickSide(&p.remote, at, q)
-	if r == nil || c.load(r, at, p.remote.mean)+c.cfg.SpillGain*service > load {
+	r, remote := c.pickSide(&c.remote, at, q)
+	if r == nil || c.load(r, at, c.remote.mean)+c.cfg.SpillGain*service > load {
 		return s, affine
 	}
 	return r, remote
--- a/internal/traffic/target/pool.go
+++ b/internal/traffic/target/side.go
@@ -5,14 +5,7 @@
 // meanOver is the number of draws that the mean load of a side goes back over.
 const meanOver = 64
 
-// pool is a set of targets that gets a share of the requests.
-type pool struct {
-	share  float64
-	local  side
-	remote side
-}
-
-// side is the part of a pool in the entry's own data centre, or in the others.
+// side is the targets of the entry's own data centre, or those of the others.
 type side struct {
 	states []*state
 	ranks  bool     // of a group in lock-step
@@ -31,54 +24,30 @@
 	other int32
 }
 
-// group sorts the candidates into pools and sides.
+// group sorts the candidates into sides.
 func (c *Chooser) group(candidates []Candidate) {
-	c.pools = nil
-	byName := make(map[PoolName]*pool)
+	c.local, c.remote = side{}, side{}
 	for _, cand := range candidates {
 		s := c.states[cand.Name]
-		p := byName[s.Pool]
-		if p == nil {
-			p = &pool{share: c.cfg.share(s.Pool)}
-			byName[s.Pool] = p
-			c.pools = append(c.pools, p)
+		if s.Weight <= 0 || s.placed {
+			continue
 		}
+		s.placed = true
 		// Ranks wait for each other wherever they are, so all of them share the work.
-		p.add(s, c.cfg.DataCentre == s.DataCentre || s.Group != "")
-	}
-	c.shares = 0
-	for _, p := range c.pools {
-		p.local.build()
-		p.remote.build()
-		c.shares += p.share
-	}
-}
-
-// share returns a pool's share. Without any shares all pools get the same.
-func (cfg *Config) share(name PoolName) float64 {
-	if len(cfg.Pools) == 0 {
-		return 1
-	}
-	for _, s := range cfg.Pools {
-		if s.Pool == name {
-			return s.Share
+		if c.cfg.DataCentre == s.DataCentre || s.Group != "" {
+			c.local.add(s)
+		} else {
+			c.remote.add(s)
 		}
 	}
-	return 0
+	c.local.build()
+	c.remote.build()
 }
 
-func (p *pool) add(s *state, local bool) {
-	sd := &p.remote
-	if local {
-		sd = &p.local
-	}
-	if s.Weight <= 0 || s.placed {
-		return
-	}
-	s.placed = true
+func (sd *side) add(s *state) {
+	s.key = hashString(string(s.Name))
 	sd.ranks = sd.ranks || s.Group != ""
 	sd.states = append(sd.states, s)
-	s.key = hashString(string(s.Name))
 	sd.keys = append(sd.keys, s.key)
 }
 
@@ -132,21 +101,6 @@
 	return sd.states[a.other]
 }
 
-// drawPool returns the index of a pool, by share.
-func (c *Chooser) drawPool() int {
-	if len(c.pools) < 2 {
-		return 0
-	}
-	x := c.rnd.Float64() * c.shares
-	for i, p := range c.pools {
-		x -= p.share
-		if x < 0 {
-			return i
-		}
-	}
-	return 0
-}
-
 // observe takes the load of a target drawn at random into the side's mean. A
 // walk over all targets would be exact, but it would have to be paid by the
 // picks.
--- a/internal/traffic/target/state.go
+++ b/internal/traffic/target/state.go
@@ -27,7 +27,7 @@
 type state struct {
 	Candidate
 	removed bool // no longer listed
-	placed  bool // on a side of a pool
+	placed  bool // on a side
 
 	key      uint64  // hash of the name
 	relative float64 // weight over the greatest of its side
