Let a recovered answer end before what its entry has

A long run found that a book reported a contradiction when an entry asked for more bytes of a recovered answer than came before the engine broke off again. Nothing is wrong there: the end tells that the answer is not whole.

Recovery gets a table of single cases.

--- a/internal/traffic/book/answer.go
+++ b/internal/traffic/book/answer.go
@@ -185,8 +185,8 @@
 		b.tellOne(r, l, request.Message{Kind: request.End, Offset: r.length(), Reason: request.AnswerDropped})
 		return
 	}
-	if m.Offset > r.length() && r.recovered && r.state == running {
-		m.Offset = r.length() // the rest is on its way from the engine
+	if m.Offset > r.length() && r.recovered && (r.state == running || r.endReason != request.NoReason) {
+		m.Offset = r.length() // the rest is on its way from the engine, or broke off
 	}
 	if m.Offset > r.length() {
 		b.violate(request.OwnBytes, r.id, "resolve from %d of %d bytes", m.Offset, r.length())
--- a/internal/traffic/book/book_test.go
+++ b/internal/traffic/book/book_test.go
@@ -113,6 +113,39 @@
 	require.Equal(t, from(2, 0), out[len(out)-1].Peer)
 }
 
+// The caller has 3 bytes of an answer when the sidecar dies. Its next life asks
+// the engine for the run. The caller gets the bytes that follow; or its entry
+// learns that nothing can be told, also when it asks for more than came again.
+func TestRecover(t *testing.T) {
+	call := request.Call{Method: "POST", Path: "/", Remaining: 10 * time.Second}
+	earlier := request.Message{Kind: request.Resolve, Incarnation: life - 1, Offset: 3, Call: &call}
+	begin := func(t *testing.T) *ledger {
+		l := newLedger(t, func(c *book.Config) { c.Recovers = true })
+		out := l.says(from(1, 0), earlier)
+		require.Equal(t, book.Recover, out[0].Kind)
+		return l
+	}
+	t.Run("the engine has the run", func(t *testing.T) {
+		l := begin(t)
+		l.on(book.Event{Kind: book.EngineHead, ID: id, Status: 200})
+		l.replies(l.on(book.Event{Kind: book.EngineData, ID: id, Data: []byte("bo")}), request.NoReason)
+		out := l.on(book.Event{Kind: book.EngineData, ID: id, Data: []byte("njour")})
+		require.Equal(t, "jour", string(out[0].Message.Data))
+		require.Equal(t, uint64(3), out[0].Message.Offset)
+	})
+	t.Run("it has not", func(t *testing.T) {
+		l := begin(t)
+		l.replies(l.on(book.Event{Kind: book.EngineNotReached, ID: id}), request.TargetRestarted, request.UnknownOutcome)
+	})
+	t.Run("it breaks off earlier", func(t *testing.T) {
+		l := begin(t)
+		l.on(book.Event{Kind: book.EngineEnd, ID: id, Reason: request.EngineBroke})
+		out := l.says(from(2, 0), earlier)
+		require.Equal(t, request.End, out[len(out)-1].Message.Kind)
+		require.Equal(t, request.EngineBroke, out[len(out)-1].Message.Reason)
+	})
+}
+
 // The caller left. An idempotent request's engine stream is cancelled; one
 // that may not be repeated runs to its end, and its place is given back then.
 func TestCancelRunning(t *testing.T) {
