--- a/internal/expert/demand/tracker.go
+++ b/internal/expert/demand/tracker.go
@@ -96,6 +96,7 @@
 	seen     []bool    // ranks that reported in it
 	latest   []uint64  // per rank, 1 + the last window taken
 	window   []float64 // shares of the window being folded
+	before   []float64 // shares of the window before it
 	tokens   []float64 // per layer, in the window being folded
 	fast     []float64
 	slow     []float64
@@ -105,6 +106,7 @@
 	pending  bool      // whether aside is in use
 
 	windows   int
+	folds     int     // windows folded since the start
 	usual     float64 // smoothed distance of windows from the estimate
 	spread    float64 // mean deviation of that distance
 	last      time.Time
@@ -131,6 +133,7 @@
 		seen:     make([]bool, size.Ranks),
 		latest:   make([]uint64, size.Ranks),
 		window:   make([]float64, n),
+		before:   make([]float64, n),
 		tokens:   make([]float64, size.Layers),
 		fast:     uniform(size),
 		slow:     uniform(size),
@@ -176,9 +179,10 @@
 		return Nothing
 	}
 	t.last = now
+	defer func() { copy(t.before, t.window) }()
 	d := t.distance(t.window, t.fast)
 	if t.windows == 0 {
-		return t.jump(t.window, t.window)
+		return t.jump()
 	}
 	if t.pending {
 		return t.settle(now, d)
@@ -200,7 +204,7 @@
 	// that resemble each other more than the past are a change that stays.
 	if t.far(d) && t.distance(t.window, t.aside) < d {
 		t.noteShift(now)
-		return t.jump(t.window, t.aside)
+		return t.jump()
 	}
 	t.fold(d)
 	return Dismissed
@@ -281,26 +285,35 @@
 // until windows show it.
 const firstNoise = 0.2
 
-// jump replaces the estimate by the mean of two windows.
-func (t *Tracker) jump(a, b []float64) Change {
+// jump replaces the estimate by the window. The one set aside before a sharp shift
+// is not used: the demand may have changed in the middle of it.
+func (t *Tracker) jump() Change {
 	first := t.windows == 0
-	for i, x := range a {
-		mean := (x + b[i]) / 2
-		t.fast[i] = mean
-		t.slow[i] = mean
+	for i, x := range t.window {
+		t.fast[i] = x
+		t.slow[i] = x
 		if first {
-			t.square[i] = firstNoise * firstNoise * mean * mean
+			t.square[i] = firstNoise * firstNoise * x * x
 		}
-		t.variance[i] = t.noise(i) / 2
+		t.variance[i] = t.noise(i)
 	}
 	if first {
 		t.windows = 1
 		return Folded
 	}
+	// Two windows agree, so there is enough to plan with.
 	t.windows = 2
 	return Shifted
 }
 
+// jitter is what the window and the one before it say of the variance of one
+// window. The distance from the estimate would say too much while that trails a
+// change, and the planner would take real skew for noise for an hour.
+func (t *Tracker) jitter(i int) float64 {
+	d := t.window[i] - t.before[i]
+	return d * d / 2
+}
+
 // noise is the variance of one window's share, from the demand's own noise and
 // from sampling.
 func (t *Tracker) noise(i int) float64 {
@@ -311,6 +324,7 @@
 // fold smooths the window, at distance d, into the estimate.
 func (t *Tracker) fold(d float64) {
 	t.windows++
+	t.folds++
 	gain := t.gain(t.cfg.Smooth)
 	for l, n := range t.tokens {
 		if n > 0 {
@@ -330,11 +344,12 @@
 	weight := min(1, tokens/float64(t.size.Experts)/(enough*t.cfg.Window.Minutes()))
 	gain := weight * t.gain(t.cfg.Smooth)
 	slow := weight * t.gain(t.cfg.Trail)
+	learn := weight * max(gainOf(t.cfg.Window, t.cfg.Trail), 1/float64(t.folds))
 	first := l * t.size.Experts
 	for e, x := range t.layer(t.window, l) {
 		i := first + e
 		r := x - t.fast[i]
-		t.square[i] += slow * (r*r - t.fast[i]/tokens - t.square[i])
+		t.square[i] += learn * (t.jitter(i) - t.fast[i]/tokens - t.square[i])
 		t.variance[i] = (1-gain)*(1-gain)*t.variance[i] + gain*gain*t.noise(i)
 		t.fast[i] += gain * r
 		t.slow[i] += slow * (x - t.slow[i])
@@ -344,6 +359,9 @@
 // gain is the weight of a new window for a time constant. The first windows
 // weigh more, so that the estimate starts as a plain mean.
 func (t *Tracker) gain(constant time.Duration) float64 {
-	g := 1 - math.Exp(-float64(t.cfg.Window)/float64(constant))
-	return max(g, 1/float64(t.windows))
+	return max(gainOf(t.cfg.Window, constant), 1/float64(t.windows))
+}
+
+func gainOf(window, constant time.Duration) float64 {
+	return 1 - math.Exp(-float64(window)/float64(constant))
 }
--- a/internal/expert/plan/config.go
+++ b/internal/expert/plan/config.go
@@ -49,8 +49,8 @@
 	// Hysteresis is how much more than its price a load must win; default 0.5.
 	Hysteresis float64
 	// Confidence scales what counts as noise: a layer is left alone if what could
-	// be won there is less than Confidence times the highest of the ranks'
-	// deviations that is to be expected; default 1.5.
+	// be won there is less than that many times the rise of the hottest rank that
+	// noise alone is expected to cause; default 1.
 	Confidence float64
 	// Switch is the drafting time that a change of map costs by itself; default 50 ms.
 	Switch time.Duration
@@ -77,7 +77,7 @@
 	setFloat(&c.Interference, 0.1)
 	setFloat(&c.ExpertPart, DefaultExpertPart)
 	setFloat(&c.Hysteresis, 0.5)
-	setFloat(&c.Confidence, 1.5)
+	setFloat(&c.Confidence, 1)
 	setInt(&c.Switch, 50*time.Millisecond)
 	setInt(&c.Hold, 10*time.Minute)
 	setInt(&c.Burst, 5*time.Minute)
--- a/internal/expert/plan/plan_test.go
+++ b/internal/expert/plan/plan_test.go
@@ -219,7 +219,7 @@
 		return g.loads - settled
 	}
 	const perHour = 6
-	require.LessOrEqual(t, chased(1.5), 3*perHour)
+	require.LessOrEqual(t, chased(1), 3*perHour)
 	require.Greater(t, chased(0.01), 10*3*perHour)
 }
 
--- a/internal/expert/plan/session.go
+++ b/internal/expert/plan/session.go
@@ -115,7 +115,7 @@
 	s.starts[i] = start
 	bound := Bound(shape, share, s.estimate.Speed)
 	deviation := s.layer.deviation(hot)
-	noise := s.cfg.Confidence * highest(shape.Ranks) * deviation
+	noise := s.cfg.Confidence * chance(shape.Ranks) * deviation
 	if start <= bound+noise {
 		return false
 	}
@@ -131,12 +131,16 @@
 	return true
 }
 
-// highest is about how many standard deviations the highest of n normal
-// variables lies above their mean. Where many ranks are compared, some rank
-// looks hot by noise alone.
-func highest(n int) float64 {
-	const fewest = 2
-	return math.Sqrt(2 * math.Log(float64(max(n, fewest))))
+// chance is about how many standard deviations the highest of n ranks rises over
+// its like by noise alone, with a margin. A search fits the map to the noise of the
+// present estimate; against that, the noise of the next one counts twice in variance.
+func chance(n int) float64 {
+	const (
+		fewest = 2
+		margin = 0.5 // about the deviation of the highest of n normal variables
+	)
+	highest := math.Sqrt(2 * math.Log(float64(max(n, fewest))))
+	return math.Sqrt2 * (highest + margin)
 }
 
 // lowest is the shortest time that any of the changes leads to.
--- a/internal/expert/planner/duty_test.go
+++ b/internal/expert/planner/duty_test.go
@@ -166,7 +166,10 @@
 	value, err := r.Encode()
 	require.NoError(t, err)
 	w.write(RecordKey("s", "g"), value)
-	w.inForce, w.m = r.Number, m
+	w.inForce, w.m, w.epoch = r.Number, m, 2
+	clear(w.offered)
+	clear(w.votes)
+	clear(w.promised)
 	w.pass(20*time.Minute, func(e int) uint64 { return steep(shape.Experts - 1 - e) })
 	require.Equal(t, uint64(2), w.status().Epoch)
 	require.Equal(t, w.inForce, w.record().Number)
