Let only a whole fleet count an unconfirmed acceptance, and begin after a stage

And after all processes had restarted on a recorded stage nobody had contact, so nobody sought the lease.

An unconfirmed acceptance now counts only while the collectors of all data centres say that all their members are heard of; a recorded stage gives no contact to who reads it; a process that only the platform answers may hold the lease for 6 s, then leaves it to others for 15 s.

--- a/internal/fleet/member/probe.go
+++ b/internal/fleet/member/probe.go
@@ -193,10 +193,32 @@
 
 // ContactUntil returns when this member loses contact if it hears no more.
 func (m *Members) ContactUntil() time.Time {
+	last := m.heardAt()
+	if m.refreshed.After(last) {
+		last = m.refreshed
+	}
+	if last.IsZero() {
+		return last
+	}
+	return last.Add(m.cfg.Timeout)
+}
+
+// Hears tells whether neighbours alone give this member contact at now, without
+// what the platform told it.
+func (m *Members) Hears(now time.Time) bool {
+	last := m.heardAt()
+	return !last.IsZero() && now.Before(last.Add(m.cfg.Timeout))
+}
+
+// heardAt returns from when on the neighbours' answers give contact.
+func (m *Members) heardAt() time.Time {
 	full, weak := Quorum(len(m.order))
 	if full == 0 && !m.refreshed.IsZero() {
 		// A fleet of one process has nobody to lose contact with.
-		return m.nextAt.Add(m.cfg.Timeout)
+		return m.nextAt
+	}
+	if !m.established {
+		return time.Time{}
 	}
 	var fulls, weaks []time.Time
 	for _, name := range m.order {
@@ -205,16 +227,11 @@
 			weaks = append(weaks, p.weak)
 		}
 	}
-	last := m.refreshed
-	for _, at := range []time.Time{nth(fulls, full), nth(weaks, weak)} {
-		if m.established && at.After(last) {
-			last = at
-		}
-	}
-	if last.IsZero() {
-		return last
+	last := nth(fulls, full)
+	if other := nth(weaks, weak); other.After(last) {
+		last = other
 	}
-	return last.Add(m.cfg.Timeout)
+	return last
 }
 
 // nth returns the n-th latest of the times, or the zero time.
--- a/internal/record/acceptance/collector.go
+++ b/internal/record/acceptance/collector.go
@@ -16,6 +16,8 @@
 	// holderPatience is how long a collector waits for the holder before it
 	// reads from the platform what became of the stage.
 	holderPatience = 600 * time.Millisecond
+	// wholeWindow is how long ago a member may have asked to count as present.
+	wholeWindow = 2 * holdInterval
 )
 
 // holding is what a collector knows about one member.
@@ -117,9 +119,26 @@
 		}
 	}
 	slices.Sort(msg.IDs)
+	msg.Whole = k.whole(now, c)
 	k.replica.sendTo(own.staged.Holder, msg)
 }
 
+// whole tells whether each member of this data centre has asked of late, so that
+// it hears what this collector is told.
+func (k *collector) whole(now time.Time, c *collection) bool {
+	for _, rec := range k.replica.members.Records() {
+		id := rec.Identity
+		if id.DataCentre != k.replica.self.DataCentre || rec.State == member.Left {
+			continue
+		}
+		h, ok := c.members[id.Name]
+		if !ok || h.id != member.IDOf(id.Name, id.Incarnation) || now.Sub(h.at) > wholeWindow {
+			return false
+		}
+	}
+	return true
+}
+
 // stillOpen takes in the holder's answer.
 func (k *collector) stillOpen(msg *Message) {
 	c, ok := k.stages[msg.Service]
--- a/internal/record/acceptance/holder.go
+++ b/internal/record/acceptance/holder.go
@@ -45,9 +45,10 @@
 	fact     stageFact
 	ids      map[member.ID]bool
 	answered map[member.ID]bool
-	lastHold time.Time // when the last new member said that it holds the text
-	tellAt   time.Time // when it is next reported who is waited for
-	decided  bool      // the acceptance counts though its write is not confirmed
+	whole    map[host.DataCentre]time.Time // when all of a data centre were last heard of
+	lastHold time.Time                     // when the last new member said that it holds the text
+	tellAt   time.Time                     // when it is next reported who is waited for
+	decided  bool                          // the acceptance counts though its write is not confirmed
 	retryAt  time.Time
 	callID   uint64    // of the call on its way, 0 if there is none
 	calledAt time.Time // when it was made
@@ -236,9 +237,6 @@
 	}
 	next := sooner(h.listAt, h.rosterDeadline())
 	for _, j := range h.jobs {
-		if j.phase == accepting && !j.decided {
-			next = sooner(next, h.lease.Until().Add(-h.cfg.leaseLength()/3))
-		}
 		next = sooner(next, j.retryAt)
 		if j.callID != 0 {
 			next = sooner(next, j.calledAt.Add(replyPatience))
--- a/internal/record/acceptance/message.go
+++ b/internal/record/acceptance/message.go
@@ -58,6 +58,7 @@
 	Offset   int          `cbor:"12,keyasint,omitempty"`
 	Size     int          `cbor:"13,keyasint,omitempty"` // of the whole text
 	Data     []byte       `cbor:"14,keyasint,omitempty"`
+	Whole    bool         `cbor:"15,keyasint,omitempty"` // all members of the collector's data centre asked of late
 }
 
 // Errors of [Message.Check] and of the decoders of facts.
--- a/internal/record/acceptance/process.go
+++ b/internal/record/acceptance/process.go
@@ -145,6 +145,8 @@
 	seeking   bool
 	seekAt    time.Time // when the candidates are next looked at
 	contact   bool      // as of the last look
+	heardAt   time.Time // when neighbours last heard this process, or it began to seek
+	restUntil time.Time // up to when it leaves the lease to others
 	local     []Action  // actions of the parts for each other
 	out       []Action
 }
@@ -291,14 +293,28 @@
 	}
 }
 
+const (
+	// lonelyFor is how long a holder that no neighbour hears keeps the lease, and
+	// restFor how long it then leaves it to others. It may be the one that is cut
+	// off; but if the whole fleet has just started, somebody has to begin.
+	lonelyFor = 6 * time.Second
+	restFor   = 15 * time.Second
+)
+
 // seek tries to get the lease if this process is one of the candidates. A holder
 // keeps it though others would be preferred by now, since each change of holder
-// costs time. One without contact gives it up: nobody would answer it.
+// costs time.
 func (p *Process) seek(now time.Time) {
 	p.seekAt = now.Add(p.cfg.leaseLength() / 4)
-	self := p.cfg.Member.Self.Name
-	want := !p.leaving && p.members.Contact(now) &&
-		(p.lease.Holds(now) || slices.Contains(p.members.Candidates(host.Entry, string(LeaseKey), candidates), self))
+	if p.members.Hears(now) || !p.seeking {
+		p.heardAt = now
+	}
+	if p.seeking && now.Sub(p.heardAt) > lonelyFor {
+		p.restUntil = now.Add(restFor)
+	}
+	want := !p.leaving && !now.Before(p.restUntil) &&
+		(p.members.Contact(now) || p.replica.platformAnswers(now)) &&
+		(p.lease.Holds(now) || p.candidate())
 	if want == p.seeking {
 		return
 	}
@@ -310,6 +326,10 @@
 	p.toLease(now, lease.Event{Kind: kind})
 }
 
+func (p *Process) candidate() bool {
+	return slices.Contains(p.members.Candidates(host.Entry, string(LeaseKey), candidates), p.cfg.Member.Self.Name)
+}
+
 // settleParts carries actions between the parts until none is left.
 func (p *Process) settleParts(now time.Time) {
 	for {
--- a/internal/record/acceptance/reading.go
+++ b/internal/record/acceptance/reading.go
@@ -95,6 +95,7 @@
 		return
 	}
 	r.listFail = 0
+	r.listedAt = now
 	r.readAt = p.sentAt
 	for _, o := range reply.Objects {
 		rec, err := DecodeRecord(o)
@@ -103,10 +104,21 @@
 			r.readAt = time.Time{}
 			continue
 		}
+		if rec.Staged != nil {
+			// Its holder may have let it count without being able to record it. Who
+			// has contact with members learns that from them.
+			r.readAt = time.Time{}
+		}
 		r.publishRecord(&rec)
 	}
 }
 
+// platformAnswers tells whether the platform has let this process read the numbers
+// of late.
+func (r *Replica) platformAnswers(now time.Time) bool {
+	return !r.listedAt.IsZero() && now.Sub(r.listedAt) < 2*listInterval
+}
+
 // publishRecord makes known what the platform says was accepted.
 func (r *Replica) publishRecord(rec *Record) {
 	if rec.Entry.Number == 0 {
--- a/internal/record/acceptance/replica.go
+++ b/internal/record/acceptance/replica.go
@@ -46,11 +46,11 @@
 
 // question is a message that is repeated until it is answered.
 type question struct {
-	seq    uint64
-	sentAt time.Time
-	asked  []asked // recent ones without an answer
-	tries  int
-	nextAt time.Time // zero if nothing is to be asked
+	seq      uint64
+	asked    []asked   // the last ones
+	answered bool      // the last one
+	tries    int       // questions without an answer
+	nextAt   time.Time // zero if nothing is to be asked
 }
 
 // asked notes when a question was sent.
@@ -87,6 +87,7 @@
 	listing  bool
 	listSent time.Time
 	listFail int
+	listedAt time.Time // when a read of them last succeeded
 	readAt   time.Time // when the last complete read was sent, zero if all of it is in force
 	out      []Action
 }
@@ -277,7 +278,11 @@
 // that the stage was still open after the question was sent.
 func (r *Replica) ask(now time.Time, c *copyOf) {
 	r.seq++
+	if c.hold.seq != 0 && !c.hold.answered {
+		c.hold.tries++
+	}
 	c.hold.seq = r.seq
+	c.hold.answered = false
 	c.hold.asked = append(c.hold.asked, asked{r.seq, now})
 	if len(c.hold.asked) > 8 {
 		c.hold.asked = c.hold.asked[1:]
@@ -290,16 +295,15 @@
 		msg.Refusals = []Refusal{{Member: r.self.Name, Reason: cut(c.refusal, MaxReasonBytes)}}
 	}
 	r.sendTo(r.collector(c), msg)
-	c.hold.tries++
 	wait := holdInterval
-	if c.hold.tries == 1 {
+	if len(c.hold.asked) == 1 {
 		wait = holdInterval / 2
 	}
 	c.hold.nextAt = now.Add(wait - wait/8 + time.Duration(r.rng.Int64N(int64(wait/4))))
 }
 
-// collector returns whom to tell: the relays of the data centre by turns, and at
-// each third attempt the holder itself, in case the relays have failed.
+// collector returns whom to tell: a relay of the data centre. After each question
+// that was not answered it is the next one and, after two, the holder itself.
 func (r *Replica) collector(c *copyOf) host.Name {
 	relays := r.members.Relays(r.self.DataCentre, collectorKey(c.service, c.stage))
 	n := c.hold.tries % 3
@@ -336,6 +340,7 @@
 	for _, a := range c.hold.asked {
 		if a.seq == msg.Seq && a.at.After(c.freshAt) {
 			c.freshAt = a.at
+			c.hold.answered = true
 		}
 	}
 }
--- a/internal/record/acceptance/stage.go
+++ b/internal/record/acceptance/stage.go
@@ -260,6 +260,7 @@
 	j.stage = newStageVersion(h.fence, staged.Attempt)
 	j.ids = make(map[member.ID]bool)
 	j.answered = make(map[member.ID]bool)
+	j.whole = make(map[host.DataCentre]time.Time)
 	j.lastHold = now
 	j.tellAt = now.Add(waitReport)
 	j.fact = stageFact{
@@ -308,6 +309,9 @@
 	for _, id := range msg.Answered {
 		j.answered[id] = true
 	}
+	if from, ok := h.members.Record(msg.From); ok && msg.Whole {
+		j.whole[from.Identity.DataCentre] = now
+	}
 	h.replica.sendTo(msg.From, &Message{Kind: StillOpen, Service: msg.Service, Stage: msg.Stage, Seq: msg.Seq})
 	if j.phase != spreading {
 		return
@@ -380,11 +384,17 @@
 // and all of them, being in doubt, would take no new work until then. The text may
 // count because every member with contact holds it, and nobody can accept another
 // one without them: whoever holds the lease next learns of it from them, and
-// records it; see recover.
+// records it; see recover. It counts only while all members are heard of: those
+// that are cut off would find in the platform that the stage is still open.
 func (h *Holder) decide(now time.Time, j *job) {
-	if j.decided || !h.lease.Holds(now) {
+	if j.decided || !h.lease.Holds(now) || len(j.next.Entry.LeftOut) > 0 || j.next.Entry.Number != j.fact.Number {
 		return
 	}
+	for _, r := range h.members.Records() {
+		if r.State != member.Left && now.Sub(j.whole[r.Identity.DataCentre]) > 2*wholeWindow {
+			return
+		}
+	}
 	j.decided = true
 	h.replica.publishRecord(&j.next)
 	h.emit(Action{Kind: Accepted, Service: j.service, Entry: j.next.Entry})
