Try groups with the platform out and with all connections silent

Nothing showed that a sidecar can restart while the platform is out, or that a group's hosts find new ways to each other.

A sidecar that restarts during an outage gets the record from a keeper and the fence from its engine; if it doesn't learn the fence from the engine, the test fails. With all connections silent for good the planner still leads the ranks to the next map.

--- a/internal/program/rank/rank_test.go
+++ b/internal/program/rank/rank_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,6 +51,9 @@
 type deployment struct {
 	t         *testing.T
 	url       string // of the platform
+	platform  *standinplatform.Platform
+	mu        sync.Mutex
+	holes     []*hole // the sockets that connections were dialled from
 	authority *credential.Authority
 	engines   *standinengine.Group
 	targets   []string // URLs of the engines
@@ -71,7 +76,8 @@
 	cfg.Step, cfg.Map = time.Millisecond, m
 	d := &deployment{t: t, engines: standinengine.NewGroup(cfg, ranks)}
 	t.Cleanup(d.engines.Close)
-	d.url = serve(t, standinplatform.New(standinplatform.Config{}))
+	d.platform = standinplatform.New(standinplatform.Config{})
+	d.url = serve(t, d.platform)
 	d.authority, err = credential.NewAuthority(time.Now())
 	require.NoError(t, err)
 	d.document = &document.Document{Service: "s", Groups: []document.Group{{
@@ -130,6 +136,7 @@
 	p.listener, err = peer.Listen(peers, address)
 	require.NoError(d.t, err)
 	peers.Identity.Address = p.listener.Addr()
+	peers.Socket = d.socket // of the connections that it dials
 	p.run(func() {
 		client.Close()
 		orders.Close()
@@ -158,6 +165,37 @@
 	})
 }
 
+// hole is a socket that can lose all packets, as when something between the two
+// ends of its connection has lost track of it.
+type hole struct {
+	net.PacketConn
+	shut atomic.Bool
+}
+
+func (h *hole) WriteTo(b []byte, to net.Addr) (int, error) {
+	if h.shut.Load() {
+		return len(b), nil
+	}
+	return h.PacketConn.WriteTo(b, to)
+}
+
+func (d *deployment) socket(c net.PacketConn) net.PacketConn {
+	h := &hole{PacketConn: c}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.holes = append(d.holes, h)
+	return h
+}
+
+// silence makes all connections silent for good; new ones work.
+func (d *deployment) silence() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, h := range d.holes {
+		h.shut.Store(true)
+	}
+}
+
 // draft keeps all ranks busy while the test runs.
 func (d *deployment) draft() {
 	for _, url := range d.targets {
@@ -253,6 +291,39 @@
 	}
 }
 
+func TestRestartDuringOutage(t *testing.T) {
+	// A sidecar restarts while the platform is out. It gets the group's record from
+	// a keeper, and learns from its engine what it was ordered and under which
+	// fence. The group makes steps all the time.
+	d := deploy(t, standinengine.Config{})
+	d.draft()
+	d.eventually(func() bool { return d.settled(1, 0) }, "the group does not form")
+	d.platform.SetFaults(standinplatform.Faults{Outage: true})
+	d.restart(3)
+	d.eventually(func() bool { return d.settled(1, 0) }, "the restarted rank does not settle")
+	before := d.engines.Step()
+	d.eventually(func() bool { return d.engines.Step() > before+100 }, "the group stands still")
+	s, err := d.processes[3].State(t.Context())
+	require.NoError(t, err)
+	require.True(t, s.Rank.FenceKnown)
+	d.assertOneMap()
+}
+
+func TestSilentConnections(t *testing.T) {
+	// All connections between the hosts go silent for good; new ones work. The
+	// planner must find new ways to the ranks, and lead them to the next map.
+	d := deploy(t, standinengine.Config{})
+	d.draft()
+	d.hot(0)
+	d.eventually(func() bool { return d.settled(1, 1) }, "no better map comes in force")
+	d.silence()
+	s, err := d.processes[0].State(t.Context())
+	require.NoError(t, err)
+	d.hot(1)
+	d.eventually(func() bool { return d.settled(1, s.Rank.Rank.InForce) }, "no next map comes in force")
+	d.assertOneMap()
+}
+
 func (d *deployment) engineDies(rank int) {
 	epoch := d.engines.Rank(rank).State().Epoch
 	d.engines.Rank(rank).SetFaults(standinengine.Faults{Dead: true})
