Say only what is true of an apply whose answer was lost

A randomised test of operators over a platform that loses, refuses and lags showed a false answer at once: the write took effect and its answer was lost, the repeat was refused, and the operator read that nothing had changed. The same held for a conflict with a document that had replaced ours in between.

A lost answer now puts the outcome in doubt until a later one tells.

--- a/internal/operator/command/apply.go
+++ b/internal/operator/command/apply.go
@@ -146,7 +146,7 @@
 		return merry.Appendf(ErrFindings, "%d; nothing has changed", len(p.Findings))
 	case p.Conflict != nil:
 		printConflict(w, p.Conflict)
-		return merry.Append(ErrConflict, "nothing has changed")
+		return merry.Appendf(ErrConflict, "%s", p.Message)
 	}
 	return a.ok()
 }
--- a/internal/operator/command/client.go
+++ b/internal/operator/command/client.go
@@ -31,7 +31,7 @@
 	ErrUsage    = merry.Sentinel("usage")
 	ErrRefused  = merry.Sentinel("refused")
 	ErrFindings = merry.Sentinel("the document has findings")
-	ErrConflict = merry.Sentinel("somebody else has changed the document")
+	ErrConflict = merry.Sentinel("conflict")
 )
 
 // client calls the administration API.
--- a/internal/wire/administration/administration_test.go
+++ b/internal/wire/administration/administration_test.go
@@ -239,6 +239,25 @@
 	}
 }
 
+// The write takes effect, its answer is lost, and every read lags behind it. The
+// repeat meets a conflict, but with whom can't be read: the operator is told that
+// the outcome is not known, not that somebody else was first.
+func TestAConflictThatCantBeReadIsInDoubt(t *testing.T) {
+	inBubble(t, func() {
+		d := newDesk()
+		lost := false
+		d.lose = func(c object.Call) bool {
+			first := c.Op == object.Put && !lost
+			lost = lost || first
+			return first
+		}
+		d.lag = func(c object.Call) bool { return c.Key == document.Key("agenda") }
+		w := d.call("marie", http.MethodPut, path, agenda(t), "If-None-Match", "*")
+		p := decoded[administration.Problem](t, w, http.StatusGatewayTimeout)
+		assert.Contains(t, p.Message, "apply the same again")
+	})
+}
+
 // The call is lost on its way to the platform: nothing has taken effect, and the
 // write is repeated under the same condition.
 func TestApplyRepeatsACallThatDidNotArrive(t *testing.T) {
--- a/internal/wire/administration/api.go
+++ b/internal/wire/administration/api.go
@@ -108,6 +108,7 @@
 }{
 	{ErrNotFound, http.StatusNotFound},
 	{ErrConflict, http.StatusPreconditionFailed},
+	{ErrOvertaken, http.StatusPreconditionFailed},
 	{ErrPlatform, http.StatusServiceUnavailable},
 	{ErrUnknown, http.StatusGatewayTimeout},
 	{ErrDamaged, http.StatusBadGateway},
--- a/internal/wire/administration/apply.go
+++ b/internal/wire/administration/apply.go
@@ -95,9 +95,9 @@
 	service := c.Param("service")
 	s := document.Submission{By: a.Operator(c), At: a.Now().UTC(), Text: string(d.Text())}
 	stands, err := a.Records.Apply(ctx, service, version, s)
-	if errors.Is(err, ErrConflict) {
+	if errors.Is(err, ErrConflict) || errors.Is(err, ErrOvertaken) {
 		return c.JSON(http.StatusPreconditionFailed, Problem{
-			Message:  "somebody else has changed the document since you read it; nothing has changed",
+			Message:  err.Error(),
 			Conflict: a.conflict(ctx, service, stands, c.Request().Header.Get(BaseHeader)),
 		})
 	}
--- /dev/null
+++ b/internal/wire/administration/random_test.go
@@ -0,0 +1,123 @@
+package administration_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"wagtailshelf.example/wagtailshelf/internal/record/document"
+	"wagtailshelf.example/wagtailshelf/internal/record/object"
+	"wagtailshelf.example/wagtailshelf/internal/wire/administration"
+)
+
+// faulty is a platform that loses calls and answers, refuses calls and shows
+// old states, and keeps each state that documents/agenda was ever in.
+type faulty struct {
+	*shelf
+	t      *rapid.T
+	states map[object.Version]string // the author, by version
+}
+
+func (f *faulty) do(ctx context.Context, c object.Call) object.Reply {
+	refused := object.Reply{Op: c.Op, Status: object.Refused, Err: errors.New("held back")}
+	unknown := object.Reply{Op: c.Op, Status: object.Unknown, Err: errors.New("no answer")}
+	fault := rapid.SampledFrom([]string{"none", "none", "none", "lose", "drop", "refuse", "lag"}).Draw(f.t, "fault")
+	switch {
+	case ctx.Err() != nil, fault == "drop":
+		return unknown
+	case fault == "refuse":
+		return refused
+	}
+	f.lag = func(object.Call) bool { return fault == "lag" }
+	r := f.carryOut(c)
+	if c.Op == object.Put && r.Status == object.Done {
+		f.states[r.Object.Version] = document.DecodeSubmission(c.Value).By
+	}
+	if fault == "lose" {
+		return unknown
+	}
+	return r
+}
+
+// attempt is one operator's apply and what it was told.
+type attempt struct {
+	by       string
+	base     object.Version
+	received administration.Applied
+	err      error
+}
+
+func (f *faulty) check(a attempt) {
+	var at object.Version // at which the attempt took effect
+	for v, by := range f.states {
+		if by == a.by {
+			require.Zero(f.t, at, "%s took effect twice", a.by)
+			at = v
+		}
+	}
+	switch {
+	case a.err == nil:
+		require.Equal(f.t, at, a.received.Version, "%s has a receipt", a.by)
+	case errors.Is(a.err, administration.ErrConflict), errors.Is(a.err, administration.ErrPlatform):
+		require.Zero(f.t, at, "%s was told that nothing has changed: %v", a.by, a.err)
+	default:
+		require.True(f.t, errors.Is(a.err, administration.ErrUnknown) || errors.Is(a.err, administration.ErrOvertaken), "%v", a.err)
+	}
+}
+
+// inBubble runs f on a clock of its own. A failure of rapid is a panic, which has
+// to leave the bubble before it reaches rapid.
+func inBubble(t *testing.T, f func()) {
+	var failure any
+	synctest.Test(t, func(*testing.T) {
+		defer func() { failure = recover() }()
+		f()
+	})
+	if failure != nil {
+		panic(failure)
+	}
+}
+
+// Several operators apply one after the other, each on the version that stands
+// there or on an older one, over a platform that loses, refuses and lags. Another
+// one may be first while an answer is looked after. What each is told is true:
+// a receipt means once and at that version, a conflict or an outage means never.
+func TestWhatOperatorsAreToldIsTrue(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		inBubble(t, func() {
+			f := &faulty{shelf: newShelf(), t: rt, states: map[object.Version]string{}}
+			intruder := 0
+			records := &administration.Records{Do: func(ctx context.Context, c object.Call) object.Reply {
+				if c.Op == object.Put && rapid.IntRange(0, 3).Draw(rt, "intrude") == 0 {
+					intruder++
+					by := fmt.Sprintf("intruder-%d", intruder)
+					s := document.Submission{By: by, Text: "x"}
+					value, err := s.Encode()
+					require.NoError(rt, err)
+					f.states[f.put(c.Key, value)] = by
+				}
+				return f.do(ctx, c)
+			}}
+			var attempts []attempt
+			for i := range rapid.IntRange(1, 4).Draw(rt, "operators") {
+				a := attempt{by: fmt.Sprintf("operator-%d", i), base: f.objects[document.Key("agenda")].Version}
+				if rapid.IntRange(0, 4).Draw(rt, "behind") == 0 {
+					a.base = f.older[document.Key("agenda")].Version
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+				a.received, a.err = records.Apply(ctx, "agenda", a.base, document.Submission{By: a.by, At: epoch, Text: "x"})
+				cancel()
+				attempts = append(attempts, a)
+			}
+			for _, a := range attempts {
+				f.check(a)
+			}
+		})
+	})
+}
--- a/internal/wire/administration/records.go
+++ b/internal/wire/administration/records.go
@@ -23,11 +23,12 @@
 
 // Errors of [Records].
 var (
-	ErrNotFound = merry.Sentinel("there is no such document")
-	ErrConflict = merry.Sentinel("somebody else has changed the document")
-	ErrPlatform = merry.Sentinel("the platform did not answer; nothing has changed")
-	ErrUnknown  = merry.Sentinel("the platform's answer is lost: the document may be applied or not; apply the same again")
-	ErrDamaged  = merry.Sentinel("a record of the platform can't be read")
+	ErrNotFound  = merry.Sentinel("there is no such document")
+	ErrConflict  = merry.Sentinel("somebody else has changed the document since you read it; yours is not applied")
+	ErrPlatform  = merry.Sentinel("the platform did not answer; nothing has changed")
+	ErrUnknown   = merry.Sentinel("the platform's answer is lost: the document may be applied or not; apply the same again")
+	ErrOvertaken = merry.Sentinel("the platform's answer is lost, and somebody else has changed the document since: yours was applied before, or not at all")
+	ErrDamaged   = merry.Sentinel("a record of the platform can't be read")
 )
 
 const (
@@ -76,7 +77,7 @@
 	if err != nil {
 		return Applied{}, err
 	}
-	return Applied{Submission: document.DecodeSubmission(o.Value), Version: o.Version}, nil
+	return applied(o), nil
 }
 
 // All returns the applied documents of all services, by service.
@@ -87,7 +88,7 @@
 	}
 	all := make(map[string]Applied, len(objects))
 	for _, o := range objects {
-		all[o.Key.Name()] = Applied{Submission: document.DecodeSubmission(o.Value), Version: o.Version}
+		all[o.Key.Name()] = applied(o)
 	}
 	return all, nil
 }
@@ -95,93 +96,109 @@
 // Apply writes a submission if the version of the applied document still is the
 // given one, 0 if there must be none, and returns its new version. If somebody
 // else was first it returns the document that stands there with [ErrConflict].
+//
+// A call whose answer is lost puts the outcome in doubt until a later answer
+// tells. In doubt, [ErrConflict] and [ErrPlatform] would promise too much: the
+// document may have been applied, and replaced by somebody else since.
 func (r *Records) Apply(ctx context.Context, service string, version object.Version, s document.Submission) (Applied, error) {
 	value, err := s.Encode()
 	if err != nil {
 		return Applied{}, err
 	}
-	call := object.Call{Op: object.Put, Key: document.Key(service), Version: version, Value: value, Cause: Cause}
+	w := write{
+		records: r,
+		call:    object.Call{Op: object.Put, Key: document.Key(service), Version: version, Value: value, Cause: Cause},
+	}
 	for {
-		reply := r.Do(ctx, call)
-		switch reply.Status {
-		case object.Done:
-			return Applied{Submission: s, Version: reply.Object.Version}, nil
-		case object.Conflict:
-			return r.conflict(ctx, call, reply.Object)
-		case object.Unknown:
-		default:
-			return Applied{}, merry.Appendf(ErrPlatform, "writing %s: %v", call.Key, reply.Err)
-		}
-		if err := r.lost(ctx, call); err != nil {
-			return r.settled(err, s)
+		stands, again, err := w.try(ctx)
+		if !again {
+			return stands, err
 		}
 	}
 }
 
-// written tells that a write whose answer was lost has taken effect.
-type written struct{ version object.Version }
-
-func (w written) Error() string { return fmt.Sprintf("written as version %d", w.version) }
-
-// lost finds out what became of a write whose answer was lost. It returns nil
-// if the write is to be repeated. The first one may still be on its way: both
-// have one version as condition, so at most one of them takes effect.
-func (r *Records) lost(ctx context.Context, c object.Call) error {
-	select {
-	case <-ctx.Done():
-		return ErrUnknown
-	case <-time.After(applyPause):
-	}
-	o, err := r.get(ctx, c.Key)
-	switch {
-	case errors.Is(err, ErrNotFound) && c.Version == 0:
-		return nil
-	case err != nil && ctx.Err() != nil:
-		return ErrUnknown
-	case err != nil:
-		return nil // the repeat will tell
-	case bytes.Equal(o.Value, c.Value):
-		return written{version: o.Version}
-	}
-	return nil
+// write is one apply.
+type write struct {
+	records *Records
+	call    object.Call
+	doubt   bool // an earlier try may have taken effect
 }
 
-func (r *Records) settled(err error, s document.Submission) (Applied, error) {
-	var w written
-	if errors.As(err, &w) {
-		return Applied{Submission: s, Version: w.version}, nil
-	}
-	return Applied{}, err
+// try makes the call once. It returns again if the call is to be repeated.
+func (w *write) try(ctx context.Context) (stands Applied, again bool, err error) {
+	reply := w.records.Do(ctx, w.call)
+	switch {
+	case reply.Status == object.Done:
+		return applied(object.Object{Version: reply.Object.Version, Value: w.call.Value}), false, nil
+	case reply.Status == object.Conflict:
+		stands, err = w.conflict(ctx, reply.Object)
+		return stands, false, err
+	case reply.Status != object.Unknown && !w.doubt:
+		return Applied{}, false, merry.Appendf(ErrPlatform, "writing %s: %v", w.call.Key, reply.Err)
+	}
+	// The first call may still be on its way. Both have one version as
+	// condition, so at most one takes effect; if it was the first, the repeat
+	// meets a conflict with our own value.
+	w.doubt = true
+	if !pause(ctx) {
+		return Applied{}, false, ErrUnknown
+	}
+	return Applied{}, true, nil
 }
 
 // conflict looks at what stands there after a conflict. A value that is equal,
 // its time and author included, is our own: an earlier try has taken effect. A
 // read that still shows the version of the condition lags, and is repeated: it
 // would tell the operator that nothing has changed.
-func (r *Records) conflict(ctx context.Context, c object.Call, o object.Object) (Applied, error) {
-	for try := 0; o.Version <= c.Version && try < maxReads; try++ {
+func (w *write) conflict(ctx context.Context, o object.Object) (Applied, error) {
+	for try := 0; o.Version <= w.call.Version; try++ {
 		var err error
-		o, err = r.get(ctx, c.Key)
-		if errors.Is(err, ErrNotFound) && c.Version != 0 {
-			return Applied{}, ErrConflict
-		}
-		if err != nil && !errors.Is(err, ErrNotFound) {
-			return Applied{}, err
+		o, err = w.records.get(ctx, w.call.Key)
+		if errors.Is(err, ErrNotFound) && w.call.Version != 0 {
+			return Applied{}, w.lostTo()
 		}
-		if o.Version > c.Version {
+		if o.Version > w.call.Version {
 			break
 		}
-		select {
-		case <-ctx.Done():
-			return Applied{}, ErrPlatform
-		case <-time.After(applyPause):
+		if try == maxReads || !pause(ctx) {
+			return Applied{}, w.unread()
 		}
 	}
-	stands := Applied{Submission: document.DecodeSubmission(o.Value), Version: o.Version}
-	if bytes.Equal(o.Value, c.Value) {
+	stands := applied(o)
+	if bytes.Equal(o.Value, w.call.Value) {
 		return stands, nil
 	}
-	return stands, ErrConflict
+	return stands, w.lostTo()
+}
+
+// lostTo returns the error for a document that somebody else has written.
+func (w *write) lostTo() error {
+	if w.doubt {
+		return ErrOvertaken
+	}
+	return ErrConflict
+}
+
+// unread returns the error for a conflict with a document that can't be read.
+func (w *write) unread() error {
+	if w.doubt {
+		return ErrUnknown
+	}
+	return ErrConflict
+}
+
+func applied(o object.Object) Applied {
+	return Applied{Submission: document.DecodeSubmission(o.Value), Version: o.Version}
+}
+
+// pause waits a little and reports whether there is time left.
+func pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(applyPause):
+		return true
+	}
 }
 
 // Record returns the record of the acceptance, or an empty one if nothing was
