--- a/internal/expert/group/measure_test.go
+++ b/internal/expert/group/measure_test.go
@@ -11,6 +11,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
 	"wagtailshelf.example/wagtailshelf/internal/expert/group"
 	"wagtailshelf.example/wagtailshelf/internal/expert/order"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
 )
 
 // TestMeasure prints what switches cost at three sizes of group. It runs only
@@ -66,3 +67,78 @@
 }
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// BenchmarkRankSwitch is what one rank of 256 spends on a switch of 64 moves: the
+// messages decoded, checked and handled, and the answers encoded.
+func BenchmarkRankSwitch(b *testing.B) {
+	w := newWorldOf(1, expertmap.Shape{Layers: 58, Experts: 256, Ranks: 256, Slots: 3}, order.Engine{ChecksFences: true, ReadsBack: true})
+	for !w.agreed() {
+		w.run(time.Second)
+	}
+	n := w.nodes[0]
+	var inbox [][]byte
+	w.onDeliver = func(to host.Name, m group.Message) {
+		if to == n.name {
+			payload, err := m.Encode()
+			require.NoError(b, err)
+			inbox = append(inbox, payload)
+		}
+	}
+	p := w.planner(5)
+	w.propose(p, 64)
+	w.until(func() bool { return len(p.ended) > 0 && !p.p.Busy() })
+	b.ReportAllocs()
+	for b.Loop() {
+		sw := *n.sw // each round begins after the switch; the proposal is checked in full
+		for _, payload := range inbox {
+			m, err := group.Decode(payload)
+			require.NoError(b, err)
+			m.Number += 1 << 20
+			m.Base = sw.View().InForce
+			for _, a := range sw.Handle(w.now(), group.Event{Kind: group.Received, From: p.name, Message: m}) {
+				_, _ = a.Message.Encode()
+			}
+		}
+	}
+	b.ReportMetric(float64(len(inbox)), "messages")
+}
+
+// BenchmarkPlannerSwitch is what the planner's process spends on the same switch.
+func BenchmarkPlannerSwitch(b *testing.B) {
+	w := newWorldOf(1, expertmap.Shape{Layers: 58, Experts: 256, Ranks: 256, Slots: 3}, order.Engine{ChecksFences: true, ReadsBack: true})
+	for !w.agreed() {
+		w.run(time.Second)
+	}
+	type letter struct {
+		from    host.Name
+		payload []byte
+	}
+	var inbox []letter
+	var proposal *group.Proposal
+	p := w.planner(5)
+	w.onDeliver = func(to host.Name, m group.Message) {
+		if to == p.name {
+			payload, err := m.Encode()
+			require.NoError(b, err)
+			inbox = append(inbox, letter{w.from, payload})
+		}
+	}
+	w.onPropose = func(started *group.Proposal) { proposal = started }
+	w.propose(p, 64)
+	w.until(func() bool { return len(p.ended) > 0 && !p.p.Busy() })
+	b.ReportAllocs()
+	for b.Loop() {
+		fresh := group.NewProposer(time.Hour)
+		actions := fresh.Handle(w.now(), group.Event{Kind: group.Start, Proposal: proposal})
+		for _, l := range inbox {
+			for _, a := range actions {
+				_, _ = a.Message.Encode()
+			}
+			m, err := group.Decode(l.payload)
+			require.NoError(b, err)
+			actions = fresh.Handle(w.now(), group.Event{Kind: group.Received, From: l.from, Message: m})
+		}
+		require.False(b, fresh.Busy())
+	}
+	b.ReportMetric(float64(len(inbox)), "messages")
+}
--- a/internal/expert/group/world_test.go
+++ b/internal/expert/group/world_test.go
@@ -68,17 +68,20 @@
 	lossy    float64       // of answers to orders
 	doubled  float64       // messages that arrive twice, the second time late
 
-	waits    int // steps that began late because of a limit
-	waiting  bool
-	messages int
-	loadedAt time.Duration // when promises were last asked for
-	bytes    int
-	reforms  int
-	forming  bool
-	failures []string
-	checked  map[*expertmap.Map]bool
-	asked    map[uint64]time.Duration                   // by step
-	onSend   func(from host.Name, m group.Message) bool // false drops the message
+	waits     int // steps that began late because of a limit
+	waiting   bool
+	messages  int
+	loadedAt  time.Duration // when promises were last asked for
+	bytes     int
+	reforms   int
+	forming   bool
+	failures  []string
+	checked   map[*expertmap.Map]bool
+	asked     map[uint64]time.Duration // by step
+	onDeliver func(to host.Name, m group.Message)
+	from      host.Name // of the message being delivered
+	onPropose func(*group.Proposal)
+	onSend    func(from host.Name, m group.Message) bool // false drops the message
 }
 
 func newWorld(seed uint64, ranks int, kind order.Engine) *world {
@@ -165,10 +168,14 @@
 			to.Set(layer, rank, w.firstSpare()+w.rng.IntN(m.Shape().Slots-w.firstSpare()), e)
 		}
 	}
-	w.proposed(p, p.p.Handle(w.now(), group.Event{Kind: group.Start, Proposal: &group.Proposal{
+	proposal := &group.Proposal{
 		Record: w.record, Base: base, BaseMap: m, Map: to, Fence: p.fence,
 		ExpertBytes: expertBytes, StoreRate: w.rate, StepTime: w.stepTime, Patience: w.patience,
-	}}))
+	}
+	if w.onPropose != nil {
+		w.onPropose(proposal)
+	}
+	w.proposed(p, p.p.Handle(w.now(), group.Event{Kind: group.Start, Proposal: proposal}))
 }
 
 // firstSpare is the first slot of a rank that no expert depends on.
@@ -227,6 +234,10 @@
 	if n := w.node(from); n != nil && n.cut {
 		return
 	}
+	w.from = from
+	if w.onDeliver != nil {
+		w.onDeliver(to, m)
+	}
 	ev := group.Event{Kind: group.Received, From: from, Message: m}
 	if n := w.node(to); n != nil {
 		if !n.down && !n.cut {
