Leave the planning lease when the map in force can't be known

Cause: a planner that was started after a switch which nobody recorded had each of its plans refused, and kept others that knew the map from planning as long as it held the lease.

Change: after two plans refused for that reason it gives the lease up for two minutes.

Conclusion: a seeker that followed the switch writes the record and goes on. If no seeker followed it, the group keeps its map until it forms again.

--- a/internal/expert/planner/duty.go
+++ b/internal/expert/planner/duty.go
@@ -46,6 +46,9 @@
 	unsaved bool      // the map in force is newer than the record
 	readAt  time.Time // when to read the record
 
+	unknown int       // maps refused one after another since the map in force is not known
+	seekAt  time.Time // when to seek the lease again that was left to another
+
 	publishing    uint64 // number of the write of the status under way, or 0
 	statusVersion object.Version
 
@@ -82,8 +85,8 @@
 
 // Deadline returns when the next [Tick] is due. The zero time means never.
 func (d *Duty) Deadline() time.Time {
-	at := d.lease.Deadline()
-	at = earliest(at, d.readAt)
+	at := earliest(d.lease.Deadline(), d.readAt)
+	at = earliest(at, d.seekAt)
 	if d.group.record == nil {
 		return at
 	}
@@ -127,11 +130,16 @@
 func (d *Duty) seek(now time.Time, ev Event) {
 	var actions []lease.Action
 	switch {
+	case ev.Kind == Tick && !d.seekAt.IsZero() && !now.Before(d.seekAt):
+		d.seekAt = time.Time{}
+		actions = d.lease.Handle(now, lease.Event{Kind: lease.Seek})
 	case ev.Kind == Tick:
 		actions = d.lease.Handle(now, lease.Event{Kind: lease.Tick})
 	case ev.Kind == Seek:
+		d.seekAt = time.Time{}
 		actions = d.lease.Handle(now, lease.Event{Kind: lease.Seek})
 	case ev.Kind == Resign:
+		d.seekAt = time.Time{}
 		actions = d.lease.Handle(now, lease.Event{Kind: lease.Resign})
 	case ev.Kind == Replied && ev.Reply.ID&ownCalls == 0:
 		actions = d.lease.Handle(now, lease.Event{Kind: lease.Answer, Reply: ev.Reply})
@@ -156,6 +164,16 @@
 	}
 }
 
+// leave gives the lease to another seeker for a while.
+func (d *Duty) leave(now time.Time) {
+	const rest = 2 * time.Minute
+	d.unknown = 0
+	d.seekAt = now.Add(rest)
+	for _, a := range d.lease.Handle(now, lease.Event{Kind: lease.Resign}) {
+		d.applyLease(now, a)
+	}
+}
+
 func (d *Duty) violate(text string) {
 	d.out = append(d.out, Action{Kind: Violate, Text: text})
 }
--- a/internal/expert/planner/duty_test.go
+++ b/internal/expert/planner/duty_test.go
@@ -76,6 +76,31 @@
 	require.Greater(t, w.inForce, before)
 }
 
+// As before, but the next holder is a process that was started in between, so it
+// has not followed the switch either. After two refused plans it must leave the
+// lease to a process that has, or nothing would be planned until the group forms
+// again.
+func TestHolderThatKnowsNothingLeaves(t *testing.T) {
+	w := newWorld(t)
+	w.add("rank-0")
+	w.add("rank-1")
+	w.drop = 1000
+	for len(w.ended) == 0 {
+		w.pass(time.Second, steep)
+	}
+	w.pass(time.Second, steep)
+	w.drop = 0
+	w.held["rank-1"] = true
+	w.add("rank-0")
+	w.pass(time.Minute, steep)
+	require.True(t, w.duties["rank-0"].Holds(w.now))
+	w.held["rank-1"] = false
+	w.pass(30*time.Minute, func(e int) uint64 { return steep(shape.Experts - 1 - e) })
+	require.True(t, w.duties["rank-1"].Holds(w.now))
+	require.Equal(t, w.inForce, w.record().Number)
+	require.Less(t, w.status().Skew, 1.1)
+}
+
 // The holder is paused past the end of its lease and another takes over. When it
 // goes on, everything it had queued arrives at once. It must neither ask, plan nor
 // tell anybody anything: its map numbers would be refused, but its loads would
--- a/internal/expert/planner/propose.go
+++ b/internal/expert/planner/propose.go
@@ -85,11 +85,10 @@
 	if a.Vote != group.Committed {
 		d.planner.Refused(now, p)
 		d.planAt = now.Add(d.cfg.Period) // what refused it once will often do so again
-		if a.Reason == group.BaseUnknown || a.Reason == group.StaleEpoch {
-			d.readAt = now
-		}
+		d.wasRefused(now, a.Reason)
 		return
 	}
+	d.unknown = 0
 	if err := d.planner.Installed(now, d.pending.from.m, p.Map); err != nil {
 		d.violate(err.Error())
 	}
@@ -97,3 +96,21 @@
 	d.group.m = p.Map
 	d.unsaved = true
 }
+
+// wasRefused reads the record when the ranks are elsewhere than the plan began.
+// If that does not help, the record is behind and this process has not followed
+// the switch that it lacks, say because it was started since. Another seeker may
+// have; as long as this one held the lease, nobody would write a newer record.
+func (d *Duty) wasRefused(now time.Time, why group.Reason) {
+	const patience = 2
+	switch why {
+	case group.StaleEpoch:
+		d.readAt = now
+	case group.BaseUnknown:
+		d.readAt = now
+		d.unknown++
+		if d.unknown >= patience {
+			d.leave(now)
+		}
+	}
+}
