Read on behind sealed segments before a key is called taken

A repeat waits until the view is not older than it is. The view counted as new after one segment was read, even if that one had been sealed since and the end of the claim stood in a later one; and not at all if the next segment did not exist yet, so that a repeat waited its whole second.

Read on until a segment is open or missing, and take both as a view of that time.

--- a/internal/traffic/claim/reply.go
+++ b/internal/traffic/claim/reply.go
@@ -101,12 +101,12 @@
 	switch r.Status {
 	case object.Done:
 		s.unsure = false
-		s.viewAt = s.callAt
-		s.changed = true // some wait for a view that is not older than they are
 		s.absorb(r.Object)
+		s.viewed()
 	case object.NotFound:
 		s.unsure = false
 		s.chain.loaded = s.chain.version == 0
+		s.viewed()
 	default:
 		s.backOff(now)
 	}
@@ -122,9 +122,19 @@
 	}
 	if news {
 		s.moved()
+		s.unsure = len(s.chain.head.Entries) == 0 // it was sealed: read on in the next one
 	}
 }
 
+// viewed settles asks that wait for a view that is not older than they are.
+func (s *Shard) viewed() {
+	if s.unsure || !s.chain.loaded {
+		return
+	}
+	s.viewAt = s.callAt
+	s.changed = true
+}
+
 // moved takes note that the head's version has changed. Lost writes expected
 // the old one, so none of them can land any more.
 func (s *Shard) moved() {
--- a/internal/traffic/claim/shard_test.go
+++ b/internal/traffic/claim/shard_test.go
@@ -268,6 +268,31 @@
 	q.answers(claim.Taken, claim.Granted)
 }
 
+// The same, while the segment that has the claim has been sealed and more than
+// one was written since: all that follow are read before the answer.
+func TestRepeatAfterSegmentsWereSealed(t *testing.T) {
+	small := claim.DefaultConfig("agenda", 0)
+	small.SegmentBytes = 1
+	s := newStore()
+	p, q := newProcess(t, s), newProcess(t, s)
+	p.s, q.s = claim.New(small, rand.New(rand.NewPCG(1, 1))), claim.New(small, rand.New(rand.NewPCG(1, 1)))
+	p.ask(1, false)
+	p.serve()
+	q.ask(2, false)
+	q.serve()
+	for n := range byte(3) {
+		p.on(claim.Event{Kind: claim.Asked, Key: claim.NewKey("agenda", "north", string(n)), Owner: prior(10 + n)})
+		p.after(time.Second)
+		p.serve()
+	}
+	p.on(claim.Event{Kind: claim.Released, Key: key, Owner: prior(1)})
+	p.serve()
+	q.after(10 * time.Second)
+	q.ask(3, false)
+	q.serve()
+	q.answers(claim.Taken, claim.Granted)
+}
+
 // The platform is out, and a caller repeats a call whose request has run. What
 // the entry read before is all there is: saying "not run" would be untrue.
 func TestRepeatDuringOutage(t *testing.T) {
--- a/internal/traffic/request/answer.go
+++ b/internal/traffic/request/answer.go
@@ -51,12 +51,14 @@
 // its way to its target, when both were made at the same moment, or have gone
 // to another one.
 func (r *Request) joinLater(now time.Time, reason Reason) {
-	if r.headDelivered || !now.Add(r.cfg.JoinWait).Before(r.joinBy) {
+	wait := r.cfg.JoinWait << min(r.joins, maxJoinDoublings)
+	if r.headDelivered || !now.Add(wait).Before(r.joinBy) {
 		r.fail(reason)
 		return
 	}
+	r.joins++
 	r.phase = joining
-	r.retryAt = now.Add(r.cfg.JoinWait)
+	r.retryAt = now.Add(wait)
 }
 
 // cancelLate repeats the Cancel of an attempt that was left behind on a
--- a/internal/traffic/request/config.go
+++ b/internal/traffic/request/config.go
@@ -9,7 +9,7 @@
 	MinRemaining time.Duration // an attempt with less time than this is not begun
 	ResolveWait  time.Duration // wait for one connection, or for one reply to Resolve
 	ResolveLimit time.Duration // wait for all of that together, before the answer began
-	JoinWait     time.Duration // before asking again for the request that holds the key
+	JoinWait     time.Duration // before asking again for the request that holds the key; doubled each time
 	RetryAfter   time.Duration // hint for the caller where no sidecar gave one
 }
 
--- a/internal/traffic/request/request.go
+++ b/internal/traffic/request/request.go
@@ -13,6 +13,10 @@
 // its connection was at fault.
 const maxResends = 2
 
+// maxJoinDoublings bounds how far the waits for the request that holds a key
+// grow. Its answer may be gone for good, so the first waits are short and few.
+const maxJoinDoublings = 5
+
 type phase uint8
 
 const (
@@ -56,6 +60,7 @@
 	hint          time.Duration // the longest RetryAfter heard
 	retryAt       time.Time
 	resolveBy     time.Time
+	joins         int       // waits for the request that holds the key
 	joinBy        time.Time // bound of the waits for the request that holds the key
 	wakeAt        time.Time
 	lateCancelled Attempt
