--- a/internal/fleet/member/probe.go
+++ b/internal/fleet/member/probe.go
@@ -46,9 +46,10 @@
 func (m *Members) tick(now time.Time) {
 	spreadOut := m.cfg.Interval / 8
 	m.nextAt = now.Add(m.cfg.Interval - spreadOut + time.Duration(m.rng.Int64N(int64(2*spreadOut)+1)))
+	m.table.expireFacts(now)
 	if !now.Before(m.expireAt) {
 		m.expireAt = now.Add(expireInterval)
-		m.table.expire(now)
+		m.table.expireRecords(now)
 		m.forgetPeers(now)
 	}
 	m.askSeeds()
@@ -260,10 +261,11 @@
 			continue
 		}
 		silent := now.Sub(p.firstAt)
-		if silent < m.cfg.Interval*3/2 || now.Sub(p.vouchedAt) < m.cfg.Timeout {
+		vouched := now.Sub(p.vouchedAt)
+		if silent < m.cfg.Interval*3/2 || vouched < m.cfg.Interval {
 			continue
 		}
-		if silent < m.cfg.Timeout {
+		if silent < m.cfg.Timeout || vouched < m.cfg.Timeout {
 			m.askOthers(now, name, p)
 			continue
 		}
--- a/internal/fleet/member/spread.go
+++ b/internal/fleet/member/spread.go
@@ -229,8 +229,7 @@
 	}
 	for _, key := range m.table.sortedKeys() {
 		h := m.table.facts[key]
-		if differs(h.keyID) {
-			f := h.outgoing(now)
+		if f, ok := h.outgoing(now); ok && differs(h.keyID) {
 			b := place(len(f.Key) + len(f.Value) + 32)
 			b.Facts = append(b.Facts, f)
 		}
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -68,6 +68,8 @@
 	binding uint64 // of binding facts as known
 	settled uint64 // of binding facts as settled
 
+	nextExpiry time.Time // of the facts with a life, zero if there is none
+
 	centres map[host.DataCentre][]*entry // members that have not left, in ring order
 	names   []host.DataCentre            // the keys of centres, in order
 	layout  int                          // counts the changes of the rings
@@ -184,6 +186,7 @@
 	h.expires = time.Time{}
 	if f.Life > 0 {
 		h.expires = now.Add(f.Life)
+		t.noteExpiry(h.expires)
 	}
 	t.flip(keyID, hash)
 	if f.Binding {
@@ -242,14 +245,32 @@
 	return out
 }
 
-// expire drops facts whose life is over and records of members long gone.
-func (t *table) expire(now time.Time) {
+// expireFacts drops facts whose life is over.
+func (t *table) expireFacts(now time.Time) {
+	if t.nextExpiry.IsZero() || now.Before(t.nextExpiry) {
+		return
+	}
+	t.nextExpiry = time.Time{}
 	for key, h := range t.facts {
-		if !h.expires.IsZero() && !now.Before(h.expires) {
+		switch {
+		case h.expires.IsZero():
+		case now.Before(h.expires):
+			t.noteExpiry(h.expires)
+		default:
 			t.forgetHash(h)
 			delete(t.facts, key)
 		}
 	}
+}
+
+func (t *table) noteExpiry(at time.Time) {
+	if t.nextExpiry.IsZero() || at.Before(t.nextExpiry) {
+		t.nextExpiry = at
+	}
+}
+
+// expireRecords drops records of members long gone.
+func (t *table) expireRecords(now time.Time) {
 	for name, e := range t.records {
 		if e.State == Left && name != t.self && now.Sub(e.leftAt) > graveLife {
 			t.flip(e.nameID, e.hash)
@@ -258,13 +279,14 @@
 	}
 }
 
-// outgoing returns the fact with the life that is left of it.
-func (h *held) outgoing(now time.Time) Fact {
+// outgoing returns the fact with the life that is left of it. One whose life is
+// over is not sent: the receiver may have dropped it, and would bring it back.
+func (h *held) outgoing(now time.Time) (Fact, bool) {
 	f := h.Fact
 	if !h.expires.IsZero() {
-		f.Life = max(h.expires.Sub(now), time.Millisecond)
+		f.Life = h.expires.Sub(now)
 	}
-	return f
+	return f, h.expires.IsZero() || f.Life > 0
 }
 
 // sortedNames returns the names of all members in order.
