Test that full targets refuse promptly and without a retry storm

Six hundred drafts at once before two engines: each caller gets its whole draft or is told that it did not run and when to come back, and retries stay under the budget.

--- a/internal/program/trial/routing_test.go
+++ b/internal/program/trial/routing_test.go
@@ -5,17 +5,21 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"wagtailshelf.example/wagtailshelf/internal/program/entry"
 	"wagtailshelf.example/wagtailshelf/internal/program/trial"
 	"wagtailshelf.example/wagtailshelf/internal/standin/service"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/retry"
+	"wagtailshelf.example/wagtailshelf/internal/wire/caller"
 )
 
 // newAgenda starts an entry before two targets of the scheduling app.
@@ -99,9 +103,13 @@
 	})
 }
 
-// callGet makes a call from a goroutine of a test.
+// callGet makes a call from a goroutine of a test, and reads the answer.
 func callGet(t *testing.T, d *trial.Deployment, path, key string) *http.Response {
-	r, err := http.NewRequest(http.MethodGet, "http://"+d.Entries[0].Addr().String()+path, nil)
+	return call(t, d, http.MethodGet, path, key, "")
+}
+
+func call(t *testing.T, d *trial.Deployment, method, path, key, body string) *http.Response {
+	r, err := http.NewRequest(method, "http://"+d.Entries[0].Addr().String()+path, strings.NewReader(body))
 	if err != nil {
 		t.Error(err)
 		return &http.Response{}
@@ -112,7 +120,8 @@
 		t.Error(err)
 		return &http.Response{}
 	}
-	_, _ = io.Copy(io.Discard, resp.Body)
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NoError(t, err)
 	_ = resp.Body.Close()
 	return resp
 }
@@ -168,3 +177,41 @@
 	requireEligible(t, d, "agenda-1", true)
 	require.Equal(t, http.StatusOK, callGet(t, d, "/agenda/lists/anne", trial.SmallKey).StatusCode)
 }
+
+// Six hundred drafts come at once, far more than two engines may run and queue.
+// Each caller learns promptly: its draft comes whole, or it's told that it did
+// not run and when to come back. Refused requests aren't tried again and again:
+// retries stay under the budget.
+func TestAllTargetsFull(t *testing.T) {
+	d := newDeployment(t)
+	const calls = 600
+	var answered, refused atomic.Int64
+	var wg sync.WaitGroup
+	for i := range calls {
+		wg.Go(func() {
+			resp := call(t, d, http.MethodPost, "/redaction/v1/draft", []string{trial.SmallKey, trial.LargeKey}[i%2], `{"prompt":"bonjour","maxTokens":200}`)
+			switch resp.StatusCode {
+			case http.StatusOK:
+				assert.Equal(t, "answered", resp.Trailer.Get(caller.OutcomeHeader))
+				answered.Add(1)
+			default:
+				assert.Equal(t, "notRun", resp.Header.Get(caller.OutcomeHeader))
+				assert.NotEmpty(t, resp.Header.Get("Retry-After"))
+				refused.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	require.EqualValues(t, calls, answered.Load()+refused.Load())
+	require.Positive(t, answered.Load())
+	require.Positive(t, refused.Load())
+	state, err := d.Entries[0].State(testContext(t))
+	require.NoError(t, err)
+	for _, r := range state.Routers {
+		if r.Service == "redaction" {
+			require.EqualValues(t, calls, r.Retries.First)
+			require.LessOrEqual(t, r.Retries.Retries, uint64(0.2*calls+retry.DefaultConfig().Burst))
+			t.Logf("%d answered, %d refused, %d retries", answered.Load(), refused.Load(), r.Retries.Retries)
+		}
+	}
+}
