Assert one hand-over for each request in the book

The rule runsOnce was named and asserted nowhere, and a doubled answer of admission would have given the place of a running request away.

Assert it at the hand-over, and give a place back only if the request holds none. A deliberate second admission of running requests fails TestAdmittedTwice; before, no test noticed it. An unused reason goes.

--- a/internal/traffic/book/book.go
+++ b/internal/traffic/book/book.go
@@ -13,19 +13,18 @@
 
 // Book is the record of the requests at one target.
 type Book struct {
-	cfg        Config
-	records    map[request.ID]*record
-	byPeer     map[Peer]*record // of the streams that the requests came by or are listened to by
-	order      []*record        // by arrival, forgotten ones until the next sweep
-	origins    map[host.Name]*origin
-	bytes      int // of all bodies and kept answers
-	draining   bool
-	drainAt    time.Time
-	drained    bool
-	nextTick   time.Time
-	armed      time.Time // the latest Wake
-	out        []Action
-	violations int
+	cfg      Config
+	records  map[request.ID]*record
+	byPeer   map[Peer]*record // of the streams that the requests came by or are listened to by
+	order    []*record        // by arrival, forgotten ones until the next sweep
+	origins  map[host.Name]*origin
+	bytes    int // of all bodies and kept answers
+	draining bool
+	drainAt  time.Time
+	drained  bool
+	nextTick time.Time
+	armed    time.Time // the latest Wake
+	out      []Action
 }
 
 // New returns an empty book.
@@ -182,7 +181,9 @@
 	r := b.records[id]
 	if r == nil || r.state != waiting {
 		// Refused or cancelled while admission decided: its place goes back.
-		b.emit(Action{Kind: Release, ID: id})
+		if r == nil || !r.holdsPlace {
+			b.emit(Action{Kind: Release, ID: id})
+		}
 		return
 	}
 	r.holdsPlace = true
@@ -190,7 +191,11 @@
 		b.refuse(r, request.DeadlinePassed, 0)
 		return
 	}
-	r.state = running
+	if r.handedOver {
+		b.violate(request.RunsOnce, id, "a second hand-over")
+		return
+	}
+	r.state, r.handedOver = running, true
 	b.emit(Action{Kind: Run, ID: id, Call: r.call, Header: r.header, Body: r.body})
 	b.bytes -= len(r.body)
 	r.body, r.header = nil, nil
@@ -286,7 +291,6 @@
 }
 
 func (b *Book) violate(rule request.Rule, id request.ID, format string, args ...any) {
-	b.violations++
 	v := request.Violation{Rule: rule, ID: id, Detail: fmt.Sprintf(format, args...)}
 	b.emit(Action{Kind: Violated, ID: id, Violation: v})
 }
--- a/internal/traffic/book/book_test.go
+++ b/internal/traffic/book/book_test.go
@@ -170,6 +170,13 @@
 	require.Equal(t, request.NotRunIsProved, out[0].Violation.Rule)
 }
 
+// Admission answers twice. The engine runs the request once.
+func TestAdmittedTwice(t *testing.T) {
+	l := newLedger(t, nil)
+	l.running(false)
+	require.Empty(t, l.on(book.Event{Kind: book.Admitted, ID: id}))
+}
+
 // The target leaves: new work is refused at once, what waits is refused after
 // the grace, what runs is finished, and then the sidecar may go.
 func TestDrain(t *testing.T) {
--- a/internal/traffic/book/record.go
+++ b/internal/traffic/book/record.go
@@ -37,6 +37,7 @@
 	listeners []listener
 
 	forgotten  bool
+	handedOver bool // Run was emitted; never taken back
 	recovered  bool // handed over by an earlier life, if at all
 	holdsPlace bool // admission counts it as running
 	status     int
--- a/internal/traffic/request/outcome.go
+++ b/internal/traffic/request/outcome.go
@@ -41,7 +41,6 @@
 	NeverSeen          Reason = "neverSeen"          // the sidecar did not get the request and now never will
 	BodyIncomplete     Reason = "bodyIncomplete"     // the body did not arrive whole
 	BodyTooLarge       Reason = "bodyTooLarge"       // the body is over the sidecar's bound
-	RetiredConnection  Reason = "retiredConnection"  // came by a connection that a Resolve retired
 	WrongIncarnation   Reason = "wrongIncarnation"   // meant for an earlier life of the sidecar
 	Cancelled          Reason = "cancelled"          // cancelled before it was handed over
 	EngineUnreachable  Reason = "engineUnreachable"  // no byte reached the engine
