Put accepted documents in force before work is taken, and newer ones than the checks

And an accepted document that a newer program's checks refuse was left out, so that this process stayed on the one before it. Change: the permission is given after the documents are installed, and withdrawn before; a document with findings is installed if its service, targets, routes and workspaces could be read, and the findings are logged. Conclusion: what is in force never reverts because of a program's age.

--- a/internal/program/entry/documents.go
+++ b/internal/program/entry/documents.go
@@ -51,6 +51,8 @@
 	d, findings := document.Parse(service+".yaml", text)
 	if len(findings) > 0 {
 		e.log.Error().Str("service", service).Uint64("number", number).Err(findings).Msg("document does not check")
+	}
+	if len(findings) > 0 && !usable(d, service) {
 		return
 	}
 	e.services[service] = caller.NewService(d, number)
@@ -64,6 +66,14 @@
 	e.startClaims(d)
 }
 
+// usable tells whether a document that does not check can be in force all the
+// same. It has been accepted, so a program with newer checks must not stay on
+// the one before it while all others move on: what could be read of it counts,
+// unless that leaves nothing to route by.
+func usable(d *document.Document, service string) bool {
+	return d.Service == service && len(d.Targets) > 0 && len(d.Routes) > 0 && len(d.Workspaces) > 0
+}
+
 // startRouter begins the routing duty of a service. The caller holds e.mu.
 func (e *Entry) startRouter(d *document.Document) {
 	r := e.newRouter(time.Now(), d)
--- a/internal/program/fleet/fleet.go
+++ b/internal/program/fleet/fleet.go
@@ -239,10 +239,17 @@
 func (f *Fleet) handle(ctx context.Context, ev acceptance.Event) {
 	begin := time.Now()
 	actions := f.process.Handle(begin, ev)
-	f.until.Store(int64(f.process.WorkUntil().Sub(f.start)))
+	until := int64(f.process.WorkUntil().Sub(f.start))
+	if until < f.until.Load() {
+		f.until.Store(until)
+	}
 	for i := range actions {
 		f.perform(ctx, &actions[i])
 	}
+	// Only now are the documents in place that the permission rests on. Given
+	// before, it let a process that had just started answer its first callers
+	// with "unknown service".
+	f.until.Store(until)
 	if changes := f.process.Changes(); len(changes) > 0 {
 		f.toRegister(ctx, register.Event{Kind: register.Moved, Changes: changes})
 	}
