Let a drained sidecar end after its last answers have arrived

A sidecar ended as soon as its target was idle, and took the last frames of its answers with it: a caller of the tour got all 1,000 tokens and then "unknown". It now waits, for 5 s at most, until the entries have ended their streams, which they do when they have read the last frame. "try" ends the drained sidecar's process as well.

--- a/internal/program/sidecar/desk.go
+++ b/internal/program/sidecar/desk.go
@@ -66,6 +66,8 @@
 	nextTicket workspace.Ticket
 	drained    chan struct{}
 	isDrained  bool
+	settled    chan struct{} // closed when, after that, no stream is open any more
+	isSettled  bool
 	lastData   time.Time // when the target sent something last
 	bookTimer  *time.Timer
 	queueTimer *time.Timer
@@ -98,6 +100,7 @@
 		jobs:       make(map[request.ID]*job),
 		tickets:    make(map[workspace.Ticket]request.ID),
 		drained:    make(chan struct{}),
+		settled:    make(chan struct{}),
 		bookTimer:  time.NewTimer(time.Hour),
 		queueTimer: time.NewTimer(time.Hour),
 	}
@@ -141,6 +144,7 @@
 	for i := 0; i < len(d.todo); i++ {
 		d.handleOne(now, d.todo[i])
 	}
+	d.checkSettled()
 }
 
 func (d *desk) handleOne(now time.Time, ev deskEvent) {
--- a/internal/program/sidecar/line.go
+++ b/internal/program/sidecar/line.go
@@ -81,6 +81,14 @@
 	}
 }
 
+// checkSettled notes when a drained desk has no stream left.
+func (d *desk) checkSettled() {
+	if d.isDrained && !d.isSettled && len(d.lines) == 0 {
+		d.isSettled = true
+		close(d.settled)
+	}
+}
+
 // write sends the line's messages until the desk closes it. The last message
 // of an answer or a refusal ends the stream.
 func (l *line) write(ctx context.Context) error {
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -22,6 +22,9 @@
 	"wagtailshelf.example/wagtailshelf/internal/wire/platform"
 )
 
+// settleBound is how long a drained sidecar waits for entries to end their streams.
+const settleBound = 5 * time.Second
+
 // Config sets up a [Sidecar].
 type Config struct {
 	Identity   host.Identity
@@ -152,7 +155,7 @@
 	defer bound.Stop()
 	select {
 	case <-s.desk.drained:
-		return nil
+		return s.settle(ctx)
 	case <-bound.C:
 		return context.DeadlineExceeded
 	case <-ctx.Done():
@@ -160,5 +163,22 @@
 	}
 }
 
+// settle waits until the entries have ended their streams, which they do when
+// they have read the last frame. A process that ends as soon as its targets are
+// idle takes the ends of its last answers with it: their callers would be told
+// unknown after the last byte. An entry that is gone never ends its streams, so
+// the wait is bounded.
+func (s *Sidecar) settle(ctx context.Context) error {
+	bound := time.NewTimer(settleBound)
+	defer bound.Stop()
+	select {
+	case <-s.desk.settled:
+	case <-bound.C:
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	return nil
+}
+
 // Leaving reports whether the sidecar refuses new work.
 func (s *Sidecar) Leaving() bool { return s.leaving.Load() }
--- a/internal/program/trial/deployment.go
+++ b/internal/program/trial/deployment.go
@@ -69,6 +69,7 @@
 
 	server  *httpServer
 	process *process
+	down    bool // the sidecar was killed or has ended, and is not back
 }
 
 // process is a program of the deployment that runs in goroutines of its own.
@@ -182,7 +183,7 @@
 	if err != nil {
 		return err
 	}
-	t.Sidecar = s
+	t.Sidecar, t.down = s, false
 	t.process = d.start(s.Run)
 	return nil
 }
@@ -190,6 +191,7 @@
 // KillSidecar ends the sidecar of a target at once.
 func (d *Deployment) KillSidecar(t *Target) {
 	t.process.kill()
+	t.down = true
 }
 
 // RestartSidecar starts a new life of a sidecar that was killed, at the same address.
--- /dev/null
+++ b/internal/program/trial/drain_test.go
@@ -0,0 +1,46 @@
+package trial_test
+
+import (
+	"io"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/program/trial"
+	"wagtailshelf.example/wagtailshelf/internal/wire/caller"
+)
+
+// Both sidecars are asked to stop while drafts stream, and their processes end
+// as soon as they have drained. Each caller gets its whole draft and reads
+// "answered" at the end: a process that ended with its targets idle took the
+// last frames with it, and callers read "unknown" after the last token.
+func TestDrainedSidecarsEndAfterTheirAnswers(t *testing.T) {
+	d := newDeployment(t)
+	const drafts = 12
+	var flowing, done sync.WaitGroup
+	outcomes := make([]string, drafts)
+	for i := range drafts {
+		flowing.Add(1)
+		done.Go(func() {
+			resp := post(t, d, "/redaction/v1/draft", trial.LargeKey, `{"prompt":"opener","maxTokens":60}`)
+			_, err := io.ReadFull(resp.Body, make([]byte, 1))
+			flowing.Done()
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+			}
+			assert.NoError(t, err)
+			outcomes[i] = resp.Trailer.Get(caller.OutcomeHeader)
+		})
+	}
+	flowing.Wait()
+	for _, target := range d.Targets[:2] {
+		require.NoError(t, target.Sidecar.Drain(testContext(t)))
+		d.KillSidecar(target)
+	}
+	done.Wait()
+	for _, outcome := range outcomes {
+		assert.Equal(t, "answered", outcome)
+	}
+}
--- a/internal/program/trial/inforce.go
+++ b/internal/program/trial/inforce.go
@@ -31,6 +31,9 @@
 		dumps = append(dumps, state.Fleet)
 	}
 	for _, t := range d.Targets {
+		if t.down {
+			continue
+		}
 		state, err := t.Sidecar.State(ctx)
 		if err != nil {
 			return nil, err
--- a/internal/program/trial/stage.go
+++ b/internal/program/trial/stage.go
@@ -240,7 +240,11 @@
 
 func (s *session) drainSidecar(ctx context.Context) error {
 	victim := s.redaction[1]
-	results, err := s.during(ctx, func() error { return victim.Sidecar.Drain(ctx) })
+	results, err := s.during(ctx, func() error {
+		err := victim.Sidecar.Drain(ctx)
+		s.KillSidecar(victim) // its process ends as soon as it has drained
+		return err
+	})
 	if err != nil {
 		return err
 	}
