Ask for answers both ways before an unconfirmed acceptance counts

Members now say whether their last question was answered, and a collector counts its data centre as heard of only if that is so for all of them and for itself.

--- a/internal/record/acceptance/collector.go
+++ b/internal/record/acceptance/collector.go
@@ -25,6 +25,7 @@
 	id    member.ID
 	seq   uint64
 	at    time.Time // when its last question came
+	heard bool      // it said in it that the one before was answered
 	known bool      // the holder has confirmed it
 	told  time.Time // the at of the last question that was answered
 }
@@ -38,6 +39,7 @@
 	seq      uint64
 	sentAt   time.Time // of the newest Holds
 	waiting  bool      // for the holder's answer to it
+	heardAt  time.Time // when the holder last answered
 	flushAt  time.Time // zero if there is nothing to send
 }
 
@@ -70,6 +72,7 @@
 	}
 	h.seq = msg.Seq
 	h.at = now
+	h.heard = msg.Heard
 	if len(msg.IDs) == 1 && h.id != msg.IDs[0] {
 		h.id = msg.IDs[0]
 		h.known = false
@@ -123,16 +126,19 @@
 	k.replica.sendTo(own.staged.Holder, msg)
 }
 
-// whole tells whether each member of this data centre has asked of late, so that
-// it hears what this collector is told.
+// whole tells whether each member of this data centre has asked of late and was
+// answered, and the holder has answered this collector: news goes both ways.
 func (k *collector) whole(now time.Time, c *collection) bool {
+	if c.heardAt.IsZero() || now.Sub(c.heardAt) > wholeWindow {
+		return false
+	}
 	for _, rec := range k.replica.members.Records() {
 		id := rec.Identity
 		if id.DataCentre != k.replica.self.DataCentre || rec.State == member.Left {
 			continue
 		}
 		h, ok := c.members[id.Name]
-		if !ok || h.id != member.IDOf(id.Name, id.Incarnation) || now.Sub(h.at) > wholeWindow {
+		if !ok || !h.heard || h.id != member.IDOf(id.Name, id.Incarnation) || now.Sub(h.at) > wholeWindow {
 			return false
 		}
 	}
@@ -140,12 +146,13 @@
 }
 
 // stillOpen takes in the holder's answer.
-func (k *collector) stillOpen(msg *Message) {
+func (k *collector) stillOpen(now time.Time, msg *Message) {
 	c, ok := k.stages[msg.Service]
 	if !ok || c.stage != msg.Stage || c.seq != msg.Seq || !c.waiting {
 		return
 	}
 	c.waiting = false
+	c.heardAt = now
 	for _, h := range c.members {
 		if !h.at.After(c.sentAt) {
 			h.known = true
--- a/internal/record/acceptance/message.go
+++ b/internal/record/acceptance/message.go
@@ -58,7 +58,8 @@
 	Offset   int          `cbor:"12,keyasint,omitempty"`
 	Size     int          `cbor:"13,keyasint,omitempty"` // of the whole text
 	Data     []byte       `cbor:"14,keyasint,omitempty"`
-	Whole    bool         `cbor:"15,keyasint,omitempty"` // all members of the collector's data centre asked of late
+	Heard    bool         `cbor:"15,keyasint,omitempty"` // the sender was answered of late
+	Whole    bool         `cbor:"16,keyasint,omitempty"` // so was each member of the collector's data centre
 }
 
 // Errors of [Message.Check] and of the decoders of facts.
--- a/internal/record/acceptance/process.go
+++ b/internal/record/acceptance/process.go
@@ -250,8 +250,8 @@
 	case Holds:
 		p.holder.held(now, msg)
 	case StillOpen:
-		p.collector.stillOpen(msg)
-		p.replica.stillOpen(msg)
+		p.collector.stillOpen(now, msg)
+		p.replica.stillOpen(now, msg)
 	case Want:
 		p.replica.wanted(msg)
 	case Part:
--- a/internal/record/acceptance/replica.go
+++ b/internal/record/acceptance/replica.go
@@ -49,6 +49,7 @@
 	seq      uint64
 	asked    []asked   // the last ones
 	answered bool      // the last one
+	heardAt  time.Time // when the last answer came
 	tries    int       // questions without an answer
 	nextAt   time.Time // zero if nothing is to be asked
 }
@@ -288,6 +289,7 @@
 		c.hold.asked = c.hold.asked[1:]
 	}
 	msg := &Message{Kind: Hold, Service: c.service, Stage: c.stage, Seq: r.seq, Answered: r.answeredOf(now, c.staged.Doubtful)}
+	msg.Heard = !c.hold.heardAt.IsZero() && now.Sub(c.hold.heardAt) <= wholeWindow
 	id := member.IDOf(r.self.Name, r.self.Incarnation)
 	if c.refusal == "" {
 		msg.IDs = []member.ID{id}
@@ -332,11 +334,12 @@
 }
 
 // stillOpen takes in that a stage was open after a question was sent.
-func (r *Replica) stillOpen(msg *Message) {
+func (r *Replica) stillOpen(now time.Time, msg *Message) {
 	c, ok := r.copies[msg.Service]
 	if !ok || msg.Stage != c.stage {
 		return
 	}
+	c.hold.heardAt = now
 	for _, a := range c.hold.asked {
 		if a.seq == msg.Seq && a.at.After(c.freshAt) {
 			c.freshAt = a.at
