Let a sidecar leave when its document says so

Only the entries acted on a document that says that a target is leaving. One that had an older document, or had lost contact, went on sending to it.

The sidecar now refuses new work and tells the others, as on its host's signal.

--- a/internal/program/sidecar/admission.go
+++ b/internal/program/sidecar/admission.go
@@ -2,25 +2,49 @@
 
 import (
 	"context"
-	"slices"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
 	"wagtailshelf.example/wagtailshelf/internal/record/document"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/book"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/workspace"
 )
 
-// Install takes the limits and shares of a document that came in force. One
-// without a target on this host changes nothing. It returns false if ctx ended
-// first.
+// Install takes the limits and shares of a document that came in force, and
+// leaves if it says so. One without a target on this host changes nothing. It
+// returns false if ctx ended first.
 func (s *Sidecar) Install(ctx context.Context, d *document.Document) bool {
-	if !servedOn(d, s.cfg.Identity.Name) {
+	t := targetOn(d, s.cfg.Identity.Name)
+	if t == nil {
 		return true
 	}
+	if t.Leaving && !s.leaving.Load() {
+		s.leave(ctx)
+	}
 	return s.desk.put(ctx, deskEvent{kind: deskLimits, limits: admissionOf(d, s.cfg.Admission)})
 }
 
-func servedOn(d *document.Document, name host.Name) bool {
-	return slices.ContainsFunc(d.Targets, func(t document.Target) bool { return t.Host == name })
+// leave refuses new work from now on, and has the entries told. Entries that have
+// an older document, or none yet, would else go on sending.
+func (s *Sidecar) leave(ctx context.Context) {
+	s.leaving.Store(true)
+	if s.membership != nil {
+		s.membership.Leave()
+	}
+	s.desk.putBook(ctx, book.Event{Kind: book.Drain})
+	select {
+	case s.leavingNow <- struct{}{}:
+	default:
+	}
+}
+
+// targetOn returns the document's target on a host, or nil.
+func targetOn(d *document.Document, name host.Name) *document.Target {
+	for i := range d.Targets {
+		if d.Targets[i].Host == name {
+			return &d.Targets[i]
+		}
+	}
+	return nil
 }
 
 // admissionOf returns the settings of admission that a document asks for. What it
