Note in a claim where its request went after silence while claiming

A connection can go silent while a key is claimed for its target.

Compare what the claim says with the target of each attempt, the first one included.

--- a/internal/traffic/request/request.go
+++ b/internal/traffic/request/request.go
@@ -52,7 +52,8 @@
 	left        []ID // requests that were joined before
 	joined      bool // carries the answer of the request that holds the key
 	claimed     bool
-	pickAgain   bool // the picked connection went silent while the claim was asked
+	claimedFor  Prior // what the claim says of this request
+	pickAgain   bool  // the picked connection went silent while the claim was asked
 
 	resends       int // to the same target, which had not seen the attempt
 	headDelivered bool
@@ -146,12 +147,13 @@
 	}
 	r.target, r.incarnation, r.conn = ev.Target, ev.Incarnation, ev.Conn
 	if r.spec.Claimed && !r.claimed {
-		r.phase = claiming
-		r.emit(Action{Kind: Claim, Prior: r.prior()})
+		r.askClaim()
 		return
 	}
-	if r.claimed && len(r.tried) > 0 {
-		r.emit(Action{Kind: Reclaim, Prior: r.prior()})
+	if r.claimed && r.claimedFor != r.prior() {
+		// Repeats would look for its answer where it never was.
+		r.claimedFor = r.prior()
+		r.emit(Action{Kind: Reclaim, Prior: r.claimedFor})
 	}
 	r.open(now)
 }
@@ -225,8 +227,13 @@
 	r.id = r.spec.ID
 	r.joined, r.live = false, false
 	r.pickAgain = true
+	r.askClaim()
+}
+
+func (r *Request) askClaim() {
 	r.phase = claiming
-	r.emit(Action{Kind: Claim, Prior: r.prior()})
+	r.claimedFor = r.prior()
+	r.emit(Action{Kind: Claim, Prior: r.claimedFor})
 }
 
 func (r *Request) claimRefused(ev Event) {
--- a/internal/traffic/request/request_test.go
+++ b/internal/traffic/request/request_test.go
@@ -347,6 +347,19 @@
 	})
 }
 
+// The caller repeats its call later, and gets the answer from where the first
+// request ran. Its connection had gone silent while its key was claimed for
+// another target, so it was sent elsewhere; the claim has to say so.
+func TestSilentWhileClaiming(t *testing.T) {
+	l := newLife(t, false, true)
+	l.picked("mtl-a-1", 1)
+	require.Equal(t, host.Name("mtl-a-1"), l.last(request.Claim).Prior.Target)
+	l.on(request.Event{Kind: request.ConnectionSilent, Conn: 1})
+	l.on(request.Event{Kind: request.ClaimGranted})
+	l.picked("mtl-b-1", 2)
+	require.Equal(t, host.Name("mtl-b-1"), l.last(request.Reclaim).Prior.Target)
+}
+
 // The caller is told "not run" while the claim's write is still under way. The
 // claim is granted afterwards; the key must be freed, or a repeat by the
 // caller would find it taken by a request that never ran.
