--- a/internal/expert/planner/propose.go
+++ b/internal/expert/planner/propose.go
@@ -73,7 +73,8 @@
 }
 
 // ended takes note of how the switch ended. Its loads are charged to the store's
-// allowance even if it was refused: the ranks may have loaded all of it.
+// allowance even if it was refused, once the ranks were asked to load: they may
+// have loaded all of it.
 func (d *Duty) ended(now time.Time, a group.Action) {
 	if d.pending == nil || d.pending.ended {
 		return
@@ -83,7 +84,9 @@
 	d.out = append(d.out, Action{Kind: Ended, Vote: a.Vote, Reason: a.Reason, Proposal: p})
 	d.status.ended(now, p, a)
 	if a.Vote != group.Committed {
-		d.planner.Refused(now, p)
+		if a.Record.Map != nil {
+			d.planner.Refused(now, p)
+		}
 		d.planAt = now.Add(d.cfg.Period) // what refused it once will often do so again
 		d.wasRefused(now, a.Reason)
 		return
