Read a stored submission where documents come straight from the platform

Cause: without a fleet an entry took the stored value for the text, while operators store a submission with its author. Change: the text is taken out of the submission. Conclusion: both ways read the same text.

--- a/internal/program/entry/documents.go
+++ b/internal/program/entry/documents.go
@@ -22,7 +22,8 @@
 		reply := e.cfg.Platform.Do(ctx, object.Call{Op: object.List, Key: documentPrefix, Cause: causeDocuments})
 		if reply.Status == object.Done {
 			for _, o := range reply.Objects {
-				e.Install(o.Key.Name(), uint64(o.Version), o.Value)
+				text := document.DecodeSubmission(o.Value).Text
+				e.Install(o.Key.Name(), uint64(o.Version), []byte(text))
 				since = max(since, o.Version)
 			}
 			e.learnt.Store(true)
