--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -142,15 +142,7 @@
 // Drain refuses new work at once, tells the entries, and returns when nothing
 // is in flight any more, or ctx or the bound ends.
 func (s *Sidecar) Drain(ctx context.Context) error {
-	s.leaving.Store(true)
-	if s.membership != nil {
-		s.membership.Leave()
-	}
-	s.desk.putBook(ctx, book.Event{Kind: book.Drain})
-	select {
-	case s.leavingNow <- struct{}{}:
-	default:
-	}
+	s.leave(ctx)
 	bound := time.NewTimer(s.cfg.DrainBound)
 	defer bound.Stop()
 	select {
