--- a/internal/traffic/retry/budget.go
+++ b/internal/traffic/retry/budget.go
@@ -78,9 +78,9 @@
 
 // Counts tells how a budget was used.
 type Counts struct {
-	First     uint64 // first tries
-	Retries   uint64 // retries allowed
-	Exhausted uint64 // retries denied for want of budget
+	First     uint64 `json:"first"`     // first tries
+	Retries   uint64 `json:"retries"`   // retries allowed
+	Exhausted uint64 `json:"exhausted"` // retries denied for want of budget
 }
 
 // NewBudget returns a budget whose common balance is full. Zero fields of cfg take
--- a/internal/traffic/workspace/request.go
+++ b/internal/traffic/workspace/request.go
@@ -144,11 +144,11 @@
 
 // Load is what the sidecar reports about its target.
 type Load struct {
-	Limit       int     // requests that may run at once
-	Running     int     // requests that run
-	Queued      int     // requests that wait
-	Outstanding int64   // tokens of both
-	Capacity    float64 // tokens a second that the target can finish
+	Limit       int     `json:"limit"`       // requests that may run at once
+	Running     int     `json:"running"`     // requests that run
+	Queued      int     `json:"queued"`      // requests that wait
+	Outstanding int64   `json:"outstanding"` // tokens of both
+	Capacity    float64 `json:"capacity"`    // tokens a second that the target can finish
 }
 
 // Violation is an invariant that does not hold, with the evidence.
