--- a/internal/traffic/leaving/event.go
+++ b/internal/traffic/leaving/event.go
@@ -61,7 +61,7 @@
 	Incarnation host.Incarnation // Left, Resume
 	Source      Source           // Left: who said so first
 	At          time.Time        // SetTimer
-	Violation   Violation        // Violated
+	Violation   target.Violation // Violated
 }
 
 // Config holds the settings of a [Tracker].
@@ -74,9 +74,3 @@
 func DefaultConfig() Config {
 	return Config{Silence: 3 * time.Second, Probe: 1200 * time.Millisecond}
 }
-
-// Violation is an invariant that does not hold, with the evidence.
-type Violation struct {
-	Invariant string
-	Evidence  string
-}
--- a/internal/traffic/leaving/tracker.go
+++ b/internal/traffic/leaving/tracker.go
@@ -244,5 +244,5 @@
 func (t *Tracker) act(a Action) { t.actions = append(t.actions, a) }
 
 func (t *Tracker) violate(invariant, evidence string) {
-	t.act(Action{Kind: Violated, Violation: Violation{Invariant: invariant, Evidence: evidence}})
+	t.act(Action{Kind: Violated, Violation: target.Violation{Invariant: invariant, Evidence: evidence}})
 }
--- a/internal/traffic/retry/budget.go
+++ b/internal/traffic/retry/budget.go
@@ -136,6 +136,10 @@
 // Counts returns how the budget was used so far.
 func (b *Budget) Counts() Counts { return b.counts }
 
+// rounding is more than the sums of a balance are off by. Ten tenths are less than
+// one in floating point.
+const rounding = 1e-9
+
 // charge takes a retry out of the workspace's balance, or out of the common one.
 func (b *Budget) charge(now time.Time, own *float64) bool {
 	if d := now.Sub(b.paid); d > 0 {
@@ -143,7 +147,7 @@
 		b.paid = now
 	}
 	for _, balance := range []*float64{own, &b.common} {
-		if *balance >= 1 {
+		if *balance >= 1-rounding {
 			*balance--
 			return true
 		}
