Test hosts that start together, and a holder that is asked after its lease

Three hosts that restart while they are cut off from the rest know only each other; the roster makes the holder among them wait for all. The measurement reports memory.

--- a/internal/record/acceptance/measure_test.go
+++ b/internal/record/acceptance/measure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -62,6 +63,11 @@
 	t.Logf("in force on all: median %s, 99th percentile %s, longest %s", took[len(took)/2], took[len(took)*99/100], took[len(took)-1])
 	t.Logf("idle: %s", idle)
 	t.Logf("at %d changes a day: %s", changesPerDay, busy)
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	t.Logf("%d KB of memory a member, its text included", m.HeapAlloc/uint64(n)/1024)
+	runtime.KeepAlive(w)
 }
 
 // change applies a text and returns when it is in force on all.
--- a/internal/record/acceptance/process_test.go
+++ b/internal/record/acceptance/process_test.go
@@ -381,3 +381,52 @@
 	}
 	assert.True(t, found)
 }
+
+// A holder that was paused beyond its lease is asked, before anything else, what
+// became of its stage. Another one may have accepted it: it must say nothing.
+func TestHolderWithoutLeaseSaysNothing(t *testing.T) {
+	w := ready(t, 12, 3)
+	h := w.holder()
+	w.apply("agenda", "second")
+	w.until(time.Second, phaseIs(w, spreading))
+	stage := h.p.holder.jobs["agenda"].stage
+	w.pause(h)
+	w.run(6 * time.Second)
+	ask := &Message{Kind: Holds, From: spare(w).id.Name, Service: "agenda", Stage: stage, Seq: 1}
+	for _, a := range h.p.Handle(w.local(h), Event{Kind: Received, Envelope: &Envelope{Document: ask}}) {
+		if a.Kind == Send && a.Envelope.Document != nil {
+			assert.NotEqual(t, StillOpen, a.Envelope.Document.Kind)
+		}
+	}
+}
+
+// Three hosts, a candidate for the lease among them, restart while they are cut
+// off from the rest of the fleet, but not from the platform. They know only each
+// other. Counting each other as the whole fleet, they would accept a document
+// without all the others, who go on with the older one.
+func TestHostsThatStartTogetherAreNotTheFleet(t *testing.T) {
+	w := ready(t, 24, 2)
+	alone := make(map[*node]bool)
+	for _, n := range []*node{w.nodes[0], w.nodes[2], w.nodes[12]} {
+		alone[n] = true
+	}
+	cutOff(w, func(n *node) bool { return alone[n] })
+	for _, n := range w.nodes {
+		n.cutOff = !alone[n]
+		if alone[n] {
+			w.start(n)
+		}
+	}
+	w.run(12 * time.Second)
+	w.apply("agenda", "second")
+	w.run(20 * time.Second)
+	assert.Len(t, w.accepted["agenda"], 1)
+	for n := range alone {
+		assert.Len(t, n.p.members.Records(), 24, n.id.Name)
+	}
+	w.cut = nil
+	for _, n := range w.nodes {
+		n.cutOff = false
+	}
+	assertInForce(t, w, 2, 2*acceptBound)
+}
