End a host's part in a group that its document no longer names

A host whose rank a newer document gave to another went on taking part.

It ends its part, and the group forms again with the other host.

--- a/internal/program/rank/member.go
+++ b/internal/program/rank/member.go
@@ -92,6 +92,7 @@
 func (m *Member) Install(ctx context.Context, number uint64, d *document.Document) {
 	t := m.target(d)
 	if t == nil {
+		m.leave(d.Service)
 		return
 	}
 	addresses := make(map[host.Name]netip.AddrPort)
@@ -104,17 +105,29 @@
 	p := m.parts.Load()
 	if p == nil || p.service != d.Service || p.group != t.Group {
 		p = m.join(d.Service, t)
-		m.parts.Store(p)
-		select {
-		case <-m.next: // a group that was never begun
-		default:
-		}
-		m.next <- p
+		m.replace(p)
 	}
 	p.planner.Install(d)
 	p.rank.Install(ctx, number, d)
 }
 
+// leave ends the host's part in a group of a service whose document no longer
+// names the host.
+func (m *Member) leave(service string) {
+	if p := m.parts.Load(); p != nil && p.service == service {
+		m.replace(nil)
+	}
+}
+
+func (m *Member) replace(p *parts) {
+	m.parts.Store(p)
+	select {
+	case <-m.next: // parts that were never begun
+	default:
+	}
+	m.next <- p
+}
+
 // target returns this host's target if it has a rank in a group.
 func (m *Member) target(d *document.Document) *document.Target {
 	for i := range d.Targets {
@@ -162,7 +175,10 @@
 			return context.Cause(ctx)
 		case p := <-m.next:
 			stop()
-			stop = p.start(ctx)
+			stop = func() {}
+			if p != nil {
+				stop = p.start(ctx)
+			}
 		}
 	}
 }
--- a/internal/program/rank/rank_test.go
+++ b/internal/program/rank/rank_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -57,6 +58,7 @@
 	authority *credential.Authority
 	engines   *standinengine.Group
 	targets   []string // URLs of the engines
+	hosts     [ranks]host.Name
 	lives     [ranks]host.Incarnation
 	processes [ranks]*process
 	document  *document.Document
@@ -86,6 +88,7 @@
 	}}}
 	for r := range ranks {
 		d.targets = append(d.targets, serve(t, d.engines.Rank(r)))
+		d.hosts[r] = name(r)
 		d.start(r, loopback)
 		address := d.processes[r].listener.Addr()
 		d.document.Targets = append(d.document.Targets, document.Target{Host: name(r), Address: address, Group: "g", Rank: r, ChecksFences: true})
@@ -112,13 +115,14 @@
 // start begins a new life of a rank's process.
 func (d *deployment) start(rank int, address netip.AddrPort) {
 	d.lives[rank]++
-	material, err := d.authority.Issue(time.Now(), credential.Identity{Name: name(rank), Role: host.Sidecar}, credential.ShortLifetime)
+	name := d.hosts[rank]
+	material, err := d.authority.Issue(time.Now(), credential.Identity{Name: name, Role: host.Sidecar}, credential.ShortLifetime)
 	require.NoError(d.t, err)
 	keys, err := credential.NewStore(material, time.Now)
 	require.NoError(d.t, err)
 	p := &process{}
 	peers := &peer.Config{
-		Identity:  host.Identity{Name: name(rank), Role: host.Sidecar, Incarnation: d.lives[rank]},
+		Identity:  host.Identity{Name: name, Role: host.Sidecar, Incarnation: d.lives[rank]},
 		ClientTLS: keys.Client,
 		ServerTLS: keys.Server(),
 		OnControl: func(from *peer.Conn, c frame.Control) { p.OnControl(from, c) },
@@ -324,6 +328,28 @@
 	d.assertOneMap()
 }
 
+func TestHostLeavesGroup(t *testing.T) {
+	// A newer document gives a rank to another host. The old host ends its part,
+	// and the group forms again with the new one.
+	d := deploy(t, standinengine.Config{})
+	d.eventually(func() bool { return d.settled(1, 0) }, "the group does not form")
+	old := d.processes[3]
+	next := *d.document
+	next.Targets = slices.Clone(d.document.Targets)
+	next.Targets[3].Host = "spare"
+	d.hosts[3] = "spare"
+	d.start(3, loopback)
+	next.Targets[3].Address = d.processes[3].listener.Addr()
+	t.Cleanup(old.stop)
+	for _, p := range append(d.processes[:], old) {
+		p.Install(t.Context(), 2, &next)
+	}
+	d.eventually(func() bool { return d.settled(2, 0) }, "the group does not form again")
+	s, err := old.State(t.Context())
+	require.NoError(t, err)
+	require.Nil(t, s, "the old host still takes part")
+}
+
 func (d *deployment) engineDies(rank int) {
 	epoch := d.engines.Rank(rank).State().Epoch
 	d.engines.Rank(rank).SetFaults(standinengine.Faults{Dead: true})
