Begin the rig's load once its services are in force

Cause: the first second of a run showed up to 260 calls refused as unknown service, before the first documents had been accepted at all. Change: the rig waits until both services are in force at each entry. Conclusion: what the rig counts now belongs to the failures that it causes.

--- a/cmd/processrig/cluster.go
+++ b/cmd/processrig/cluster.go
@@ -219,7 +219,7 @@
 func (c *cluster) awaitReady(ctx context.Context) error {
 	deadline := time.Now().Add(readyTimeout)
 	for _, e := range c.entries {
-		for !c.look(ctx, e) {
+		for !c.look(ctx, e) || !c.serves(ctx, e) {
 			if time.Now().After(deadline) || ctx.Err() != nil {
 				return errors.New(e.name + " did not become ready")
 			}
@@ -229,6 +229,27 @@
 	return nil
 }
 
+// serves tells whether both services are in force at an entry: a caller without
+// a credential is then refused for that, and no longer for an unknown service.
+// The first acceptance takes a moment, and a call before it proves nothing.
+func (c *cluster) serves(ctx context.Context, e *node) bool {
+	for _, service := range []string{"redaction", "agenda"} {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.callers.String()+"/"+service+"/", nil)
+		if err != nil {
+			return false
+		}
+		resp, err := c.http.Do(req)
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusUnauthorized {
+			return false
+		}
+	}
+	return true
+}
+
 // balance looks at an entry's readiness as the balancer does, until ctx ends.
 func (c *cluster) balance(ctx context.Context, e *node) {
 	for ctx.Err() == nil {
