--- a/cmd/capacityrig/deployment.go
+++ b/cmd/capacityrig/deployment.go
@@ -47,16 +47,18 @@
 // deployment is a set of processes on loopback addresses of their own, so that
 // it meets no other deployment on the machine.
 type deployment struct {
-	binary    string
-	dir       string
-	net       [2]byte
-	next      byte
-	authority *credential.Authority
-	platform  *process
-	entries   []*process
-	sidecars  []*process
-	all       []*process
-	http      *http.Client
+	binary string
+	dir    string
+	net    [2]byte
+	next   byte
+
+	dataCentre string // of the processes that are started next
+	authority  *credential.Authority
+	platform   *process
+	entries    []*process
+	sidecars   []*process
+	all        []*process
+	http       *http.Client
 }
 
 func newDeployment(binary string) (*deployment, error) {
@@ -73,7 +75,10 @@
 		dir:       dir,
 		net:       [2]byte{byte(2 + rand.IntN(250)), byte(rand.IntN(250))},
 		authority: authority,
-		http:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}},
+
+		dataCentre: "dc-0",
+
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}},
 	}
 	d.platform, err = d.standin("platform")
 	return d, err
@@ -147,8 +152,8 @@
 		return nil, err
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "role: %s\nname: %s\ndataCentre: mtl-a\nlisten:\n  peers: %s\n  administration: %s\n",
-		role, name, netip.AddrPortFrom(addr, peersPort), netip.AddrPortFrom(addr, adminPort))
+	fmt.Fprintf(&b, "role: %s\nname: %s\ndataCentre: %s\nlisten:\n  peers: %s\n  administration: %s\n",
+		role, name, d.dataCentre, netip.AddrPortFrom(addr, peersPort), netip.AddrPortFrom(addr, adminPort))
 	if role == host.Entry {
 		fmt.Fprintf(&b, "  callers: %s\n", netip.AddrPortFrom(addr, callersPort))
 	}
@@ -182,18 +187,24 @@
 	if err := d.do(ctx, http.MethodPut, url, "", []byte(text), nil); err != nil {
 		return err
 	}
+	return d.awaitNumber(ctx, 1)
+}
+
+// awaitNumber waits until all entries have the document with the number, or a
+// higher one, in force.
+func (d *deployment) awaitNumber(ctx context.Context, number uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for _, e := range d.entries {
 		for {
 			s, err := d.dump(ctx, e)
-			if err == nil && len(s.Services) > 0 {
+			if err == nil && s.Ready && len(s.Services) > 0 && s.Services[0].Number >= number {
 				break
 			}
 			if ctx.Err() != nil {
-				return fmt.Errorf("%s does not have the document in force: %w", e.name, ctx.Err())
+				return fmt.Errorf("%s does not have number %d in force: %w", e.name, number, ctx.Err())
 			}
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(10 * time.Millisecond)
 		}
 	}
 	return nil
@@ -203,7 +214,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "service: load\nkind: %s\npathPrefix: /load\ntargets:\n", kind)
 	for _, s := range d.sidecars {
-		fmt.Fprintf(&b, "  - {name: %s, host: %s, address: %s, dataCentre: mtl-a}\n", s.name, s.name, s.at(peersPort))
+		fmt.Fprintf(&b, "  - {name: %s, host: %s, address: %s, dataCentre: dc-0}\n", s.name, s.name, s.at(peersPort))
 	}
 	fmt.Fprintf(&b, "routes: [%s]\nlimits: {concurrency: 2000, queue: 2000}\nworkspaces:\n", route)
 	for i := range workspaces {
@@ -218,6 +229,7 @@
 
 // state is the part of an entry's dump that the rig reads.
 type state struct {
+	Ready    bool `json:"ready"`
 	Services []struct {
 		Number uint64 `json:"number"`
 	} `json:"services"`
