Label the curves at round numbers

Cause: the plot library put its marks of skew at uneven numbers and rounded their labels, so that 1.10 seemed to be 1.08.

--- a/internal/expert/plan/curve.go
+++ b/internal/expert/plan/curve.go
@@ -56,7 +56,7 @@
 	return at, slope
 }
 
-// byslope orders segments by what a load wins; those of a layer stay in order.
+// bySlope orders segments by what a load wins; those of a layer stay in order.
 func bySlope(a, b segment) int {
 	return cmp.Or(
 		cmp.Compare(b.slope, a.slope),
--- a/internal/operator/skew/chart.go
+++ b/internal/operator/skew/chart.go
@@ -2,7 +2,9 @@
 
 import (
 	"image/color"
+	"math"
 	"slices"
+	"strconv"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -38,6 +40,7 @@
 	p.Y.Label.Text = "mean skew (hottest rank over mean rank)"
 	p.X.Scale = plot.LogScale{}
 	p.X.Tick.Marker = plot.LogTicks{}
+	p.Y.Tick.Marker = plot.TickerFunc(skewTicks)
 	p.Add(plotter.NewGrid())
 	if err := addCurve(p, list); err != nil {
 		return err
@@ -49,6 +52,25 @@
 	return p.Save(width, height, path)
 }
 
+// skewTicks marks round numbers. The library's own ticks lie at uneven ones, whose
+// labels are rounded and so tell wrong values.
+func skewTicks(low, high float64) []plot.Tick {
+	const most = 8
+	steps := []float64{0.01, 0.02, 0.05, 0.1, 0.2, 0.5}
+	step := steps[len(steps)-1]
+	for _, s := range steps {
+		if (high-low)/s <= most {
+			step = s
+			break
+		}
+	}
+	var ticks []plot.Tick
+	for i := math.Ceil(low / step); i*step <= high; i++ {
+		ticks = append(ticks, plot.Tick{Value: i * step, Label: strconv.FormatFloat(i*step, 'f', 2, 64)})
+	}
+	return ticks
+}
+
 // point is where a result lies. A policy without loads is drawn at one per hour,
 // as the scale is logarithmic.
 func point(r result) plotter.XY {
