Have the tests of the programs notice more changes made on purpose

The test of a document that says leaving now sees that the entry acts on it too, and the one of full targets that each choice is given back and no refusal counted as a failure.

--- a/internal/program/trial/routing_test.go
+++ b/internal/program/trial/routing_test.go
@@ -155,6 +155,7 @@
 	require.NoError(t, d.Put(testContext(t), "agenda", trial.AgendaDocument(d.Targets, "agenda-0")))
 	requireEligible(t, d, "agenda-0", false)
 	require.Eventually(t, d.Targets[0].Sidecar.Leaving, testTimeout, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return targetState(t, d, "agenda-0").Leaving.Document }, testTimeout, 10*time.Millisecond)
 	for range 10 {
 		require.Equal(t, http.StatusOK, callGet(t, d, "/agenda/lists/anne", trial.SmallKey).StatusCode)
 	}
@@ -250,6 +251,10 @@
 	for _, r := range state.Routers {
 		if r.Service == "redaction" {
 			require.EqualValues(t, calls, r.Retries.First)
+			for _, target := range r.Targets {
+				require.Zero(t, target.Failures, "a refusal is no failure of %s", target.Name)
+				require.Zero(t, target.InFlight, "%s", target.Name)
+			}
 			require.LessOrEqual(t, r.Retries.Retries, uint64(0.2*calls+retry.DefaultConfig().Burst))
 			t.Logf("%d answered, %d refused, %d retries", answered.Load(), refused.Load(), r.Retries.Retries)
 		}
