Hold each choice of a target against the tracker, and catch up after a pause

The chooser and the tracker each keep whether a target serves, joined by actions; nothing in the program would have noticed if they came to differ. And an entry that was paused could find a request before its timer, and choose a target that had gone silent meanwhile.

A choice of a target that the tracker doesn't serve is now counted as a broken invariant and not used, and an overdue tick comes before the next choice.

--- a/internal/program/entry/routing.go
+++ b/internal/program/entry/routing.go
@@ -91,6 +91,7 @@
 	entries  []target.Member
 	stale    bool        // entries have changed since the last update
 	timer    *time.Timer // of the tracker
+	tickAt   time.Time   // when it is due
 
 	began   time.Time
 	met     bool // a sidecar was heard from
@@ -161,6 +162,7 @@
 func (r *router) handle(ctx context.Context, now time.Time, m routerMessage) {
 	switch m.kind {
 	case askPick:
+		r.catchUp(ctx, now)
 		r.answerPick(now, m)
 	case tellEnd:
 		r.chooser.Finish(now, m.choice, m.end)
@@ -188,6 +190,11 @@
 		return pick{choice: choice}
 	}
 	t := r.targets[choice.Name]
+	if _, serving := r.tracker.Serving(choice.Name); t == nil || !serving {
+		r.counts.violated(r.log, "no new work to a target that isn't serving", string(choice.Name))
+		r.chooser.Finish(now, choice, target.End{Kind: target.Cancelled})
+		return pick{}
+	}
 	return pick{choice: choice, address: t.Address, host: t.Host, ok: true}
 }
 
--- a/internal/program/entry/routing_targets.go
+++ b/internal/program/entry/routing_targets.go
@@ -18,6 +18,9 @@
 // covers all of them at today's sizes.
 var subset = target.SubsetSize{Local: 24, Remote: 12}
 
+// tickGrace is how late a tick of the tracker may be without a pause.
+const tickGrace = 100 * time.Millisecond
+
 // unknownSharers is how many entries are taken to share the targets before the
 // fleet is known.
 const unknownSharers = 2
@@ -131,6 +134,7 @@
 		case leaving.Probe:
 			r.probe(ctx, a.Name)
 		case leaving.SetTimer:
+			r.tickAt = a.At
 			r.timer.Reset(a.At.Sub(now))
 		case leaving.Violated:
 			r.counts.violated(r.log, a.Violation.Invariant, a.Violation.Evidence)
@@ -180,6 +184,15 @@
 	}
 }
 
+// catchUp gives the tracker its time before a choice is made, if that is overdue.
+// A process that was paused may find a request before it finds its timer, and
+// would send it to a target that has left since.
+func (r *router) catchUp(ctx context.Context, now time.Time) {
+	if !r.tickAt.IsZero() && now.After(r.tickAt.Add(tickGrace)) {
+		r.tick(ctx, now)
+	}
+}
+
 // onReport passes the load of a target on to the routers of its services.
 func (e *Entry) onReport(from *peer.Conn, m frame.Report) {
 	p := from.Peer()
