Prefer the entry's own group where each data centre has one

Ranks counted as near wherever they were. With a group in each data centre an entry sent two of three requests elsewhere. They are near now if their group has a rank in the entry's data centre.

--- a/internal/traffic/target/chooser_test.go
+++ b/internal/traffic/target/chooser_test.go
@@ -359,3 +359,12 @@
 		})
 	}
 }
+
+func TestGroupsOfDataCentres(t *testing.T) {
+	ranks := append(candidates("mtl-a", "a", 2), candidates("mtl-b", "b", 2)...)
+	for i := range ranks {
+		ranks[i].Group = GroupName(ranks[i].DataCentre)
+	}
+	counts := share(t, newChooser(Config{}, ranks...), at(0), 100, Query{Tokens: 1})
+	assert.Equal(t, 100, counts["a0"]+counts["a1"], "its own group first")
+}
--- a/internal/traffic/target/doc.go
+++ b/internal/traffic/target/doc.go
@@ -13,13 +13,14 @@
 //     assigns to it, as long as their load is bounded by the mean.
 //  3. Else the less loaded of two targets drawn by weight.
 //
-// Ranks of a group that runs in lock-step are chosen otherwise: in any data
-// centre, the one with the least work of this entry.
+// Ranks of a group that runs in lock-step are chosen otherwise: the one with the
+// least work of this entry, whatever its data centre, if the group has a rank in
+// the entry's own.
 //
 // Load is a time: the tokens of work outstanding at a target over the tokens
 // that it finishes a second. It comes from the last report, plus the work that
-// this entry has sent since the report was measured. Reports lag, so an old
-// report loses weight and the entry's own work in flight takes its place.
+// was sent since it was measured: this entry's, times the entries that share the
+// targets. Reports lag, so an old report loses weight and the entry's own work in flight takes its place.
 //
 // Load and prefixes are hints. Whether a target may get the request at all
 // is not: a target that is leaving, silent, refusing or already tried is never
--- a/internal/traffic/target/side.go
+++ b/internal/traffic/target/side.go
@@ -27,14 +27,14 @@
 // group sorts the candidates into sides.
 func (c *Chooser) group(candidates []Candidate) {
 	c.local, c.remote = side{}, side{}
+	own := c.ownGroups(candidates)
 	for _, cand := range candidates {
 		s := c.states[cand.Name]
 		if s.Weight <= 0 || s.placed {
 			continue
 		}
 		s.placed = true
-		// Ranks wait for each other wherever they are, so all of them share the work.
-		if c.cfg.DataCentre == s.DataCentre || s.Group != "" {
+		if c.cfg.DataCentre == s.DataCentre || own[s.Group] {
 			c.local.add(s)
 		} else {
 			c.remote.add(s)
@@ -44,6 +44,18 @@
 	c.remote.build()
 }
 
+// ownGroups returns the groups with a rank in the entry's own data centre. Ranks
+// wait for each other wherever they are, so all of a group's share the work.
+func (c *Chooser) ownGroups(candidates []Candidate) map[GroupName]bool {
+	own := make(map[GroupName]bool)
+	for _, cand := range candidates {
+		if cand.Group != "" && cand.DataCentre == c.cfg.DataCentre {
+			own[cand.Group] = true
+		}
+	}
+	return own
+}
+
 func (sd *side) add(s *state) {
 	s.key = hashString(string(s.Name))
 	sd.ranks = sd.ranks || s.Group != ""
