--- a/internal/traffic/target/doc.go
+++ b/internal/traffic/target/doc.go
@@ -20,7 +20,8 @@
 // Load is a time: the tokens of work outstanding at a target over the tokens
 // that it finishes a second. It comes from the last report, plus the work that
 // was sent since it was measured: this entry's, times the entries that share the
-// targets. Reports lag, so an old report loses weight and the entry's own work in flight takes its place.
+// targets. Reports lag, so an old report loses weight and the entry's own work in
+// flight takes its place.
 //
 // Load and prefixes are hints. Whether a target may get the request at all
 // is not: a target that is leaving, silent, refusing or already tried is never
