Test each safeguard of acceptance by a failure that needs it

Each has a test now: a stage that does not tell the number before it, a recorded stage that gives contact, hosts that start together, a lower number from a peer, and a holder without a lease that is asked. A sixth, an unconfirmed acceptance that counts though the holder is not heard, is tested but not yet seen to fail.

--- a/internal/record/acceptance/process_test.go
+++ b/internal/record/acceptance/process_test.go
@@ -390,9 +390,10 @@
 	w.apply("agenda", "second")
 	w.until(time.Second, phaseIs(w, spreading))
 	stage := h.p.holder.jobs["agenda"].stage
+	other := spare(w).id.Name
 	w.pause(h)
 	w.run(6 * time.Second)
-	ask := &Message{Kind: Holds, From: spare(w).id.Name, Service: "agenda", Stage: stage, Seq: 1}
+	ask := &Message{Kind: Holds, From: other, Service: "agenda", Stage: stage, Seq: 1}
 	for _, a := range h.p.Handle(w.local(h), Event{Kind: Received, Envelope: &Envelope{Document: ask}}) {
 		if a.Kind == Send && a.Envelope.Document != nil {
 			assert.NotEqual(t, StillOpen, a.Envelope.Document.Kind)
@@ -430,3 +431,102 @@
 	}
 	assertInForce(t, w, 2, 2*acceptBound)
 }
+
+// A member missed that a document was accepted, and hears of the next one being
+// staged. Taking that for its only doubt, it would be told that the stage is open
+// and go on with a document two numbers old; so the stage tells the one before.
+func TestStageTellsTheNumberBefore(t *testing.T) {
+	w := ready(t, 12, 3)
+	n := spare(w)
+	w.platform.slow = func(c object.Call) time.Duration {
+		if c.Cause == CauseAccept {
+			return 400 * time.Millisecond
+		}
+		return 0
+	}
+	w.apply("agenda", "second")
+	w.until(time.Second, phaseIs(w, accepting))
+	next := stageFact{Number: 3, Digest: DigestOf([]byte("third")), Base: DigestOf([]byte("second")), Holder: w.holder().id.Name}
+	n.p.replica.learned(w.local(n), newFact(stagePrefix+"agenda", uint64(newStageVersion(9, 1)), next))
+	assert.Equal(t, Number(2), n.number("agenda"))
+}
+
+// A process starts that reaches the platform, but no other process, while a stage
+// is recorded there. Its acceptance may count among the members without being
+// recorded, so what the platform shows is no proof of what is in force.
+func TestRecordedStageGivesNoContact(t *testing.T) {
+	w := ready(t, 12, 3)
+	n := spare(w)
+	w.platform.slow = func(c object.Call) time.Duration {
+		if c.Cause == CauseAccept {
+			return 5 * time.Second
+		}
+		return 0
+	}
+	w.apply("agenda", "second")
+	w.until(time.Second, phaseIs(w, accepting))
+	cutOff(w, func(other *node) bool { return other == n })
+	w.start(n)
+	w.run(2 * time.Second)
+	assertWork(t, w, false, n)
+	w.platform.slow = nil
+	w.cut = nil
+	assertInForce(t, w, 2, acceptBound)
+}
+
+// The holder reaches neither the platform nor, in its own direction, any member;
+// it still hears all of them say that they hold the text. An acceptance that it let
+// count would be known to itself alone.
+func TestUnheardHolderLetsNothingCount(t *testing.T) {
+	w := ready(t, 12, 3)
+	h := w.holder()
+	w.platform.slow = func(c object.Call) time.Duration {
+		if c.Cause == CauseAccept && c.Op == object.Put {
+			return 20 * time.Second
+		}
+		return 0
+	}
+	w.apply("agenda", "second")
+	w.until(time.Second, phaseIs(w, accepting))
+	w.platform.slow = nil
+	h.cutOff = true
+	w.cut = func(from, _ *node) bool { return from == h }
+	w.run(4 * time.Second)
+	assert.Len(t, w.accepted["agenda"], 1)
+	h.cutOff = false
+	w.cut = nil
+	assertInForce(t, w, 2, 2*acceptBound)
+}
+
+// The same three hosts reach the platform no more than the others do. Among
+// themselves they would be enough for each other, and take work without a document.
+func TestHostsThatStartTogetherHaveNoContact(t *testing.T) {
+	w := ready(t, 24, 2)
+	alone := []*node{w.nodes[0], w.nodes[2], w.nodes[12]}
+	for _, n := range alone {
+		n.cutOff = true
+		w.start(n)
+	}
+	cutOff(w, func(n *node) bool { return n.cutOff })
+	w.apply("agenda", "second")
+	w.run(15 * time.Second)
+	assertWork(t, w, false, alone...)
+	w.cut = nil
+	assertInForce(t, w, 2, 2*acceptBound)
+	assertWork(t, w, true, alone...)
+}
+
+// A peer, or a read of the platform, shows an older number than that in force.
+func TestLowerNumberChangesNothing(t *testing.T) {
+	w := ready(t, 12, 3)
+	w.apply("agenda", "second")
+	assertInForce(t, w, 2, time.Second)
+	n := spare(w)
+	old := newFact(acceptedPrefix+"agenda", 1, acceptedFact{Digest: DigestOf([]byte("first"))})
+	n.p.replica.learned(w.local(n), old)
+	assert.Equal(t, Number(2), n.p.replica.copyOf("agenda").accepted)
+	assert.False(t, n.p.replica.copyOf("agenda").fetch.active())
+	msg := &member.Message{Kind: member.Update, From: w.holder().id.Name, Incarnation: 1, Facts: []member.Fact{old}}
+	w.feed(n, Event{Kind: Received, Envelope: &Envelope{Member: msg}})
+	assert.Equal(t, Number(2), n.number("agenda"))
+}
