--- a/internal/record/acceptance/process_test.go
+++ b/internal/record/acceptance/process_test.go
@@ -479,6 +479,7 @@
 // count would be known to itself alone.
 func TestUnheardHolderLetsNothingCount(t *testing.T) {
 	w := ready(t, 12, 3)
+	w.run(900 * time.Millisecond) // the lease ends before the holder misses its neighbours
 	h := w.holder()
 	w.platform.slow = func(c object.Call) time.Duration {
 		if c.Cause == CauseAccept && c.Op == object.Put {
