Give sidecars their part in the group that a document names

Cause: a run of four ranks as real processes formed no group: the parts of a rank and of the planner were built and nothing began them. Change: a sidecar before a model engine follows the documents for its group, hands its messages on, runs its duties and shows them in the dump.

--- a/internal/program/sidecar/fleet.go
+++ b/internal/program/sidecar/fleet.go
@@ -40,6 +40,9 @@
 	if !s.Install(ctx, doc) {
 		s.cfg.Log.Error().Str("service", d.Service).Msg("limits of a document were not taken")
 	}
+	if s.group != nil {
+		s.group.Install(ctx, uint64(d.Number), doc)
+	}
 }
 
 // onControl hands a message to the duty that it is for.
@@ -47,6 +50,9 @@
 	if s.membership != nil {
 		s.membership.OnControl(from, m)
 	}
+	if s.group != nil {
+		s.group.OnControl(from, m)
+	}
 	if s.cfg.OnControl != nil {
 		s.cfg.OnControl(from, m)
 	}
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
 	"wagtailshelf.example/wagtailshelf/internal/program/fleet"
+	"wagtailshelf.example/wagtailshelf/internal/program/rank"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/book"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/workspace"
 	"wagtailshelf.example/wagtailshelf/internal/wire/credential"
@@ -55,6 +56,7 @@
 	desk     *desk
 
 	membership *fleet.Fleet // nil without Config.Platform
+	group      *rank.Member // nil without a platform, or before a plain service
 	calls      sync.WaitGroup
 
 	leaving    atomic.Bool
@@ -92,6 +94,7 @@
 	s.desk = newDesk(cfg.Log, newCounts(cfg.Metrics), bounds, cfg.Admission)
 	if cfg.Platform != nil {
 		s.membership = s.newMembership()
+		s.group = s.newGroup()
 		s.desk.isolated = func() bool { return !s.membership.TakesWork() }
 	}
 	return s, nil
@@ -116,6 +119,9 @@
 	if s.membership != nil {
 		s.duty(ctx, &g, s.membership.Run)
 	}
+	if s.group != nil {
+		s.duty(ctx, &g, s.group.Run)
+	}
 	if s.cfg.Model {
 		s.duty(ctx, &g, s.observe)
 	}
--- a/internal/program/sidecar/state.go
+++ b/internal/program/sidecar/state.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/program/rank"
 	"wagtailshelf.example/wagtailshelf/internal/record/acceptance"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/workspace"
 )
@@ -23,7 +24,8 @@
 	Connections []ConnState   `json:"connections"`
 	Desk        DeskState     `json:"desk"`
 
-	Fleet *acceptance.Dump `json:"fleet,omitempty"`
+	Fleet *acceptance.Dump  `json:"fleet,omitempty"`
+	Group *rank.MemberState `json:"group,omitempty"` // absent if the host is in no group
 }
 
 // ConnState is one connection of an entry.
@@ -63,6 +65,12 @@
 		return state, nil
 	}
 	dump, err := s.membership.Dump(ctx)
+	if err != nil {
+		return State{}, err
+	}
 	state.Fleet = &dump
+	if s.group != nil {
+		state.Group, err = s.group.State(ctx)
+	}
 	return state, err
 }
--- /dev/null
+++ b/internal/program/trial/group_test.go
@@ -0,0 +1,43 @@
+package trial_test
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/program/trial"
+)
+
+// groupOf puts the targets of a document into a group, by their order.
+func groupOf(text string) string {
+	for _, rank := range []string{"0", "1"} {
+		text = strings.Replace(text, "leaving: false}", "group: experts, rank: "+rank+"}", 1)
+	}
+	return text + "groups: [{name: experts, ranks: 2, layers: 2, experts: 4, slotsPerRank: 3, expertBytes: 1MiB, maxBytesPerSecond: 64MiB}]\n"
+}
+
+// A document names the hosts of two engines as the ranks of a group. Both
+// sidecars take up their parts as it comes in force, without being told by
+// anybody else; a sidecar that missed it would hold the whole group back.
+func TestSidecarsJoinTheirGroup(t *testing.T) {
+	d, err := trial.NewDeployment(io.Discard)
+	require.NoError(t, err)
+	t.Cleanup(d.Close)
+	d.Fleet = true
+	for _, name := range []string{"redaction-0", "redaction-1"} {
+		_, err := d.AddEngine(name, "mtl-a")
+		require.NoError(t, err)
+	}
+	_, err = d.AddEntry("mtl-a-entry-0", "mtl-a", nil)
+	require.NoError(t, err)
+	require.NoError(t, d.Put(testContext(t), "redaction", groupOf(trial.RedactionDocument(d.Targets, ""))))
+	for _, target := range d.Targets {
+		require.Eventually(t, func() bool {
+			state, err := target.Sidecar.State(testContext(t))
+			return err == nil && state.Group != nil
+		}, testTimeout, 20*time.Millisecond, target.Name)
+	}
+}
