Find the next life of a sidecar that had left

An entry never asked again for a target that had left, so that a sidecar that was drained and restarted at its address got no work from it until something else opened a connection: in a deployment without members never, within 30 s of the new test. TestTargetLeavesUnderLoad failed for the same cause now and then (1 of some 30 runs with the race detector on one or two processors).

--- a/internal/program/trial/drain_test.go
+++ b/internal/program/trial/drain_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -44,3 +45,26 @@
 		assert.Equal(t, "answered", outcome)
 	}
 }
+
+// A sidecar drains, its process ends, and a new life of it starts only after the
+// entry has long given its connection up. The entry gives the target no work in
+// the meantime, and so has no other reason to ask for it; it must find the new
+// life by itself.
+func TestRestartedSidecarGetsWorkAgain(t *testing.T) {
+	d := newDeployment(t)
+	requireEligible(t, d, "redaction-0", true)
+	requireEligible(t, d, "redaction-1", true)
+	for _, target := range d.Targets[:2] {
+		require.NoError(t, target.Sidecar.Drain(testContext(t)))
+		require.Eventually(t, func() bool {
+			return targetState(t, d, target.Name).Leaving.Left
+		}, testTimeout, 10*time.Millisecond)
+		d.KillSidecar(target)
+	}
+	time.Sleep(2 * time.Second) // probes that were under way have ended by then
+	for _, target := range d.Targets[:2] {
+		require.NoError(t, d.RestartSidecar(target))
+	}
+	requireEligible(t, d, "redaction-0", true)
+	requireEligible(t, d, "redaction-1", true)
+}
--- a/internal/traffic/leaving/tracker.go
+++ b/internal/traffic/leaving/tracker.go
@@ -217,14 +217,16 @@
 		return
 	}
 	for _, s := range t.order {
+		wait := t.cfg.Probe
 		if s.left {
-			continue
-		}
-		if !s.suspended && !t.recent(now, s) {
+			// Nothing else asks it: it gets no work. Without being asked, its
+			// sidecar's next life would wait for work for ever.
+			wait = t.cfg.Silence
+		} else if !s.suspended && !t.recent(now, s) {
 			s.suspended = true
 			t.act(Action{Kind: Suspend, Name: s.name})
 		}
-		if now.Sub(s.heard) >= t.cfg.Probe && now.Sub(s.probed) >= t.cfg.Probe {
+		if now.Sub(s.heard) >= wait && now.Sub(s.probed) >= wait {
 			s.probed = now
 			t.act(Action{Kind: Probe, Name: s.name})
 		}
