Keep connections between members that are in use

The connection on which a neighbour is probed is also the one that its answers come by, and messages that left on it for that reason did not count as use.

--- a/internal/program/fleet/fleet_test.go
+++ b/internal/program/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http/httptest"
 	"net/netip"
 	"os"
@@ -49,6 +50,7 @@
 	url       string
 	processes []*process
 	log       *log.Logger
+	socket    func(net.PacketConn) net.PacketConn
 }
 
 func newDeployment(t *testing.T) *deployment {
@@ -76,6 +78,7 @@
 	cfg := &peer.Config{
 		Identity: id, ClientTLS: keys.Client, ServerTLS: keys.Server(),
 		OnControl: func(c *peer.Conn, m frame.Control) { p.fleet.OnControl(c, m) },
+		Socket:    d.socket,
 	}
 	listener, err := peer.Listen(cfg, loopback)
 	require.NoError(d.t, err)
--- a/internal/program/fleet/links.go
+++ b/internal/program/fleet/links.go
@@ -39,7 +39,8 @@
 	pending  []frame.Control
 }
 
-// inbound is a connection that another process opened.
+// inbound is the connection that last brought a message of a process. Either side
+// may have opened it.
 type inbound struct {
 	conn    *peer.Conn
 	heardAt time.Time
@@ -66,7 +67,7 @@
 	}
 }
 
-// heard notes that a connection of another process has just brought a message.
+// heard notes that a connection has just brought a message.
 func (l *links) heard(c *peer.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -80,17 +81,22 @@
 	if l.closed {
 		return
 	}
-	in, ok := l.in[name]
-	heard := ok && time.Since(in.heardAt) < freshFor
+	in, found := l.in[name]
+	heard := found && time.Since(in.heardAt) < freshFor
+	k, ok := l.out[to]
+	if ok {
+		// Also where the message leaves on the connection that last brought one:
+		// that may be this link's own. Closed while in use, it would be opened
+		// again every few seconds, with a handshake of many kilobytes.
+		k.usedAt = time.Now()
+	}
 	if heard && in.conn.Err() == nil && in.conn.Send(m) == nil {
 		return
 	}
-	k, ok := l.out[to]
 	if !ok {
-		k = &link{name: name}
+		k = &link{name: name, usedAt: time.Now()}
 		l.out[to] = k
 	}
-	k.usedAt = time.Now()
 	if len(k.pending) >= maxPending {
 		l.counts.dropped.Inc()
 		return
