--- a/internal/record/acceptance/measure_test.go
+++ b/internal/record/acceptance/measure_test.go
@@ -38,7 +38,7 @@
 }
 
 func measure(t *testing.T, n int) {
-	w := newWorld(t, 1)
+	w := newWorld(failer{t.Helper, t.Fatalf}, 1)
 	w.unchecked = true
 	w.addNodes(n, max(n*22/1640, 3))
 	w.introduceAll()
--- a/internal/record/acceptance/patch_test.go
+++ b/internal/record/acceptance/patch_test.go
@@ -80,7 +80,7 @@
 		if err != nil {
 			return
 		}
-		w := newWorld(nil, 1)
+		w := newWorld(failer{}, 1)
 		cfg := Config{Member: member.Config{Self: host.Identity{Name: "self", DataCentre: "d", Incarnation: 2}}}
 		p := NewProcess(epoch, cfg, w.rng)
 		p.Handle(epoch, Event{Kind: Received, Envelope: e})
--- a/internal/record/acceptance/random_test.go
+++ b/internal/record/acceptance/random_test.go
@@ -28,7 +28,7 @@
 // are over, the last document comes in force everywhere.
 func TestAnyFaultsKeepThePromises(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		w := newWorld(rt, rapid.Uint64().Draw(rt, "seed"))
+		w := newWorld(failer{rt.Helper, rt.Fatalf}, rapid.Uint64().Draw(rt, "seed"))
 		w.addNodes(rapid.IntRange(2, 16).Draw(rt, "hosts"), rapid.IntRange(1, 4).Draw(rt, "centres"))
 		w.run(5 * time.Second)
 		f := &faults{w: w, rt: rt}
--- a/internal/record/acceptance/world_test.go
+++ b/internal/record/acceptance/world_test.go
@@ -40,10 +40,10 @@
 	unchecked bool // the promises are not asserted all along, to save time
 }
 
-// failer is the part of testing.T that a rapid run has as well.
-type failer interface {
-	Helper()
-	Fatalf(format string, args ...any)
+// failer is what a test and a randomised run have in common.
+type failer struct {
+	Helper func()
+	Fatalf func(format string, args ...any)
 }
 
 type acceptedAt struct {
@@ -434,7 +434,7 @@
 
 func ready(t *testing.T, n, centres int) *world {
 	t.Helper()
-	w := newWorld(t, 7)
+	w := newWorld(failer{t.Helper, t.Fatalf}, 7)
 	w.addNodes(n, centres)
 	w.run(6 * time.Second)
 	w.apply("agenda", "first")
