--- a/internal/record/document/schema.go
+++ b/internal/record/document/schema.go
@@ -28,7 +28,7 @@
 	{"targets[].address", "ip:port", "required", "Address of the sidecar in front of it."},
 	{"targets[].dataCentre", "name", "required", "Data centre it runs in."},
 	{"targets[].weight", "number", "`1`", "Its part of the traffic, against those of the other targets. Zero: none."},
-	{"targets[].leaving", "`true` or `false`", "`false`", "It gets no new work, and finishes what it has."},
+	{"targets[].leaving", "`true` or `false`", "`false`", "It gets no new work, and finishes what it has. Taken back, it serves again with the next life of its sidecar."},
 	{"targets[].checksFences", "`true` or `false`", "`false`", "Its engine refuses orders with an old fence by itself. Where it doesn't, the sidecar is the only guard."},
 	{"targets[].group", "name", "none", "Expert group that it is a member of."},
 	{"targets[].rank", "whole number", "`0`", "Its rank in the group, from 0."},
