Act on the platform's list of hosts

Cause: the list was read by nobody: a host that the platform takes out went on getting work until its sidecar or the document said so, and one that is gone for good could hold up the acceptance of documents, as the document still names it. Change: entries follow the list with bounded watches and tell the fleet, which spreads that a host is leaving; a host that is gone is no longer listed, whatever the document says. Conclusion: TestPlatformListSaysLeaving fails without the duty.

--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -79,6 +79,7 @@
 	mu       sync.Mutex
 	services map[string]*caller.Service
 	routers  map[string]*router
+	hosts    map[host.Name]listedHost // by the platform's list
 	claims   map[string]*claimDesk
 	entries  map[host.Name]target.Member // entries of the fleet, this one included once it is known
 }
@@ -94,6 +95,7 @@
 		stop:     stop,
 		services: make(map[string]*caller.Service),
 		routers:  make(map[string]*router),
+		hosts:    make(map[host.Name]listedHost),
 		claims:   make(map[string]*claimDesk),
 		entries:  make(map[host.Name]target.Member),
 	}
@@ -197,6 +199,7 @@
 	g.Add(func() error { return follow(watch) }, func(error) { stopWatch() })
 	if e.membership != nil {
 		g.Add(func() error { return e.spreadOutcomes(watch) }, func(error) { stopWatch() })
+		g.Add(func() error { return e.followHosts(watch) }, func(error) { stopWatch() })
 	}
 	fleet, stopFleet := context.WithCancel(ctx)
 	g.Add(func() error { return e.fleet.Serve(fleet, serveFleetConn) }, func(error) {
--- a/internal/program/entry/fleet.go
+++ b/internal/program/entry/fleet.go
@@ -28,7 +28,7 @@
 // sidecars of its targets known: they may have started before any entry.
 func (e *Entry) accepted(d acceptance.Document) {
 	e.Install(d.Service, uint64(d.Number), d.Text)
-	e.membership.Listed(e.sidecars())
+	e.membership.Listed(e.listings())
 }
 
 // sidecars lists the hosts of all targets in force.
--- a/internal/program/trial/routing_test.go
+++ b/internal/program/trial/routing_test.go
@@ -17,6 +17,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/program/entry"
 	"wagtailshelf.example/wagtailshelf/internal/program/trial"
+	"wagtailshelf.example/wagtailshelf/internal/standin/platform"
 	"wagtailshelf.example/wagtailshelf/internal/standin/service"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/retry"
 	"wagtailshelf.example/wagtailshelf/internal/wire/caller"
@@ -167,6 +168,21 @@
 	requireEligible(t, d, "agenda-0", true)
 }
 
+// The platform's list says that a host is leaving, and nobody else does: neither
+// the document nor the sidecar knows. The entry reads the list, tells the fleet,
+// and gives the target no new work.
+func TestPlatformListSaysLeaving(t *testing.T) {
+	d := newFleetAgenda(t)
+	requireEligible(t, d, "agenda-0", true)
+	d.Platform.SetHost(platform.Host{
+		Name: string(d.Targets[0].Host), DataCentre: "mtl-a", Role: "sidecar",
+		Address: d.Targets[0].Sidecar.Addr(), State: platform.Leaving,
+	})
+	requireEligible(t, d, "agenda-0", false)
+	require.False(t, d.Targets[0].Sidecar.Leaving())
+	require.Equal(t, http.StatusOK, callGet(t, d, "/agenda/lists/anne", trial.SmallKey).StatusCode)
+}
+
 // deafSocket is a UDP socket that receives nothing while its switch is on.
 type deafSocket struct {
 	net.PacketConn
