Let an idle sidecar be known to leave before it ends, and log waits once

The holder of the acceptance lease logged that it waits on nearly every event. Change: a drain lasts a second at least, in which new work is refused as notRun; a wait is logged when it is news, and each 5 s. Conclusion: a drain tells first.

--- a/internal/program/fleet/count.go
+++ b/internal/program/fleet/count.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"time"
+
 	"github.com/VictoriaMetrics/metrics"
 
 	"wagtailshelf.example/wagtailshelf/internal/record/acceptance"
@@ -56,8 +58,32 @@
 	case acceptance.Rejected:
 		l.Warn().Str("service", a.Service).Str("reason", a.Reason).Err(a.Findings.Err()).Msg("document refused")
 	case acceptance.Waiting:
-		l.Warn().Str("service", a.Service).Int("members", len(a.Names)).Msg("acceptance waits for members")
+		if f.waits.due(time.Now(), a.Service, len(a.Names)) {
+			l.Warn().Str("service", a.Service).Int("members", len(a.Names)).Msg("acceptance waits for members")
+		}
 	case acceptance.Changed:
 		l.Debug().Str("member", string(a.Record.Identity.Name)).Str("state", acceptance.StateName(a.Record.State)).Msg("member changed")
 	}
 }
+
+// waitPeriod is how often the same wait is logged.
+const waitPeriod = 5 * time.Second
+
+// waits remembers which waits were logged. The holder says on each event that it
+// waits, many times a second while a host is dead.
+type waits map[string]waitLine
+
+type waitLine struct {
+	at      time.Time
+	members int
+}
+
+// due tells whether a wait is news, or was logged long ago.
+func (w waits) due(now time.Time, service string, members int) bool {
+	last, ok := w[service]
+	if ok && last.members == members && now.Sub(last.at) < waitPeriod {
+		return false
+	}
+	w[service] = waitLine{at: now, members: members}
+	return true
+}
--- a/internal/program/fleet/fleet.go
+++ b/internal/program/fleet/fleet.go
@@ -74,6 +74,7 @@
 	inbox    chan event
 	calls    chan struct{} // bounds the platform calls on their way
 	watch    chan bool
+	waits    waits // of the owner of the decisions
 	start    time.Time
 	until    atomic.Int64 // nanoseconds after start up to which new work may be taken
 }
@@ -88,6 +89,7 @@
 		inbox:    make(chan event, inboxSize),
 		calls:    make(chan struct{}, maxCalls),
 		watch:    make(chan bool, 16),
+		waits:    make(waits),
 		start:    now,
 	}
 	f.counts = newCounts(cfg.Metrics, f)
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -26,6 +26,11 @@
 // settleBound is how long a drained sidecar waits for entries to end their streams.
 const settleBound = 5 * time.Second
 
+// leaveGrace is how long a sidecar that drains stays at least, so that the word
+// that it is leaving reaches the entries: it is sent at once, and twenty
+// milliseconds are a long way between data centres.
+const leaveGrace = time.Second
+
 // Config sets up a [Sidecar].
 type Config struct {
 	Identity   host.Identity
@@ -149,11 +154,13 @@
 // is in flight any more, or ctx or the bound ends.
 func (s *Sidecar) Drain(ctx context.Context) error {
 	s.leave(ctx)
+	told := time.NewTimer(leaveGrace)
+	defer told.Stop()
 	bound := time.NewTimer(s.cfg.DrainBound)
 	defer bound.Stop()
 	select {
 	case <-s.desk.drained:
-		return s.settle(ctx)
+		return s.settle(ctx, told.C)
 	case <-bound.C:
 		return context.DeadlineExceeded
 	case <-ctx.Done():
@@ -166,7 +173,11 @@
 // idle takes the ends of its last answers with it: their callers would be told
 // unknown after the last byte. An entry that is gone never ends its streams, so
 // the wait is bounded.
-func (s *Sidecar) settle(ctx context.Context) error {
+//
+// A process with nothing in flight stays until the entries have been told, too,
+// and refuses what they still send: a call that reaches a process which is gone
+// gets no proof that it did not run.
+func (s *Sidecar) settle(ctx context.Context, told <-chan time.Time) error {
 	bound := time.NewTimer(settleBound)
 	defer bound.Stop()
 	select {
@@ -175,7 +186,12 @@
 	case <-ctx.Done():
 		return context.Cause(ctx)
 	}
-	return nil
+	select {
+	case <-told:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
 }
 
 // Leaving reports whether the sidecar refuses new work.
--- a/internal/program/trial/drain_test.go
+++ b/internal/program/trial/drain_test.go
@@ -68,3 +68,13 @@
 	requireEligible(t, d, "redaction-0", true)
 	requireEligible(t, d, "redaction-1", true)
 }
+
+// A sidecar with nothing in flight is asked to stop. When its drain has ended and
+// the process goes, the entry already knows: a call sent to it later would get no
+// proof that it did not run, and its caller would be told unknown.
+func TestIdleSidecarIsKnownToLeaveBeforeItEnds(t *testing.T) {
+	d := newFleetAgenda(t)
+	requireEligible(t, d, "agenda-0", true)
+	require.NoError(t, d.Targets[0].Sidecar.Drain(testContext(t)))
+	require.False(t, targetState(t, d, "agenda-0").Eligible)
+}
