Give the trial's sidecars ports that nothing else takes

Change: sidecars listen below the range of such ports. Conclusion: the verdict no longer depends on what else opens sockets.

--- a/internal/program/trial/deployment.go
+++ b/internal/program/trial/deployment.go
@@ -179,7 +179,7 @@
 	if d.Fleet {
 		cfg.Platform, cfg.Seeds = d.Client(), d.seeds()
 	}
-	s, err := sidecar.New(cfg)
+	s, err := openSidecar(cfg)
 	if err != nil {
 		return err
 	}
