Give restarted ranks of the test ports that nothing else takes

Change: the test's processes listen below that range. Conclusion: the verdict does not depend on other sockets.

--- a/internal/program/rank/rank_test.go
+++ b/internal/program/rank/rank_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -112,6 +113,23 @@
 	d.processes[rank].Install(d.t.Context(), 1, d.document)
 }
 
+// listen opens a socket at a free port, if none is given, below those that the
+// system gives to sockets that ask for none: a process that starts again needs its
+// port, which any of them might hold by then.
+func listen(cfg *peer.Config, address netip.AddrPort) (*peer.Listener, error) {
+	if address.Port() != 0 {
+		return peer.Listen(cfg, address)
+	}
+	for range 200 {
+		port := uint16(20000 + rand.IntN(12000))
+		l, err := peer.Listen(cfg, netip.AddrPortFrom(address.Addr(), port))
+		if err == nil {
+			return l, nil
+		}
+	}
+	return peer.Listen(cfg, address)
+}
+
 // start begins a new life of a rank's process.
 func (d *deployment) start(rank int, address netip.AddrPort) {
 	d.lives[rank]++
@@ -137,7 +155,7 @@
 			Window: 100 * time.Millisecond, Wait: 30 * time.Millisecond, Period: 300 * time.Millisecond,
 		},
 	})
-	p.listener, err = peer.Listen(peers, address)
+	p.listener, err = listen(peers, address)
 	require.NoError(d.t, err)
 	peers.Identity.Address = p.listener.Addr()
 	peers.Socket = d.socket // of the connections that it dials
