--- a/internal/program/rank/rank_test.go
+++ b/internal/program/rank/rank_test.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
