Let retries add less than a tenth by default

Cause: the default budget of 0.1 alone allows 1.10 attempts for each request, where less than 1.1 is aimed at. Conclusion: the default meets the aim.

--- a/internal/record/document/parse.go
+++ b/internal/record/document/parse.go
@@ -17,7 +17,7 @@
 	DefaultMaxBody     = Bytes(1 << 20)
 	DefaultConcurrency = 32
 	DefaultQueue       = 128
-	DefaultBudget      = 0.1
+	DefaultBudget      = 0.08
 	DefaultAttempts    = 3
 	DefaultBackoff     = 20 * time.Millisecond
 	DefaultMaxBackoff  = time.Second
