--- a/internal/record/document/schema.go
+++ b/internal/record/document/schema.go
@@ -56,7 +56,7 @@
 	{"limits.maxBody", "size", "`1MiB`", "Longest body of any request."},
 
 	{"retries", "", "", "Bounds on further tries. They are made only of requests that did not run, and of idempotent ones without an answer so far."},
-	{"retries.budget", "number", "`0.1`", "Further tries as a share of first ones."},
+	{"retries.budget", "number", "`0.08`", "Further tries as a share of first ones."},
 	{"retries.attempts", "whole number", "`3`", "Tries of one request, with the first."},
 	{"retries.backoff", "duration", "`20ms`", "Wait before the first further try; it doubles with each."},
 	{"retries.maxBackoff", "duration", "`1s`", "Longest wait before a try."},
