Read the memory of the rig's processes from themselves

They grew with the length of the run, and only processes that had been started again had them: the peak that the system reports at an end counts the memory of the parent, and the rig had 274 MB by then while the entries' own peaks were 41 to 50 MB.

--- a/cmd/processrig/process.go
+++ b/cmd/processrig/process.go
@@ -91,9 +91,6 @@
 	p.state = down
 	p.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
 	p.lived += time.Since(p.started)
-	if usage, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
-		p.peakKB = max(p.peakKB, int(usage.Maxrss))
-	}
 	close(ended)
 }
 
@@ -104,6 +101,11 @@
 	if p.state == down {
 		return
 	}
+	// Not from the usage that the system reports at the end: its peak counts the
+	// memory of this rig, which the process shared until it was its own program.
+	if kb, err := procPeak(p.cmd.Process.Pid); err == nil {
+		p.peakKB = max(p.peakKB, kb)
+	}
 	p.state = then
 	if then == down || then == draining {
 		p.asked = true
