--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -17,9 +17,10 @@
 )
 
 const (
-	entryName   host.Name = "mtl-a-entry-1"
-	sidecarName host.Name = "mtl-a-redaction-1"
-	testTimeout           = 20 * time.Second
+	entryName    host.Name = "mtl-a-entry-1"
+	sidecarName  host.Name = "mtl-a-redaction-1"
+	testTimeout            = 20 * time.Second
+	refusedBound           = 10 * time.Second // a server refuses within milliseconds
 )
 
 // newConfig returns the configuration of a process with a certificate of the authority.
@@ -143,7 +144,10 @@
 			c, err := peer.Dial(testContext(t), test.cfg, addr, test.target, 1)
 			if err == nil {
 				// TLS 1.3 lets the client finish before the server has judged it.
-				<-c.Closed()
+				select {
+				case <-c.Closed():
+				case <-time.After(refusedBound):
+				}
 				err = c.Err()
 			}
 			require.Error(t, err)
