--- /dev/null
+++ b/internal/operator/root/root.go
@@ -0,0 +1,23 @@
+// Package root puts the commands of the program together.
+package root
+
+import (
+	"slices"
+
+	"github.com/urfave/cli/v3"
+
+	"wagtailshelf.example/wagtailshelf/internal/operator/standin"
+	"wagtailshelf.example/wagtailshelf/internal/program/trial"
+)
+
+// New returns the program's command line.
+func New() *cli.Command {
+	return &cli.Command{
+		Name:  "wagtailshelf",
+		Usage: "load balancer for expert-parallel model groups",
+		Commands: slices.Concat(
+			[]*cli.Command{trial.Command()},
+			standin.Commands(),
+		),
+	}
+}
--- a/internal/program/entry/attempt.go
+++ b/internal/program/entry/attempt.go
@@ -52,7 +52,7 @@
 }
 
 func blocksOf(d *document.Document) target.Blocks {
-	return target.Blocks{Bytes: int(d.Affinity.BlockBytes), Leading: d.Affinity.Blocks}
+	return target.Blocks{Bytes: int(d.Affinity.BlockBytes), Count: d.Affinity.Blocks}
 }
 
 func (x *exchange) picked(p pick, conn *peer.Conn) {
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -142,12 +142,11 @@
 	var g run.Group
 	watch, stopWatch := context.WithCancel(ctx)
 	g.Add(func() error { return e.followDocuments(watch) }, func(error) { stopWatch() })
-	g.Add(e.serveCallers, func(error) { _ = e.server.Close() }) // callers still there are cut; Drain comes first
-	done, stopDone := context.WithCancel(ctx)
-	g.Add(func() error {
-		<-done.Done()
-		return context.Cause(done)
-	}, func(error) { stopDone() })
+	serve, stopServe := context.WithCancel(ctx)
+	g.Add(func() error { return e.serveCallers(serve) }, func(error) {
+		_ = e.server.Close() // callers still there are cut; Drain comes first
+		stopServe()
+	})
 	err := g.Run()
 	e.stop()
 	e.pool.Close()
@@ -155,12 +154,21 @@
 	return err
 }
 
-func (e *Entry) serveCallers() error {
-	err := e.server.Serve(e.socket)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+// serveCallers serves until ctx ends. Drain makes the server return early, while
+// requests are still in flight: ending the other duties then would cut them off.
+func (e *Entry) serveCallers(ctx context.Context) error {
+	failed := make(chan error, 1)
+	go func() { failed <- e.server.Serve(e.socket) }()
+	select {
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case err := <-failed:
+		if !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
 	}
-	return err
+	<-ctx.Done()
+	return context.Cause(ctx)
 }
 
 // Drain fails the entry's readiness, goes on serving while the balancer still
--- /dev/null
+++ b/internal/program/trial/stage.go
@@ -0,0 +1,244 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/standin/engine"
+	"wagtailshelf.example/wagtailshelf/internal/standin/service"
+)
+
+const (
+	callsPerStage = 24
+	draftTokens   = 24
+	leavingBound  = 4 * time.Second // a leaving target gets no new work after this
+	readyBound    = 10 * time.Second
+)
+
+// stage is one part of the trial: what it shows, and how it is brought about.
+type stage struct {
+	name string
+	doc  string
+	run  func(s *session, ctx context.Context) error
+}
+
+// stages are run in this order, each on the deployment that the last one left.
+var stages = []stage{
+	{
+		name: "morning",
+		doc:  "drafts, call lists and logged outcomes, all targets well",
+		run:  (*session).mixedCalls,
+	},
+	{
+		name: "sidecarKilled",
+		doc:  "a sidecar dies while drafts stream through it, and starts again",
+		run:  (*session).killSidecar,
+	},
+	{
+		name: "connectionSilent",
+		doc:  "the open connections of an entry swallow all packets; new ones work",
+		run:  (*session).silenceConnections,
+	},
+	{
+		name: "engineBreaks",
+		doc:  "an engine closes its streams half-way",
+		run:  (*session).breakStreams,
+	},
+	{
+		name: "answerLost",
+		doc:  "the agenda logs an outcome and loses its answer",
+		run:  (*session).loseAnswers,
+	},
+	{
+		name: "targetLeaves",
+		doc:  "the document says that a target is leaving",
+		run:  (*session).leaveTarget,
+	},
+	{
+		name: "sidecarDrained",
+		doc:  "a sidecar is asked to stop while drafts stream through it",
+		run:  (*session).drainSidecar,
+	},
+	{
+		name: "entryDrained",
+		doc:  "an entry is asked to stop while drafts stream through it",
+		run:  (*session).drainEntry,
+	},
+}
+
+// session is a deployment under trial with its callers.
+type session struct {
+	*Deployment
+	callers   *callers
+	holes     *holes
+	redaction []*Target
+	agenda    []*Target
+	logbook   *service.Service
+	number    int
+	breaches  []breach
+}
+
+// breach is a promise that the trial saw broken.
+type breach struct {
+	Stage   string `json:"stage"`
+	Promise string `json:"promise"`
+	Detail  string `json:"detail"`
+}
+
+func (s *session) next() int {
+	s.number++
+	return s.number
+}
+
+func (s *session) breach(promise, format string, args ...any) {
+	s.breaches = append(s.breaches, breach{Stage: s.callers.stage, Promise: promise, Detail: fmt.Sprintf(format, args...)})
+}
+
+// together runs n calls at once and waits for all of them.
+func (s *session) together(n int, call func(i, number int) callResult) []callResult {
+	results := make([]callResult, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		number := s.next()
+		wg.Go(func() { results[i] = call(i, number) })
+	}
+	wg.Wait()
+	return results
+}
+
+// drafts runs n drafts over all entries.
+func (s *session) drafts(ctx context.Context, n int) []callResult {
+	return s.together(n, func(i, number int) callResult {
+		return s.callers.draft(ctx, s.Entries[i%len(s.Entries)].Addr(), number, draftTokens)
+	})
+}
+
+func (s *session) mixedCalls(ctx context.Context) error {
+	s.together(callsPerStage, func(i, number int) callResult {
+		entry := s.Entries[i%len(s.Entries)].Addr()
+		switch i % 3 {
+		case 0:
+			return s.callers.draft(ctx, entry, number, draftTokens)
+		case 1:
+			return s.callers.list(ctx, entry, number)
+		default:
+			return s.callers.logOutcome(ctx, entry, number, "")
+		}
+	})
+	return nil
+}
+
+// during starts drafts, lets some tokens flow, and then runs what disturbs them.
+func (s *session) during(ctx context.Context, disturb func() error) ([]callResult, error) {
+	done := make(chan []callResult, 1)
+	go func() { done <- s.drafts(ctx, callsPerStage) }()
+	time.Sleep(40 * time.Millisecond) // some steps of the engines; nothing depends on how many
+	err := disturb()
+	return <-done, err
+}
+
+func (s *session) killSidecar(ctx context.Context) error {
+	victim := s.redaction[0]
+	_, err := s.during(ctx, func() error {
+		s.KillSidecar(victim)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return s.RestartSidecar(victim)
+}
+
+func (s *session) silenceConnections(ctx context.Context) error {
+	_, err := s.during(ctx, func() error {
+		s.holes.shutOpen()
+		return nil
+	})
+	return err
+}
+
+func (s *session) breakStreams(ctx context.Context) error {
+	victim := s.redaction[1].Engine
+	victim.SetFaults(engine.Faults{CloseAfter: draftTokens / 2})
+	s.drafts(ctx, callsPerStage)
+	victim.SetFaults(engine.Faults{})
+	return nil
+}
+
+// loseAnswers checks that a call with an effect is never reported as not run.
+func (s *session) loseAnswers(ctx context.Context) error {
+	s.logbook.SetFaults(service.Faults{LoseAnswer: true})
+	s.together(callsPerStage/4, func(i, number int) callResult {
+		return s.callers.logOutcome(ctx, s.Entries[i%len(s.Entries)].Addr(), number, "")
+	})
+	s.logbook.SetFaults(service.Faults{})
+	return nil
+}
+
+func (s *session) leaveTarget(ctx context.Context) error {
+	victim := s.redaction[2]
+	if err := s.Put(ctx, "redaction", RedactionDocument(s.redaction, victim.Name)); err != nil {
+		return err
+	}
+	s.drafts(ctx, callsPerStage)
+	time.Sleep(leavingBound)
+	s.checkUntouched(victim, func() { s.drafts(ctx, callsPerStage) })
+	return nil
+}
+
+func (s *session) drainSidecar(ctx context.Context) error {
+	victim := s.redaction[1]
+	results, err := s.during(ctx, func() error { return victim.Sidecar.Drain(ctx) })
+	if err != nil {
+		return err
+	}
+	s.checkAllAnswered("a graceful shutdown cuts off nothing", results)
+	s.checkUntouched(victim, func() { s.drafts(ctx, callsPerStage) })
+	return nil
+}
+
+func (s *session) drainEntry(ctx context.Context) error {
+	victim := s.Entries[len(s.Entries)-1]
+	done := make(chan []callResult, 1)
+	go func() {
+		done <- s.together(callsPerStage, func(_, number int) callResult {
+			return s.callers.draft(ctx, victim.Addr(), number, draftTokens)
+		})
+	}()
+	time.Sleep(40 * time.Millisecond) // some steps of the engines; nothing depends on how many
+	if err := victim.Drain(ctx); err != nil {
+		return err
+	}
+	s.checkAllAnswered("a graceful shutdown cuts off nothing", <-done)
+	return nil
+}
+
+func (s *session) checkAllAnswered(promise string, results []callResult) {
+	for _, r := range results {
+		if r.outcome != outcomeAnswered {
+			s.breach(promise, "%s %s: %s", r.kind, r.outcome, r.reason)
+		}
+	}
+}
+
+// checkUntouched runs calls that must not reach a target.
+func (s *session) checkUntouched(t *Target, calls func()) {
+	before := len(s.runsAt(t))
+	calls()
+	if after := len(s.runsAt(t)); after > before {
+		s.breach("a leaving target receives no new work", "%s ran %d more requests", t.Name, after-before)
+	}
+}
+
+// runsAt returns the ids of the callers' requests that a target's engine began.
+func (s *session) runsAt(t *Target) []string {
+	var ids []string
+	for _, r := range s.callers.all() {
+		if r.id != "" && t.Engine.Runs(r.id).Starts > 0 {
+			ids = append(ids, r.id)
+		}
+	}
+	return ids
+}
--- a/internal/wire/peer/config.go
+++ b/internal/wire/peer/config.go
@@ -15,16 +15,20 @@
 const (
 	// DefaultPingAfter is how long a connection with something awaited on it
 	// may stay quiet before it is pinged.
-	DefaultPingAfter = 250 * time.Millisecond
+	DefaultPingAfter = 200 * time.Millisecond
 
 	// DefaultSilentAfter is how long it may stay quiet before it is given up.
 	// It leaves room for three pings, so that one lost packet, which QUIC sends
 	// again by itself, does not end a connection.
-	DefaultSilentAfter = time.Second
+	DefaultSilentAfter = 700 * time.Millisecond
+
+	// The same bounds while nothing is awaited. A sidecar reports its load at
+	// least each four seconds, so that a healthy connection is not pinged.
+	idlePingAfter   = 6 * time.Second
+	idleSilentAfter = 9 * time.Second
 
 	handshakeTimeout = 2 * time.Second
-	idleTimeout      = 30 * time.Second
-	keepAlivePeriod  = 12 * time.Second // under half of idleTimeout
+	idleTimeout      = 30 * time.Second // of QUIC; silence is found out before
 	maxStreams       = 4096             // concurrent requests of one connection
 	controlRing      = 256              // control frames waiting to be sent on one connection
 	streamWindow     = 256 << 10        // initial receive window of a stream, bytes
@@ -99,7 +103,6 @@
 	return &quic.Config{
 		HandshakeIdleTimeout:           handshakeTimeout,
 		MaxIdleTimeout:                 idleTimeout,
-		KeepAlivePeriod:                keepAlivePeriod,
 		MaxIncomingStreams:             maxStreams,
 		MaxIncomingUniStreams:          -1,
 		InitialStreamReceiveWindow:     streamWindow,
--- a/internal/wire/peer/conn.go
+++ b/internal/wire/peer/conn.go
@@ -239,34 +239,42 @@
 	return sync.OnceFunc(func() { c.waiting.Add(-1) })
 }
 
-// watch pings a quiet connection and ends a silent one, while something is awaited.
+// watch pings a quiet connection and ends a silent one: soon while something is
+// awaited, and after a longer time while nothing is, so that the next request
+// does not have to find out.
 func (c *Conn) watch(ctx context.Context) error {
-	s := silence{pingAfter: c.cfg.pingAfter(), silentAfter: c.cfg.silentAfter()}
-	timer := time.NewTimer(s.pingAfter)
+	busy := silence{pingAfter: c.cfg.pingAfter(), silentAfter: c.cfg.silentAfter()}
+	idle := silence{pingAfter: idlePingAfter, silentAfter: idleSilentAfter}
+	timer := time.NewTimer(0)
 	defer timer.Stop()
+	waited := false
+	idle.await(time.Now())
 	for {
 		select {
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		case <-c.wake:
+		case <-timer.C:
 		}
-		s.await(time.Now())
-		for c.waiting.Load() > 0 {
-			v := s.check(time.Now(), c.lastHeard())
-			if v.silent {
-				c.fail(ErrSilent, codeSilent)
-				return ErrSilent
-			}
-			if v.ping {
-				_ = c.enqueue(outgoing{frame.KindPing, frame.Ping{}}) // a full ring is quiet too
-			}
-			timer.Reset(v.next)
-			select {
-			case <-ctx.Done():
-				return context.Cause(ctx)
-			case <-timer.C:
-			}
+		now := time.Now()
+		waits := c.waiting.Load() > 0
+		s := &idle
+		if waits {
+			s = &busy
+		}
+		if waits && !waited {
+			busy.await(now)
+		}
+		waited = waits
+		v := s.check(now, c.lastHeard())
+		if v.silent {
+			c.fail(ErrSilent, codeSilent)
+			return ErrSilent
+		}
+		if v.ping {
+			_ = c.enqueue(outgoing{frame.KindPing, frame.Ping{}}) // a full ring is quiet too
 		}
+		timer.Reset(v.next)
 	}
 }
 
