--- /dev/null
+++ b/internal/operator/role/entry.go
@@ -0,0 +1,48 @@
+package role
+
+import (
+	"context"
+
+	"wagtailshelf.example/wagtailshelf/internal/program/entry"
+	"wagtailshelf.example/wagtailshelf/internal/program/process"
+	"wagtailshelf.example/wagtailshelf/internal/record/budget"
+	"wagtailshelf.example/wagtailshelf/internal/wire/platform"
+)
+
+func runEntry(ctx context.Context, b *base) error {
+	client := b.platform()
+	defer client.Close()
+	e, err := entry.New(entry.Config{
+		Identity:   b.identity,
+		Callers:    b.settings.Listen.Callers,
+		Platform:   client,
+		Keys:       b.keys,
+		Log:        b.log,
+		Metrics:    b.metrics,
+		DrainDelay: b.settings.Drain.Delay,
+		DrainBound: b.settings.Drain.Bound,
+	})
+	if err != nil {
+		return err
+	}
+	b.announce("callers", e.Addr())
+	return b.serve(ctx, &process.Program{
+		Run:   e.Run,
+		Drain: e.Drain,
+		Admin: &process.Admin{
+			Ready: func() bool { return e.Ready() && !e.Draining() },
+			Dump:  func(ctx context.Context) (any, error) { return e.State(ctx) },
+		},
+	})
+}
+
+// platform returns a client of the platform within the budget of the settings.
+func (b *base) platform() *platform.Client {
+	return platform.New(platform.Config{
+		URL:     "http://" + b.settings.Platform[0].String(),
+		Budget:  budget.Config{Rate: b.settings.Limits.PlatformCalls},
+		Timeout: b.settings.Timeouts.PlatformCall,
+		MaxWait: b.settings.Timeouts.PlatformTurn,
+		Metrics: b.metrics,
+	})
+}
--- /dev/null
+++ b/internal/operator/role/sidecar.go
@@ -0,0 +1,34 @@
+package role
+
+import (
+	"context"
+
+	"wagtailshelf.example/wagtailshelf/internal/program/process"
+	"wagtailshelf.example/wagtailshelf/internal/program/sidecar"
+	"wagtailshelf.example/wagtailshelf/internal/record/document"
+)
+
+func runSidecar(ctx context.Context, b *base) error {
+	s, err := sidecar.New(sidecar.Config{
+		Identity:   b.identity,
+		Listen:     b.settings.Listen.Peers,
+		Target:     b.settings.Target.Address,
+		Model:      b.settings.Target.Kind == document.Model,
+		Keys:       b.keys,
+		Log:        b.log,
+		Metrics:    b.metrics,
+		DrainBound: b.settings.Drain.Bound,
+	})
+	if err != nil {
+		return err
+	}
+	b.announce("peers", s.Addr())
+	return b.serve(ctx, &process.Program{
+		Run:   s.Run,
+		Drain: s.Drain,
+		Admin: &process.Admin{
+			Ready: func() bool { return !s.Leaving() },
+			Dump:  func(ctx context.Context) (any, error) { return s.State(ctx) },
+		},
+	})
+}
--- a/internal/operator/root/root.go
+++ b/internal/operator/root/root.go
@@ -6,6 +6,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"wagtailshelf.example/wagtailshelf/internal/operator/role"
 	"wagtailshelf.example/wagtailshelf/internal/operator/standin"
 	"wagtailshelf.example/wagtailshelf/internal/program/trial"
 )
@@ -17,6 +18,7 @@
 		Usage: "load balancer for expert-parallel model groups",
 		Commands: slices.Concat(
 			[]*cli.Command{trial.Command()},
+			role.Commands(),
 			standin.Commands(),
 		),
 	}
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -129,3 +129,6 @@
 		return context.Cause(ctx)
 	}
 }
+
+// Leaving reports whether the sidecar refuses new work.
+func (s *Sidecar) Leaving() bool { return s.leaving.Load() }
