--- /dev/null
+++ b/internal/operator/dump/dump.go
@@ -0,0 +1,85 @@
+// Package dump holds the command that shows the state of a running process.
+package dump
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	tokenVariable = "WAGTAILSHELF_TOKEN"
+	maxDump       = 64 << 20 // bytes
+	maxProblem    = 4 << 10  // bytes shown of a refusal
+)
+
+// ErrRefused reports a process that answered without a dump.
+var ErrRefused = merry.Sentinel("no dump")
+
+// Commands returns the command "dump".
+func Commands() []*cli.Command {
+	return []*cli.Command{{
+		Name:      "dump",
+		Usage:     "print the whole state of a running process as JSON",
+		ArgsUsage: "ADDRESS",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "token-file", Usage: "`FILE` with the operator's token; without it, the variable " + tokenVariable},
+			&cli.DurationFlag{Name: "timeout", Value: 10 * time.Second, Usage: "`DURATION` to wait for the whole dump"},
+		},
+		Action: dump,
+	}}
+}
+
+func dump(ctx context.Context, cmd *cli.Command) error {
+	address, err := netip.ParseAddrPort(cmd.Args().First())
+	if err != nil {
+		return merry.Prepend(err, "address of the process's administration listener")
+	}
+	token, err := readToken(cmd.String("token-file"))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("timeout"))
+	defer cancel()
+	return fetch(ctx, address, token, cmd.Root().Writer)
+}
+
+// readToken returns the token in the file, or the one in the environment. It
+// is no argument, since other users of the machine can see those.
+func readToken(file string) (string, error) {
+	if file == "" {
+		return os.Getenv(tokenVariable), nil
+	}
+	text, err := os.ReadFile(file)
+	return strings.TrimSpace(string(text)), err
+}
+
+// fetch copies the dump of the process at the address to w.
+func fetch(ctx context.Context, address netip.AddrPort, token string, w io.Writer) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/dump", nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }() // the body was read to its end or is of no use
+	if resp.StatusCode != http.StatusOK {
+		problem, _ := io.ReadAll(io.LimitReader(resp.Body, maxProblem))
+		return merry.Appendf(ErrRefused, "%s: %s", resp.Status, strings.TrimSpace(string(problem)))
+	}
+	n, err := io.Copy(w, io.LimitReader(resp.Body, maxDump+1))
+	if err == nil && n > maxDump {
+		return merry.Appendf(ErrRefused, "longer than %d bytes", maxDump)
+	}
+	return err
+}
--- a/internal/operator/root/root.go
+++ b/internal/operator/root/root.go
@@ -6,7 +6,10 @@
 
 	"github.com/urfave/cli/v3"
 
+	"wagtailshelf.example/wagtailshelf/internal/operator/dump"
+	"wagtailshelf.example/wagtailshelf/internal/operator/key"
 	"wagtailshelf.example/wagtailshelf/internal/operator/role"
+	"wagtailshelf.example/wagtailshelf/internal/operator/settings"
 	"wagtailshelf.example/wagtailshelf/internal/operator/standin"
 	"wagtailshelf.example/wagtailshelf/internal/program/trial"
 )
@@ -19,6 +22,9 @@
 		Commands: slices.Concat(
 			[]*cli.Command{trial.Command()},
 			role.Commands(),
+			settings.Commands(),
+			key.Commands(),
+			dump.Commands(),
 			standin.Commands(),
 		),
 	}
