--- a/internal/operator/root/root.go
+++ b/internal/operator/root/root.go
@@ -10,6 +10,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/operator/key"
 	"wagtailshelf.example/wagtailshelf/internal/operator/role"
 	"wagtailshelf.example/wagtailshelf/internal/operator/settings"
+	"wagtailshelf.example/wagtailshelf/internal/operator/skew"
 	"wagtailshelf.example/wagtailshelf/internal/operator/standin"
 	"wagtailshelf.example/wagtailshelf/internal/program/trial"
 )
@@ -25,6 +26,7 @@
 			settings.Commands(),
 			key.Commands(),
 			dump.Commands(),
+			[]*cli.Command{skew.Command()},
 			standin.Commands(),
 		),
 	}
