--- a/internal/operator/role/entry.go
+++ b/internal/operator/role/entry.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/labstack/echo/v4"
+
 	"wagtailshelf.example/wagtailshelf/internal/program/entry"
 	"wagtailshelf.example/wagtailshelf/internal/program/process"
 	"wagtailshelf.example/wagtailshelf/internal/record/budget"
@@ -35,10 +37,17 @@
 		Admin: &process.Admin{
 			Ready: func() bool { return e.Ready() && !e.Draining() },
 			Dump:  func(ctx context.Context) (any, error) { return e.State(ctx) },
+			Mount: func(g *echo.Group) { e.MountAdministration(g, operator) },
 		},
 	})
 }
 
+// operator returns the name that the caller's credential has proved.
+func operator(c echo.Context) string {
+	name, _ := c.Get(process.OperatorKey).(string)
+	return name
+}
+
 // platform returns a client of the platform within the budget of the settings.
 func (b *base) platform() *platform.Client {
 	return platform.New(platform.Config{
--- a/internal/operator/root/root.go
+++ b/internal/operator/root/root.go
@@ -6,6 +6,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"wagtailshelf.example/wagtailshelf/internal/operator/command"
 	"wagtailshelf.example/wagtailshelf/internal/operator/dump"
 	"wagtailshelf.example/wagtailshelf/internal/operator/key"
 	"wagtailshelf.example/wagtailshelf/internal/operator/role"
@@ -23,6 +24,7 @@
 		Commands: slices.Concat(
 			[]*cli.Command{trial.Command()},
 			role.Commands(),
+			command.Commands(),
 			settings.Commands(),
 			key.Commands(),
 			dump.Commands(),
--- /dev/null
+++ b/internal/program/entry/administration.go
@@ -0,0 +1,29 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"wagtailshelf.example/wagtailshelf/internal/record/object"
+	"wagtailshelf.example/wagtailshelf/internal/wire/administration"
+)
+
+// MountAdministration adds the routes by which operators apply and audit
+// documents. operator returns the proven name of who calls.
+func (e *Entry) MountAdministration(g *echo.Group, operator func(echo.Context) string) {
+	api := &administration.API{
+		Records:  &administration.Records{Do: e.cfg.Platform.Do},
+		Now:      time.Now,
+		Operator: operator,
+		Applied:  e.applied,
+	}
+	api.Mount(g)
+}
+
+// applied tells the fleet of a document that an operator applied here.
+func (e *Entry) applied(service string, version object.Version) {
+	if e.membership != nil {
+		e.membership.Applied(service, version)
+	}
+}
