--- a/internal/expert/planner/event.go
+++ b/internal/expert/planner/event.go
@@ -62,14 +62,15 @@
 	}
 }
 
-// LeaseKey is the key of the lease of a group's planning in the platform.
+// LeaseKey is the key of the lease of a group's planning in the platform. A slash
+// stands between the two names, as no name has one: with a hyphen, group "b-c" of
+// service "a" and group "c" of service "a-b" would share a lease.
 func LeaseKey(service, group string) object.Key {
-	return object.Key("leases/plan-" + service + "-" + group)
+	return object.Key("leases/plan/" + service + "/" + group)
 }
 
-// RecordKey is the key of a group's record in the platform. A slash stands between
-// the two names, as no name has one: with a hyphen, group "b-c" of service "a" and
-// group "c" of service "a-b" would write over each other's record.
+// RecordKey is the key of a group's record in the platform, with a slash for the
+// same reason: the two groups would write over each other's record.
 func RecordKey(service, group string) object.Key {
 	return object.Key("groups/" + service + "/" + group)
 }
--- a/internal/operator/command/client.go
+++ b/internal/operator/command/client.go
@@ -9,21 +9,20 @@
 	"net/http/httptest"
 	"net/netip"
 	"net/url"
-	"os"
-	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/labstack/echo/v4"
 	"github.com/urfave/cli/v3"
 
+	"wagtailshelf.example/wagtailshelf/internal/operator/token"
+
 	"wagtailshelf.example/wagtailshelf/internal/wire/administration"
 	"wagtailshelf.example/wagtailshelf/internal/wire/platform"
 )
 
 const (
-	tokenVariable = "WAGTAILSHELF_TOKEN"
-	maxAnswer     = 64 << 20 // bytes
+	maxAnswer = 64 << 20 // bytes
 )
 
 // Errors of the commands.
@@ -45,7 +44,6 @@
 const (
 	administrationFlag = "administration"
 	platformFlag       = "platform"
-	tokenFlag          = "token-file"
 	timeoutFlag        = "timeout"
 )
 
@@ -53,7 +51,7 @@
 func serverFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: administrationFlag, Usage: "`ADDRESS` of the administration listener of any entry"},
-		&cli.StringFlag{Name: tokenFlag, Usage: "`FILE` with the operator's token; without it, the variable " + tokenVariable},
+		token.Flag(),
 		&cli.DurationFlag{Name: timeoutFlag, Value: 20 * time.Second, Usage: "`DURATION` to wait for an answer"},
 	}
 }
@@ -75,21 +73,11 @@
 	if err != nil {
 		return nil, merry.Appendf(ErrUsage, "--%s: %v", administrationFlag, err)
 	}
-	token, err := readToken(cmd.String(tokenFlag))
+	secret, err := token.Read(cmd)
 	if err != nil {
 		return nil, err
 	}
-	return &client{base: "http://" + addr.String(), token: token, do: http.DefaultClient.Do, close: func() {}}, nil
-}
-
-// readToken returns the token in the file, or the one in the environment. It
-// is no argument, since other users of the machine can see those.
-func readToken(file string) (string, error) {
-	if file == "" {
-		return os.Getenv(tokenVariable), nil
-	}
-	text, err := os.ReadFile(file)
-	return strings.TrimSpace(string(text)), err
+	return &client{base: "http://" + addr.String(), token: secret, do: http.DefaultClient.Do, close: func() {}}, nil
 }
 
 // platformClient answers from the platform through the API's own handlers, so
--- a/internal/operator/dump/dump.go
+++ b/internal/operator/dump/dump.go
@@ -6,18 +6,18 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"os"
 	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/urfave/cli/v3"
+
+	"wagtailshelf.example/wagtailshelf/internal/operator/token"
 )
 
 const (
-	tokenVariable = "WAGTAILSHELF_TOKEN"
-	maxDump       = 64 << 20 // bytes
-	maxProblem    = 4 << 10  // bytes shown of a refusal
+	maxDump    = 64 << 20 // bytes
+	maxProblem = 4 << 10  // bytes shown of a refusal
 )
 
 // ErrRefused reports a process that answered without a dump.
@@ -30,7 +30,7 @@
 		Usage:     "print the whole state of a running process as JSON",
 		ArgsUsage: "ADDRESS",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "token-file", Usage: "`FILE` with the operator's token; without it, the variable " + tokenVariable},
+			token.Flag(),
 			&cli.DurationFlag{Name: "timeout", Value: 10 * time.Second, Usage: "`DURATION` to wait for the whole dump"},
 		},
 		Action: dump,
@@ -42,23 +42,13 @@
 	if err != nil {
 		return merry.Prepend(err, "address of the process's administration listener")
 	}
-	token, err := readToken(cmd.String("token-file"))
+	secret, err := token.Read(cmd)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("timeout"))
 	defer cancel()
-	return fetch(ctx, address, token, cmd.Root().Writer)
-}
-
-// readToken returns the token in the file, or the one in the environment. It
-// is no argument, since other users of the machine can see those.
-func readToken(file string) (string, error) {
-	if file == "" {
-		return os.Getenv(tokenVariable), nil
-	}
-	text, err := os.ReadFile(file)
-	return strings.TrimSpace(string(text)), err
+	return fetch(ctx, address, secret, cmd.Root().Writer)
 }
 
 // fetch copies the dump of the process at the address to w.
--- a/internal/operator/root/root.go
+++ b/internal/operator/root/root.go
@@ -8,6 +8,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/operator/command"
 	"wagtailshelf.example/wagtailshelf/internal/operator/dump"
+	"wagtailshelf.example/wagtailshelf/internal/operator/group"
 	"wagtailshelf.example/wagtailshelf/internal/operator/key"
 	"wagtailshelf.example/wagtailshelf/internal/operator/role"
 	"wagtailshelf.example/wagtailshelf/internal/operator/settings"
@@ -28,6 +29,7 @@
 			settings.Commands(),
 			key.Commands(),
 			dump.Commands(),
+			group.Commands(),
 			[]*cli.Command{skew.Command()},
 			standin.Commands(),
 		),
--- a/internal/program/rank/rank.go
+++ b/internal/program/rank/rank.go
@@ -301,17 +301,12 @@
 		}
 		return group.NewFormer(group.FormerConfig{
 			Record: planner.RecordKey(r.cfg.Service, r.cfg.Group),
-			Lease:  leaseKey(r.cfg.Service, r.cfg.Group),
+			Lease:  planner.LeaseKey(r.cfg.Service, r.cfg.Group),
 		})
 	}
 	return nil
 }
 
-// leaseKey is the key of the lease of the group's planning.
-func leaseKey(service, name string) object.Key {
-	return object.Key("leases/plan-" + service + "-" + name)
-}
-
 // learn is the duty that learns the current fence from the lease. Before that the
 // guard gives no order. An engine that can be read back tells it as well.
 func (r *Rank) learn(ctx context.Context) error {
@@ -320,7 +315,7 @@
 	}
 	wait := fenceRetry
 	for {
-		reply := r.cfg.Platform.Do(ctx, object.Call{Op: object.Get, Key: leaseKey(r.cfg.Service, r.cfg.Group), Cause: group.Cause})
+		reply := r.cfg.Platform.Do(ctx, object.Call{Op: object.Get, Key: planner.LeaseKey(r.cfg.Service, r.cfg.Group), Cause: group.Cause})
 		if f, ok := fenceOf(reply); ok {
 			r.put(ctx, event{guard: &order.Event{Kind: order.Learn, Fence: f}})
 			r.put(ctx, event{group: &group.Event{Kind: group.Fenced, Fence: f}})
