Serve the platform's requests straight from the entry, thin

Cause: the platform speaks other formats than the program; nothing of it was served. The adapter in platform/ decodes its store, its headers and its settings; the entry follows rules and servers, admits, forwards and relays. Ruled out: the standard HTTP client towards targets, as it repeats requests by itself.

--- /dev/null
+++ b/internal/fleet/roster/roster.go
@@ -0,0 +1,109 @@
+// Package roster keeps the targets that the platform lists, by service.
+//
+// A target is one life of a server: a restart has another id, also at the same
+// address. A target that the platform no longer lists, or lists as leaving, gets
+// no new request; requests that run there go on.
+package roster
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// Target is one life of a server.
+type Target struct {
+	ID         string
+	Service    string
+	Address    netip.AddrPort
+	DataCentre string
+	Slots      int  // requests that run at the same time
+	Leaving    bool // the server has said that it will end
+}
+
+// Roster is the set of targets. It is safe for concurrent use.
+type Roster struct {
+	mu      sync.RWMutex
+	targets map[string]Target
+	lists   map[string][]Target // of those that take requests, by service, in the order of their ids
+}
+
+// New returns an empty roster.
+func New() *Roster {
+	return &Roster{targets: make(map[string]Target), lists: make(map[string][]Target)}
+}
+
+// Put adds a target or replaces what is known of it.
+func (r *Roster) Put(t Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.targets[t.ID] = t
+	r.index(t.Service)
+}
+
+// Remove forgets a target.
+func (r *Roster) Remove(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, found := r.targets[id]
+	if !found {
+		return
+	}
+	delete(r.targets, id)
+	r.index(t.Service)
+}
+
+// Leave marks a target as leaving, on its own word.
+func (r *Roster) Leave(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, found := r.targets[id]
+	if !found || t.Leaving {
+		return false
+	}
+	t.Leaving = true
+	r.targets[id] = t
+	r.index(t.Service)
+	return true
+}
+
+// index makes the list of a service anew. Lists are never changed in place, so
+// that readers may keep the one they have.
+func (r *Roster) index(service string) {
+	var list []Target
+	for _, t := range r.targets {
+		if t.Service == service && !t.Leaving {
+			list = append(list, t)
+		}
+	}
+	slices.SortFunc(list, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
+	r.lists[service] = list
+}
+
+// Serving returns the targets of a service that take requests. The caller must
+// not change the list.
+func (r *Roster) Serving(service string) []Target {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.lists[service]
+}
+
+// Get returns the target with that id.
+func (r *Roster) Get(id string) (Target, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	t, found := r.targets[id]
+	return t, found
+}
+
+// IDs returns the ids of all targets, those that leave included.
+func (r *Roster) IDs() []string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	ids := make([]string, 0, len(r.targets))
+	for id := range r.targets {
+		ids = append(ids, id)
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/operator/role/deployed.go
@@ -0,0 +1,71 @@
+package role
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/ansel1/merry/v2"
+	"github.com/urfave/cli/v3"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/program/companion"
+	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
+	"wagtailshelf.example/wagtailshelf/internal/program/gateway"
+	"wagtailshelf.example/wagtailshelf/platform"
+)
+
+// ErrNoSettings reports that the platform named no settings file.
+var ErrNoSettings = merry.New("no settings file: none was given, and the platform names none")
+
+const (
+	// memoryShare is the part of the process's memory that the collector aims to
+	// stay under. The rest is for what it does not count: stacks of the C library
+	// and bytes that wait in sockets.
+	memoryShare = 0.7
+	megabyte    = 1 << 20
+)
+
+// serveCommand runs the role that the platform's settings name.
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run the role that the platform's settings name",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: settingsFlag, Usage: "`FILE` with the settings; that of the platform if not given"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			file := cmd.String(settingsFlag)
+			if file == "" {
+				file = platform.SettingsFile()
+			}
+			if file == "" {
+				return ErrNoSettings
+			}
+			text, err := os.ReadFile(file)
+			if err != nil {
+				return merry.Wrap(err)
+			}
+			s, findings := deployed.Load(file, text)
+			if err := findings.Err(); err != nil {
+				return err
+			}
+			return serveRole(ctx, s)
+		},
+	}
+}
+
+func serveRole(ctx context.Context, s deployed.Settings) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory) * megabyte))
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	l := deployed.NewLog(s)
+	m := metrics.NewSet()
+	if s.Role == host.Sidecar {
+		return companion.New(s, l, m).Run(ctx)
+	}
+	return gateway.New(s, l, m).Run(ctx)
+}
--- a/internal/operator/role/role.go
+++ b/internal/operator/role/role.go
@@ -25,11 +25,12 @@
 // ErrRole reports settings that are for the other role.
 var ErrRole = merry.New("the settings are for another role")
 
-// Commands returns the commands "entry" and "sidecar".
+// Commands returns the commands "entry", "sidecar" and "serve".
 func Commands() []*cli.Command {
 	return []*cli.Command{
 		command(host.Entry, "meet callers and route their requests", runEntry),
 		command(host.Sidecar, "stand before a target", runSidecar),
+		serveCommand(),
 	}
 }
 
--- /dev/null
+++ b/internal/program/deployed/settings.go
@@ -0,0 +1,95 @@
+// Package deployed holds what both programs share when they run on the users'
+// platform: their settings, their logs and their life from start to stop.
+package deployed
+
+import (
+	"net/netip"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/record/finding"
+	"wagtailshelf.example/wagtailshelf/internal/record/source"
+)
+
+// Settings sets up one process. The platform fills them in from a template.
+type Settings struct {
+	Role       host.Role       `yaml:"role"`
+	Name       host.Name       `yaml:"name"`
+	Address    netip.Addr      `yaml:"address"` // of this host
+	DataCentre host.DataCentre `yaml:"dataCentre"`
+	Store      netip.AddrPort  `yaml:"store"` // of the platform's objects
+	Listen     Listen          `yaml:"listen"`
+	Target     Target          `yaml:"target"`
+	Bounds     Bounds          `yaml:"bounds"`
+	Memory     int             `yaml:"memoryMB"` // of the process
+}
+
+// Listen holds the addresses that the process listens on.
+type Listen struct {
+	Callers   netip.AddrPort `yaml:"callers"`   // of an entry
+	Readiness netip.AddrPort `yaml:"readiness"` // of an entry: asked by the balancer
+	Metrics   netip.AddrPort `yaml:"metrics"`
+	Peers     netip.AddrPort `yaml:"peers"` // other processes of the system; the port is the same everywhere
+}
+
+// Target is what a sidecar stands beside.
+type Target struct {
+	Address netip.AddrPort `yaml:"address"`
+	Service string         `yaml:"service"`
+}
+
+// Bounds are the promises that the platform's operators were given.
+type Bounds struct {
+	Apply        time.Duration `yaml:"apply"`        // a config is in force everywhere after that time
+	Revoke       time.Duration `yaml:"revoke"`       // a key that was taken away opens nothing after that time
+	Drain        time.Duration `yaml:"drain"`        // a target that leaves gets no new request after that time
+	Grace        time.Duration `yaml:"grace"`        // from SIGTERM to SIGKILL
+	RepeatRatio  float64       `yaml:"repeatRatio"`  // repeats for each request to a service
+	RepeatSlack  float64       `yaml:"repeatSlack"`  // repeats in a window in any case, of all entries
+	RepeatWindow time.Duration `yaml:"repeatWindow"` // in which both are counted
+	Stall        time.Duration `yaml:"stall"`        // a group waits that long for a rank that is gone
+}
+
+// Load reads and checks the text of a settings file. The list holds all that is
+// wrong with it. Settings with findings must not be used.
+func Load(file string, text []byte) (Settings, finding.List) {
+	var s Settings
+	src, list := source.Decode(file, text, &s)
+	if len(list) > 0 {
+		return s, list
+	}
+	for _, c := range checks {
+		if c.fails(s) {
+			list = append(list, src.Finding(c.path, finding.Invalid, "%s", c.what))
+		}
+	}
+	list.Sort()
+	return s, list
+}
+
+// check is one check of settings.
+type check struct {
+	path  string
+	what  string // what is wrong if it fails
+	fails func(Settings) bool
+}
+
+var checks = []check{
+	{"role", "role is entry or sidecar", func(s Settings) bool { return s.Role != host.Entry && s.Role != host.Sidecar }},
+	{"name", "name is missing", func(s Settings) bool { return s.Name == "" }},
+	{"address", "address of this host is missing", func(s Settings) bool { return !s.Address.IsValid() }},
+	{"dataCentre", "dataCentre is missing", func(s Settings) bool { return s.DataCentre == "" }},
+	{"store", "store has no port", func(s Settings) bool { return s.Store.Port() == 0 }},
+	{"listen.callers", "an entry needs listen.callers", func(s Settings) bool { return s.Role == host.Entry && s.Listen.Callers.Port() == 0 }},
+	{"listen.readiness", "an entry needs listen.readiness", func(s Settings) bool { return s.Role == host.Entry && s.Listen.Readiness.Port() == 0 }},
+	{"listen.peers", "listen.peers has no port", func(s Settings) bool { return s.Listen.Peers.Port() == 0 }},
+	{"target.address", "a sidecar needs target.address", func(s Settings) bool { return s.Role == host.Sidecar && s.Target.Address.Port() == 0 }},
+	{"bounds.apply", "bounds.apply must be above 0", func(s Settings) bool { return s.Bounds.Apply <= 0 }},
+	{"bounds.revoke", "bounds.revoke must be above 0", func(s Settings) bool { return s.Bounds.Revoke <= 0 }},
+	{"bounds.drain", "bounds.drain must be above 0", func(s Settings) bool { return s.Bounds.Drain <= 0 }},
+	{"bounds.grace", "bounds.grace must be above 0", func(s Settings) bool { return s.Bounds.Grace <= 0 }},
+	{"bounds.repeatRatio", "bounds.repeatRatio must not be below 0", func(s Settings) bool { return s.Bounds.RepeatRatio < 0 }},
+	{"bounds.repeatSlack", "bounds.repeatSlack must not be below 0", func(s Settings) bool { return s.Bounds.RepeatSlack < 0 }},
+	{"bounds.repeatWindow", "bounds.repeatWindow must be above 0", func(s Settings) bool { return s.Bounds.RepeatWindow <= 0 }},
+	{"memoryMB", "memoryMB must be above 0", func(s Settings) bool { return s.Memory <= 0 }},
+}
--- /dev/null
+++ b/internal/program/gateway/gateway.go
@@ -0,0 +1,207 @@
+// Package gateway is the entry on the users' platform: it meets callers, routes
+// their requests by the rules in the platform's store, and forwards them to
+// targets.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/oklog/run"
+	"github.com/phuslu/log"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
+	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
+	"wagtailshelf.example/wagtailshelf/platform"
+)
+
+const (
+	// tickInterval of duties that look for what is due: targets to be asked again,
+	// targets that stay missing, idle connections.
+	tickInterval = 50 * time.Millisecond
+	// sweepInterval of idle connections, which are kept for seconds.
+	sweepInterval = time.Second
+	// headerTimeout bounds how long a caller may take for its headers until rules
+	// are known that say so.
+	headerTimeout = 5 * time.Second
+	// headerBytes bounds what is read of a request's headers at all; the rules have
+	// a tighter bound.
+	headerBytes = 64 << 10
+	// readyTrust is how old the rules may be while the entry asks for callers. Past
+	// that it can't serve those with keys for much longer.
+	readyTrust = 0.8
+	// assumedEntries share the allowance of repeats. More entries than that
+	// would send more than all together may.
+	assumedEntries = 8
+)
+
+// Gateway is the entry's state.
+type Gateway struct {
+	settings deployed.Settings
+	log      *log.Logger
+	metrics  *metrics.Set
+	store    *platform.Store
+	roster   *roster.Roster
+	missing  *missing
+	rules    atomic.Pointer[knownRules]
+	targets  atomic.Bool // a list of targets was read
+	draining atomic.Bool
+	forward  *forward.Forwarder
+	pool     *upstream.Pool
+	admit    *admission.Controller
+}
+
+// New returns an entry that does not run yet.
+func New(s deployed.Settings, l *log.Logger, m *metrics.Set) *Gateway {
+	g := &Gateway{
+		settings: s,
+		log:      l,
+		metrics:  m,
+		store:    platform.NewStore(s.Store),
+		roster:   roster.New(),
+		missing:  newMissing(),
+		pool:     upstream.NewPool(),
+		admit:    admission.New(),
+	}
+	dialled := m.NewCounter("wagtailshelf_target_connections_total")
+	g.pool.Dialled = dialled.Inc
+	g.admit.Targets = g.roster.Serving
+	g.admit.RulesFor = g.limits
+	g.store.Called = g.storeCalled
+	g.forward = &forward.Forwarder{
+		Rules:     g.currentRules,
+		KeyTrust:  s.Bounds.Revoke - keyMargin,
+		RuleTrust: s.Bounds.Apply,
+		Admission: g.admit,
+		Pool:      g.pool,
+		Budget: &forward.Budget{
+			Ratio:  s.Bounds.RepeatRatio,
+			Window: s.Bounds.RepeatWindow,
+			Fixed:  s.Bounds.RepeatSlack / assumedEntries,
+		},
+		Now:      time.Now,
+		Draining: &g.draining,
+		Leaving:  g.heardLeaving,
+		Ended:    g.ended,
+	}
+	return g
+}
+
+// keyMargin is taken off the time for which rules prove that a key holds: a request
+// is under way to its target for some milliseconds.
+const keyMargin = 200 * time.Millisecond
+
+// limits of a service at one entry.
+func (g *Gateway) limits(service string) admission.Rules {
+	r := g.rules.Load()
+	if r == nil {
+		return admission.Rules{}
+	}
+	s := r.config.Service(service)
+	if s == nil || s.Engine == nil {
+		return admission.Rules{PerTarget: plainPerTarget, Queue: queueLength}
+	}
+	return admission.Rules{PerTarget: enginePerTarget, Queue: queueLength}
+}
+
+const (
+	// enginePerTarget is how many requests of this entry one model engine has at
+	// the same time.
+	enginePerTarget = 3
+	// plainPerTarget is the same for plain services.
+	plainPerTarget = 6
+	// queueLength bounds the memory of waiting requests.
+	queueLength = 200
+)
+
+// Run serves until the context ends, then lets the requests in flight end.
+func (g *Gateway) Run(ctx context.Context) error {
+	var group run.Group
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	duty := func(serve func(context.Context) error) {
+		ctx, cancel := context.WithCancel(ctx)
+		group.Add(func() error { return serve(ctx) }, func(error) { cancel() })
+	}
+	duty(g.followRules)
+	duty(g.followTargets)
+	duty(g.keepTime)
+	duty(g.serveReadiness)
+	duty(g.serveMetrics)
+	duty(g.serveCallers)
+	g.log.Info().Str("event", "started").Str("role", "entry").Msg("")
+	err := group.Run()
+	g.log.Info().Str("event", "stopped").Err(err).Msg("")
+	return err
+}
+
+func (g *Gateway) keepTime(ctx context.Context) error {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	swept := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			g.dropMissing(now)
+			g.admit.Tick(now)
+			if now.Sub(swept) >= sweepInterval {
+				swept = now
+				g.pool.Sweep(now)
+			}
+		}
+	}
+}
+
+// ready tells whether the balancer should send callers here.
+func (g *Gateway) ready() bool {
+	if g.draining.Load() || !g.targets.Load() {
+		return false
+	}
+	r := g.rules.Load()
+	if r == nil {
+		return false
+	}
+	return r.age() < time.Duration(readyTrust*float64(g.settings.Bounds.Revoke))
+}
+
+func (g *Gateway) serveReadiness(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !g.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return serveHTTP(ctx, g.settings.Listen.Readiness.String(), &http.Server{Handler: mux})
+}
+
+func (g *Gateway) serveMetrics(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		g.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	return serveHTTP(ctx, g.settings.Listen.Metrics.String(), &http.Server{Handler: mux})
+}
+
+// serveHTTP serves until the context ends.
+func serveHTTP(ctx context.Context, address string, s *http.Server) error {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	if err := s.Serve(l); ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/program/gateway/knowledge.go
@@ -0,0 +1,220 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
+	"wagtailshelf.example/wagtailshelf/internal/record/feed"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
+)
+
+const (
+	// rulesWait is the part of the revocation bound that a watch of the rules waits.
+	// What a watch proves dates from before it was asked, so keys are trusted for
+	// two waits and a call; three parts of ten leave room for a failed call.
+	rulesWait = 0.3
+	// targetsWait of a watch of targets. It is cut without a sign now and then, and
+	// a target that leaves must be known about two seconds later.
+	targetsWait = 3 * time.Second
+	// missingWait is how long a target that is not listed any more is kept if the
+	// store was away: those that live are listed again within two seconds.
+	missingWait = 2200 * time.Millisecond
+)
+
+// knownRules are the newest rules that the entry has seen.
+type knownRules struct {
+	config *routing.Config
+	// asked is when the call began that showed that there was nothing newer, on the
+	// clock that counts suspended time.
+	asked time.Duration
+}
+
+func (r *knownRules) age() time.Duration { return deployed.Elapsed() - r.asked }
+
+// currentRules returns what requests are served by.
+func (g *Gateway) currentRules() forward.Rules {
+	r := g.rules.Load()
+	if r == nil {
+		return forward.Rules{}
+	}
+	return forward.Rules{Config: r.config, Age: r.age()}
+}
+
+func (g *Gateway) followRules(ctx context.Context) error {
+	wait := time.Duration(rulesWait * float64(g.settings.Bounds.Revoke))
+	f := g.store.FollowConfig(wait, g.malformed)
+	var asked time.Duration
+	list, watch := f.List, f.Watch
+	f.List = func(ctx context.Context) (feed.Page[*routing.Config], error) {
+		asked = deployed.Elapsed()
+		return list(ctx)
+	}
+	f.Watch = func(ctx context.Context, after int64) (feed.Page[*routing.Config], error) {
+		asked = deployed.Elapsed()
+		return watch(ctx, after)
+	}
+	take := func(_ time.Time, p feed.Page[*routing.Config]) { g.installRules(asked, p) }
+	f.Listed, f.Changed = take, take
+	f.Failed = g.storeFailed("rules")
+	f.Run(ctx, time.Now)
+	return nil
+}
+
+// installRules takes the newest rules of a page. Rules never go back to an older
+// version in the life of a process, whatever the store says.
+func (g *Gateway) installRules(asked time.Duration, p feed.Page[*routing.Config]) {
+	known := g.rules.Load()
+	next := known
+	for _, c := range p.Changes {
+		if c.Object == nil || c.Removed {
+			continue
+		}
+		if next != nil && next.config != nil && c.Object.Version < next.config.Version {
+			g.log.Warn().Str("event", "olderRules").Int64("version", c.Object.Version).Msg("")
+			continue
+		}
+		next = &knownRules{config: c.Object}
+	}
+	if next == nil {
+		return
+	}
+	changed := known == nil || next.config != known.config
+	g.rules.Store(&knownRules{config: next.config, asked: asked})
+	if changed {
+		g.log.Info().Str("event", "rules").Int64("version", next.config.Version).
+			Int("routes", len(next.config.Routes)).Dur("age", deployed.Elapsed()-asked).Msg("")
+	}
+}
+
+func (g *Gateway) followTargets(ctx context.Context) error {
+	f := g.store.FollowServers(targetsWait, g.malformed)
+	failed := g.storeFailed("targets")
+	f.Failed = func(err error) {
+		if err != nil {
+			g.missing.storeFailed(time.Now())
+		}
+		failed(err)
+	}
+	f.Listed = func(_ time.Time, p feed.Page[roster.Target]) { g.listTargets(p) }
+	f.Changed = func(_ time.Time, p feed.Page[roster.Target]) {
+		for _, c := range p.Changes {
+			g.changeTarget(c)
+		}
+	}
+	f.Run(ctx, time.Now)
+	return nil
+}
+
+func (g *Gateway) listTargets(p feed.Page[roster.Target]) {
+	listed := make(map[string]bool, len(p.Changes))
+	for _, c := range p.Changes {
+		listed[c.Name] = true
+		g.changeTarget(c)
+	}
+	for _, id := range g.roster.IDs() {
+		if !listed[id] {
+			g.changeTarget(feed.Change[roster.Target]{Name: id, Removed: true})
+		}
+	}
+	g.targets.Store(true)
+}
+
+func (g *Gateway) changeTarget(c feed.Change[roster.Target]) {
+	if c.Removed {
+		if g.missing.hold(time.Now(), c.Name) {
+			return
+		}
+		g.removeTarget(c.Name, "notListed")
+		return
+	}
+	g.missing.found(c.Name)
+	known, found := g.roster.Get(c.Name)
+	if found && known.Leaving {
+		// A target that has said that it leaves doesn't come back in this life.
+		c.Object.Leaving = true
+	}
+	g.roster.Put(c.Object)
+	if !found || known.Leaving != c.Object.Leaving {
+		g.log.Info().Str("event", "target").Str("target", c.Name).Str("service", c.Object.Service).
+			Bool("leaving", c.Object.Leaving).Stringer("address", c.Object.Address).Msg("")
+	}
+}
+
+func (g *Gateway) removeTarget(id, why string) {
+	if _, found := g.roster.Get(id); !found {
+		return
+	}
+	g.roster.Remove(id)
+	g.admit.Forget(id)
+	g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", why).Msg("")
+}
+
+// heardLeaving takes a target's own word that it takes no more requests. It also
+// closes single connections for other reasons, so the word alone does not count.
+func (g *Gateway) heardLeaving(string) {}
+
+func (g *Gateway) dropMissing(now time.Time) {
+	for _, id := range g.missing.due(now) {
+		g.removeTarget(id, "stayedMissing")
+	}
+}
+
+// missing holds targets that vanished from the list while the store was away. Their
+// entries lapse when they can't be renewed, so all targets may vanish at once
+// though they live; those that live are back soon after the store is.
+type missing struct {
+	mu      sync.Mutex
+	trouble time.Time            // when a call to the store failed last
+	until   map[string]time.Time // when a target is taken as gone
+}
+
+// recentTrouble is how long after a failed call the list may still lack targets
+// that live.
+const recentTrouble = 3 * time.Second
+
+func newMissing() *missing { return &missing{until: make(map[string]time.Time)} }
+
+func (m *missing) storeFailed(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.trouble = now
+	for id := range m.until {
+		m.until[id] = now.Add(missingWait)
+	}
+}
+
+// hold tells whether a target that vanished is kept for now.
+func (m *missing) hold(now time.Time, id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.trouble.IsZero() || now.Sub(m.trouble) > recentTrouble {
+		return false
+	}
+	if _, held := m.until[id]; !held {
+		m.until[id] = now.Add(missingWait)
+	}
+	return true
+}
+
+func (m *missing) found(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.until, id)
+}
+
+func (m *missing) due(now time.Time) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var ids []string
+	for id, t := range m.until {
+		if !now.Before(t) {
+			ids = append(ids, id)
+			delete(m.until, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/program/gateway/observe.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
+)
+
+// malformed logs an object of the store that does not decode. The last good state
+// of it stays in use.
+func (g *Gateway) malformed(name string, err error) {
+	g.log.Error().Str("event", "malformed").Str("object", name).Err(err).Msg("")
+}
+
+// storeFailed logs when the store is lost and regained, once each.
+func (g *Gateway) storeFailed(what string) func(error) {
+	var since time.Time
+	return func(err error) {
+		if err == nil {
+			g.log.Info().Str("event", "storeRegained").Str("feed", what).Dur("after", time.Since(since)).Msg("")
+			since = time.Time{}
+			return
+		}
+		if since.IsZero() {
+			since = time.Now()
+			g.log.Warn().Str("event", "storeLost").Str("feed", what).Err(err).Msg("")
+		}
+	}
+}
+
+func (g *Gateway) storeCalled(cause string, took time.Duration, err error) {
+	g.metrics.GetOrCreateCounter(fmt.Sprintf(`wagtailshelf_store_calls_total{cause=%q,failed="%t"}`, cause, err != nil)).Inc()
+	if !strings.HasPrefix(cause, "watch") {
+		g.metrics.GetOrCreateHistogram("wagtailshelf_store_call_seconds").Update(took.Seconds())
+	}
+}
+
+// ended logs and counts the end of a request.
+func (g *Gateway) ended(r forward.Record) {
+	g.metrics.GetOrCreateCounter(fmt.Sprintf(`wagtailshelf_requests_total{kind=%q,outcome=%q,reason=%q}`, r.Kind, r.Outcome, r.Reason)).Inc()
+	g.metrics.GetOrCreateHistogram(fmt.Sprintf(`wagtailshelf_first_seconds{kind=%q}`, r.Kind)).Update(r.First.Seconds())
+	e := g.log.Info()
+	e.Str("event", "request").Str("id", r.ID).Str("route", r.Route).Stringer("kind", r.Kind).
+		Str("service", r.Service).Str("workspace", r.Workspace).
+		Str("outcome", string(r.Outcome)).Str("reason", r.Reason).Int("status", r.Status).
+		Int64("rules", r.Config).Dur("rulesAge", r.Age).Dur("queued", r.Queued).
+		Dur("first", r.First).Dur("took", r.Took).Int("events", r.Events)
+	for _, a := range r.Attempts {
+		e.Str("attempt", fmt.Sprintf("%s %s %dms reused=%t", a.Target, a.Result, a.Took.Milliseconds(), a.Reused))
+	}
+	e.Msg("")
+}
--- /dev/null
+++ b/internal/traffic/forward/attempt.go
@@ -0,0 +1,245 @@
+package forward
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
+	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
+	"wagtailshelf.example/wagtailshelf/platform"
+)
+
+const (
+	// unsafeIdle is how long a connection may have been idle before it carries a
+	// request that may run once only. If the target closes it meanwhile nobody can
+	// tell whether the request ran, and the caller gets an error; targets close
+	// after some seconds at least.
+	unsafeIdle = 1500 * time.Millisecond
+	// safeIdle is the same where the request can be sent again.
+	safeIdle = time.Minute
+	// avoidRefusing is how long a target that refused a request is not asked again.
+	avoidRefusing = 50 * time.Millisecond
+)
+
+// result says what an attempt proved.
+type result uint8
+
+const (
+	resultDone    result = iota // the caller has its answer, or left
+	resultNotRun                // the request did not run there
+	resultUnknown               // it may have run there
+)
+
+// attempt sends the request to one target. It tells whether to try another one.
+func (c *call) attempt(t *admission.Ticket) bool {
+	begin := c.f.Now()
+	a := Attempt{Target: t.Target().ID}
+	res, end, why := c.send(t, &a)
+	now := c.f.Now()
+	a.Took = now.Sub(begin)
+	a.Result = why
+	c.rec.Attempts = append(c.rec.Attempts, a)
+	c.f.Admission.Done(now, t, end)
+	switch {
+	case res == resultDone:
+		return false
+	case c.callerLeft():
+		return false
+	}
+	c.tried = append(c.tried, t.Target().ID)
+	repeatable := res == resultNotRun || c.route.Idempotent()
+	switch {
+	case !repeatable:
+		c.fail(why)
+	case c.ctx.Err() != nil:
+		c.expire(res, why)
+	case len(c.tried) >= c.route.MaxAttempts:
+		c.exhausted(res, why)
+	case !c.f.Budget.Repeat(now, c.service):
+		c.exhausted(res, "budget")
+	default:
+		return true
+	}
+	return false
+}
+
+// fail answers a request that may have run.
+func (c *call) fail(why string) {
+	if c.stream.begun {
+		c.breakOff(why)
+		return
+	}
+	status := http.StatusBadGateway
+	if c.ctx.Err() != nil {
+		status = http.StatusGatewayTimeout
+	}
+	c.end(Unknown, why, status)
+}
+
+// expire answers a request whose time is up.
+func (c *call) expire(res result, why string) {
+	if res == resultNotRun && !c.stream.begun && !c.ranOnce() {
+		c.refuse(http.StatusServiceUnavailable, why, c.comeBack())
+		return
+	}
+	c.fail(why)
+}
+
+// exhausted answers a request that gets no further attempt.
+func (c *call) exhausted(res result, why string) {
+	if c.stream.held != nil {
+		c.deliverHeld()
+		return
+	}
+	c.expire(res, why)
+}
+
+// ranOnce tells whether an earlier attempt may have run.
+func (c *call) ranOnce() bool {
+	for _, a := range c.rec.Attempts {
+		if a.Result != whyNotRun && a.Result != whyNotSent {
+			return true
+		}
+	}
+	return false
+}
+
+// Results of attempts, as logs tell them.
+const (
+	whyNotRun   = "targetRefused"
+	whyNotSent  = "notSent"
+	whyBroken   = "connectionBroke"
+	whyCut      = "answerCut"
+	whyNoProof  = "noProof"
+	whyFailed   = "targetFailed"
+	whyTimeout  = "deadline"
+	whyAnswered = "answered"
+	whyLeft     = "callerLeft"
+)
+
+// send does one exchange with a target.
+func (c *call) send(t *admission.Ticket, a *Attempt) (result, admission.End, string) {
+	target := t.Target()
+	idle := safeIdle
+	if !c.route.Idempotent() {
+		idle = unsafeIdle
+	}
+	conn, err := c.f.Pool.Get(c.ctx, c.f.Now(), target.Address, idle)
+	if err != nil {
+		return resultNotRun, admission.End{Failed: c.ctx.Err() == nil}, whyNotSent
+	}
+	a.Reused = conn.Reused
+	left := c.deadline.Sub(c.f.Now())
+	if left <= 0 {
+		conn.Close()
+		return resultNotRun, admission.End{}, whyNotSent
+	}
+	req := upstream.Request{
+		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Body: c.body,
+		Header: platform.RequestHeader(c.r.Header, c.outgoing(target.ID, left)),
+	}
+	answer, err := c.f.Pool.Send(c.ctx, conn, req, c.isMine)
+	if err != nil {
+		return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.why(whyBroken)
+	}
+	meta := platform.ReadAnswer(answer.Status, answer.Header)
+	if meta.Closing {
+		c.f.Leaving(target.ID)
+	}
+	return c.take(answer, meta)
+}
+
+// why names the cause of a failure: the end of the context goes before what it did.
+func (c *call) why(otherwise string) string {
+	switch {
+	case c.r.Context().Err() != nil:
+		return whyLeft
+	case c.ctx.Err() != nil:
+		return whyTimeout
+	}
+	return otherwise
+}
+
+func (c *call) outgoing(instance string, left time.Duration) platform.Outgoing {
+	o := platform.Outgoing{Left: left, Instance: instance, Priority: -1, ResumeFrom: c.stream.lastID}
+	if c.config.Keyed() {
+		o.HidesKey = true
+	}
+	if c.space != nil {
+		o.Workspace = c.space.Name
+	}
+	return o
+}
+
+// isMine tells whether an answer is to this request. One without an id is: only
+// answers to others name them.
+func (c *call) isMine(h http.Header) bool {
+	id := platform.ReadAnswer(0, h).ID
+	return id == "" || id == c.in.ID
+}
+
+// take passes a target's answer on, or says what it proves.
+func (c *call) take(answer *upstream.Answer, meta platform.Answered) (result, admission.End, string) {
+	if meta.Closing {
+		answer.KeepOut()
+	}
+	if meta.NotRun {
+		c.drop(answer, meta)
+		return resultNotRun, admission.End{Avoid: avoidRefusing}, whyNotRun
+	}
+	success := answer.Status >= 200 && answer.Status < 300
+	if !meta.Stamped || success && (meta.Encoded || meta.ID != c.in.ID) {
+		answer.Finish(c.f.Now(), false, 0)
+		return resultUnknown, admission.End{Failed: true}, whyNoProof
+	}
+	if success && c.route.Kind == routing.Streaming {
+		return c.relay(answer, meta)
+	}
+	body, err := answer.ReadAll(maxAnswerBytes)
+	answer.Finish(c.f.Now(), err == nil, meta.KeepFor)
+	if err != nil {
+		return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.why(whyCut)
+	}
+	if answer.Status >= 500 && c.route.Idempotent() {
+		c.stream.held = &heldAnswer{status: answer.Status, header: answer.Header, body: body}
+		return resultUnknown, admission.End{}, whyFailed
+	}
+	c.deliver(answer.Status, answer.Header, body)
+	return resultDone, admission.End{}, whyAnswered
+}
+
+// drop reads a refusal to its end, so that its connection can be used again.
+func (c *call) drop(answer *upstream.Answer, meta platform.Answered) {
+	_, err := answer.ReadAll(maxAnswerBytes)
+	answer.Finish(c.f.Now(), err == nil, meta.KeepFor)
+}
+
+// heldAnswer is a target's failure that is passed on if nothing better comes.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (c *call) deliverHeld() {
+	if c.stream.begun {
+		c.breakOff(whyFailed)
+		return
+	}
+	h := c.stream.held
+	c.deliver(h.status, h.header, h.body)
+}
+
+// deliver passes a whole answer on.
+func (c *call) deliver(status int, header http.Header, body []byte) {
+	platform.CopyAnswerHeader(c.w.Header(), header)
+	c.w.Header().Set("Content-Length", contentLength(body))
+	c.rec.Outcome, c.rec.Status = Answered, status
+	c.rec.First = c.f.Now().Sub(c.begin)
+	c.w.WriteHeader(status)
+	if _, err := c.w.Write(body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		c.rec.Outcome, c.rec.Reason = CallerLeft, "notWritten"
+	}
+}
