Follow demand with the expert maps: planner, changeover, sidecar

Cause: with the engines' first map the most loaded rank had 3.5 times the mean of the experts' work, and all ranks wait for it. Ruled out: holds at one fixed rank (a late go of a dead planner would release its successor's), completing a switch that another process began (a late disarm may still land).

--- /dev/null
+++ b/internal/expert/changeover/recover.go
@@ -0,0 +1,160 @@
+package changeover
+
+import (
+	"context"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+)
+
+// recoverPause between the steps of a recovery; it is well under the length of a pass.
+const recoverPause = 5 * time.Millisecond
+
+// Stuck tells whether the reports show a change that was begun and not ended.
+func Stuck(reports []Report) bool {
+	for _, r := range reports {
+		if r.Armed != nil || r.Held != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Recover takes back whatever change was begun: behind a hold of its own it disarms
+// all ranks, prepares another version with the map in force, so that arm orders that
+// are still under way are void, and lets all holds go. It never completes a change,
+// as a late disarm order could undo one rank's arming after the last look.
+//
+// Fence is a version above all that the ranks have had; current is the map in force.
+func (g *Group) Recover(ctx context.Context, own int, fence int64, current *expertmap.Map) error {
+	ctx, cancel := context.WithTimeout(ctx, recoverTimeout)
+	defer cancel()
+	var guard int64 // the pass that this process holds
+	// Holds that were there before the fence. Whatever was prepared under them is
+	// void after it; a hold that comes later may be that of a new change.
+	var before map[int]int64
+	fenced := false
+	for ctx.Err() == nil {
+		reports, err := g.lookAll(ctx)
+		if err != nil {
+			return err
+		}
+		armed := firstArmed(reports)
+		switch {
+		case armed != 0 && guard != armed:
+			// Without a hold of its own, another process's go could begin the pass
+			// when half of the ranks are disarmed.
+			rank := freeRank(reports, own)
+			if rank >= 0 && g.hold(ctx, rank, armed) {
+				guard = armed
+			}
+			fenced = false
+		case armed != 0:
+			g.disarm(ctx, reports, guard)
+			fenced = false
+		case !fenced:
+			before = holds(reports)
+			fenced = g.fence(ctx, fence, current)
+			fence++
+		case !Stuck(reports):
+			return nil
+		default:
+			fenced = g.letGo(ctx, reports, before)
+		}
+		g.Pause(ctx, recoverPause)
+	}
+	return ctx.Err()
+}
+
+// firstArmed returns the first pass for which a rank is armed, or 0.
+func firstArmed(reports []Report) int64 {
+	first := int64(0)
+	for _, r := range reports {
+		if r.Armed != nil && (first == 0 || r.Armed.Step < first) {
+			first = r.Armed.Step
+		}
+	}
+	return first
+}
+
+func holds(reports []Report) map[int]int64 {
+	held := make(map[int]int64)
+	for rank, r := range reports {
+		if r.Held != 0 {
+			held[rank] = r.Held
+		}
+	}
+	return held
+}
+
+// disarm takes back what ranks are armed for at one pass.
+func (g *Group) disarm(ctx context.Context, reports []Report, step int64) {
+	for rank, r := range reports {
+		if r.Armed != nil && r.Armed.Step == step {
+			g.order(ctx, rank, Order{Operation: Disarm, Version: r.Armed.Version})
+		}
+	}
+}
+
+// letGo releases the holds that were there before the fence. It tells whether
+// those were all.
+func (g *Group) letGo(ctx context.Context, reports []Report, before map[int]int64) bool {
+	all := true
+	for rank, r := range reports {
+		switch {
+		case r.Held == 0:
+		case before[rank] == r.Held:
+			g.order(ctx, rank, Order{Operation: Go, Step: r.Held})
+		default:
+			all = false
+		}
+	}
+	return all
+}
+
+// fence prepares the map in force under a new version at all ranks.
+func (g *Group) fence(ctx context.Context, version int64, current *expertmap.Map) bool {
+	return g.prepare(ctx, Change{Version: version, Map: current}) == nil
+}
+
+// freeRank returns a rank that holds no pass, the process's own if it can.
+func freeRank(reports []Report, own int) int {
+	if reports[own].Held == 0 {
+		return own
+	}
+	for rank, r := range reports {
+		if r.Held == 0 {
+			return rank
+		}
+	}
+	return -1
+}
+
+func (g *Group) lookAll(ctx context.Context) ([]Report, error) {
+	reports := make([]Report, g.Ranks)
+	for rank := range reports {
+		r, err := g.look(ctx, rank)
+		if err != nil {
+			return nil, err
+		}
+		reports[rank] = r
+	}
+	return reports, nil
+}
+
+// NextVersion returns a version above all that the reports show. Versions of
+// different processes differ, so that one that was prepared by another process is
+// never taken for one's own.
+func NextVersion(reports []Report, above int64, process int) int64 {
+	highest := above
+	for _, r := range reports {
+		highest = max(highest, r.Map, r.Prepared)
+		if r.Armed != nil {
+			highest = max(highest, r.Armed.Version)
+		}
+	}
+	return (highest/versionStride+1)*versionStride + int64(process%versionStride)
+}
+
+// versionStride is above the number of ranks of a group.
+const versionStride = 1000
--- /dev/null
+++ b/internal/expert/changeover/switch.go
@@ -0,0 +1,222 @@
+package changeover
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+)
+
+// Errors of switches.
+var (
+	// ErrLeft reports that the group was formed anew, is broken, or that a rank can't
+	// be asked. The next look at the group shows what became of it.
+	ErrLeft = merry.New("the group is not as it was")
+	// ErrNotPrepared reports that the ranks did not all get the new map in time.
+	ErrNotPrepared = merry.New("the map was not prepared everywhere")
+	// ErrNotArmed reports that the change was taken back.
+	ErrNotArmed = merry.New("the map could not be armed everywhere")
+)
+
+const (
+	// Margin is how many passes ahead a change is made: the one under way, and one
+	// more, so that no rank waits while the orders travel. A pass takes some 50 ms
+	// and the orders under 10 ms.
+	Margin = 2
+	// prepareTimeout bounds the copying of experts: the most that one change may
+	// copy takes under a second.
+	prepareTimeout = 4 * time.Second
+	// pollInterval of looks at ranks that copy.
+	pollInterval = 60 * time.Millisecond
+	// tries of an order that gets no answer, within one step of a change. Each waits
+	// out the timeout of a call.
+	tries = 3
+	// recoverTimeout bounds the freeing of a group; past it the next look begins
+	// anew.
+	recoverTimeout = 5 * time.Second
+)
+
+// Group gives access to the ranks of a group in one epoch.
+type Group struct {
+	Ranks int
+	Epoch int64
+	// Order gives an order to a rank.
+	Order func(ctx context.Context, rank int, o Order) Result
+	// Look reads a rank's report.
+	Look func(ctx context.Context, rank int) (Report, error)
+	// Pause waits.
+	Pause func(ctx context.Context, d time.Duration)
+	// Step hears of each step of a change, for the log.
+	Step func(what string, rank int, r Result)
+}
+
+// Change is a new map for a group.
+type Change struct {
+	Version int64
+	Map     *expertmap.Map
+	// Holder is the rank at which the pass is held: that of the process that
+	// switches. A late go of another process, which holds elsewhere, can't release it.
+	Holder int
+	// After is a pass that must have been passed; a hold on one that was used before
+	// could be released by a late go.
+	After int64
+}
+
+// Run brings the change into force. It returns the pass from which it holds.
+func (g *Group) Run(ctx context.Context, c Change) (int64, error) {
+	if err := g.prepare(ctx, c); err != nil {
+		return 0, err
+	}
+	r, err := g.look(ctx, c.Holder)
+	if err != nil {
+		return 0, err
+	}
+	step := max(r.Step+Margin, c.After+1)
+	if !g.hold(ctx, c.Holder, step) {
+		// A hold order without an answer may land later; the next look shows it.
+		return 0, merry.Wrap(ErrNotArmed, merry.AppendMessage("the pass could not be held"))
+	}
+	if !g.arm(ctx, c.Version, step) {
+		return step, merry.Wrap(ErrNotArmed)
+	}
+	if !g.release(ctx, c.Holder, step) {
+		return step, merry.Wrap(ErrNotArmed, merry.AppendMessage("the pass could not be let go"))
+	}
+	return step, nil
+}
+
+// prepare has all ranks copy the experts that are new to them.
+func (g *Group) prepare(ctx context.Context, c Change) error {
+	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
+	defer cancel()
+	ready := make([]bool, g.Ranks)
+	results := g.all(ctx, Order{Operation: Prepare, Version: c.Version, Map: c.Map})
+	for {
+		for rank, r := range results {
+			if r == Invalid {
+				return merry.Wrap(ErrNotPrepared, merry.AppendMessagef("rank %d refused the map", rank))
+			}
+		}
+		left := 0
+		var again []int
+		for rank := range g.Ranks {
+			if ready[rank] {
+				continue
+			}
+			r, err := g.look(ctx, rank)
+			switch {
+			case err != nil:
+				return err
+			case r.Prepared == c.Version:
+				ready[rank] = true
+				continue
+			case r.Armed != nil || r.Prepared > c.Version:
+				return merry.Wrap(ErrNotPrepared, merry.AppendMessagef("rank %d is being changed by another process", rank))
+			case results[rank] != Accepted:
+				again = append(again, rank)
+			}
+			left++
+		}
+		if left == 0 {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return merry.Wrap(ErrNotPrepared, merry.AppendMessage("out of time"))
+		}
+		g.Pause(ctx, pollInterval)
+		for _, rank := range again {
+			results[rank] = g.order(ctx, rank, Order{Operation: Prepare, Version: c.Version, Map: c.Map})
+		}
+	}
+}
+
+// hold holds a pass at a rank. False means that it may yet be held, by an order
+// that is under way.
+func (g *Group) hold(ctx context.Context, rank int, step int64) bool {
+	for range tries {
+		switch g.order(ctx, rank, Order{Operation: Hold, Step: step}) {
+		case Accepted:
+			return true
+		case Unfit, Invalid:
+			return false
+		}
+		if r, err := g.look(ctx, rank); err != nil || r.Held == step {
+			return err == nil
+		}
+	}
+	return false
+}
+
+// arm arms all ranks and tells whether all were seen armed.
+func (g *Group) arm(ctx context.Context, version, step int64) bool {
+	results := g.all(ctx, Order{Operation: Arm, Version: version, Step: step})
+	for rank, res := range results {
+		for range tries {
+			if res != NoAnswer {
+				break
+			}
+			r, err := g.look(ctx, rank)
+			if err != nil {
+				return false
+			}
+			if r.Armed != nil && *r.Armed == (Arming{version, step}) {
+				res = Accepted
+				break
+			}
+			res = g.order(ctx, rank, Order{Operation: Arm, Version: version, Step: step})
+		}
+		if res != Accepted {
+			return false
+		}
+	}
+	return true
+}
+
+// release lets a pass go at a rank.
+func (g *Group) release(ctx context.Context, rank int, step int64) bool {
+	for range tries {
+		switch g.order(ctx, rank, Order{Operation: Go, Step: step}) {
+		case Accepted:
+			return true
+		}
+		if r, err := g.look(ctx, rank); err != nil || r.Held != step {
+			return err == nil
+		}
+	}
+	return false
+}
+
+// all gives an order to all ranks at the same time.
+func (g *Group) all(ctx context.Context, o Order) []Result {
+	results := make([]Result, g.Ranks)
+	var wg sync.WaitGroup
+	for rank := range g.Ranks {
+		wg.Go(func() { results[rank] = g.order(ctx, rank, o) })
+	}
+	wg.Wait()
+	return results
+}
+
+func (g *Group) order(ctx context.Context, rank int, o Order) Result {
+	o.Epoch = g.Epoch
+	res := g.Order(ctx, rank, o)
+	if res != Accepted {
+		g.Step(o.Operation.String(), rank, res)
+	}
+	return res
+}
+
+// look reads the report of a rank, and fails if it is not of this epoch.
+func (g *Group) look(ctx context.Context, rank int) (Report, error) {
+	r, err := g.Look(ctx, rank)
+	if err != nil {
+		return r, merry.Wrap(ErrLeft, merry.AppendMessage(err.Error()))
+	}
+	if r.Epoch != g.Epoch || !r.Open {
+		return r, merry.Wrap(ErrLeft, merry.AppendMessagef("rank %d: epoch %d, open %t", rank, r.Epoch, r.Open))
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/expert/plan/follow.go
@@ -0,0 +1,283 @@
+package plan
+
+import (
+	"slices"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+)
+
+// Follow changes a map towards a demand that moves every few seconds. It looks only
+// at the next moments: experts copy in a tenth of a second, so a map that fits now
+// is worth more than one that will fit on average.
+//
+// In each layer it takes work off the hottest rank, change by change, until none
+// helps. A rank gets at most spare experts of a layer that it doesn't hold. Demand
+// is given by layer and expert; layers without any are left alone. The result is
+// nil if no change wins at least gain of the layers' times, together.
+func Follow(m *expertmap.Map, demand []float64, spare int, gain float64) *expertmap.Map {
+	s := m.Shape()
+	next := m.Clone()
+	before, after := 0.0, 0.0
+	for layer := range s.Layers {
+		f := newFollower(s, next.Layer(layer), demand[layer*s.Experts:(layer+1)*s.Experts], spare)
+		if f == nil {
+			continue
+		}
+		before += f.hottestLoad()
+		f.improve()
+		after += f.hottestLoad()
+	}
+	if before == 0 || (before-after)/before < gain {
+		return nil
+	}
+	return next
+}
+
+// Skew is the mean over the layers of the hottest rank's work over that of the mean
+// rank. Layers without demand are left out; it is 1 if no layer has any.
+func Skew(m *expertmap.Map, demand []float64) float64 {
+	s := m.Shape()
+	sum, n := 0.0, 0
+	for layer := range s.Layers {
+		f := newFollower(s, m.Layer(layer), demand[layer*s.Experts:(layer+1)*s.Experts], 0)
+		if f == nil {
+			continue
+		}
+		sum += f.hottestLoad() * float64(s.Ranks)
+		n++
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / float64(n)
+}
+
+// follower improves one layer.
+type follower struct {
+	shape    expertmap.Shape
+	cells    []uint16  // rank by rank
+	share    []float64 // of the layer's tokens, by expert
+	replicas []int
+	load     []float64 // by rank
+	fresh    []int     // experts that a rank must copy
+	was      []uint16  // the cells before
+	spare    int
+}
+
+func newFollower(s expertmap.Shape, cells []uint16, demand []float64, spare int) *follower {
+	total := 0.0
+	for _, d := range demand {
+		total += d
+	}
+	if total <= 0 {
+		return nil
+	}
+	f := &follower{
+		shape: s, cells: cells, spare: spare,
+		share:    make([]float64, s.Experts),
+		replicas: make([]int, s.Experts),
+		load:     make([]float64, s.Ranks),
+		fresh:    make([]int, s.Ranks),
+		was:      slices.Clone(cells),
+	}
+	for e, d := range demand {
+		f.share[e] = d / total
+	}
+	for _, e := range cells {
+		if e != expertmap.Empty {
+			f.replicas[e]++
+		}
+	}
+	f.reload()
+	return f
+}
+
+// reload computes the ranks' loads from the cells.
+func (f *follower) reload() {
+	clear(f.load)
+	for cell, e := range f.cells {
+		if e != expertmap.Empty {
+			f.load[cell/f.shape.Slots] += f.share[e] / float64(f.replicas[e])
+		}
+	}
+}
+
+func (f *follower) hottestLoad() float64 { return slices.Max(f.load) }
+
+// step is one change: the expert in, of the hottest rank, is put into a cell; what
+// was there goes to the cell where it came from if that is an exchange.
+type step struct {
+	cell int    // of another rank
+	in   uint16 // the expert that is put there
+	from int    // cell of the hottest rank that takes what was there; -1 if it keeps its own
+	cost float64
+}
+
+// improve does the best change until none helps. Each lowers the sum of powers of
+// the loads, so it ends.
+func (f *follower) improve() {
+	for range f.shape.Ranks * f.shape.Slots {
+		best := f.bestStep()
+		if best.cost >= 0 {
+			return
+		}
+		f.apply(best)
+	}
+}
+
+// minStep is the least relative gain of a change, so that noise in the demand is not
+// worth the copying of an expert.
+const minStep = 1e-3
+
+func (f *follower) bestStep() step {
+	hot := slices.Index(f.load, f.hottestLoad())
+	best := step{cost: -minStep * power(f.load[hot])}
+	found := false
+	first := hot * f.shape.Slots
+	for i := first; i < first+f.shape.Slots; i++ {
+		e := f.cells[i]
+		if e == expertmap.Empty {
+			continue
+		}
+		for cell := range f.cells {
+			f.consider(&best, &found, hot, i, e, cell)
+		}
+	}
+	if !found {
+		best.cost = 0
+	}
+	return best
+}
+
+// consider weighs putting the expert e of the hottest rank into a cell, as a further
+// replica and in exchange.
+func (f *follower) consider(best *step, found *bool, hot, from int, e uint16, cell int) {
+	rank := cell / f.shape.Slots
+	if rank == hot || f.load[rank] >= f.load[hot] || f.holds(rank, e) || !f.mayTake(rank, cell, e) {
+		return
+	}
+	out := f.cells[cell]
+	if out == expertmap.Empty || f.replicas[out] > 1 {
+		try := step{cell: cell, in: e, from: -1}
+		try.cost = f.costOf(try)
+		if try.cost < best.cost {
+			*best, *found = try, true
+		}
+	}
+	if out == expertmap.Empty || f.holds(hot, out) || !f.mayTake(hot, from, out) {
+		return
+	}
+	try := step{cell: cell, in: e, from: from}
+	try.cost = f.costOf(try)
+	if try.cost < best.cost {
+		*best, *found = try, true
+	}
+}
+
+func (f *follower) holds(rank int, e uint16) bool {
+	return slices.Contains(f.cells[rank*f.shape.Slots:(rank+1)*f.shape.Slots], e)
+}
+
+func (f *follower) held(rank int, e uint16) bool {
+	return slices.Contains(f.was[rank*f.shape.Slots:(rank+1)*f.shape.Slots], e)
+}
+
+// mayTake tells whether a rank can copy one more expert, into a cell.
+func (f *follower) mayTake(rank, cell int, e uint16) bool {
+	if f.held(rank, e) {
+		return true
+	}
+	fresh := f.fresh[rank]
+	if out := f.cells[cell]; out != expertmap.Empty && !f.held(rank, out) {
+		fresh-- // it takes the place of another copy
+	}
+	return fresh < f.spare
+}
+
+// power makes the hottest ranks count most.
+func power(load float64) float64 {
+	square := load * load
+	return square * square
+}
+
+// costOf computes how a change moves the sum of powers. Only the ranks that hold one
+// of the two experts are touched.
+func (f *follower) costOf(t step) float64 {
+	before := 0.0
+	ranks := f.touched(t)
+	for _, r := range ranks {
+		before += power(f.load[r])
+	}
+	undo := f.cells[t.cell]
+	f.place(t)
+	after := 0.0
+	for _, r := range ranks {
+		after += power(f.loadOf(r))
+	}
+	f.unplace(t, undo)
+	return after - before
+}
+
+func (f *follower) touched(t step) []int {
+	var ranks []int
+	out := f.cells[t.cell]
+	for cell, e := range f.cells {
+		if e != t.in && (e != out || out == expertmap.Empty) && cell != t.cell {
+			continue
+		}
+		if r := cell / f.shape.Slots; len(ranks) == 0 || ranks[len(ranks)-1] != r {
+			ranks = append(ranks, r)
+		}
+	}
+	return ranks
+}
+
+func (f *follower) loadOf(rank int) float64 {
+	load := 0.0
+	for _, e := range f.cells[rank*f.shape.Slots : (rank+1)*f.shape.Slots] {
+		if e != expertmap.Empty {
+			load += f.share[e] / float64(f.replicas[e])
+		}
+	}
+	return load
+}
+
+// place puts a change into the cells.
+func (f *follower) place(t step) {
+	out := f.cells[t.cell]
+	f.cells[t.cell] = t.in
+	if t.from >= 0 {
+		f.cells[t.from] = out
+		return
+	}
+	f.replicas[t.in]++
+	if out != expertmap.Empty {
+		f.replicas[out]--
+	}
+}
+
+// unplace takes a change back.
+func (f *follower) unplace(t step, out uint16) {
+	f.cells[t.cell] = out
+	if t.from >= 0 {
+		f.cells[t.from] = t.in
+		return
+	}
+	f.replicas[t.in]--
+	if out != expertmap.Empty {
+		f.replicas[out]++
+	}
+}
+
+func (f *follower) apply(t step) {
+	f.place(t)
+	f.reload()
+	for rank := range f.fresh {
+		f.fresh[rank] = 0
+		for _, e := range f.cells[rank*f.shape.Slots : (rank+1)*f.shape.Slots] {
+			if e != expertmap.Empty && !f.held(rank, e) {
+				f.fresh[rank]++
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/expert/plan/follow_test.go
@@ -0,0 +1,65 @@
+package plan
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+)
+
+func zipf(s expertmap.Shape, r *rand.Rand) []float64 {
+	demand := make([]float64, s.Layers*s.Experts)
+	for l := range s.Layers {
+		for i, e := range r.Perm(s.Experts) {
+			demand[l*s.Experts+e] = 1 / math.Pow(float64(i+1), 1.1)
+		}
+	}
+	return demand
+}
+
+func fresh(from, to *expertmap.Map) int {
+	most := 0
+	s := from.Shape()
+	for l := range s.Layers {
+		for r := range s.Ranks {
+			n := 0
+			for _, e := range to.Row(l, r) {
+				if e != expertmap.Empty && !from.Holds(l, r, e) {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
+func TestFollow(t *testing.T) {
+	for _, s := range []expertmap.Shape{{Layers: 4, Experts: 64, Ranks: 16, Slots: 5}, {Layers: 12, Experts: 144, Ranks: 72, Slots: 3}} {
+		r := rand.New(rand.NewPCG(1, 2))
+		demand := zipf(s, r)
+		m, err := expertmap.Even(s)
+		require.NoError(t, err)
+		before := Skew(m, demand)
+		for round := range 3 {
+			next := Follow(m, demand, 2, 0.01)
+			if next == nil {
+				break
+			}
+			require.Empty(t, next.Check())
+			require.LessOrEqual(t, fresh(m, next), 2)
+			t.Logf("%+v round %d: skew %.2f to %.2f", s, round, Skew(m, demand), Skew(next, demand))
+			m = next
+		}
+		require.Less(t, Skew(m, demand), before/2)
+	}
+}
+
+func TestFollowNoDemand(t *testing.T) {
+	m, err := expertmap.Even(expertmap.Shape{Layers: 1, Experts: 4, Ranks: 2, Slots: 3})
+	require.NoError(t, err)
+	require.Nil(t, Follow(m, make([]float64, 4), 2, 0.01))
+}
--- a/internal/program/companion/companion.go
+++ b/internal/program/companion/companion.go
@@ -1,14 +1,23 @@
 // Package companion is the sidecar on the users' platform: it runs beside one model
-// server, reads what the server counts and reports, and carries orders to it.
+// server, reads what the server counts and reports, and carries orders to it. One
+// sidecar of each group also plans the group's expert maps.
 package companion
 
 import (
 	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/oklog/run"
 	"github.com/phuslu/log"
 
+	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
 	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
+	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
+	"wagtailshelf.example/wagtailshelf/platform"
 )
 
 // Companion is the sidecar's state.
@@ -16,17 +25,143 @@
 	settings deployed.Settings
 	log      *log.Logger
 	metrics  *metrics.Set
+	store    *platform.Store
+	engines  *platform.Engines
+	peers    *rankport.Client
+
+	mu     sync.Mutex
+	term   int64     // of the newest planner that asked
+	heard  time.Time // when it did
+	mark   uint64    // names the counts below
+	counts []uint64  // as they were told last
+	epoch  int64     // of the counts
 }
 
 // New returns a sidecar that does not run yet.
 func New(s deployed.Settings, l *log.Logger, m *metrics.Set) *Companion {
-	return &Companion{settings: s, log: l, metrics: m}
+	c := &Companion{
+		settings: s,
+		log:      l,
+		metrics:  m,
+		store:    platform.NewStore(s.Store),
+		engines:  platform.NewEngines(),
+		peers:    rankport.NewClient(),
+	}
+	c.store.Called = deployed.CountStoreCalls(m)
+	return c
 }
 
 // Run serves until the context ends.
 func (c *Companion) Run(ctx context.Context) error {
+	var group run.Group
+	duty := func(serve func(context.Context) error) {
+		ctx, cancel := context.WithCancel(ctx)
+		group.Add(func() error { return serve(ctx) }, func(error) { cancel() })
+	}
+	duty(c.servePeers)
+	duty(c.seekPlanning)
+	duty(func(ctx context.Context) error {
+		return deployed.ServeMetrics(ctx, c.settings.Listen.Metrics, c.metrics)
+	})
 	c.log.Info().Str("event", "started").Str("role", "sidecar").Msg("")
-	<-ctx.Done()
-	c.log.Info().Str("event", "stopped").Msg("")
-	return nil
+	err := group.Run()
+	c.log.Info().Str("event", "stopped").Err(err).Msg("")
+	return err
+}
+
+func (c *Companion) servePeers(ctx context.Context) error {
+	mux := http.NewServeMux()
+	rankport.Handler{Look: c.look, Order: c.order}.Register(mux)
+	l, err := net.Listen("tcp4", c.settings.Listen.Peers.String())
+	if err != nil {
+		return err
+	}
+	return deployed.ServeHTTP(ctx, l, &http.Server{Handler: mux, ReadHeaderTimeout: peerTimeout, IdleTimeout: time.Minute})
+}
+
+// peerTimeout bounds what another process of the system may take for its headers.
+const peerTimeout = 5 * time.Second
+
+// follow tells whether a planner is the newest that has asked, and the newest term.
+func (c *Companion) follow(a rankport.Asker, now time.Time) (int64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a.Term < c.term {
+		return c.term, false
+	}
+	if a.Term > c.term {
+		c.log.Info().Str("event", "planner").Str("planner", a.Name).Int64("term", a.Term).Int64("before", c.term).Msg("")
+	}
+	c.term = a.Term
+	c.heard = now
+	return c.term, true
+}
+
+// look answers a planner.
+func (c *Companion) look(ctx context.Context, l rankport.Look) rankport.Seen {
+	term, follows := c.follow(l.Asker, time.Now())
+	seen := rankport.Seen{Term: term}
+	if !follows {
+		return seen
+	}
+	report, err := c.engines.Report(ctx, c.settings.Target.Address)
+	if err != nil {
+		seen.Failed = err.Error()
+		return seen
+	}
+	seen.Report = report
+	if l.Counts {
+		seen.Mark, seen.Counts = c.added(ctx, l.Since)
+	}
+	if l.Lists {
+		seen.Lists, err = c.engines.Lists(ctx, c.settings.Target.Address)
+		if err != nil {
+			seen.Failed = err.Error()
+		}
+	}
+	return seen
+}
+
+// added returns what the rank has counted since a mark, and the new mark.
+func (c *Companion) added(ctx context.Context, since uint64) (uint64, []uint64) {
+	now, err := c.engines.Counts(ctx, c.settings.Target.Address)
+	if err != nil {
+		// The planner goes on with the counts of the other ranks.
+		c.log.Warn().Str("event", "countsNotRead").Err(err).Msg("")
+		return 0, nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before, known := c.counts, since != 0 && since == c.mark && c.epoch == now.Epoch && len(c.counts) == len(now.Counts)
+	c.mark++
+	c.counts, c.epoch = now.Counts, now.Epoch
+	if !known {
+		return c.mark, nil
+	}
+	added := make([]uint64, len(before))
+	for i, n := range now.Counts {
+		if n >= before[i] {
+			added[i] = n - before[i]
+		}
+	}
+	return c.mark, added
+}
+
+// order carries a planner's order to the engine.
+func (c *Companion) order(ctx context.Context, o rankport.Order) rankport.Done {
+	term, follows := c.follow(o.Asker, time.Now())
+	done := rankport.Done{Term: term}
+	if !follows {
+		return done
+	}
+	result, err := c.engines.Order(ctx, c.settings.Target.Address, o.Order)
+	done.Result = result
+	if err != nil {
+		done.Failed = err.Error()
+	}
+	if result != changeover.Accepted || err != nil {
+		c.log.Warn().Str("event", "order").Stringer("operation", o.Order.Operation).Int64("version", o.Order.Version).
+			Int64("step", o.Order.Step).Uint8("result", uint8(result)).Err(err).Msg("")
+	}
+	return done
 }
--- /dev/null
+++ b/internal/program/deployed/serve.go
@@ -0,0 +1,47 @@
+package deployed
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// ServeHTTP serves until the context ends.
+func ServeHTTP(ctx context.Context, l net.Listener, s *http.Server) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	if err := s.Serve(l); ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
+// ServeMetrics serves counters and histograms as text.
+func ServeMetrics(ctx context.Context, at netip.AddrPort, m *metrics.Set) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		m.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	l, err := net.Listen("tcp4", at.String())
+	if err != nil {
+		return err
+	}
+	return ServeHTTP(ctx, l, &http.Server{Handler: mux})
+}
+
+// CountStoreCalls returns what counts the calls to the store by cause.
+func CountStoreCalls(m *metrics.Set) func(cause string, took time.Duration, err error) {
+	return func(cause string, took time.Duration, err error) {
+		m.GetOrCreateCounter(fmt.Sprintf(`wagtailshelf_store_calls_total{cause=%q,failed="%t"}`, cause, err != nil)).Inc()
+		if !strings.HasPrefix(cause, "watch") {
+			m.GetOrCreateHistogram("wagtailshelf_store_call_seconds").Update(took.Seconds())
+		}
+	}
+}
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -74,7 +74,7 @@
 	g.pool.Dialled = dialled.Inc
 	g.admit.Targets = g.roster.Serving
 	g.admit.RulesFor = g.limits
-	g.store.Called = g.storeCalled
+	g.store.Called = deployed.CountStoreCalls(m)
 	g.forward = &forward.Forwarder{
 		Rules:     g.currentRules,
 		KeyTrust:  s.Bounds.Revoke - keyMargin,
@@ -134,7 +134,9 @@
 	duty(g.followTargets)
 	duty(g.keepTime)
 	duty(g.serveReadiness)
-	duty(g.serveMetrics)
+	duty(func(ctx context.Context) error {
+		return deployed.ServeMetrics(ctx, g.settings.Listen.Metrics, g.metrics)
+	})
 	duty(g.serveCallers)
 	g.log.Info().Str("event", "started").Str("role", "entry").Msg("")
 	err := group.Run()
@@ -180,28 +182,9 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return serveHTTP(ctx, g.settings.Listen.Readiness.String(), &http.Server{Handler: mux})
-}
-
-func (g *Gateway) serveMetrics(ctx context.Context) error {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		g.metrics.WritePrometheus(w)
-		metrics.WriteProcessMetrics(w)
-	})
-	return serveHTTP(ctx, g.settings.Listen.Metrics.String(), &http.Server{Handler: mux})
-}
-
-// serveHTTP serves until the context ends.
-func serveHTTP(ctx context.Context, address string, s *http.Server) error {
-	l, err := net.Listen("tcp4", address)
+	l, err := net.Listen("tcp4", g.settings.Listen.Readiness.String())
 	if err != nil {
 		return err
 	}
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-	defer stop()
-	if err := s.Serve(l); ctx.Err() == nil {
-		return err
-	}
-	return nil
+	return deployed.ServeHTTP(ctx, l, &http.Server{Handler: mux})
 }
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
@@ -30,13 +29,6 @@
 	}
 }
 
-func (g *Gateway) storeCalled(cause string, took time.Duration, err error) {
-	g.metrics.GetOrCreateCounter(fmt.Sprintf(`wagtailshelf_store_calls_total{cause=%q,failed="%t"}`, cause, err != nil)).Inc()
-	if !strings.HasPrefix(cause, "watch") {
-		g.metrics.GetOrCreateHistogram("wagtailshelf_store_call_seconds").Update(took.Seconds())
-	}
-}
-
 // ended logs and counts the end of a request.
 func (g *Gateway) ended(r forward.Record) {
 	g.metrics.GetOrCreateCounter(fmt.Sprintf(`wagtailshelf_requests_total{kind=%q,outcome=%q,reason=%q}`, r.Kind, r.Outcome, r.Reason)).Inc()
--- a/internal/wire/upstream/exchange.go
+++ b/internal/wire/upstream/exchange.go
@@ -185,4 +185,3 @@
 func Cut(err error) bool {
 	return err != nil && !errors.Is(err, io.EOF)
 }
-
