Look at ranks ten times a second and copy fewer experts for a change

Cause: demand moves every 3.3 s and a change took 1.2 s, most of it copying experts that won little.

--- a/internal/expert/plan/follow.go
+++ b/internal/expert/plan/follow.go
@@ -113,10 +113,17 @@
 	cost float64
 }
 
+// evenEnough is the hottest rank's load, relative to the mean, below which a layer is
+// left alone: further copies cost more than the little that they win.
+const evenEnough = 1.25
+
 // improve does the best change until none helps. Each lowers the sum of powers of
 // the loads, so it ends.
 func (f *follower) improve() {
 	for range f.shape.Ranks * f.shape.Slots {
+		if f.hottestLoad()*float64(f.shape.Ranks) < evenEnough {
+			return
+		}
 		best := f.bestStep()
 		if best.cost >= 0 {
 			return
--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -19,12 +19,12 @@
 const (
 	// lookInterval between looks at all ranks of a group. Demand moves every few
 	// seconds; a quarter of one gives thousands of counted choices.
-	lookInterval = 250 * time.Millisecond
+	lookInterval = 100 * time.Millisecond
 	// demandHalfLife in which older counts lose half of their weight.
-	demandHalfLife = 500 * time.Millisecond
+	demandHalfLife = 250 * time.Millisecond
 	// leastGain is the part of the experts' time that a change must win, so that
 	// noise in the counts does not move experts about.
-	leastGain = 0.04
+	leastGain = 0.1
 	// refreshInterval between reads of the list of targets while ranks are missing.
 	refreshInterval = time.Second
 	// lostLimit is how many looks in a row may miss ranks before the planner gives the
