--- a/internal/operator/role/deployed.go
+++ b/internal/operator/role/deployed.go
@@ -53,19 +53,19 @@
 			if err := findings.Err(); err != nil {
 				return err
 			}
-			return serveRole(ctx, s)
+			return serveRole(ctx, s, &deployed.Reloader{File: file, Text: text})
 		},
 	}
 }
 
-func serveRole(ctx context.Context, s deployed.Settings) error {
+func serveRole(ctx context.Context, s deployed.Settings, r *deployed.Reloader) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory) * megabyte))
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	l := deployed.NewLog(s)
+	r.Log = deployed.NewLog(s)
 	m := metrics.NewSet()
 	if s.Role == host.Sidecar {
-		return companion.New(s, l, m).Run(ctx)
+		return companion.New(s, r.Log, m).Run(ctx, r)
 	}
-	return gateway.New(s, l, m).Run(ctx)
+	return gateway.New(s, r.Log, m).Run(ctx, r)
 }
--- a/internal/program/companion/companion.go
+++ b/internal/program/companion/companion.go
@@ -52,12 +52,15 @@
 }
 
 // Run serves until the context ends.
-func (c *Companion) Run(ctx context.Context) error {
+func (c *Companion) Run(ctx context.Context, r *deployed.Reloader) error {
 	var group run.Group
 	duty := func(serve func(context.Context) error) {
 		ctx, cancel := context.WithCancel(ctx)
 		group.Add(func() error { return serve(ctx) }, func(error) { cancel() })
 	}
+	// Nothing that a sidecar uses can change while it runs but its log of the fact.
+	r.Apply = func(deployed.Settings) {}
+	duty(r.Run)
 	duty(c.servePeers)
 	duty(c.seekPlanning)
 	duty(func(ctx context.Context) error {
--- a/internal/program/gateway/callers.go
+++ b/internal/program/gateway/callers.go
@@ -48,7 +48,7 @@
 	g.draining.Store(true)
 	g.log.Info().Str("event", "draining").Msg("")
 	time.Sleep(rotationTime)
-	left := g.settings.Bounds.Grace - endMargin - time.Since(begin)
+	left := g.bounds.Load().Grace - endMargin - time.Since(begin)
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	err := s.Shutdown(ctx)
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -44,7 +44,8 @@
 
 // Gateway is the entry's state.
 type Gateway struct {
-	settings deployed.Settings
+	settings deployed.Settings // as they were at the start; bounds may change later
+	bounds   atomic.Pointer[deployed.Bounds]
 	log      *log.Logger
 	metrics  *metrics.Set
 	store    *platform.Store
@@ -70,6 +71,7 @@
 		pool:     upstream.NewPool(),
 		admit:    admission.New(),
 	}
+	g.bounds.Store(&s.Bounds)
 	dialled := m.NewCounter("wagtailshelf_target_connections_total")
 	g.pool.Dialled = dialled.Inc
 	g.admit.Targets = g.roster.Serving
@@ -77,15 +79,14 @@
 	g.store.Called = deployed.CountStoreCalls(m)
 	g.forward = &forward.Forwarder{
 		Rules:     g.currentRules,
-		KeyTrust:  s.Bounds.Revoke - keyMargin,
-		RuleTrust: s.Bounds.Apply,
+		KeyTrust:  func() time.Duration { return g.bounds.Load().Revoke - keyMargin },
+		RuleTrust: func() time.Duration { return time.Duration(ruleTrust * float64(g.bounds.Load().Revoke)) },
 		Admission: g.admit,
 		Pool:      g.pool,
-		Budget: &forward.Budget{
-			Ratio:  s.Bounds.RepeatRatio,
-			Window: s.Bounds.RepeatWindow,
-			Fixed:  s.Bounds.RepeatSlack / assumedEntries,
-		},
+		Budget: &forward.Budget{Limits: func() forward.Limits {
+			b := g.bounds.Load()
+			return forward.Limits{Ratio: b.RepeatRatio, Window: b.RepeatWindow, Fixed: b.RepeatSlack / assumedEntries}
+		}},
 		Now:      time.Now,
 		Draining: &g.draining,
 		Leaving:  g.heardLeaving,
@@ -94,6 +95,16 @@
 	return g
 }
 
+// apply takes changed settings. Addresses stay as they are until the next start.
+func (g *Gateway) apply(s deployed.Settings) {
+	g.bounds.Store(&s.Bounds)
+}
+
+// ruleTrust is the part of the revocation bound for which rules prove that a route or
+// a key does not exist. Two watches may pass between two proofs that nothing
+// changed; past that the entry is out of touch.
+const ruleTrust = 0.75
+
 // keyMargin is taken off the time for which rules prove that a key holds: a request
 // is under way to its target for some milliseconds.
 const keyMargin = 200 * time.Millisecond
@@ -122,7 +133,7 @@
 )
 
 // Run serves until the context ends, then lets the requests in flight end.
-func (g *Gateway) Run(ctx context.Context) error {
+func (g *Gateway) Run(ctx context.Context, r *deployed.Reloader) error {
 	var group run.Group
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -130,6 +141,8 @@
 		ctx, cancel := context.WithCancel(ctx)
 		group.Add(func() error { return serve(ctx) }, func(error) { cancel() })
 	}
+	r.Apply = g.apply
+	duty(r.Run)
 	duty(g.followRules)
 	duty(g.followTargets)
 	duty(g.keepTime)
@@ -172,7 +185,7 @@
 	if r == nil {
 		return false
 	}
-	return r.age() < time.Duration(readyTrust*float64(g.settings.Bounds.Revoke))
+	return r.age() < time.Duration(readyTrust*float64(g.bounds.Load().Revoke))
 }
 
 func (g *Gateway) serveReadiness(ctx context.Context) error {
--- a/internal/traffic/forward/budget.go
+++ b/internal/traffic/forward/budget.go
@@ -9,15 +9,20 @@
 // share what the platform allows, without a word between them: each takes the
 // ratio of its own requests, and an even part of the fixed allowance.
 type Budget struct {
-	Ratio  float64       // repeats for each request
-	Window time.Duration // in which both are counted
-	Fixed  float64       // repeats in a window that this entry may send in any case
+	Limits func() Limits // what is allowed now
 
 	mu       sync.Mutex
 	start    time.Time // of the first slice; slices are counted by the steady clock
 	services map[string]*tally
 }
 
+// Limits are what one entry may send more than once.
+type Limits struct {
+	Ratio  float64       // repeats for each request
+	Window time.Duration // in which both are counted
+	Fixed  float64       // repeats in a window that this entry may send in any case
+}
+
 // tally counts requests and repeats in slices of a window.
 type tally struct {
 	slice    int64
@@ -47,7 +52,8 @@
 		requests += t.requests[i]
 		repeats += t.repeats[i]
 	}
-	if float64(repeats+1) > b.Ratio*float64(requests)*(slices-2)/slices+b.Fixed {
+	l := b.Limits()
+	if float64(repeats+1) > l.Ratio*float64(requests)*(slices-2)/slices+l.Fixed {
 		return false
 	}
 	t.repeats[t.slice%slices]++
@@ -62,7 +68,7 @@
 	if b.start.IsZero() {
 		b.start = now
 	}
-	slice := int64(now.Sub(b.start)) / max(int64(b.Window)/(slices-1), 1)
+	slice := int64(now.Sub(b.start)) / max(int64(b.Limits().Window)/(slices-1), 1)
 	if t == nil {
 		t = &tally{slice: slice}
 		b.services[service] = t
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -31,8 +31,8 @@
 // Forwarder serves callers. Its fields are set before the first request.
 type Forwarder struct {
 	Rules     func() Rules
-	KeyTrust  time.Duration // rules older than that prove no key
-	RuleTrust time.Duration // rules older than that don't prove that a route or key is unknown
+	KeyTrust  func() time.Duration // rules older than that prove no key
+	RuleTrust func() time.Duration // rules older than that don't prove that a route or key is unknown
 	Admission *admission.Controller
 	Pool      *upstream.Pool
 	Budget    *Budget
@@ -148,7 +148,7 @@
 	c.rec.Config = rules.Config.Version
 	// An entry that was out of touch may not know the newest routes and keys. It
 	// must not say "unknown" of them, since callers take that as final.
-	stale := rules.Age > c.f.RuleTrust
+	stale := rules.Age > c.f.RuleTrust()
 	c.route = rules.Config.RouteFor(c.r.Host, c.r.URL.Path)
 	if c.route == nil {
 		return c.deny(stale, http.StatusNotFound, "noRoute")
@@ -167,7 +167,7 @@
 	}
 	c.rec.Workspace = c.space.Name
 	// A key may have been taken away meanwhile; only fresh rules prove that it holds.
-	if rules.Age > c.f.KeyTrust {
+	if rules.Age > c.f.KeyTrust() {
 		c.refuse(http.StatusServiceUnavailable, "rulesTooOld", time.Second)
 		return false
 	}
