Let the planner tell entries how full the ranks are

Cause: each entry limited itself alone, so a group of 72 ranks had 42 requests for 10 slots, and one entry with a third of the traffic refused while others had places free. Ruled out: limits divided by the number of entries (entries' shares differ). Also: a change that has only to begin is no longer taken back, and a hold order without an answer is looked for before it counts as failed.

--- a/internal/expert/changeover/switch.go
+++ b/internal/expert/changeover/switch.go
@@ -137,15 +137,19 @@
 // that is under way.
 func (g *Group) hold(ctx context.Context, rank int, step int64) bool {
 	for range tries {
-		switch g.order(ctx, rank, Order{Operation: Hold, Step: step}) {
-		case Accepted:
+		res := g.order(ctx, rank, Order{Operation: Hold, Step: step})
+		if res == Accepted {
 			return true
-		case Unfit, Invalid:
-			return false
 		}
-		if r, err := g.look(ctx, rank); err != nil || r.Held == step {
+		// One that got no answer may have been carried out, and the next then does
+		// not fit.
+		r, err := g.look(ctx, rank)
+		if err != nil || r.Held == step {
 			return err == nil
 		}
+		if res != NoAnswer {
+			return false
+		}
 	}
 	return false
 }
@@ -167,6 +171,9 @@
 				break
 			}
 			res = g.order(ctx, rank, Order{Operation: Arm, Version: version, Step: step})
+			if res == Unfit {
+				res = NoAnswer // the first may have been carried out meanwhile
+			}
 		}
 		if res != Accepted {
 			return false
--- a/internal/program/companion/companion.go
+++ b/internal/program/companion/companion.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
 	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
+	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
@@ -35,6 +37,9 @@
 	mark   uint64    // names the counts below
 	counts []uint64  // as they were told last
 	epoch  int64     // of the counts
+
+	socket  *digest.Socket
+	entries map[netip.AddrPort]time.Time // when each entry was heard last
 }
 
 // New returns a sidecar that does not run yet.
@@ -46,6 +51,7 @@
 		store:    platform.NewStore(s.Store),
 		engines:  platform.NewEngines(),
 		peers:    rankport.NewClient(),
+		entries:  make(map[netip.AddrPort]time.Time),
 	}
 	c.store.Called = deployed.CountStoreCalls(m)
 	return c
@@ -53,6 +59,11 @@
 
 // Run serves until the context ends.
 func (c *Companion) Run(ctx context.Context, r *deployed.Reloader) error {
+	socket, err := digest.Open(c.settings.Listen.Peers)
+	if err != nil {
+		return err
+	}
+	c.socket = socket
 	var group run.Group
 	duty := func(serve func(context.Context) error) {
 		ctx, cancel := context.WithCancel(ctx)
@@ -62,16 +73,38 @@
 	r.Apply = func(deployed.Settings) {}
 	duty(r.Run)
 	duty(c.servePeers)
+	duty(func(ctx context.Context) error { return socket.Serve(ctx, c.heardEntry, func(digest.Digest) {}) })
 	duty(c.seekPlanning)
 	duty(func(ctx context.Context) error {
 		return deployed.ServeMetrics(ctx, c.settings.Listen.Metrics, c.metrics)
 	})
 	c.log.Info().Str("event", "started").Str("role", "sidecar").Msg("")
-	err := group.Run()
+	err = group.Run()
 	c.log.Info().Str("event", "stopped").Err(err).Msg("")
 	return err
 }
 
+func (c *Companion) heardEntry(from netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries[from] = time.Now()
+}
+
+// entriesHeard are the entries that made themselves known lately.
+func (c *Companion) entriesHeard(now time.Time) []netip.AddrPort {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []netip.AddrPort
+	for a, t := range c.entries {
+		if now.Sub(t) > digest.HelloLasts {
+			delete(c.entries, a)
+			continue
+		}
+		list = append(list, a)
+	}
+	return list
+}
+
 func (c *Companion) servePeers(ctx context.Context) error {
 	mux := http.NewServeMux()
 	rankport.Handler{Look: c.look, Order: c.order}.Register(mux)
--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -13,6 +13,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
 	"wagtailshelf.example/wagtailshelf/internal/expert/plan"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
+	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
 )
 
@@ -25,39 +26,60 @@
 	// leastGain is the part of the experts' time that a change must win, so that
 	// noise in the counts does not move experts about.
 	leastGain = 0.1
-	// refreshInterval between reads of the list of targets while ranks are missing.
-	refreshInterval = time.Second
+	// moveInterval between looks at whether a change is worth it.
+	moveInterval = 50 * time.Millisecond
+	// refreshEvery is how many looks in a row miss ranks before the list of
+	// targets is read again.
+	refreshEvery = 5
 	// lostLimit is how many looks in a row may miss ranks before the planner gives the
 	// duty up: another process may reach them.
-	lostLimit = 20
+	lostLimit = 50
 )
 
 var errIncomplete = merry.New("not all ranks of the group could be asked")
 
 // seat is where a rank is found.
 type seat struct {
+	target  string
 	sidecar netip.AddrPort
 	engine  netip.AddrPort
 	mark    uint64
 }
 
-// planner is one term of the duty.
+// planner is one term of the duty. Two goroutines do it: one looks at the ranks and
+// tells the entries, the other changes the map. A change takes up to a second, and
+// what is seen must not get old meanwhile.
 type planner struct {
-	c       *Companion
-	asker   rankport.Asker
-	group   string
-	own     int // this process's rank
-	engine  *routing.Engine
-	seats   []*seat // of all servers of the service
-	ranks   []*seat // by rank
+	c      *Companion
+	asker  rankport.Asker
+	group  string
+	own    int // this process's rank
+	engine *routing.Engine
+	seats  []*seat // of all servers of the service
+	looks  uint64
+
+	mu   sync.Mutex
+	view view
+
+	current *expertmap.Map    // in force; nil while it is not known
+	version int64             // of current
+	epoch   int64             // of current
+	highest int64             // version that was used
+	after   int64             // pass that was used last
+	pending changeover.Arming // the last change; its pass may not have begun
+	changed time.Time         // when the last change or recovery ended
+}
+
+// view is what the last look at the group showed.
+type view struct {
+	ranks   []*seat // by rank; nil while not all are known
 	reports []changeover.Report
 	epoch   int64
-	current *expertmap.Map // in force; nil while it is not known
-	version int64          // of current
-	highest int64          // version that was used
-	after   int64          // pass that was used last
 	demand  []float64
 	counted time.Time
+	began   time.Time // when the look began
+	engine  *routing.Engine
+	whole   bool // all ranks answered, of one epoch, and the group is open
 }
 
 // plan does the duty until it is lost.
@@ -67,14 +89,24 @@
 		asker: rankport.Asker{Term: term, Name: string(c.settings.Name)},
 	}
 	c.log.Info().Str("event", "planning").Str("group", own.Group).Int64("term", term).Msg("")
-	err := p.run(ctx)
+	ctx, cancel := context.WithCancel(ctx)
+	moved := make(chan struct{})
+	go func() {
+		defer close(moved)
+		p.keepMoving(ctx)
+	}()
+	err := p.keepLooking(ctx)
+	cancel()
+	<-moved
 	c.log.Info().Str("event", "planningEnded").Str("group", own.Group).Int64("term", term).Err(err).Msg("")
 }
 
-func (p *planner) run(ctx context.Context) error {
+// keepLooking looks at the ranks until the duty is lost.
+func (p *planner) keepLooking(ctx context.Context) error {
 	lost := 0
 	for {
-		err := p.round(ctx)
+		err := p.lookRound(ctx)
+		p.tell(err == nil)
 		switch {
 		case errors.Is(err, rankport.ErrSuperseded):
 			return err
@@ -86,7 +118,9 @@
 			if lost > lostLimit {
 				return err
 			}
-			p.refresh(ctx)
+			if lost%refreshEvery == 0 {
+				p.refresh(ctx)
+			}
 		default:
 			lost = 0
 		}
@@ -96,6 +130,89 @@
 	}
 }
 
+// lookRound looks at all ranks once.
+func (p *planner) lookRound(ctx context.Context) error {
+	ranks := p.seen().ranks
+	if ranks == nil {
+		var err error
+		ranks, err = p.seatRanks(ctx)
+		if err != nil {
+			return err
+		}
+	}
+	err := p.lookAll(ctx, ranks)
+	if err != nil {
+		p.mu.Lock()
+		p.view.whole = false
+		p.view.ranks = nil
+		p.mu.Unlock()
+	}
+	return err
+}
+
+// seen returns what the last look showed.
+func (p *planner) seen() view {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view
+}
+
+// tell sends what was seen to the entries. While the group is not whole, they
+// learn that it takes no requests.
+func (p *planner) tell(whole bool) {
+	entries := p.c.entriesHeard(time.Now())
+	if len(entries) == 0 {
+		return
+	}
+	p.looks++
+	d := digest.Digest{
+		Term: p.asker.Term, Look: p.looks, Service: p.c.settings.Target.Service,
+		Open: whole, Entries: len(entries),
+	}
+	if whole {
+		v := p.seen()
+		for rank, s := range v.ranks {
+			r := v.reports[rank]
+			d.Ranks = append(d.Ranks, digest.Rank{Target: s.target, Load: r.Running + r.Waiting})
+		}
+	}
+	p.c.socket.Send(entries, d)
+}
+
+// keepMoving changes the map whenever that is worth it.
+func (p *planner) keepMoving(ctx context.Context) {
+	for sleep(ctx, moveInterval) {
+		v := p.seen()
+		// What was seen before the last change ended shows it half done.
+		if !v.whole || !v.began.After(p.changed) {
+			continue
+		}
+		if err := p.moveRound(ctx, v); err != nil {
+			p.c.log.Warn().Str("event", "moveHeldUp").Err(err).Msg("")
+		}
+	}
+}
+
+// moveRound brings the map nearer to what was seen.
+func (p *planner) moveRound(ctx context.Context, v view) error {
+	if v.epoch != p.epoch {
+		p.c.log.Info().Str("event", "epoch").Str("group", p.group).Int64("epoch", v.epoch).Int64("before", p.epoch).Msg("")
+		p.epoch, p.current, p.after, p.highest = v.epoch, nil, 0, 0
+	}
+	if p.underWay(v.reports) {
+		return nil
+	}
+	if p.current == nil || v.reports[0].Map != p.version {
+		if err := p.readMap(ctx, v); err != nil {
+			return err
+		}
+	}
+	if changeover.Stuck(v.reports) {
+		return p.recover(ctx, v)
+	}
+	return p.move(ctx, v)
+}
+
 // refresh reads what the store says of the service.
 func (p *planner) refresh(ctx context.Context) {
 	config, err := p.c.store.Config(ctx)
@@ -115,46 +232,36 @@
 			continue
 		}
 		p.seats = append(p.seats, &seat{
+			target:  t.ID,
 			engine:  t.Address,
 			sidecar: netip.AddrPortFrom(t.Address.Addr(), p.c.settings.Listen.Peers.Port()),
 		})
 	}
-	p.ranks = nil
 }
 
 func (c *Companion) malformed(name string, err error) {
 	c.log.Error().Str("event", "malformed").Str("object", name).Err(err).Msg("")
 }
 
-// round looks at the group and changes its map if that is worth it.
-func (p *planner) round(ctx context.Context) error {
-	if p.ranks == nil {
-		if err := p.seatRanks(ctx); err != nil {
-			return err
+// underWay tells whether the last change is complete but for its pass to begin.
+func (p *planner) underWay(reports []changeover.Report) bool {
+	armed := false
+	for _, r := range reports {
+		if r.Held != 0 || r.Armed != nil && *r.Armed != p.pending {
+			return false
 		}
+		armed = armed || r.Armed != nil
 	}
-	if err := p.lookAll(ctx); err != nil {
-		p.ranks = nil
-		return err
-	}
-	if p.current == nil || p.reports[0].Map != p.version {
-		if err := p.readMap(ctx); err != nil {
-			return err
-		}
-	}
-	if changeover.Stuck(p.reports) {
-		return p.recover(ctx)
-	}
-	return p.move(ctx)
+	return armed
 }
 
 // seatRanks finds out which server is which rank.
-func (p *planner) seatRanks(ctx context.Context) error {
+func (p *planner) seatRanks(ctx context.Context) ([]*seat, error) {
 	if len(p.seats) == 0 || p.engine == nil {
 		p.refresh(ctx)
 	}
 	if p.engine == nil || p.engine.Layers == 0 {
-		return merry.Wrap(errIncomplete, merry.AppendMessage("the service is not known"))
+		return nil, merry.Wrap(errIncomplete, merry.AppendMessage("the service is not known"))
 	}
 	seen := make([]rankport.Seen, len(p.seats))
 	var wg sync.WaitGroup
@@ -180,14 +287,13 @@
 	}
 	for rank, s := range ranks {
 		if s == nil {
-			return merry.Wrap(errIncomplete, merry.AppendMessagef("rank %d of %d", rank, len(ranks)))
+			return nil, merry.Wrap(errIncomplete, merry.AppendMessagef("rank %d of %d", rank, len(ranks)))
 		}
 	}
 	if ranks == nil {
-		return merry.Wrap(errIncomplete, merry.AppendMessage("no rank of the group"))
+		return nil, merry.Wrap(errIncomplete, merry.AppendMessage("no rank of the group"))
 	}
-	p.ranks = ranks
-	return nil
+	return ranks, nil
 }
 
 // look asks a rank through its sidecar, or the engine itself if the sidecar is gone.
@@ -209,64 +315,66 @@
 }
 
 // lookAll reads all reports and takes what was counted since.
-func (p *planner) lookAll(ctx context.Context) error {
-	seen := make([]rankport.Seen, len(p.ranks))
-	errs := make([]error, len(p.ranks))
+func (p *planner) lookAll(ctx context.Context, ranks []*seat) error {
+	began := time.Now()
+	seen := make([]rankport.Seen, len(ranks))
+	errs := make([]error, len(ranks))
 	var wg sync.WaitGroup
-	for rank, s := range p.ranks {
+	for rank, s := range ranks {
 		wg.Go(func() { seen[rank], errs[rank] = p.look(ctx, s, rankport.Look{Counts: true, Since: s.mark}) })
 	}
 	wg.Wait()
-	if err := errors.Join(errs...); err != nil {
-		return err
+	for rank, err := range errs {
+		if err != nil {
+			return merry.Wrap(err, merry.AppendMessagef("rank %d", rank))
+		}
 	}
-	p.reports = p.reports[:0]
+	reports := make([]changeover.Report, len(ranks))
 	for rank, v := range seen {
 		r := v.Report
 		if r.Group != p.group || r.Rank != rank || !r.Open || r.Epoch != seen[0].Report.Epoch {
 			return merry.Wrap(errIncomplete, merry.AppendMessagef("rank %d: group %s, epoch %d, open %t", rank, r.Group, r.Epoch, r.Open))
 		}
-		p.reports = append(p.reports, r)
+		reports[rank] = r
 	}
-	if epoch := seen[0].Report.Epoch; epoch != p.epoch {
-		p.c.log.Info().Str("event", "epoch").Str("group", p.group).Int64("epoch", epoch).Int64("before", p.epoch).Msg("")
-		p.epoch, p.current, p.demand, p.after, p.highest = epoch, nil, nil, 0, 0
-	}
-	p.count(time.Now(), seen)
+	p.take(began, time.Now(), ranks, reports, seen)
 	return nil
 }
 
-// count takes what the ranks counted into the demand.
-func (p *planner) count(now time.Time, seen []rankport.Seen) {
+// take makes a look the newest view.
+func (p *planner) take(began, now time.Time, ranks []*seat, reports []changeover.Report, seen []rankport.Seen) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := &p.view
 	n := p.engine.Layers * p.engine.Experts
-	if len(p.demand) != n {
-		p.demand = make([]float64, n)
-	}
-	keep := decay(now.Sub(p.counted))
-	p.counted = now
-	for i := range p.demand {
-		p.demand[i] *= keep
+	demand := make([]float64, n)
+	if v.epoch == reports[0].Epoch && len(v.demand) == n {
+		keep := decay(now.Sub(v.counted))
+		for i, d := range v.demand {
+			demand[i] = d * keep
+		}
 	}
-	for rank, v := range seen {
-		p.ranks[rank].mark = v.Mark
-		if len(v.Counts) != n {
+	for rank, s := range seen {
+		ranks[rank].mark = s.Mark
+		if len(s.Counts) != n {
 			continue
 		}
-		for i, c := range v.Counts {
-			p.demand[i] += float64(c)
+		for i, c := range s.Counts {
+			demand[i] += float64(c)
 		}
 	}
+	*v = view{ranks: ranks, reports: reports, epoch: reports[0].Epoch, demand: demand, counted: now, began: began, engine: p.engine, whole: true}
 }
 
 // readMap reads the map in force from all ranks.
-func (p *planner) readMap(ctx context.Context) error {
-	shape := expertmap.Shape{Layers: p.engine.Layers, Experts: p.engine.Experts, Ranks: len(p.ranks), Slots: p.engine.Places}
+func (p *planner) readMap(ctx context.Context, v view) error {
+	shape := expertmap.Shape{Layers: v.engine.Layers, Experts: v.engine.Experts, Ranks: len(v.ranks), Slots: v.engine.Places}
 	m, err := expertmap.New(shape)
 	if err != nil {
 		return err
 	}
 	version := int64(-1)
-	for rank, s := range p.ranks {
+	for rank, s := range v.ranks {
 		seen, err := p.look(ctx, s, rankport.Look{Lists: true})
 		if err != nil {
 			return err
@@ -289,15 +397,15 @@
 }
 
 // access is the group as the changeover sees it.
-func (p *planner) access() *changeover.Group {
+func (p *planner) access(v view) *changeover.Group {
 	return &changeover.Group{
-		Ranks: len(p.ranks),
-		Epoch: p.epoch,
+		Ranks: len(v.ranks),
+		Epoch: v.epoch,
 		Order: func(ctx context.Context, rank int, o changeover.Order) changeover.Result {
-			return p.order(ctx, p.ranks[rank], o)
+			return p.order(ctx, v.ranks[rank], o)
 		},
 		Look: func(ctx context.Context, rank int) (changeover.Report, error) {
-			seen, err := p.look(ctx, p.ranks[rank], rankport.Look{})
+			seen, err := p.look(ctx, v.ranks[rank], rankport.Look{})
 			return seen.Report, err
 		},
 		Pause: func(ctx context.Context, d time.Duration) { sleep(ctx, d) },
@@ -319,34 +427,35 @@
 }
 
 // move changes the map if the demand asks for it.
-func (p *planner) move(ctx context.Context) error {
-	next := plan.Follow(p.current, p.demand, p.engine.Spare, leastGain)
+func (p *planner) move(ctx context.Context, v view) error {
+	next := plan.Follow(p.current, v.demand, v.engine.Spare, leastGain)
 	if next == nil {
 		return nil
 	}
-	p.highest = changeover.NextVersion(p.reports, p.highest, p.own)
+	p.highest = changeover.NextVersion(v.reports, p.highest, p.own)
 	begin := time.Now()
-	step, err := p.access().Run(ctx, changeover.Change{Version: p.highest, Map: next, Holder: p.own, After: p.after})
+	step, err := p.access(v).Run(ctx, changeover.Change{Version: p.highest, Map: next, Holder: p.own, After: p.after})
 	p.after = max(p.after, step)
 	p.c.log.Info().Str("event", "change").Int64("version", p.highest).Int64("step", step).
-		Float64("skew", plan.Skew(p.current, p.demand)).Float64("planned", plan.Skew(next, p.demand)).
-		Dur("took", time.Since(begin)).Err(err).Msg("")
-	if err != nil {
-		return nil // the next round looks at what stands and frees the group
+		Float64("skew", plan.Skew(p.current, v.demand)).Float64("planned", plan.Skew(next, v.demand)).
+		Dur("countsAge", begin.Sub(v.counted)).Dur("took", time.Since(begin)).Err(err).Msg("")
+	p.changed = time.Now()
+	p.current = nil
+	if err == nil {
+		p.current, p.version = next, p.highest
+		p.pending = changeover.Arming{Version: p.highest, Step: step}
 	}
-	p.current, p.version = next, p.highest
-	// The ranks take the map up as its pass begins.
-	sleep(ctx, lookInterval/2)
 	return nil
 }
 
 // recover frees a group that was left in the middle of a change.
-func (p *planner) recover(ctx context.Context) error {
-	p.highest = changeover.NextVersion(p.reports, p.highest, p.own)
+func (p *planner) recover(ctx context.Context, v view) error {
+	p.highest = changeover.NextVersion(v.reports, p.highest, p.own)
 	begin := time.Now()
-	err := p.access().Recover(ctx, p.own, p.highest, p.current)
+	err := p.access(v).Recover(ctx, p.own, p.highest, p.current)
 	p.highest += recoverVersions
 	p.c.log.Info().Str("event", "recovered").Dur("took", time.Since(begin)).Err(err).Msg("")
+	p.changed = time.Now()
 	return err
 }
 
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -54,6 +54,7 @@
 	rules    atomic.Pointer[knownRules]
 	targets  atomic.Bool // a list of targets was read
 	draining atomic.Bool
+	entries  atomic.Int64 // that share the targets
 	forward  *forward.Forwarder
 	pool     *upstream.Pool
 	admit    *admission.Controller
@@ -72,6 +73,7 @@
 		admit:    admission.New(),
 	}
 	g.bounds.Store(&s.Bounds)
+	g.entries.Store(guessedEntries)
 	dialled := m.NewCounter("wagtailshelf_target_connections_total")
 	g.pool.Dialled = dialled.Inc
 	g.admit.Targets = g.roster.Serving
@@ -109,27 +111,31 @@
 // is under way to its target for some milliseconds.
 const keyMargin = 200 * time.Millisecond
 
-// limits of a service at one entry.
+// limits of a service.
 func (g *Gateway) limits(service string) admission.Rules {
 	r := g.rules.Load()
 	if r == nil {
 		return admission.Rules{}
 	}
-	s := r.config.Service(service)
-	if s == nil || s.Engine == nil {
-		return admission.Rules{PerTarget: plainPerTarget, Queue: queueLength}
+	rules := admission.Rules{PerTarget: plainPerTarget, Queue: queueLength, Entries: 1}
+	if s := r.config.Service(service); s != nil && s.Engine != nil {
+		rules.PerTarget = max(int(slotShare*float64(s.Engine.Slots)), 1)
+		rules.Entries = int(g.entries.Load())
 	}
-	return admission.Rules{PerTarget: enginePerTarget, Queue: queueLength}
+	return rules
 }
 
 const (
-	// enginePerTarget is how many requests of this entry one model engine has at
-	// the same time.
-	enginePerTarget = 3
-	// plainPerTarget is the same for plain services.
+	// slotShare is the part of an engine's slots that is used. All ranks of a group
+	// wait for each other, and each request that writes makes the pass of all
+	// longer; with all slots full, pauses between events grow beyond their aim.
+	slotShare = 0.67
+	// plainPerTarget is how many requests of this entry a plain service's target has.
 	plainPerTarget = 6
 	// queueLength bounds the memory of waiting requests.
-	queueLength = 200
+	queueLength = 400
+	// guessedEntries is taken until a planner tells how many there are.
+	guessedEntries = 4
 )
 
 // Run serves until the context ends, then lets the requests in flight end.
@@ -146,6 +152,7 @@
 	duty(g.followRules)
 	duty(g.followTargets)
 	duty(g.keepTime)
+	duty(g.hearDigests)
 	duty(g.serveReadiness)
 	duty(func(ctx context.Context) error {
 		return deployed.ServeMetrics(ctx, g.settings.Listen.Metrics, g.metrics)
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -7,6 +7,7 @@
 package admission
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -16,8 +17,9 @@
 
 // Rules are the limits for one service.
 type Rules struct {
-	PerTarget int // requests of this entry that one target has at the same time
+	PerTarget int // requests that one target has at the same time, of all entries
 	Queue     int // requests that wait; more are refused at once
+	Entries   int // that share the targets, as far as known
 }
 
 // Controller holds the requests of one entry. It is safe for concurrent use.
@@ -30,17 +32,25 @@
 	mu       sync.Mutex
 	targets  map[string]*state
 	services map[string]*queue
+	closed   map[string]time.Time // services whose group is closed, and until when that is believed
 }
 
 // New returns a controller without requests.
 func New() *Controller {
-	return &Controller{targets: make(map[string]*state), services: make(map[string]*queue)}
+	return &Controller{
+		targets:  make(map[string]*state),
+		services: make(map[string]*queue),
+		closed:   make(map[string]time.Time),
+	}
 }
 
 // state is what the entry knows of a target.
 type state struct {
 	inFlight int
 	work     float64 // of the requests in flight, in tokens
+	told     int     // requests of all entries there, as was told last
+	toldAt   time.Time
+	since    int // requests sent since, less those that ended
 	avoid    time.Time
 	failures int
 }
@@ -92,7 +102,7 @@
 	}
 	q := c.queue(t.Service)
 	if len(q.waiting) == 0 {
-		if target, found := c.choose(now, candidates, rules); found {
+		if target, found := c.choose(now, t.Service, candidates, rules); found {
 			c.grant(t, target)
 			return Go
 		}
@@ -131,6 +141,34 @@
 	Avoid  time.Duration // the target said that it can't serve for that long
 }
 
+// toldLasts is how long a told load counts. It comes ten times a second; past that
+// its teller is gone, and the entry goes by its own requests.
+const toldLasts = 700 * time.Millisecond
+
+// Told takes how full targets are, from one that looks at all of them.
+func (c *Controller) Told(now time.Time, service string, open bool, loads map[string]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, n := range loads {
+		s := c.state(id)
+		s.told, s.toldAt, s.since = n, now, 0
+	}
+	delete(c.closed, service)
+	if !open {
+		c.closed[service] = now.Add(toldLasts)
+	}
+	c.advance(now, service)
+}
+
+// load is how many requests a target has, of all entries: as was told and changed
+// since by this one, or as many of each other entry as of this one.
+func (s *state) load(now time.Time, rules Rules) int {
+	if now.Sub(s.toldAt) < toldLasts {
+		return max(s.told+s.since, s.inFlight)
+	}
+	return s.inFlight * max(rules.Entries, 1)
+}
+
 const (
 	// avoidFirst is how long a target is avoided after a failure; it doubles with
 	// each further one up to avoidMost. A target that fails half of what it gets
@@ -189,6 +227,7 @@
 	t.held = false
 	s := c.state(t.target.ID)
 	s.inFlight--
+	s.since--
 	s.work -= t.Work
 	c.advance(now, t.Service)
 }
@@ -199,7 +238,7 @@
 	rules := c.RulesFor(service)
 	for i := 0; i < len(q.waiting); {
 		t := q.waiting[i]
-		target, found := c.choose(now, c.candidates(t), rules)
+		target, found := c.choose(now, service, c.candidates(t), rules)
 		if !found {
 			i++
 			continue
@@ -214,6 +253,7 @@
 	t.held = true
 	s := c.state(target.ID)
 	s.inFlight++
+	s.since++
 	s.work += t.Work
 	close(t.granted)
 }
@@ -233,20 +273,32 @@
 	return rest
 }
 
-// choose returns the target with the least work among those with a free place.
-func (c *Controller) choose(now time.Time, list []roster.Target, rules Rules) (roster.Target, bool) {
-	best, found := roster.Target{}, false
-	least := 0.0
+// choose returns one of the targets with the fewest requests, and a free place. All
+// entries are told the same; so that they don't all send to the same target until
+// they are told again, one more request than the fewest counts as few.
+func (c *Controller) choose(now time.Time, service string, list []roster.Target, rules Rules) (roster.Target, bool) {
+	if now.Before(c.closed[service]) {
+		return roster.Target{}, false
+	}
+	fewest := rules.PerTarget
+	for _, target := range list {
+		s := c.state(target.ID)
+		if !now.Before(s.avoid) {
+			fewest = min(fewest, s.load(now, rules))
+		}
+	}
+	best, seen := roster.Target{}, 0
 	for _, target := range list {
 		s := c.state(target.ID)
-		if s.inFlight >= rules.PerTarget || now.Before(s.avoid) {
+		if n := s.load(now, rules); now.Before(s.avoid) || n >= rules.PerTarget || n > fewest+1 {
 			continue
 		}
-		if !found || s.work < least {
-			best, least, found = target, s.work, true
+		seen++
+		if rand.N(seen) == 0 {
+			best = target
 		}
 	}
-	return best, found
+	return best, seen > 0
 }
 
 func (c *Controller) state(id string) *state {
--- /dev/null
+++ b/internal/wire/digest/digest.go
@@ -0,0 +1,119 @@
+// Package digest carries what the planner of a group knows of its ranks to the
+// entries, in datagrams.
+//
+// Answers tell an entry how full their own target was, but an entry hears from each
+// target only every few seconds; the planner looks at all of them several times a
+// second. Entries make themselves known by a hello to each sidecar. A lost datagram
+// is made up for by the next.
+package digest
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	// HelloInterval between the hellos of an entry to a sidecar.
+	HelloInterval = time.Second
+	// HelloLasts is how long a hello counts: two of them may be lost.
+	HelloLasts = 3500 * time.Millisecond
+	// maxRanks of one datagram, so that it stays within an Ethernet frame.
+	maxRanks = 48
+	// maxDatagram bounds what is read.
+	maxDatagram = 4 << 10
+)
+
+// Rank is how full a target is.
+type Rank struct {
+	Target string `cbor:"1,keyasint"`
+	Load   int    `cbor:"2,keyasint"` // requests that run or wait there
+}
+
+// Digest is what the planner saw in one look.
+type Digest struct {
+	Term    int64  `cbor:"1,keyasint"` // of the planner; a later one has a higher one
+	Look    uint64 `cbor:"2,keyasint"` // counts the planner's looks
+	Service string `cbor:"3,keyasint"`
+	Open    bool   `cbor:"4,keyasint"` // the group takes requests
+	Entries int    `cbor:"5,keyasint"` // that the planner hears from
+	Ranks   []Rank `cbor:"6,keyasint"` // a part of them, if they don't fit into one datagram
+}
+
+// message is a datagram: a hello if it has no digest.
+type message struct {
+	Digest *Digest `cbor:"1,keyasint,omitempty"`
+}
+
+// Socket sends and receives datagrams.
+type Socket struct {
+	conn *net.UDPConn
+}
+
+// Open opens a socket at an address.
+func Open(at netip.AddrPort) (*Socket, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	return &Socket{conn: conn}, nil
+}
+
+// Serve hands over hellos and digests until the context ends.
+func (s *Socket) Serve(ctx context.Context, hello func(from netip.AddrPort), take func(Digest)) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
+	defer stop()
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := s.conn.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			continue // an earlier datagram found no listener; that says nothing of the next
+		}
+		var m message
+		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
+			continue // not of the system's own making
+		}
+		if m.Digest == nil {
+			hello(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+			continue
+		}
+		take(*m.Digest)
+	}
+}
+
+// Hello makes this process known.
+func (s *Socket) Hello(to netip.AddrPort) {
+	s.send(to, message{})
+}
+
+// Send sends a digest, in parts if it is large.
+func (s *Socket) Send(to []netip.AddrPort, d Digest) {
+	ranks := d.Ranks
+	for {
+		part := d
+		part.Ranks = ranks[:min(len(ranks), maxRanks)]
+		ranks = ranks[len(part.Ranks):]
+		for _, a := range to {
+			s.send(a, message{Digest: &part})
+		}
+		if len(ranks) == 0 {
+			return
+		}
+	}
+}
+
+func (s *Socket) send(to netip.AddrPort, m message) {
+	text, err := cbor.Marshal(m)
+	if err != nil {
+		return // the types have no value that does not encode
+	}
+	// A datagram that is not sent is one that is lost.
+	_, _ = s.conn.WriteToUDPAddrPort(text, to)
+}
