Plan for groups of 72 ranks within the planner's share

Cause: planning took over 100 ms a look, all sidecars sought the duty within 0.6 s, and counts of all ranks filled the planner's 8 Mbit/s.

--- a/internal/expert/plan/follow.go
+++ b/internal/expert/plan/follow.go
@@ -58,10 +58,12 @@
 	cells    []uint16  // rank by rank
 	share    []float64 // of the layer's tokens, by expert
 	replicas []int
+	holders  [][]int   // ranks that hold an expert
 	load     []float64 // by rank
 	fresh    []int     // experts that a rank must copy
 	was      []uint16  // the cells before
 	spare    int
+	ranks    []int // those that a weighed change touches
 }
 
 func newFollower(s expertmap.Shape, cells []uint16, demand []float64, spare int) *follower {
@@ -76,6 +78,7 @@
 		shape: s, cells: cells, spare: spare,
 		share:    make([]float64, s.Experts),
 		replicas: make([]int, s.Experts),
+		holders:  make([][]int, s.Experts),
 		load:     make([]float64, s.Ranks),
 		fresh:    make([]int, s.Ranks),
 		was:      slices.Clone(cells),
@@ -83,9 +86,10 @@
 	for e, d := range demand {
 		f.share[e] = d / total
 	}
-	for _, e := range cells {
+	for cell, e := range cells {
 		if e != expertmap.Empty {
 			f.replicas[e]++
+			f.holders[e] = append(f.holders[e], cell/s.Slots)
 		}
 	}
 	f.reload()
@@ -225,18 +229,22 @@
 	return after - before
 }
 
+// touched lists the ranks whose load a change moves, each once.
 func (f *follower) touched(t step) []int {
-	var ranks []int
-	out := f.cells[t.cell]
-	for cell, e := range f.cells {
-		if e != t.in && (e != out || out == expertmap.Empty) && cell != t.cell {
-			continue
-		}
-		if r := cell / f.shape.Slots; len(ranks) == 0 || ranks[len(ranks)-1] != r {
-			ranks = append(ranks, r)
+	f.ranks = append(f.ranks[:0], t.cell/f.shape.Slots)
+	f.touch(f.holders[t.in])
+	if out := f.cells[t.cell]; out != expertmap.Empty {
+		f.touch(f.holders[out])
+	}
+	return f.ranks
+}
+
+func (f *follower) touch(ranks []int) {
+	for _, r := range ranks {
+		if !slices.Contains(f.ranks, r) {
+			f.ranks = append(f.ranks, r)
 		}
 	}
-	return ranks
 }
 
 func (f *follower) loadOf(rank int) float64 {
@@ -277,6 +285,16 @@
 }
 
 func (f *follower) apply(t step) {
+	out, to := f.cells[t.cell], t.cell/f.shape.Slots
+	f.holders[t.in] = append(f.holders[t.in], to)
+	if out != expertmap.Empty {
+		f.holders[out] = without(f.holders[out], to)
+	}
+	if t.from >= 0 {
+		hot := t.from / f.shape.Slots
+		f.holders[t.in] = without(f.holders[t.in], hot)
+		f.holders[out] = append(f.holders[out], hot)
+	}
 	f.place(t)
 	f.reload()
 	for rank := range f.fresh {
@@ -288,3 +306,7 @@
 		}
 	}
 }
+
+func without(ranks []int, r int) []int {
+	return slices.DeleteFunc(ranks, func(o int) bool { return o == r })
+}
--- a/internal/program/companion/companion.go
+++ b/internal/program/companion/companion.go
@@ -34,6 +34,7 @@
 	mu     sync.Mutex
 	term   int64     // of the newest planner that asked
 	heard  time.Time // when it did
+	holder int64     // revision of the duty's record as it was read last
 	mark   uint64    // names the counts below
 	counts []uint64  // as they were told last
 	epoch  int64     // of the counts
--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -18,9 +18,15 @@
 )
 
 const (
-	// lookInterval between looks at all ranks of a group. Demand moves every few
-	// seconds; a quarter of one gives thousands of counted choices.
-	lookInterval = 100 * time.Millisecond
+	// lookInterval between looks at all ranks of a group, and what each rank adds: a
+	// look takes the planner's share of a core some 0.6 ms for a rank, a fifth of
+	// the time that it has.
+	lookInterval = 60 * time.Millisecond
+	lookPerRank  = 2500 * time.Microsecond
+	// countedRanks is how many ranks tell their counts in one look, in turn. A rank
+	// of a large group counts thousands of numbers, and the planner's link is small;
+	// what some ranks' requests choose is a sample of what all do.
+	countedRanks = 16
 	// demandHalfLife in which older counts lose half of their weight.
 	demandHalfLife = 250 * time.Millisecond
 	// leastGain is the part of the experts' time that a change must win, so that
@@ -124,7 +130,7 @@
 		default:
 			lost = 0
 		}
-		if !sleep(ctx, lookInterval) {
+		if !sleep(ctx, lookInterval+time.Duration(len(p.seen().ranks))*lookPerRank) {
 			return nil
 		}
 	}
@@ -160,11 +166,11 @@
 // tell sends what was seen to the entries. While the group is not whole, they
 // learn that it takes no requests.
 func (p *planner) tell(whole bool) {
+	p.looks++
 	entries := p.c.entriesHeard(time.Now())
 	if len(entries) == 0 {
 		return
 	}
-	p.looks++
 	d := digest.Digest{
 		Term: p.asker.Term, Look: p.looks, Service: p.c.settings.Target.Service,
 		Open: whole, Entries: len(entries),
@@ -321,7 +327,8 @@
 	errs := make([]error, len(ranks))
 	var wg sync.WaitGroup
 	for rank, s := range ranks {
-		wg.Go(func() { seen[rank], errs[rank] = p.look(ctx, s, rankport.Look{Counts: true, Since: s.mark}) })
+		counts := p.counts(rank, len(ranks))
+		wg.Go(func() { seen[rank], errs[rank] = p.look(ctx, s, rankport.Look{Counts: counts, Since: s.mark}) })
 	}
 	wg.Wait()
 	for rank, err := range errs {
@@ -341,6 +348,12 @@
 	return nil
 }
 
+// counts tells whether it is a rank's turn to tell its counts.
+func (p *planner) counts(rank, ranks int) bool {
+	turns := (ranks + countedRanks - 1) / countedRanks
+	return rank%turns == int(p.looks%uint64(turns))
+}
+
 // take makes a look the newest view.
 func (p *planner) take(began, now time.Time, ranks []*seat, reports []changeover.Report, seen []rankport.Seen) {
 	p.mu.Lock()
@@ -355,7 +368,9 @@
 		}
 	}
 	for rank, s := range seen {
-		ranks[rank].mark = s.Mark
+		if s.Mark != 0 {
+			ranks[rank].mark = s.Mark
+		}
 		if len(s.Counts) != n {
 			continue
 		}
--- a/internal/program/companion/seek.go
+++ b/internal/program/companion/seek.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"wagtailshelf.example/wagtailshelf/platform"
 )
 
@@ -15,9 +17,10 @@
 	// patience is how long a sidecar waits for a planner to ask before it seeks the
 	// duty. Planners ask four times a second, so three of their looks were lost.
 	patience = 900 * time.Millisecond
-	// patienceSpread keeps the sidecars of a group from seeking at the same moment:
-	// the first one that gets it asks all others within some tens of milliseconds.
-	patienceSpread = 600 * time.Millisecond
+	// patiencePerRank spreads the sidecars of a group: the first one that gets the
+	// duty has asked all others within some 200 ms, and on average half a rank more
+	// seeks it meanwhile. That first one still comes after one part of the whole.
+	patiencePerRank = 300 * time.Millisecond
 	// storePause after a failed call.
 	storePause = 400 * time.Millisecond
 )
@@ -26,7 +29,8 @@
 // record in the store decides between several that try; that two plan at the same
 // time for a moment is safe, as what engines check decides each change.
 func (c *Companion) seekPlanning(ctx context.Context) error {
-	quiet := patience + rand.N(patienceSpread)
+	quiet := patience + rand.N(patiencePerRank)
+	spread := false
 	for sleep(ctx, seekInterval) {
 		now := time.Now()
 		c.mu.Lock()
@@ -38,12 +42,18 @@
 		if waited < quiet {
 			continue
 		}
-		quiet = patience + rand.N(patienceSpread)
 		report, err := c.engines.Report(ctx, c.settings.Target.Address)
 		if err != nil || report.Ranks < 2 || !report.Open {
 			c.wait()
 			continue
 		}
+		if !spread {
+			// Only now is the size of the group known.
+			spread = true
+			quiet = patience + rand.N(patiencePerRank*time.Duration(report.Ranks))
+			continue
+		}
+		quiet = patience + rand.N(patiencePerRank*time.Duration(report.Ranks))
 		term, err := c.take(ctx, "planner."+report.Group)
 		if err != nil {
 			c.log.Warn().Str("event", "planningNotTaken").Str("group", report.Group).Err(err).Msg("")
@@ -64,6 +74,18 @@
 	c.heard = time.Now()
 }
 
+var errTakenLately = merry.New("another process has just taken the duty")
+
+// takenLately tells whether the record shows a holder that this sidecar has neither
+// heard from nor seen there before. That one gets time to ask.
+func (c *Companion) takenLately(revision int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	lately := revision > c.term && revision > c.holder
+	c.holder = max(c.holder, revision)
+	return lately
+}
+
 // take makes this process the holder of a duty. The revision of the record is the
 // term, which rises with each holder.
 func (c *Companion) take(ctx context.Context, duty string) (int64, error) {
@@ -71,6 +93,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if c.takenLately(was.Revision) {
+		return 0, errTakenLately
+	}
 	term, err := c.store.TakeDuty(ctx, was, string(c.settings.Name))
 	if err == nil {
 		return term, nil
--- a/internal/wire/rankport/rankport.go
+++ b/internal/wire/rankport/rankport.go
@@ -66,7 +66,7 @@
 	// maxMessage bounds a message; the largest is a map of some hundred ranks.
 	maxMessage = 4 << 20
 	// callTimeout covers the sidecar's own call to its engine.
-	callTimeout = 180 * time.Millisecond
+	callTimeout = 350 * time.Millisecond
 )
 
 // Handler serves a sidecar's side.
