Tell maps as changes, and let sidecars wait for the copies

Cause: a change at 72 ranks took 0.87 s whatever it copied: whole maps filled the planner's link, and it looked at the ranks one after the other.

--- a/internal/expert/changeover/rank.go
+++ b/internal/expert/changeover/rank.go
@@ -75,6 +75,7 @@
 const (
 	NoAnswer Result = iota // it may have been carried out, or may yet be
 	Accepted
+	Ready // of prepare: accepted, and the copying is over
 	Unfit // it does not fit the state of the rank, and was not carried out
 	Invalid
 )
--- a/internal/expert/changeover/recover.go
+++ b/internal/expert/changeover/recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
@@ -132,14 +133,13 @@
 
 func (g *Group) lookAll(ctx context.Context) ([]Report, error) {
 	reports := make([]Report, g.Ranks)
-	for rank := range reports {
-		r, err := g.look(ctx, rank)
-		if err != nil {
-			return nil, err
-		}
-		reports[rank] = r
+	errs := make([]error, g.Ranks)
+	ranks := make([]int, g.Ranks)
+	for rank := range ranks {
+		ranks[rank] = rank
 	}
-	return reports, nil
+	g.each(ranks, func(rank int) { reports[rank], errs[rank] = g.look(ctx, rank) })
+	return reports, errors.Join(errs...)
 }
 
 // NextVersion returns a version above all that the reports show. Versions of
--- a/internal/expert/changeover/switch.go
+++ b/internal/expert/changeover/switch.go
@@ -49,6 +49,8 @@
 	Look func(ctx context.Context, rank int) (Report, error)
 	// Pause waits.
 	Pause func(ctx context.Context, d time.Duration)
+	// Prepared hears that all ranks have the new map.
+	Prepared func()
 	// Step hears of each step of a change, for the log.
 	Step func(what string, rank int, r Result)
 }
@@ -70,6 +72,7 @@
 	if err := g.prepare(ctx, c); err != nil {
 		return 0, err
 	}
+	g.Prepared()
 	r, err := g.look(ctx, c.Holder)
 	if err != nil {
 		return 0, err
@@ -92,45 +95,57 @@
 func (g *Group) prepare(ctx context.Context, c Change) error {
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
 	defer cancel()
-	ready := make([]bool, g.Ranks)
-	results := g.all(ctx, Order{Operation: Prepare, Version: c.Version, Map: c.Map})
+	left := make([]int, g.Ranks)
+	for rank := range left {
+		left[rank] = rank
+	}
+	order := Order{Operation: Prepare, Version: c.Version, Map: c.Map}
 	for {
-		for rank, r := range results {
-			if r == Invalid {
-				return merry.Wrap(ErrNotPrepared, merry.AppendMessagef("rank %d refused the map", rank))
-			}
-		}
-		left := 0
-		var again []int
-		for rank := range g.Ranks {
-			if ready[rank] {
-				continue
-			}
-			r, err := g.look(ctx, rank)
-			switch {
-			case err != nil:
-				return err
-			case r.Prepared == c.Version:
-				ready[rank] = true
-				continue
-			case r.Armed != nil || r.Prepared > c.Version:
-				return merry.Wrap(ErrNotPrepared, merry.AppendMessagef("rank %d is being changed by another process", rank))
-			case results[rank] != Accepted:
-				again = append(again, rank)
-			}
-			left++
-		}
-		if left == 0 {
+		results := make([]Result, g.Ranks)
+		g.each(left, func(rank int) { results[rank] = g.order(ctx, rank, order) })
+		var err error
+		left, err = g.unprepared(ctx, c.Version, left, results)
+		switch {
+		case err != nil:
+			return err
+		case len(left) == 0:
 			return nil
-		}
-		if ctx.Err() != nil {
+		case ctx.Err() != nil:
 			return merry.Wrap(ErrNotPrepared, merry.AppendMessage("out of time"))
 		}
 		g.Pause(ctx, pollInterval)
-		for _, rank := range again {
-			results[rank] = g.order(ctx, rank, Order{Operation: Prepare, Version: c.Version, Map: c.Map})
+	}
+}
+
+// unprepared returns those of the ranks that do not have a version ready.
+func (g *Group) unprepared(ctx context.Context, version int64, ranks []int, results []Result) ([]int, error) {
+	var ask []int
+	for _, rank := range ranks {
+		switch results[rank] {
+		case Invalid:
+			return nil, merry.Wrap(ErrNotPrepared, merry.AppendMessagef("rank %d refused the map", rank))
+		case Ready:
+		default:
+			ask = append(ask, rank)
 		}
 	}
+	reports := make([]Report, g.Ranks)
+	errs := make([]error, g.Ranks)
+	g.each(ask, func(rank int) { reports[rank], errs[rank] = g.look(ctx, rank) })
+	var left []int
+	for _, rank := range ask {
+		r := reports[rank]
+		switch {
+		case errs[rank] != nil:
+			return nil, errs[rank]
+		case r.Prepared == version:
+		case r.Armed != nil || r.Prepared > version:
+			return nil, merry.Wrap(ErrNotPrepared, merry.AppendMessagef("rank %d is being changed by another process", rank))
+		default:
+			left = append(left, rank)
+		}
+	}
+	return left, nil
 }
 
 // hold holds a pass at a rank. False means that it may yet be held, by an order
@@ -199,18 +214,27 @@
 // all gives an order to all ranks at the same time.
 func (g *Group) all(ctx context.Context, o Order) []Result {
 	results := make([]Result, g.Ranks)
+	ranks := make([]int, g.Ranks)
+	for rank := range ranks {
+		ranks[rank] = rank
+	}
+	g.each(ranks, func(rank int) { results[rank] = g.order(ctx, rank, o) })
+	return results
+}
+
+// each does something with ranks at the same time, and returns when all is done.
+func (g *Group) each(ranks []int, do func(rank int)) {
 	var wg sync.WaitGroup
-	for rank := range g.Ranks {
-		wg.Go(func() { results[rank] = g.order(ctx, rank, o) })
+	for _, rank := range ranks {
+		wg.Go(func() { do(rank) })
 	}
 	wg.Wait()
-	return results
 }
 
 func (g *Group) order(ctx context.Context, rank int, o Order) Result {
 	o.Epoch = g.Epoch
 	res := g.Order(ctx, rank, o)
-	if res != Accepted {
+	if res != Accepted && res != Ready {
 		g.Step(o.Operation.String(), rank, res)
 	}
 	return res
--- a/internal/program/companion/companion.go
+++ b/internal/program/companion/companion.go
@@ -15,7 +15,7 @@
 	"github.com/oklog/run"
 	"github.com/phuslu/log"
 
-	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
 	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
 	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
@@ -39,6 +39,8 @@
 	counts []uint64  // as they were told last
 	epoch  int64     // of the counts
 
+	maps []*expertmap.Map // that were prepared last, for changes to be based on
+
 	socket  *digest.Socket
 	entries map[netip.AddrPort]time.Time // when each entry was heard last
 }
@@ -160,12 +162,12 @@
 }
 
 // added returns what the rank has counted since a mark, and the new mark.
-func (c *Companion) added(ctx context.Context, since uint64) (uint64, []uint64) {
+func (c *Companion) added(ctx context.Context, since uint64) (uint64, rankport.Counts) {
 	now, err := c.engines.Counts(ctx, c.settings.Target.Address)
 	if err != nil {
 		// The planner goes on with the counts of the other ranks.
 		c.log.Warn().Str("event", "countsNotRead").Err(err).Msg("")
-		return 0, nil
+		return 0, rankport.Counts{}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -173,7 +175,7 @@
 	c.mark++
 	c.counts, c.epoch = now.Counts, now.Epoch
 	if !known {
-		return c.mark, nil
+		return c.mark, rankport.Counts{}
 	}
 	added := make([]uint64, len(before))
 	for i, n := range now.Counts {
@@ -181,24 +183,5 @@
 			added[i] = n - before[i]
 		}
 	}
-	return c.mark, added
-}
-
-// order carries a planner's order to the engine.
-func (c *Companion) order(ctx context.Context, o rankport.Order) rankport.Done {
-	term, follows := c.follow(o.Asker, time.Now())
-	done := rankport.Done{Term: term}
-	if !follows {
-		return done
-	}
-	result, err := c.engines.Order(ctx, c.settings.Target.Address, o.Order)
-	done.Result = result
-	if err != nil {
-		done.Failed = err.Error()
-	}
-	if result != changeover.Accepted || err != nil {
-		c.log.Warn().Str("event", "order").Stringer("operation", o.Order.Operation).Int64("version", o.Order.Version).
-			Int64("step", o.Order.Step).Uint8("result", uint8(result)).Err(err).Msg("")
-	}
-	return done
+	return c.mark, rankport.NewCounts(added)
 }
--- /dev/null
+++ b/internal/program/companion/order.go
@@ -0,0 +1,95 @@
+package companion
+
+import (
+	"context"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
+)
+
+const (
+	// keptMaps is how many prepared maps a sidecar keeps: the one in force, one that
+	// was given up, and the next.
+	keptMaps = 3
+	// copyPoll is how often a sidecar looks whether its engine has copied the experts;
+	// one takes from 16 ms.
+	copyPoll = 10 * time.Millisecond
+)
+
+// order carries a planner's order to the engine.
+func (c *Companion) order(ctx context.Context, o rankport.Order) rankport.Done {
+	term, follows := c.follow(o.Asker, time.Now())
+	done := rankport.Done{Term: term}
+	if !follows {
+		return done
+	}
+	if o.Order.Operation == changeover.Prepare && !c.completeMap(&o) {
+		done.NeedsMap = true
+		return done
+	}
+	result, err := c.engines.Order(ctx, c.settings.Target.Address, o.Order)
+	if result == changeover.Accepted && o.Order.Operation == changeover.Prepare {
+		result = c.awaitCopies(ctx, o.Order.Version)
+	}
+	done.Result = result
+	if err != nil {
+		done.Failed = err.Error()
+	}
+	if err != nil || result != changeover.Accepted && result != changeover.Ready {
+		c.log.Warn().Str("event", "order").Stringer("operation", o.Order.Operation).Int64("version", o.Order.Version).
+			Int64("step", o.Order.Step).Uint8("result", uint8(result)).Err(err).Msg("")
+	}
+	return done
+}
+
+// awaitCopies waits until the engine has the experts of a version.
+func (c *Companion) awaitCopies(ctx context.Context, version int64) changeover.Result {
+	for end := time.Now().Add(rankport.PrepareWait); time.Now().Before(end); {
+		r, err := c.engines.Report(ctx, c.settings.Target.Address)
+		if err == nil && r.Prepared == version {
+			return changeover.Ready
+		}
+		if !sleep(ctx, copyPoll) {
+			break
+		}
+	}
+	return changeover.Accepted
+}
+
+// completeMap makes the map of an order from the changes in it. It tells whether
+// the order has a map.
+func (c *Companion) completeMap(o *rankport.Order) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o.Order.Map == nil {
+		base := c.kept(o.Base)
+		if base == nil {
+			return false
+		}
+		changes, err := rankport.UnpackChanges(o.Changes)
+		if err != nil {
+			return false
+		}
+		o.Order.Map, err = base.Apply(changes)
+		if err != nil {
+			return false
+		}
+	}
+	c.maps = append(c.maps, o.Order.Map)
+	if len(c.maps) > keptMaps {
+		c.maps = c.maps[1:]
+	}
+	return true
+}
+
+// kept returns the map with a digest, or nil.
+func (c *Companion) kept(digest string) *expertmap.Map {
+	for _, m := range c.maps {
+		if m.Digest().String() == digest {
+			return m
+		}
+	}
+	return nil
+}
--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -23,10 +23,9 @@
 	// the time that it has.
 	lookInterval = 60 * time.Millisecond
 	lookPerRank  = 2500 * time.Microsecond
-	// countedRanks is how many ranks tell their counts in one look, in turn. A rank
-	// of a large group counts thousands of numbers, and the planner's link is small;
-	// what some ranks' requests choose is a sample of what all do.
-	countedRanks = 16
+	// countedRanks is how many ranks tell their counts in one look, in turn: some
+	// 2 KB each in a large group, and a planner's link carries 1 MB a second.
+	countedRanks = 72
 	// demandHalfLife in which older counts lose half of their weight.
 	demandHalfLife = 250 * time.Millisecond
 	// leastGain is the part of the experts' time that a change must win, so that
@@ -67,13 +66,15 @@
 	mu   sync.Mutex
 	view view
 
-	current *expertmap.Map    // in force; nil while it is not known
-	version int64             // of current
-	epoch   int64             // of current
-	highest int64             // version that was used
-	after   int64             // pass that was used last
-	pending changeover.Arming // the last change; its pass may not have begun
-	changed time.Time         // when the last change or recovery ended
+	current  *expertmap.Map    // in force; nil while it is not known
+	version  int64             // of current
+	base     *base             // of the map that is being prepared; nil tells it whole
+	epoch    int64             // of current
+	highest  int64             // version that was used
+	after    int64             // pass that was used last
+	prepared time.Time         // when all ranks had the last change
+	pending  changeover.Arming // the last change; its pass may not have begun
+	changed  time.Time         // when the last change or recovery ended
 }
 
 // view is what the last look at the group showed.
@@ -371,11 +372,8 @@
 		if s.Mark != 0 {
 			ranks[rank].mark = s.Mark
 		}
-		if len(s.Counts) != n {
-			continue
-		}
-		for i, c := range s.Counts {
-			demand[i] += float64(c)
+		if len(s.Counts.Steps) == n {
+			s.Counts.AddTo(demand)
 		}
 	}
 	*v = view{ranks: ranks, reports: reports, epoch: reports[0].Epoch, demand: demand, counted: now, began: began, engine: p.engine, whole: true}
@@ -423,7 +421,8 @@
 			seen, err := p.look(ctx, v.ranks[rank], rankport.Look{})
 			return seen.Report, err
 		},
-		Pause: func(ctx context.Context, d time.Duration) { sleep(ctx, d) },
+		Prepared: func() { p.prepared = time.Now() },
+		Pause:    func(ctx context.Context, d time.Duration) { sleep(ctx, d) },
 		Step: func(what string, rank int, r changeover.Result) {
 			p.c.log.Warn().Str("event", "orderFailed").Str("operation", what).Int("rank", rank).Uint8("result", uint8(r)).Msg("")
 		},
@@ -431,7 +430,15 @@
 }
 
 func (p *planner) order(ctx context.Context, s *seat, o changeover.Order) changeover.Result {
-	result, err := p.c.peers.Order(ctx, s.sidecar, rankport.Order{Asker: p.asker, Order: o})
+	m := rankport.Order{Asker: p.asker, Order: o}
+	if o.Operation == changeover.Prepare && p.base != nil {
+		m.Order.Map, m.Base, m.Changes = nil, p.base.digest, p.base.changes
+	}
+	result, err := p.c.peers.Order(ctx, s.sidecar, m)
+	if errors.Is(err, rankport.ErrNeedsMap) {
+		m = rankport.Order{Asker: p.asker, Order: o}
+		result, err = p.c.peers.Order(ctx, s.sidecar, m)
+	}
 	if err == nil || errors.Is(err, rankport.ErrSuperseded) {
 		return result
 	}
@@ -441,19 +448,38 @@
 	return result
 }
 
+// base is how a new map is told to sidecars that have the one before.
+type base struct {
+	digest  string
+	changes []byte
+}
+
+func newBase(from, to *expertmap.Map) *base {
+	list, err := expertmap.Changes(from, to)
+	if err != nil {
+		return nil // the whole map is told
+	}
+	return &base{digest: from.Digest().String(), changes: rankport.PackChanges(list)}
+}
+
 // move changes the map if the demand asks for it.
 func (p *planner) move(ctx context.Context, v view) error {
+	planned := time.Now()
 	next := plan.Follow(p.current, v.demand, v.engine.Spare, leastGain)
 	if next == nil {
 		return nil
 	}
 	p.highest = changeover.NextVersion(v.reports, p.highest, p.own)
 	begin := time.Now()
+	copies, most := copiesOf(p.current, next)
+	p.base = newBase(p.current, next)
 	step, err := p.access(v).Run(ctx, changeover.Change{Version: p.highest, Map: next, Holder: p.own, After: p.after})
 	p.after = max(p.after, step)
 	p.c.log.Info().Str("event", "change").Int64("version", p.highest).Int64("step", step).
 		Float64("skew", plan.Skew(p.current, v.demand)).Float64("planned", plan.Skew(next, v.demand)).
-		Dur("countsAge", begin.Sub(v.counted)).Dur("took", time.Since(begin)).Err(err).Msg("")
+		Int("copies", copies).Int("mostCopies", most).Dur("countsAge", planned.Sub(v.counted)).
+		Dur("planTook", begin.Sub(planned)).Dur("prepareTook", p.prepared.Sub(begin)).
+		Dur("took", time.Since(begin)).Err(err).Msg("")
 	p.changed = time.Now()
 	p.current = nil
 	if err == nil {
@@ -463,13 +489,29 @@
 	return nil
 }
 
+// copiesOf counts the experts that are copied for a change, by all ranks and by the
+// rank with the most.
+func copiesOf(from, to *expertmap.Map) (all, most int) {
+	d, err := expertmap.Diff(from, to)
+	if err != nil {
+		return 0, 0 // the maps of one group have one shape
+	}
+	for _, n := range d.Moves(from.Shape().Ranks) {
+		all += n
+		most = max(most, n)
+	}
+	return all, most
+}
+
 // recover frees a group that was left in the middle of a change.
 func (p *planner) recover(ctx context.Context, v view) error {
 	p.highest = changeover.NextVersion(v.reports, p.highest, p.own)
 	begin := time.Now()
+	p.base = nil
 	err := p.access(v).Recover(ctx, p.own, p.highest, p.current)
 	p.highest += recoverVersions
-	p.c.log.Info().Str("event", "recovered").Dur("took", time.Since(begin)).Err(err).Msg("")
+	p.c.log.Info().Str("event", "recovered").Dur("prepareTook", p.prepared.Sub(begin)).
+		Dur("took", time.Since(begin)).Err(err).Msg("")
 	p.changed = time.Now()
 	return err
 }
--- a/internal/wire/rankport/rankport.go
+++ b/internal/wire/rankport/rankport.go
@@ -23,6 +23,9 @@
 // ErrSuperseded reports that a sidecar follows a newer planner.
 var ErrSuperseded = merry.New("a newer planner has the duty")
 
+// ErrNeedsMap reports that a sidecar does not have the map that changes are based on.
+var ErrNeedsMap = merry.New("the sidecar needs the whole map")
+
 // Asker names the planner that asks.
 type Asker struct {
 	Term int64  `cbor:"1,keyasint"` // a later planner has a higher one
@@ -42,7 +45,7 @@
 	Term   int64             `cbor:"1,keyasint"` // of the planner that the sidecar follows
 	Report changeover.Report `cbor:"2,keyasint"`
 	Mark   uint64            `cbor:"3,keyasint"`
-	Counts []uint64          `cbor:"4,keyasint"` // none if the sidecar doesn't know the mark
+	Counts Counts            `cbor:"4,keyasint"` // none if the sidecar doesn't know the mark
 	Lists  changeover.Lists  `cbor:"5,keyasint"`
 	Failed string            `cbor:"6,keyasint"` // why the engine could not be asked
 }
@@ -51,6 +54,11 @@
 type Order struct {
 	Asker Asker            `cbor:"1,keyasint"`
 	Order changeover.Order `cbor:"2,keyasint"`
+	// Base and Changes stand for the map of a prepare order: the digest of a map that
+	// the sidecar has, and what differs from it. A map of 72 ranks has 2.6 KB, and what
+	// differs some hundred bytes.
+	Base    string `cbor:"3,keyasint"`
+	Changes []byte `cbor:"4,keyasint"`
 }
 
 // Done is what came of an order.
@@ -58,6 +66,8 @@
 	Term   int64             `cbor:"1,keyasint"`
 	Result changeover.Result `cbor:"2,keyasint"`
 	Failed string            `cbor:"3,keyasint"`
+	// NeedsMap tells that the sidecar does not have the base, and nothing was done.
+	NeedsMap bool `cbor:"4,keyasint"`
 }
 
 const (
@@ -67,6 +77,10 @@
 	maxMessage = 4 << 20
 	// callTimeout covers the sidecar's own call to its engine.
 	callTimeout = 350 * time.Millisecond
+	// PrepareWait is how long a sidecar waits for its engine to copy experts before
+	// it answers; prepareTimeout covers it.
+	PrepareWait    = time.Second
+	prepareTimeout = PrepareWait + callTimeout
 )
 
 // Handler serves a sidecar's side.
@@ -112,13 +126,14 @@
 // NewClient returns a client.
 func NewClient() *Client {
 	return &Client{client: &http.Client{
-		Timeout:   callTimeout,
 		Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 5 * time.Second, DisableCompression: true},
 	}}
 }
 
 // Look asks for the state of a rank.
 func (c *Client) Look(ctx context.Context, at netip.AddrPort, l Look) (Seen, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	s, err := call[Look, Seen](ctx, c, at, lookPath, l)
 	switch {
 	case err != nil:
@@ -133,10 +148,18 @@
 
 // Order gives an order to a rank.
 func (c *Client) Order(ctx context.Context, at netip.AddrPort, o Order) (changeover.Result, error) {
+	timeout := callTimeout
+	if o.Order.Operation == changeover.Prepare {
+		timeout = prepareTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	d, err := call[Order, Done](ctx, c, at, orderPath, o)
 	switch {
 	case err != nil:
 		return changeover.NoAnswer, err
+	case d.NeedsMap:
+		return changeover.NoAnswer, merry.Wrap(ErrNeedsMap)
 	case d.Term > o.Asker.Term:
 		return changeover.Unfit, merry.Wrap(ErrSuperseded)
 	}
