Bound what a rank copies for one change by time

Cause: at 111 ms an expert, the rank that copies most decides how long a change takes; shifts come every 3.3 s.

--- a/internal/expert/plan/follow.go
+++ b/internal/expert/plan/follow.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"cmp"
 	"slices"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
@@ -11,28 +12,45 @@
 // is worth more than one that will fit on average.
 //
 // In each layer it takes work off the hottest rank, change by change, until none
-// helps. A rank gets at most spare experts of a layer that it doesn't hold. Demand
-// is given by layer and expert; layers without any are left alone. The result is
-// nil if no change wins at least gain of the layers' times, together.
-func Follow(m *expertmap.Map, demand []float64, spare int, gain float64) *expertmap.Map {
+// helps; the layers whose hottest rank is worst come first. Demand is given by layer
+// and expert; layers without any are left alone. The result is nil if no change
+// wins enough.
+func Follow(m *expertmap.Map, demand []float64, l FollowLimits) *expertmap.Map {
 	s := m.Shape()
 	next := m.Clone()
 	before, after := 0.0, 0.0
+	var layers []*follower
 	for layer := range s.Layers {
-		f := newFollower(s, next.Layer(layer), demand[layer*s.Experts:(layer+1)*s.Experts], spare)
+		f := newFollower(s, next.Layer(layer), demand[layer*s.Experts:(layer+1)*s.Experts], l.PerLayer)
 		if f == nil {
 			continue
 		}
 		before += f.hottestLoad()
+		layers = append(layers, f)
+	}
+	slices.SortStableFunc(layers, func(a, b *follower) int { return cmp.Compare(b.hottestLoad(), a.hottestLoad()) })
+	copies := make([]int, s.Ranks)
+	for _, f := range layers {
+		f.copies, f.perRank = copies, l.PerRank
 		f.improve()
+		for rank, n := range f.fresh {
+			copies[rank] += n
+		}
 		after += f.hottestLoad()
 	}
-	if before == 0 || (before-after)/before < gain {
+	if before == 0 || (before-after)/before < l.Gain {
 		return nil
 	}
 	return next
 }
 
+// FollowLimits bound one change of map.
+type FollowLimits struct {
+	PerLayer int     // experts of a layer that a rank may copy
+	PerRank  int     // experts that a rank may copy at all; the one with most decides how long it takes
+	Gain     float64 // part of the layers' times that a change must win, together
+}
+
 // Skew is the mean over the layers of the hottest rank's work over that of the mean
 // rank. Layers without demand are left out; it is 1 if no layer has any.
 func Skew(m *expertmap.Map, demand []float64) float64 {
@@ -63,6 +81,8 @@
 	fresh    []int     // experts that a rank must copy
 	was      []uint16  // the cells before
 	spare    int
+	copies   []int // that ranks make for other layers
+	perRank  int
 	ranks    []int // those that a weighed change touches
 }
 
@@ -202,7 +222,7 @@
 	if out := f.cells[cell]; out != expertmap.Empty && !f.held(rank, out) {
 		fresh-- // it takes the place of another copy
 	}
-	return fresh < f.spare
+	return fresh < f.spare && f.copies[rank]+fresh < f.perRank
 }
 
 // power makes the hottest ranks count most.
--- a/internal/expert/plan/follow_test.go
+++ b/internal/expert/plan/follow_test.go
@@ -45,7 +45,7 @@
 		require.NoError(t, err)
 		before := Skew(m, demand)
 		for round := range 3 {
-			next := Follow(m, demand, 2, 0.01)
+			next := Follow(m, demand, FollowLimits{PerLayer: 2, PerRank: 8, Gain: 0.01})
 			if next == nil {
 				break
 			}
@@ -61,5 +61,5 @@
 func TestFollowNoDemand(t *testing.T) {
 	m, err := expertmap.Even(expertmap.Shape{Layers: 1, Experts: 4, Ranks: 2, Slots: 3})
 	require.NoError(t, err)
-	require.Nil(t, Follow(m, make([]float64, 4), 2, 0.01))
+	require.Nil(t, Follow(m, make([]float64, 4), FollowLimits{PerLayer: 2, PerRank: 8, Gain: 0.01}))
 }
--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -31,6 +31,9 @@
 	// leastGain is the part of the experts' time that a change must win, so that
 	// noise in the counts does not move experts about.
 	leastGain = 0.1
+	// copyTime is how long the copying for one change may take. Demand moves every few
+	// seconds, and several small changes follow it sooner than a large one.
+	copyTime = 150 * time.Millisecond
 	// moveInterval between looks at whether a change is worth it.
 	moveInterval = 50 * time.Millisecond
 	// refreshEvery is how many looks in a row miss ranks before the list of
@@ -465,7 +468,7 @@
 // move changes the map if the demand asks for it.
 func (p *planner) move(ctx context.Context, v view) error {
 	planned := time.Now()
-	next := plan.Follow(p.current, v.demand, v.engine.Spare, leastGain)
+	next := plan.Follow(p.current, v.demand, plan.FollowLimits{PerLayer: v.engine.Spare, PerRank: copiesIn(copyTime, v.engine), Gain: leastGain})
 	if next == nil {
 		return nil
 	}
@@ -489,6 +492,14 @@
 	return nil
 }
 
+// copiesIn is how many experts a rank copies in a time.
+func copiesIn(d time.Duration, e *routing.Engine) int {
+	if e.CopyTime <= 0 {
+		return e.Layers * e.Spare
+	}
+	return max(int(d/e.CopyTime), 1)
+}
+
 // copiesOf counts the experts that are copied for a change, by all ranks and by the
 // rank with the most.
 func copiesOf(from, to *expertmap.Map) (all, most int) {
--- a/internal/traffic/routing/routing.go
+++ b/internal/traffic/routing/routing.go
@@ -93,6 +93,7 @@
 	Experts     int           // experts of a layer
 	Places      int           // experts that a rank can hold of a layer
 	Spare       int           // experts of a layer that a rank can copy for one change
+	CopyTime    time.Duration // that a rank takes to copy one expert; 0 if it is not told
 	FormTime    time.Duration // a group takes this long to open once all ranks are there
 	ReportLag   time.Duration // age of what an engine reports to other hosts
 	UsualPrompt int           // mean tokens of a prompt
