Log no time of a prepare that did not end

Ruled out: holding at another rank than the planner's own against a freeze in the middle of a change (held 5.7 s either way).

--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -275,13 +275,14 @@
 	}
 	seen := make([]rankport.Seen, len(p.seats))
 	var wg sync.WaitGroup
+	errs := make([]error, len(p.seats))
 	for i, s := range p.seats {
-		wg.Go(func() {
-			// A rank that can't be asked is missing below.
-			seen[i], _ = p.look(ctx, s, rankport.Look{})
-		})
+		wg.Go(func() { seen[i], errs[i] = p.look(ctx, s, rankport.Look{}) })
 	}
 	wg.Wait()
+	if err := errors.Join(errs...); errors.Is(err, rankport.ErrSuperseded) {
+		return nil, err
+	}
 	var ranks []*seat
 	for i, v := range seen {
 		r := v.Report
@@ -297,7 +298,7 @@
 	}
 	for rank, s := range ranks {
 		if s == nil {
-			return nil, merry.Wrap(errIncomplete, merry.AppendMessagef("rank %d of %d", rank, len(ranks)))
+			return nil, merry.Wrap(errIncomplete, merry.AppendMessagef("rank %d of %d: %v", rank, len(ranks), errors.Join(errs...)))
 		}
 	}
 	if ranks == nil {
@@ -474,6 +475,7 @@
 	}
 	p.highest = changeover.NextVersion(v.reports, p.highest, p.own)
 	begin := time.Now()
+	p.prepared = begin
 	copies, most := copiesOf(p.current, next)
 	p.base = newBase(p.current, next)
 	step, err := p.access(v).Run(ctx, changeover.Change{Version: p.highest, Map: next, Holder: p.own, After: p.after})
