Use as many slots as keep events on time, and let those go first that can be on time

Cause: two thirds of the slots are too few for 150 ms pauses at 72 ranks and too many at others; a queue in order of arrival makes all late under overload.

--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -22,12 +22,12 @@
 	// look takes the planner's share of a core some 0.6 ms for a rank, a fifth of
 	// the time that it has.
 	lookInterval = 60 * time.Millisecond
-	lookPerRank  = 2500 * time.Microsecond
+	lookPerRank  = 1200 * time.Microsecond
 	// countedRanks is how many ranks tell their counts in one look, in turn: some
 	// 2 KB each in a large group, and a planner's link carries 1 MB a second.
 	countedRanks = 72
 	// demandHalfLife in which older counts lose half of their weight.
-	demandHalfLife = 250 * time.Millisecond
+	demandHalfLife = 150 * time.Millisecond
 	// leastGain is the part of the experts' time that a change must win, so that
 	// noise in the counts does not move experts about.
 	leastGain = 0.1
@@ -63,8 +63,10 @@
 	group  string
 	own    int // this process's rank
 	engine *routing.Engine
-	seats  []*seat // of all servers of the service
+	gapAim time.Duration // shortest of the routes to the service; 0 if none has one
+	seats  []*seat       // of all servers of the service
 	looks  uint64
+	limit  limit
 
 	mu   sync.Mutex
 	view view
@@ -177,7 +179,7 @@
 	}
 	d := digest.Digest{
 		Term: p.asker.Term, Look: p.looks, Service: p.c.settings.Target.Service,
-		Open: whole, Entries: len(entries),
+		Open: whole, Entries: len(entries), Limit: p.limit.value,
 	}
 	if whole {
 		v := p.seen()
@@ -231,6 +233,7 @@
 	}
 	if s := config.Service(p.c.settings.Target.Service); s != nil {
 		p.engine = s.Engine
+		p.gapAim = gapAim(config, s.Name)
 	}
 	targets, err := p.c.store.Servers(ctx, p.c.malformed)
 	if err != nil {
@@ -349,7 +352,9 @@
 		}
 		reports[rank] = r
 	}
-	p.take(began, time.Now(), ranks, reports, seen)
+	now := time.Now()
+	p.limit.see(now, reports[0].Step, p.engine.Slots, p.gapAim)
+	p.take(began, now, ranks, reports, seen)
 	return nil
 }
 
--- a/internal/program/gateway/digest.go
+++ b/internal/program/gateway/digest.go
@@ -53,5 +53,8 @@
 	if d.Entries > 0 {
 		g.entries.Store(int64(d.Entries))
 	}
+	if d.Limit > 0 {
+		g.engineLimits.Store(d.Service, d.Limit)
+	}
 	g.admit.Told(time.Now(), d.Service, d.Open, loads)
 }
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,20 +45,21 @@
 
 // Gateway is the entry's state.
 type Gateway struct {
-	settings deployed.Settings // as they were at the start; bounds may change later
-	bounds   atomic.Pointer[deployed.Bounds]
-	log      *log.Logger
-	metrics  *metrics.Set
-	store    *platform.Store
-	roster   *roster.Roster
-	missing  *missing
-	rules    atomic.Pointer[knownRules]
-	targets  atomic.Bool // a list of targets was read
-	draining atomic.Bool
-	entries  atomic.Int64 // that share the targets
-	forward  *forward.Forwarder
-	pool     *upstream.Pool
-	admit    *admission.Controller
+	settings     deployed.Settings // as they were at the start; bounds may change later
+	bounds       atomic.Pointer[deployed.Bounds]
+	log          *log.Logger
+	metrics      *metrics.Set
+	store        *platform.Store
+	roster       *roster.Roster
+	missing      *missing
+	rules        atomic.Pointer[knownRules]
+	targets      atomic.Bool // a list of targets was read
+	draining     atomic.Bool
+	entries      atomic.Int64 // that share the targets
+	engineLimits sync.Map     // requests that a rank should have, by service
+	forward      *forward.Forwarder
+	pool         *upstream.Pool
+	admit        *admission.Controller
 }
 
 // New returns an entry that does not run yet.
@@ -120,15 +122,18 @@
 	rules := admission.Rules{PerTarget: plainPerTarget, Queue: queueLength, Entries: 1}
 	if s := r.config.Service(service); s != nil && s.Engine != nil {
 		rules.PerTarget = max(int(slotShare*float64(s.Engine.Slots)), 1)
+		if told, found := g.engineLimits.Load(service); found {
+			rules.PerTarget = told.(int)
+		}
 		rules.Entries = int(g.entries.Load())
 	}
 	return rules
 }
 
 const (
-	// slotShare is the part of an engine's slots that is used. All ranks of a group
-	// wait for each other, and each request that writes makes the pass of all
-	// longer; with all slots full, pauses between events grow beyond their aim.
+	// slotShare is the part of an engine's slots that is used until a planner tells
+	// how many. All ranks of a group wait for each other, and each request that
+	// writes makes the pass of all longer.
 	slotShare = 0.67
 	// plainPerTarget is how many requests of this entry a plain service's target has.
 	plainPerTarget = 6
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -64,7 +64,11 @@
 	Service  string
 	Priority int
 	Work     float64 // tokens to read and write, to compare targets by
-	Tried    []string
+	// Fresh is how long the request may wait and still be answered on time. Those
+	// that can be on time go before those that can't any more: under overload, a
+	// queue in order of arrival makes all of them late.
+	Fresh time.Duration
+	Tried []string
 
 	arrived time.Time
 	granted chan struct{}
@@ -236,18 +240,26 @@
 func (c *Controller) advance(now time.Time, service string) {
 	q := c.queue(service)
 	rules := c.RulesFor(service)
-	for i := 0; i < len(q.waiting); {
-		t := q.waiting[i]
-		target, found := c.choose(now, service, c.candidates(t), rules)
-		if !found {
-			i++
-			continue
+	for _, late := range []bool{false, true} {
+		for i := 0; i < len(q.waiting); {
+			t := q.waiting[i]
+			if t.late(now) != late {
+				i++
+				continue
+			}
+			target, found := c.choose(now, service, c.candidates(t), rules)
+			if !found {
+				i++
+				continue
+			}
+			q.waiting = slices.Delete(q.waiting, i, i+1)
+			c.grant(t, target)
 		}
-		q.waiting = slices.Delete(q.waiting, i, i+1)
-		c.grant(t, target)
 	}
 }
 
+func (t *Ticket) late(now time.Time) bool { return now.Sub(t.arrived) > t.Fresh }
+
 func (c *Controller) grant(t *Ticket, target roster.Target) {
 	t.target = target
 	t.held = true
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -238,6 +238,7 @@
 // ticket describes the request to admission.
 func (c *call) ticket() *admission.Ticket {
 	t := &admission.Ticket{Service: c.service, Priority: c.route.Priority, Work: 1, Tried: c.tried}
+	t.Fresh = time.Duration(freshShare*float64(c.route.Aim)) - c.f.Now().Sub(c.begin)
 	if c.space != nil && c.space.Ranked {
 		t.Priority = c.space.Priority
 	}
@@ -247,6 +248,11 @@
 	return t
 }
 
+// freshShare is the part of its aim that a request may wait for a target and still
+// be answered on time: a loaded engine takes some 300 ms to the first event, of an
+// aim of 500.
+const freshShare = 0.4
+
 // readWork is the work of reading a prompt token, in tokens written. Reading takes
 // 1/61 ms a token; writing one takes some 10 ms, shared by about ten requests.
 const readWork = 0.016
--- a/internal/wire/digest/digest.go
+++ b/internal/wire/digest/digest.go
@@ -41,6 +41,7 @@
 	Service string `cbor:"3,keyasint"`
 	Open    bool   `cbor:"4,keyasint"` // the group takes requests
 	Entries int    `cbor:"5,keyasint"` // that the planner hears from
+	Limit   int    `cbor:"7,keyasint"` // requests that a rank should have at the same time
 	Ranks   []Rank `cbor:"6,keyasint"` // a part of them, if they don't fit into one datagram
 }
 
