Repeat lost orders at the sidecar, and change at the next pass

Cause: with a tenth of the orders lost, a change at 72 ranks took over a second, the ranks held for most of it; and each change waited a pass more than its orders need.

--- a/internal/expert/changeover/switch.go
+++ b/internal/expert/changeover/switch.go
@@ -22,10 +22,10 @@
 )
 
 const (
-	// Margin is how many passes ahead a change is made: the one under way, and one
-	// more, so that no rank waits while the orders travel. A pass takes some 50 ms
-	// and the orders under 10 ms.
-	Margin = 2
+	// Margin is how many passes ahead a change is made: it is the next one. A pass
+	// takes 50 to 100 ms and the orders 10 to 40, so the ranks wait for them a little
+	// now and then; a pass more would be run on the old map each time.
+	Margin = 1
 	// prepareTimeout bounds the copying of experts: the most that one change may
 	// copy takes under a second.
 	prepareTimeout = 4 * time.Second
@@ -73,15 +73,10 @@
 		return 0, err
 	}
 	g.Prepared()
-	r, err := g.look(ctx, c.Holder)
+	step, err := g.holdNext(ctx, c)
 	if err != nil {
 		return 0, err
 	}
-	step := max(r.Step+Margin, c.After+1)
-	if !g.hold(ctx, c.Holder, step) {
-		// A hold order without an answer may land later; the next look shows it.
-		return 0, merry.Wrap(ErrNotArmed, merry.AppendMessage("the pass could not be held"))
-	}
 	if !g.arm(ctx, c.Version, step) {
 		return step, merry.Wrap(ErrNotArmed)
 	}
@@ -148,6 +143,23 @@
 	return left, nil
 }
 
+// holdNext holds the next pass that has not begun.
+func (g *Group) holdNext(ctx context.Context, c Change) (int64, error) {
+	step := c.After
+	for range tries {
+		r, err := g.look(ctx, c.Holder)
+		if err != nil {
+			return 0, err
+		}
+		step = max(r.Step+Margin, step+1)
+		if g.hold(ctx, c.Holder, step) {
+			return step, nil
+		}
+	}
+	// A hold order without an answer may land later; the next look shows it.
+	return 0, merry.Wrap(ErrNotArmed, merry.AppendMessage("no pass could be held"))
+}
+
 // hold holds a pass at a rank. False means that it may yet be held, by an order
 // that is under way.
 func (g *Group) hold(ctx context.Context, rank int, step int64) bool {
@@ -171,30 +183,40 @@
 
 // arm arms all ranks and tells whether all were seen armed.
 func (g *Group) arm(ctx context.Context, version, step int64) bool {
-	results := g.all(ctx, Order{Operation: Arm, Version: version, Step: step})
-	for rank, res := range results {
-		for range tries {
-			if res != NoAnswer {
-				break
-			}
-			r, err := g.look(ctx, rank)
-			if err != nil {
+	order := Order{Operation: Arm, Version: version, Step: step}
+	results := g.all(ctx, order)
+	for range tries {
+		var again []int
+		for rank, res := range results {
+			switch res {
+			case Accepted:
+			case NoAnswer:
+				again = append(again, rank)
+			default:
 				return false
 			}
-			if r.Armed != nil && *r.Armed == (Arming{version, step}) {
-				res = Accepted
-				break
-			}
-			res = g.order(ctx, rank, Order{Operation: Arm, Version: version, Step: step})
-			if res == Unfit {
-				res = NoAnswer // the first may have been carried out meanwhile
-			}
 		}
-		if res != Accepted {
-			return false
+		if len(again) == 0 {
+			return true
 		}
+		g.each(again, func(rank int) { results[rank] = g.armAgain(ctx, rank, order) })
+	}
+	return false
+}
+
+// armAgain looks whether a rank is armed, and gives the order once more if not.
+func (g *Group) armAgain(ctx context.Context, rank int, o Order) Result {
+	r, err := g.look(ctx, rank)
+	switch {
+	case err != nil:
+		return Unfit
+	case r.Armed != nil && *r.Armed == (Arming{o.Version, o.Step}):
+		return Accepted
+	}
+	if res := g.order(ctx, rank, o); res != Unfit {
+		return res
 	}
-	return true
+	return NoAnswer // the first may have been carried out meanwhile: look again
 }
 
 // release lets a pass go at a rank.
--- a/internal/program/companion/order.go
+++ b/internal/program/companion/order.go
@@ -29,7 +29,7 @@
 		done.NeedsMap = true
 		return done
 	}
-	result, err := c.engines.Order(ctx, c.settings.Target.Address, o.Order)
+	result, err := c.give(ctx, o.Order)
 	if result == changeover.Accepted && o.Order.Operation == changeover.Prepare {
 		result = c.awaitCopies(ctx, o.Order.Version)
 	}
@@ -44,6 +44,60 @@
 	return done
 }
 
+const (
+	// giveTimeout bounds a try of an order to the engine on the same host, which
+	// answers in a millisecond or two unless the answer is lost.
+	giveTimeout = 40 * time.Millisecond
+	// giveTries of an order, all within the planner's own timeout.
+	giveTries = 4
+)
+
+// give gives an order to the engine until it is answered or seen carried out. The
+// whole group waits for each rank, so a lost answer is made up for here and not by
+// the planner, whose timeout is longer. A try that is carried out later finds a state
+// that it does not fit.
+func (c *Companion) give(ctx context.Context, o changeover.Order) (changeover.Result, error) {
+	var result changeover.Result
+	var err error
+	for range giveTries {
+		result, err = c.giveOnce(ctx, o)
+		if result != changeover.NoAnswer {
+			return result, err
+		}
+		r, readErr := c.engines.Report(ctx, c.settings.Target.Address)
+		if readErr == nil && shows(r, o) {
+			return changeover.Accepted, nil
+		}
+	}
+	return result, err
+}
+
+func (c *Companion) giveOnce(ctx context.Context, o changeover.Order) (changeover.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, giveTimeout)
+	defer cancel()
+	return c.engines.Order(ctx, c.settings.Target.Address, o)
+}
+
+// shows tells whether a report shows that an order was carried out.
+func shows(r changeover.Report, o changeover.Order) bool {
+	if r.Epoch != o.Epoch {
+		return false
+	}
+	switch o.Operation {
+	case changeover.Prepare:
+		return r.Prepared == o.Version
+	case changeover.Arm:
+		return r.Armed != nil && *r.Armed == changeover.Arming{Version: o.Version, Step: o.Step}
+	case changeover.Hold:
+		return r.Held == o.Step
+	case changeover.Go:
+		return r.Held != o.Step
+	case changeover.Disarm:
+		return r.Armed == nil || r.Armed.Version != o.Version
+	}
+	return false
+}
+
 // awaitCopies waits until the engine has the experts of a version.
 func (c *Companion) awaitCopies(ctx context.Context, version int64) changeover.Result {
 	for end := time.Now().Add(rankport.PrepareWait); time.Now().Before(end); {
--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -27,7 +27,7 @@
 	// 2 KB each in a large group, and a planner's link carries 1 MB a second.
 	countedRanks = 72
 	// demandHalfLife in which older counts lose half of their weight.
-	demandHalfLife = 150 * time.Millisecond
+	demandHalfLife = 120 * time.Millisecond
 	// leastGain is the part of the experts' time that a change must win, so that
 	// noise in the counts does not move experts about.
 	leastGain = 0.1
