--- a/internal/expert/changeover/switch.go
+++ b/internal/expert/changeover/switch.go
@@ -22,10 +22,6 @@
 )
 
 const (
-	// Margin is how many passes ahead a change is made: it is the next one. A pass
-	// takes 50 to 100 ms and the orders 10 to 40, so the ranks wait for them a little
-	// now and then; a pass more would be run on the old map each time.
-	Margin = 1
 	// prepareTimeout bounds the copying of experts: the most that one change may
 	// copy takes under a second.
 	prepareTimeout = 4 * time.Second
@@ -62,6 +58,9 @@
 	// Holder is the rank at which the pass is held: that of the process that
 	// switches. A late go of another process, which holds elsewhere, can't release it.
 	Holder int
+	// Ahead is how many passes ahead of the one under way the change is made, 1 at
+	// least. The ranks wait if the orders take longer.
+	Ahead int64
 	// After is a pass that must have been passed; a hold on one that was used before
 	// could be released by a late go.
 	After int64
@@ -151,7 +150,7 @@
 		if err != nil {
 			return 0, err
 		}
-		step = max(r.Step+Margin, step+1)
+		step = max(r.Step+c.Ahead, step+1)
 		if g.hold(ctx, c.Holder, step) {
 			return step, nil
 		}
--- a/internal/program/companion/limit.go
+++ b/internal/program/companion/limit.go
@@ -27,6 +27,7 @@
 	value int
 	step  int64 // at the begin of the window
 	since time.Time
+	pass  time.Duration // that a pass took lately; 0 until known
 }
 
 // see takes the pass that a group has come to.
@@ -40,7 +41,7 @@
 		return
 	}
 	window := now.Sub(l.since)
-	if window < passWindow || aim <= 0 {
+	if window < passWindow {
 		return
 	}
 	passes := step - l.step
@@ -48,15 +49,37 @@
 	if passes == 0 {
 		return // idle, or held
 	}
-	pass := window / time.Duration(passes)
+	l.pass = window / time.Duration(passes)
+	if aim <= 0 {
+		return
+	}
 	switch {
-	case pass > time.Duration(slowPass*float64(aim)):
+	case l.pass > time.Duration(slowPass*float64(aim)):
 		l.value = max(l.value-1, least)
-	case pass < time.Duration(quickPass*float64(aim)):
+	case l.pass < time.Duration(quickPass*float64(aim)):
 		l.value = min(l.value+1, slots)
 	}
 }
 
+const (
+	// orderTime and orderPerRank are what the orders of a change take, from the look
+	// at the pass under way until all ranks are armed.
+	orderTime    = 8 * time.Millisecond
+	orderPerRank = 500 * time.Microsecond
+	// waitPart of a pass may be spent on orders if they must be over before the next
+	// one. The pass under way has half of its time left on average; a pause that is
+	// made longer by a wait is often one too long.
+	waitPart = 0.35
+)
+
+// ahead is how many passes ahead a group changes its map.
+func (l *limit) ahead(ranks int) int64 {
+	if orderTime+time.Duration(ranks)*orderPerRank < time.Duration(waitPart*float64(l.pass)) {
+		return 1
+	}
+	return 2
+}
+
 // evenPart of the free places is shared evenly among entries, the rest by demand. An
 // entry that had no requests must be able to take its first.
 const evenPart = 0.2
--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -91,7 +91,8 @@
 	counted time.Time
 	began   time.Time // when the look began
 	engine  *routing.Engine
-	whole   bool // all ranks answered, of one epoch, and the group is open
+	ahead   int64 // passes ahead that a change is made
+	whole   bool  // all ranks answered, of one epoch, and the group is open
 }
 
 // plan does the duty until it is lost.
@@ -394,7 +395,7 @@
 			s.Counts.AddTo(demand)
 		}
 	}
-	*v = view{ranks: ranks, reports: reports, epoch: reports[0].Epoch, demand: demand, counted: now, began: began, engine: p.engine, whole: true}
+	*v = view{ranks: ranks, reports: reports, epoch: reports[0].Epoch, demand: demand, counted: now, began: began, engine: p.engine, ahead: p.limit.ahead(len(ranks)), whole: true}
 }
 
 // readMap reads the map in force from all ranks.
@@ -492,7 +493,7 @@
 	p.prepared = begin
 	copies, most := copiesOf(p.current, next)
 	p.base = newBase(p.current, next)
-	step, err := p.access(v).Run(ctx, changeover.Change{Version: p.highest, Map: next, Holder: p.own, After: p.after})
+	step, err := p.access(v).Run(ctx, changeover.Change{Version: p.highest, Map: next, Holder: p.own, Ahead: v.ahead, After: p.after})
 	p.after = max(p.after, step)
 	p.c.log.Info().Str("event", "change").Int64("version", p.highest).Int64("step", step).
 		Float64("skew", plan.Skew(p.current, v.demand)).Float64("planned", plan.Skew(next, v.demand)).
