--- a/internal/expert/changeover/recover.go
+++ b/internal/expert/changeover/recover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
@@ -142,10 +143,10 @@
 	return reports, errors.Join(errs...)
 }
 
-// NextVersion returns a version above all that the reports show. Versions of
-// different processes differ, so that one that was prepared by another process is
-// never taken for one's own.
-func NextVersion(reports []Report, above int64, process int) int64 {
+// NextVersion returns a version above all that the reports show. Life tells one life
+// of a planning process from all others: a prepare order of an earlier life, of the
+// same process too, may land later, and must not pass for one with another map.
+func NextVersion(reports []Report, above int64, life Life) int64 {
 	highest := above
 	for _, r := range reports {
 		highest = max(highest, r.Map, r.Prepared)
@@ -153,8 +154,15 @@
 			highest = max(highest, r.Armed.Version)
 		}
 	}
-	return (highest/versionStride+1)*versionStride + int64(process%versionStride)
+	return (highest/lives+1)*lives + int64(life)
 }
 
-// versionStride is above the number of ranks of a group.
-const versionStride = 1000
+// Life is drawn at random for each life of a planning process.
+type Life int64
+
+// lives is how many there are to draw from. That two of the few that plan within the
+// seconds in which an order may land draw the same is not to be expected in years.
+const lives = 1 << 20
+
+// NewLife draws a life.
+func NewLife() Life { return Life(rand.Int64N(lives)) }
--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -62,6 +62,7 @@
 	asker  rankport.Asker
 	group  string
 	own    int // this process's rank
+	life   changeover.Life
 	engine *routing.Engine
 	gapAim time.Duration // shortest of the routes to the service; 0 if none has one
 	seats  []*seat       // of all servers of the service
@@ -98,7 +99,7 @@
 // plan does the duty until it is lost.
 func (c *Companion) plan(ctx context.Context, own changeover.Report, term int64) {
 	p := &planner{
-		c: c, group: own.Group, own: own.Rank,
+		c: c, group: own.Group, own: own.Rank, life: changeover.NewLife(),
 		asker: rankport.Asker{Term: term, Name: string(c.settings.Name)},
 	}
 	c.log.Info().Str("event", "planning").Str("group", own.Group).Int64("term", term).Msg("")
@@ -488,7 +489,7 @@
 	if next == nil {
 		return nil
 	}
-	p.highest = changeover.NextVersion(v.reports, p.highest, p.own)
+	p.highest = changeover.NextVersion(v.reports, p.highest, p.life)
 	begin := time.Now()
 	p.prepared = begin
 	copies, most := copiesOf(p.current, next)
@@ -533,7 +534,7 @@
 
 // recover frees a group that was left in the middle of a change.
 func (p *planner) recover(ctx context.Context, v view) error {
-	p.highest = changeover.NextVersion(v.reports, p.highest, p.own)
+	p.highest = changeover.NextVersion(v.reports, p.highest, p.life)
 	begin := time.Now()
 	p.base = nil
 	err := p.access(v).Recover(ctx, p.own, p.highest, p.current)
@@ -544,5 +545,6 @@
 	return err
 }
 
-// recoverVersions is above the versions that one recovery may use.
-const recoverVersions = 100_000
+// recoverVersions is above the versions that one recovery may use: one in each of its
+// steps.
+const recoverVersions = 1 << 24
