--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -539,8 +539,7 @@
 	p.base = nil
 	err := p.access(v).Recover(ctx, p.own, p.highest, p.current)
 	p.highest += recoverVersions
-	p.c.log.Info().Str("event", "recovered").Dur("prepareTook", p.prepared.Sub(begin)).
-		Dur("took", time.Since(begin)).Err(err).Msg("")
+	p.c.log.Info().Str("event", "recovered").Dur("took", time.Since(begin)).Err(err).Msg("")
 	p.changed = time.Now()
 	return err
 }
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -312,10 +312,27 @@
 }
 
 // queueLimit is how long the request may wait at the entry: for a quarter of the
-// time left there is still enough for the answer and for coming back.
+// time left there is still enough for the answer and for coming back. Callers leave a
+// stream that is silent for too long; one that waits for half of that still gets its
+// first event in time, or a refusal that says when to come back.
 func (c *call) queueLimit() time.Duration {
-	left := c.deadline.Sub(c.f.Now())
-	return max(left/4, time.Millisecond)
+	limit := c.deadline.Sub(c.f.Now()) / 4
+	if c.route.Kind == routing.Streaming {
+		limit = min(limit, c.streamPatience()/2)
+	}
+	return max(limit, time.Millisecond)
+}
+
+// What callers bear between two events of a stream, and before the first: the longest
+// of a fixed time and of multiples of the route's aims.
+const (
+	leastPatience  = 2 * time.Second
+	aimsPatience   = 4
+	pausesPatience = 8
+)
+
+func (c *call) streamPatience() time.Duration {
+	return max(leastPatience, aimsPatience*c.route.Aim, pausesPatience*c.route.GapAim)
 }
 
 func (c *call) callerLeft() bool {
--- a/internal/wire/upstream/exchange.go
+++ b/internal/wire/upstream/exchange.go
@@ -61,11 +61,11 @@
 // late on a used connection, are passed over. The connection is closed when the
 // context ends.
 func (p *Pool) Send(ctx context.Context, c *Conn, r Request, mine func(http.Header) bool) (*Answer, error) {
-	stop := context.AfterFunc(ctx, c.Close)
+	stop := context.AfterFunc(ctx, c.Abort)
 	a, err := p.exchange(c, r, mine)
 	if err != nil {
 		stop()
-		c.Close()
+		c.Abort()
 		return nil, err
 	}
 	a.stop = stop
@@ -148,7 +148,7 @@
 		a.pool.put(now, a.conn, keep)
 		return
 	}
-	a.conn.Close()
+	a.conn.Abort()
 }
 
 // sent tells whether the whole request was written. An answer may come before; the
--- a/internal/wire/upstream/pool.go
+++ b/internal/wire/upstream/pool.go
@@ -150,6 +150,17 @@
 	_ = c.net.Close()
 }
 
+// Abort ends the connection and drops what was not delivered yet. A target that could
+// not be reached for a while would otherwise get, and run, a request whose caller has
+// long left.
+func (c *Conn) Abort() {
+	if tcp, isTCP := c.net.(*net.TCPConn); isTCP {
+		// It fails only on a connection that is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 // quiet tells whether an idle connection is open and has nothing to read. Bytes
 // that came without a request, or an end that the target has sent, make it
 // useless.
