Test the path from caller to target at a stand-in; pass whole events on at once

Cause, found by the tests: an event that came with a part of the next one waited for the rest of it, and was lost to the caller if the server broke off there; and an entry with old rules sent callers away for longer than a third of their time.

--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -141,7 +141,7 @@
 	}
 	c.deadline = c.begin.Add(patience)
 	if rules.Config == nil {
-		c.refuse(http.StatusServiceUnavailable, "noRules", time.Second)
+		c.refuse(http.StatusServiceUnavailable, "noRules", c.comeBackWithin(storeReturn))
 		return false
 	}
 	c.config = rules.Config
@@ -168,7 +168,7 @@
 	c.rec.Workspace = c.space.Name
 	// A key may have been taken away meanwhile; only fresh rules prove that it holds.
 	if rules.Age > c.f.KeyTrust() {
-		c.refuse(http.StatusServiceUnavailable, "rulesTooOld", time.Second)
+		c.refuse(http.StatusServiceUnavailable, "rulesTooOld", c.comeBackWithin(storeReturn))
 		return false
 	}
 	return true
@@ -176,7 +176,7 @@
 
 func (c *call) deny(stale bool, status int, reason string) bool {
 	if stale {
-		c.refuse(http.StatusServiceUnavailable, "rulesTooOld", time.Second)
+		c.refuse(http.StatusServiceUnavailable, "rulesTooOld", c.comeBackWithin(storeReturn))
 		return false
 	}
 	c.rec.Outcome, c.rec.Reason, c.rec.Status = Denied, reason, status
@@ -358,6 +358,13 @@
 	return max(time.Duration(float64(left)*refuseShare), 10*time.Millisecond)
 }
 
+// comeBackWithin is the same where the reason is likely to last for a known time.
+func (c *call) comeBackWithin(d time.Duration) time.Duration { return min(d, c.comeBack()) }
+
+// storeReturn is when an entry that lost the store can be expected to have fresh
+// rules: most losses are over within a second or two, and other entries have them.
+const storeReturn = time.Second
+
 // refuse says that the request did not run, and when to come back.
 func (c *call) refuse(status int, reason string, after time.Duration) {
 	c.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
--- a/internal/traffic/forward/stream.go
+++ b/internal/traffic/forward/stream.go
@@ -45,7 +45,7 @@
 			c.stream.lastID = ev.ID
 		}
 		// Several events that came together go out together.
-		if !events.Buffered() {
+		if !events.Ready() {
 			flusher.Flush()
 		}
 	}
--- /dev/null
+++ b/internal/traffic/forward/stream_test.go
@@ -0,0 +1,97 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/platform/standin"
+)
+
+const (
+	firstTwo = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+	allFour  = firstTwo + "id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n"
+)
+
+// events streams pieces from the one after the last that the sender has.
+func events(w standin.Reply, r standin.Request) {
+	w.Head()
+	first := 1
+	if r.LastEvent != "" {
+		first = int(r.LastEvent[0]-'0') + 1
+	}
+	for id := first; id <= 4; id++ {
+		w.Event(id)
+	}
+}
+
+// breaking streams two pieces and breaks off in the middle of the third.
+func breaking(w standin.Reply, _ standin.Request) {
+	w.Head()
+	w.Event(1)
+	w.Event(2)
+	w.Raw("id: 3\ndata: pie")
+	w.Cut()
+}
+
+func TestStream(t *testing.T) {
+	requireServed(t, newBench(t, standin.NewServer(t, events)).call(http.MethodPost, "/stream/x"), allFour)
+}
+
+// A server breaks off in the middle of a piece. The caller has two whole pieces; the
+// stream goes on after them at another server, and no piece is missing or comes twice.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	first, second := standin.NewServer(t, breaking), standin.NewServer(t, events)
+	b := newBench(t, first, second)
+	for range 4 {
+		requireServed(t, b.call(http.MethodPost, "/stream/x"), allFour)
+	}
+	resumed := 0
+	for _, r := range second.Seen() {
+		if r.LastEvent == "2" {
+			resumed++
+		}
+	}
+	require.Equal(t, len(first.Seen()), resumed)
+}
+
+// Both servers break off. What the caller got must not look whole.
+func TestStreamBreaksTwice(t *testing.T) {
+	a := newBench(t, standin.NewServer(t, breaking), standin.NewServer(t, func(w standin.Reply, _ standin.Request) { w.Cut() })).
+		call(http.MethodPost, "/stream/x")
+	require.Error(t, a.err)
+	require.Equal(t, firstTwo, a.body)
+}
+
+// The stream may not be resumed: a second run would be another answer.
+func TestStreamThatRunsOnce(t *testing.T) {
+	first, second := standin.NewServer(t, breaking), standin.NewServer(t, breaking)
+	a := newBench(t, first, second).call(http.MethodPost, "/once/x")
+	require.Error(t, a.err)
+	require.Equal(t, firstTwo, a.body)
+	require.Equal(t, 1, len(first.Seen())+len(second.Seen()))
+}
+
+// The server refuses before the first piece. Nothing has gone out, so another server
+// takes the request with a head of its own.
+func TestStreamRefusedFirst(t *testing.T) {
+	first, second := standin.NewServer(t, refusing), standin.NewServer(t, events)
+	b := newBench(t, first, second)
+	for range 4 {
+		requireServed(t, b.call(http.MethodPost, "/once/x"), allFour)
+	}
+}
+
+// The caller resumes by itself, at another entry.
+func TestCallerResumes(t *testing.T) {
+	s := standin.NewServer(t, events)
+	b := newBench(t, s)
+	r := standin.Call(http.MethodPost, b.url+"/stream/x", "id-1", "", 1500, nil)
+	r.Host = host
+	r.Header.Set("Last-Event-Id", "3")
+	w, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	defer w.Body.Close()
+	require.Equal(t, "3", s.Seen()[0].LastEvent)
+}
--- a/internal/wire/upstream/event.go
+++ b/internal/wire/upstream/event.go
@@ -59,5 +59,9 @@
 	}
 }
 
-// Buffered tells whether more of the stream has come already.
-func (e *Events) Buffered() bool { return e.r.Buffered() > 0 }
+// Ready tells whether another whole event has come already. A part of one doesn't
+// count: it may never be completed, and what came before must not wait for it.
+func (e *Events) Ready() bool {
+	come, err := e.r.Peek(e.r.Buffered())
+	return err == nil && (bytes.Contains(come, []byte("\n\n")) || bytes.Contains(come, []byte("\n\r\n")))
+}
