--- /dev/null
+++ b/internal/program/companion/share_test.go
@@ -0,0 +1,113 @@
+package companion
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
+)
+
+func entriesWith(demands ...float64) []entry {
+	var list []entry
+	for i, d := range demands {
+		list = append(list, entry{address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1), demand: d})
+	}
+	return list
+}
+
+func sum(grants []int) int {
+	n := 0
+	for _, g := range grants {
+		n += g
+	}
+	return n
+}
+
+// Each free place goes to one entry. Two that sent to the same place would leave one
+// request waiting behind a full rank.
+func TestShareGivesEachPlaceOnce(t *testing.T) {
+	free := []int{3, 0, -2, 5}
+	for turn := range uint64(50) {
+		grants := share(free, entriesWith(1, 5, 0), turn)
+		for rank, n := range free {
+			got := 0
+			for _, g := range grants {
+				got += g[rank]
+			}
+			require.Equal(t, max(n, 0), got, "rank %d", rank)
+		}
+	}
+}
+
+func TestShareFollowsDemand(t *testing.T) {
+	free := make([]int, 72)
+	for i := range free {
+		free[i] = 4
+	}
+	grants := share(free, entriesWith(30, 10, 0), 3)
+	total := float64(sum(grants[0]) + sum(grants[1]) + sum(grants[2]))
+	require.InDelta(t, 0.67, float64(sum(grants[0]))/total, 0.03, "three quarters of four fifths, and a third of the rest")
+	require.InDelta(t, 0.067, float64(sum(grants[2]))/total, 0.03, "an idle entry can take its first request")
+}
+
+func TestShareWithoutDemand(t *testing.T) {
+	grants := share([]int{4, 4}, entriesWith(0, 0), 0)
+	require.Equal(t, 8, sum(grants[0])+sum(grants[1]))
+	require.Empty(t, share([]int{4}, nil, 0))
+}
+
+// Passes get longer than the pauses that callers bear. Fewer requests run at a time
+// until they are short enough, and more again when there is room.
+func TestLimitFollowsPasses(t *testing.T) {
+	var l limit
+	now := time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
+	step := int64(0)
+	play := func(pass time.Duration, windows int) {
+		for range windows {
+			l.see(now, step, 12, 120*time.Millisecond)
+			now = now.Add(7 * pass)
+			step += 7
+			if 7*pass < passWindow {
+				now = now.Add(passWindow)
+				step += int64(passWindow / pass)
+			}
+		}
+		l.see(now, step, 12, 120*time.Millisecond)
+	}
+	play(110*time.Millisecond, 20)
+	require.Equal(t, 6, l.value, "half of the slots in any case")
+	play(50*time.Millisecond, 20)
+	require.Equal(t, 12, l.value)
+}
+
+func TestLimitOfIdleGroup(t *testing.T) {
+	var l limit
+	now := time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
+	for range 20 {
+		l.see(now, 5, 12, 120*time.Millisecond)
+		now = now.Add(time.Second)
+	}
+	require.Equal(t, 9, l.value, "an idle group says nothing of its passes")
+}
+
+// The orders of a change take long beside a pass. Made at the next one, all ranks
+// would wait for them.
+func TestAhead(t *testing.T) {
+	l := limit{pass: 60 * time.Millisecond}
+	require.Equal(t, int64(1), l.ahead(16))
+	require.Equal(t, int64(2), l.ahead(72))
+	require.Equal(t, int64(2), (&limit{}).ahead(16), "as long as passes are not known")
+}
+
+func TestGapAim(t *testing.T) {
+	c := routing.New(routing.Config{Routes: []routing.Route{
+		{GapAim: 150 * time.Millisecond, Shares: []routing.Share{{Service: "a"}}},
+		{GapAim: 120 * time.Millisecond, Shares: []routing.Share{{Service: "a"}}},
+		{GapAim: 90 * time.Millisecond, Shares: []routing.Share{{Service: "b"}}},
+	}})
+	require.Equal(t, 120*time.Millisecond, gapAim(c, "a"))
+	require.Zero(t, gapAim(c, "c"))
+}
--- /dev/null
+++ b/internal/program/gateway/knowledge_test.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
+	"wagtailshelf.example/wagtailshelf/internal/record/feed"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
+)
+
+func newGateway() *Gateway {
+	s := deployed.Settings{Bounds: deployed.Bounds{Revoke: 5 * time.Second, Apply: 2 * time.Second, RepeatWindow: time.Second}}
+	return New(s, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, metrics.NewSet())
+}
+
+func version(n int64) feed.Page[*routing.Config] {
+	c := routing.New(routing.Config{Version: n})
+	return feed.Page[*routing.Config]{Changes: []feed.Change[*routing.Config]{{Name: "main", Object: c}}}
+}
+
+// The store shows an older version after a newer one. A caller that was served by a
+// new route would be told that there is none.
+func TestRulesNeverGoBack(t *testing.T) {
+	g := newGateway()
+	g.installRules(0, version(7))
+	g.installRules(0, version(4))
+	require.Equal(t, int64(7), g.currentRules().Config.Version)
+	g.installRules(0, version(12))
+	require.Equal(t, int64(12), g.currentRules().Config.Version)
+}
+
+// An empty watch proves that nothing is newer, and keys hold for longer; its age
+// counts from before it was asked.
+func TestEmptyWatchRenewsRules(t *testing.T) {
+	g := newGateway()
+	g.installRules(deployed.Elapsed()-10*time.Second, version(7))
+	require.Greater(t, g.currentRules().Age, 9*time.Second)
+	g.installRules(deployed.Elapsed()-time.Second, feed.Page[*routing.Config]{})
+	require.Less(t, g.currentRules().Age, 5*time.Second)
+	require.GreaterOrEqual(t, g.currentRules().Age, time.Second)
+}
+
+func TestNotReadyWithoutRulesAndTargets(t *testing.T) {
+	g := newGateway()
+	require.False(t, g.ready())
+	g.installRules(deployed.Elapsed(), version(7))
+	require.False(t, g.ready(), "no targets are known")
+	g.targets.Store(true)
+	require.True(t, g.ready())
+	g.draining.Store(true)
+	require.False(t, g.ready())
+}
+
+func put(id string, leaving bool) feed.Change[roster.Target] {
+	return feed.Change[roster.Target]{Name: id, Object: roster.Target{ID: id, Service: "svc", Leaving: leaving}}
+}
+
+func gone(id string) feed.Change[roster.Target] {
+	return feed.Change[roster.Target]{Name: id, Removed: true}
+}
+
+func requireServing(t *testing.T, g *Gateway, ids ...string) {
+	t.Helper()
+	var got []string
+	for _, target := range g.roster.Serving("svc") {
+		got = append(got, target.ID)
+	}
+	require.Equal(t, ids, got)
+}
+
+func TestTargetsComeAndGo(t *testing.T) {
+	g := newGateway()
+	g.changeTarget(put("a", false))
+	g.changeTarget(put("b", false))
+	requireServing(t, g, "a", "b")
+	g.changeTarget(put("a", true))
+	requireServing(t, g, "b")
+	g.changeTarget(put("a", false))
+	requireServing(t, g, "b")
+	g.changeTarget(gone("b"))
+	requireServing(t, g)
+}
+
+// The store was down, and entries of servers that live have lapsed. Callers would be
+// refused for want of a target though all of them serve; those that live are listed
+// again within two seconds, those that are not by then are gone.
+func TestLapsedTargetsAreKept(t *testing.T) {
+	g := newGateway()
+	g.changeTarget(put("a", false))
+	g.changeTarget(put("b", false))
+	g.missing.storeFailed(time.Now())
+	g.listTargets(feed.Page[roster.Target]{})
+	requireServing(t, g, "a", "b")
+	g.changeTarget(put("a", false))
+	g.dropMissing(time.Now().Add(missingWait))
+	requireServing(t, g, "a")
+}
+
+// Without trouble at the store a target that is not listed is gone at once: it may
+// serve for two more seconds only.
+func TestUnlistedTargetIsGone(t *testing.T) {
+	g := newGateway()
+	g.changeTarget(put("a", false))
+	g.listTargets(feed.Page[roster.Target]{})
+	requireServing(t, g)
+}
--- /dev/null
+++ b/internal/record/feed/feed_test.go
@@ -0,0 +1,84 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// script plays answers of a store one by one, then ends the feed.
+type script struct {
+	steps  []step
+	calls  []string
+	listed []Page[int]
+	seen   []Page[int]
+	failed []error
+}
+
+type step struct {
+	page Page[int]
+	err  error
+}
+
+func (s *script) run(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	next := func(what string) (Page[int], error) {
+		s.calls = append(s.calls, what)
+		if len(s.steps) == 0 {
+			cancel()
+			return Page[int]{}, ctx.Err()
+		}
+		st := s.steps[0]
+		s.steps = s.steps[1:]
+		return st.page, st.err
+	}
+	f := &Feed[int]{
+		List:    func(context.Context) (Page[int], error) { return next("list") },
+		Watch:   func(context.Context, int64) (Page[int], error) { return next("watch") },
+		Listed:  func(_ time.Time, p Page[int]) { s.listed = append(s.listed, p) },
+		Changed: func(_ time.Time, p Page[int]) { s.seen = append(s.seen, p) },
+		Failed:  func(err error) { s.failed = append(s.failed, err) },
+	}
+	f.Run(ctx, time.Now)
+}
+
+func at(revision int64) step { return step{page: Page[int]{Revision: revision}} }
+
+func TestListsThenWatches(t *testing.T) {
+	s := &script{steps: []step{at(3), at(4), at(4)}}
+	s.run(t)
+	require.Equal(t, []string{"list", "watch", "watch", "watch"}, s.calls)
+	require.Len(t, s.listed, 1)
+	require.Len(t, s.seen, 2)
+}
+
+// The store has dropped its history. What changed meanwhile is only in the list.
+func TestHistoryGone(t *testing.T) {
+	s := &script{steps: []step{at(3), {err: ErrHistoryGone}, at(9), at(9)}}
+	s.run(t)
+	require.Equal(t, []string{"list", "watch", "list", "watch", "watch"}, s.calls)
+	require.Len(t, s.listed, 2)
+}
+
+// A watch is cut. The next one goes on from the same revision, and the loss and its
+// end are told once each.
+func TestWatchIsCut(t *testing.T) {
+	cut := errors.New("cut")
+	s := &script{steps: []step{at(3), {err: cut}, at(4)}}
+	s.run(t)
+	require.Equal(t, []string{"list", "watch", "watch", "watch"}, s.calls)
+	require.Equal(t, []error{cut, nil}, s.failed)
+}
+
+// The store answers from an older state. The process must not go back to it.
+func TestOlderState(t *testing.T) {
+	s := &script{steps: []step{at(9), at(5), at(10)}}
+	s.run(t)
+	require.Empty(t, s.seen)
+	require.Len(t, s.listed, 2)
+	require.Equal(t, int64(10), s.listed[1].Revision)
+}
--- /dev/null
+++ b/internal/traffic/admission/admission_test.go
@@ -0,0 +1,173 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+)
+
+var start = time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
+
+func newController(targets int, rules Rules) *Controller {
+	c := New()
+	var list []roster.Target
+	for i := range targets {
+		list = append(list, roster.Target{ID: fmt.Sprint("t", i), Service: "svc"})
+	}
+	c.Targets = func(string) []roster.Target { return list }
+	c.RulesFor = func(string) Rules { return rules }
+	return c
+}
+
+func ticket() *Ticket { return &Ticket{Service: "svc", Fresh: time.Second} }
+
+func requireGranted(t *testing.T, k *Ticket, granted bool) {
+	t.Helper()
+	select {
+	case <-k.Granted():
+		require.True(t, granted, "it has a target")
+	default:
+		require.False(t, granted, "it waits")
+	}
+}
+
+// told tells the same of all targets.
+func told(c *Controller, now time.Time, targets int, what Told) {
+	m := make(map[string]Told)
+	for i := range targets {
+		m[fmt.Sprint("t", i)] = what
+	}
+	c.Told(now, "svc", true, 0, m)
+}
+
+func TestNoTarget(t *testing.T) {
+	c := newController(0, Rules{PerTarget: 1, Queue: 1})
+	require.Equal(t, NoTarget, c.Arrive(start, ticket()))
+}
+
+func TestLimitAndQueue(t *testing.T) {
+	c := newController(1, Rules{PerTarget: 1, Queue: 1, Entries: 1})
+	first, second := ticket(), ticket()
+	require.Equal(t, Go, c.Arrive(start, first))
+	require.Equal(t, Wait, c.Arrive(start, second))
+	require.Equal(t, Full, c.Arrive(start, ticket()))
+	c.Done(start, first, End{})
+	requireGranted(t, second, true)
+}
+
+func TestAbandonGivesThePlaceBack(t *testing.T) {
+	c := newController(1, Rules{PerTarget: 1, Queue: 2, Entries: 1})
+	first, second, third := ticket(), ticket(), ticket()
+	c.Arrive(start, first)
+	c.Arrive(start, second)
+	c.Arrive(start, third)
+	c.Abandon(start, second)
+	c.Abandon(start, first)
+	requireGranted(t, second, false)
+	requireGranted(t, third, true)
+}
+
+// All entries are told of the same free place. If each sent a request there, all but
+// one would wait at the target; so each sends only what it is granted.
+func TestSendsWhatIsGranted(t *testing.T) {
+	c := newController(2, Rules{PerTarget: 8, Queue: 9, Entries: 3})
+	told(c, start, 2, Told{Load: 7, Grant: 1})
+	tickets := []*Ticket{ticket(), ticket(), ticket()}
+	require.Equal(t, Go, c.Arrive(start, tickets[0]))
+	require.Equal(t, Go, c.Arrive(start, tickets[1]))
+	require.Equal(t, Wait, c.Arrive(start, tickets[2]))
+	require.NotEqual(t, tickets[0].Target(), tickets[1].Target())
+	told(c, start.Add(100*time.Millisecond), 2, Told{Load: 7, Grant: 1})
+	requireGranted(t, tickets[2], true)
+}
+
+// The planner looked at the ranks, then this entry sent a request, then it was told
+// of the look. The free place that it is told of is the one it has used.
+func TestSentAfterTheLook(t *testing.T) {
+	c := newController(1, Rules{PerTarget: 8, Queue: 9, Entries: 1})
+	told(c, start, 1, Told{Load: 0, Grant: 8})
+	c.Arrive(start.Add(50*time.Millisecond), ticket())
+	c.Told(start.Add(80*time.Millisecond), "svc", true, 60*time.Millisecond, map[string]Told{"t0": {Load: 7, Grant: 1}})
+	require.Equal(t, Wait, c.Arrive(start.Add(90*time.Millisecond), ticket()))
+}
+
+// The planner is gone and tells nothing any more. The entry goes on by its own
+// requests, as many as if the others had the same.
+func TestNobodyTells(t *testing.T) {
+	c := newController(1, Rules{PerTarget: 6, Queue: 9, Entries: 3})
+	told(c, start, 1, Told{Load: 6, Grant: 0})
+	require.Equal(t, Wait, c.Arrive(start, ticket()))
+	later := start.Add(time.Second)
+	c.Tick(later)
+	require.Equal(t, Go, c.Arrive(later, ticket()), "2 of 6 with the first one's")
+	require.Equal(t, Wait, c.Arrive(later, ticket()))
+}
+
+func TestClosedGroup(t *testing.T) {
+	c := newController(1, Rules{PerTarget: 6, Queue: 9, Entries: 1})
+	c.Told(start, "svc", false, 0, nil)
+	k := ticket()
+	require.Equal(t, Wait, c.Arrive(start, k))
+	told(c, start.Add(100*time.Millisecond), 1, Told{Grant: 1})
+	requireGranted(t, k, true)
+}
+
+// Many wait. Those that came first are late already whatever happens; if they went
+// first, all the others would be late too.
+func TestOnTimeGoesFirst(t *testing.T) {
+	c := newController(1, Rules{PerTarget: 1, Queue: 9, Entries: 1})
+	running, old, fresh := ticket(), ticket(), ticket()
+	c.Arrive(start, running)
+	c.Arrive(start, old)
+	later := start.Add(1500 * time.Millisecond)
+	c.Arrive(later, fresh)
+	c.Done(later, running, End{})
+	requireGranted(t, fresh, true)
+	requireGranted(t, old, false)
+	c.Done(later, fresh, End{})
+	requireGranted(t, old, true)
+}
+
+func TestPriorityGoesFirst(t *testing.T) {
+	c := newController(1, Rules{PerTarget: 1, Queue: 9, Entries: 1})
+	running, low, high := ticket(), ticket(), ticket()
+	low.Priority, high.Priority = 2, 0
+	c.Arrive(start, running)
+	c.Arrive(start, low)
+	c.Arrive(start, high)
+	c.Done(start, running, End{})
+	requireGranted(t, high, true)
+	requireGranted(t, low, false)
+}
+
+// A target failed. The next request goes to another one, also if that has more.
+func TestFailedTargetIsAvoided(t *testing.T) {
+	c := newController(2, Rules{PerTarget: 9, Queue: 9, Entries: 1})
+	first := ticket()
+	c.Arrive(start, first)
+	failed := first.Target()
+	c.Done(start, first, End{Failed: true})
+	for range 5 {
+		k := ticket()
+		require.Equal(t, Go, c.Arrive(start, k))
+		require.NotEqual(t, failed, k.Target())
+	}
+	k := ticket()
+	require.Equal(t, Go, c.Arrive(start.Add(avoidMost), k))
+	require.Equal(t, failed, k.Target(), "it is asked again")
+}
+
+func TestTriedTargets(t *testing.T) {
+	c := newController(2, Rules{PerTarget: 9, Queue: 9, Entries: 1})
+	k := ticket()
+	k.Tried = []string{"t0"}
+	require.Equal(t, Go, c.Arrive(start, k))
+	require.Equal(t, "t1", k.Target().ID)
+	k = ticket()
+	k.Tried = []string{"t0", "t1"}
+	require.Equal(t, NoTarget, c.Arrive(start, k))
+}
