--- a/internal/expert/changeover/recover.go
+++ b/internal/expert/changeover/recover.go
@@ -6,8 +6,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
 )
 
@@ -29,12 +27,6 @@
 // are still under way are void, and lets all holds go. It never completes a change,
 // as a late disarm order could undo one rank's arming after the last look.
 //
-// A rank may be absent if it is that of the process that had the duty last, and the
-// change is of that process's making, which the versions at all other ranks show. It
-// arms its own rank last, and in taking a change back voids that rank's orders
-// first. So as long as another rank is seen not armed, the absent one is not either,
-// and won't be.
-//
 // Fence is a version above all that the ranks have had; current is the map in force.
 func (g *Group) Recover(ctx context.Context, own int, fence int64, current *expertmap.Map) error {
 	ctx, cancel := context.WithTimeout(ctx, recoverTimeout)
@@ -43,39 +35,28 @@
 	// Holds that were there before the fence. Whatever was prepared under them is
 	// void after it; a hold that comes later may be that of a new change.
 	var before map[int]int64
-	ownFenced, fenced := false, false
-	first := true
+	fenced := false
 	for ctx.Err() == nil {
 		reports, err := g.lookAll(ctx)
 		if err != nil {
 			return err
 		}
-		if first && g.Absent != nil && !g.spared(reports) {
-			return merry.Wrap(ErrLeft, merry.AppendMessagef("rank %d can't be reached and may be armed", g.Absent.Rank))
-		}
-		first = false
 		armed := firstArmed(reports)
 		switch {
 		case armed != 0 && guard != armed:
 			// Without a hold of its own, another process's go could begin the pass
 			// when half of the ranks are disarmed.
-			rank := g.freeRank(reports, own)
+			rank := freeRank(reports, own)
 			if rank >= 0 && g.hold(ctx, rank, armed) {
 				guard = armed
 			}
 			fenced = false
-		case reports[own].Armed != nil:
-			g.order(ctx, own, Order{Operation: Disarm, Version: reports[own].Armed.Version})
-			ownFenced, fenced = false, false
-		case !ownFenced:
-			ownFenced = g.fence(ctx, []int{own}, fence, current)
-			fence++
 		case armed != 0:
 			g.disarm(ctx, reports, guard)
 			fenced = false
 		case !fenced:
 			before = holds(reports)
-			fenced = g.fence(ctx, g.others(-1), fence, current)
+			fenced = g.fence(ctx, fence, current)
 			fence++
 		case !Stuck(reports):
 			return nil
@@ -108,30 +89,13 @@
 	return held
 }
 
-// spared tells whether the absent rank is surely not armed.
-func (g *Group) spared(reports []Report) bool {
-	unarmed := false
-	for _, rank := range g.others(-1) {
-		r := reports[rank]
-		version := r.Prepared
-		if r.Armed != nil {
-			version = r.Armed.Version
-		}
-		if Life(version%lives) != g.Absent.Life {
-			return false
-		}
-		unarmed = unarmed || r.Armed == nil
-	}
-	return unarmed
-}
-
 // disarm takes back what ranks are armed for at one pass.
 func (g *Group) disarm(ctx context.Context, reports []Report, step int64) {
-	g.each(g.others(-1), func(rank int) {
-		if a := reports[rank].Armed; a != nil && a.Step == step {
-			g.order(ctx, rank, Order{Operation: Disarm, Version: a.Version})
+	for rank, r := range reports {
+		if r.Armed != nil && r.Armed.Step == step {
+			g.order(ctx, rank, Order{Operation: Disarm, Version: r.Armed.Version})
 		}
-	})
+	}
 }
 
 // letGo releases the holds that were there before the fence. It tells whether
@@ -150,17 +114,18 @@
 	return all
 }
 
-// fence prepares the map in force under a new version at ranks.
-func (g *Group) fence(ctx context.Context, ranks []int, version int64, current *expertmap.Map) bool {
-	return g.prepare(ctx, ranks, Change{Version: version, Map: current}) == nil
+// fence prepares the map in force under a new version at all ranks.
+func (g *Group) fence(ctx context.Context, version int64, current *expertmap.Map) bool {
+	return g.prepare(ctx, Change{Version: version, Map: current}) == nil
 }
 
-// freeRank returns a rank that holds no pass, or -1. Another rank than the process's
-// own goes first.
-func (g *Group) freeRank(reports []Report, own int) int {
-	for i := range g.Ranks {
-		rank := (own + 1 + i) % g.Ranks
-		if !g.absent(rank) && reports[rank].Held == 0 {
+// freeRank returns a rank that holds no pass, the process's own if it can.
+func freeRank(reports []Report, own int) int {
+	if reports[own].Held == 0 {
+		return own
+	}
+	for rank, r := range reports {
+		if r.Held == 0 {
 			return rank
 		}
 	}
@@ -170,7 +135,11 @@
 func (g *Group) lookAll(ctx context.Context) ([]Report, error) {
 	reports := make([]Report, g.Ranks)
 	errs := make([]error, g.Ranks)
-	g.each(g.others(-1), func(rank int) { reports[rank], errs[rank] = g.look(ctx, rank) })
+	ranks := make([]int, g.Ranks)
+	for rank := range ranks {
+		ranks[rank] = rank
+	}
+	g.each(ranks, func(rank int) { reports[rank], errs[rank] = g.look(ctx, rank) })
 	return reports, errors.Join(errs...)
 }
 
--- a/internal/expert/changeover/switch.go
+++ b/internal/expert/changeover/switch.go
@@ -30,10 +30,6 @@
 	// tries of an order that gets no answer, within one step of a change. Each waits
 	// out the timeout of a call.
 	tries = 3
-	// armTimeout bounds the arming, from the hold on. A process that stood still
-	// meanwhile has a successor, which may have begun to take the change back; that
-	// begins after twice this time.
-	armTimeout = 450 * time.Millisecond
 	// recoverTimeout bounds the freeing of a group; past it the next look begins
 	// anew.
 	recoverTimeout = 5 * time.Second
@@ -43,14 +39,10 @@
 type Group struct {
 	Ranks int
 	Epoch int64
-	// Absent is a rank that can't be reached. Only [Group.Recover] may run without it.
-	Absent *Absent
 	// Order gives an order to a rank.
 	Order func(ctx context.Context, rank int, o Order) Result
 	// Look reads a rank's report.
 	Look func(ctx context.Context, rank int) (Report, error)
-	// Elapsed is a clock that goes on while the host stands still.
-	Elapsed func() time.Duration
 	// Pause waits.
 	Pause func(ctx context.Context, d time.Duration)
 	// Prepared hears that all ranks have the new map.
@@ -59,24 +51,12 @@
 	Step func(what string, rank int, r Result)
 }
 
-// Absent is the rank beside the process that had the duty last, with that process
-// out of reach too.
-type Absent struct {
-	Rank int
-	Life Life // of that process
-}
-
 // Change is a new map for a group.
 type Change struct {
 	Version int64
 	Map     *expertmap.Map
-	// Own is the rank beside the process that switches. It is armed last, after all
-	// others were seen armed: if its host is not to be reached and another rank is
-	// not armed, then neither is this one.
-	Own int
-	// Holder is the rank at which the pass is held, beside another host than the
-	// process's own, which may stand still before it lets go. Each process has another
-	// one, as a late go of one must not release the hold of the next.
+	// Holder is the rank at which the pass is held: that of the process that
+	// switches. A late go of another process, which holds elsewhere, can't release it.
 	Holder int
 	// Ahead is how many passes ahead of the one under way the change is made, 1 at
 	// least. The ranks wait if the orders take longer.
@@ -88,7 +68,7 @@
 
 // Run brings the change into force. It returns the pass from which it holds.
 func (g *Group) Run(ctx context.Context, c Change) (int64, error) {
-	if err := g.prepare(ctx, g.others(-1), c); err != nil {
+	if err := g.prepare(ctx, c); err != nil {
 		return 0, err
 	}
 	g.Prepared()
@@ -96,14 +76,7 @@
 	if err != nil {
 		return 0, err
 	}
-	held := g.Elapsed()
-	if !g.arm(ctx, g.others(c.Own), c.Version, step) {
-		return step, merry.Wrap(ErrNotArmed)
-	}
-	if g.Elapsed()-held > armTimeout {
-		return step, merry.Wrap(ErrNotArmed, merry.AppendMessage("it took too long"))
-	}
-	if !g.arm(ctx, []int{c.Own}, c.Version, step) {
+	if !g.arm(ctx, c.Version, step) {
 		return step, merry.Wrap(ErrNotArmed)
 	}
 	if !g.release(ctx, c.Holder, step) {
@@ -112,10 +85,14 @@
 	return step, nil
 }
 
-// prepare has ranks copy the experts that are new to them.
-func (g *Group) prepare(ctx context.Context, left []int, c Change) error {
+// prepare has all ranks copy the experts that are new to them.
+func (g *Group) prepare(ctx context.Context, c Change) error {
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
 	defer cancel()
+	left := make([]int, g.Ranks)
+	for rank := range left {
+		left[rank] = rank
+	}
 	order := Order{Operation: Prepare, Version: c.Version, Map: c.Map}
 	for {
 		results := make([]Result, g.Ranks)
@@ -203,15 +180,14 @@
 	return false
 }
 
-// arm arms ranks and tells whether all of them were seen armed.
-func (g *Group) arm(ctx context.Context, ranks []int, version, step int64) bool {
+// arm arms all ranks and tells whether all were seen armed.
+func (g *Group) arm(ctx context.Context, version, step int64) bool {
 	order := Order{Operation: Arm, Version: version, Step: step}
-	results := make([]Result, g.Ranks)
-	g.each(ranks, func(rank int) { results[rank] = g.order(ctx, rank, order) })
+	results := g.all(ctx, order)
 	for range tries {
 		var again []int
-		for _, rank := range ranks {
-			switch results[rank] {
+		for rank, res := range results {
+			switch res {
 			case Accepted:
 			case NoAnswer:
 				again = append(again, rank)
@@ -256,19 +232,17 @@
 	return false
 }
 
-// others are all ranks but one, and but the one that can't be reached.
-func (g *Group) others(but int) []int {
-	ranks := make([]int, 0, g.Ranks)
-	for rank := range g.Ranks {
-		if rank != but && !g.absent(rank) {
-			ranks = append(ranks, rank)
-		}
+// all gives an order to all ranks at the same time.
+func (g *Group) all(ctx context.Context, o Order) []Result {
+	results := make([]Result, g.Ranks)
+	ranks := make([]int, g.Ranks)
+	for rank := range ranks {
+		ranks[rank] = rank
 	}
-	return ranks
+	g.each(ranks, func(rank int) { results[rank] = g.order(ctx, rank, o) })
+	return results
 }
 
-func (g *Group) absent(rank int) bool { return g.Absent != nil && g.Absent.Rank == rank }
-
 // each does something with ranks at the same time, and returns when all is done.
 func (g *Group) each(ranks []int, do func(rank int)) {
 	var wg sync.WaitGroup
--- a/internal/program/companion/companion.go
+++ b/internal/program/companion/companion.go
@@ -16,6 +16,7 @@
 	"github.com/oklog/run"
 	"github.com/phuslu/log"
 
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
 	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
 	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
@@ -32,15 +33,14 @@
 	peers    *rankport.Client
 
 	mu     sync.Mutex
-	term   int64          // of the newest planner that asked
-	asker  rankport.Asker // that planner
-	heard  time.Time      // when it did
-	holder int64          // revision of the duty's record as it was read last
-	mark   uint64         // names the counts below
-	counts []uint64       // as they were told last
-	epoch  int64          // of the counts
+	term   int64     // of the newest planner that asked
+	heard  time.Time // when it did
+	holder int64     // revision of the duty's record as it was read last
+	mark   uint64    // names the counts below
+	counts []uint64  // as they were told last
+	epoch  int64     // of the counts
 
-	maps []preparedMap // that were prepared last, for changes to be based on
+	maps []*expertmap.Map // that were prepared last, for changes to be based on
 
 	socket  *digest.Socket
 	entries map[netip.AddrPort]entry
@@ -140,7 +140,7 @@
 	if a.Term > c.term {
 		c.log.Info().Str("event", "planner").Str("planner", a.Name).Int64("term", a.Term).Int64("before", c.term).Msg("")
 	}
-	c.term, c.asker = a.Term, a
+	c.term = a.Term
 	c.heard = now
 	return c.term, true
 }
--- a/internal/program/companion/order.go
+++ b/internal/program/companion/order.go
@@ -12,7 +12,7 @@
 const (
 	// keptMaps is how many prepared maps a sidecar keeps: the one in force, one that
 	// was given up, and the next.
-	keptMaps = 4
+	keptMaps = 3
 	// copyPoll is how often a sidecar looks whether its engine has copied the experts;
 	// one takes from 16 ms.
 	copyPoll = 10 * time.Millisecond
@@ -131,36 +131,18 @@
 			return false
 		}
 	}
-	c.maps = append(c.maps, preparedMap{version: o.Order.Version, content: o.Order.Map})
+	c.maps = append(c.maps, o.Order.Map)
 	if len(c.maps) > keptMaps {
 		c.maps = c.maps[1:]
 	}
 	return true
 }
 
-// preparedMap is a map that a planner had prepared here.
-type preparedMap struct {
-	version int64
-	content *expertmap.Map
-}
-
 // kept returns the map with a digest, or nil.
 func (c *Companion) kept(digest string) *expertmap.Map {
 	for _, m := range c.maps {
-		if m.content.Digest().String() == digest {
-			return m.content
-		}
-	}
-	return nil
-}
-
-// mapOf returns the map that a version stands for, or nil if it is not known here.
-func (c *Companion) mapOf(version int64) *expertmap.Map {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, m := range c.maps {
-		if m.version == version {
-			return m.content
+		if m.Digest().String() == digest {
+			return m
 		}
 	}
 	return nil
--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -12,7 +12,6 @@
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
 	"wagtailshelf.example/wagtailshelf/internal/expert/plan"
-	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
@@ -64,7 +63,6 @@
 	group  string
 	own    int // this process's rank
 	life   changeover.Life
-	before *rankport.Asker // that had the duty right before; nil if it is not known
 	engine *routing.Engine
 	gapAim time.Duration // shortest of the routes to the service; 0 if none has one
 	seats  []*seat       // of all servers of the service
@@ -99,11 +97,10 @@
 }
 
 // plan does the duty until it is lost.
-func (c *Companion) plan(ctx context.Context, own changeover.Report, term int64, before *rankport.Asker) {
-	life := changeover.NewLife()
+func (c *Companion) plan(ctx context.Context, own changeover.Report, term int64) {
 	p := &planner{
-		c: c, group: own.Group, own: own.Rank, life: life, before: before,
-		asker: rankport.Asker{Term: term, Name: string(c.settings.Name), Rank: own.Rank, Life: int64(life)},
+		c: c, group: own.Group, own: own.Rank, life: changeover.NewLife(),
+		asker: rankport.Asker{Term: term, Name: string(c.settings.Name)},
 	}
 	c.log.Info().Str("event", "planning").Str("group", own.Group).Int64("term", term).Msg("")
 	ctx, cancel := context.WithCancel(ctx)
@@ -313,7 +310,6 @@
 			ranks[r.Rank] = p.seats[i]
 		}
 	}
-	placeAbsent(ranks, p.seats, errs)
 	for rank, s := range ranks {
 		if s == nil {
 			return nil, merry.Wrap(errIncomplete, merry.AppendMessagef("rank %d of %d: %v", rank, len(ranks), errors.Join(errs...)))
@@ -325,26 +321,6 @@
 	return ranks, nil
 }
 
-// placeAbsent gives the one rank that nobody took to the one server that could not be
-// asked.
-func placeAbsent(ranks, seats []*seat, errs []error) {
-	var silent []*seat
-	for i, err := range errs {
-		if err != nil {
-			silent = append(silent, seats[i])
-		}
-	}
-	var open []int
-	for rank, s := range ranks {
-		if s == nil {
-			open = append(open, rank)
-		}
-	}
-	if len(silent) == 1 && len(open) == 1 {
-		ranks[open[0]] = silent[0]
-	}
-}
-
 // look asks a rank through its sidecar, or the engine itself if the sidecar is gone.
 func (p *planner) look(ctx context.Context, s *seat, l rankport.Look) (rankport.Seen, error) {
 	l.Asker = p.asker
@@ -374,9 +350,6 @@
 		wg.Go(func() { seen[rank], errs[rank] = p.look(ctx, s, rankport.Look{Counts: counts, Since: s.mark}) })
 	}
 	wg.Wait()
-	if absent := p.absentOnly(errs); absent != nil {
-		return p.freeWithout(ctx, ranks, absent, seen)
-	}
 	for rank, err := range errs {
 		if err != nil {
 			return merry.Wrap(err, merry.AppendMessagef("rank %d", rank))
@@ -396,44 +369,6 @@
 	return nil
 }
 
-// absentOnly tells whether the only rank that can't be asked is that of the planner
-// before.
-func (p *planner) absentOnly(errs []error) *changeover.Absent {
-	if p.before == nil || p.before.Rank >= len(errs) || errs[p.before.Rank] == nil {
-		return nil
-	}
-	for rank, err := range errs {
-		if err != nil && rank != p.before.Rank || errors.Is(err, rankport.ErrSuperseded) {
-			return nil
-		}
-	}
-	return &changeover.Absent{Rank: p.before.Rank, Life: changeover.Life(p.before.Life)}
-}
-
-// freeWithout frees a group whose planner was lost in the middle of a change together
-// with its host. Until that is back there are no further changes.
-func (p *planner) freeWithout(ctx context.Context, ranks []*seat, absent *changeover.Absent, seen []rankport.Seen) error {
-	reports := make([]changeover.Report, len(ranks))
-	for rank, v := range seen {
-		reports[rank] = v.Report
-	}
-	gone := merry.Wrap(errIncomplete, merry.AppendMessagef("rank %d can't be reached, nor the planner beside it", absent.Rank))
-	if !changeover.Stuck(reports) {
-		return gone
-	}
-	v := view{ranks: ranks, reports: reports, epoch: reports[p.own].Epoch}
-	current := p.c.mapOf(reports[p.own].Map)
-	if current == nil {
-		return merry.Wrap(gone, merry.AppendMessage("the map in force is not known here"))
-	}
-	g := p.access(v)
-	g.Absent = absent
-	begin := time.Now()
-	err := g.Recover(ctx, p.own, changeover.NextVersion(reports, 0, p.life), current)
-	p.c.log.Info().Str("event", "freed").Int("without", absent.Rank).Dur("took", time.Since(begin)).Err(err).Msg("")
-	return gone
-}
-
 // counts tells whether it is a rank's turn to tell its counts.
 func (p *planner) counts(rank, ranks int) bool {
 	turns := (ranks + countedRanks - 1) / countedRanks
@@ -507,7 +442,6 @@
 			return seen.Report, err
 		},
 		Prepared: func() { p.prepared = time.Now() },
-		Elapsed:  deployed.Elapsed,
 		Pause:    func(ctx context.Context, d time.Duration) { sleep(ctx, d) },
 		Step: func(what string, rank int, r changeover.Result) {
 			p.c.log.Warn().Str("event", "orderFailed").Str("operation", what).Int("rank", rank).Uint8("result", uint8(r)).Msg("")
@@ -516,13 +450,6 @@
 }
 
 func (p *planner) order(ctx context.Context, s *seat, o changeover.Order) changeover.Result {
-	if o.Operation == changeover.Hold || o.Operation == changeover.Go {
-		// Given by this process itself, the hold and its end don't need another host
-		// than the one that knows of them. If that stands still, the rank that holds
-		// can be reached all the same.
-		result, _ := p.c.engines.Order(ctx, s.engine, o)
-		return result
-	}
 	m := rankport.Order{Asker: p.asker, Order: o}
 	if o.Operation == changeover.Prepare && p.base != nil {
 		m.Order.Map, m.Base, m.Changes = nil, p.base.digest, p.base.changes
@@ -567,7 +494,7 @@
 	p.prepared = begin
 	copies, most := copiesOf(p.current, next)
 	p.base = newBase(p.current, next)
-	step, err := p.access(v).Run(ctx, changeover.Change{Version: p.highest, Map: next, Own: p.own, Holder: (p.own + 1) % len(v.ranks), Ahead: v.ahead, After: p.after})
+	step, err := p.access(v).Run(ctx, changeover.Change{Version: p.highest, Map: next, Holder: p.own, Ahead: v.ahead, After: p.after})
 	p.after = max(p.after, step)
 	p.c.log.Info().Str("event", "change").Int64("version", p.highest).Int64("step", step).
 		Float64("skew", plan.Skew(p.current, v.demand)).Float64("planned", plan.Skew(next, v.demand)).
--- a/internal/program/companion/seek.go
+++ b/internal/program/companion/seek.go
@@ -8,7 +8,6 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
 
@@ -22,10 +21,6 @@
 	// duty has asked all others within some 200 ms, and on average half a rank more
 	// seeks it meanwhile. That first one still comes after one part of the whole.
 	patiencePerRank = 300 * time.Millisecond
-	// heldPatience is the patience of a sidecar whose rank holds a pass: the group waits
-	// for a process that has died or stands still. A process that switches gives up
-	// by itself well before that.
-	heldPatience = 700 * time.Millisecond
 	// storePause after a failed call.
 	storePause = 400 * time.Millisecond
 )
@@ -44,13 +39,10 @@
 		}
 		waited := now.Sub(c.heard)
 		c.mu.Unlock()
-		if waited < heldPatience {
+		if waited < quiet {
 			continue
 		}
 		report, err := c.engines.Report(ctx, c.settings.Target.Address)
-		if waited < quiet && (err != nil || report.Held == 0) {
-			continue
-		}
 		if err != nil || report.Ranks < 2 || !report.Open {
 			c.wait()
 			continue
@@ -62,34 +54,19 @@
 			continue
 		}
 		quiet = patience + rand.N(patiencePerRank*time.Duration(report.Ranks))
-		before := c.lastAsker()
-		term, direct, err := c.take(ctx, "planner."+report.Group)
+		term, err := c.take(ctx, "planner."+report.Group)
 		if err != nil {
 			c.log.Warn().Str("event", "planningNotTaken").Str("group", report.Group).Err(err).Msg("")
 			c.wait()
 			sleep(ctx, storePause)
 			continue
 		}
-		if !direct {
-			before = nil
-		}
-		c.plan(ctx, report, term, before)
+		c.plan(ctx, report, term)
 		c.wait()
 	}
 	return nil
 }
 
-// lastAsker is the planner that asked last, or nil.
-func (c *Companion) lastAsker() *rankport.Asker {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.term == 0 {
-		return nil
-	}
-	a := c.asker
-	return &a
-}
-
 // wait begins the sidecar's patience anew.
 func (c *Companion) wait() {
 	c.mu.Lock()
@@ -110,33 +87,28 @@
 }
 
 // take makes this process the holder of a duty. The revision of the record is the
-// term, which rises with each holder. Direct tells that the holder before is the one
-// that asked here last, with none between.
-func (c *Companion) take(ctx context.Context, duty string) (term int64, direct bool, err error) {
+// term, which rises with each holder.
+func (c *Companion) take(ctx context.Context, duty string) (int64, error) {
 	was, err := c.store.Duty(ctx, duty)
 	if err != nil {
-		return 0, false, err
+		return 0, err
 	}
 	if c.takenLately(was.Revision) {
-		return 0, false, errTakenLately
+		return 0, errTakenLately
 	}
-	c.mu.Lock()
-	direct = was.Revision == c.term
-	c.mu.Unlock()
-	term, err = c.store.TakeDuty(ctx, was, string(c.settings.Name))
+	term, err := c.store.TakeDuty(ctx, was, string(c.settings.Name))
 	if err == nil {
-		return term, direct, nil
+		return term, nil
 	}
 	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrNotDone) {
-		return 0, false, err
+		return 0, err
 	}
-	// The answer may be lost and the record written, now or later; then whoever was
-	// between is not known.
+	// The answer may be lost and the record written.
 	is, readErr := c.store.Duty(ctx, duty)
 	if readErr == nil && is.Holder == string(c.settings.Name) && is.Revision > was.Revision {
-		return is.Revision, false, nil
+		return is.Revision, nil
 	}
-	return 0, false, err
+	return 0, err
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/internal/wire/rankport/rankport.go
+++ b/internal/wire/rankport/rankport.go
@@ -30,8 +30,6 @@
 type Asker struct {
 	Term int64  `cbor:"1,keyasint"` // a later planner has a higher one
 	Name string `cbor:"2,keyasint"`
-	Rank int    `cbor:"3,keyasint"` // beside which it runs
-	Life int64  `cbor:"4,keyasint"` // that its versions show
 }
 
 // Look asks for the state of a rank.
