Give the experts of a slow rank to others

Cause: a rank that works 12 times slower holds up each pass of all; its experts' part can go elsewhere.

--- a/internal/expert/plan/follow.go
+++ b/internal/expert/plan/follow.go
@@ -15,13 +15,16 @@
 // helps; the layers whose hottest rank is worst come first. Demand is given by layer
 // and expert; layers without any are left alone. The result is nil if no change
 // wins enough.
-func Follow(m *expertmap.Map, demand []float64, l FollowLimits) *expertmap.Map {
+//
+// Pace is how much longer than usual each rank takes for its work; nil if all are
+// alike. All ranks wait for the slowest, so a slow one gives its experts to others.
+func Follow(m *expertmap.Map, demand, pace []float64, l FollowLimits) *expertmap.Map {
 	s := m.Shape()
 	next := m.Clone()
 	before, after := 0.0, 0.0
 	var layers []*follower
 	for layer := range s.Layers {
-		f := newFollower(s, next.Layer(layer), demand[layer*s.Experts:(layer+1)*s.Experts], l.PerLayer)
+		f := newFollower(s, next.Layer(layer), demand[layer*s.Experts:(layer+1)*s.Experts], pace, l.PerLayer)
 		if f == nil {
 			continue
 		}
@@ -53,11 +56,11 @@
 
 // Skew is the mean over the layers of the hottest rank's work over that of the mean
 // rank. Layers without demand are left out; it is 1 if no layer has any.
-func Skew(m *expertmap.Map, demand []float64) float64 {
+func Skew(m *expertmap.Map, demand, pace []float64) float64 {
 	s := m.Shape()
 	sum, n := 0.0, 0
 	for layer := range s.Layers {
-		f := newFollower(s, m.Layer(layer), demand[layer*s.Experts:(layer+1)*s.Experts], 0)
+		f := newFollower(s, m.Layer(layer), demand[layer*s.Experts:(layer+1)*s.Experts], pace, 0)
 		if f == nil {
 			continue
 		}
@@ -77,7 +80,8 @@
 	share    []float64 // of the layer's tokens, by expert
 	replicas []int
 	holders  [][]int   // ranks that hold an expert
-	load     []float64 // by rank
+	load     []float64 // by rank, in the time that it takes
+	pace     []float64 // by rank; nil if all are alike
 	fresh    []int     // experts that a rank must copy
 	was      []uint16  // the cells before
 	spare    int
@@ -86,7 +90,7 @@
 	ranks    []int // those that a weighed change touches
 }
 
-func newFollower(s expertmap.Shape, cells []uint16, demand []float64, spare int) *follower {
+func newFollower(s expertmap.Shape, cells []uint16, demand, pace []float64, spare int) *follower {
 	total := 0.0
 	for _, d := range demand {
 		total += d
@@ -95,7 +99,7 @@
 		return nil
 	}
 	f := &follower{
-		shape: s, cells: cells, spare: spare,
+		shape: s, cells: cells, spare: spare, pace: pace,
 		share:    make([]float64, s.Experts),
 		replicas: make([]int, s.Experts),
 		holders:  make([][]int, s.Experts),
@@ -121,20 +125,30 @@
 	clear(f.load)
 	for cell, e := range f.cells {
 		if e != expertmap.Empty {
-			f.load[cell/f.shape.Slots] += f.share[e] / float64(f.replicas[e])
+			rank := cell / f.shape.Slots
+			f.load[rank] += f.share[e] / float64(f.replicas[e]) * f.paceOf(rank)
 		}
 	}
 }
 
+func (f *follower) paceOf(rank int) float64 {
+	if f.pace == nil {
+		return 1
+	}
+	return f.pace[rank]
+}
+
 func (f *follower) hottestLoad() float64 { return slices.Max(f.load) }
 
-// step is one change: the expert in, of the hottest rank, is put into a cell; what
-// was there goes to the cell where it came from if that is an exchange.
+// step is one change: the expert in, of the hottest rank, is put into a cell. It stays
+// where it was too, or leaves: then what was in the cell goes there in exchange, or
+// nothing does.
 type step struct {
-	cell int    // of another rank
-	in   uint16 // the expert that is put there
-	from int    // cell of the hottest rank that takes what was there; -1 if it keeps its own
-	cost float64
+	cell  int    // of another rank
+	in    uint16 // the expert that is put there
+	from  int    // cell of the hottest rank that it leaves; -1 if it stays
+	moves bool   // it leaves, and nothing comes back
+	cost  float64
 }
 
 // evenEnough is the hottest rank's load, relative to the mean, below which a layer is
@@ -189,16 +203,16 @@
 	}
 	out := f.cells[cell]
 	if out == expertmap.Empty || f.replicas[out] > 1 {
-		try := step{cell: cell, in: e, from: -1}
-		try.cost = f.costOf(try)
-		if try.cost < best.cost {
-			*best, *found = try, true
-		}
+		f.weigh(best, found, step{cell: cell, in: e, from: -1})
+		f.weigh(best, found, step{cell: cell, in: e, from: from, moves: true})
 	}
 	if out == expertmap.Empty || f.holds(hot, out) || !f.mayTake(hot, from, out) {
 		return
 	}
-	try := step{cell: cell, in: e, from: from}
+	f.weigh(best, found, step{cell: cell, in: e, from: from})
+}
+
+func (f *follower) weigh(best *step, found *bool, try step) {
 	try.cost = f.costOf(try)
 	if try.cost < best.cost {
 		*best, *found = try, true
@@ -274,18 +288,22 @@
 			load += f.share[e] / float64(f.replicas[e])
 		}
 	}
-	return load
+	return load * f.paceOf(rank)
 }
 
 // place puts a change into the cells.
 func (f *follower) place(t step) {
 	out := f.cells[t.cell]
 	f.cells[t.cell] = t.in
-	if t.from >= 0 {
+	switch {
+	case t.moves:
+		f.cells[t.from] = expertmap.Empty
+	case t.from >= 0:
 		f.cells[t.from] = out
 		return
+	default:
+		f.replicas[t.in]++
 	}
-	f.replicas[t.in]++
 	if out != expertmap.Empty {
 		f.replicas[out]--
 	}
@@ -294,11 +312,15 @@
 // unplace takes a change back.
 func (f *follower) unplace(t step, out uint16) {
 	f.cells[t.cell] = out
-	if t.from >= 0 {
+	switch {
+	case t.moves:
+		f.cells[t.from] = t.in
+	case t.from >= 0:
 		f.cells[t.from] = t.in
 		return
+	default:
+		f.replicas[t.in]--
 	}
-	f.replicas[t.in]--
 	if out != expertmap.Empty {
 		f.replicas[out]++
 	}
@@ -313,7 +335,9 @@
 	if t.from >= 0 {
 		hot := t.from / f.shape.Slots
 		f.holders[t.in] = without(f.holders[t.in], hot)
-		f.holders[out] = append(f.holders[out], hot)
+		if !t.moves {
+			f.holders[out] = append(f.holders[out], hot)
+		}
 	}
 	f.place(t)
 	f.reload()
--- a/internal/expert/plan/follow_test.go
+++ b/internal/expert/plan/follow_test.go
@@ -43,23 +43,44 @@
 		demand := zipf(s, r)
 		m, err := expertmap.Even(s)
 		require.NoError(t, err)
-		before := Skew(m, demand)
+		before := Skew(m, demand, nil)
 		for round := range 3 {
-			next := Follow(m, demand, FollowLimits{PerLayer: 2, PerRank: 8, Gain: 0.01})
+			next := Follow(m, demand, nil, FollowLimits{PerLayer: 2, PerRank: 8, Gain: 0.01})
 			if next == nil {
 				break
 			}
 			require.Empty(t, next.Check())
 			require.LessOrEqual(t, fresh(m, next), 2)
-			t.Logf("%+v round %d: skew %.2f to %.2f", s, round, Skew(m, demand), Skew(next, demand))
+			t.Logf("%+v round %d: skew %.2f to %.2f", s, round, Skew(m, demand, nil), Skew(next, demand, nil))
 			m = next
 		}
-		require.Less(t, Skew(m, demand), before/2)
+		require.Less(t, Skew(m, demand, nil), before/2)
 	}
 }
 
 func TestFollowNoDemand(t *testing.T) {
 	m, err := expertmap.Even(expertmap.Shape{Layers: 1, Experts: 4, Ranks: 2, Slots: 3})
 	require.NoError(t, err)
-	require.Nil(t, Follow(m, make([]float64, 4), FollowLimits{PerLayer: 2, PerRank: 8, Gain: 0.01}))
+	require.Nil(t, Follow(m, make([]float64, 4), nil, FollowLimits{PerLayer: 2, PerRank: 8, Gain: 0.01}))
+}
+
+// One rank has turned slow. All others wait for it in each pass, and callers of all
+// ranks see long pauses; its experts go to other ranks.
+func TestFollowSlowRank(t *testing.T) {
+	s := expertmap.Shape{Layers: 4, Experts: 64, Ranks: 16, Slots: 5}
+	demand := zipf(s, rand.New(rand.NewPCG(1, 2)))
+	pace := make([]float64, s.Ranks)
+	for i := range pace {
+		pace[i] = 1
+	}
+	pace[3] = 12
+	m, err := expertmap.Even(s)
+	require.NoError(t, err)
+	for range 4 {
+		if next := Follow(m, demand, pace, FollowLimits{PerLayer: 2, PerRank: 8, Gain: 0.01}); next != nil {
+			require.Empty(t, next.Check())
+			m = next
+		}
+	}
+	require.Less(t, Skew(m, demand, pace), 1.6, "it was 12 and more")
 }
--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -190,7 +190,7 @@
 		for rank, s := range v.ranks {
 			load := v.reports[rank].Running + v.reports[rank].Waiting
 			d.Ranks = append(d.Ranks, digest.Rank{Target: s.target, Load: load})
-			free[rank] = p.limit.value - load
+			free[rank] = int(float64(p.limit.value)/paceOf(v.reports[rank])) - load
 		}
 	}
 	grants := share(free, entries, p.looks)
@@ -485,7 +485,7 @@
 // move changes the map if the demand asks for it.
 func (p *planner) move(ctx context.Context, v view) error {
 	planned := time.Now()
-	next := plan.Follow(p.current, v.demand, plan.FollowLimits{PerLayer: v.engine.Spare, PerRank: copiesIn(copyTime, v.engine), Gain: leastGain})
+	next := plan.Follow(p.current, v.demand, paces(v.reports), plan.FollowLimits{PerLayer: v.engine.Spare, PerRank: copiesIn(copyTime, v.engine), Gain: leastGain})
 	if next == nil {
 		return nil
 	}
@@ -497,7 +497,7 @@
 	step, err := p.access(v).Run(ctx, changeover.Change{Version: p.highest, Map: next, Holder: p.own, Ahead: v.ahead, After: p.after})
 	p.after = max(p.after, step)
 	p.c.log.Info().Str("event", "change").Int64("version", p.highest).Int64("step", step).
-		Float64("skew", plan.Skew(p.current, v.demand)).Float64("planned", plan.Skew(next, v.demand)).
+		Float64("skew", plan.Skew(p.current, v.demand, paces(v.reports))).Float64("planned", plan.Skew(next, v.demand, paces(v.reports))).
 		Int("copies", copies).Int("mostCopies", most).Dur("countsAge", planned.Sub(v.counted)).
 		Dur("planTook", begin.Sub(planned)).Dur("prepareTook", p.prepared.Sub(begin)).
 		Dur("took", time.Since(begin)).Err(err).Msg("")
@@ -510,6 +510,25 @@
 	return nil
 }
 
+// paces are how much longer than usual the ranks take for their work.
+func paces(reports []changeover.Report) []float64 {
+	list := make([]float64, len(reports))
+	for rank, r := range reports {
+		list[rank] = paceOf(r)
+	}
+	return list
+}
+
+// slowPace is from where a rank counts as slow; paces vary a little by themselves.
+const slowPace = 1.2
+
+func paceOf(r changeover.Report) float64 {
+	if r.Pace < slowPace {
+		return 1
+	}
+	return r.Pace
+}
+
 // copiesIn is how many experts a rank copies in a time.
 func copiesIn(d time.Duration, e *routing.Engine) int {
 	if e.CopyTime <= 0 {
