--- a/internal/operator/role/deployed.go
+++ b/internal/operator/role/deployed.go
@@ -62,8 +62,8 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory) * megabyte))
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	r.Log = deployed.NewLog(s)
 	m := metrics.NewSet()
+	r.Log = deployed.NewLog(s, m)
 	if s.Role == host.Sidecar {
 		return companion.New(s, r.Log, m).Run(ctx, r)
 	}
--- a/internal/program/companion/seek.go
+++ b/internal/program/companion/seek.go
@@ -56,6 +56,9 @@
 		quiet = patience + rand.N(patiencePerRank*time.Duration(report.Ranks))
 		term, err := c.take(ctx, "planner."+report.Group)
 		if err != nil {
+			if errors.Is(err, errTakenLately) {
+				quiet = patience + rand.N(patiencePerRank)
+			}
 			c.log.Warn().Str("event", "planningNotTaken").Str("group", report.Group).Err(err).Msg("")
 			c.wait()
 			sleep(ctx, storePause)
@@ -76,14 +79,18 @@
 
 var errTakenLately = merry.New("another process has just taken the duty")
 
-// takenLately tells whether the record shows a holder that this sidecar has neither
+// lately is how long after it took the duty a holder may not have asked here yet. Clocks
+// of hosts differ by seconds; a record older than that is of a holder that is gone.
+const lately = 10 * time.Second
+
+// takenLately tells whether the record shows a new holder that this sidecar has neither
 // heard from nor seen there before. That one gets time to ask.
-func (c *Companion) takenLately(revision int64) bool {
+func (c *Companion) takenLately(now time.Time, was platform.Record) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	lately := revision > c.term && revision > c.holder
-	c.holder = max(c.holder, revision)
-	return lately
+	isNew := was.Revision > c.term && was.Revision > c.holder && now.Sub(was.Taken).Abs() < lately
+	c.holder = max(c.holder, was.Revision)
+	return isNew
 }
 
 // take makes this process the holder of a duty. The revision of the record is the
@@ -93,7 +100,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if c.takenLately(was.Revision) {
+	if c.takenLately(time.Now(), was) {
 		return 0, errTakenLately
 	}
 	term, err := c.store.TakeDuty(ctx, was, string(c.settings.Name))
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -93,7 +93,7 @@
 		}},
 		Now:      time.Now,
 		Draining: &g.draining,
-		Leaving:  g.heardLeaving,
+		Gone:     g.heardGone,
 		Ended:    g.ended,
 	}
 	return g
--- a/internal/program/gateway/knowledge.go
+++ b/internal/program/gateway/knowledge.go
@@ -153,9 +153,13 @@
 	g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", why).Msg("")
 }
 
-// heardLeaving takes a target's own word that it takes no more requests. It also
-// closes single connections for other reasons, so the word alone does not count.
-func (g *Gateway) heardLeaving(string) {}
+// heardGone takes the word of a server that it is not the target that was expected at
+// its address. The list may show that target for seconds yet.
+func (g *Gateway) heardGone(id string) {
+	if g.roster.Leave(id) {
+		g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", "anotherAnswers").Msg("")
+	}
+}
 
 func (g *Gateway) dropMissing(now time.Time) {
 	for _, id := range g.missing.due(now) {
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -39,8 +39,16 @@
 		Str("outcome", string(r.Outcome)).Str("reason", r.Reason).Int("status", r.Status).
 		Int64("rules", r.Config).Dur("rulesAge", r.Age).Dur("queued", r.Queued).
 		Dur("first", r.First).Dur("took", r.Took).Int("events", r.Events)
+	attempts := make([]string, 0, len(r.Attempts))
 	for _, a := range r.Attempts {
-		e.Str("attempt", fmt.Sprintf("%s %s %dms reused=%t", a.Target, a.Result, a.Took.Milliseconds(), a.Reused))
+		attempts = append(attempts, describe(a))
 	}
-	e.Msg("")
+	e.Strs("attempts", attempts).Msg("")
+}
+
+// describe tells of an attempt: the target, what came of it after how long, and what
+// was known of the target when it was chosen.
+func describe(a forward.Attempt) string {
+	return fmt.Sprintf("%s %s %dms reused=%t load=%d loadAge=%dms",
+		a.Target, a.Result, a.Took.Milliseconds(), a.Reused, a.Seen.Load, a.Seen.Age.Milliseconds())
 }
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -74,12 +74,21 @@
 	Fresh time.Duration
 	Tried []string
 
+	// Seen is what the choice of the target went by, once granted.
+	Seen Seen
+
 	arrived time.Time
 	granted chan struct{}
 	target  roster.Target
 	held    bool
 }
 
+// Seen is what was known of a target when it was chosen.
+type Seen struct {
+	Load int           // requests of all entries there
+	Age  time.Duration // since it was told; 0 if the entry went by its own requests
+}
+
 // Granted is closed when the request may be sent.
 func (t *Ticket) Granted() <-chan struct{} { return t.granted }
 
@@ -182,6 +191,19 @@
 	c.advance(now, service)
 }
 
+// GroupClosed takes a target's word that its group takes no requests. Each further one
+// would be refused by another rank, and its caller sent away, though the group opens
+// again within a second or two most times; they wait here instead.
+func (c *Controller) GroupClosed(now time.Time, service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed[service] = now.Add(closedPause)
+}
+
+// closedPause is how long a group that said that it is closed gets no request. Then one
+// or a few find out whether it has opened.
+const closedPause = 150 * time.Millisecond
+
 // load is how many requests a target has, of all entries: as was told and changed
 // since by this one, or as many of each other entry as of this one.
 func (s *state) load(now time.Time, rules Rules) int {
@@ -306,6 +328,10 @@
 	t.target = target
 	t.held = true
 	s := c.state(target.ID)
+	t.Seen = Seen{Load: s.load(now, c.RulesFor(t.Service))}
+	if s.toldLately(now) {
+		t.Seen.Age = now.Sub(s.toldAt)
+	}
 	s.inFlight++
 	s.since++
 	s.grant--
--- a/internal/traffic/admission/admission_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -116,6 +116,17 @@
 	requireGranted(t, k, true)
 }
 
+// A rank says that its group is closed. Sent to other ranks, requests would use up
+// their tries in milliseconds; they wait until the group can be asked again.
+func TestGroupSaysThatItIsClosed(t *testing.T) {
+	c := newController(2, Rules{PerTarget: 6, Queue: 9, Entries: 1})
+	c.GroupClosed(start, "svc")
+	k := ticket()
+	require.Equal(t, Wait, c.Arrive(start, k))
+	c.Tick(start.Add(closedPause))
+	requireGranted(t, k, true)
+}
+
 // Many wait. Those that came first are late already whatever happens; if they went
 // first, all the others would be late too.
 func TestOnTimeGoesFirst(t *testing.T) {
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -35,7 +35,7 @@
 // attempt sends the request to one target. It tells whether to try another one.
 func (c *call) attempt(t *admission.Ticket) bool {
 	begin := c.f.Now()
-	a := Attempt{Target: t.Target().ID}
+	a := Attempt{Target: t.Target().ID, Seen: t.Seen}
 	res, end, why := c.send(t, &a)
 	now := c.f.Now()
 	a.Took = now.Sub(begin)
@@ -145,8 +145,8 @@
 		return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.why(whyBroken)
 	}
 	meta := platform.ReadAnswer(answer.Status, answer.Header)
-	if meta.Closing {
-		c.f.Leaving(target.ID)
+	if answer.Status == http.StatusMisdirectedRequest {
+		c.f.Gone(target.ID)
 	}
 	return c.take(answer, meta)
 }
@@ -186,6 +186,9 @@
 		answer.KeepOut()
 	}
 	if meta.NotRun {
+		if meta.Fault != "" {
+			c.f.Admission.GroupClosed(c.f.Now(), c.service)
+		}
 		c.drop(answer, meta)
 		return resultNotRun, admission.End{Avoid: avoidRefusing}, whyNotRun
 	}
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -38,7 +38,7 @@
 	Budget    *Budget
 	Now       func() time.Time
 	Draining  *atomic.Bool
-	Leaving   func(id string) // a target said that it leaves
+	Gone      func(id string) // another server answers at a target's address
 	Ended     func(Record)    // hears of each request's end
 }
 
@@ -79,6 +79,7 @@
 	Target string
 	Result string
 	Reused bool // the connection had carried requests before
+	Seen   admission.Seen
 	Took   time.Duration
 }
 
@@ -168,6 +169,8 @@
 	c.rec.Workspace = c.space.Name
 	// A key may have been taken away meanwhile; only fresh rules prove that it holds.
 	if rules.Age > c.f.KeyTrust() {
+		// The caller finds another entry by a new connection.
+		c.w.Header().Set("Connection", "close")
 		c.refuse(http.StatusServiceUnavailable, "rulesTooOld", c.comeBackWithin(storeReturn))
 		return false
 	}
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -82,7 +82,7 @@
 		}},
 		Now:      time.Now,
 		Draining: new(atomic.Bool),
-		Leaving:  func(string) {},
+		Gone:     func(id string) { b.targets.Leave(id) },
 		Ended: func(r Record) {
 			b.mu.Lock()
 			defer b.mu.Unlock()
@@ -223,6 +223,17 @@
 	}
 }
 
+// A server has ended, and another life of it answers at its address. Each further
+// request that is sent there is one try less for its caller.
+func TestAddressOfAnother(t *testing.T) {
+	first := standin.NewServer(t, func(w standin.Reply, _ standin.Request) { w.Misdirected() })
+	b := newBench(t, first, standin.NewServer(t, whole("hello")))
+	for range 20 {
+		requireServed(t, b.call(http.MethodPost, "/unsafe/x"), "hello")
+	}
+	require.LessOrEqual(t, len(first.Seen()), 1)
+}
+
 // All servers are full. The caller is told that nothing ran and when to come back.
 func TestRefusedEverywhere(t *testing.T) {
 	b := newBench(t, standin.NewServer(t, refusing), standin.NewServer(t, refusing))
