--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -49,13 +49,18 @@
 		return false
 	}
 	c.tried = append(c.tried, t.Target().ID)
+	if why == whyNotSent && c.ctx.Err() == nil {
+		// Nothing reached a target: it counts neither as a try nor as a repeat.
+		return true
+	}
+	c.sent++
 	repeatable := res == resultNotRun || c.route.Idempotent()
 	switch {
 	case !repeatable:
 		c.fail(why)
 	case c.ctx.Err() != nil:
 		c.expire(res, why)
-	case len(c.tried) >= c.route.MaxAttempts:
+	case c.sent >= c.route.MaxAttempts:
 		c.exhausted(res, why)
 	case !c.f.Budget.Repeat(now, c.service):
 		c.exhausted(res, "budget")
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -108,7 +108,8 @@
 	deadline time.Time
 	rec      Record
 	service  string
-	tried    []string
+	tried    []string // targets that were chosen
+	sent     int      // times that the request was written to a target
 	stream   streamState
 }
 
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -234,6 +235,17 @@
 	require.LessOrEqual(t, len(first.Seen()), 1)
 }
 
+// The host of a server is gone, and no connection opens. Nothing was sent, so a
+// request that may be sent once only goes to another server.
+func TestUnreachable(t *testing.T) {
+	gone := &standin.Server{Address: netip.MustParseAddrPort("127.0.0.1:1")}
+	b := newBench(t, gone, standin.NewServer(t, whole("hello")))
+	b.rules.Config.RouteFor(host, "/unsafe/x").MaxAttempts = 1
+	for range 6 {
+		requireServed(t, b.call(http.MethodPost, "/unsafe/x"), "hello")
+	}
+}
+
 // All servers are full. The caller is told that nothing ran and when to come back.
 func TestRefusedEverywhere(t *testing.T) {
 	b := newBench(t, standin.NewServer(t, refusing), standin.NewServer(t, refusing))
--- a/internal/wire/upstream/pool.go
+++ b/internal/wire/upstream/pool.go
@@ -18,9 +18,9 @@
 
 const (
 	// dialTimeout bounds the opening of a connection, which takes some
-	// milliseconds. Half a second covers one lost packet and leaves time for
-	// another target.
-	dialTimeout = 500 * time.Millisecond
+	// milliseconds. A lost opening packet is sent again after a second, so waiting
+	// longer wins nothing; another target is asked instead.
+	dialTimeout = 250 * time.Millisecond
 	// userTimeout is how long written bytes may stay unacknowledged, and
 	// probeInterval how often an idle connection is probed. A connection that went
 	// silent, or whose host did, is given up within some two seconds.
