Let one request find out whether a closed group has opened

Cause: after a rank had crashed, all that waited were sent at once each 150 ms, used up their tries and were refused; and the planner gave up after 4 s, just before the group opened again.

--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -39,9 +39,10 @@
 	// refreshEvery is how many looks in a row miss ranks before the list of
 	// targets is read again.
 	refreshEvery = 5
-	// lostLimit is how many looks in a row may miss ranks before the planner gives the
-	// duty up: another process may reach them.
-	lostLimit = 50
+	// lostLimit is how long ranks may be missing before the planner gives the duty up:
+	// another process may reach them. A server that crashed is back sooner most times,
+	// and until then entries must be told that the group is closed.
+	lostLimit = 12 * time.Second
 )
 
 var errIncomplete = merry.New("not all ranks of the group could be asked")
@@ -118,6 +119,7 @@
 // keepLooking looks at the ranks until the duty is lost.
 func (p *planner) keepLooking(ctx context.Context) error {
 	lost := 0
+	var since time.Time // when ranks were first missing
 	for {
 		err := p.lookRound(ctx)
 		p.tell(err == nil)
@@ -127,9 +129,10 @@
 		case err != nil:
 			lost++
 			if lost == 1 {
+				since = time.Now()
 				p.c.log.Warn().Str("event", "planningHeldUp").Err(err).Msg("")
 			}
-			if lost > lostLimit {
+			if time.Since(since) > lostLimit {
 				return err
 			}
 			if lost%refreshEvery == 0 {
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -34,6 +34,7 @@
 	targets  map[string]*state
 	services map[string]*queue
 	closed   map[string]time.Time // services whose group is closed, and until when that is believed
+	doubtful map[string]bool      // services whose group was closed, and has served nothing since
 }
 
 // New returns a controller without requests.
@@ -42,6 +43,7 @@
 		targets:  make(map[string]*state),
 		services: make(map[string]*queue),
 		closed:   make(map[string]time.Time),
+		doubtful: make(map[string]bool),
 	}
 }
 
@@ -132,7 +134,10 @@
 		if a.Priority != b.Priority {
 			return a.Priority - b.Priority
 		}
-		return a.arrived.Compare(b.arrived)
+		if a.arrived.After(b.arrived) {
+			return 1
+		}
+		return -1 // those that came in the same moment keep their order
 	})
 	q.waiting = slices.Insert(q.waiting, at, t)
 	c.advance(now, t.Service)
@@ -185,8 +190,10 @@
 		s.told, s.grant, s.toldAt, s.since = t.Load+len(s.sent), t.Grant-len(s.sent), now, 0
 	}
 	delete(c.closed, service)
+	delete(c.doubtful, service)
 	if !open {
 		c.closed[service] = now.Add(toldLasts)
+		c.doubtful[service] = true
 	}
 	c.advance(now, service)
 }
@@ -198,10 +205,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed[service] = now.Add(closedPause)
+	c.doubtful[service] = true
+}
+
+// Serves takes note that a service has begun an answer.
+func (c *Controller) Serves(now time.Time, service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.doubtful[service] {
+		return
+	}
+	delete(c.doubtful, service)
+	delete(c.closed, service)
+	c.advance(now, service)
 }
 
 // closedPause is how long a group that said that it is closed gets no request. Then one
-// or a few find out whether it has opened.
+// finds out whether it has opened; if all that wait did, they would use up their tries.
 const closedPause = 150 * time.Millisecond
 
 // load is how many requests a target has, of all entries: as was told and changed
@@ -362,7 +382,7 @@
 // entries are told the same; so that they don't all send to the same target until
 // they are told again, one more request than the fewest counts as few.
 func (c *Controller) choose(now time.Time, service string, list []roster.Target, rules Rules) (roster.Target, bool) {
-	if now.Before(c.closed[service]) {
+	if now.Before(c.closed[service]) || c.doubtful[service] && c.inFlight(list) > 0 {
 		return roster.Target{}, false
 	}
 	fewest := math.MaxInt
@@ -385,6 +405,15 @@
 	return best, seen > 0
 }
 
+// inFlight is how many requests this entry has at targets.
+func (c *Controller) inFlight(list []roster.Target) int {
+	n := 0
+	for _, target := range list {
+		n += c.state(target.ID).inFlight
+	}
+	return n
+}
+
 func (c *Controller) state(id string) *state {
 	s := c.targets[id]
 	if s == nil {
--- a/internal/traffic/admission/admission_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -123,8 +123,14 @@
 	c.GroupClosed(start, "svc")
 	k := ticket()
 	require.Equal(t, Wait, c.Arrive(start, k))
-	c.Tick(start.Add(closedPause))
+	next := ticket()
+	require.Equal(t, Wait, c.Arrive(start, next))
+	later := start.Add(closedPause)
+	c.Tick(later)
 	requireGranted(t, k, true)
+	requireGranted(t, next, false)
+	c.Serves(later, "svc")
+	requireGranted(t, next, true)
 }
 
 // Many wait. Those that came first are late already whatever happens; if they went
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -197,6 +197,7 @@
 		c.drop(answer, meta)
 		return resultNotRun, admission.End{Avoid: avoidRefusing}, whyNotRun
 	}
+	c.f.Admission.Serves(c.f.Now(), c.service)
 	success := answer.Status >= 200 && answer.Status < 300
 	if !meta.Stamped || success && (meta.Encoded || meta.ID != c.in.ID) {
 		answer.Finish(c.f.Now(), false, 0)
