Soak the real programs as processes, with faults from outside them

Two entries and three sidecars run as processes before stand-ins of the store, a group of model servers and plain servers; signals and a proxy of the soak's own bring faults that overlap. It holds what callers were told against what the servers ran, and the maps of each pass.

--- /dev/null
+++ b/internal/program/soak/soak_test.go
@@ -0,0 +1,274 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/platform/standin"
+)
+
+var (
+	seeds = flag.Int("soak.seeds", 1, "how many seeds to run")
+	first = flag.Uint64("soak.first", 20261202, "the first seed")
+	lasts = flag.Duration("soak.time", 6*time.Second, "how long faults come in each")
+)
+
+func TestSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "wagtailshelf")
+	out, err := exec.Command("go", "build", "-o", binary, "wagtailshelf.example/wagtailshelf/cmd/wagtailshelf").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	list := kept(t)
+	for i := range *seeds {
+		list = append(list, *first+uint64(i))
+	}
+	for _, seed := range list {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, binary, seed) })
+	}
+}
+
+// kept are the seeds that failed once.
+func kept(t *testing.T) []uint64 {
+	f, err := os.Open("testdata/seeds.txt")
+	require.NoError(t, err)
+	defer f.Close()
+	var list []uint64
+	for s := bufio.NewScanner(f); s.Scan(); {
+		text, _, found := strings.Cut(s.Text(), ":")
+		if seed, err := strconv.ParseUint(strings.TrimSpace(text), 10, 64); found && err == nil {
+			list = append(list, seed)
+		}
+	}
+	return list
+}
+
+// settleLimit is how long the deployment may take to serve again after the last fault.
+// It takes a second or two; a busy machine must not change the verdict.
+const settleLimit = 60 * time.Second
+
+func soak(t *testing.T, binary string, seed uint64) {
+	w := newWorld(t, binary, seed)
+	for i := range w.entries {
+		require.Eventually(t, func() bool { return w.ready(i) }, settleLimit, 50*time.Millisecond, "entry %d becomes ready", i)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	var running sync.WaitGroup
+	c := &calls{w: w}
+	for n := range 12 {
+		r := rand.New(rand.NewPCG(seed, uint64(100+n)))
+		running.Go(func() { c.keepCalling(ctx, r) })
+	}
+	w.harm(time.Now().Add(*lasts))
+	for i := range w.entries {
+		require.Eventually(t, func() bool { return w.ready(i) }, settleLimit, 50*time.Millisecond, "entry %d is ready again", i)
+	}
+	before := c.streams.Load()
+	require.Eventually(t, func() bool { return c.streams.Load() > before+50 }, settleLimit, 50*time.Millisecond, "streams are served after the last fault")
+	require.Eventually(t, func() bool { _, v := w.group.Step(); return v[0] > 0 }, settleLimit, 50*time.Millisecond, "the map follows demand")
+	stop()
+	running.Wait()
+	c.check()
+	require.Empty(t, w.group.Broken(), "all ranks have one map in each pass")
+	require.Empty(t, w.problems)
+	t.Logf("%d streams and %d other requests whole, %d refused, %d unknown or cut", c.streams.Load(), c.plain.Load(), c.refused.Load(), c.unknown.Load())
+}
+
+// calls are what callers did and saw.
+type calls struct {
+	w                                *world
+	number                           atomic.Int64
+	streams, plain, refused, unknown atomic.Int64
+	mu                               sync.Mutex
+	notRun, once                     []string
+}
+
+// keepCalling is one caller. It keeps its connection as long as that lasts, and comes by
+// a new one to an entry that is ready.
+func (c *calls) keepCalling(ctx context.Context, r *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	entry := r.IntN(entryCount)
+	for ctx.Err() == nil {
+		if !c.call(ctx, client, entry, r) {
+			client.CloseIdleConnections()
+			entry = r.IntN(entryCount)
+			if !c.w.ready(entry) {
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+	}
+}
+
+// call makes one request and tells whether its connection may be used again.
+func (c *calls) call(ctx context.Context, client *http.Client, entry int, r *rand.Rand) bool {
+	id := fmt.Sprintf("soak-%d", c.number.Add(1))
+	path, method, key := "stream", http.MethodPost, "k-stayer"
+	switch u := r.Float64(); {
+	case u < 0.25:
+		path = "once"
+	case u < 0.5:
+		path, method = "safe", http.MethodGet
+	}
+	if r.Float64() < 0.2 {
+		key = "k-leaver"
+	}
+	q := standin.Call(method, "http://"+c.w.callers[entry].String()+"/"+path+"/x", id, key, 4000, nil).WithContext(ctx)
+	q.Host = host
+	a, err := client.Do(q)
+	if err != nil {
+		c.unknown.Add(1)
+		c.noteOnce(path, id)
+		return false
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(a.Body)
+	c.noteOnce(path, id)
+	switch {
+	case a.StatusCode == http.StatusOK && err == nil:
+		c.whole(path, id, string(body), a.Header)
+	case a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusTooManyRequests:
+		c.refused.Add(1)
+		c.mu.Lock()
+		c.notRun = append(c.notRun, id)
+		c.mu.Unlock()
+		time.Sleep(30 * time.Millisecond)
+	case a.StatusCode == http.StatusUnauthorized && key == "k-leaver":
+	case a.StatusCode == http.StatusOK || a.StatusCode == http.StatusBadGateway || a.StatusCode == http.StatusGatewayTimeout:
+		c.unknown.Add(1)
+	default:
+		c.w.problem("%s %s: status %d", path, id, a.StatusCode)
+	}
+	return err == nil && !a.Close
+}
+
+func (c *calls) noteOnce(path, id string) {
+	if path != "once" {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.once = append(c.once, id)
+}
+
+// whole checks an answer that ended well.
+func (c *calls) whole(path, id, body string, h http.Header) {
+	want := "body of " + id
+	if path == "stream" {
+		want = ""
+		for n := 1; n <= standin.Pieces; n++ {
+			want += standin.Piece(id, n)
+		}
+		c.streams.Add(1)
+	} else {
+		c.plain.Add(1)
+	}
+	if body != want || !standin.Stamped(h) {
+		c.w.problem("%s %s: not the server's whole answer: %q\n%s", path, id, body, c.w.logs(id))
+	}
+}
+
+// check holds what servers ran against what callers were told.
+func (c *calls) check() {
+	time.Sleep(200 * time.Millisecond) // what was under way when the callers stopped
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range c.notRun {
+		if n := c.w.ledger.Runs(id); n > 0 && !c.w.streamed(id) {
+			c.w.problem("%s was told not to have run, and ran %d times\n%s", id, n, c.w.logs(id))
+		}
+	}
+	for _, id := range c.once {
+		if n := c.w.ledger.Runs(id); n > 1 {
+			c.w.problem("%s may run once and ran %d times\n%s", id, n, c.w.logs(id))
+		}
+	}
+	if !c.w.revokedAt.IsZero() {
+		if late := c.w.ledger.LastOf("leaver").Sub(c.w.revokedAt); late > revoke+time.Second {
+			c.w.problem("a key that was taken away opened something %s later", late)
+		}
+	}
+}
+
+// streamed tells whether a request may run more than once; then a refusal says only
+// that the last try did not run.
+func (w *world) streamed(id string) bool { return strings.Contains(w.logs(id), `"kind":"streaming"`) }
+
+// harm brings faults until the end, some at the same time, and then undoes them.
+func (w *world) harm(end time.Time) {
+	var under sync.WaitGroup
+	later := func(d time.Duration, undo func()) {
+		under.Go(func() {
+			time.Sleep(d)
+			undo()
+		})
+	}
+	revokeAt := time.Now().Add(time.Until(end) / 2)
+	for time.Now().Before(end) {
+		if w.revokedAt.IsZero() && time.Now().After(revokeAt) {
+			w.putConfig(false)
+			w.revokedAt = time.Now()
+		}
+		all := append(append([]*process(nil), w.entries...), w.sidecars...)
+		p := all[w.r.IntN(len(all))]
+		proxy := w.proxies[w.r.IntN(len(w.proxies))]
+		d := time.Duration(300+w.r.IntN(1700)) * time.Millisecond
+		switch w.r.IntN(9) {
+		case 0:
+			p.signal(syscall.SIGKILL)
+			p.await(settleLimit)
+			p.start(w.t, w.binary)
+		case 1:
+			p.signal(syscall.SIGSTOP)
+			later(d, func() { p.signal(syscall.SIGCONT) })
+		case 2:
+			p.signal(syscall.SIGCONT)
+			p.signal(syscall.SIGTERM)
+			if !p.await(grace + settleLimit) {
+				w.problem("%s does not end", p.name)
+				p.signal(syscall.SIGKILL)
+				p.await(settleLimit)
+			}
+			p.start(w.t, w.binary)
+		case 3:
+			p.signal(syscall.SIGHUP)
+		case 4:
+			proxy.Set(standin.Harm{Silent: w.r.IntN(2) == 0, OneWay: true})
+			later(d, func() { proxy.Set(standin.Harm{}) })
+		case 5:
+			proxy.Set(standin.Harm{Delay: 100 * time.Millisecond})
+			later(d, func() { proxy.Set(standin.Harm{}) })
+		case 6:
+			proxy.Reset()
+		case 7:
+			fault := []standin.Fault{standin.Refused, standin.LostAfter, standin.TooMany, standin.Garbled}[w.r.IntN(4)]
+			w.store.Fail(func(string, string) standin.Fault { return fault })
+			later(d, func() { w.store.Fail(func(string, string) standin.Fault { return standin.None }) })
+		case 8:
+			w.store.Forget()
+			lost := rand.New(rand.NewPCG(w.r.Uint64(), 3))
+			w.group.Lose(func() bool { return lost.Float64() < 0.2 })
+			later(d, func() { w.group.Lose(func() bool { return false }) })
+		}
+		time.Sleep(time.Duration(100+w.r.IntN(500)) * time.Millisecond)
+	}
+	under.Wait()
+	for _, proxy := range w.proxies {
+		proxy.Set(standin.Harm{})
+	}
+}
--- /dev/null
+++ b/internal/program/soak/world_test.go
@@ -0,0 +1,258 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/platform/standin"
+)
+
+const (
+	entryCount = 2
+	rankCount  = 3
+	host       = "soak.example"
+	revoke     = 3 * time.Second
+	grace      = 6 * time.Second
+)
+
+// process is a program that the soak started.
+type process struct {
+	name     string
+	settings string
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	out      *os.File
+	ended    chan struct{}
+}
+
+// start starts the program, or starts it again.
+func (p *process) start(t *testing.T, binary string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd = exec.Command(binary, "serve", "--settings", p.settings)
+	p.cmd.Stdout, p.cmd.Stderr = p.out, p.out
+	require.NoError(t, p.cmd.Start())
+	ended := make(chan struct{})
+	p.ended = ended
+	cmd := p.cmd
+	go func() {
+		_ = cmd.Wait() // killed ones end with an error
+		close(ended)
+	}()
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(s) // it may have ended meanwhile
+}
+
+// await waits for the process to end.
+func (p *process) await(limit time.Duration) bool {
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	select {
+	case <-ended:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// world is a deployment on loopback addresses.
+type world struct {
+	t         *testing.T
+	r         *rand.Rand
+	binary    string
+	dir       string
+	store     *standin.Store
+	proxies   []*standin.Proxy // between each process and the store
+	group     *standin.Group
+	ledger    *standin.Ledger
+	plain     []*standin.Server
+	entries   []*process
+	sidecars  []*process
+	callers   []netip.AddrPort // of the entries
+	readiness []netip.AddrPort
+	version   int
+	revokedAt time.Time
+
+	mu       sync.Mutex
+	problems []string
+}
+
+func (w *world) problem(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.problems = append(w.problems, fmt.Sprintf(format, args...))
+}
+
+// freePort is a port that no address of the soak uses.
+func freePort(t *testing.T) uint16 {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String()).Port()
+}
+
+func at(group, number int, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(group), byte(number + 1)}), port)
+}
+
+func newWorld(t *testing.T, binary string, seed uint64) *world {
+	w := &world{
+		t: t, r: rand.New(rand.NewPCG(seed, 7)), binary: binary, dir: t.TempDir(),
+		store: standin.NewStore(t), ledger: standin.NewLedger(),
+	}
+	port := freePort(t)
+	var ranks []netip.AddrPort
+	for i := range rankCount {
+		ranks = append(ranks, at(2, i, port))
+	}
+	var err error
+	w.group, err = standin.NewGroup(ranks, standin.Shape{Layers: 2, Experts: 12, Places: 6}, 15*time.Millisecond, w.ledger)
+	require.NoError(t, err)
+	t.Cleanup(w.group.Close)
+	for i := range rankCount {
+		id, spec := w.group.Entry(i, "gen")
+		w.store.Put("servers", id, spec)
+	}
+	w.startPlain()
+	w.putConfig(true)
+	peers, http, ready, metrics := freePort(t), freePort(t), freePort(t), freePort(t)
+	for i := range entryCount {
+		ip := at(1, i, 0).Addr()
+		w.callers = append(w.callers, netip.AddrPortFrom(ip, http))
+		w.readiness = append(w.readiness, netip.AddrPortFrom(ip, ready))
+		w.entries = append(w.entries, w.process(fmt.Sprint("entry-", i), fmt.Sprintf(
+			"role: entry\naddress: %s\nlisten:\n  callers: %s:%d\n  readiness: %s:%d\n  metrics: %s:%d\n  peers: %s:%d\n",
+			ip, ip, http, ip, ready, ip, metrics, ip, peers)))
+	}
+	for i := range rankCount {
+		ip := at(2, i, 0).Addr()
+		w.sidecars = append(w.sidecars, w.process(fmt.Sprint("sidecar-", i), fmt.Sprintf(
+			"role: sidecar\naddress: %s\nlisten:\n  metrics: %s:%d\n  peers: %s:%d\ntarget:\n  address: %s\n  service: gen\n",
+			ip, ip, metrics, ip, peers, ranks[i])))
+	}
+	t.Cleanup(w.end)
+	return w
+}
+
+// process writes a program's settings and starts it. It meets the store through a
+// proxy of its own.
+func (w *world) process(name, settings string) *process {
+	proxy, err := standin.NewProxy(netip.MustParseAddrPort("127.0.0.1:0"), w.store.Address)
+	require.NoError(w.t, err)
+	w.proxies = append(w.proxies, proxy)
+	text := settings + fmt.Sprintf("name: %s\ndataCentre: z\nstore: %s\nmemoryMB: 200\nbounds:\n"+
+		"  apply: 2s\n  revoke: %s\n  drain: 2s\n  grace: %s\n  stall: 1500ms\n  repeatRatio: 0.2\n  repeatSlack: 90\n  repeatWindow: 10s\n",
+		name, proxy.Address, revoke, grace)
+	p := &process{name: name, settings: filepath.Join(w.dir, name+".yaml")}
+	require.NoError(w.t, os.WriteFile(p.settings, []byte(text), 0o600))
+	p.out, err = os.Create(filepath.Join(w.dir, name+".log"))
+	require.NoError(w.t, err)
+	p.start(w.t, w.binary)
+	return p
+}
+
+// startPlain starts the servers of the plain service. They refuse some requests, and
+// break some off after they ran.
+func (w *world) startPlain() {
+	var mu sync.Mutex
+	r := rand.New(rand.NewPCG(w.r.Uint64(), 1))
+	draw := func() float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return r.Float64()
+	}
+	for i := range 2 {
+		s := standin.NewServer(w.t, func(a standin.Reply, q standin.Request) {
+			switch u := draw(); {
+			case u < 0.05:
+				a.NotRun()
+				return
+			case u < 0.08:
+				w.ledger.Ran(q.ID, q.Workspace)
+				a.Cut()
+			}
+			w.ledger.Ran(q.ID, q.Workspace)
+			time.Sleep(time.Duration(draw() * float64(20*time.Millisecond)))
+			a.Whole(http.StatusOK, "body of "+q.ID)
+		})
+		w.plain = append(w.plain, s)
+		w.store.Put("servers", fmt.Sprint("p-", i), fmt.Sprintf(`{"service":"app","address":%q,"zone":"z","slots":8,"state":"ready","seq":1}`, s.Address))
+	}
+}
+
+// putConfig writes the next version of the rules.
+func (w *world) putConfig(leaverHasKey bool) {
+	w.version++
+	leaver := `{"name":"leaver","api_keys":["k-leaver"]}`
+	if !leaverHasKey {
+		leaver = `{"name":"leaver","api_keys":[]}`
+	}
+	route := func(path, kind, service string) string {
+		return fmt.Sprintf(`{"name":%q,"host":%q,"path_prefix":"/%s/","kind":%q,"timeout_ms":8000,"target_latency_ms":500,
+			"service":%q,"max_attempts":2,"resumable":%t,"sticky":%t,"gap_aim_ms":150}`, path, host, path, kind, service, kind == "streaming", kind == "streaming")
+	}
+	w.store.Put("config", "main", fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s],"services":[
+		{"name":"gen","engine":{"slots":8,"stride":1,"sets":2,"experts":12,"places":6,"spare":4,"expert_mb":1,"link_mbps":1000}},
+		{"name":"app"}],"limits":{"max_header_bytes":16384,"max_body_bytes":65536},
+		"tenants":[{"name":"stayer","api_keys":["k-stayer"]},%s]}`,
+		w.version, route("stream", "streaming", "gen"), route("once", "unsafe", "app"), route("safe", "safe", "app"), leaver))
+}
+
+// end ends what the soak started, and nothing else.
+func (w *world) end() {
+	for _, p := range append(w.entries, w.sidecars...) {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		p.await(5 * time.Second)
+		_ = p.out.Close() // nobody writes there any more
+	}
+	for _, p := range w.proxies {
+		p.Close()
+	}
+}
+
+// logs are the lines of all processes about a request.
+func (w *world) logs(id string) string {
+	var b bytes.Buffer
+	for _, p := range append(w.entries, w.sidecars...) {
+		text, err := os.ReadFile(p.out.Name())
+		if err != nil {
+			continue
+		}
+		for line := range bytes.Lines(text) {
+			if bytes.Contains(line, []byte(id)) {
+				fmt.Fprintf(&b, "%s: %s", p.name, line)
+			}
+		}
+	}
+	return b.String()
+}
+
+// ready tells whether the balancer would send callers to an entry.
+func (w *world) ready(entry int) bool {
+	c := http.Client{Timeout: 300 * time.Millisecond}
+	a, err := c.Get("http://" + w.readiness[entry].String() + "/ready")
+	if err != nil {
+		return false
+	}
+	defer a.Body.Close()
+	return a.StatusCode == http.StatusOK
+}
