--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -64,6 +64,11 @@
 
 func soak(t *testing.T, binary string, seed uint64) {
 	w := newWorld(t, binary, seed)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(w.tails())
+		}
+	})
 	for i := range w.entries {
 		require.Eventually(t, func() bool { return w.ready(i) }, settleLimit, 50*time.Millisecond, "entry %d becomes ready", i)
 	}
--- a/internal/program/soak/world_test.go
+++ b/internal/program/soak/world_test.go
@@ -101,12 +101,31 @@
 	w.problems = append(w.problems, fmt.Sprintf(format, args...))
 }
 
-// freePort is a port that no address of the soak uses.
+// freePort is a port that is free at all addresses of the soak. Other soaks may run
+// beside this one.
 func freePort(t *testing.T) uint16 {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String()).Port()
+	for {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		port := netip.MustParseAddrPort(l.Addr().String()).Port()
+		require.NoError(t, l.Close())
+		if freeEverywhere(port) {
+			return port
+		}
+	}
+}
+
+func freeEverywhere(port uint16) bool {
+	for group := 1; group <= 2; group++ {
+		for number := range max(entryCount, rankCount) {
+			l, err := net.Listen("tcp4", at(group, number, port).String())
+			if err != nil {
+				return false
+			}
+			_ = l.Close() // it was just opened
+		}
+	}
+	return true
 }
 
 func at(group, number int, port uint16) netip.AddrPort {
@@ -246,6 +265,19 @@
 	return b.String()
 }
 
+// tails are the last lines of all processes.
+func (w *world) tails() string {
+	var b bytes.Buffer
+	for _, p := range append(w.entries, w.sidecars...) {
+		text, err := os.ReadFile(p.out.Name())
+		if err != nil {
+			continue
+		}
+		fmt.Fprintf(&b, "%s: %s\n", p.name, text[max(len(text)-1000, 0):])
+	}
+	return b.String()
+}
+
 // ready tells whether the balancer would send callers to an entry.
 func (w *world) ready(entry int) bool {
 	c := http.Client{Timeout: 300 * time.Millisecond}
