--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -347,13 +347,17 @@
 	return true
 }
 
-// giveUp ends a request that has no target now and did not run.
+// giveUp ends a request that has no target now. Only one that never ran is refused: an
+// earlier try may have run, and "not run" must be true of all of them.
 func (c *call) giveUp(status int, reason string) {
-	if c.stream.begun {
-		c.breakOff(reason)
-		return
+	switch {
+	case c.stream.held != nil:
+		c.deliverHeld()
+	case c.stream.begun || c.ranOnce():
+		c.fail(reason)
+	default:
+		c.refuse(status, reason, c.comeBack())
 	}
-	c.refuse(status, reason, c.comeBack())
 }
 
 // comeBack is when a refused caller should try again.
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -271,6 +271,15 @@
 	}
 }
 
+// The only server breaks the connection off, and no other is there for a second try.
+// The request may have run: the caller must not be told that it did not.
+func TestBrokenAndNoOther(t *testing.T) {
+	s := standin.NewServer(t, func(w standin.Reply, _ standin.Request) { w.Cut() })
+	a := newBench(t, s).call(http.MethodGet, "/safe/x")
+	require.Equal(t, http.StatusBadGateway, a.status)
+	require.Empty(t, a.header.Get("Retry-After"))
+}
+
 // A server is garbled: what it sends is not the whole answer to this request. The
 // caller must not take it for one.
 func TestNotProved(t *testing.T) {
