--- /dev/null
+++ b/internal/program/companion/move.go
@@ -0,0 +1,229 @@
+package companion
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+	"wagtailshelf.example/wagtailshelf/internal/expert/plan"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
+	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
+)
+
+// keepMoving changes the map whenever that is worth it.
+func (p *planner) keepMoving(ctx context.Context) {
+	for sleep(ctx, moveInterval) {
+		v := p.seen()
+		// What was seen before the last change ended shows it half done.
+		if !v.whole || !v.began.After(p.changed) {
+			continue
+		}
+		if err := p.moveRound(ctx, v); err != nil {
+			p.c.log.Warn().Str("event", "moveHeldUp").Err(err).Msg("")
+		}
+	}
+}
+
+// moveRound brings the map nearer to what was seen.
+func (p *planner) moveRound(ctx context.Context, v view) error {
+	if v.epoch != p.epoch {
+		p.c.log.Info().Str("event", "epoch").Str("group", p.group).Int64("epoch", v.epoch).Int64("before", p.epoch).Msg("")
+		p.epoch, p.current, p.after, p.highest = v.epoch, nil, 0, 0
+	}
+	if p.underWay(v.reports) {
+		return nil
+	}
+	if p.current == nil || v.reports[0].Map != p.version {
+		if err := p.readMap(ctx, v); err != nil {
+			return err
+		}
+	}
+	if changeover.Stuck(v.reports) {
+		return p.recover(ctx, v)
+	}
+	return p.move(ctx, v)
+}
+
+// underWay tells whether the last change is complete but for its pass to begin.
+func (p *planner) underWay(reports []changeover.Report) bool {
+	armed := false
+	for _, r := range reports {
+		if r.Held != 0 || r.Armed != nil && *r.Armed != p.pending {
+			return false
+		}
+		armed = armed || r.Armed != nil
+	}
+	return armed
+}
+
+// readMap reads the map in force from all ranks.
+func (p *planner) readMap(ctx context.Context, v view) error {
+	shape := expertmap.Shape{Layers: v.engine.Layers, Experts: v.engine.Experts, Ranks: len(v.ranks), Slots: v.engine.Places}
+	m, err := expertmap.New(shape)
+	if err != nil {
+		return err
+	}
+	version := int64(-1)
+	for rank, s := range v.ranks {
+		seen, err := p.look(ctx, s, rankport.Look{Lists: true})
+		if err != nil {
+			return err
+		}
+		if version >= 0 && seen.Lists.Version != version || len(seen.Lists.Experts) != shape.Layers {
+			return merry.Wrap(errIncomplete, merry.AppendMessage("the ranks' lists are of different maps"))
+		}
+		version = seen.Lists.Version
+		for layer, row := range seen.Lists.Experts {
+			if len(row) > shape.Slots {
+				return merry.Wrap(errIncomplete, merry.AppendMessage("a rank has more experts than places"))
+			}
+			for slot, e := range row {
+				m.Set(layer, rank, slot, uint16(e))
+			}
+		}
+	}
+	p.current, p.version = m, version
+	return nil
+}
+
+// access is the group as the changeover sees it.
+func (p *planner) access(v view) *changeover.Group {
+	return &changeover.Group{
+		Ranks: len(v.ranks),
+		Epoch: v.epoch,
+		Order: func(ctx context.Context, rank int, o changeover.Order) changeover.Result {
+			return p.order(ctx, v.ranks[rank], o)
+		},
+		Look: func(ctx context.Context, rank int) (changeover.Report, error) {
+			seen, err := p.look(ctx, v.ranks[rank], rankport.Look{})
+			return seen.Report, err
+		},
+		Prepared: func() { p.prepared = time.Now() },
+		Pause:    func(ctx context.Context, d time.Duration) { sleep(ctx, d) },
+		Step: func(what string, rank int, r changeover.Result) {
+			p.c.log.Warn().Str("event", "orderFailed").Str("operation", what).Int("rank", rank).Uint8("result", uint8(r)).Msg("")
+		},
+	}
+}
+
+func (p *planner) order(ctx context.Context, s *seat, o changeover.Order) changeover.Result {
+	m := rankport.Order{Asker: p.asker, Order: o}
+	if o.Operation == changeover.Prepare && p.base != nil {
+		m.Order.Map, m.Base, m.Changes = nil, p.base.digest, p.base.changes
+	}
+	result, err := p.c.peers.Order(ctx, s.sidecar, m)
+	if errors.Is(err, rankport.ErrNeedsMap) {
+		m = rankport.Order{Asker: p.asker, Order: o}
+		result, err = p.c.peers.Order(ctx, s.sidecar, m)
+	}
+	if err == nil || errors.Is(err, rankport.ErrSuperseded) {
+		return result
+	}
+	// The sidecar may have passed the order on; giving it twice does no harm, as the
+	// second one finds the state that it asks for, or does not fit.
+	result, _ = p.c.engines.Order(ctx, s.engine, o)
+	return result
+}
+
+// base is how a new map is told to sidecars that have the one before.
+type base struct {
+	digest  string
+	changes []byte
+}
+
+func newBase(from, to *expertmap.Map) *base {
+	list, err := expertmap.Changes(from, to)
+	if err != nil {
+		return nil // the whole map is told
+	}
+	return &base{digest: from.Digest().String(), changes: rankport.PackChanges(list)}
+}
+
+// move changes the map if the demand asks for it.
+func (p *planner) move(ctx context.Context, v view) error {
+	planned := time.Now()
+	next := plan.Follow(p.current, v.demand, paces(v.reports), plan.FollowLimits{PerLayer: v.engine.Spare, PerRank: copiesIn(copyTime, v.engine), Gain: leastGain})
+	if next == nil {
+		return nil
+	}
+	p.highest = changeover.NextVersion(v.reports, p.highest, p.life)
+	begin := time.Now()
+	p.prepared = begin
+	copies, most := copiesOf(p.current, next)
+	p.base = newBase(p.current, next)
+	step, err := p.access(v).Run(ctx, changeover.Change{Version: p.highest, Map: next, Holder: p.own, Ahead: v.ahead, After: p.after})
+	p.after = max(p.after, step)
+	p.c.log.Info().Str("event", "change").Int64("version", p.highest).Int64("step", step).
+		Float64("skew", plan.Skew(p.current, v.demand, paces(v.reports))).Float64("planned", plan.Skew(next, v.demand, paces(v.reports))).
+		Int("copies", copies).Int("mostCopies", most).Dur("countsAge", planned.Sub(v.counted)).
+		Dur("planTook", begin.Sub(planned)).Dur("prepareTook", p.prepared.Sub(begin)).
+		Dur("took", time.Since(begin)).Err(err).Msg("")
+	p.changed = time.Now()
+	p.current = nil
+	if err == nil {
+		p.current, p.version = next, p.highest
+		p.pending = changeover.Arming{Version: p.highest, Step: step}
+	}
+	return nil
+}
+
+// paces are how much longer than usual the ranks take for their work.
+func paces(reports []changeover.Report) []float64 {
+	list := make([]float64, len(reports))
+	for rank, r := range reports {
+		list[rank] = paceOf(r)
+	}
+	return list
+}
+
+// slowPace is from where a rank counts as slow; paces vary a little by themselves.
+const slowPace = 1.2
+
+func paceOf(r changeover.Report) float64 {
+	if r.Pace < slowPace {
+		return 1
+	}
+	return r.Pace
+}
+
+// copiesIn is how many experts a rank copies in a time.
+func copiesIn(d time.Duration, e *routing.Engine) int {
+	if e.CopyTime <= 0 {
+		return e.Layers * e.Spare
+	}
+	return max(int(d/e.CopyTime), 1)
+}
+
+// copiesOf counts the experts that are copied for a change, by all ranks and by the
+// rank with the most.
+func copiesOf(from, to *expertmap.Map) (all, most int) {
+	d, err := expertmap.Diff(from, to)
+	if err != nil {
+		return 0, 0 // the maps of one group have one shape
+	}
+	for _, n := range d.Moves(from.Shape().Ranks) {
+		all += n
+		most = max(most, n)
+	}
+	return all, most
+}
+
+// recover frees a group that was left in the middle of a change.
+func (p *planner) recover(ctx context.Context, v view) error {
+	p.highest = changeover.NextVersion(v.reports, p.highest, p.life)
+	begin := time.Now()
+	p.base = nil
+	err := p.access(v).Recover(ctx, p.own, p.highest, p.current)
+	p.highest += recoverVersions
+	p.c.log.Info().Str("event", "recovered").Dur("took", time.Since(begin)).Err(err).Msg("")
+	p.changed = time.Now()
+	return err
+}
+
+// recoverVersions is above the versions that one recovery may use: one in each of its
+// steps.
+const recoverVersions = 1 << 24
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -311,7 +311,7 @@
 // Bytes follow a whole answer. They belong to no request: the next one on that
 // connection would get them.
 func TestExtraAnswer(t *testing.T) {
-	s := standin.NewServer(t, func(w standin.Reply, r standin.Request) {
+	s := standin.NewServer(t, func(w standin.Reply, _ standin.Request) {
 		w.Bytes(w.Wire("Content-Length: 5\r\n", "hello") + w.Wire("Content-Length: 5\r\n", "twice"))
 	})
 	b := newBench(t, s)
