--- a/internal/program/gateway/digest.go
+++ b/internal/program/gateway/digest.go
@@ -54,6 +54,8 @@
 	}
 	if d.Entries > 0 {
 		g.entries.Store(int64(d.Entries))
+		now := time.Now()
+		g.countedAt.Store(&now)
 	}
 	if d.Limit > 0 {
 		g.engineLimits.Store(d.Service, d.Limit)
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -38,9 +38,13 @@
 	// readyTrust is how old the rules may be while the entry asks for callers. Past
 	// that it can't serve those with keys for much longer.
 	readyTrust = 0.8
-	// assumedEntries share the allowance of repeats. More entries than that
-	// would send more than all together may.
-	assumedEntries = 8
+	// assumedEntries share the allowance of repeats while nobody tells how many there
+	// are. All of them together must not send more than is allowed; the largest
+	// deployment has 16.
+	assumedEntries = 16
+	// countLasts is how long a told number of entries counts. Planners tell it some
+	// ten times a second.
+	countLasts = 5 * time.Second
 )
 
 // Gateway is the entry's state.
@@ -55,8 +59,9 @@
 	rules        atomic.Pointer[knownRules]
 	targets      atomic.Bool // a list of targets was read
 	draining     atomic.Bool
-	entries      atomic.Int64 // that share the targets
-	engineLimits sync.Map     // requests that a rank should have, by service
+	entries      atomic.Int64              // that share the targets
+	countedAt    atomic.Pointer[time.Time] // when a planner told that; nil before
+	engineLimits sync.Map                  // requests that a rank should have, by service
 	forward      *forward.Forwarder
 	pool         *upstream.Pool
 	admit        *admission.Controller
@@ -89,7 +94,7 @@
 		Pool:      g.pool,
 		Budget: &forward.Budget{Limits: func() forward.Limits {
 			b := g.bounds.Load()
-			return forward.Limits{Ratio: b.RepeatRatio, Window: b.RepeatWindow, Fixed: b.RepeatSlack / assumedEntries}
+			return forward.Limits{Ratio: b.RepeatRatio, Window: b.RepeatWindow, Fixed: b.RepeatSlack / g.sharers(time.Now())}
 		}},
 		Now:      time.Now,
 		Draining: &g.draining,
@@ -99,6 +104,17 @@
 	return g
 }
 
+// sharers is how many entries the allowance of repeats is divided by: as many as the
+// planner hears, and a quarter more, since some may not reach it.
+func (g *Gateway) sharers(now time.Time) float64 {
+	told := g.countedAt.Load()
+	if told == nil || now.Sub(*told) > countLasts {
+		return assumedEntries
+	}
+	n := float64(g.entries.Load())
+	return n + n/4 + 1
+}
+
 // apply takes changed settings. Addresses stay as they are until the next start.
 func (g *Gateway) apply(s deployed.Settings) {
 	g.bounds.Store(&s.Bounds)
--- a/internal/program/gateway/knowledge_test.go
+++ b/internal/program/gateway/knowledge_test.go
@@ -13,6 +13,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
 	"wagtailshelf.example/wagtailshelf/internal/record/feed"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
+	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
 )
 
 func newGateway() *Gateway {
@@ -111,3 +112,16 @@
 	g.listTargets(feed.Page[roster.Target]{})
 	requireServing(t, g)
 }
+
+// Sixteen entries each take their part of what all may send twice. Taken for fewer,
+// they would together send more than is allowed.
+func TestRepeatsAreShared(t *testing.T) {
+	g := newGateway()
+	now := time.Now()
+	require.InDelta(t, assumedEntries, g.sharers(now), 0, "nobody tells")
+	g.takeDigest(digest.Digest{Service: "svc", Entries: 16})
+	require.GreaterOrEqual(t, g.sharers(time.Now()), 16.0)
+	g.takeDigest(digest.Digest{Service: "svc", Entries: 4})
+	require.InDelta(t, 6, g.sharers(time.Now()), 0)
+	require.InDelta(t, assumedEntries, g.sharers(now.Add(time.Minute)), 0, "nobody tells any more")
+}
