--- a/internal/program/soak/world_test.go
+++ b/internal/program/soak/world_test.go
@@ -28,6 +28,8 @@
 	grace      = 6 * time.Second
 )
 
+var shape = standin.Shape{Layers: 2, Experts: 12, Places: 6}
+
 // process is a program that the soak started.
 type process struct {
 	name     string
@@ -143,13 +145,10 @@
 		ranks = append(ranks, at(2, i, port))
 	}
 	var err error
-	w.group, err = standin.NewGroup(ranks, standin.Shape{Layers: 2, Experts: 12, Places: 6}, 15*time.Millisecond, w.ledger)
+	w.group, err = standin.NewGroup(ranks, shape, 15*time.Millisecond, w.ledger)
 	require.NoError(t, err)
 	t.Cleanup(w.group.Close)
-	for i := range rankCount {
-		id, spec := w.group.Entry(i, "gen")
-		w.store.Put("servers", id, spec)
-	}
+	w.group.Register(w.store, "gen")
 	w.startPlain()
 	w.putConfig(true)
 	peers, http, ready, metrics := freePort(t), freePort(t), freePort(t), freePort(t)
@@ -213,26 +212,25 @@
 			a.Whole(http.StatusOK, "body of "+q.ID)
 		})
 		w.plain = append(w.plain, s)
-		w.store.Put("servers", fmt.Sprint("p-", i), fmt.Sprintf(`{"service":"app","address":%q,"zone":"z","slots":8,"state":"ready","seq":1}`, s.Address))
+		w.store.PutServer(fmt.Sprint("p-", i), "app", s.Address)
 	}
 }
 
 // putConfig writes the next version of the rules.
 func (w *world) putConfig(leaverHasKey bool) {
 	w.version++
-	leaver := `{"name":"leaver","api_keys":["k-leaver"]}`
-	if !leaverHasKey {
-		leaver = `{"name":"leaver","api_keys":[]}`
-	}
-	route := func(path, kind, service string) string {
-		return fmt.Sprintf(`{"name":%q,"host":%q,"path_prefix":"/%s/","kind":%q,"timeout_ms":8000,"target_latency_ms":500,
-			"service":%q,"max_attempts":2,"resumable":%t,"sticky":%t,"gap_aim_ms":150}`, path, host, path, kind, service, kind == "streaming", kind == "streaming")
+	workspaces := map[string][]string{"stayer": {"k-stayer"}, "leaver": {}}
+	if leaverHasKey {
+		workspaces["leaver"] = []string{"k-leaver"}
 	}
-	w.store.Put("config", "main", fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s],"services":[
-		{"name":"gen","engine":{"slots":8,"stride":1,"sets":2,"experts":12,"places":6,"spare":4,"expert_mb":1,"link_mbps":1000}},
-		{"name":"app"}],"limits":{"max_header_bytes":16384,"max_body_bytes":65536},
-		"tenants":[{"name":"stayer","api_keys":["k-stayer"]},%s]}`,
-		w.version, route("stream", "streaming", "gen"), route("once", "unsafe", "app"), route("safe", "safe", "app"), leaver))
+	require.NoError(w.t, w.store.PutConfig(standin.Config{
+		Version: w.version, Host: host, Engines: "gen", Group: shape, Plain: "app", Workspaces: workspaces,
+		Routes: []standin.Route{
+			{Name: "stream", Kind: "streaming", Service: "gen", Resumable: true},
+			{Name: "once", Kind: "unsafe", Service: "app"},
+			{Name: "safe", Kind: "safe", Service: "app"},
+		},
+	}))
 }
 
 // end ends what the soak started, and nothing else.
--- a/internal/traffic/routing/routing.go
+++ b/internal/traffic/routing/routing.go
@@ -83,21 +83,12 @@
 
 // Engine describes the model engines of a service and their expert group.
 type Engine struct {
-	Slots       int           // requests that run at the same time
-	MemoryToken int           // tokens that fit into the memory of one engine
-	Stride      int           // steps of a pass
-	Step        time.Duration // of a step by itself
-	PerSequence time.Duration // added to a step by each request that is writing
-	ReadRate    float64       // prompt tokens a second
-	Layers      int           // sets of layers that share a row of the expert map
-	Experts     int           // experts of a layer
-	Places      int           // experts that a rank can hold of a layer
-	Spare       int           // experts of a layer that a rank can copy for one change
-	CopyTime    time.Duration // that a rank takes to copy one expert; 0 if it is not told
-	FormTime    time.Duration // a group takes this long to open once all ranks are there
-	ReportLag   time.Duration // age of what an engine reports to other hosts
-	UsualPrompt int           // mean tokens of a prompt
-	UsualAnswer int           // mean tokens of an answer
+	Slots    int           // requests that run at the same time
+	Layers   int           // sets of layers that share a row of the expert map
+	Experts  int           // experts of a layer
+	Places   int           // experts that a rank can hold of a layer
+	Spare    int           // experts of a layer that a rank can copy for one change
+	CopyTime time.Duration // that a rank takes to copy one expert; 0 if it is not told
 }
 
 // Service is a set of targets that serve the same requests.
