--- a/cmd/capacityrig/deployment.go
+++ b/cmd/capacityrig/deployment.go
@@ -158,9 +158,6 @@
 		fmt.Fprintf(&b, "  callers: %s\n", netip.AddrPortFrom(addr, callersPort))
 	}
 	fmt.Fprintf(&b, "platform: [%s]\n%s", d.platform.at(standinPort), more)
-	if len(d.entries) > 0 {
-		fmt.Fprintf(&b, "seeds: [%s]\n", d.entries[0].at(peersPort))
-	}
 	fmt.Fprintf(&b, "operators: [{name: rig, tokens: [%s]}]\ntls:\n", credential.DigestOf(token))
 	for _, f := range []struct {
 		key  string
--- a/cmd/processrig/cluster.go
+++ b/cmd/processrig/cluster.go
@@ -206,10 +206,7 @@
 		}
 		fmt.Fprintf(&b, "target: {address: %s, kind: %s}\n", n.target.callers, kind)
 	}
-	fmt.Fprintf(&b, "platform: [%s]\nseeds:\n", c.platform.callers)
-	for _, e := range c.entries[:min(3, len(c.entries))] {
-		fmt.Fprintf(&b, "  - %s\n", e.peers)
-	}
+	fmt.Fprintf(&b, "platform: [%s]\n", c.platform.callers)
 	fmt.Fprintf(&b, "tls: {certificateFile: %s/certificate.pem, keyFile: %s/key.pem, authoritiesFile: %s/authorities.pem}\n", keys, keys, keys)
 	fmt.Fprintf(&b, "operators: [{name: rig, tokens: [%s]}]\n", credential.DigestOf(c.token))
 	fmt.Fprintf(&b, "drain: {delay: 1s, bound: 11m}\n")
@@ -231,7 +228,7 @@
 
 // serves tells whether both services are in force at an entry: a caller without
 // a credential is then refused for that, and no longer for an unknown service.
-// The first acceptance takes a moment, and a call before it proves nothing.
+// The first read of the documents takes a moment, and a call before it proves nothing.
 func (c *cluster) serves(ctx context.Context, e *node) bool {
 	for _, service := range []string{"redaction", "agenda"} {
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.callers.String()+"/"+service+"/", nil)
--- a/internal/operator/command/apply.go
+++ b/internal/operator/command/apply.go
@@ -21,13 +21,13 @@
 	versionFlag     = "version"
 	waitFlag        = "wait"
 	waitTimeoutFlag = "wait-timeout"
-	pollEvery       = 500 * time.Millisecond // each costs the platform two calls
+	pollEvery       = 500 * time.Millisecond // each costs the platform a call for each process asked
 )
 
 // Errors of a wait.
 var (
-	ErrSuperseded = merry.Sentinel("another document was accepted instead")
-	ErrNotInForce = merry.Sentinel("the document is not in force everywhere yet; it stays applied")
+	ErrSuperseded = merry.Sentinel("another document was applied since")
+	ErrNotInForce = merry.Sentinel("the document is not in force at all processes asked yet; it stays applied")
 )
 
 func applyCommand() *cli.Command {
@@ -40,7 +40,7 @@
 		ArgsUsage: "FILE",
 		Flags: append(serverFlags(),
 			&cli.Uint64Flag{Name: versionFlag, Usage: "`VERSION` that was edited, instead of the one in the file"},
-			&cli.BoolFlag{Name: waitFlag, Usage: "wait until it is in force everywhere, and tell who lags"},
+			&cli.BoolFlag{Name: waitFlag, Usage: "wait until it is in force at all addresses given, and tell who lags"},
 			&cli.DurationFlag{Name: waitTimeoutFlag, Value: time.Minute, Usage: "`DURATION` to wait so"},
 		),
 		Action: apply,
@@ -166,12 +166,12 @@
 	}
 }
 
-// wait follows the status until the document is in force everywhere, and prints
-// each change on the way.
+// wait follows the status until the document is in force at all processes that were
+// named, and prints each change on the way.
 func wait(ctx context.Context, w io.Writer, c *client, r *administration.Receipt) error {
 	last := ""
 	for {
-		s, err := readStatus(ctx, c, r.Service)
+		s, err := c.status(ctx, r.Service)
 		if err == nil {
 			line, done, err := progress(s, r)
 			if line != last {
@@ -190,55 +190,22 @@
 	}
 }
 
-func readStatus(ctx context.Context, c *client, service string) (*status.Status, error) {
-	a, err := c.get(ctx, call{service: service, what: "status"})
-	if err != nil {
-		return nil, err
-	}
-	var s status.Status
-	return &s, a.decode(&s)
-}
-
 // progress says how far the document has come, and whether the wait is over.
 func progress(s *status.Status, r *administration.Receipt) (line string, done bool, err error) {
-	if f := s.Refused; f != nil && f.Version == r.Version {
-		return "refused:\n" + f.Findings.Error(), true, ErrFindings
+	a := s.Applied
+	if a != nil && a.Number > uint64(r.Version) {
+		return fmt.Sprintf("number %d by %s was applied since", a.Number, a.By), true, ErrSuperseded
 	}
-	a := s.Accepted
-	switch {
-	case a != nil && a.Digest == r.Digest && s.Waiting == nil:
-		// A text that is in force already is not accepted again, so the versions
-		// may differ.
-		return inForce(s)
-	case a != nil && a.Version > r.Version:
-		return fmt.Sprintf("number %d by %s was accepted, version %d", a.Number, a.By, a.Version), true, ErrSuperseded
-	case s.Waiting != nil && s.Waiting.Version == r.Version:
-		return waiting(s.Waiting), false, nil
-	}
-	return "waiting to be taken up", false, nil
-}
-
-func inForce(s *status.Status) (string, bool, error) {
-	line := fmt.Sprintf("number %d: accepted, in force on %d of %d", s.Accepted.Number, s.InForce, s.Of)
-	for i, l := range s.Lagging {
+	line = fmt.Sprintf("number %d: in force on %d of %d", r.Version, s.InForce(), len(s.Processes))
+	for i, l := range s.Lagging() {
 		if i == maxNamed {
 			line += ", ..."
 			break
 		}
-		line += ", " + l.String()
+		line += ", " + l
 	}
 	return line, s.Settled(), nil
 }
 
+// maxNamed bounds the processes that one line names.
 const maxNamed = 8
-
-func waiting(k *status.Wait) string {
-	line := fmt.Sprintf("version %d: held by %d of %d", k.Version, k.Holding, k.Of)
-	for i, name := range k.For {
-		if i == maxNamed {
-			return line + ", ..."
-		}
-		line += fmt.Sprintf(", waiting for %s", name)
-	}
-	return line
-}
--- a/internal/operator/command/client.go
+++ b/internal/operator/command/client.go
@@ -16,7 +16,7 @@
 	"github.com/urfave/cli/v3"
 
 	"wagtailshelf.example/wagtailshelf/internal/operator/token"
-
+	"wagtailshelf.example/wagtailshelf/internal/record/status"
 	"wagtailshelf.example/wagtailshelf/internal/wire/administration"
 	"wagtailshelf.example/wagtailshelf/internal/wire/platform"
 )
@@ -33,12 +33,13 @@
 	ErrConflict = merry.Sentinel("conflict")
 )
 
-// client calls the administration API.
+// client calls the administration API of one process, or of several in turn.
 type client struct {
-	base  string
-	token string
-	do    func(*http.Request) (*http.Response, error)
-	close func()
+	base   string
+	token  string
+	do     func(*http.Request) (*http.Response, error)
+	close  func()
+	others []*client // further processes whose status is asked
 }
 
 const (
@@ -50,7 +51,7 @@
 // serverFlags are the flags of commands that need a running process.
 func serverFlags() []cli.Flag {
 	return []cli.Flag{
-		&cli.StringFlag{Name: administrationFlag, Usage: "`ADDRESS` of the administration listener of any entry"},
+		&cli.StringSliceFlag{Name: administrationFlag, Usage: "`ADDRESS` of the administration listener of any entry; further ones are asked for their status too"},
 		token.Flag(),
 		&cli.DurationFlag{Name: timeoutFlag, Value: 20 * time.Second, Usage: "`DURATION` to wait for an answer"},
 	}
@@ -69,15 +70,46 @@
 	if addr := cmd.String(platformFlag); addr != "" {
 		return platformClient(addr)
 	}
-	addr, err := netip.ParseAddrPort(cmd.String(administrationFlag))
-	if err != nil {
-		return nil, merry.Appendf(ErrUsage, "--%s: %v", administrationFlag, err)
+	addresses := cmd.StringSlice(administrationFlag)
+	if len(addresses) == 0 {
+		return nil, merry.Appendf(ErrUsage, "--%s is missing", administrationFlag)
 	}
 	secret, err := token.Read(cmd)
 	if err != nil {
 		return nil, err
 	}
-	return &client{base: "http://" + addr.String(), token: secret, do: http.DefaultClient.Do, close: func() {}}, nil
+	all := make([]*client, len(addresses))
+	for i, text := range addresses {
+		addr, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, merry.Appendf(ErrUsage, "--%s: %v", administrationFlag, err)
+		}
+		all[i] = &client{base: "http://" + addr.String(), token: secret, do: http.DefaultClient.Do, close: func() {}}
+	}
+	all[0].others = all[1:]
+	return all[0], nil
+}
+
+// status asks each process. One that does not answer is told as an error: it may well
+// have an older document in force.
+func (c *client) status(ctx context.Context, service string) (*status.Status, error) {
+	var s *status.Status
+	for _, each := range append([]*client{c}, c.others...) {
+		a, err := each.get(ctx, call{service: service, what: "status"})
+		if err != nil {
+			return nil, err
+		}
+		var one status.Status
+		if err := a.decode(&one); err != nil {
+			return nil, err
+		}
+		if s == nil {
+			s = &one
+			continue
+		}
+		s.Processes = append(s.Processes, one.Processes...)
+	}
+	return s, nil
 }
 
 // platformClient answers from the platform through the API's own handlers, so
--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -22,7 +22,6 @@
 	"wagtailshelf.example/wagtailshelf/internal/record/document"
 	"wagtailshelf.example/wagtailshelf/internal/record/finding"
 	"wagtailshelf.example/wagtailshelf/internal/record/source"
-	"wagtailshelf.example/wagtailshelf/internal/record/status"
 	"wagtailshelf.example/wagtailshelf/internal/wire/administration"
 )
 
@@ -32,7 +31,7 @@
 func commands(now func() time.Time) []*cli.Command {
 	all := []*cli.Command{
 		checkCommand(), applyCommand(), showCommand(),
-		diffCommand(), historyCommand(now), statusCommand(now),
+		diffCommand(), historyCommand(now), statusCommand(),
 	}
 	for _, c := range all {
 		c.Action = exiting(c.Action)
@@ -50,7 +49,7 @@
 	refFlag   = "ref"
 	fromFlag  = "from"
 	toFlag    = "to"
-	refFormat = "applied, inForce or a number of the history"
+	refFormat = "applied, before or a number of the history"
 )
 
 func jsonOutput() cli.Flag {
@@ -97,7 +96,7 @@
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "check",
-		Usage:     "report all that is wrong with a document; with --" + administrationFlag + ", against the one in force too",
+		Usage:     "report all that is wrong with a document; with --" + administrationFlag + ", against the one that is applied too",
 		ArgsUsage: "FILE",
 		Flags:     serverFlags(),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
@@ -109,7 +108,7 @@
 			if err != nil {
 				return err
 			}
-			if cmd.String(administrationFlag) == "" {
+			if len(cmd.StringSlice(administrationFlag)) == 0 {
 				d, findings := document.Parse(name, file)
 				return report(cmd, d, findings, nil)
 			}
@@ -203,8 +202,8 @@
 		Usage:     "print what changes from one document of a service to another",
 		ArgsUsage: "SERVICE",
 		Flags: append(readFlags(), jsonOutput(),
-			&cli.StringFlag{Name: fromFlag, Value: "inForce", Usage: "`REF`: " + refFormat},
-			&cli.StringFlag{Name: toFlag, Value: "applied", Usage: "`REF`: " + refFormat},
+			&cli.StringFlag{Name: fromFlag, Value: administration.RefBefore, Usage: "`REF`: " + refFormat},
+			&cli.StringFlag{Name: toFlag, Value: administration.RefApplied, Usage: "`REF`: " + refFormat},
 		),
 		Action: withClient(func(ctx context.Context, cmd *cli.Command, c *client) error {
 			service, err := argument(cmd, 0, "SERVICE")
@@ -226,10 +225,15 @@
 
 // show prints an answer as it is, or decodes it and prints it for a person.
 func show(cmd *cli.Command, a *answer, v any, text func(w io.Writer)) error {
-	w := cmd.Root().Writer
 	if err := a.decode(v); err != nil {
 		return err
 	}
+	return printed(cmd, v, text)
+}
+
+// printed prints a value as JSON, or for a person.
+func printed(cmd *cli.Command, v any, text func(w io.Writer)) error {
+	w := cmd.Root().Writer
 	if !cmd.Bool(jsonFlag) {
 		text(w)
 		return nil
@@ -242,10 +246,10 @@
 func historyCommand(now func() time.Time) *cli.Command {
 	return &cli.Command{
 		Name:      "history",
-		Usage:     "print the documents that were in force, who applied them and when",
+		Usage:     "print the documents that were applied, by whom and when",
 		ArgsUsage: "SERVICE",
 		Flags: append(readFlags(), jsonOutput(),
-			&cli.StringFlag{Name: atFlag, Usage: "only the one in force at `TIME`, for example 2026-03-02T14:05:00Z, or 14:05 today"},
+			&cli.StringFlag{Name: atFlag, Usage: "only the one applied at `TIME`, for example 2026-03-02T14:05:00Z, or 14:05 today"},
 		),
 		Action: withClient(func(ctx context.Context, cmd *cli.Command, c *client) error {
 			service, err := argument(cmd, 0, "SERVICE")
@@ -287,17 +291,14 @@
 		if !e.HasText {
 			fmt.Fprint(w, " (text not kept)")
 		}
-		for _, name := range e.LeftOut {
-			fmt.Fprintf(w, " (without %s)", name)
-		}
 		fmt.Fprintln(w)
 	}
 }
 
-func statusCommand(now func() time.Time) *cli.Command {
+func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "status",
-		Usage:     "print what is in force where, of one service or of all",
+		Usage:     "print what is applied and where it is in force, of one service or of all",
 		ArgsUsage: "[SERVICE]",
 		Flags:     append(readFlags(), jsonOutput()),
 		Action: withClient(func(ctx context.Context, cmd *cli.Command, c *client) error {
@@ -306,12 +307,11 @@
 				return err
 			}
 			for _, service := range services {
-				a, err := c.get(ctx, call{service: service, what: "status"})
+				s, err := c.status(ctx, service)
 				if err != nil {
 					return err
 				}
-				var s status.Status
-				if err := show(cmd, a, &s, func(w io.Writer) { fmt.Fprint(w, s.Text(now())) }); err != nil {
+				if err := printed(cmd, s, func(w io.Writer) { fmt.Fprint(w, s.Text()) }); err != nil {
 					return err
 				}
 			}
--- a/internal/operator/role/entry.go
+++ b/internal/operator/role/entry.go
@@ -24,8 +24,6 @@
 		Metrics:    b.metrics,
 		DrainDelay: b.settings.Drain.Delay,
 		DrainBound: b.settings.Drain.Bound,
-		Fleet:      true,
-		Seeds:      b.settings.Seeds,
 	})
 	if err != nil {
 		return err
--- a/internal/operator/role/sidecar.go
+++ b/internal/operator/role/sidecar.go
@@ -21,7 +21,6 @@
 		Metrics:    b.metrics,
 		DrainBound: b.settings.Drain.Bound,
 		Platform:   client,
-		Seeds:      b.settings.Seeds,
 	})
 	if err != nil {
 		return err
--- a/internal/program/entry/administration.go
+++ b/internal/program/entry/administration.go
@@ -6,7 +6,6 @@
 	"github.com/labstack/echo/v4"
 
 	"wagtailshelf.example/wagtailshelf/internal/record/document"
-	"wagtailshelf.example/wagtailshelf/internal/record/object"
 	"wagtailshelf.example/wagtailshelf/internal/wire/administration"
 )
 
@@ -17,8 +16,8 @@
 		Records:  &administration.Records{Do: e.cfg.Platform.Do},
 		Now:      time.Now,
 		Operator: operator,
-		Applied:  e.applied,
 		InForce:  e.documents,
+		Process:  e.process,
 	}
 	api.Mount(g)
 }
@@ -31,10 +30,3 @@
 	}
 	return view.documents
 }
-
-// applied tells the fleet of a document that an operator applied here.
-func (e *Entry) applied(service string, version object.Version) {
-	if e.membership != nil {
-		e.membership.Applied(service, version)
-	}
-}
--- a/internal/program/entry/documents.go
+++ b/internal/program/entry/documents.go
@@ -1,45 +1,24 @@
 package entry
 
 import (
-	"context"
 	"time"
 
+	"wagtailshelf.example/wagtailshelf/internal/program/documents"
 	"wagtailshelf.example/wagtailshelf/internal/record/document"
-	"wagtailshelf.example/wagtailshelf/internal/record/object"
+	"wagtailshelf.example/wagtailshelf/internal/record/finding"
+	"wagtailshelf.example/wagtailshelf/internal/record/status"
 	"wagtailshelf.example/wagtailshelf/internal/wire/caller"
 )
 
-const (
-	documentPrefix object.Key   = "documents/"
-	causeDocuments object.Cause = "documents"
-	documentPause               = time.Second // between a failed read and the next
-)
-
-// followDocuments keeps the documents of the platform in force.
-func (e *Entry) followDocuments(ctx context.Context) error {
-	var since object.Version
-	for {
-		reply := e.cfg.Platform.Do(ctx, object.Call{Op: object.List, Key: documentPrefix, Cause: causeDocuments})
-		if reply.Status == object.Done {
-			for _, o := range reply.Objects {
-				text := document.DecodeSubmission(o.Value).Text
-				e.Install(o.Key.Name(), uint64(o.Version), []byte(text))
-				since = max(since, o.Version)
-			}
-			e.learnt.Store(true)
-		}
-		_, _, err := e.cfg.Platform.Watch(ctx, documentPrefix, since)
-		if err == nil {
-			continue
-		}
-		select {
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		case <-time.After(documentPause):
-		}
-	}
+// note is what operators may ask about a service, beside its document.
+type note struct {
+	since   time.Time       // of the document in force
+	refused *status.Refusal // the last text with findings, until one without
 }
 
+// take puts a document in force that the platform has.
+func (e *Entry) take(d documents.Document) { e.Install(d.Service, d.Number, d.Text) }
+
 // Install puts a document in force. A number that is not higher than the one in
 // force changes nothing, whoever asks for it.
 func (e *Entry) Install(service string, number uint64, text []byte) {
@@ -50,12 +29,17 @@
 		return
 	}
 	d, findings := document.Parse(service+".yaml", text)
+	n := e.notes[service]
+	n.refused = refusalOf(number, findings)
 	if len(findings) > 0 {
 		e.log.Error().Str("service", service).Uint64("number", number).Err(findings).Msg("document does not check")
 	}
 	if len(findings) > 0 && !usable(d, service) {
+		e.notes[service] = n
 		return
 	}
+	n.since = time.Now()
+	e.notes[service] = n
 	e.services[service] = caller.NewService(d, number)
 	e.publish()
 	if r := e.routers[service]; r != nil {
@@ -67,8 +51,32 @@
 	e.startClaims(d)
 }
 
+// refusalOf returns what operators are told of a text with findings, or nil.
+func refusalOf(number uint64, findings finding.List) *status.Refusal {
+	if len(findings) == 0 {
+		return nil
+	}
+	return &status.Refusal{
+		Number: number, Count: len(findings), Findings: findings[:min(len(findings), status.MaxFindings)],
+	}
+}
+
+// process returns what this entry says of a service.
+func (e *Entry) process(service string) status.Process {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := e.notes[service]
+	p := status.Process{
+		Host: e.cfg.Identity.Name, Since: n.since, Refused: n.refused, Outcomes: e.counts.tally.of(service),
+	}
+	if s := e.services[service]; s != nil {
+		p.Number = s.Number
+	}
+	return p
+}
+
 // usable tells whether a document that does not check can be in force all the
-// same. It has been accepted, so a program with newer checks must not stay on
+// same. It is applied, so a program with newer checks must not stay on
 // the one before it while all others move on: what could be read of it counts,
 // unless that leaves nothing to route by.
 func usable(d *document.Document, service string) bool {
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -17,12 +17,12 @@
 	"github.com/phuslu/log"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
-	"wagtailshelf.example/wagtailshelf/internal/program/fleet"
+	"wagtailshelf.example/wagtailshelf/internal/program/documents"
+	"wagtailshelf.example/wagtailshelf/internal/record/object"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/target"
 	"wagtailshelf.example/wagtailshelf/internal/wire/caller"
 	"wagtailshelf.example/wagtailshelf/internal/wire/credential"
-	"wagtailshelf.example/wagtailshelf/internal/wire/frame"
 	"wagtailshelf.example/wagtailshelf/internal/wire/peer"
 	"wagtailshelf.example/wagtailshelf/internal/wire/platform"
 )
@@ -45,14 +45,6 @@
 	DrainDelay time.Duration                       // the balancer's delay in noticing that the entry is not ready
 	DrainBound time.Duration                       // longest wait for requests in flight
 	Socket     func(net.PacketConn) net.PacketConn // wraps the UDP sockets to sidecars; nil for none
-
-	// Fleet makes the entry a member of the fleet, which accepts the documents.
-	// Without it the entry puts in force what it reads; for tests of other parts.
-	Fleet bool
-	Seeds []netip.AddrPort // other processes, from which the entry learns of the rest
-
-	// OnControl is handed the messages of the fleet's own duties; it must not block.
-	OnControl func(from *peer.Conn, m frame.Control)
 }
 
 // Entry is a running entry.
@@ -63,25 +55,25 @@
 	peers   *peer.Config
 	pool    *peer.Pool
 	fleet   *peer.Listener // for other processes; requests do not come by it
+	known   *documents.Documents
 	socket  net.Listener
 	server  *http.Server
 	ctx     context.Context // of the duties and the requests
 	stop    context.CancelFunc
 	inForce atomic.Pointer[inForce]
 
-	membership *fleet.Fleet // nil without Config.Fleet
-
-	learnt   atomic.Bool // all documents that were in force at the start are known
 	draining atomic.Bool
 	inFlight sync.WaitGroup
 	duties   sync.WaitGroup
 
 	mu       sync.Mutex
 	services map[string]*caller.Service
+	notes    map[string]note // on the services, for operators
 	routers  map[string]*router
 	hosts    map[host.Name]listedHost // by the platform's list
 	claims   map[string]*claimDesk
-	entries  map[host.Name]target.Member // entries of the fleet, this one included once it is known
+	entries  map[host.Name]target.Member  // that registered, this one included once it did
+	records  map[host.Name]object.Version // of their registrations
 }
 
 // New opens the entry's sockets. Run serves them.
@@ -94,17 +86,18 @@
 		ctx:      ctx,
 		stop:     stop,
 		services: make(map[string]*caller.Service),
+		notes:    make(map[string]note),
 		routers:  make(map[string]*router),
 		hosts:    make(map[host.Name]listedHost),
 		claims:   make(map[string]*claimDesk),
 		entries:  make(map[host.Name]target.Member),
+		records:  make(map[host.Name]object.Version),
 	}
 	e.peers = &peer.Config{
 		Identity:  cfg.Identity,
 		ClientTLS: cfg.Keys.Client,
 		ServerTLS: cfg.Keys.Server(),
 		OnReport:  e.onReport,
-		OnControl: e.onControl,
 		Socket:    cfg.Socket,
 	}
 	e.pool = peer.NewPool(e.peers)
@@ -112,9 +105,9 @@
 		stop()
 		return nil, err
 	}
-	if cfg.Fleet {
-		e.membership = e.newMembership()
-	}
+	e.known = documents.New(documents.Config{
+		Platform: cfg.Platform, Log: cfg.Log, Metrics: cfg.Metrics, InForce: e.take,
+	})
 	e.server = e.newServer()
 	return e, nil
 }
@@ -173,14 +166,9 @@
 // learnt of yet with "unknown service". While it drains it goes on taking work,
 // see Drain.
 //
-// An entry that has lost contact with the fleet is not ready either: a document
-// may be in force elsewhere that it does not know of.
-func (e *Entry) Ready() bool {
-	if e.membership != nil {
-		return e.membership.TakesWork()
-	}
-	return e.learnt.Load()
-}
+// An entry that can't reach the platform any more goes on with what it knows: all of
+// them would otherwise turn their callers away whenever the platform is out.
+func (e *Entry) Ready() bool { return e.known.Learnt() }
 
 // Draining reports whether the entry is leaving, so that the balancer should
 // send nothing more.
@@ -191,15 +179,9 @@
 func (e *Entry) Run(ctx context.Context) error {
 	defer e.stop()
 	var g run.Group
-	watch, stopWatch := context.WithCancel(ctx)
-	follow := e.followDocuments
-	if e.membership != nil {
-		follow = e.membership.Run
-	}
-	g.Add(func() error { return follow(watch) }, func(error) { stopWatch() })
-	if e.membership != nil {
-		g.Add(func() error { return e.spreadOutcomes(watch) }, func(error) { stopWatch() })
-		g.Add(func() error { return e.followHosts(watch) }, func(error) { stopWatch() })
+	for _, follow := range []func(context.Context) error{e.known.Run, e.followHosts, e.followEntries} {
+		watch, stop := context.WithCancel(ctx)
+		g.Add(func() error { return follow(watch) }, func(error) { stop() })
 	}
 	fleet, stopFleet := context.WithCancel(ctx)
 	g.Add(func() error { return e.fleet.Serve(fleet, serveFleetConn) }, func(error) {
@@ -249,9 +231,6 @@
 // the bound ends.
 func (e *Entry) Drain(ctx context.Context) error {
 	e.draining.Store(true)
-	if e.membership != nil {
-		e.membership.Leave()
-	}
 	select {
 	case <-time.After(e.cfg.DrainDelay):
 	case <-ctx.Done():
--- a/internal/program/entry/hosts.go
+++ b/internal/program/entry/hosts.go
@@ -4,12 +4,11 @@
 	"context"
 	"encoding/json"
 	"net/netip"
-	"slices"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
-	"wagtailshelf.example/wagtailshelf/internal/fleet/member"
 	"wagtailshelf.example/wagtailshelf/internal/record/object"
 	"wagtailshelf.example/wagtailshelf/internal/record/watch"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/target"
 )
 
 const (
@@ -47,9 +46,8 @@
 	return h, known
 }
 
-// followHosts tells the fleet what the platform's list of hosts says: that a host
-// is leaving, and that one which no longer answers is gone and need not be
-// waited for.
+// followHosts learns from the platform's list that hosts are leaving or gone. The
+// host's own sidecar says so too, but may not be heard.
 func (e *Entry) followHosts(ctx context.Context) error {
 	follower := watch.New(watch.Config{Prefix: hostPrefix, Cause: causeHosts, Limit: maxHosts}, e.newRand())
 	e.cfg.Platform.Follow(ctx, follower, hostPrefix, e.hostsChanged, func() {})
@@ -58,32 +56,36 @@
 
 func (e *Entry) hostsChanged(objects []object.Object) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	for _, o := range objects {
 		h, ok := decodeHost(o)
 		if !ok {
-			delete(e.hosts, host.Name(o.Key.Name())) // deleted, or nothing that can be read
-			continue
+			h = listedHost{Name: host.Name(o.Key.Name())} // deleted, or nothing that can be read
+			delete(e.hosts, h.Name)
+		} else {
+			e.hosts[h.Name] = h
+		}
+		for _, r := range e.routers {
+			r.ask(e.ctx, routerMessage{kind: tellListed, host: h.Name, leaving: h.leaves()})
+		}
+		if h.State == hostGone {
+			e.entryChanged(target.Member{Name: h.Name}, false)
+			e.unregister(h.Name)
 		}
-		e.hosts[h.Name] = h
 	}
-	e.mu.Unlock()
-	e.membership.Listed(e.listings())
 }
 
-// listings joins the hosts of the targets in force with the platform's list. The
-// list wins where it says that a host is leaving or gone: a document names a
-// host until somebody edits it.
-func (e *Entry) listings() []member.Listing {
-	out := e.sidecars()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, h := range e.hosts {
-		out = slices.DeleteFunc(out, func(l member.Listing) bool { return l.Name == h.Name })
-		if h.State == hostGone || !h.Address.IsValid() {
-			continue
+// leaves tells whether a host gets no new work any more.
+func (h listedHost) leaves() bool { return h.State == hostLeaving || h.State == hostGone }
+
+// leavingHosts returns the hosts that the list says are leaving or gone. The caller
+// holds e.mu.
+func (e *Entry) leavingHosts() map[host.Name]bool {
+	out := make(map[host.Name]bool)
+	for name, h := range e.hosts {
+		if h.leaves() {
+			out[name] = true
 		}
-		out = append(out, member.Listing{Name: h.Name, Address: h.Address, Leaving: h.State == hostLeaving})
 	}
-	slices.SortFunc(out, compareListings)
 	return out
 }
--- a/internal/program/entry/outcomes.go
+++ b/internal/program/entry/outcomes.go
@@ -1,12 +1,8 @@
 package entry
 
 import (
-	"context"
-	"maps"
 	"sync"
-	"time"
 
-	"wagtailshelf.example/wagtailshelf/internal/record/register"
 	"wagtailshelf.example/wagtailshelf/internal/record/status"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
 )
@@ -34,29 +30,9 @@
 	t.counts[service] = c
 }
 
-func (t *tally) snapshot() map[string]status.Outcomes {
+// of returns the counts of a service.
+func (t *tally) of(service string) status.Outcomes {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return maps.Clone(t.counts)
-}
-
-// spreadOutcomes tells the fleet every while how this entry's requests ended, for
-// the status of each document. It runs until ctx ends.
-func (e *Entry) spreadOutcomes(ctx context.Context) error {
-	for {
-		entries := e.entryCount()
-		select {
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		case <-time.After(register.OutcomePeriod(entries)):
-		}
-		facts := register.OutcomeFacts(time.Now(), e.peers.Identity.Name, entries, e.counts.tally.snapshot())
-		e.membership.Publish(facts...)
-	}
-}
-
-func (e *Entry) entryCount() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.entries)
+	return t.counts[service]
 }
--- a/internal/program/entry/routing.go
+++ b/internal/program/entry/routing.go
@@ -29,6 +29,7 @@
 	tellFirst                                // workspace: a first try
 	tellReport                               // report
 	tellLeaving                              // name, incarnation
+	tellListed                               // host, leaving
 	tellMember                               // member, present
 	tellService                              // document
 	askRouter                                // state
@@ -43,6 +44,8 @@
 	report      target.Report
 	name        target.Name
 	incarnation host.Incarnation
+	host        host.Name
+	leaving     bool // of host
 	document    *document.Document
 	member      target.Member
 	present     bool // of member
@@ -89,9 +92,10 @@
 	document *document.Document
 	targets  map[target.Name]*document.Target // those of the entry's subset
 	entries  []target.Member
-	stale    bool        // entries have changed since the last update
-	timer    *time.Timer // of the tracker
-	tickAt   time.Time   // when it is due
+	leaving  map[host.Name]bool // by the platform's list
+	stale    bool               // entries have changed since the last update
+	timer    *time.Timer        // of the tracker
+	tickAt   time.Time          // when it is due
 
 	began   time.Time
 	met     bool // a sidecar was heard from
@@ -121,6 +125,7 @@
 
 		document: d,
 		entries:  e.knownEntries(),
+		leaving:  e.leavingHosts(),
 	}
 	return r
 }
@@ -174,6 +179,8 @@
 		r.report(ctx, now, m.report)
 	case tellLeaving:
 		r.leaves(ctx, now, m.name, m.incarnation)
+	case tellListed:
+		r.listed(ctx, now, m.host, m.leaving)
 	case tellMember:
 		r.member(m)
 	case tellService:
--- a/internal/program/entry/routing_targets.go
+++ b/internal/program/entry/routing_targets.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
-	"wagtailshelf.example/wagtailshelf/internal/fleet/member"
 	"wagtailshelf.example/wagtailshelf/internal/record/document"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/leaving"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/target"
@@ -62,6 +61,7 @@
 			Source:  leaving.Document,
 			Leaving: r.targets[c.Name].Leaving,
 		})
+		r.list(ctx, now, c.Name)
 		r.resume(c.Name)
 	}
 }
@@ -109,6 +109,27 @@
 	}
 }
 
+// listed takes in what the platform's list says of a host.
+func (r *router) listed(ctx context.Context, now time.Time, name host.Name, leaves bool) {
+	if leaves {
+		r.leaving[name] = true
+	} else {
+		delete(r.leaving, name)
+	}
+	for target, t := range r.targets {
+		if t.Host == name {
+			r.list(ctx, now, target)
+		}
+	}
+}
+
+// list tells the tracker what the platform's list says of a target's host.
+func (r *router) list(ctx context.Context, now time.Time, name target.Name) {
+	r.track(ctx, now, leaving.Event{
+		Kind: leaving.Statement, Name: name, Source: leaving.List, Leaving: r.leaving[r.targets[name].Host],
+	})
+}
+
 // resume brings a target back that the tracker knows to be serving; the list of
 // candidates says nothing about that.
 func (r *router) resume(name target.Name) {
@@ -217,46 +238,3 @@
 		}})
 	}
 }
-
-// MemberChanged takes in what the fleet knows about a member: that a sidecar is
-// leaving, which may come this way when the sidecar itself can't be heard, and
-// which entries there are. It blocks no longer than routers take to decide.
-func (e *Entry) MemberChanged(rec member.Record) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if rec.Identity.Role == host.Entry {
-		e.entryChanged(rec)
-		return
-	}
-	if rec.State != member.Leaving {
-		return
-	}
-	for name, r := range e.routers {
-		if t := e.services[name].TargetOn(rec.Identity.Name); t != "" {
-			r.tell(routerMessage{kind: tellLeaving, name: target.Name(t), incarnation: rec.Identity.Incarnation})
-		}
-	}
-}
-
-// knownEntries returns the entries of the fleet. The caller holds e.mu.
-func (e *Entry) knownEntries() []target.Member {
-	known := make([]target.Member, 0, len(e.entries))
-	for _, m := range e.entries {
-		known = append(known, m)
-	}
-	return known
-}
-
-// entryChanged keeps the entries that share the targets. The caller holds e.mu.
-func (e *Entry) entryChanged(rec member.Record) {
-	m := target.Member{Name: rec.Identity.Name, DataCentre: rec.Identity.DataCentre}
-	present := rec.State == member.Alive || rec.State == member.Suspect
-	if present {
-		e.entries[m.Name] = m
-	} else {
-		delete(e.entries, m.Name)
-	}
-	for _, r := range e.routers {
-		r.ask(e.ctx, routerMessage{kind: tellMember, member: m, present: present})
-	}
-}
--- a/internal/program/entry/state.go
+++ b/internal/program/entry/state.go
@@ -2,24 +2,27 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
-	"wagtailshelf.example/wagtailshelf/internal/record/acceptance"
+	"wagtailshelf.example/wagtailshelf/internal/program/documents"
 )
 
 // State is what a dump shows.
 type State struct {
-	Identity    host.Identity  `json:"identity"`
-	Ready       bool           `json:"ready"`
-	Draining    bool           `json:"draining"`
-	Services    []ServiceState `json:"services"`
-	Routers     []RouterState  `json:"routers"`
-	Claims      []ClaimState   `json:"claims"`
-	Connections []ConnState    `json:"connections"`
-
-	Fleet *acceptance.Dump `json:"fleet,omitempty"`
+	Identity    host.Identity     `json:"identity"`
+	Ready       bool              `json:"ready"`
+	Draining    bool              `json:"draining"`
+	AgeMillis   int64             `json:"ageMillis"` // of what is known of the documents
+	Documents   []documents.State `json:"documents"` // as the platform has them
+	Services    []ServiceState    `json:"services"`  // in force
+	Entries     []host.Name       `json:"entries"`   // that share the targets
+	Routers     []RouterState     `json:"routers"`
+	Claims      []ClaimState      `json:"claims"`
+	Connections []ConnState       `json:"connections"`
 }
 
 // ServiceState is one document in force.
@@ -39,7 +42,10 @@
 
 // State returns the whole state of the process.
 func (e *Entry) State(ctx context.Context) (State, error) {
-	state := State{Identity: e.peers.Identity, Ready: e.Ready(), Draining: e.Draining()}
+	state := State{
+		Identity: e.peers.Identity, Ready: e.Ready(), Draining: e.Draining(),
+		AgeMillis: e.known.Age(time.Now()).Milliseconds(), Documents: e.known.States(),
+	}
 	for _, r := range e.snapshot(&state) {
 		answer := make(chan RouterState, 1)
 		if !r.ask(ctx, routerMessage{kind: askRouter, state: answer}) {
@@ -57,13 +63,6 @@
 		return State{}, err
 	}
 	state.Claims = claims
-	if e.membership != nil {
-		dump, err := e.membership.Dump(ctx)
-		if err != nil {
-			return State{}, err
-		}
-		state.Fleet = &dump
-	}
 	for _, c := range e.pool.Open() {
 		sent, received := c.Bytes()
 		state.Connections = append(state.Connections, ConnState{Peer: c.Peer(), Number: c.Number(), Sent: sent, Received: received})
@@ -72,13 +71,14 @@
 	return state, nil
 }
 
-// snapshot adds the services to the state and returns their routers by name.
+// snapshot adds the services and entries to the state and returns their routers by name.
 func (e *Entry) snapshot(state *State) []*router {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for name, s := range e.services {
 		state.Services = append(state.Services, ServiceState{Service: name, Number: s.Number, Digest: s.Document.Digest().String()})
 	}
+	state.Entries = slices.Sorted(maps.Keys(e.entries))
 	slices.SortFunc(state.Services, func(a, b ServiceState) int { return strings.Compare(a.Service, b.Service) })
 	routers := make([]*router, 0, len(state.Services))
 	for _, s := range state.Services {
--- a/internal/program/setting/check.go
+++ b/internal/program/setting/check.go
@@ -39,7 +39,7 @@
 	{"names", "`name` and `dataCentre` are given; names are letters, digits, `-` and `.`.", "Names stand in certificates, documents and logs.", checkNames},
 	{"otherRole", "No key is given that only the other role reads.", "The writer expects an effect that there would not be.", checkOtherRole},
 	{"listen", "Ports are not 0; `listen.peers` is one address of the host; the two HTTP listeners differ.", "Others learn the address for peers, so it must lead to this host from elsewhere.", checkListen},
-	{"contacts", "An entry has an address of the platform; a sidecar has one, or a seed.", "A process that can ask nobody never learns what is in force.", checkContacts},
+	{"contacts", "There is an address of the platform.", "A process that can ask nobody never learns what is in force.", checkContacts},
 	{"target", "A sidecar has the address of its target, and its kind is `model` or `plain`.", "It is the only door to that target.", checkTarget},
 	{"tls", "Certificate, key and authorities are each given once, as PEM or by file.", "Without them no other process can be told from a stranger.", checkTLS},
 	{"operators", "Operators have a name of their own and one to four tokens that no other has.", "Who did something must be known afterwards.", checkOperators},
@@ -112,12 +112,8 @@
 
 func checkContacts(p *pass) {
 	p.addresses("platform", p.s.Platform)
-	p.addresses("seeds", p.s.Seeds)
-	switch {
-	case p.s.Role == host.Entry && len(p.s.Platform) == 0:
-		p.missing("platform", "platform is missing; an entry needs at least one address")
-	case p.s.Role == host.Sidecar && len(p.s.Platform)+len(p.s.Seeds) == 0:
-		p.missing("seeds", "seeds and platform are missing; a sidecar needs an address of one of them")
+	if len(p.s.Platform) == 0 {
+		p.missing("platform", "platform is missing; at least one address is needed")
 	}
 }
 
--- a/internal/program/setting/setting.go
+++ b/internal/program/setting/setting.go
@@ -17,7 +17,6 @@
 	Region     host.Region      `yaml:"region"`
 	Listen     Listen           `yaml:"listen"`
 	Platform   []netip.AddrPort `yaml:"platform"`
-	Seeds      []netip.AddrPort `yaml:"seeds"`
 	Target     Target           `yaml:"target"`
 	TLS        TLS              `yaml:"tls"`
 	Operators  []Operator       `yaml:"operators"`
--- a/internal/program/sidecar/admission.go
+++ b/internal/program/sidecar/admission.go
@@ -27,9 +27,6 @@
 // an older document, or none yet, would else go on sending.
 func (s *Sidecar) leave(ctx context.Context) {
 	s.leaving.Store(true)
-	if s.membership != nil {
-		s.membership.Leave()
-	}
 	s.desk.putBook(ctx, book.Event{Kind: book.Drain})
 	select {
 	case s.leavingNow <- struct{}{}:
--- a/internal/program/sidecar/desk.go
+++ b/internal/program/sidecar/desk.go
@@ -58,7 +58,7 @@
 	goOn   func(job) // does so for a run that is there already
 	run    func(job) // starts a call to the target; it reports by the ring
 
-	isolated func() bool // no new work may begin; nil for never
+	ready func() bool // new work may begin; nil for always
 
 	lines      map[book.Peer]*line
 	jobs       map[request.ID]*job
@@ -249,8 +249,8 @@
 }
 
 func (d *desk) admit(a book.Action) {
-	if d.isolated != nil && d.isolated() {
-		d.refuseIsolated(a.ID)
+	if d.ready != nil && !d.ready() {
+		d.refuseUnlearnt(a.ID)
 		return
 	}
 	d.nextTicket++
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -12,7 +12,7 @@
 	"github.com/phuslu/log"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
-	"wagtailshelf.example/wagtailshelf/internal/program/fleet"
+	"wagtailshelf.example/wagtailshelf/internal/program/documents"
 	"wagtailshelf.example/wagtailshelf/internal/program/rank"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/book"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/workspace"
@@ -43,13 +43,9 @@
 	Admission  workspace.Config
 	DrainBound time.Duration // longest wait for requests in flight
 
-	// Platform makes the sidecar a member of the fleet. Without it the sidecar
-	// takes no document; for tests of other parts.
+	// Platform has the documents. Without it the sidecar takes none and serves as it
+	// was set up; for tests of other parts.
 	Platform *platform.Client
-	Seeds    []netip.AddrPort // other processes, from which the sidecar learns of the rest
-
-	// OnControl is handed the messages of the fleet's own duties; it must not block.
-	OnControl func(from *peer.Conn, m frame.Control)
 }
 
 // Sidecar is a running sidecar.
@@ -60,9 +56,9 @@
 	target   *engine.Client
 	desk     *desk
 
-	membership *fleet.Fleet // nil without Config.Platform
-	group      *rank.Member // nil without a platform, or before a plain service
-	calls      sync.WaitGroup
+	known *documents.Documents // nil without Config.Platform
+	group *rank.Member         // nil without a platform, or before a plain service
+	calls sync.WaitGroup
 
 	leaving    atomic.Bool
 	leavingNow chan struct{} // makes the report duty look at once
@@ -98,9 +94,9 @@
 	bounds.Recovers = cfg.Model
 	s.desk = newDesk(cfg.Log, newCounts(cfg.Metrics), bounds, cfg.Admission)
 	if cfg.Platform != nil {
-		s.membership = s.newMembership()
+		s.known = s.newDocuments()
 		s.group = s.newGroup()
-		s.desk.isolated = func() bool { return !s.membership.TakesWork() }
+		s.desk.ready = s.known.Learnt
 	}
 	return s, nil
 }
@@ -121,8 +117,8 @@
 	var g run.Group
 	s.duty(ctx, &g, s.desk.serve)
 	s.duty(ctx, &g, s.report)
-	if s.membership != nil {
-		s.duty(ctx, &g, s.membership.Run)
+	if s.known != nil {
+		s.duty(ctx, &g, s.known.Run)
 	}
 	if s.group != nil {
 		s.duty(ctx, &g, s.group.Run)
--- a/internal/program/sidecar/state.go
+++ b/internal/program/sidecar/state.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
+	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/program/documents"
 	"wagtailshelf.example/wagtailshelf/internal/program/rank"
-	"wagtailshelf.example/wagtailshelf/internal/record/acceptance"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/workspace"
 )
 
@@ -24,8 +25,9 @@
 	Connections []ConnState   `json:"connections"`
 	Desk        DeskState     `json:"desk"`
 
-	Fleet *acceptance.Dump  `json:"fleet,omitempty"`
-	Group *rank.MemberState `json:"group,omitempty"` // absent if the host is in no group
+	AgeMillis int64             `json:"ageMillis"`       // of what is known of the documents
+	Documents []documents.State `json:"documents"`       // as the platform has them
+	Group     *rank.MemberState `json:"group,omitempty"` // absent if the host is in no group
 }
 
 // ConnState is one connection of an entry.
@@ -61,16 +63,13 @@
 	case <-ctx.Done():
 		return State{}, context.Cause(ctx)
 	}
-	if s.membership == nil {
-		return state, nil
-	}
-	dump, err := s.membership.Dump(ctx)
-	if err != nil {
-		return State{}, err
+	if s.known != nil {
+		state.AgeMillis, state.Documents = s.known.Age(time.Now()).Milliseconds(), s.known.States()
 	}
-	state.Fleet = &dump
-	if s.group != nil {
-		state.Group, err = s.group.State(ctx)
+	if s.group == nil {
+		return state, nil
 	}
+	var err error
+	state.Group, err = s.group.State(ctx)
 	return state, err
 }
--- a/internal/program/trial/promise.go
+++ b/internal/program/trial/promise.go
@@ -11,7 +11,7 @@
 	notRunTrue        promise = "what is told to be not run did not run"
 	atMostOnce        promise = "a request that may not be repeated runs at most once"
 	sameRequest       promise = "a repeat with its key is the same request, through any entry"
-	inForceEverywhere promise = "an accepted document is in force everywhere within 11 s"
+	inForceEverywhere promise = "an applied document is in force everywhere within 11 s"
 	neverReverts      promise = "what is in force never reverts"
 	leavingUntouched  promise = "a leaving target receives no new work"
 	nothingCut        promise = "a graceful shutdown cuts off no request in flight"
--- a/internal/record/history/doc.go
+++ b/internal/record/history/doc.go
@@ -7,9 +7,8 @@
 // the text before it are kept and which are new. A segment that would outgrow
 // an object of the platform is followed by a new one.
 //
-// The history is written by the process that holds the lease for accepting, after
-// the acceptance: [Archive] decides what to write. Entries are added in the order
-// of their numbers by conditional writes, and an entry that is there already is
-// not added again; so a holder that dies in between loses nothing, since the next
-// one offers it the documents in force, and two holders at once do no harm.
+// Whoever applies a document first has [Keeper.Keep] add the one that it replaces.
+// So the history and the document that is applied have all there is between them,
+// whenever an operator's process dies: an entry that is there already is not added
+// again, and an apply that could not keep the one before does not take place.
 package history
--- a/internal/wire/administration/api.go
+++ b/internal/wire/administration/api.go
@@ -30,19 +30,18 @@
 // MediaType is the media type of documents.
 const MediaType = "application/yaml"
 
-// API answers operators' calls. All fields but Applied and InForce are required.
+// API answers operators' calls. All fields but InForce and Process are required.
 type API struct {
 	Records  *Records
 	Now      func() time.Time
 	Operator func(c echo.Context) string // name of who calls, already proven
 
-	// Applied is told of each document that was applied here, so that the
-	// holder of the lease hears of it before the platform's watch tells it.
-	Applied func(service string, v object.Version)
-
 	// InForce returns the documents in force at this process, to check one
 	// beside those of other services without reading all from the platform.
 	InForce func() []*document.Document
+
+	// Process tells what this process has in force of a service.
+	Process func(service string) status.Process
 }
 
 // Listing is one service in the answer to GET /documents.
@@ -57,7 +56,7 @@
 // Checked is the answer to a check.
 type Checked struct {
 	Findings finding.List      `json:"findings"`
-	Changes  []document.Change `json:"changes"` // from the document in force
+	Changes  []document.Change `json:"changes"` // from the document that is applied
 }
 
 // Receipt is the answer to an apply.
@@ -65,7 +64,7 @@
 	Service string            `json:"service"`
 	Version object.Version    `json:"version"`
 	Digest  document.Digest   `json:"digest"`
-	Changes []document.Change `json:"changes"` // from the document in force
+	Changes []document.Change `json:"changes"` // from the document before
 }
 
 // Conflict says what somebody else has done meanwhile.
@@ -85,7 +84,7 @@
 	Conflict *Conflict    `json:"conflict,omitempty"`
 }
 
-// Entry is an accepted document in the answer to GET history.
+// Entry is a document of the past in the answer to GET history.
 type Entry struct {
 	history.Entry
 	HasText bool `json:"hasText"`
@@ -162,13 +161,13 @@
 
 func (a *API) show(c echo.Context) error {
 	ctx, service := c.Request().Context(), c.Param("service")
-	if ref := c.QueryParam("ref"); ref != "" && ref != "applied" {
+	if ref := c.QueryParam("ref"); ref != "" && ref != RefApplied {
 		text, err := a.Records.Text(ctx, service, ref)
 		if err != nil {
 			return err
 		}
 		if text == nil {
-			return merry.Appendf(ErrNotFound, "nothing is in force for %s", service)
+			return merry.Appendf(ErrNotFound, "%s has no document before", service)
 		}
 		c.Response().Header().Set(DigestHeader, document.DigestOf(text).String())
 		return c.Blob(http.StatusOK, MediaType, text)
@@ -200,11 +199,11 @@
 
 func (a *API) diff(c echo.Context) error {
 	ctx, service := c.Request().Context(), c.Param("service")
-	from, err := a.Records.Document(ctx, service, orDefault(c.QueryParam("from"), "inForce"))
+	from, err := a.Records.Document(ctx, service, orDefault(c.QueryParam("from"), RefBefore))
 	if err != nil {
 		return err
 	}
-	to, err := a.Records.Document(ctx, service, orDefault(c.QueryParam("to"), "applied"))
+	to, err := a.Records.Document(ctx, service, orDefault(c.QueryParam("to"), RefApplied))
 	if err != nil {
 		return err
 	}
@@ -251,15 +250,15 @@
 
 func (a *API) status(c echo.Context) error {
 	service := c.Param("service")
-	var s status.Status
-	s, err := a.Records.Status(c.Request().Context(), service)
+	d, err := a.Records.Applied(c.Request().Context(), service)
 	if err != nil {
 		return err
 	}
-	if s.Accepted == nil && s.At.IsZero() {
-		if _, err := a.Records.Applied(c.Request().Context(), service); err != nil {
-			return err
-		}
+	s := status.Status{Service: service, Applied: &status.Applied{
+		Number: uint64(d.Version), Digest: d.Digest(), By: d.By, At: d.At,
+	}}
+	if a.Process != nil {
+		s.Processes = []status.Process{a.Process(service)}
 	}
 	return c.JSON(http.StatusOK, s)
 }
--- a/internal/wire/administration/apply.go
+++ b/internal/wire/administration/apply.go
@@ -39,11 +39,11 @@
 	return text, nil
 }
 
-// checkText checks a text against the document in force.
+// checkText checks a text against the document that is applied, if there is one.
 func (a *API) checkText(c echo.Context, text []byte) (*document.Document, Checked, error) {
 	service := c.Param("service")
-	before, err := a.Records.Document(c.Request().Context(), service, "inForce")
-	if err != nil {
+	before, err := a.Records.Document(c.Request().Context(), service, RefApplied)
+	if err != nil && !errors.Is(err, ErrNotFound) {
 		return nil, Checked{}, err
 	}
 	var others []*document.Document
@@ -104,23 +104,20 @@
 	if err != nil {
 		return err
 	}
-	if a.Applied != nil {
-		a.Applied(service, stands.Version)
-	}
 	c.Response().Header().Set("ETag", etag(stands.Version))
 	return c.JSON(http.StatusOK, Receipt{Service: service, Version: stands.Version, Digest: d.Digest(), Changes: checked.Changes})
 }
 
 // conflict says what the other operator has changed: since the text that this
-// one began with, if the history still has it, else since the one in force.
+// one began with, if the history still has it, else since the one before.
 func (a *API) conflict(ctx context.Context, service string, stands Applied, base string) *Conflict {
 	k := &Conflict{Version: stands.Version, Digest: stands.Digest(), By: stands.By, At: stands.At, Changes: []document.Change{}}
 	if stands.Version == 0 {
 		return k
 	}
-	from, err := a.Records.Document(ctx, service, orDefault(base, "inForce"))
+	from, err := a.Records.Document(ctx, service, orDefault(base, RefBefore))
 	if err != nil {
-		from, err = a.Records.Document(ctx, service, "inForce")
+		from, err = a.Records.Document(ctx, service, RefBefore)
 	}
 	if err != nil {
 		return k // the version and the author are still worth telling
--- a/internal/wire/administration/records.go
+++ b/internal/wire/administration/records.go
@@ -10,12 +10,9 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"wagtailshelf.example/wagtailshelf/internal/record/acceptance"
 	"wagtailshelf.example/wagtailshelf/internal/record/document"
 	"wagtailshelf.example/wagtailshelf/internal/record/history"
 	"wagtailshelf.example/wagtailshelf/internal/record/object"
-	"wagtailshelf.example/wagtailshelf/internal/record/register"
-	"wagtailshelf.example/wagtailshelf/internal/record/status"
 )
 
 // Cause under which the calls of operators are counted.
@@ -42,7 +39,7 @@
 	Do func(ctx context.Context, c object.Call) object.Reply
 }
 
-// Applied is a document as operators want it to be in force.
+// Applied is the document that is applied.
 type Applied struct {
 	document.Submission
 	Version object.Version
@@ -105,6 +102,11 @@
 	if err != nil {
 		return Applied{}, err
 	}
+	if version != 0 {
+		if stands, err := r.keep(ctx, service, version); err != nil {
+			return stands, err
+		}
+	}
 	w := write{
 		records: r,
 		call:    object.Call{Op: object.Put, Key: document.Key(service), Version: version, Value: value, Cause: Cause},
@@ -117,6 +119,32 @@
 	}
 }
 
+// keep has the history take the document that is about to be replaced. If that is
+// not the version that the operator read, it returns the one that stands there with
+// [ErrConflict]; nothing was written then, and nothing else failed so far.
+func (r *Records) keep(ctx context.Context, service string, version object.Version) (Applied, error) {
+	for try := 0; ; try++ {
+		d, err := r.Applied(ctx, service)
+		switch {
+		case errors.Is(err, ErrNotFound):
+			return Applied{}, ErrConflict
+		case err != nil:
+			return Applied{}, err
+		case d.Version > version:
+			return d, ErrConflict
+		case d.Version < version && (try == maxReads || !pause(ctx)):
+			return Applied{}, merry.Appendf(ErrPlatform, "version %d can't be read yet", version)
+		case d.Version < version:
+			continue // the read lags behind what the operator read
+		}
+		keeper := history.Keeper{Do: r.Do}
+		if err := keeper.Keep(ctx, service, entryOf(d)); err != nil {
+			return Applied{}, merry.Appendf(ErrPlatform, "%v", err)
+		}
+		return d, nil
+	}
+}
+
 // write is one apply.
 type write struct {
 	records *Records
@@ -201,129 +229,42 @@
 	}
 }
 
-// Record returns the record of the acceptance, or an empty one if nothing was
-// accepted so far.
-func (r *Records) Record(ctx context.Context, service string) (acceptance.Record, error) {
-	o, err := r.get(ctx, acceptance.AcceptanceKind+"/"+object.Key(service))
-	if errors.Is(err, ErrNotFound) {
-		return acceptance.Record{Service: service}, nil
-	}
-	if err != nil {
-		return acceptance.Record{}, err
-	}
-	rec, err := acceptance.DecodeRecord(o)
-	if err != nil {
-		return rec, merry.Appendf(ErrDamaged, "%s: %v", o.Key, err)
-	}
-	return rec, nil
-}
-
-// InForce returns the text of the accepted document, or nil if there is none.
-func (r *Records) InForce(ctx context.Context, service string) ([]byte, error) {
-	for try := 0; ; try++ {
-		rec, err := r.Record(ctx, service)
-		if err != nil || rec.Entry.Number == 0 {
-			return nil, err
-		}
-		text, err := r.text(ctx, service, rec.Entry.Digest)
-		// The text is gone if the next document was accepted in between.
-		if !errors.Is(err, ErrNotFound) || try == maxReads {
-			return text, err
-		}
-	}
-}
-
-func (r *Records) text(ctx context.Context, service string, d acceptance.Digest) ([]byte, error) {
-	key := object.Key(acceptance.TextKind + "/" + service + "." + d.String())
-	o, err := r.get(ctx, key)
-	if err != nil {
-		return nil, err
-	}
-	if acceptance.DigestOf(o.Value) != d {
-		return nil, merry.Appendf(ErrDamaged, "%s does not have the text of its digest", key)
-	}
-	return o.Value, nil
-}
-
-// History returns all accepted documents that the platform has a record of, in
-// the order of their numbers. With [ErrDamaged] it returns what could be read.
+// History returns all documents that the platform has a record of, in the order of
+// their numbers; the one that is applied is the last. With [ErrDamaged] it returns
+// what could be read.
 func (r *Records) History(ctx context.Context, service string) ([]history.Entry, error) {
-	rec, err := r.Record(ctx, service)
-	if err != nil {
-		return nil, err
-	}
-	older, err := r.older(ctx, service)
-	if err != nil {
-		return nil, err
-	}
 	segments, err := r.list(ctx, history.Prefix(service))
 	if err != nil {
 		return nil, err
 	}
-	archived, damage := history.Read(segments)
-	recorded := register.EntriesOf(append(older.Entries, rec.Recent...))
-	if rec.Entry.Number > 0 {
-		recorded = append(recorded, register.EntryOf(rec.Entry))
+	kept, damage := history.Read(segments)
+	var last []history.Entry
+	switch d, err := r.Applied(ctx, service); {
+	case err == nil:
+		last = []history.Entry{entryOf(d)}
+	case !errors.Is(err, ErrNotFound):
+		return nil, err
 	}
-	merged, err := history.Merge(archived, recorded)
+	merged, err := history.Merge(kept, last)
 	if err := errors.Join(damage, err); err != nil {
 		return merged, merry.Appendf(ErrDamaged, "%v", err)
 	}
 	return merged, nil
 }
 
-func (r *Records) older(ctx context.Context, service string) (acceptance.History, error) {
-	o, err := r.get(ctx, acceptance.HistoryKind+"/"+object.Key(service))
-	if errors.Is(err, ErrNotFound) {
-		return acceptance.History{}, nil
-	}
-	if err != nil {
-		return acceptance.History{}, err
-	}
-	h, err := acceptance.DecodeHistory(o.Value)
-	if err != nil {
-		return h, merry.Appendf(ErrDamaged, "%s: %v", o.Key, err)
-	}
-	return h, nil
-}
-
-// Status returns the status. Where none was written yet, or an older one than
-// the record of the acceptance, it has what the record says.
-func (r *Records) Status(ctx context.Context, service string) (status.Status, error) {
-	rec, err := r.Record(ctx, service)
-	if err != nil {
-		return status.Status{}, err
-	}
-	s := status.Status{Service: service}
-	o, err := r.get(ctx, status.Key(service))
-	if err == nil {
-		if s, err = status.Decode(o.Value); err != nil {
-			return s, merry.Appendf(ErrDamaged, "%s: %v", o.Key, err)
-		}
-	}
-	if err != nil && !errors.Is(err, ErrNotFound) {
-		return s, err
-	}
-	return refreshed(s, rec), nil
+// entryOf returns a document as the history has it.
+func entryOf(d Applied) history.Entry {
+	return history.Entry{Number: uint64(d.Version), Digest: d.Digest(), By: d.By, At: d.At, Text: []byte(d.Text)}
 }
 
-// refreshed puts what the record of the acceptance says into a status. The
-// record is written with the acceptance; the status follows it.
-func refreshed(s status.Status, rec acceptance.Record) status.Status {
-	n := uint64(rec.Entry.Number)
-	if n == 0 || s.Accepted != nil && s.Accepted.Number > n {
-		return s
-	}
-	if s.Accepted == nil || s.Accepted.Number < n {
-		s.InForce, s.Lagging = 0, nil // these are about an older document
-	}
-	accepted := register.AcceptedOf(rec.Entry)
-	s.Accepted = &accepted
-	return s
-}
+// References to documents, beside the numbers of the history.
+const (
+	RefApplied = "applied"
+	RefBefore  = "before" // the one that the applied document replaced
+)
 
-// Document returns the document that a reference names: "applied", "inForce" or
-// a number of the history. It is nil for "inForce" if nothing is accepted.
+// Document returns the document that a reference names. It is nil for [RefBefore] if
+// there was none.
 func (r *Records) Document(ctx context.Context, service, ref string) (*document.Document, error) {
 	text, err := r.Text(ctx, service, ref)
 	if err != nil || text == nil {
@@ -335,24 +276,31 @@
 
 // Text returns the text that a reference names.
 func (r *Records) Text(ctx context.Context, service, ref string) ([]byte, error) {
-	switch ref {
-	case "applied":
+	if ref == RefApplied {
 		a, err := r.Applied(ctx, service)
 		return []byte(a.Text), err
-	case "inForce":
-		return r.InForce(ctx, service)
 	}
 	all, err := r.History(ctx, service)
 	if err != nil {
 		return nil, err
 	}
+	if ref == RefBefore {
+		if len(all) < 2 {
+			return nil, nil
+		}
+		return textOf(all[len(all)-2])
+	}
 	for _, e := range all {
 		if fmt.Sprint(e.Number) == ref || strings.HasPrefix(e.Digest.String(), ref) && len(ref) >= 12 {
-			if e.Text == nil {
-				return nil, merry.Appendf(ErrNotFound, "the text of number %d was not kept", e.Number)
-			}
-			return e.Text, nil
+			return textOf(e)
 		}
 	}
 	return nil, merry.Appendf(ErrNotFound, "%s %s", service, ref)
 }
+
+func textOf(e history.Entry) ([]byte, error) {
+	if e.Text == nil {
+		return nil, merry.Appendf(ErrNotFound, "the text of number %d was not kept", e.Number)
+	}
+	return e.Text, nil
+}
--- a/internal/wire/frame/message.go
+++ b/internal/wire/frame/message.go
@@ -53,9 +53,7 @@
 
 // The topics of control messages.
 const (
-	TopicMembers Topic = iota + 1
-	TopicAcceptance
-	TopicGroup
+	TopicGroup Topic = iota + 1
 	TopicPlan
 )
 
