--- a/internal/expert/changeover/changeover_test.go
+++ b/internal/expert/changeover/changeover_test.go
@@ -26,8 +26,8 @@
 
 func TestChangeTakesEffectEverywhere(t *testing.T) {
 	m := newModel(1, 4, 0)
-	version := NextVersion(m.reports(), 0, 2)
-	step, err := m.group(t.Context(), alive).Run(t.Context(), Change{Version: version, Map: modelMap(4, 1), Holder: 2, Ahead: 1})
+	version := NextVersion(m.reports(), 0, lifeOf(2, 0))
+	step, err := m.group(t.Context(), alive).Run(t.Context(), Change{Version: version, Map: modelMap(4, 1), Own: 2, Ahead: 1})
 	require.NoError(t, err)
 	require.Positive(t, step)
 	requireOneMap(t, m, version)
@@ -39,11 +39,12 @@
 func TestPlannerDiesInTheMiddle(t *testing.T) {
 	for limit := 1; limit < 30; limit++ {
 		m := newModel(uint64(limit), 4, 0)
-		version := NextVersion(m.reports(), 0, 1)
-		_, _ = m.group(t.Context(), limit).Run(t.Context(), Change{Version: version, Map: modelMap(4, 1), Holder: 1, Ahead: 1})
+		version := NextVersion(m.reports(), 0, lifeOf(1, 0))
+		_, _ = m.group(t.Context(), limit).Run(t.Context(), Change{Version: version, Map: modelMap(4, 1), Own: 1, Ahead: 1})
 		if Stuck(m.reports()) {
-			fence := NextVersion(m.reports(), 0, 2)
-			require.NoError(t, m.group(t.Context(), alive).Recover(t.Context(), 2, fence, modelMap(4, 0)))
+			fence := NextVersion(m.reports(), 0, lifeOf(2, 0))
+			_, err := m.group(t.Context(), alive).Recover(t.Context(), 2, fence, modelMap(4, 0))
+			require.NoError(t, err)
 		}
 		for range 10 * m.every {
 			m.look(0)
@@ -97,6 +98,9 @@
 	})
 }
 
+// lifeOf returns a life of the process beside a rank.
+func lifeOf(rank, n int) Life { return Life(n*maxRanks + rank) }
+
 // live is a process that plans again and again: it frees the group if that is stuck,
 // and changes the map if not. Each life ends after a number of calls.
 func live(m *model, process int, limits []int) {
@@ -104,7 +108,7 @@
 	for at, limit := range limits {
 		ctx, cancel := context.WithCancel(context.Background())
 		g := m.group(ctx, limit)
-		life := Life(process*100 + at)
+		life := lifeOf(process, at)
 		highest := int64(0)
 		after := int64(0)
 		for range 6 {
@@ -117,12 +121,11 @@
 			if Stuck(reports) {
 				// The map in force is told whole; its content is that of rank 0.
 				current := currentMap(m, reports[0].Map)
-				_ = g.Recover(ctx, process, highest, current)
-				highest += 100 * lives
+				highest, _ = g.Recover(ctx, process, highest, current)
 				continue
 			}
 			change := remember(m, highest, n)
-			step, _ := g.Run(ctx, Change{Version: highest, Map: change, Holder: process, Ahead: 1, After: after})
+			step, _ := g.Run(ctx, Change{Version: highest, Map: change, Own: process, Ahead: 1, After: after})
 			after = max(after, step)
 		}
 		cancel()
@@ -135,6 +138,9 @@
 // by ranks with different maps.
 func TestVersionsOfTwoLivesDiffer(t *testing.T) {
 	m := newModel(1, 3, 0)
-	require.NotEqual(t, NextVersion(m.reports(), 0, 7), NextVersion(m.reports(), 0, 8))
+	first, next := NextVersion(m.reports(), 0, lifeOf(2, 7)), NextVersion(m.reports(), 0, lifeOf(2, 8))
+	require.NotEqual(t, first, next)
+	require.Equal(t, 2, Giver(first))
+	require.Equal(t, 2, Giver(next))
 	require.Greater(t, NextVersion(m.reports(), 5*lives, 0), int64(5*lives))
 }
--- a/internal/expert/changeover/model_test.go
+++ b/internal/expert/changeover/model_test.go
@@ -26,6 +26,7 @@
 	at    int
 	rank  int
 	order Order
+	term  int64 // of its giver if the sidecar has yet to pass it on; 0 if the engine has it
 }
 
 // model is a group of engines that carries out some orders late, and loses answers.
@@ -43,6 +44,13 @@
 	late   []lateOrder
 	lose   float64 // part of the orders that get no answer
 	broken []string
+
+	// Of runs with hosts that stand still.
+	freeze  float64 // chance that a process's host stands still at one of its calls
+	frozen  []int   // by rank: until when its host stands still
+	terms   []int64 // by rank: the newest planner that its sidecar has heard
+	term    int64   // of the newest planner
+	running int     // processes that are not through yet
 }
 
 func newModel(seed uint64, ranks int, lose float64) *model {
@@ -54,6 +62,7 @@
 	for range ranks {
 		m.ranks = append(m.ranks, modelRank{content: even.Digest()})
 	}
+	m.frozen, m.terms = make([]int, ranks), make([]int64, ranks)
 	return m
 }
 
@@ -78,7 +87,9 @@
 	kept := m.late[:0]
 	for _, l := range m.late {
 		if l.at <= m.clock {
-			m.do(l.rank, l.order)
+			if l.term == 0 || m.follows(l.rank, l.term) {
+				m.do(l.rank, l.order)
+			}
 			continue
 		}
 		kept = append(kept, l)
--- a/internal/expert/changeover/recover.go
+++ b/internal/expert/changeover/recover.go
@@ -28,7 +28,8 @@
 // as a late disarm order could undo one rank's arming after the last look.
 //
 // Fence is a version above all that the ranks have had; current is the map in force.
-func (g *Group) Recover(ctx context.Context, own int, fence int64, current *expertmap.Map) error {
+// Recover returns the highest version that it has used.
+func (g *Group) Recover(ctx context.Context, own int, fence int64, current *expertmap.Map) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, recoverTimeout)
 	defer cancel()
 	var guard int64 // the pass that this process holds
@@ -39,15 +40,14 @@
 	for ctx.Err() == nil {
 		reports, err := g.lookAll(ctx)
 		if err != nil {
-			return err
+			return fence, err
 		}
 		armed := firstArmed(reports)
 		switch {
 		case armed != 0 && guard != armed:
 			// Without a hold of its own, another process's go could begin the pass
 			// when half of the ranks are disarmed.
-			rank := freeRank(reports, own)
-			if rank >= 0 && g.hold(ctx, rank, armed) {
+			if g.hold(ctx, guardRank(reports, own, armed), armed) {
 				guard = armed
 			}
 			fenced = false
@@ -57,15 +57,17 @@
 		case !fenced:
 			before = holds(reports)
 			fenced = g.fence(ctx, fence, current)
-			fence++
+			if !fenced {
+				fence += lives
+			}
 		case !Stuck(reports):
-			return nil
+			return fence, nil
 		default:
 			fenced = g.letGo(ctx, reports, before)
 		}
 		g.Pause(ctx, recoverPause)
 	}
-	return ctx.Err()
+	return fence, ctx.Err()
 }
 
 // firstArmed returns the first pass for which a rank is armed, or 0.
@@ -119,17 +121,32 @@
 	return g.prepare(ctx, Change{Version: version, Map: current}) == nil
 }
 
-// freeRank returns a rank that holds no pass, the process's own if it can.
-func freeRank(reports []Report, own int) int {
-	if reports[own].Held == 0 {
+// guardRank returns the rank at which to hold a pass for which ranks are armed: one that
+// holds no pass, the process's own if it can, or else one that other processes have
+// left holding this pass. It is none at which a change that is under way was held: a go
+// of the process that made it may still land there, and would let the pass begin with
+// some ranks disarmed.
+func guardRank(reports []Report, own int, step int64) int {
+	holdsChange := make(map[int]bool)
+	for _, r := range reports {
+		if r.Armed != nil {
+			holdsChange[Second(Giver(r.Armed.Version), len(reports))] = true
+		}
+	}
+	if !holdsChange[own] && reports[own].Held == 0 {
 		return own
 	}
+	guard := own
 	for rank, r := range reports {
-		if r.Held == 0 {
+		switch {
+		case holdsChange[rank]:
+		case r.Held == 0:
 			return rank
+		case r.Held == step:
+			guard = rank
 		}
 	}
-	return -1
+	return guard
 }
 
 func (g *Group) lookAll(ctx context.Context) ([]Report, error) {
@@ -157,12 +174,20 @@
 	return (highest/lives+1)*lives + int64(life)
 }
 
-// Life is drawn at random for each life of a planning process.
+// Life is drawn at random for each life of a planning process, and names its rank.
 type Life int64
 
-// lives is how many there are to draw from. That two of the few that plan within the
-// seconds in which an order may land draw the same is not to be expected in years.
-const lives = 1 << 20
+const (
+	// maxRanks of a group: twice as many as the largest that is planned for.
+	maxRanks = 512
+	// draws for each rank. That two lives of one process draw the same within the
+	// seconds in which an order may land is not to be expected in years.
+	draws = 1 << 15
+	lives = maxRanks * draws
+)
+
+// NewLife draws a life of the process beside a rank.
+func NewLife(rank int) Life { return Life(rand.Int64N(draws)*maxRanks + int64(rank)) }
 
-// NewLife draws a life.
-func NewLife() Life { return Life(rand.Int64N(lives)) }
+// Giver returns the rank beside which the process runs that chose a version.
+func Giver(version int64) int { return int(version % maxRanks) }
--- a/internal/expert/changeover/switch.go
+++ b/internal/expert/changeover/switch.go
@@ -55,9 +55,8 @@
 type Change struct {
 	Version int64
 	Map     *expertmap.Map
-	// Holder is the rank at which the pass is held: that of the process that
-	// switches. A late go of another process, which holds elsewhere, can't release it.
-	Holder int
+	// Own is the rank of the process that switches.
+	Own int
 	// Ahead is how many passes ahead of the one under way the change is made, 1 at
 	// least. The ranks wait if the orders take longer.
 	Ahead int64
@@ -66,20 +65,31 @@
 	After int64
 }
 
+// Second returns the rank at which a process holds the pass of its changes: the one
+// after its own. No other process's changes are held there, so a late go of theirs
+// can't release it; and should the process's host stand still with its rank, the others
+// can still let the pass go.
+func Second(own, ranks int) int { return (own + 1) % ranks }
+
 // Run brings the change into force. It returns the pass from which it holds.
 func (g *Group) Run(ctx context.Context, c Change) (int64, error) {
 	if err := g.prepare(ctx, c); err != nil {
 		return 0, err
 	}
 	g.Prepared()
+	// A rank whose host has stopped answering would leave the change half done, and
+	// the pass held until it is back. The copying took a while, so all are asked now.
+	if _, err := g.lookAll(ctx); err != nil {
+		return 0, err
+	}
 	step, err := g.holdNext(ctx, c)
 	if err != nil {
 		return 0, err
 	}
-	if !g.arm(ctx, c.Version, step) {
+	if !g.armInTurn(ctx, c, step) {
 		return step, merry.Wrap(ErrNotArmed)
 	}
-	if !g.release(ctx, c.Holder, step) {
+	if !g.release(ctx, Second(c.Own, g.Ranks), step) {
 		return step, merry.Wrap(ErrNotArmed, merry.AppendMessage("the pass could not be let go"))
 	}
 	return step, nil
@@ -145,13 +155,14 @@
 // holdNext holds the next pass that has not begun.
 func (g *Group) holdNext(ctx context.Context, c Change) (int64, error) {
 	step := c.After
+	holder := Second(c.Own, g.Ranks)
 	for range tries {
-		r, err := g.look(ctx, c.Holder)
+		r, err := g.look(ctx, holder)
 		if err != nil {
 			return 0, err
 		}
 		step = max(r.Step+c.Ahead, step+1)
-		if g.hold(ctx, c.Holder, step) {
+		if g.hold(ctx, holder, step) {
 			return step, nil
 		}
 	}
@@ -180,14 +191,36 @@
 	return false
 }
 
-// arm arms all ranks and tells whether all were seen armed.
-func (g *Group) arm(ctx context.Context, version, step int64) bool {
+// armInTurn arms all ranks: first all but two, then the one that holds the pass, and
+// last the process's own. Should the process and its rank stand still, whoever finds
+// the second one not armed knows that its own is not armed either, and won't be once
+// the second one is fenced: so the change can be taken back without it. Arming in
+// turns takes two round trips more, some 6 ms of a pass of 40 and more.
+func (g *Group) armInTurn(ctx context.Context, c Change, step int64) bool {
+	second := Second(c.Own, g.Ranks)
+	var rest []int
+	for rank := range g.Ranks {
+		if rank != second && rank != c.Own {
+			rest = append(rest, rank)
+		}
+	}
+	for _, turn := range [][]int{rest, {second}, {c.Own}} {
+		if !g.arm(ctx, turn, c.Version, step) {
+			return false
+		}
+	}
+	return true
+}
+
+// arm arms ranks and tells whether all of them were seen armed.
+func (g *Group) arm(ctx context.Context, ranks []int, version, step int64) bool {
 	order := Order{Operation: Arm, Version: version, Step: step}
-	results := g.all(ctx, order)
+	results := make([]Result, g.Ranks)
+	g.each(ranks, func(rank int) { results[rank] = g.order(ctx, rank, order) })
 	for range tries {
 		var again []int
-		for rank, res := range results {
-			switch res {
+		for _, rank := range ranks {
+			switch results[rank] {
 			case Accepted:
 			case NoAnswer:
 				again = append(again, rank)
@@ -232,17 +265,6 @@
 	return false
 }
 
-// all gives an order to all ranks at the same time.
-func (g *Group) all(ctx context.Context, o Order) []Result {
-	results := make([]Result, g.Ranks)
-	ranks := make([]int, g.Ranks)
-	for rank := range ranks {
-		ranks[rank] = rank
-	}
-	g.each(ranks, func(rank int) { results[rank] = g.order(ctx, rank, o) })
-	return results
-}
-
 // each does something with ranks at the same time, and returns when all is done.
 func (g *Group) each(ranks []int, do func(rank int)) {
 	var wg sync.WaitGroup
--- a/internal/expert/expertmap/map.go
+++ b/internal/expert/expertmap/map.go
@@ -141,6 +141,27 @@
 	return dst
 }
 
+// Complete gives a rank the experts that no other has, in its empty slots. It tells
+// whether all of them had room.
+func (m *Map) Complete(rank int) bool {
+	replicas := make([]uint16, m.shape.Experts)
+	for layer := range m.shape.Layers {
+		replicas = m.Replicas(layer, replicas)
+		row := m.Row(layer, rank)
+		for expert, n := range replicas {
+			if n > 0 {
+				continue
+			}
+			slot := slices.Index(row, Empty)
+			if slot < 0 {
+				return false
+			}
+			m.Set(layer, rank, slot, uint16(expert))
+		}
+	}
+	return true
+}
+
 // Clone returns a copy that shares nothing with the map.
 func (m *Map) Clone() *Map {
 	return &Map{shape: m.shape, cells: slices.Clone(m.cells)}
--- a/internal/program/companion/companion.go
+++ b/internal/program/companion/companion.go
@@ -32,13 +32,14 @@
 	engines  *platform.Engines
 	peers    *rankport.Client
 
-	mu     sync.Mutex
-	term   int64     // of the newest planner that asked
-	heard  time.Time // when it did
-	holder int64     // revision of the duty's record as it was read last
-	mark   uint64    // names the counts below
-	counts []uint64  // as they were told last
-	epoch  int64     // of the counts
+	mu      sync.Mutex
+	term    int64     // of the newest planner that asked
+	heard   time.Time // when it did
+	planner int       // its rank
+	holder  int64     // revision of the duty's record as it was read last
+	mark    uint64    // names the counts below
+	counts  []uint64  // as they were told last
+	epoch   int64     // of the counts
 
 	maps []*expertmap.Map // that were prepared last, for changes to be based on
 
@@ -77,7 +78,9 @@
 	r.Apply = func(deployed.Settings) {}
 	duty(r.Run)
 	duty(c.servePeers)
-	duty(func(ctx context.Context) error { return socket.Serve(ctx, c.heardEntry, func(digest.Digest) {}) })
+	duty(func(ctx context.Context) error {
+		return socket.Serve(ctx, c.heardEntry, func(netip.AddrPort, digest.Digest) {})
+	})
 	duty(c.seekPlanning)
 	duty(func(ctx context.Context) error {
 		return deployed.ServeMetrics(ctx, c.settings.Listen.Metrics, c.metrics)
@@ -92,13 +95,24 @@
 type entry struct {
 	address netip.AddrPort
 	demand  float64
+	fresh   bool // its rules are
 	heard   time.Time
 }
 
 func (c *Companion) heardEntry(from netip.AddrPort, h digest.Hello) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.entries[from] = entry{address: from, demand: h.Demand, heard: time.Now()}
+	c.entries[from] = entry{address: from, demand: h.Demand, fresh: h.Fresh, heard: time.Now()}
+}
+
+// learnEntries takes the entries that a planner has heard of, in case that this process
+// takes its place.
+func (c *Companion) learnEntries(now time.Time, list []rankport.Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range list {
+		c.entries[e.Address] = entry{address: e.Address, demand: e.Demand, fresh: e.Fresh, heard: now}
+	}
 }
 
 // entriesHeard are the entries that made themselves known lately.
@@ -141,6 +155,7 @@
 		c.log.Info().Str("event", "planner").Str("planner", a.Name).Int64("term", a.Term).Int64("before", c.term).Msg("")
 	}
 	c.term = a.Term
+	c.planner = a.Rank
 	c.heard = now
 	return c.term, true
 }
@@ -152,6 +167,7 @@
 	if !follows {
 		return seen
 	}
+	c.learnEntries(time.Now(), l.Entries)
 	report, err := c.engines.Report(ctx, c.settings.Target.Address)
 	if err != nil {
 		seen.Failed = err.Error()
--- a/internal/program/companion/look.go
+++ b/internal/program/companion/look.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/netip"
-	"sync"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -17,10 +18,12 @@
 // keepLooking looks at the ranks until the duty is lost.
 func (p *planner) keepLooking(ctx context.Context) error {
 	lost := 0
-	var since time.Time // when ranks were first missing
+	without := 0        // looks in a row that lacked ranks
+	var since time.Time // when the group could first not be looked at
 	for {
 		err := p.lookRound(ctx)
-		p.tell(err == nil)
+		p.tell()
+		without = p.without(ctx, without)
 		switch {
 		case errors.Is(err, rankport.ErrSuperseded):
 			return err
@@ -57,14 +60,40 @@
 	}
 	err := p.lookAll(ctx, ranks)
 	if err != nil {
-		p.mu.Lock()
-		p.view.whole = false
-		p.view.ranks = nil
-		p.mu.Unlock()
+		p.forgetRanks()
 	}
 	return err
 }
 
+// forgetRanks has the next look find out again which server is which rank.
+func (p *planner) forgetRanks() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.serving = false
+	p.view.ranks = nil
+}
+
+// without reads the list of targets again, now and then, while ranks don't answer:
+// their servers may have been replaced. It returns how many looks in a row lacked ranks.
+func (p *planner) without(ctx context.Context, looks int) int {
+	v := p.seen()
+	if v.ranks == nil || len(v.lost) == 0 {
+		return 0
+	}
+	looks++
+	if looks%refreshWithout != 0 {
+		return looks
+	}
+	p.refresh(ctx)
+	for _, s := range p.seats {
+		seated := func(r *seat) bool { return r.target == s.target }
+		if !slices.ContainsFunc(v.ranks, seated) {
+			p.forgetRanks() // it may have taken the place of one that is lost
+		}
+	}
+	return looks
+}
+
 // seen returns what the last look showed.
 func (p *planner) seen() view {
 	p.mu.Lock()
@@ -72,32 +101,44 @@
 	return p.view
 }
 
-// tell sends what was seen to the entries. While the group is not whole, they
-// learn that it takes no requests.
-func (p *planner) tell(whole bool) {
+// tell sends what was seen to the entries. While the group does not go on, they learn
+// that it takes no requests.
+func (p *planner) tell() {
 	p.looks++
 	entries := p.c.entriesHeard(time.Now())
 	if len(entries) == 0 {
 		return
 	}
+	v := p.seen()
 	d := digest.Digest{
 		Term: p.asker.Term, Look: p.looks, Service: p.c.settings.Target.Service,
-		Open: whole, Entries: len(entries), Limit: p.limit.value,
+		Open: v.serving, Entries: len(entries), Limit: p.limit.value,
+	}
+	for _, e := range entries {
+		if e.fresh {
+			d.Fresh++
+		}
 	}
-	v := p.seen()
 	free := make([]int, len(v.ranks))
-	if whole {
+	var seats []int // the ranks that are told
+	if v.serving {
 		d.Age = time.Since(v.began)
 		for rank, s := range v.ranks {
+			if s.target == "" {
+				continue
+			}
 			load := v.reports[rank].Running + v.reports[rank].Waiting
-			d.Ranks = append(d.Ranks, digest.Rank{Target: s.target, Load: load})
-			free[rank] = int(float64(p.limit.value)/paceOf(v.reports[rank])) - load
+			d.Ranks = append(d.Ranks, digest.Rank{Target: s.target, Load: load, Lost: s.lost.Load()})
+			seats = append(seats, rank)
+			if !slices.Contains(v.lost, rank) {
+				free[rank] = int(float64(p.limit.value)/paceOf(v.reports[rank])) - load
+			}
 		}
 	}
 	grants := share(free, entries, p.looks)
 	for i, e := range entries {
-		for rank := range d.Ranks {
-			d.Ranks[rank].Grant = grants[i][rank]
+		for n := range d.Ranks {
+			d.Ranks[n].Grant = grants[i][seats[n]]
 		}
 		p.c.socket.Send(e.address, d)
 	}
@@ -142,40 +183,67 @@
 	if p.engine == nil || p.engine.Layers == 0 {
 		return nil, merry.Wrap(errIncomplete, merry.AppendMessage("the service is not known"))
 	}
-	seen := make([]rankport.Seen, len(p.seats))
-	var wg sync.WaitGroup
-	errs := make([]error, len(p.seats))
-	for i, s := range p.seats {
-		wg.Go(func() { seen[i], errs[i] = p.look(ctx, s, rankport.Look{}) })
-	}
-	wg.Wait()
+	seen, errs := p.ask(ctx, p.seats, func(int) rankport.Look { return rankport.Look{} })
 	if err := errors.Join(errs...); errors.Is(err, rankport.ErrSuperseded) {
 		return nil, err
 	}
-	var ranks []*seat
+	var ranks, silent []*seat
 	for i, v := range seen {
 		r := v.Report
-		if r.Group != p.group || r.Ranks == 0 {
-			continue
-		}
-		if ranks == nil {
-			ranks = make([]*seat, r.Ranks)
-		}
-		if r.Rank < len(ranks) {
-			ranks[r.Rank] = p.seats[i]
+		switch {
+		case errs[i] != nil && isSilent(errs[i]):
+			silent = append(silent, p.seats[i])
+		case r.Group != p.group || r.Ranks == 0:
+		default:
+			if ranks == nil {
+				ranks = make([]*seat, r.Ranks)
+			}
+			if r.Rank < len(ranks) {
+				ranks[r.Rank] = p.seats[i]
+			}
 		}
 	}
-	for rank, s := range ranks {
+	if ranks == nil {
+		return nil, merry.Wrap(errIncomplete, merry.AppendMessage("no rank of the group"))
+	}
+	return seatSilent(ranks, silent, errors.Join(errs...))
+}
+
+// seatSilent gives the ranks that are missing to the servers that don't answer: a host
+// may stand still and its group go on. Which of them is which rank can't be told, nor
+// does it matter while none is asked for more than a sign of life. One that is not
+// listed any more, since it could not renew its entry, gets a seat without an address.
+func seatSilent(ranks, silent []*seat, err error) ([]*seat, error) {
+	missing := 0
+	for _, s := range ranks {
 		if s == nil {
-			return nil, merry.Wrap(errIncomplete, merry.AppendMessagef("rank %d of %d: %v", rank, len(ranks), errors.Join(errs...)))
+			missing++
 		}
 	}
-	if ranks == nil {
-		return nil, merry.Wrap(errIncomplete, merry.AppendMessage("no rank of the group"))
+	if missing > len(ranks)/mostLost || missing < len(silent) && missing > 0 {
+		return nil, merry.Wrap(errIncomplete, merry.AppendMessagef("%d of %d ranks are missing: %v", missing, len(ranks), err))
+	}
+	for rank, s := range ranks {
+		switch {
+		case s != nil:
+			continue
+		case len(silent) > 0:
+			ranks[rank], silent = silent[0], silent[1:]
+		default:
+			ranks[rank] = &seat{}
+		}
+		ranks[rank].lost.Store(true)
 	}
 	return ranks, nil
 }
 
+// isSilent tells whether a server did not answer in time. One that refuses the
+// connection is dead, and its group breaks.
+func isSilent(err error) bool {
+	var failure net.Error
+	return errors.Is(err, errNoAnswer) || errors.Is(err, context.DeadlineExceeded) || errors.As(err, &failure) && failure.Timeout()
+}
+
 // look asks a rank through its sidecar, or the engine itself if the sidecar is gone.
 func (p *planner) look(ctx context.Context, s *seat, l rankport.Look) (rankport.Seen, error) {
 	l.Asker = p.asker
@@ -194,62 +262,195 @@
 	return seen, err
 }
 
-// lookAll reads all reports and takes what was counted since.
+// lookAll reads all reports and takes what was counted since. Ranks whose hosts don't
+// answer are left out: a group goes on while a host of its stands still.
 func (p *planner) lookAll(ctx context.Context, ranks []*seat) error {
 	began := time.Now()
-	seen := make([]rankport.Seen, len(ranks))
-	errs := make([]error, len(ranks))
-	var wg sync.WaitGroup
-	for rank, s := range ranks {
-		counts := p.counts(rank, len(ranks))
-		wg.Go(func() { seen[rank], errs[rank] = p.look(ctx, s, rankport.Look{Counts: counts, Since: s.mark}) })
-	}
-	wg.Wait()
+	seen, errs := p.ask(ctx, ranks, func(rank int) rankport.Look {
+		l := rankport.Look{Counts: p.counts(rank, len(ranks)), Since: ranks[rank].mark}
+		if turnOf(rank, p.own, len(ranks)) < successors {
+			l.Entries = p.entriesToTell(began, ranks[rank])
+		}
+		return l
+	})
+	v := view{ranks: ranks, began: began, reports: make([]changeover.Report, len(ranks))}
 	for rank, err := range errs {
-		if err != nil {
+		switch {
+		case err == nil:
+			v.reports[rank] = seen[rank].Report
+		case !isSilent(err):
 			return merry.Wrap(err, merry.AppendMessagef("rank %d", rank))
+		default:
+			v.lost = append(v.lost, rank)
 		}
 	}
-	reports := make([]changeover.Report, len(ranks))
-	for rank, v := range seen {
-		r := v.Report
-		if r.Group != p.group || r.Rank != rank || !r.Open || r.Epoch != seen[0].Report.Epoch {
-			return merry.Wrap(errIncomplete, merry.AppendMessagef("rank %d: group %s, epoch %d, open %t", rank, r.Group, r.Epoch, r.Open))
+	return p.take(time.Now(), v, seen)
+}
+
+const (
+	// successors are told of the entries: those that would take this planner's place
+	// first. That three hosts fail with it is not to be expected in years.
+	successors = 3
+	// tellEntries is how often they are.
+	tellEntries = time.Second
+)
+
+// entriesToTell returns the entries for a rank that may plan next, when it is time.
+func (p *planner) entriesToTell(now time.Time, s *seat) []rankport.Entry {
+	if now.Sub(s.told) < tellEntries {
+		return nil
+	}
+	s.told = now
+	var list []rankport.Entry
+	for _, e := range p.c.entriesHeard(now) {
+		list = append(list, rankport.Entry{Address: e.address, Demand: e.demand, Fresh: e.fresh})
+	}
+	return list
+}
+
+// answer is what came of one look.
+type answer struct {
+	at   int
+	seen rankport.Seen
+	err  error
+}
+
+// ask looks at ranks at the same time. It does not wait for the last few of them: a host
+// that stands still would hold up what all entries are told. What a rank answers later
+// only tells that it lives, and until then it is not asked again.
+func (p *planner) ask(ctx context.Context, seats []*seat, look func(at int) rankport.Look) ([]rankport.Seen, []error) {
+	seen, errs := make([]rankport.Seen, len(seats)), make([]error, len(seats))
+	answers := make(chan answer, len(seats))
+	asked := 0
+	for at, s := range seats {
+		errs[at] = errNoAnswer
+		if s.target == "" || s.asking.Swap(true) {
+			continue
 		}
-		reports[rank] = r
+		asked++
+		l := look(at)
+		p.asked.Go(func() {
+			v, err := p.look(ctx, s, l)
+			p.note(s, err)
+			s.asking.Store(false)
+			answers <- answer{at, v, err}
+		})
+	}
+	var late <-chan time.Time
+	for n := range asked {
+		if n == len(seats)-max(len(seats)/mostLost, 1) {
+			late = time.After(lookGrace)
+		}
+		select {
+		case a := <-answers:
+			seen[a.at], errs[a.at] = a.seen, a.err
+		case <-late:
+			return seen, errs
+		}
+	}
+	return seen, errs
+}
+
+// note tells a rank whose host does not answer from one that does.
+func (p *planner) note(s *seat, err error) {
+	switch {
+	case err == nil && s.lost.Swap(false):
+		p.c.log.Info().Str("event", "rankFound").Str("target", s.target).Msg("")
+	case err != nil && isSilent(err) && !s.lost.Swap(true):
+		p.c.log.Warn().Str("event", "rankLost").Str("target", s.target).Err(err).Msg("")
 	}
-	now := time.Now()
-	p.limit.see(now, reports[0].Step, p.engine.Slots, p.gapAim)
-	p.take(began, now, ranks, reports, seen)
-	return nil
 }
 
+// errNoAnswer reports a rank that has not answered yet.
+var errNoAnswer = merry.New("no answer yet")
+
+// lookGrace is how long a look waits for the last ranks once most have answered. They
+// answer within 5 ms of each other, and of a planner whose processor is busy within 60.
+const lookGrace = 100 * time.Millisecond
+
 // counts tells whether it is a rank's turn to tell its counts.
 func (p *planner) counts(rank, ranks int) bool {
 	turns := (ranks + countedRanks - 1) / countedRanks
 	return rank%turns == int(p.looks%uint64(turns))
 }
 
-// take makes a look the newest view.
-func (p *planner) take(began, now time.Time, ranks []*seat, reports []changeover.Report, seen []rankport.Seen) {
+// take makes a look the newest view, if the ranks that answered are of one open group.
+func (p *planner) take(now time.Time, v view, seen []rankport.Seen) error {
+	if len(v.lost) > len(v.ranks)/mostLost {
+		return merry.Wrap(errIncomplete, merry.AppendMessagef("%d ranks don't answer", len(v.lost)))
+	}
+	first := v.first()
+	for rank, r := range v.reports {
+		if slices.Contains(v.lost, rank) {
+			continue
+		}
+		if r.Group != p.group || r.Rank != rank || !r.Open || r.Epoch != first.Epoch {
+			return merry.Wrap(errIncomplete, merry.AppendMessagef("rank %d: group %s, epoch %d, open %t", rank, r.Group, r.Epoch, r.Open))
+		}
+	}
+	v.epoch, v.counted, v.engine = first.Epoch, now, p.engine
+	v.serving = p.pulse.beats(now, v.reports) || len(v.lost) == 0
+	p.limit.see(now, first.Step, p.engine.Slots, p.gapAim)
+	v.ahead = p.limit.ahead(len(v.ranks))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	v := &p.view
+	v.demand = p.demand(now, v, seen)
+	p.view = v
+	return nil
+}
+
+// demand adds what was counted to what is left of the demand before. The caller holds
+// the lock.
+func (p *planner) demand(now time.Time, v view, seen []rankport.Seen) []float64 {
+	before := p.view
 	n := p.engine.Layers * p.engine.Experts
 	demand := make([]float64, n)
-	if v.epoch == reports[0].Epoch && len(v.demand) == n {
-		keep := decay(now.Sub(v.counted))
-		for i, d := range v.demand {
+	if before.epoch == v.epoch && len(before.demand) == n {
+		keep := decay(now.Sub(before.counted))
+		for i, d := range before.demand {
 			demand[i] = d * keep
 		}
 	}
 	for rank, s := range seen {
 		if s.Mark != 0 {
-			ranks[rank].mark = s.Mark
+			v.ranks[rank].mark = s.Mark
 		}
 		if len(s.Counts.Steps) == n {
 			s.Counts.AddTo(demand)
 		}
 	}
-	*v = view{ranks: ranks, reports: reports, epoch: reports[0].Epoch, demand: demand, counted: now, began: began, engine: p.engine, ahead: p.limit.ahead(len(ranks)), whole: true}
+	return demand
+}
+
+const (
+	// mostLost is the part of a group, one in so many, that may be lost while it counts
+	// as serving. Beyond that it is rather this process that can't reach the others.
+	mostLost = 4
+	// refreshWithout is how many looks in a row lack ranks before the list of targets is
+	// read again: two seconds of looks, at two calls of the store.
+	refreshWithout = 20
+)
+
+// pulse tells whether a group makes passes.
+type pulse struct {
+	step int64
+	at   time.Time // when it was seen to have moved on, or to have nothing to do
+}
+
+// pulseGrace is how long a group with work may make no pass: a pass takes 150 ms at the
+// most where pauses are on time, and a group that has lost a rank for good stalls for
+// 1.5 s before it says so.
+const pulseGrace = 400 * time.Millisecond
+
+// beats takes the reports of a look.
+func (p *pulse) beats(now time.Time, reports []changeover.Report) bool {
+	step, work := int64(0), 0
+	for _, r := range reports {
+		step = max(step, r.Step)
+		work += r.Running + r.Waiting
+	}
+	if step != p.step || work == 0 {
+		p.step, p.at = step, now
+	}
+	return now.Sub(p.at) < pulseGrace
 }
--- /dev/null
+++ b/internal/program/companion/look_test.go
@@ -0,0 +1,192 @@
+package companion
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/ansel1/merry/v2"
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
+	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
+	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
+	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
+)
+
+var start = time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
+
+// newPlanner returns a planner beside rank 0 that does not run.
+func newPlanner() *planner {
+	s := deployed.Settings{}
+	s.Target.Service = "svc"
+	c := New(s, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, metrics.NewSet())
+	return &planner{c: c, group: "g", engine: &routing.Engine{Layers: 1, Experts: 4, Slots: 8}}
+}
+
+// A group with work makes passes. One that lost a rank for good stalls, and one whose
+// pass is held does, so nothing is sent to it; one without work has nothing to show.
+func TestPulse(t *testing.T) {
+	report := func(step int64, running int) []changeover.Report {
+		return []changeover.Report{{Step: step, Running: running}, {}}
+	}
+	var p pulse
+	require.True(t, p.beats(start, report(7, 3)))
+	require.True(t, p.beats(start.Add(pulseGrace/2), report(7, 3)), "a long pass")
+	require.False(t, p.beats(start.Add(pulseGrace), report(7, 3)))
+	require.True(t, p.beats(start.Add(2*pulseGrace), report(8, 3)), "it goes on")
+	require.True(t, p.beats(start.Add(9*pulseGrace), report(8, 0)), "it is idle")
+	require.True(t, p.beats(start.Add(9*pulseGrace+time.Millisecond), report(8, 2)), "the first request came")
+}
+
+func seats(n int) []*seat {
+	list := make([]*seat, n)
+	for i := range list {
+		list[i] = &seat{target: string(rune('a' + i))}
+	}
+	return list
+}
+
+// One host stands still as a planner begins: it can't tell its rank. The planner begins
+// without it, or callers of the whole group would wait until the host is back.
+func TestRanksThatDontAnswerAreSeated(t *testing.T) {
+	all := seats(8)
+	missing := func(ranks ...int) []*seat {
+		list := append([]*seat(nil), all...)
+		for _, r := range ranks {
+			list[r] = nil
+		}
+		return list
+	}
+	requireSeated := func(ranks []*seat, err error, lost int, target string) {
+		t.Helper()
+		require.NoError(t, err)
+		require.True(t, ranks[lost].lost.Load())
+		require.Equal(t, target, ranks[lost].target)
+	}
+	ranks, err := seatSilent(missing(3), []*seat{{target: "x"}}, nil)
+	requireSeated(ranks, err, 3, "x")
+	ranks, err = seatSilent(missing(3), nil, nil) // its entry in the list has lapsed
+	requireSeated(ranks, err, 3, "")
+	ranks, err = seatSilent(missing(), []*seat{{target: "x"}}, nil) // of another group
+	require.NoError(t, err)
+	require.Equal(t, all, ranks)
+	_, err = seatSilent(missing(1, 2, 3), nil, nil)
+	require.ErrorIs(t, err, errIncomplete, "too many are missing")
+	_, err = seatSilent(missing(1), []*seat{{}, {}}, nil)
+	require.ErrorIs(t, err, errIncomplete, "more don't answer than are missing")
+}
+
+// sidecars starts servers that answer looks; those that are silent never do.
+func sidecars(t *testing.T, n int, silent ...int) []*seat {
+	t.Helper()
+	done := make(chan struct{})
+	list := make([]*seat, n)
+	for i := range list {
+		mux := http.NewServeMux()
+		mux.HandleFunc("GET /report", func(http.ResponseWriter, *http.Request) { <-done }) // the engine's own
+		rankport.Handler{
+			Look: func(_ context.Context, l rankport.Look) rankport.Seen {
+				for _, s := range silent {
+					if s == i {
+						<-done
+					}
+				}
+				return rankport.Seen{Term: l.Asker.Term, Report: changeover.Report{
+					Group: "g", Rank: i, Ranks: n, Open: true, Epoch: 1, Step: 9,
+				}}
+			},
+			Order: func(context.Context, rankport.Order) rankport.Done { return rankport.Done{} },
+		}.Register(mux)
+		server := httptest.NewServer(mux)
+		t.Cleanup(server.Close)
+		at := netip.MustParseAddrPort(server.Listener.Addr().String())
+		list[i] = &seat{target: string(rune('a' + i)), sidecar: at, engine: at}
+	}
+	t.Cleanup(func() { close(done) })
+	return list
+}
+
+// The host of one rank stands still. The planner goes on without it, finds that the group
+// serves, and tells the entries to send nothing there; it does not wait for the host each
+// time, or what entries know of all other ranks would be too old.
+func TestGroupGoesOnWithoutAHost(t *testing.T) {
+	p := newPlanner()
+	ranks := sidecars(t, 8, 5)
+	require.NoError(t, p.lookAll(t.Context(), ranks))
+	v := p.seen()
+	require.Equal(t, []int{5}, v.lost)
+	require.True(t, v.serving)
+	require.False(t, v.whole())
+	require.True(t, ranks[5].asking.Load(), "its look is still under way")
+	require.Eventually(t, ranks[5].lost.Load, 20*time.Second, time.Millisecond, "no answer in time")
+	require.NoError(t, p.lookAll(t.Context(), ranks))
+	require.Equal(t, []int{5}, p.seen().lost)
+}
+
+func TestTooManyLostRanks(t *testing.T) {
+	p := newPlanner()
+	require.ErrorIs(t, p.lookAll(t.Context(), sidecars(t, 8, 1, 2, 3)), errIncomplete)
+}
+
+// The server of a rank is gone: its host refuses the connection. The group breaks within
+// a second or two, and callers sent there meanwhile would be refused.
+func TestDeadRankIsNotPassedOver(t *testing.T) {
+	p := newPlanner()
+	ranks := sidecars(t, 8)
+	closed := httptest.NewServer(http.NotFoundHandler())
+	at := netip.MustParseAddrPort(closed.Listener.Addr().String())
+	closed.Close()
+	ranks[2] = &seat{target: "x", sidecar: at, engine: at}
+	require.Error(t, p.lookAll(t.Context(), ranks))
+}
+
+func TestIsSilent(t *testing.T) {
+	require.True(t, isSilent(errNoAnswer))
+	require.True(t, isSilent(merry.Wrap(context.DeadlineExceeded)))
+	require.False(t, isSilent(merry.New("connection refused")))
+}
+
+// A planner dies. Each sidecar of its group has its own turn to take its place, and those
+// that come first are not all beside it, as hosts beside each other fail together.
+func TestTurnsAfterAPlanner(t *testing.T) {
+	for _, ranks := range []int{2, 3, 16, 72, 256} {
+		for _, planner := range []int{0, 1, ranks - 1} {
+			order := make([]int, ranks)
+			for rank := range ranks {
+				order[turnOf(rank, planner, ranks)] = rank
+			}
+			seen := make(map[int]bool)
+			for _, rank := range order {
+				seen[rank] = true
+			}
+			require.Len(t, seen, ranks, "each has a turn")
+			require.Equal(t, planner, order[ranks-1], "the planner itself comes last")
+		}
+	}
+	require.Equal(t, 0, turnOf(9, 0, 16))
+	require.Equal(t, 1, turnOf(2, 0, 16))
+}
+
+// A planner dies. The one that follows tells the entries of the ranks at once, since it
+// was told of them; otherwise they would go by their own requests for a second or two.
+func TestSuccessorKnowsTheEntries(t *testing.T) {
+	p := newPlanner()
+	now := time.Now()
+	entry := netip.MustParseAddrPort("10.0.0.1:7401")
+	p.c.heardEntry(entry, digest.Hello{Demand: 3, Fresh: true})
+	s := &seat{}
+	told := p.entriesToTell(now, s)
+	require.Equal(t, []rankport.Entry{{Address: entry, Demand: 3, Fresh: true}}, told)
+	require.Empty(t, p.entriesToTell(now.Add(tellEntries/2), s), "not each time")
+	successor := newPlanner().c
+	successor.learnEntries(now, told)
+	require.Len(t, successor.entriesHeard(now), 1)
+}
--- a/internal/program/companion/move.go
+++ b/internal/program/companion/move.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -16,15 +18,19 @@
 
 // keepMoving changes the map whenever that is worth it.
 func (p *planner) keepMoving(ctx context.Context) {
+	var heldUp error // what held the last round up
 	for sleep(ctx, moveInterval) {
 		v := p.seen()
 		// What was seen before the last change ended shows it half done.
-		if !v.whole || !v.began.After(p.changed) {
+		if v.ranks == nil || !v.began.After(p.changed) {
 			continue
 		}
-		if err := p.moveRound(ctx, v); err != nil {
+		err := p.moveRound(ctx, v)
+		// A rank may be lost for seconds, and each look finds the same.
+		if err != nil && (heldUp == nil || err.Error() != heldUp.Error()) {
 			p.c.log.Warn().Str("event", "moveHeldUp").Err(err).Msg("")
 		}
+		heldUp = err
 	}
 }
 
@@ -34,6 +40,9 @@
 		p.c.log.Info().Str("event", "epoch").Str("group", p.group).Int64("epoch", v.epoch).Int64("before", p.epoch).Msg("")
 		p.epoch, p.current, p.after, p.highest = v.epoch, nil, 0, 0
 	}
+	if len(v.lost) > 0 {
+		return p.moveWithout(ctx, v)
+	}
 	if p.underWay(v.reports) {
 		return nil
 	}
@@ -60,33 +69,90 @@
 	return armed
 }
 
+// moveWithout frees the group if the process that changed its map stands still in the
+// middle of that, together with its rank. The map is not changed while ranks are lost.
+func (p *planner) moveWithout(ctx context.Context, v view) error {
+	if len(v.lost) != 1 || !changeover.Stuck(v.reports) {
+		return nil
+	}
+	lost := v.lost[0]
+	filler, _, err := p.readLists(ctx, v)
+	if err != nil {
+		return err
+	}
+	if !filler.Complete(lost) {
+		return merry.Wrap(errIncomplete, merry.AppendMessage("the lost rank has no room for what no other has"))
+	}
+	p.highest = changeover.NextVersion(v.reports, p.highest, p.life)
+	begin := time.Now()
+	p.base = nil
+	err = p.access(v).RecoverWithout(ctx, lost, p.highest, filler)
+	if err != nil {
+		return err
+	}
+	p.c.log.Info().Str("event", "recoveredWithout").Int("rank", lost).Dur("took", time.Since(begin)).Msg("")
+	p.changed = time.Now()
+	return nil
+}
+
 // readMap reads the map in force from all ranks.
 func (p *planner) readMap(ctx context.Context, v view) error {
+	m, version, err := p.readLists(ctx, v)
+	if err == nil {
+		p.current, p.version = m, version
+	}
+	return err
+}
+
+// readLists reads which experts the ranks hold, but for those that are lost.
+func (p *planner) readLists(ctx context.Context, v view) (*expertmap.Map, int64, error) {
 	shape := expertmap.Shape{Layers: v.engine.Layers, Experts: v.engine.Experts, Ranks: len(v.ranks), Slots: v.engine.Places}
 	m, err := expertmap.New(shape)
 	if err != nil {
-		return err
+		return nil, 0, err
 	}
-	version := int64(-1)
+	lists := make([]changeover.Lists, len(v.ranks))
+	errs := make([]error, len(v.ranks))
+	var wg sync.WaitGroup
 	for rank, s := range v.ranks {
-		seen, err := p.look(ctx, s, rankport.Look{Lists: true})
-		if err != nil {
-			return err
+		if slices.Contains(v.lost, rank) {
+			continue
 		}
-		if version >= 0 && seen.Lists.Version != version || len(seen.Lists.Experts) != shape.Layers {
-			return merry.Wrap(errIncomplete, merry.AppendMessage("the ranks' lists are of different maps"))
+		wg.Go(func() {
+			seen, err := p.look(ctx, s, rankport.Look{Lists: true})
+			lists[rank], errs[rank] = seen.Lists, err
+		})
+	}
+	wg.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return nil, 0, err
+	}
+	version := v.first().Map
+	for rank, l := range lists {
+		if slices.Contains(v.lost, rank) {
+			continue
 		}
-		version = seen.Lists.Version
-		for layer, row := range seen.Lists.Experts {
-			if len(row) > shape.Slots {
-				return merry.Wrap(errIncomplete, merry.AppendMessage("a rank has more experts than places"))
-			}
-			for slot, e := range row {
-				m.Set(layer, rank, slot, uint16(e))
-			}
+		if err := fill(m, rank, version, l); err != nil {
+			return nil, 0, err
+		}
+	}
+	return m, version, nil
+}
+
+// fill writes what a rank holds into a map of a version.
+func fill(m *expertmap.Map, rank int, version int64, l changeover.Lists) error {
+	shape := m.Shape()
+	if l.Version != version || len(l.Experts) != shape.Layers {
+		return merry.Wrap(errIncomplete, merry.AppendMessage("the ranks' lists are of different maps"))
+	}
+	for layer, row := range l.Experts {
+		if len(row) > shape.Slots {
+			return merry.Wrap(errIncomplete, merry.AppendMessage("a rank has more experts than places"))
+		}
+		for slot, e := range row {
+			m.Set(layer, rank, slot, uint16(e))
 		}
 	}
-	p.current, p.version = m, version
 	return nil
 }
 
@@ -111,6 +177,12 @@
 }
 
 func (p *planner) order(ctx context.Context, s *seat, o changeover.Order) changeover.Result {
+	if o.Operation == changeover.Hold {
+		// Straight to the engine: one process less that may stand still while a pass is
+		// held, and a hop less in the time for which it is.
+		result, _ := p.c.engines.Order(ctx, s.engine, o)
+		return result
+	}
 	m := rankport.Order{Asker: p.asker, Order: o}
 	if o.Operation == changeover.Prepare && p.base != nil {
 		m.Order.Map, m.Base, m.Changes = nil, p.base.digest, p.base.changes
@@ -123,8 +195,13 @@
 	if err == nil || errors.Is(err, rankport.ErrSuperseded) {
 		return result
 	}
-	// The sidecar may have passed the order on; giving it twice does no harm, as the
-	// second one finds the state that it asks for, or does not fit.
+	if isSilent(err) && (o.Operation == changeover.Prepare || o.Operation == changeover.Arm) {
+		// A sidecar that lives may follow a newer planner, and would not have passed
+		// these on; see [changeover.Group.RecoverWithout].
+		return changeover.NoAnswer
+	}
+	// The sidecar is gone, or may have passed the order on; giving it twice does no harm,
+	// as the second one finds the state that it asks for, or does not fit.
 	result, _ = p.c.engines.Order(ctx, s.engine, o)
 	return result
 }
@@ -155,7 +232,7 @@
 	p.prepared = begin
 	copies, most := copiesOf(p.current, next)
 	p.base = newBase(p.current, next)
-	step, err := p.access(v).Run(ctx, changeover.Change{Version: p.highest, Map: next, Holder: p.own, Ahead: v.ahead, After: p.after})
+	step, err := p.access(v).Run(ctx, changeover.Change{Version: p.highest, Map: next, Own: p.own, Ahead: v.ahead, After: p.after})
 	p.after = max(p.after, step)
 	p.c.log.Info().Str("event", "change").Int64("version", p.highest).Int64("step", step).
 		Float64("skew", plan.Skew(p.current, v.demand, paces(v.reports))).Float64("planned", plan.Skew(next, v.demand, paces(v.reports))).
@@ -217,13 +294,9 @@
 	p.highest = changeover.NextVersion(v.reports, p.highest, p.life)
 	begin := time.Now()
 	p.base = nil
-	err := p.access(v).Recover(ctx, p.own, p.highest, p.current)
-	p.highest += recoverVersions
+	highest, err := p.access(v).Recover(ctx, p.own, p.highest, p.current)
+	p.highest = highest
 	p.c.log.Info().Str("event", "recovered").Dur("took", time.Since(begin)).Err(err).Msg("")
 	p.changed = time.Now()
 	return err
 }
-
-// recoverVersions is above the versions that one recovery may use: one in each of its
-// steps.
-const recoverVersions = 1 << 24
--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -50,6 +52,9 @@
 	sidecar netip.AddrPort
 	engine  netip.AddrPort
 	mark    uint64
+	told    time.Time   // when its sidecar was told of the entries
+	lost    atomic.Bool // its host does not answer
+	asking  atomic.Bool // a look at it is under way
 }
 
 // planner is one term of the duty. Two goroutines do it: one looks at the ranks and
@@ -66,6 +71,8 @@
 	seats  []*seat       // of all servers of the service
 	looks  uint64
 	limit  limit
+	pulse  pulse
+	asked  sync.WaitGroup // looks that are under way
 
 	mu   sync.Mutex
 	view view
@@ -91,14 +98,28 @@
 	began   time.Time // when the look began
 	engine  *routing.Engine
 	ahead   int64 // passes ahead that a change is made
-	whole   bool  // all ranks answered, of one epoch, and the group is open
+	lost    []int // ranks that did not answer
+	serving bool  // the group is open, and goes on without the ranks that are lost
+}
+
+// whole tells whether all ranks answered.
+func (v view) whole() bool { return v.serving && len(v.lost) == 0 }
+
+// first returns the report of the first rank that answered.
+func (v view) first() changeover.Report {
+	for rank, r := range v.reports {
+		if !slices.Contains(v.lost, rank) {
+			return r
+		}
+	}
+	return changeover.Report{}
 }
 
 // plan does the duty until it is lost.
 func (c *Companion) plan(ctx context.Context, own changeover.Report, term int64) {
 	p := &planner{
-		c: c, group: own.Group, own: own.Rank, life: changeover.NewLife(),
-		asker: rankport.Asker{Term: term, Name: string(c.settings.Name)},
+		c: c, group: own.Group, own: own.Rank, life: changeover.NewLife(own.Rank),
+		asker: rankport.Asker{Term: term, Name: string(c.settings.Name), Rank: own.Rank},
 	}
 	c.log.Info().Str("event", "planning").Str("group", own.Group).Int64("term", term).Msg("")
 	ctx, cancel := context.WithCancel(ctx)
@@ -110,5 +131,6 @@
 	err := p.keepLooking(ctx)
 	cancel()
 	<-moved
+	p.asked.Wait()
 	c.log.Info().Str("event", "planningEnded").Str("group", own.Group).Int64("term", term).Err(err).Msg("")
 }
--- a/internal/program/companion/seek.go
+++ b/internal/program/companion/seek.go
@@ -13,14 +13,14 @@
 
 const (
 	// seekInterval between looks at whether a planner is needed.
-	seekInterval = 100 * time.Millisecond
+	seekInterval = 50 * time.Millisecond
 	// patience is how long a sidecar waits for a planner to ask before it seeks the
-	// duty. Planners ask four times a second, so three of their looks were lost.
-	patience = 900 * time.Millisecond
-	// patiencePerRank spreads the sidecars of a group: the first one that gets the
-	// duty has asked all others within some 200 ms, and on average half a rank more
-	// seeks it meanwhile. That first one still comes after one part of the whole.
-	patiencePerRank = 300 * time.Millisecond
+	// duty. Planners ask some ten times a second, and take 0.4 s for a look that a rank
+	// does not answer.
+	patience = 700 * time.Millisecond
+	// patiencePerRank is how much longer the next of a group's sidecars waits. The one
+	// that gets the duty has asked all others some 50 ms later.
+	patiencePerRank = 150 * time.Millisecond
 	// storePause after a failed call.
 	storePause = 400 * time.Millisecond
 )
@@ -29,17 +29,16 @@
 // record in the store decides between several that try; that two plan at the same
 // time for a moment is safe, as what engines check decides each change.
 func (c *Companion) seekPlanning(ctx context.Context) error {
-	quiet := patience + rand.N(patiencePerRank)
-	spread := false
+	var turn time.Duration // further wait, since others come first
 	for sleep(ctx, seekInterval) {
 		now := time.Now()
 		c.mu.Lock()
 		if c.heard.IsZero() {
 			c.heard = now
 		}
-		waited := now.Sub(c.heard)
+		waited, planner := now.Sub(c.heard), c.planner
 		c.mu.Unlock()
-		if waited < quiet {
+		if waited < patience+turn {
 			continue
 		}
 		report, err := c.engines.Report(ctx, c.settings.Target.Address)
@@ -47,17 +46,15 @@
 			c.wait()
 			continue
 		}
-		if !spread {
-			// Only now is the size of the group known.
-			spread = true
-			quiet = patience + rand.N(patiencePerRank*time.Duration(report.Ranks))
+		if own := patiencePerRank * time.Duration(turnOf(report.Rank, planner, report.Ranks)); waited < patience+own {
+			turn = own // only now is the size of the group known
 			continue
 		}
-		quiet = patience + rand.N(patiencePerRank*time.Duration(report.Ranks))
 		term, err := c.take(ctx, "planner."+report.Group)
 		if err != nil {
+			turn = rand.N(patiencePerRank * time.Duration(report.Ranks))
 			if errors.Is(err, errTakenLately) {
-				quiet = patience + rand.N(patiencePerRank)
+				turn = rand.N(patiencePerRank)
 			}
 			c.log.Warn().Str("event", "planningNotTaken").Str("group", report.Group).Err(err).Msg("")
 			c.wait()
@@ -66,10 +63,36 @@
 		}
 		c.plan(ctx, report, term)
 		c.wait()
+		turn = 0
 	}
 	return nil
 }
 
+// turnOf is how many of a group's ranks come before one in seeking the duty, after the
+// planner beside another rank. Ranks far from each other follow each other: those beside
+// the planner's may have failed with it.
+func turnOf(rank, planner, ranks int) int {
+	const golden = 0.618
+	stride := max(int(golden*float64(ranks)), 1)
+	for gcd(stride, ranks) != 1 {
+		stride--
+	}
+	for n, at := 0, planner; n < ranks; n++ {
+		at = (at + stride) % ranks
+		if at == rank {
+			return n
+		}
+	}
+	return ranks
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
 // wait begins the sidecar's patience anew.
 func (c *Companion) wait() {
 	c.mu.Lock()
--- a/internal/program/gateway/digest.go
+++ b/internal/program/gateway/digest.go
@@ -21,7 +21,7 @@
 	tick := time.NewTicker(digest.HelloInterval)
 	defer tick.Stop()
 	for {
-		g.hello(socket)
+		g.hello(time.Now(), socket)
 		select {
 		case <-tick.C:
 		case err := <-ended:
@@ -30,35 +30,83 @@
 	}
 }
 
-// hello greets the sidecars of all model engines.
-func (g *Gateway) hello(socket *digest.Socket) {
+// planner is whoever tells of the ranks of a service.
+type planner struct {
+	address netip.AddrPort
+	term    int64
+	heard   time.Time
+	fresh   int // entries whose rules are fresh, as it was told
+}
+
+const (
+	// plannerQuiet is how long a planner may tell nothing before all sidecars are
+	// greeted: any of them may take its place. Planners tell some ten times a second.
+	plannerQuiet = 1200 * time.Millisecond
+	// termLasts is how long an earlier planner is not listened to after a later one. It
+	// may have stood still, and wakes with what it knew.
+	termLasts = 5 * time.Second
+)
+
+// hello greets the planners of all model engines, or their sidecars where none tells
+// anything. To greet all each second would take an entry 1,300 datagrams at the size that
+// is planned for.
+func (g *Gateway) hello(now time.Time, socket *digest.Socket) {
 	r := g.rules.Load()
 	if r == nil {
 		return
 	}
+	fresh := r.age() < g.freshAge()
 	for _, s := range r.config.Services {
 		if s.Engine == nil {
 			continue
 		}
-		hello := digest.Hello{Demand: g.admit.Demand(s.Name)}
+		hello := digest.Hello{Demand: g.admit.Demand(s.Name), Fresh: fresh}
+		if p := g.plannerOf(s.Name); now.Sub(p.heard) < plannerQuiet {
+			socket.Hello(p.address, hello)
+			continue
+		}
 		for _, t := range g.roster.Serving(s.Name) {
 			socket.Hello(netip.AddrPortFrom(t.Address.Addr(), g.settings.Listen.Peers.Port()), hello)
 		}
 	}
 }
 
-func (g *Gateway) takeDigest(d digest.Digest) {
+func (g *Gateway) plannerOf(service string) planner {
+	p, found := g.planners.Load(service)
+	if !found {
+		return planner{}
+	}
+	return p.(planner)
+}
+
+// elsewhere tells whether other entries serve all callers, as a planner was told.
+func (g *Gateway) elsewhere(now time.Time) bool {
+	found := false
+	g.planners.Range(func(_, v any) bool {
+		p := v.(planner)
+		found = p.fresh > 1 && now.Sub(p.heard) < plannerQuiet // one of them may be this one
+		return !found
+	})
+	return found
+}
+
+// takeDigest runs on one goroutine.
+func (g *Gateway) takeDigest(from netip.AddrPort, d digest.Digest) {
+	now := time.Now()
+	if p := g.plannerOf(d.Service); d.Term < p.term && now.Sub(p.heard) < termLasts {
+		return
+	}
+	g.planners.Store(d.Service, planner{address: from, term: d.Term, heard: now, fresh: d.Fresh})
 	told := make(map[string]admission.Told, len(d.Ranks))
 	for _, r := range d.Ranks {
-		told[r.Target] = admission.Told{Load: r.Load, Grant: r.Grant}
+		told[r.Target] = admission.Told{Load: r.Load, Grant: r.Grant, Lost: r.Lost}
 	}
 	if d.Entries > 0 {
 		g.entries.Store(int64(d.Entries))
-		now := time.Now()
 		g.countedAt.Store(&now)
 	}
 	if d.Limit > 0 {
 		g.engineLimits.Store(d.Service, d.Limit)
 	}
-	g.admit.Told(time.Now(), d.Service, d.Open, d.Age, told)
+	g.admit.Told(now, d.Service, d.Open, d.Age, told)
 }
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -62,6 +62,7 @@
 	entries      atomic.Int64              // that share the targets
 	countedAt    atomic.Pointer[time.Time] // when a planner told that; nil before
 	engineLimits sync.Map                  // requests that a rank should have, by service
+	planners     sync.Map                  // by service
 	forward      *forward.Forwarder
 	pool         *upstream.Pool
 	admit        *admission.Controller
@@ -96,10 +97,11 @@
 			b := g.bounds.Load()
 			return forward.Limits{Ratio: b.RepeatRatio, Window: b.RepeatWindow, Fixed: b.RepeatSlack / g.sharers(time.Now())}
 		}},
-		Now:      time.Now,
-		Draining: &g.draining,
-		Gone:     g.heardGone,
-		Ended:    g.ended,
+		Now:       time.Now,
+		Draining:  &g.draining,
+		Gone:      g.heardGone,
+		Elsewhere: func() bool { return g.elsewhere(time.Now()) },
+		Ended:     g.ended,
 	}
 	return g
 }
@@ -213,7 +215,12 @@
 	if r == nil {
 		return false
 	}
-	return r.age() < time.Duration(readyTrust*float64(g.bounds.Load().Revoke))
+	return r.age() < g.freshAge()
+}
+
+// freshAge is the age up to which rules serve all callers for a while yet.
+func (g *Gateway) freshAge() time.Duration {
+	return time.Duration(readyTrust * float64(g.bounds.Load().Revoke))
 }
 
 func (g *Gateway) serveReadiness(ctx context.Context) error {
--- a/internal/program/gateway/knowledge_test.go
+++ b/internal/program/gateway/knowledge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -119,9 +120,9 @@
 	g := newGateway()
 	now := time.Now()
 	require.InDelta(t, assumedEntries, g.sharers(now), 0, "nobody tells")
-	g.takeDigest(digest.Digest{Service: "svc", Entries: 16})
+	g.takeDigest(netip.AddrPort{}, digest.Digest{Service: "svc", Entries: 16})
 	require.GreaterOrEqual(t, g.sharers(time.Now()), 16.0)
-	g.takeDigest(digest.Digest{Service: "svc", Entries: 4})
+	g.takeDigest(netip.AddrPort{}, digest.Digest{Service: "svc", Entries: 4})
 	require.InDelta(t, 6, g.sharers(time.Now()), 0)
 	require.InDelta(t, assumedEntries, g.sharers(now.Add(time.Minute)), 0, "nobody tells any more")
 }
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -56,6 +56,8 @@
 	toldAt   time.Time
 	since    int         // requests sent since, less those that ended
 	sent     []time.Time // of the last requests, back to what a telling may not show
+	lost     bool        // its host does not answer, as was told last
+	held     map[*Ticket]bool
 	avoid    time.Time
 	failures int
 }
@@ -83,6 +85,7 @@
 	granted chan struct{}
 	target  roster.Target
 	held    bool
+	lost    func() // of the attempt
 }
 
 // Seen is what was known of a target when it was chosen.
@@ -174,8 +177,9 @@
 
 // Told is how full a target is, from one that looks at all of them.
 type Told struct {
-	Load  int // requests of all entries
-	Grant int // that this entry may send until it is told again
+	Load  int  // requests of all entries
+	Grant int  // that this entry may send until it is told again
+	Lost  bool // its host does not answer
 }
 
 // Told takes how full targets were some time ago.
@@ -188,6 +192,10 @@
 		// What was sent after the look is not in it yet.
 		s.sent = slices.DeleteFunc(s.sent, looked.After)
 		s.told, s.grant, s.toldAt, s.since = t.Load+len(s.sent), t.Grant-len(s.sent), now, 0
+		if t.Lost && !s.lost {
+			s.abort()
+		}
+		s.lost = t.Lost
 	}
 	delete(c.closed, service)
 	delete(c.doubtful, service)
@@ -198,6 +206,27 @@
 	c.advance(now, service)
 }
 
+// abort tells the requests at a target that its host does not answer. Their callers see
+// no event until the host is back; those that may be sent again go elsewhere now.
+func (s *state) abort() {
+	for t := range s.held {
+		if t.lost != nil {
+			t.lost()
+		}
+	}
+}
+
+// OnLost has a function called once it is told that the host of the request's target does
+// not answer, or at once if that is known.
+func (c *Controller) OnLost(now time.Time, t *Ticket, lost func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t.lost = lost
+	if s := c.state(t.target.ID); t.held && s.lost && s.toldLately(now) {
+		lost()
+	}
+}
+
 // GroupClosed takes a target's word that its group takes no requests. Each further one
 // would be refused by another rank, and its caller sent away, though the group opens
 // again within a second or two most times; they wait here instead.
@@ -314,6 +343,7 @@
 	}
 	t.held = false
 	s := c.state(t.target.ID)
+	delete(s.held, t)
 	s.inFlight--
 	s.since--
 	s.work -= t.Work
@@ -348,6 +378,7 @@
 	t.target = target
 	t.held = true
 	s := c.state(target.ID)
+	s.held[t] = true
 	t.Seen = Seen{Load: s.load(now, c.RulesFor(t.Service))}
 	if s.toldLately(now) {
 		t.Seen.Age = now.Sub(s.toldAt)
@@ -417,7 +448,7 @@
 func (c *Controller) state(id string) *state {
 	s := c.targets[id]
 	if s == nil {
-		s = &state{}
+		s = &state{held: make(map[*Ticket]bool)}
 		c.targets[id] = s
 	}
 	return s
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -131,7 +132,13 @@
 	if !c.route.Idempotent() {
 		idle = unsafeIdle
 	}
-	conn, err := c.f.Pool.Get(c.ctx, c.f.Now(), target.Address, idle)
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	if c.route.Idempotent() {
+		// What may run once only has to wait for its target, as it may have run there.
+		c.f.Admission.OnLost(c.f.Now(), t, cancel)
+	}
+	conn, err := c.f.Pool.Get(ctx, c.f.Now(), target.Address, idle)
 	if err != nil {
 		return resultNotRun, admission.End{Failed: c.ctx.Err() == nil}, whyNotSent
 	}
@@ -145,7 +152,7 @@
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Body: c.body,
 		Header: platform.RequestHeader(c.r.Header, c.outgoing(target.ID, left)),
 	}
-	answer, err := c.f.Pool.Send(c.ctx, conn, req, c.isMine)
+	answer, err := c.f.Pool.Send(ctx, conn, req, c.isMine)
 	if err != nil {
 		return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.why(whyBroken)
 	}
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -40,6 +40,7 @@
 	Draining  *atomic.Bool
 	Gone      func(id string) // another server answers at a target's address
 	Ended     func(Record)    // hears of each request's end
+	Elsewhere func() bool     // other entries have fresh rules; nil if that is never known
 }
 
 // Outcome says how a request ended.
@@ -172,7 +173,7 @@
 	if rules.Age > c.f.KeyTrust() {
 		// The caller finds another entry by a new connection.
 		c.w.Header().Set("Connection", "close")
-		c.refuse(http.StatusServiceUnavailable, "rulesTooOld", c.comeBackWithin(storeReturn))
+		c.refuse(http.StatusServiceUnavailable, "rulesTooOld", c.untilRules())
 		return false
 	}
 	return true
@@ -180,7 +181,7 @@
 
 func (c *call) deny(stale bool, status int, reason string) bool {
 	if stale {
-		c.refuse(http.StatusServiceUnavailable, "rulesTooOld", c.comeBackWithin(storeReturn))
+		c.refuse(http.StatusServiceUnavailable, "rulesTooOld", c.untilRules())
 		return false
 	}
 	c.rec.Outcome, c.rec.Reason, c.rec.Status = Denied, reason, status
@@ -369,6 +370,18 @@
 // comeBackWithin is the same where the reason is likely to last for a known time.
 func (c *call) comeBackWithin(d time.Duration) time.Duration { return min(d, c.comeBack()) }
 
+// untilRules is when a caller should come back whom old rules don't serve: at once if
+// other entries have fresh ones, as callers come back through another entry.
+func (c *call) untilRules() time.Duration {
+	if c.f.Elsewhere != nil && c.f.Elsewhere() {
+		return c.comeBackWithin(elsewhereReturn)
+	}
+	return c.comeBackWithin(storeReturn)
+}
+
+// elsewhereReturn spreads callers that go to another entry at once.
+const elsewhereReturn = 20 * time.Millisecond
+
 // storeReturn is when an entry that lost the store can be expected to have fresh
 // rules: most losses are over within a second or two, and other entries have them.
 const storeReturn = time.Second
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -197,6 +197,22 @@
 	requireServed(t, b.call(http.MethodGet, "/safe/x"), "hello")
 }
 
+// The store turns this entry away, and others have fresh rules. A caller that is told to
+// come back in a second loses that second; the others would have served it at once.
+func TestOldRulesAndOtherEntries(t *testing.T) {
+	b := newBench(t, standin.NewServer(t, whole("hello")))
+	b.rules.Age = 4500 * time.Millisecond
+	const third = 500 * time.Millisecond // of the caller's time
+	for elsewhere, want := range map[bool]time.Duration{true: elsewhereReturn, false: third} {
+		b.Elsewhere = func() bool { return elsewhere }
+		a := b.do(t.Context(), http.MethodGet, "/keyed/x", "k1", "")
+		requireRefused(t, a, http.StatusServiceUnavailable)
+		after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.InDelta(t, want.Seconds(), after, want.Seconds()/2)
+	}
+}
+
 func TestNoRules(t *testing.T) {
 	b := newBench(t)
 	b.rules = Rules{}
--- a/internal/traffic/forward/stream_test.go
+++ b/internal/traffic/forward/stream_test.go
@@ -3,9 +3,11 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
@@ -95,3 +97,48 @@
 	defer w.Body.Close()
 	require.Equal(t, "3", s.Seen()[0].LastEvent)
 }
+
+// stalling streams two pieces and then stands still, as its host does.
+func stalling(stalled chan<- struct{}) func(standin.Reply, standin.Request) {
+	return func(w standin.Reply, r standin.Request) {
+		w.Head()
+		w.Event(1)
+		w.Event(2)
+		stalled <- struct{}{}
+		<-r.Done
+	}
+}
+
+// The host of a target stands still in the middle of a stream, and the planner tells so.
+// The caller would see no event for seconds and leave; the stream goes on elsewhere.
+func TestStreamLeavesALostHost(t *testing.T) {
+	stalled := make(chan struct{}, 1)
+	first, second := standin.NewServer(t, stalling(stalled)), standin.NewServer(t, events)
+	b := newBench(t, first, second)
+	b.tell(admission.Told{Grant: 4}, admission.Told{})
+	go func() {
+		<-stalled
+		b.tell(admission.Told{Lost: true}, admission.Told{Grant: 4})
+	}()
+	requireServed(t, b.call(http.MethodPost, "/stream/x"), allFour)
+	require.NotEmpty(t, second.Seen()[0].LastEvent, "it goes on, and does not begin anew")
+}
+
+// A request that may run once only waits for its target: it may have run there.
+func TestUnsafeStaysAtALostHost(t *testing.T) {
+	first := standin.NewServer(t, func(w standin.Reply, _ standin.Request) {
+		time.Sleep(50 * time.Millisecond)
+		w.Whole(http.StatusOK, "hello")
+	})
+	second := standin.NewServer(t, whole("other"))
+	b := newBench(t, first, second)
+	b.tell(admission.Told{Grant: 4}, admission.Told{})
+	time.AfterFunc(10*time.Millisecond, func() { b.tell(admission.Told{Lost: true}, admission.Told{Grant: 4}) })
+	requireServed(t, b.call(http.MethodPost, "/unsafe/x"), "hello")
+	require.Empty(t, second.Seen())
+}
+
+// tell tells of the two targets.
+func (b *bench) tell(first, second admission.Told) {
+	b.Admission.Told(time.Now(), "svc", true, 0, map[string]admission.Told{"i-0": first, "i-1": second})
+}
--- a/internal/wire/digest/digest.go
+++ b/internal/wire/digest/digest.go
@@ -3,8 +3,8 @@
 //
 // Answers tell an entry how full their own target was, but an entry hears from each
 // target only every few seconds; the planner looks at all of them several times a
-// second. Entries make themselves known by a hello to each sidecar. A lost datagram
-// is made up for by the next.
+// second. Entries make themselves known by a hello to the planner, or to all sidecars
+// while they hear from none. A lost datagram is made up for by the next.
 package digest
 
 import (
@@ -33,6 +33,8 @@
 	Target string `cbor:"1,keyasint"`
 	Load   int    `cbor:"2,keyasint"` // requests that run or wait there
 	Grant  int    `cbor:"3,keyasint"` // requests that the entry may send there until it is told again
+	// Lost tells that the target's host does not answer, though its group goes on.
+	Lost bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Digest is what the planner saw in one look.
@@ -42,6 +44,7 @@
 	Service string `cbor:"3,keyasint"`
 	Open    bool   `cbor:"4,keyasint"` // the group takes requests
 	Entries int    `cbor:"5,keyasint"` // that the planner hears from
+	Fresh   int    `cbor:"9,keyasint"` // of these, those whose rules are fresh
 	Limit   int    `cbor:"7,keyasint"` // requests that a rank should have at the same time
 	// Age is how long before the sending the ranks were looked at. What an entry sent
 	// since is in none of the loads.
@@ -52,6 +55,7 @@
 // Hello makes an entry known.
 type Hello struct {
 	Demand float64 `cbor:"1,keyasint"` // requests that came in the last second, and that wait
+	Fresh  bool    `cbor:"2,keyasint"` // the entry's rules are fresh enough to serve all callers
 }
 
 // message is a datagram.
@@ -74,8 +78,14 @@
 	return &Socket{conn: conn}, nil
 }
 
+// Addr is the socket's address.
+func (s *Socket) Addr() netip.AddrPort {
+	at := s.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	return netip.AddrPortFrom(at.Addr().Unmap(), at.Port())
+}
+
 // Serve hands over hellos and digests until the context ends.
-func (s *Socket) Serve(ctx context.Context, hello func(from netip.AddrPort, h Hello), take func(Digest)) error {
+func (s *Socket) Serve(ctx context.Context, hello func(from netip.AddrPort, h Hello), take func(from netip.AddrPort, d Digest)) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
 	defer stop()
 	buf := make([]byte, maxDatagram)
@@ -91,11 +101,12 @@
 		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
 			continue // not of the system's own making
 		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 		if m.Hello != nil {
-			hello(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), *m.Hello)
+			hello(from, *m.Hello)
 		}
 		if m.Digest != nil {
-			take(*m.Digest)
+			take(from, *m.Digest)
 		}
 	}
 }
--- a/internal/wire/rankport/rankport.go
+++ b/internal/wire/rankport/rankport.go
@@ -30,6 +30,7 @@
 type Asker struct {
 	Term int64  `cbor:"1,keyasint"` // a later planner has a higher one
 	Name string `cbor:"2,keyasint"`
+	Rank int    `cbor:"3,keyasint"` // of the group, beside which it runs
 }
 
 // Look asks for the state of a rank.
@@ -38,6 +39,16 @@
 	Counts bool   `cbor:"2,keyasint"`
 	Since  uint64 `cbor:"3,keyasint"` // the mark of the last answer: counts come as what was added
 	Lists  bool   `cbor:"4,keyasint"`
+	// Entries are told to those that plan next, should the planner fail: they have to
+	// go on telling the entries of the ranks at once.
+	Entries []Entry `cbor:"5,keyasint,omitempty"`
+}
+
+// Entry is one that made itself known to the planner.
+type Entry struct {
+	Address netip.AddrPort `cbor:"1,keyasint"`
+	Demand  float64        `cbor:"2,keyasint"`
+	Fresh   bool           `cbor:"3,keyasint"`
 }
 
 // Seen is the state of a rank.
@@ -77,6 +88,8 @@
 	maxMessage = 4 << 20
 	// callTimeout covers the sidecar's own call to its engine.
 	callTimeout = 350 * time.Millisecond
+	// lookTimeout of a look: a packet that is lost is sent again after 200 ms.
+	lookTimeout = 250 * time.Millisecond
 	// PrepareWait is how long a sidecar waits for its engine to copy experts before
 	// it answers; prepareTimeout covers it.
 	PrepareWait    = time.Second
@@ -132,7 +145,7 @@
 
 // Look asks for the state of a rank.
 func (c *Client) Look(ctx context.Context, at netip.AddrPort, l Look) (Seen, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
 	defer cancel()
 	s, err := call[Look, Seen](ctx, c, at, lookPath, l)
 	switch {
