--- a/internal/program/companion/look.go
+++ b/internal/program/companion/look.go
@@ -237,7 +237,7 @@
 			missing++
 		}
 	}
-	if missing > len(ranks)/mostLost || missing < len(silent) && missing > 0 {
+	if missing > mayBeLost(len(ranks)) || missing < len(silent) && missing > 0 {
 		return nil, merry.Wrap(errIncomplete, merry.AppendMessagef("%d of %d ranks are missing: %v", missing, len(ranks), err))
 	}
 	for rank, s := range ranks {
@@ -355,7 +355,7 @@
 	}
 	var late <-chan time.Time
 	for n := range asked {
-		if n == len(seats)-max(len(seats)/mostLost, 1) {
+		if n == len(seats)-mayBeLost(len(seats)) {
 			late = time.After(lookGrace + time.Duration(len(seats))*lookPerRank)
 		}
 		select {
@@ -394,7 +394,7 @@
 
 // take makes a look the newest view, if the ranks that answered are of one open group.
 func (p *planner) take(now time.Time, v view, seen []rankport.Seen) error {
-	if len(v.lost) > len(v.ranks)/mostLost {
+	if len(v.lost) > mayBeLost(len(v.ranks)) {
 		return merry.Wrap(errIncomplete, merry.AppendMessagef("%d ranks don't answer", len(v.lost)))
 	}
 	first := v.first()
@@ -449,6 +449,9 @@
 	refreshWithout = 20
 )
 
+// mayBeLost is how many of a group's ranks may be lost.
+func mayBeLost(ranks int) int { return max(ranks/mostLost, 1) }
+
 // pulse tells whether a group makes passes.
 type pulse struct {
 	step int64
