--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -20,7 +20,7 @@
 
 // Config sets up a [Lease].
 type Config struct {
-	Key          object.Key    // for example "leases/acceptance"
+	Key          object.Key    // for example "leases/plan/chat/7", of a service and a group
 	Self         host.Identity // the process that seeks the lease
 	Length       time.Duration // how long one write holds the lease; it is renewed after a third
 	CallTimeout  time.Duration // a call without a reply for so long counts as unknown
--- a/internal/program/gateway/digest.go
+++ b/internal/program/gateway/digest.go
@@ -9,7 +9,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
 )
 
-// hearDigests makes the entry known to all sidecars and takes what planners tell of
+// hearDigests makes the entry known to planners, and takes what they tell of
 // their groups.
 func (g *Gateway) hearDigests(ctx context.Context) error {
 	socket, err := digest.Open(g.settings.Listen.Peers)
