--- a/internal/expert/changeover/rank.go
+++ b/internal/expert/changeover/rank.go
@@ -17,12 +17,13 @@
 
 import (
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 )
 
 // Report is what a rank says about itself.
 type Report struct {
-	Group    string
-	Epoch    int64 // counts the times that the group was formed
+	Group    roster.GroupName // "" if the engine is in none
+	Epoch    int64            // counts the times that the group was formed
 	Rank     int
 	Ranks    int
 	Open     bool  // the group takes requests
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -12,6 +12,16 @@
 	"sync"
 )
 
+// GroupName is an expert group's name, as its engines tell it.
+type GroupName string
+
+// Group is an expert group: ranks that run each pass together. A service may have one,
+// several of unlike size, or none; groups of two services may have the same name.
+type Group struct {
+	Service string
+	Name    GroupName // "" stands for the targets whose group is not known, or that have none
+}
+
 // Target is one life of a server.
 type Target struct {
 	ID         string
@@ -20,6 +30,25 @@
 	DataCentre string
 	Slots      int  // requests that run at the same time
 	Leaving    bool // the server has said that it will end
+	// Since is the revision of the store at which the target was listed first. Of two at
+	// one address the later one lives.
+	Since int64
+}
+
+// Living leaves out targets at whose address a later one is listed. A server that starts
+// again is listed under a new id while its earlier life still is, for seconds.
+func Living(list []Target) []Target {
+	latest := make(map[netip.AddrPort]int64, len(list))
+	for _, t := range list {
+		latest[t.Address] = max(latest[t.Address], t.Since)
+	}
+	var living []Target
+	for _, t := range list {
+		if t.Since == latest[t.Address] {
+			living = append(living, t)
+		}
+	}
+	return living
 }
 
 // Roster is the set of targets. It is safe for concurrent use.
@@ -34,12 +63,28 @@
 	return &Roster{targets: make(map[string]Target), lists: make(map[string][]Target)}
 }
 
-// Put adds a target or replaces what is known of it.
-func (r *Roster) Put(t Target) {
+// Put adds a target or replaces what is known of it. Of two at one address the later one
+// lives: the earlier gets no request from then on, though it stays listed for seconds.
+// Each request sent to it would be refused by the other, and be a try lost. The earlier
+// ones that were taken for living until now are returned.
+func (r *Roster) Put(t Target) (ended []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for id, o := range r.targets {
+		if o.Address != t.Address || id == t.ID {
+			continue
+		}
+		t.Leaving = t.Leaving || t.Since < o.Since
+		if o.Since < t.Since && !o.Leaving {
+			o.Leaving = true
+			r.targets[id] = o
+			r.index(o.Service)
+			ended = append(ended, id)
+		}
+	}
 	r.targets[t.ID] = t
 	r.index(t.Service)
+	return ended
 }
 
 // Remove forgets a target.
--- a/internal/program/companion/companion.go
+++ b/internal/program/companion/companion.go
@@ -16,7 +16,10 @@
 	"github.com/oklog/run"
 	"github.com/phuslu/log"
 
+	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+	"wagtailshelf.example/wagtailshelf/internal/expert/seating"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
 	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
@@ -32,14 +35,14 @@
 	engines  *platform.Engines
 	peers    *rankport.Client
 
-	mu      sync.Mutex
-	term    int64     // of the newest planner that asked
-	heard   time.Time // when it did
-	planner int       // its rank
-	holder  int64     // revision of the duty's record as it was read last
-	mark    uint64    // names the counts below
-	counts  []uint64  // as they were told last
-	epoch   int64     // of the counts
+	mu     sync.Mutex
+	own    roster.GroupName // of which the engine is, as it said last; "" until it did
+	groups map[roster.GroupName]*following
+	mark   uint64   // names the counts below
+	counts []uint64 // as they were told last
+	epoch  int64    // of the counts
+	// doubted are the findings that were logged, so that each is once.
+	doubted map[seating.Finding]bool
 
 	maps []*expertmap.Map // that were prepared last, for changes to be based on
 
@@ -56,6 +59,8 @@
 		store:    platform.NewStore(s.Store),
 		engines:  platform.NewEngines(),
 		peers:    rankport.NewClient(),
+		groups:   make(map[roster.GroupName]*following),
+		doubted:  make(map[seating.Finding]bool),
 		entries:  make(map[netip.AddrPort]entry),
 	}
 	c.store.Called = deployed.CountStoreCalls(m)
@@ -144,36 +149,18 @@
 // peerTimeout bounds what another process of the system may take for its headers.
 const peerTimeout = 5 * time.Second
 
-// follow tells whether a planner is the newest that has asked, and the newest term.
-func (c *Companion) follow(a rankport.Asker, now time.Time) (int64, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if a.Term < c.term {
-		return c.term, false
-	}
-	if a.Term > c.term {
-		c.log.Info().Str("event", "planner").Str("planner", a.Name).Int64("term", a.Term).Int64("before", c.term).Msg("")
-	}
-	c.term = a.Term
-	c.planner = a.Rank
-	c.heard = now
-	return c.term, true
-}
-
 // look answers a planner.
 func (c *Companion) look(ctx context.Context, l rankport.Look) rankport.Seen {
+	report, err := c.report(ctx)
 	term, follows := c.follow(l.Asker, time.Now())
-	seen := rankport.Seen{Term: term}
-	if !follows {
-		return seen
-	}
-	c.learnEntries(time.Now(), l.Entries)
-	report, err := c.engines.Report(ctx, c.settings.Target.Address)
+	seen := rankport.Seen{Term: term, Report: report}
 	if err != nil {
 		seen.Failed = err.Error()
+	}
+	if err != nil || !follows {
 		return seen
 	}
-	seen.Report = report
+	c.learnEntries(time.Now(), l.Entries)
 	if l.Counts {
 		seen.Mark, seen.Counts = c.added(ctx, l.Since)
 	}
@@ -186,6 +173,15 @@
 	return seen
 }
 
+// report reads the engine's state, and with it the group that it is in.
+func (c *Companion) report(ctx context.Context) (changeover.Report, error) {
+	r, err := c.engines.Report(ctx, c.settings.Target.Address)
+	if err == nil {
+		c.joins(time.Now(), r.Group)
+	}
+	return r, err
+}
+
 // added returns what the rank has counted since a mark, and the new mark.
 func (c *Companion) added(ctx context.Context, since uint64) (uint64, rankport.Counts) {
 	now, err := c.engines.Counts(ctx, c.settings.Target.Address)
--- a/internal/program/companion/look.go
+++ b/internal/program/companion/look.go
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
+	"wagtailshelf.example/wagtailshelf/internal/expert/seating"
 	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
 )
@@ -102,7 +103,7 @@
 	p.refresh(ctx)
 	for _, s := range p.seats {
 		seated := func(r *seat) bool { return r.target == s.target }
-		if !slices.ContainsFunc(v.ranks, seated) {
+		if !p.isOthers(s) && !slices.ContainsFunc(v.ranks, seated) {
 			p.forgetRanks() // it may have taken the place of one that is lost
 		}
 	}
@@ -126,7 +127,7 @@
 	}
 	v := p.seen()
 	d := digest.Digest{
-		Term: p.asker.Term, Look: p.looks, Service: p.c.settings.Target.Service,
+		Term: p.asker.Term, Look: p.looks, Service: p.c.settings.Target.Service, Group: p.group,
 		Open: v.serving, Entries: len(entries), Limit: p.limit.value,
 	}
 	for _, e := range entries {
@@ -134,20 +135,25 @@
 			d.Fresh++
 		}
 	}
+	if !v.serving {
+		d.Ranks = p.members()
+		for _, e := range entries {
+			p.c.socket.Send(e.address, d)
+		}
+		return
+	}
 	free := make([]int, len(v.ranks))
 	var seats []int // the ranks that are told
-	if v.serving {
-		d.Age = time.Since(v.began)
-		for rank, s := range v.ranks {
-			if s.target == "" {
-				continue
-			}
-			load := v.reports[rank].Running + v.reports[rank].Waiting
-			d.Ranks = append(d.Ranks, digest.Rank{Target: s.target, Load: load, Lost: s.lost.Load()})
-			seats = append(seats, rank)
-			if !slices.Contains(v.lost, rank) {
-				free[rank] = int(float64(p.limit.value)/paceOf(v.reports[rank])) - load
-			}
+	d.Age = time.Since(v.began)
+	for rank, s := range v.ranks {
+		if s.target == "" {
+			continue
+		}
+		load := v.reports[rank].Running + v.reports[rank].Waiting
+		d.Ranks = append(d.Ranks, digest.Rank{Target: s.target, Load: load, Lost: s.lost.Load()})
+		seats = append(seats, rank)
+		if !slices.Contains(v.lost, rank) {
+			free[rank] = int(float64(p.limit.value)/paceOf(v.reports[rank])) - load
 		}
 	}
 	grants := share(free, entries, p.looks)
@@ -159,6 +165,18 @@
 	}
 }
 
+// members are the targets of a group that is closed. Without them an entry would take a
+// rank that has just come back for one of no group, and send requests there.
+func (p *planner) members() []digest.Rank {
+	var list []digest.Rank
+	for _, s := range p.seats {
+		if s.spoke && s.last.Group == p.group {
+			list = append(list, digest.Rank{Target: s.target})
+		}
+	}
+	return list
+}
+
 // look asks a rank through its sidecar, or the engine itself if the sidecar is gone.
 func (p *planner) look(ctx context.Context, s *seat, l rankport.Look) (rankport.Seen, error) {
 	l.Asker = p.asker
@@ -253,7 +271,7 @@
 	}
 	var late <-chan time.Time
 	for n := range asked {
-		if n == len(seats)-mayBeLost(len(seats)) {
+		if n == len(seats)-seating.MayBeLost(len(seats)) {
 			late = time.After(lookGrace + time.Duration(len(seats))*lookPerRank)
 		}
 		select {
@@ -292,8 +310,8 @@
 
 // take makes a look the newest view, if the ranks that answered are of one open group.
 func (p *planner) take(now time.Time, v view, seen []rankport.Seen) error {
-	if len(v.lost) > mayBeLost(len(v.ranks)) {
-		return merry.Wrap(errIncomplete, merry.AppendMessagef("%d ranks don't answer", len(v.lost)))
+	if len(v.lost) > seating.MayBeLost(len(v.ranks)) {
+		return merry.Wrap(seating.ErrIncomplete, merry.AppendMessagef("%d ranks don't answer", len(v.lost)))
 	}
 	first := v.first()
 	for rank, r := range v.reports {
@@ -301,7 +319,7 @@
 			continue
 		}
 		if r.Group != p.group || r.Rank != rank || !r.Open || r.Epoch != first.Epoch {
-			return merry.Wrap(errIncomplete, merry.AppendMessagef("rank %d: group %s, epoch %d, open %t", rank, r.Group, r.Epoch, r.Open))
+			return merry.Wrap(seating.ErrIncomplete, merry.AppendMessagef("rank %d: group %s, epoch %d, open %t", rank, r.Group, r.Epoch, r.Open))
 		}
 	}
 	v.epoch, v.counted, v.engine = first.Epoch, now, p.engine
@@ -338,14 +356,6 @@
 	return demand
 }
 
-const (
-	// mostLost is the part of a group, one in so many, that may be lost while it counts
-	// as serving. Beyond that it is rather this process that can't reach the others.
-	mostLost = 4
-	// refreshWithout is how many looks in a row lack ranks before the list of targets is
-	// read again: two seconds of looks, at two calls of the store.
-	refreshWithout = 20
-)
-
-// mayBeLost is how many of a group's ranks may be lost.
-func mayBeLost(ranks int) int { return max(ranks/mostLost, 1) }
+// refreshWithout is how many looks in a row lack ranks before the list of targets is
+// read again: two seconds of looks, at two calls of the store.
+const refreshWithout = 20
--- a/internal/program/companion/look_test.go
+++ b/internal/program/companion/look_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
+	"wagtailshelf.example/wagtailshelf/internal/expert/seating"
 	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
@@ -46,44 +47,6 @@
 	require.True(t, p.beats(start.Add(9*pulseGrace+time.Millisecond), report(8, 2)), "the first request came")
 }
 
-func seats(n int) []*seat {
-	list := make([]*seat, n)
-	for i := range list {
-		list[i] = &seat{target: string(rune('a' + i))}
-	}
-	return list
-}
-
-// One host stands still as a planner begins: it can't tell its rank. The planner begins
-// without it, or callers of the whole group would wait until the host is back.
-func TestRanksThatDontAnswerAreSeated(t *testing.T) {
-	all := seats(8)
-	missing := func(ranks ...int) []*seat {
-		list := append([]*seat(nil), all...)
-		for _, r := range ranks {
-			list[r] = nil
-		}
-		return list
-	}
-	requireSeated := func(ranks []*seat, err error, lost int, target string) {
-		t.Helper()
-		require.NoError(t, err)
-		require.True(t, ranks[lost].lost.Load())
-		require.Equal(t, target, ranks[lost].target)
-	}
-	ranks, err := seatSilent(missing(3), []*seat{{target: "x"}}, nil)
-	requireSeated(ranks, err, 3, "x")
-	ranks, err = seatSilent(missing(3), nil, nil) // its entry in the list has lapsed
-	requireSeated(ranks, err, 3, "")
-	ranks, err = seatSilent(missing(), []*seat{{target: "x"}}, nil) // of another group
-	require.NoError(t, err)
-	require.Equal(t, all, ranks)
-	_, err = seatSilent(missing(1, 2, 3), nil, nil)
-	require.ErrorIs(t, err, errIncomplete, "too many are missing")
-	_, err = seatSilent(missing(1), []*seat{{}, {}}, nil)
-	require.ErrorIs(t, err, errIncomplete, "more don't answer than are missing")
-}
-
 // sidecars starts servers that answer looks; those that are silent never do.
 func sidecars(t *testing.T, n int, silent ...int) []*seat {
 	t.Helper()
@@ -133,7 +96,7 @@
 
 func TestTooManyLostRanks(t *testing.T) {
 	p := newPlanner()
-	require.ErrorIs(t, p.lookAll(t.Context(), sidecars(t, 8, 1, 2, 3)), errIncomplete)
+	require.ErrorIs(t, p.lookAll(t.Context(), sidecars(t, 8, 1, 2, 3)), seating.ErrIncomplete)
 }
 
 // The server of a rank is gone: its host refuses the connection. The group breaks within
--- a/internal/program/companion/move.go
+++ b/internal/program/companion/move.go
@@ -12,6 +12,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
 	"wagtailshelf.example/wagtailshelf/internal/expert/plan"
+	"wagtailshelf.example/wagtailshelf/internal/expert/seating"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
 )
@@ -37,7 +38,7 @@
 // moveRound brings the map nearer to what was seen.
 func (p *planner) moveRound(ctx context.Context, v view) error {
 	if v.epoch != p.epoch {
-		p.c.log.Info().Str("event", "epoch").Str("group", p.group).Int64("epoch", v.epoch).Int64("before", p.epoch).Msg("")
+		p.c.log.Info().Str("event", "epoch").Str("group", string(p.group)).Int64("epoch", v.epoch).Int64("before", p.epoch).Msg("")
 		p.epoch, p.current, p.after, p.highest = v.epoch, nil, 0, 0
 	}
 	if len(v.lost) > 0 {
@@ -81,7 +82,7 @@
 		return err
 	}
 	if !filler.Complete(lost) {
-		return merry.Wrap(errIncomplete, merry.AppendMessage("the lost rank has no room for what no other has"))
+		return merry.Wrap(seating.ErrIncomplete, merry.AppendMessage("the lost rank has no room for what no other has"))
 	}
 	p.highest = changeover.NextVersion(v.reports, p.highest, p.life)
 	begin := time.Now()
@@ -143,11 +144,11 @@
 func fill(m *expertmap.Map, rank int, version int64, l changeover.Lists) error {
 	shape := m.Shape()
 	if l.Version != version || len(l.Experts) != shape.Layers {
-		return merry.Wrap(errIncomplete, merry.AppendMessage("the ranks' lists are of different maps"))
+		return merry.Wrap(seating.ErrIncomplete, merry.AppendMessage("the ranks' lists are of different maps"))
 	}
 	for layer, row := range l.Experts {
 		if len(row) > shape.Slots {
-			return merry.Wrap(errIncomplete, merry.AppendMessage("a rank has more experts than places"))
+			return merry.Wrap(seating.ErrIncomplete, merry.AppendMessage("a rank has more experts than places"))
 		}
 		for slot, e := range row {
 			m.Set(layer, rank, slot, uint16(e))
@@ -171,7 +172,7 @@
 		}
 	}
 	if now := p.seen(); len(now.lost) > 0 || !now.serving {
-		return merry.Wrap(errIncomplete, merry.AppendMessagef("ranks %v don't answer", now.lost))
+		return merry.Wrap(seating.ErrIncomplete, merry.AppendMessagef("ranks %v don't answer", now.lost))
 	}
 	return nil
 }
--- a/internal/program/companion/order.go
+++ b/internal/program/companion/order.go
@@ -20,9 +20,16 @@
 
 // order carries a planner's order to the engine.
 func (c *Companion) order(ctx context.Context, o rankport.Order) rankport.Done {
+	if !c.isGrouped() {
+		// A sidecar that has just started does not know yet whose orders it takes.
+		if _, err := c.report(ctx); err != nil {
+			return rankport.Done{Failed: err.Error()}
+		}
+	}
 	term, follows := c.follow(o.Asker, time.Now())
 	done := rankport.Done{Term: term}
 	if !follows {
+		done.Result = changeover.Unfit
 		return done
 	}
 	if o.Order.Operation == changeover.Prepare && !c.completeMap(&o) {
@@ -64,7 +71,7 @@
 		if result != changeover.NoAnswer {
 			return result, err
 		}
-		r, readErr := c.engines.Report(ctx, c.settings.Target.Address)
+		r, readErr := c.report(ctx)
 		if readErr == nil && shows(r, o) {
 			return changeover.Accepted, nil
 		}
--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -8,10 +8,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
 )
@@ -44,13 +43,13 @@
 	lostLimit = 12 * time.Second
 )
 
-var errIncomplete = merry.New("not all ranks of the group could be asked")
-
-// seat is where a rank is found.
+// seat is where a server of the service is found, and what it said last.
 type seat struct {
 	target  string
 	sidecar netip.AddrPort
 	engine  netip.AddrPort
+	spoke   bool              // it has answered
+	last    changeover.Report // what it answered
 	mark    uint64
 	told    time.Time   // when its sidecar was told of the entries
 	lost    atomic.Bool // its host does not answer
@@ -63,12 +62,13 @@
 type planner struct {
 	c      *Companion
 	asker  rankport.Asker
-	group  string
+	group  roster.GroupName
 	own    int // this process's rank
 	life   changeover.Life
 	engine *routing.Engine
 	gapAim time.Duration // shortest of the routes to the service; 0 if none has one
 	seats  []*seat       // of all servers of the service
+	listed bool          // the seats were read from the list, and not all asked since
 	looks  uint64
 	limit  limit
 	pulse  pulse
@@ -122,9 +122,9 @@
 func (c *Companion) plan(ctx context.Context, own changeover.Report, term int64) {
 	p := &planner{
 		c: c, group: own.Group, own: own.Rank, life: changeover.NewLife(own.Rank),
-		asker: rankport.Asker{Term: term, Name: string(c.settings.Name), Rank: own.Rank},
+		asker: rankport.Asker{Term: term, Name: string(c.settings.Name), Rank: own.Rank, Group: own.Group},
 	}
-	c.log.Info().Str("event", "planning").Str("group", own.Group).Int64("term", term).Msg("")
+	c.log.Info().Str("event", "planning").Str("group", string(own.Group)).Int64("term", term).Msg("")
 	ctx, cancel := context.WithCancel(ctx)
 	moved := make(chan struct{})
 	go func() {
@@ -135,5 +135,5 @@
 	cancel()
 	<-moved
 	p.asked.Wait()
-	c.log.Info().Str("event", "planningEnded").Str("group", own.Group).Int64("term", term).Err(err).Msg("")
+	c.log.Info().Str("event", "planningEnded").Str("group", string(own.Group)).Int64("term", term).Err(err).Msg("")
 }
--- a/internal/program/companion/seats.go
+++ b/internal/program/companion/seats.go
@@ -5,9 +5,12 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 
 	"github.com/ansel1/merry/v2"
 
+	"wagtailshelf.example/wagtailshelf/internal/expert/seating"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
 )
 
@@ -25,16 +28,29 @@
 	if err != nil {
 		return
 	}
-	p.seats = p.seats[:0]
-	for _, t := range targets {
+	p.takeList(targets)
+}
+
+// takeList makes seats of the servers of the service. What they said stays known.
+func (p *planner) takeList(targets []roster.Target) {
+	known := make(map[string]*seat, len(p.seats))
+	for _, s := range p.seats {
+		known[s.target] = s
+	}
+	p.seats, p.listed = nil, true
+	for _, t := range roster.Living(targets) {
 		if t.Service != p.c.settings.Target.Service {
 			continue
 		}
-		p.seats = append(p.seats, &seat{
+		s := &seat{
 			target:  t.ID,
 			engine:  t.Address,
 			sidecar: netip.AddrPortFrom(t.Address.Addr(), p.c.settings.Listen.Peers.Port()),
-		})
+		}
+		if k := known[t.ID]; k != nil {
+			s.spoke, s.last = k.spoke, k.last
+		}
+		p.seats = append(p.seats, s)
 	}
 }
 
@@ -42,66 +58,92 @@
 	c.log.Error().Str("event", "malformed").Str("object", name).Err(err).Msg("")
 }
 
-// seatRanks finds out which server is which rank.
+// seatRanks finds out which server is which rank. Servers that were of another group when
+// they answered last are asked only after the list was read again.
 func (p *planner) seatRanks(ctx context.Context) ([]*seat, error) {
 	if len(p.seats) == 0 || p.engine == nil {
 		p.refresh(ctx)
 	}
 	if p.engine == nil || p.engine.Layers == 0 {
-		return nil, merry.Wrap(errIncomplete, merry.AppendMessage("the service is not known"))
+		return nil, merry.Wrap(seating.ErrIncomplete, merry.AppendMessage("the service is not known"))
 	}
-	seen, errs := p.ask(ctx, p.seats, func(int) rankport.Look { return rankport.Look{} })
+	var asked []*seat
+	for _, s := range p.seats {
+		if p.listed || !p.isOthers(s) {
+			asked = append(asked, s)
+		}
+	}
+	p.listed = false
+	seen, errs := p.ask(ctx, asked, func(int) rankport.Look { return rankport.Look{} })
 	if err := errors.Join(errs...); errors.Is(err, rankport.ErrSuperseded) {
 		return nil, err
 	}
-	var ranks, silent []*seat
-	for i, v := range seen {
-		r := v.Report
-		switch {
-		case errs[i] != nil && isSilent(errs[i]):
-			silent = append(silent, p.seats[i])
-		case r.Group != p.group || r.Ranks == 0:
-		default:
-			if ranks == nil {
-				ranks = make([]*seat, r.Ranks)
-			}
-			if r.Rank < len(ranks) {
-				ranks[r.Rank] = p.seats[i]
-			}
-		}
+	servers := make([]seating.Server, len(p.seats))
+	for i, s := range p.seats {
+		servers[i] = p.server(s, slices.Index(asked, s), seen, errs)
 	}
-	if ranks == nil {
-		return nil, merry.Wrap(errIncomplete, merry.AppendMessage("no rank of the group"))
+	seated, err := seating.Of(p.group, servers)
+	p.c.doubt(seated.Findings)
+	if err != nil {
+		return nil, merry.Wrap(err, merry.AppendMessagef("%v", errors.Join(errs...)))
 	}
-	return seatSilent(ranks, silent, errors.Join(errs...))
+	return p.seated(seated.Ranks), nil
 }
 
-// seatSilent gives the ranks that are missing to the servers that don't answer: a host
-// may stand still and its group go on. Which of them is which rank can't be told, nor
-// does it matter while none is asked for more than a sign of life. One that is not
-// listed any more, since it could not renew its entry, gets a seat without an address.
-func seatSilent(ranks, silent []*seat, err error) ([]*seat, error) {
-	missing := 0
-	for _, s := range ranks {
-		if s == nil {
-			missing++
-		}
+// isOthers tells whether a server was in another group, or in none, when it answered last.
+func (p *planner) isOthers(s *seat) bool { return s.spoke && s.last.Group != p.group }
+
+// server is what came of asking a server, at a place of what was seen; it was not asked if
+// the place is negative.
+func (p *planner) server(s *seat, at int, seen []rankport.Seen, errs []error) seating.Server {
+	v := seating.Server{Target: s.target, Address: s.engine}
+	if s.spoke {
+		v.Last = s.last.Group
+	}
+	switch {
+	case at < 0:
+		v.Answered, v.Report = true, s.last
+	case errs[at] == nil:
+		v.Answered, v.Report = true, seen[at].Report
+		s.spoke, s.last = true, seen[at].Report
+	default:
+		v.Silent = isSilent(errs[at])
 	}
-	if missing > mayBeLost(len(ranks)) || missing < len(silent) && missing > 0 {
-		return nil, merry.Wrap(errIncomplete, merry.AppendMessagef("%d of %d ranks are missing: %v", missing, len(ranks), err))
+	return v
+}
+
+// seated are the seats of the ranks. A rank whose server is not known has one without an
+// address.
+func (p *planner) seated(ranks []seating.Rank) []*seat {
+	list := make([]*seat, len(ranks))
+	for i, r := range ranks {
+		list[i] = &seat{}
+		if r.Server != seating.Nobody {
+			list[i] = p.seats[r.Server]
+		}
+		list[i].lost.Store(r.Lost)
 	}
-	for rank, s := range ranks {
-		switch {
-		case s != nil:
+	return list
+}
+
+// mostDoubts bounds the findings that are remembered.
+const mostDoubts = 1000
+
+// doubt logs what servers say that was not followed, each once.
+func (c *Companion) doubt(list []seating.Finding) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, f := range list {
+		if c.doubted[f] {
 			continue
-		case len(silent) > 0:
-			ranks[rank], silent = silent[0], silent[1:]
-		default:
-			ranks[rank] = &seat{}
 		}
-		ranks[rank].lost.Store(true)
+		if len(c.doubted) >= mostDoubts {
+			clear(c.doubted)
+		}
+		c.doubted[f] = true
+		c.log.Warn().Str("event", "reportNotFollowed").Str("target", f.Target).Str("problem", string(f.Problem)).
+			Str("group", string(f.Group)).Int("rank", f.Rank).Int("ranks", f.Ranks).Msg("")
 	}
-	return ranks, nil
 }
 
 // isSilent tells whether a server did not answer in time. One that refuses the
--- a/internal/program/companion/seek.go
+++ b/internal/program/companion/seek.go
@@ -8,6 +8,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
 
@@ -31,38 +32,32 @@
 func (c *Companion) seekPlanning(ctx context.Context) error {
 	var turn time.Duration // further wait, since others come first
 	for sleep(ctx, seekInterval) {
-		now := time.Now()
-		c.mu.Lock()
-		if c.heard.IsZero() {
-			c.heard = now
-		}
-		waited, planner := now.Sub(c.heard), c.planner
-		c.mu.Unlock()
+		waited, planner := c.silence(time.Now())
 		if waited < patience+turn {
 			continue
 		}
-		report, err := c.engines.Report(ctx, c.settings.Target.Address)
+		report, err := c.report(ctx)
 		if err != nil || report.Ranks < 2 || !report.Open {
-			c.wait()
+			c.wait(time.Now())
 			continue
 		}
 		if own := patiencePerRank * time.Duration(turnOf(report.Rank, planner, report.Ranks)); waited < patience+own {
 			turn = own // only now is the size of the group known
 			continue
 		}
-		term, err := c.take(ctx, "planner."+report.Group)
+		term, err := c.take(ctx, c.duty(report.Group))
 		if err != nil {
 			turn = rand.N(patiencePerRank * time.Duration(report.Ranks))
 			if errors.Is(err, errTakenLately) {
 				turn = rand.N(patiencePerRank)
 			}
-			c.log.Warn().Str("event", "planningNotTaken").Str("group", report.Group).Err(err).Msg("")
-			c.wait()
+			c.log.Warn().Str("event", "planningNotTaken").Str("group", string(report.Group)).Err(err).Msg("")
+			c.wait(time.Now())
 			sleep(ctx, storePause)
 			continue
 		}
 		c.plan(ctx, report, term)
-		c.wait()
+		c.wait(time.Now())
 		turn = 0
 	}
 	return nil
@@ -93,27 +88,12 @@
 	return a
 }
 
-// wait begins the sidecar's patience anew.
-func (c *Companion) wait() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.heard = time.Now()
-}
-
 var errTakenLately = merry.New("another process has just taken the duty")
 
-// lately is how long after it took the duty a holder may not have asked here yet. Clocks
-// of hosts differ by seconds; a record older than that is of a holder that is gone.
-const lately = 10 * time.Second
-
-// takenLately tells whether the record shows a new holder that this sidecar has neither
-// heard from nor seen there before. That one gets time to ask.
-func (c *Companion) takenLately(now time.Time, was platform.Record) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	isNew := was.Revision > c.term && was.Revision > c.holder && now.Sub(was.Taken).Abs() < lately
-	c.holder = max(c.holder, was.Revision)
-	return isNew
+// duty names the record of who plans for a group. Two services may have groups of the
+// same name.
+func (c *Companion) duty(group roster.GroupName) string {
+	return "planner." + c.settings.Target.Service + "." + string(group)
 }
 
 // take makes this process the holder of a duty. The revision of the record is the
--- a/internal/program/companion/seek_test.go
+++ b/internal/program/companion/seek_test.go
@@ -30,7 +30,7 @@
 	})
 	t.Run("it has asked here before", func(t *testing.T) {
 		c := newPlanner().c
-		c.term = 7
+		c.following().term = 7
 		require.False(t, c.takenLately(start, record(7, start)))
 	})
 }
--- a/internal/program/gateway/digest.go
+++ b/internal/program/gateway/digest.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
 )
@@ -30,26 +32,13 @@
 	}
 }
 
-// planner is whoever tells of the ranks of a service.
-type planner struct {
-	address netip.AddrPort
-	term    int64
-	heard   time.Time
-	fresh   int // entries whose rules are fresh, as it was told
-}
-
-const (
-	// plannerQuiet is how long a planner may tell nothing before all sidecars are
-	// greeted: any of them may take its place. Planners tell some ten times a second.
-	plannerQuiet = 1200 * time.Millisecond
-	// termLasts is how long an earlier planner is not listened to after a later one. It
-	// may have stood still, and wakes with what it knew.
-	termLasts = 5 * time.Second
-)
+// mostGreeted is how many sidecars are greeted at a time that no planner speaks for. A
+// planner learns of an entry from any one of them that plans next; to greet all each
+// second would take an entry 1,300 datagrams at the size that is planned for.
+const mostGreeted = 96
 
-// hello greets the planners of all model engines, or their sidecars where none tells
-// anything. To greet all each second would take an entry 1,300 datagrams at the size that
-// is planned for.
+// hello greets the planners of all groups, and the sidecars beside engines that none of
+// them speaks for: any of these may plan next.
 func (g *Gateway) hello(now time.Time, socket *digest.Socket) {
 	r := g.rules.Load()
 	if r == nil {
@@ -60,53 +49,46 @@
 		if s.Engine == nil {
 			continue
 		}
+		// Read once, as reading it begins the count anew.
 		hello := digest.Hello{Demand: g.admit.Demand(s.Name), Fresh: fresh}
-		if p := g.plannerOf(s.Name); now.Sub(p.heard) < plannerQuiet {
+		for _, p := range g.planners.live(now, s.Name) {
 			socket.Hello(p.address, hello)
-			continue
 		}
-		for _, t := range g.roster.Serving(s.Name) {
-			socket.Hello(netip.AddrPortFrom(t.Address.Addr(), g.settings.Listen.Peers.Port()), hello)
+		for _, at := range g.unspokenFor(now, s.Name) {
+			socket.Hello(netip.AddrPortFrom(at.Address.Addr(), g.settings.Listen.Peers.Port()), hello)
 		}
 	}
 }
 
-func (g *Gateway) plannerOf(service string) planner {
-	p, found := g.planners.Load(service)
-	if !found {
-		return planner{}
+// unspokenFor are targets of a service that no planner tells of, others each time if they
+// are many.
+func (g *Gateway) unspokenFor(now time.Time, service string) []roster.Target {
+	var list []roster.Target
+	for _, t := range g.roster.Serving(service) {
+		if _, spoken := g.planners.of(now, g.admit.GroupOf(t)); !spoken {
+			list = append(list, t)
+		}
 	}
-	return p.(planner)
-}
-
-// elsewhere tells whether other entries serve all callers, as a planner was told.
-func (g *Gateway) elsewhere(now time.Time) bool {
-	found := false
-	g.planners.Range(func(_, v any) bool {
-		p := v.(planner)
-		found = p.fresh > 1 && now.Sub(p.heard) < plannerQuiet // one of them may be this one
-		return !found
-	})
-	return found
+	if len(list) <= mostGreeted {
+		return list
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:mostGreeted]
 }
 
 // takeDigest runs on one goroutine.
 func (g *Gateway) takeDigest(from netip.AddrPort, d digest.Digest) {
 	now := time.Now()
-	if p := g.plannerOf(d.Service); d.Term < p.term && now.Sub(p.heard) < termLasts {
+	if !g.planners.take(now, from, d) {
 		return
 	}
-	g.planners.Store(d.Service, planner{address: from, term: d.Term, heard: now, fresh: d.Fresh})
-	told := make(map[string]admission.Told, len(d.Ranks))
-	for _, r := range d.Ranks {
-		told[r.Target] = admission.Told{Load: r.Load, Grant: r.Grant, Lost: r.Lost}
+	look := admission.Look{
+		Group: roster.Group{Service: d.Service, Name: d.Group},
+		Open:  d.Open, Age: d.Age, Limit: d.Limit,
+		Targets: make(map[string]admission.Told, len(d.Ranks)),
 	}
-	if d.Entries > 0 {
-		g.entries.Store(int64(d.Entries))
-		g.countedAt.Store(&now)
-	}
-	if d.Limit > 0 {
-		g.engineLimits.Store(d.Service, d.Limit)
+	for _, r := range d.Ranks {
+		look.Targets[r.Target] = admission.Told{Load: r.Load, Grant: r.Grant, Lost: r.Lost}
 	}
-	g.admit.Told(now, d.Service, d.Open, d.Age, told)
+	g.admit.Told(now, look)
 }
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -7,7 +7,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,30 +41,24 @@
 	// are. All of them together must not send more than is allowed; the largest
 	// deployment has 16.
 	assumedEntries = 16
-	// countLasts is how long a told number of entries counts. Planners tell it some
-	// ten times a second.
-	countLasts = 5 * time.Second
 )
 
 // Gateway is the entry's state.
 type Gateway struct {
-	settings     deployed.Settings // as they were at the start; bounds may change later
-	bounds       atomic.Pointer[deployed.Bounds]
-	log          *log.Logger
-	metrics      *metrics.Set
-	store        *platform.Store
-	roster       *roster.Roster
-	missing      *missing
-	rules        atomic.Pointer[knownRules]
-	targets      atomic.Bool // a list of targets was read
-	draining     atomic.Bool
-	entries      atomic.Int64              // that share the targets
-	countedAt    atomic.Pointer[time.Time] // when a planner told that; nil before
-	engineLimits sync.Map                  // requests that a rank should have, by service
-	planners     sync.Map                  // by service
-	forward      *forward.Forwarder
-	pool         *upstream.Pool
-	admit        *admission.Controller
+	settings deployed.Settings // as they were at the start; bounds may change later
+	bounds   atomic.Pointer[deployed.Bounds]
+	log      *log.Logger
+	metrics  *metrics.Set
+	store    *platform.Store
+	roster   *roster.Roster
+	missing  *missing
+	rules    atomic.Pointer[knownRules]
+	targets  atomic.Bool // a list of targets was read
+	draining atomic.Bool
+	planners planners
+	forward  *forward.Forwarder
+	pool     *upstream.Pool
+	admit    *admission.Controller
 }
 
 // New returns an entry that does not run yet.
@@ -81,7 +74,6 @@
 		admit:    admission.New(),
 	}
 	g.bounds.Store(&s.Bounds)
-	g.entries.Store(guessedEntries)
 	dialled := m.NewCounter("wagtailshelf_target_connections_total")
 	g.pool.Dialled = dialled.Inc
 	g.admit.Targets = g.roster.Serving
@@ -100,7 +92,7 @@
 		Now:       time.Now,
 		Draining:  &g.draining,
 		Gone:      g.heardGone,
-		Elsewhere: func() bool { return g.elsewhere(time.Now()) },
+		Elsewhere: func() bool { return g.planners.elsewhere(time.Now()) },
 		Ended:     g.ended,
 	}
 	return g
@@ -109,11 +101,11 @@
 // sharers is how many entries the allowance of repeats is divided by: as many as the
 // planner hears, and a quarter more, since some may not reach it.
 func (g *Gateway) sharers(now time.Time) float64 {
-	told := g.countedAt.Load()
-	if told == nil || now.Sub(*told) > countLasts {
+	told, known := g.planners.entries(now)
+	if !known {
 		return assumedEntries
 	}
-	n := float64(g.entries.Load())
+	n := float64(told)
 	return n + n/4 + 1
 }
 
@@ -140,10 +132,10 @@
 	rules := admission.Rules{PerTarget: plainPerTarget, Queue: queueLength, Entries: 1}
 	if s := r.config.Service(service); s != nil && s.Engine != nil {
 		rules.PerTarget = max(int(slotShare*float64(s.Engine.Slots)), 1)
-		if told, found := g.engineLimits.Load(service); found {
-			rules.PerTarget = told.(int)
+		rules.Entries = guessedEntries
+		if told, known := g.planners.entries(time.Now()); known {
+			rules.Entries = told
 		}
-		rules.Entries = int(g.entries.Load())
 	}
 	return rules
 }
@@ -201,6 +193,7 @@
 			if now.Sub(swept) >= sweepInterval {
 				swept = now
 				g.pool.Sweep(now)
+				g.admit.Sweep(now, func(id string) bool { _, found := g.roster.Get(id); return found })
 			}
 		}
 	}
--- a/internal/program/gateway/knowledge.go
+++ b/internal/program/gateway/knowledge.go
@@ -142,7 +142,9 @@
 		// A target that has said that it leaves doesn't come back in this life.
 		c.Object.Leaving = true
 	}
-	g.roster.Put(c.Object)
+	for _, id := range g.roster.Put(c.Object) {
+		g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", "addressTaken").Str("by", c.Name).Msg("")
+	}
 	if !found || known.Leaving != c.Object.Leaving {
 		g.log.Info().Str("event", "target").Str("target", c.Name).Str("service", c.Object.Service).
 			Bool("leaving", c.Object.Leaving).Stringer("address", c.Object.Address).Msg("")
--- /dev/null
+++ b/internal/program/gateway/planners.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
+)
+
+// planner is whoever tells of the ranks of a group.
+type planner struct {
+	address netip.AddrPort
+	term    int64
+	heard   time.Time
+	entries int // that it hears from
+	fresh   int // of these, those whose rules are fresh
+}
+
+const (
+	// plannerQuiet is how long a planner may tell nothing before the sidecars of its
+	// group are greeted: any of them may take its place. Planners tell some ten times a
+	// second.
+	plannerQuiet = 1200 * time.Millisecond
+	// termLasts is how long an earlier planner is not listened to after a later one. It
+	// may have stood still, and wakes with what it knew.
+	termLasts = 5 * time.Second
+	// countLasts is how long a told number of entries counts.
+	countLasts = 5 * time.Second
+	// plannerKept is how long a planner is remembered that tells nothing.
+	plannerKept = time.Minute
+)
+
+// planners are those of all groups. Each group has its own: an entry that listened to the
+// newest of a service's planners alone knew nothing of the places of its other groups.
+type planners struct {
+	mu      sync.Mutex
+	byGroup map[roster.Group]planner
+}
+
+// take tells whether a digest is of the newest planner of its group, and remembers it.
+func (p *planners) take(now time.Time, from netip.AddrPort, d digest.Digest) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	name := roster.Group{Service: d.Service, Name: d.Group}
+	if was, found := p.byGroup[name]; found && d.Term < was.term && now.Sub(was.heard) < termLasts {
+		return false
+	}
+	if p.byGroup == nil {
+		p.byGroup = make(map[roster.Group]planner)
+	}
+	p.byGroup[name] = planner{address: from, term: d.Term, heard: now, entries: d.Entries, fresh: d.Fresh}
+	return true
+}
+
+// of returns the planner of a group, if it told something lately.
+func (p *planners) of(now time.Time, name roster.Group) (planner, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known, found := p.byGroup[name]
+	return known, found && now.Sub(known.heard) < plannerQuiet
+}
+
+// live returns the planners of a service's groups that told something lately, and forgets
+// those that told nothing for long.
+func (p *planners) live(now time.Time, service string) []planner {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []planner
+	for name, known := range p.byGroup {
+		if now.Sub(known.heard) > plannerKept {
+			delete(p.byGroup, name)
+		}
+		if name.Service == service && now.Sub(known.heard) < plannerQuiet {
+			list = append(list, known)
+		}
+	}
+	return list
+}
+
+// entries is how many entries share the targets, as the planner says that hears most.
+func (p *planners) entries(now time.Time) (n int, known bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, v := range p.byGroup {
+		if now.Sub(v.heard) < countLasts {
+			n = max(n, v.entries)
+		}
+	}
+	return n, n > 0
+}
+
+// elsewhere tells whether other entries serve all callers, as a planner was told.
+func (p *planners) elsewhere(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, v := range p.byGroup {
+		if v.fresh > 1 && now.Sub(v.heard) < plannerQuiet { // one of them may be this one
+			return true
+		}
+	}
+	return false
+}
--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -25,24 +25,24 @@
 )
 
 var (
-	seeds = flag.Int("soak.seeds", 1, "how many seeds to run")
+	seeds = flag.Int("soak.seeds", 2, "how many seeds to run, with one and two groups by turns")
 	first = flag.Uint64("soak.first", 20261202, "the first seed")
 	lasts = flag.Duration("soak.time", 6*time.Second, "how long faults come in each")
 
 	entryCount = flag.Int("soak.entries", 2, "how many entries")
-	rankCount  = flag.Int("soak.ranks", 4, "how many model servers, each with its sidecar")
+	rankCount  = flag.Int("soak.ranks", 4, "how many model servers a group has, each with its sidecar")
 )
 
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "wagtailshelf")
 	out, err := exec.Command("go", "build", "-o", binary, "wagtailshelf.example/wagtailshelf/cmd/wagtailshelf").CombinedOutput()
 	require.NoError(t, err, "%s", out)
-	list := kept(t)
-	for i := range *seeds {
-		list = append(list, *first+uint64(i))
+	for _, seed := range kept(t) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, binary, seed, 1) })
 	}
-	for _, seed := range list {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, binary, seed) })
+	for i := range *seeds {
+		seed, groups := *first+uint64(i), 1+i%mostGroups
+		t.Run(fmt.Sprintf("%d with %d groups", seed, groups), func(t *testing.T) { soak(t, binary, seed, groups) })
 	}
 }
 
@@ -65,8 +65,8 @@
 // It takes a second or two; a busy machine must not change the verdict.
 const settleLimit = 60 * time.Second
 
-func soak(t *testing.T, binary string, seed uint64) {
-	w := newWorld(t, binary, seed)
+func soak(t *testing.T, binary string, seed uint64, groups int) {
+	w := newWorld(t, binary, seed, groups)
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Log(w.tails())
@@ -89,11 +89,15 @@
 	}
 	before := c.streams.Load()
 	require.Eventually(t, func() bool { return c.streams.Load() > before+50 }, settleLimit, 50*time.Millisecond, "streams are served after the last fault")
-	require.Eventually(t, func() bool { _, v := w.group.Step(); return v[0] > 0 }, settleLimit, 50*time.Millisecond, "the map follows demand")
+	for _, g := range w.groups {
+		require.Eventually(t, func() bool { _, v := g.Step(); return v[0] > 0 }, settleLimit, 50*time.Millisecond, "the map of %s follows demand", g.Name)
+	}
 	stop()
 	running.Wait()
 	c.check()
-	require.Empty(t, w.group.Broken(), "all ranks have one map in each pass")
+	for _, g := range w.groups {
+		require.Empty(t, g.Broken(), "all ranks of %s have one map in each pass", g.Name)
+	}
 	require.Empty(t, w.problems)
 	t.Logf("%d streams and %d other requests whole, %d refused, %d unknown or cut", c.streams.Load(), c.plain.Load(), c.refused.Load(), c.unknown.Load())
 }
@@ -234,7 +238,8 @@
 		}
 		all := append(append([]*process(nil), w.entries...), w.sidecars...)
 		p := all[w.r.IntN(len(all))]
-		rank := w.r.IntN(len(w.sidecars))
+		side := w.r.IntN(len(w.sidecars))
+		group := w.groups[side / *rankCount]
 		proxy := w.proxies[w.r.IntN(len(w.proxies))]
 		d := time.Duration(300+w.r.IntN(1700)) * time.Millisecond
 		switch w.r.IntN(12) {
@@ -271,19 +276,19 @@
 		case 8:
 			w.store.Forget()
 			lost := rand.New(rand.NewPCG(w.r.Uint64(), 3))
-			w.group.Lose(func() bool { return lost.Float64() < 0.2 })
-			later(d, func() { w.group.Lose(func() bool { return false }) })
+			group.Lose(func() bool { return lost.Float64() < 0.2 })
+			later(d, func() { group.Lose(func() bool { return false }) })
 		case 9: // a whole host stands still: the engine and the sidecar beside it
-			wake := w.group.Stand(rank)
-			w.sidecars[rank].signal(syscall.SIGSTOP)
+			wake := group.Stand(side % *rankCount)
+			w.sidecars[side].signal(syscall.SIGSTOP)
 			later(d, func() {
 				wake()
-				w.sidecars[rank].signal(syscall.SIGCONT)
+				w.sidecars[side].signal(syscall.SIGCONT)
 			})
 		case 10:
 			breaks := rand.New(rand.NewPCG(w.r.Uint64(), 4))
-			w.group.Break(func() bool { return breaks.Float64() < 0.03 })
-			later(d, func() { w.group.Break(func() bool { return false }) })
+			group.Break(func() bool { return breaks.Float64() < 0.03 })
+			later(d, func() { group.Break(func() bool { return false }) })
 		case 11: // changes of the rules in quick succession
 			for range 3 + w.r.IntN(8) {
 				w.putConfig(w.revokedAt.IsZero())
--- a/internal/program/soak/world_test.go
+++ b/internal/program/soak/world_test.go
@@ -81,7 +81,7 @@
 	dir       string
 	store     *standin.Store
 	proxies   []*standin.Proxy // between each process and the store
-	group     *standin.Group
+	groups    []*standin.Group // of the service "gen"
 	ledger    *standin.Ledger
 	plain     []*standin.Server
 	entries   []*process
@@ -117,7 +117,7 @@
 
 func freeEverywhere(port uint16) bool {
 	for group := 1; group <= 2; group++ {
-		for number := range max(*entryCount, *rankCount) {
+		for number := range max(*entryCount, mostGroups**rankCount) {
 			l, err := net.Listen("tcp4", at(group, number, port).String())
 			if err != nil {
 				return false
@@ -132,21 +132,27 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(group), byte(number + 1)}), port)
 }
 
-func newWorld(t *testing.T, binary string, seed uint64) *world {
+// mostGroups that a soak has.
+const mostGroups = 2
+
+// newWorld starts a deployment whose model service has some groups of ranks.
+func newWorld(t *testing.T, binary string, seed uint64, groups int) *world {
 	w := &world{
 		t: t, r: rand.New(rand.NewPCG(seed, 7)), binary: binary, dir: t.TempDir(),
 		store: standin.NewStore(t), ledger: standin.NewLedger(),
 	}
 	port := freePort(t)
-	var ranks []netip.AddrPort
-	for i := range *rankCount {
+	var ranks []netip.AddrPort // of all groups
+	for i := range groups * *rankCount {
 		ranks = append(ranks, at(2, i, port))
 	}
-	var err error
-	w.group, err = standin.NewGroup(ranks, shape, 15*time.Millisecond, w.ledger)
-	require.NoError(t, err)
-	t.Cleanup(w.group.Close)
-	w.group.Register(w.store, "gen")
+	for n := range groups {
+		g, err := standin.NewGroup(fmt.Sprint("g", n), ranks[n**rankCount:(n+1)**rankCount], shape, 15*time.Millisecond, w.ledger)
+		require.NoError(t, err)
+		t.Cleanup(g.Close)
+		g.Register(w.store, "gen")
+		w.groups = append(w.groups, g)
+	}
 	w.startPlain()
 	w.putConfig(true)
 	peers, http, ready, metrics := freePort(t), freePort(t), freePort(t), freePort(t)
@@ -158,7 +164,7 @@
 			"role: entry\naddress: %s\nlisten:\n  callers: %s:%d\n  readiness: %s:%d\n  metrics: %s:%d\n  peers: %s:%d\n",
 			ip, ip, http, ip, ready, ip, metrics, ip, peers)))
 	}
-	for i := range *rankCount {
+	for i := range ranks {
 		ip := at(2, i, 0).Addr()
 		w.sidecars = append(w.sidecars, w.process(fmt.Sprint("sidecar-", i), fmt.Sprintf(
 			"role: sidecar\naddress: %s\nlisten:\n  metrics: %s:%d\n  peers: %s:%d\ntarget:\n  address: %s\n  service: gen\n",
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -33,8 +33,7 @@
 	mu       sync.Mutex
 	targets  map[string]*state
 	services map[string]*queue
-	closed   map[string]time.Time // services whose group is closed, and until when that is believed
-	doubtful map[string]bool      // services whose group was closed, and has served nothing since
+	groups   map[roster.Group]*group
 }
 
 // New returns a controller without requests.
@@ -42,29 +41,14 @@
 	return &Controller{
 		targets:  make(map[string]*state),
 		services: make(map[string]*queue),
-		closed:   make(map[string]time.Time),
-		doubtful: make(map[string]bool),
+		groups:   make(map[roster.Group]*group),
 	}
 }
 
-// state is what the entry knows of a target.
-type state struct {
-	inFlight int
-	work     float64 // of the requests in flight, in tokens
-	told     int     // requests of all entries there, as was told last
-	grant    int     // requests that may be sent until more is told
-	toldAt   time.Time
-	since    int         // requests sent since, less those that ended
-	sent     []time.Time // of the last requests, back to what a telling may not show
-	lost     bool        // its host does not answer, as was told last
-	held     map[*Ticket]bool
-	avoid    time.Time
-	failures int
-}
-
 type queue struct {
 	waiting  []*Ticket
 	arrivals int
+	toldAt   time.Time // when a planner told of one of the service's groups last
 }
 
 // Ticket is a request's place: in the queue, then at a target.
@@ -167,114 +151,17 @@
 	Avoid  time.Duration // the target said that it can't serve for that long
 }
 
-// mostSent bounds the memory of when requests were sent to a target: entries send a
-// few in the half second that a telling may be old.
-const mostSent = 32
-
-// toldLasts is how long a told load counts. It comes ten times a second; past that
-// its teller is gone, and the entry goes by its own requests.
-const toldLasts = 700 * time.Millisecond
-
-// Told is how full a target is, from one that looks at all of them.
-type Told struct {
-	Load  int  // requests of all entries
-	Grant int  // that this entry may send until it is told again
-	Lost  bool // its host does not answer
-}
-
-// Told takes how full targets were some time ago.
-func (c *Controller) Told(now time.Time, service string, open bool, age time.Duration, targets map[string]Told) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	looked := now.Add(-age)
-	for id, t := range targets {
-		s := c.state(id)
-		// What was sent after the look is not in it yet.
-		s.sent = slices.DeleteFunc(s.sent, looked.After)
-		s.told, s.grant, s.toldAt, s.since = t.Load+len(s.sent), t.Grant-len(s.sent), now, 0
-		if t.Lost && !s.lost {
-			s.abort()
-		}
-		s.lost = t.Lost
-	}
-	delete(c.closed, service)
-	delete(c.doubtful, service)
-	if !open {
-		c.closed[service] = now.Add(toldLasts)
-		c.doubtful[service] = true
-	}
-	c.advance(now, service)
-}
-
-// abort tells the requests at a target that its host does not answer. Their callers see
-// no event until the host is back; those that may be sent again go elsewhere now.
-func (s *state) abort() {
-	for t := range s.held {
-		if t.lost != nil {
-			t.lost()
-		}
-	}
-}
-
 // OnLost has a function called once it is told that the host of the request's target does
 // not answer, or at once if that is known.
 func (c *Controller) OnLost(now time.Time, t *Ticket, lost func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t.lost = lost
-	if s := c.state(t.target.ID); t.held && s.lost && s.toldLately(now) {
+	if s := c.state(now, t.target); t.held && s.lost && s.toldLately(now) {
 		lost()
 	}
 }
 
-// GroupClosed takes a target's word that its group takes no requests. Each further one
-// would be refused by another rank, and its caller sent away, though the group opens
-// again within a second or two most times; they wait here instead.
-func (c *Controller) GroupClosed(now time.Time, service string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closed[service] = now.Add(closedPause)
-	c.doubtful[service] = true
-}
-
-// Serves takes note that a service has begun an answer.
-func (c *Controller) Serves(now time.Time, service string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.doubtful[service] {
-		return
-	}
-	delete(c.doubtful, service)
-	delete(c.closed, service)
-	c.advance(now, service)
-}
-
-// closedPause is how long a group that said that it is closed gets no request. Then one
-// finds out whether it has opened; if all that wait did, they would use up their tries.
-const closedPause = 150 * time.Millisecond
-
-// load is how many requests a target has, of all entries: as was told and changed
-// since by this one, or as many of each other entry as of this one.
-func (s *state) load(now time.Time, rules Rules) int {
-	if s.toldLately(now) {
-		return max(s.told+s.since, s.inFlight)
-	}
-	return s.inFlight * max(rules.Entries, 1)
-}
-
-// free tells whether a target may get one more request.
-func (s *state) free(now time.Time, rules Rules) bool {
-	if now.Before(s.avoid) {
-		return false
-	}
-	if s.toldLately(now) {
-		return s.grant > 0
-	}
-	return s.load(now, rules) < rules.PerTarget
-}
-
-func (s *state) toldLately(now time.Time) bool { return now.Sub(s.toldAt) < toldLasts }
-
 const (
 	// avoidFirst is how long a target is avoided after a failure; it doubles with
 	// each further one up to avoidMost. A target that fails half of what it gets
@@ -287,7 +174,7 @@
 func (c *Controller) Done(now time.Time, t *Ticket, end End) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := c.state(t.target.ID)
+	s := c.state(now, t.target)
 	switch {
 	case end.Failed:
 		s.failures++
@@ -300,8 +187,7 @@
 	c.release(now, t)
 }
 
-// Tick lets requests go that wait for a target to be asked again, and forgets
-// targets that are gone.
+// Tick lets requests go that wait for a target to be asked again.
 func (c *Controller) Tick(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -310,11 +196,16 @@
 	}
 }
 
-// Forget drops what is known of a target that is gone.
+// Forget drops what is known of a target that is gone, once its last request has ended.
 func (c *Controller) Forget(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s := c.targets[id]; s != nil && s.inFlight == 0 {
+	s := c.targets[id]
+	if s == nil {
+		return
+	}
+	s.gone = true
+	if s.inFlight == 0 {
 		delete(c.targets, id)
 	}
 }
@@ -342,11 +233,14 @@
 		return
 	}
 	t.held = false
-	s := c.state(t.target.ID)
+	s := c.state(now, t.target)
 	delete(s.held, t)
 	s.inFlight--
 	s.since--
 	s.work -= t.Work
+	if s.gone && s.inFlight == 0 {
+		delete(c.targets, t.target.ID)
+	}
 	c.advance(now, t.Service)
 }
 
@@ -377,7 +271,7 @@
 func (c *Controller) grant(now time.Time, t *Ticket, target roster.Target) {
 	t.target = target
 	t.held = true
-	s := c.state(target.ID)
+	s := c.state(now, target)
 	s.held[t] = true
 	t.Seen = Seen{Load: s.load(now, c.RulesFor(t.Service))}
 	if s.toldLately(now) {
@@ -413,19 +307,21 @@
 // entries are told the same; so that they don't all send to the same target until
 // they are told again, one more request than the fewest counts as few.
 func (c *Controller) choose(now time.Time, service string, list []roster.Target, rules Rules) (roster.Target, bool) {
-	if now.Before(c.closed[service]) || c.doubtful[service] && c.inFlight(list) > 0 {
-		return roster.Target{}, false
-	}
+	told := now.Sub(c.queue(service).toldAt) < toldLasts
+	usable := make([]roster.Target, 0, len(list))
 	fewest := math.MaxInt
 	for _, target := range list {
-		if s := c.state(target.ID); s.free(now, rules) {
-			fewest = min(fewest, s.load(now, rules))
+		s := c.state(now, target)
+		g := c.group(s.group)
+		if !g.takes(now, c.inFlight, s.group) || !s.free(now, g, rules, told) {
+			continue
 		}
+		usable = append(usable, target)
+		fewest = min(fewest, s.load(now, rules))
 	}
 	best, seen := roster.Target{}, 0
-	for _, target := range list {
-		s := c.state(target.ID)
-		if !s.free(now, rules) || s.load(now, rules) > fewest+1 {
+	for _, target := range usable {
+		if c.state(now, target).load(now, rules) > fewest+1 {
 			continue
 		}
 		seen++
@@ -436,24 +332,6 @@
 	return best, seen > 0
 }
 
-// inFlight is how many requests this entry has at targets.
-func (c *Controller) inFlight(list []roster.Target) int {
-	n := 0
-	for _, target := range list {
-		n += c.state(target.ID).inFlight
-	}
-	return n
-}
-
-func (c *Controller) state(id string) *state {
-	s := c.targets[id]
-	if s == nil {
-		s = &state{held: make(map[*Ticket]bool)}
-		c.targets[id] = s
-	}
-	return s
-}
-
 func (c *Controller) queue(service string) *queue {
 	q := c.services[service]
 	if q == nil {
--- a/internal/traffic/admission/admission_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -10,6 +10,8 @@
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 )
 
+var theGroup = roster.Group{Service: "svc", Name: "g"}
+
 var start = time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
 
 func newController(targets int, rules Rules) *Controller {
@@ -41,7 +43,7 @@
 	for i := range targets {
 		m[fmt.Sprint("t", i)] = what
 	}
-	c.Told(now, "svc", true, 0, m)
+	c.Told(now, Look{Group: theGroup, Open: true, Targets: m})
 }
 
 func TestNoTarget(t *testing.T) {
@@ -91,7 +93,9 @@
 	c := newController(1, Rules{PerTarget: 8, Queue: 9, Entries: 1})
 	told(c, start, 1, Told{Load: 0, Grant: 8})
 	c.Arrive(start.Add(50*time.Millisecond), ticket())
-	c.Told(start.Add(80*time.Millisecond), "svc", true, 60*time.Millisecond, map[string]Told{"t0": {Load: 7, Grant: 1}})
+	c.Told(start.Add(80*time.Millisecond), Look{
+		Group: theGroup, Open: true, Age: 60 * time.Millisecond, Targets: map[string]Told{"t0": {Load: 7, Grant: 1}},
+	})
 	require.Equal(t, Wait, c.Arrive(start.Add(90*time.Millisecond), ticket()))
 }
 
@@ -109,7 +113,7 @@
 
 func TestClosedGroup(t *testing.T) {
 	c := newController(1, Rules{PerTarget: 6, Queue: 9, Entries: 1})
-	c.Told(start, "svc", false, 0, nil)
+	c.Told(start, Look{Group: theGroup, Targets: map[string]Told{"t0": {}}})
 	k := ticket()
 	require.Equal(t, Wait, c.Arrive(start, k))
 	told(c, start.Add(100*time.Millisecond), 1, Told{Grant: 1})
@@ -120,7 +124,7 @@
 // their tries in milliseconds; they wait until the group can be asked again.
 func TestGroupSaysThatItIsClosed(t *testing.T) {
 	c := newController(2, Rules{PerTarget: 6, Queue: 9, Entries: 1})
-	c.GroupClosed(start, "svc")
+	c.GroupClosed(start, roster.Target{ID: "t1", Service: "svc"})
 	k := ticket()
 	require.Equal(t, Wait, c.Arrive(start, k))
 	next := ticket()
@@ -129,7 +133,7 @@
 	c.Tick(later)
 	requireGranted(t, k, true)
 	requireGranted(t, next, false)
-	c.Serves(later, "svc")
+	c.Serves(later, k.Target())
 	requireGranted(t, next, true)
 }
 
--- /dev/null
+++ b/internal/traffic/admission/group.go
@@ -0,0 +1,153 @@
+package admission
+
+import (
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+)
+
+// group is what the entry knows of an expert group. Each has a state of its own: when it
+// was kept by service, a broken group of two shut the other, and an open one opened the
+// broken.
+type group struct {
+	toldAt      time.Time // when its planner told of it last
+	limit       int       // requests that a rank should have, as was told last; 0 until then
+	closedUntil time.Time // it takes no requests until then
+	doubtful    bool      // it was closed, and has served nothing since
+}
+
+// untoldKept is how long groups and targets are remembered that nobody tells of.
+const untoldKept = time.Minute
+
+// closedPause is how long a group that said that it is closed gets no request. Then one
+// finds out whether it has opened; if all that wait did, they would use up their tries.
+const closedPause = 150 * time.Millisecond
+
+func (g *group) toldLately(now time.Time) bool { return now.Sub(g.toldAt) < toldLasts }
+
+// takes tells whether the group takes requests, as far as known. One that was closed gets
+// one request at a time until it has served something.
+func (g *group) takes(now time.Time, inFlight func(roster.Group) int, name roster.Group) bool {
+	if now.Before(g.closedUntil) {
+		return false
+	}
+	return !g.doubtful || inFlight(name) == 0
+}
+
+func (g *group) close(until time.Time) {
+	g.closedUntil, g.doubtful = until, true
+}
+
+func (g *group) open() {
+	g.closedUntil, g.doubtful = time.Time{}, false
+}
+
+// Told is how full a target is, from one that looks at all of its group.
+type Told struct {
+	Load  int  // requests of all entries
+	Grant int  // that this entry may send until it is told again
+	Lost  bool // its host does not answer
+}
+
+// Look is what a group's planner tells of it.
+type Look struct {
+	Group   roster.Group
+	Open    bool
+	Age     time.Duration // since the planner looked
+	Limit   int           // requests that a rank should have; 0 if that is not told
+	Targets map[string]Told
+}
+
+// Told takes how full the targets of a group were some time ago.
+func (c *Controller) Told(now time.Time, l Look) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g := c.group(l.Group)
+	g.toldAt = now
+	c.queue(l.Group.Service).toldAt = now
+	if l.Limit > 0 {
+		g.limit = l.Limit
+	}
+	if l.Open {
+		g.open()
+	} else {
+		g.close(now.Add(toldLasts))
+	}
+	for id, t := range l.Targets {
+		s := c.state(now, roster.Target{ID: id, Service: l.Group.Service})
+		s.group = l.Group
+		if l.Open {
+			s.tell(now, now.Add(-l.Age), t)
+		}
+	}
+	c.advance(now, l.Group.Service)
+}
+
+// Sweep forgets groups that nobody tells of any more, and targets that planners told of
+// and the store does not list.
+func (c *Controller) Sweep(now time.Time, listed func(id string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, g := range c.groups {
+		if now.Sub(g.toldAt) > untoldKept && !now.Before(g.closedUntil) {
+			delete(c.groups, name)
+		}
+	}
+	for id, s := range c.targets {
+		if s.inFlight == 0 && now.Sub(s.toldAt) > untoldKept && now.Sub(s.known) > untoldKept && !listed(id) {
+			delete(c.targets, id)
+		}
+	}
+}
+
+// GroupClosed takes a target's word that its group takes no requests. Each further one
+// would be refused by another rank, and its caller sent away, though the group opens
+// again within a second or two most times; they wait here instead.
+func (c *Controller) GroupClosed(now time.Time, t roster.Target) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.group(c.state(now, t).group).close(now.Add(closedPause))
+}
+
+// Serves takes note that a target has begun an answer: its group is open.
+func (c *Controller) Serves(now time.Time, t roster.Target) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g := c.group(c.state(now, t).group)
+	if !g.doubtful {
+		return
+	}
+	g.open()
+	c.advance(now, t.Service)
+}
+
+// GroupOf returns the group of a target, as it was told last.
+func (c *Controller) GroupOf(t roster.Target) roster.Group {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.targets[t.ID]; s != nil {
+		return s.group
+	}
+	return roster.Group{Service: t.Service}
+}
+
+// group returns what is known of a group.
+func (c *Controller) group(name roster.Group) *group {
+	g := c.groups[name]
+	if g == nil {
+		g = &group{}
+		c.groups[name] = g
+	}
+	return g
+}
+
+// inFlight is how many requests this entry has at a group's targets.
+func (c *Controller) inFlight(name roster.Group) int {
+	n := 0
+	for _, s := range c.targets {
+		if s.group == name {
+			n += s.inFlight
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/traffic/admission/group_test.go
@@ -0,0 +1,130 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+)
+
+var (
+	groupOne = roster.Group{Service: "svc", Name: "one"}
+	groupTwo = roster.Group{Service: "svc", Name: "two"}
+)
+
+// twoGroups returns a controller for a service with a target in each of two groups: t0 in
+// the first, t1 in the second.
+func twoGroups() *Controller {
+	c := newController(2, Rules{PerTarget: 4, Queue: 9, Entries: 1})
+	tellOpen(c, start, groupOne, "t0")
+	tellOpen(c, start, groupTwo, "t1")
+	return c
+}
+
+func tellOpen(c *Controller, now time.Time, g roster.Group, target string) {
+	c.Told(now, Look{Group: g, Open: true, Targets: map[string]Told{target: {Grant: 4}}})
+}
+
+func tellClosed(c *Controller, now time.Time, g roster.Group, target string) {
+	c.Told(now, Look{Group: g, Targets: map[string]Told{target: {}}})
+}
+
+// requireSentTo sends some requests, all of which go to one target.
+func requireSentTo(t *testing.T, c *Controller, now time.Time, target string) {
+	t.Helper()
+	for range 3 {
+		k := ticket()
+		require.Equal(t, Go, c.Arrive(now, k))
+		require.Equal(t, target, k.Target().ID)
+		c.Done(now, k, End{})
+	}
+}
+
+// One of two groups breaks. Its callers go to the other; if the whole service counted as
+// closed, all of them would wait for a second or two though half of the places are free.
+func TestBrokenGroupLeavesTheOtherOpen(t *testing.T) {
+	t.Run("as its planner tells", func(t *testing.T) {
+		c := twoGroups()
+		tellClosed(c, start, groupOne, "t0")
+		requireSentTo(t, c, start, "t1")
+	})
+	t.Run("as one of its targets says", func(t *testing.T) {
+		c := twoGroups()
+		c.GroupClosed(start, roster.Target{ID: "t1", Service: "svc"})
+		requireSentTo(t, c, start, "t0")
+	})
+}
+
+// One group is broken, the other serves. Each answer of the other would open the broken
+// one if both were one, and callers that are sent there are refused.
+func TestOpenGroupDoesNotOpenTheBroken(t *testing.T) {
+	c := twoGroups()
+	c.GroupClosed(start, roster.Target{ID: "t0", Service: "svc"})
+	c.Serves(start, roster.Target{ID: "t1", Service: "svc"})
+	tellOpen(c, start, groupTwo, "t1")
+	requireSentTo(t, c, start, "t1")
+}
+
+// The server of a rank has started again. Its earlier life is listed for three heartbeats
+// yet, though the group's planner does not tell of it any more; a request that is sent
+// there is refused by the new one, and has lost a try.
+func TestEarlierLifeOfARank(t *testing.T) {
+	c := newController(2, Rules{PerTarget: 4, Queue: 9, Entries: 1})
+	tellOpen(c, start, groupOne, "t0")
+	later := start.Add(toldLasts)
+	tellOpen(c, later, groupOne, "t1")
+	requireSentTo(t, c, later, "t1")
+	tellClosed(c, later, groupOne, "t1")
+	require.Equal(t, Wait, c.Arrive(later, ticket()), "nor while the group is closed")
+}
+
+// A rank comes back while its group is closed, and its new life is listed before the
+// planner has found it. It is no target without a group, to which callers may be sent.
+func TestNewTargetIsToldOfFirst(t *testing.T) {
+	c := twoGroups()
+	c.Targets = func(string) []roster.Target {
+		return []roster.Target{{ID: "t0", Service: "svc"}, {ID: "t1", Service: "svc"}, {ID: "new", Service: "svc"}}
+	}
+	tellClosed(c, start, groupOne, "t0")
+	requireSentTo(t, c, start, "t1")
+	tellClosed(c, start.Add(joinTime-toldLasts/2), groupOne, "new")
+	tellOpen(c, start.Add(joinTime), groupTwo, "t1")
+	requireSentTo(t, c, start.Add(joinTime), "t1")
+}
+
+// Engines of a service need not be in a group. Nobody tells of them; they are used by the
+// entry's own count, beside the groups of the same service.
+func TestEnginesWithoutAGroup(t *testing.T) {
+	c := newController(2, Rules{PerTarget: 2, Queue: 9, Entries: 1})
+	c.Told(start, Look{Group: groupOne, Open: true, Targets: map[string]Told{"t0": {}}})
+	require.Equal(t, Wait, c.Arrive(start, ticket()))
+	later := start.Add(joinTime)
+	c.Told(later, Look{Group: groupOne, Open: true, Targets: map[string]Told{"t0": {}}})
+	k := ticket()
+	require.Equal(t, Go, c.Arrive(later, k))
+	require.Equal(t, "t1", k.Target().ID)
+}
+
+// A rank may be in another group after its server has started again, under a new id or in
+// a new epoch; what its group is told to be last counts.
+func TestRankThatChangesItsGroup(t *testing.T) {
+	c := twoGroups()
+	tellOpen(c, start, groupTwo, "t0")
+	require.Equal(t, groupTwo, c.GroupOf(roster.Target{ID: "t0", Service: "svc"}))
+	tellClosed(c, start, groupOne, "t9")
+	requireGo := func() { require.Equal(t, Go, c.Arrive(start, ticket())) }
+	requireGo()
+	requireGo()
+}
+
+// Groups come and go for years. What is known of those that nobody tells of any more is
+// dropped, and so are targets that planners told of and the store never listed.
+func TestForgottenGroups(t *testing.T) {
+	c := twoGroups()
+	later := start.Add(2 * untoldKept)
+	c.Sweep(later, func(id string) bool { return id == "t0" })
+	require.Empty(t, c.groups)
+	require.Len(t, c.targets, 1)
+}
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
@@ -160,7 +161,7 @@
 	if answer.Status == http.StatusMisdirectedRequest {
 		c.f.Gone(target.ID)
 	}
-	return c.take(answer, meta)
+	return c.take(answer, meta, target)
 }
 
 // why names the cause of a failure: the end of the context goes before what it did.
@@ -193,18 +194,18 @@
 }
 
 // take passes a target's answer on, or says what it proves.
-func (c *call) take(answer *upstream.Answer, meta platform.Answered) (result, admission.End, string) {
+func (c *call) take(answer *upstream.Answer, meta platform.Answered, from roster.Target) (result, admission.End, string) {
 	if meta.Closing {
 		answer.KeepOut()
 	}
 	if meta.NotRun {
 		if meta.Fault != "" {
-			c.f.Admission.GroupClosed(c.f.Now(), c.service)
+			c.f.Admission.GroupClosed(c.f.Now(), from)
 		}
 		c.drop(answer, meta)
 		return resultNotRun, admission.End{Avoid: avoidRefusing}, whyNotRun
 	}
-	c.f.Admission.Serves(c.f.Now(), c.service)
+	c.f.Admission.Serves(c.f.Now(), from)
 	success := answer.Status >= 200 && answer.Status < 300
 	if !meta.Stamped || success && (meta.Encoded || meta.ID != c.in.ID) {
 		answer.Finish(c.f.Now(), false, 0)
--- a/internal/traffic/forward/stream_test.go
+++ b/internal/traffic/forward/stream_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
@@ -144,5 +145,8 @@
 
 // tell tells of the two targets.
 func (b *bench) tell(first, second admission.Told) {
-	b.Admission.Told(time.Now(), "svc", true, 0, map[string]admission.Told{"i-0": first, "i-1": second})
+	b.Admission.Told(time.Now(), admission.Look{
+		Group: roster.Group{Service: "svc", Name: "g"}, Open: true,
+		Targets: map[string]admission.Told{"i-0": first, "i-1": second},
+	})
 }
--- a/internal/wire/digest/digest.go
+++ b/internal/wire/digest/digest.go
@@ -15,6 +15,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 )
 
 const (
@@ -42,14 +44,18 @@
 	Term    int64  `cbor:"1,keyasint"` // of the planner; a later one has a higher one
 	Look    uint64 `cbor:"2,keyasint"` // counts the planner's looks
 	Service string `cbor:"3,keyasint"`
-	Open    bool   `cbor:"4,keyasint"` // the group takes requests
-	Entries int    `cbor:"5,keyasint"` // that the planner hears from
-	Fresh   int    `cbor:"9,keyasint"` // of these, those whose rules are fresh
-	Limit   int    `cbor:"7,keyasint"` // requests that a rank should have at the same time
+	// Group of the service that the planner plans for.
+	Group   roster.GroupName `cbor:"10,keyasint"`
+	Open    bool             `cbor:"4,keyasint"` // the group takes requests
+	Entries int              `cbor:"5,keyasint"` // that the planner hears from
+	Fresh   int              `cbor:"9,keyasint"` // of these, those whose rules are fresh
+	Limit   int              `cbor:"7,keyasint"` // requests that a rank should have at the same time
 	// Age is how long before the sending the ranks were looked at. What an entry sent
 	// since is in none of the loads.
-	Age   time.Duration `cbor:"8,keyasint"`
-	Ranks []Rank        `cbor:"6,keyasint"` // a part of them, if they don't fit into one datagram
+	Age time.Duration `cbor:"8,keyasint"`
+	// Ranks of the group, or a part of them if they don't fit into one datagram. While the
+	// group is closed they say only which targets it has.
+	Ranks []Rank `cbor:"6,keyasint"`
 }
 
 // Hello makes an entry known.
--- a/internal/wire/rankport/rankport.go
+++ b/internal/wire/rankport/rankport.go
@@ -18,6 +18,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 )
 
 // ErrSuperseded reports that a sidecar follows a newer planner.
@@ -28,9 +29,10 @@
 
 // Asker names the planner that asks.
 type Asker struct {
-	Term int64  `cbor:"1,keyasint"` // a later planner has a higher one
-	Name string `cbor:"2,keyasint"`
-	Rank int    `cbor:"3,keyasint"` // of the group, beside which it runs
+	Term  int64            `cbor:"1,keyasint"` // a later planner of the group has a higher one
+	Name  string           `cbor:"2,keyasint"`
+	Rank  int              `cbor:"3,keyasint"` // of the group, beside which it runs
+	Group roster.GroupName `cbor:"4,keyasint"` // that it plans for
 }
 
 // Look asks for the state of a rank.
@@ -53,7 +55,9 @@
 
 // Seen is the state of a rank.
 type Seen struct {
-	Term   int64             `cbor:"1,keyasint"` // of the planner that the sidecar follows
+	// Term is that of the planner that the sidecar follows; 0 if the asker plans for
+	// another group than the rank's.
+	Term   int64             `cbor:"1,keyasint"`
 	Report changeover.Report `cbor:"2,keyasint"`
 	Mark   uint64            `cbor:"3,keyasint"`
 	Counts Counts            `cbor:"4,keyasint"` // none if the sidecar doesn't know the mark
