Let requests leave a slow rank, and use a slow group last

Change: the digest tells slow ranks and groups whose passes are longer than the pauses on time; streams that may be resumed leave a rank that is three times slower, as many as have a place elsewhere and an allowance left; it gets no new request; a slow group gets what others have no place for.

--- a/internal/program/companion/limit.go
+++ b/internal/program/companion/limit.go
@@ -1,9 +1,11 @@
 package companion
 
 import (
+	"math"
 	"slices"
 	"time"
 
+	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 )
 
@@ -72,6 +74,10 @@
 	waitPart = 0.35
 )
 
+// slow tells whether a group's passes take longer than the pauses that are on time, so
+// that all that it serves is late.
+func (l *limit) slow(aim time.Duration) bool { return aim > 0 && l.pass > aim }
+
 // ahead is how many passes ahead a group changes its map.
 func (l *limit) ahead(ranks int) int64 {
 	if orderTime+time.Duration(ranks)*orderPerRank < time.Duration(waitPart*float64(l.pass)) {
@@ -80,6 +86,25 @@
 	return 2
 }
 
+// freePlaces is how many more requests each rank should get, of a limit for each. A slow
+// rank gets fewer, and none from [leavePace] on while there are others: one prompt that is
+// read there holds the passes of all up for longer than the others take for all theirs.
+func freePlaces(reports []changeover.Report, limit int) []int {
+	least := math.Inf(1)
+	for _, r := range reports {
+		least = min(least, paceOf(r))
+	}
+	free := make([]int, len(reports))
+	for rank, r := range reports {
+		pace := paceOf(r)
+		if pace >= leavePace && least < leavePace {
+			continue
+		}
+		free[rank] = int(float64(limit)/pace) - r.Running - r.Waiting
+	}
+	return free
+}
+
 // evenPart of the free places is shared evenly among entries, the rest by demand. An
 // entry that had no requests must be able to take its first.
 const evenPart = 0.2
--- a/internal/program/companion/look.go
+++ b/internal/program/companion/look.go
@@ -150,7 +150,7 @@
 	v := p.seen()
 	d := digest.Digest{
 		Term: p.asker.Term, Look: p.looks, Service: p.c.settings.Target.Service, Group: p.group,
-		Open: v.serving, Entries: len(entries), Limit: p.limit.value,
+		Open: v.serving, Slow: p.limit.slow(p.gapAim), Entries: len(entries), Limit: p.limit.value,
 	}
 	for _, e := range entries {
 		if e.fresh {
@@ -167,15 +167,16 @@
 	free := make([]int, len(v.ranks))
 	var seats []int // the ranks that are told
 	d.Age = time.Since(v.began)
+	places := freePlaces(v.reports, p.limit.value)
 	for rank, s := range v.ranks {
 		if s.target == "" {
 			continue
 		}
 		load := v.reports[rank].Running + v.reports[rank].Waiting
-		d.Ranks = append(d.Ranks, digest.Rank{Target: s.target, Load: load, Lost: s.lost.Load()})
+		d.Ranks = append(d.Ranks, digest.Rank{Target: s.target, Load: load, Lost: s.lost.Load(), Slow: v.reports[rank].Pace >= leavePace})
 		seats = append(seats, rank)
 		if !slices.Contains(v.lost, rank) {
-			free[rank] = int(float64(p.limit.value)/paceOf(v.reports[rank])) - load
+			free[rank] = places[rank]
 		}
 	}
 	grants := share(free, entries, p.looks)
--- a/internal/program/companion/share_test.go
+++ b/internal/program/companion/share_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 )
 
@@ -111,3 +112,27 @@
 	require.Equal(t, 120*time.Millisecond, gapAim(c, "a"))
 	require.Zero(t, gapAim(c, "c"))
 }
+
+// One rank has turned slow. It gets no new request, as all others would wait for each
+// prompt that is read there; if all are slow there is no better one.
+func TestSlowRankGetsNothing(t *testing.T) {
+	reports := func(paces ...float64) []changeover.Report {
+		var list []changeover.Report
+		for _, p := range paces {
+			list = append(list, changeover.Report{Pace: p, Running: 2})
+		}
+		return list
+	}
+	require.Equal(t, []int{10, 0, 10}, freePlaces(reports(1, 12, 1.1), 12))
+	require.Equal(t, []int{10, 4, 10}, freePlaces(reports(1, 2, 1), 12), "a little slow")
+	require.Equal(t, []int{0, 1}, freePlaces(reports(6, 4), 12), "all are")
+}
+
+// A group whose passes take longer than the pauses on time says so.
+func TestSlowGroup(t *testing.T) {
+	const aim = 120 * time.Millisecond
+	require.True(t, (&limit{pass: aim + time.Millisecond}).slow(aim))
+	require.False(t, (&limit{pass: aim}).slow(aim))
+	require.False(t, (&limit{}).slow(aim), "not known yet")
+	require.False(t, (&limit{pass: time.Second}).slow(0), "no route aims at anything")
+}
--- a/internal/program/gateway/digest.go
+++ b/internal/program/gateway/digest.go
@@ -84,11 +84,11 @@
 	}
 	look := admission.Look{
 		Group: roster.Group{Service: d.Service, Name: d.Group},
-		Open:  d.Open, Age: d.Age, Limit: d.Limit,
+		Open:  d.Open, Slow: d.Slow, Age: d.Age, Limit: d.Limit,
 		Targets: make(map[string]admission.Told, len(d.Ranks)),
 	}
 	for _, r := range d.Ranks {
-		look.Targets[r.Target] = admission.Told{Load: r.Load, Grant: r.Grant, Lost: r.Lost}
+		look.Targets[r.Target] = admission.Told{Load: r.Load, Grant: r.Grant, Lost: r.Lost, Slow: r.Slow}
 	}
 	g.admit.Told(now, look)
 }
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -69,7 +69,8 @@
 	granted chan struct{}
 	target  roster.Target
 	held    bool
-	lost    func() // of the attempt
+	lost    func()      // of the attempt
+	leave   func() bool // of the attempt
 }
 
 // Seen is what was known of a target when it was chosen.
@@ -151,6 +152,15 @@
 	Avoid  time.Duration // the target said that it can't serve for that long
 }
 
+// OnSlow has a function called while the request's target is told to be slow and others
+// have a place for the request. It tells whether the request leaves the target, and is
+// not called again then.
+func (c *Controller) OnSlow(t *Ticket, leave func() bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t.leave = leave
+}
+
 // OnLost has a function called once it is told that the host of the request's target does
 // not answer, or at once if that is known.
 func (c *Controller) OnLost(now time.Time, t *Ticket, lost func()) {
@@ -308,16 +318,25 @@
 // they are told again, one more request than the fewest counts as few.
 func (c *Controller) choose(now time.Time, service string, list []roster.Target, rules Rules) (roster.Target, bool) {
 	told := now.Sub(c.queue(service).toldAt) < toldLasts
-	usable := make([]roster.Target, 0, len(list))
-	fewest := math.MaxInt
+	var usable, slow []roster.Target
 	for _, target := range list {
 		s := c.state(now, target)
 		g := c.group(s.group)
 		if !g.takes(now, c.inFlight, s.group) || !s.free(now, g, rules, told) {
 			continue
 		}
+		if g.isSlow(now) {
+			slow = append(slow, target)
+			continue
+		}
 		usable = append(usable, target)
-		fewest = min(fewest, s.load(now, rules))
+	}
+	if len(usable) == 0 {
+		usable = slow
+	}
+	fewest := math.MaxInt
+	for _, target := range usable {
+		fewest = min(fewest, c.state(now, target).load(now, rules))
 	}
 	best, seen := roster.Target{}, 0
 	for _, target := range usable {
--- a/internal/traffic/admission/group.go
+++ b/internal/traffic/admission/group.go
@@ -14,6 +14,7 @@
 	limit       int       // requests that a rank should have, as was told last; 0 until then
 	closedUntil time.Time // it takes no requests until then
 	doubtful    bool      // it was closed, and has served nothing since
+	slow        bool      // all that it serves is late, as was told last
 }
 
 // untoldKept is how long groups and targets are remembered that nobody tells of.
@@ -25,6 +26,10 @@
 
 func (g *group) toldLately(now time.Time) bool { return now.Sub(g.toldAt) < toldLasts }
 
+// isSlow tells whether all that the group serves is late. One that has a slow rank, or a
+// map that can't follow, is used only for what the others have no place for.
+func (g *group) isSlow(now time.Time) bool { return g.slow && g.toldLately(now) }
+
 // takes tells whether the group takes requests, as far as known. One that was closed gets
 // one request at a time until it has served something.
 func (g *group) takes(now time.Time, inFlight func(roster.Group) int, name roster.Group) bool {
@@ -47,12 +52,14 @@
 	Load  int  // requests of all entries
 	Grant int  // that this entry may send until it is told again
 	Lost  bool // its host does not answer
+	Slow  bool // its whole group waits for what runs there
 }
 
 // Look is what a group's planner tells of it.
 type Look struct {
 	Group   roster.Group
 	Open    bool
+	Slow    bool          // its passes take longer than the pauses that are on time
 	Age     time.Duration // since the planner looked
 	Limit   int           // requests that a rank should have; 0 if that is not told
 	Targets map[string]Told
@@ -63,7 +70,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	g := c.group(l.Group)
-	g.toldAt = now
+	g.toldAt, g.slow = now, l.Slow
 	c.queue(l.Group.Service).toldAt = now
 	if l.Limit > 0 {
 		g.limit = l.Limit
@@ -81,6 +88,45 @@
 		}
 	}
 	c.advance(now, l.Group.Service)
+	c.relieve(now, l)
+}
+
+// relieve has requests leave the slow ranks of a group, as many as have a place elsewhere
+// now: one that leaves and finds none would wait for longer than the slow rank takes.
+func (c *Controller) relieve(now time.Time, l Look) {
+	places := -1
+	for id, told := range l.Targets {
+		s := c.targets[id]
+		if !told.Slow || s == nil || s.inFlight == 0 {
+			continue
+		}
+		if places < 0 {
+			places = c.places(now, l.Group.Service)
+		}
+		for t := range s.held {
+			if places == 0 {
+				return
+			}
+			if t.leave != nil && t.leave() {
+				t.leave = nil
+				places--
+			}
+		}
+	}
+}
+
+// places is how many requests this entry may send now to targets of a service that are
+// told of and not slow.
+func (c *Controller) places(now time.Time, service string) int {
+	n := 0
+	for _, target := range c.Targets(service) {
+		s := c.state(now, target)
+		g := c.group(s.group)
+		if s.toldLately(now) && !s.slow && !g.isSlow(now) && !now.Before(s.avoid) && g.takes(now, c.inFlight, s.group) {
+			n += max(s.grant, 0)
+		}
+	}
+	return n
 }
 
 // Sweep forgets groups that nobody tells of any more, and targets that planners told of
--- a/internal/traffic/admission/group_test.go
+++ b/internal/traffic/admission/group_test.go
@@ -128,3 +128,39 @@
 	require.Empty(t, c.groups)
 	require.Len(t, c.targets, 1)
 }
+
+// A rank of one group has turned slow, and all that its group serves is late. Callers go
+// to the other group while that has places, and are late only beyond that.
+func TestSlowGroupIsUsedLast(t *testing.T) {
+	c := twoGroups()
+	c.Told(start, Look{Group: groupOne, Open: true, Slow: true, Targets: map[string]Told{"t0": {Grant: 4}}})
+	c.Told(start, Look{Group: groupTwo, Open: true, Targets: map[string]Told{"t1": {Load: 7, Grant: 2}}})
+	for _, want := range []string{"t1", "t1", "t0"} {
+		k := ticket()
+		require.Equal(t, Go, c.Arrive(start, k))
+		require.Equal(t, want, k.Target().ID)
+	}
+}
+
+// The whole group waits for what runs at a slow rank: its requests leave it, as many as
+// have a place elsewhere now. One that left without a place would wait at the entry for
+// longer than the slow rank takes, and a stream that has begun could not be sent on.
+func TestRequestsLeaveASlowRank(t *testing.T) {
+	c := twoGroups()
+	left := 0
+	for range 4 {
+		k := ticket()
+		k.Tried = []string{"t1"}
+		require.Equal(t, Go, c.Arrive(start, k))
+		c.OnSlow(k, func() bool { left++; return true })
+	}
+	slow := map[string]Told{"t0": {Load: 4, Slow: true}}
+	c.Told(start, Look{Group: groupTwo, Open: true, Targets: map[string]Told{"t1": {}}})
+	c.Told(start, Look{Group: groupOne, Open: true, Targets: slow})
+	require.Zero(t, left, "no place elsewhere")
+	c.Told(start, Look{Group: groupTwo, Open: true, Targets: map[string]Told{"t1": {Grant: 3}}})
+	c.Told(start, Look{Group: groupOne, Open: true, Targets: slow})
+	require.Equal(t, 3, left)
+	c.Told(start, Look{Group: groupOne, Open: true, Targets: slow})
+	require.Equal(t, 4, left, "each is asked to leave once")
+}
--- a/internal/traffic/admission/target.go
+++ b/internal/traffic/admission/target.go
@@ -20,6 +20,7 @@
 	since    int         // requests sent since, less those that ended
 	sent     []time.Time // of the last requests, back to what a telling may not show
 	lost     bool        // its host does not answer, as was told last
+	slow     bool        // its group waits for it, as was told last
 	held     map[*Ticket]bool
 	avoid    time.Time
 	failures int
@@ -53,7 +54,7 @@
 	if t.Lost && !s.lost {
 		s.abort()
 	}
-	s.lost = t.Lost
+	s.lost, s.slow = t.Lost, t.Slow
 }
 
 // load is how many requests a target has, of all entries: as was told and changed
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -64,7 +64,7 @@
 		c.expire(res, why)
 	case c.sent >= c.route.MaxAttempts:
 		c.exhausted(res, why)
-	case !c.f.Budget.Repeat(now, c.service):
+	case !c.left.Swap(false) && !c.f.Budget.Repeat(now, c.service):
 		c.exhausted(res, "budget")
 	default:
 		return true
@@ -138,6 +138,7 @@
 	if c.route.Idempotent() {
 		// What may run once only has to wait for its target, as it may have run there.
 		c.f.Admission.OnLost(c.f.Now(), t, cancel)
+		c.f.Admission.OnSlow(t, func() bool { return c.leaves(cancel) })
 	}
 	conn, err := c.f.Pool.Get(ctx, c.f.Now(), target.Address, idle)
 	if err != nil {
@@ -164,6 +165,17 @@
 	return c.take(answer, meta, target)
 }
 
+// leaves ends the attempt at a slow target if the request may be sent to another one. The
+// repeat is counted now: a stream that was cut and may not be sent again would be broken.
+func (c *call) leaves(cancel func()) bool {
+	if c.sent+1 >= c.route.MaxAttempts || !c.f.Budget.Repeat(c.f.Now(), c.service) {
+		return false
+	}
+	c.left.Store(true)
+	cancel()
+	return true
+}
+
 // why names the cause of a failure: the end of the context goes before what it did.
 func (c *call) why(otherwise string) string {
 	switch {
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -111,6 +111,7 @@
 	tried    []string // targets that were chosen
 	sent     int      // times that the request was written to a target
 	stream   streamState
+	left     atomic.Bool // the request leaves a slow target, and the repeat is counted
 }
 
 // ServeHTTP serves one request.
--- a/internal/traffic/forward/stream_test.go
+++ b/internal/traffic/forward/stream_test.go
@@ -115,20 +115,67 @@
 	first, second := standin.NewServer(t, stalling), standin.NewServer(t, events)
 	b := newBench(t, first, second)
 	b.tell(admission.Told{Grant: 4}, admission.Told{})
-	r := standin.Call(http.MethodPost, b.url+"/stream/x", "id-1", "", 1500, nil).WithContext(t.Context())
-	r.Host = host
-	w, err := http.DefaultClient.Do(r)
-	require.NoError(t, err)
+	w := b.begin()
 	defer w.Body.Close()
-	begun := make([]byte, len(firstTwo))
-	_, err = io.ReadFull(w.Body, begun)
-	require.NoError(t, err)
 	b.tell(admission.Told{Lost: true}, admission.Told{Grant: 4})
 	rest, err := io.ReadAll(w.Body)
-	requireServed(t, answer{status: w.StatusCode, header: w.Header, body: string(begun) + string(rest), err: err}, allFour)
+	requireServed(t, answer{status: w.StatusCode, header: w.Header, body: firstTwo + string(rest), err: err}, allFour)
 	require.Equal(t, "2", second.Seen()[0].LastEvent, "it goes on, and does not begin anew")
 }
 
+// A rank has turned slow, and the whole group waits for it in each pass. Its streams go on
+// elsewhere after the last event that their callers got, and the group is quick again.
+func TestStreamLeavesASlowTarget(t *testing.T) {
+	first, second := standin.NewServer(t, stalling), standin.NewServer(t, events)
+	b := newBench(t, first, second)
+	b.tell(admission.Told{Grant: 4}, admission.Told{})
+	w := b.begin()
+	defer w.Body.Close()
+	b.tell(admission.Told{Slow: true}, admission.Told{Grant: 4})
+	rest, err := io.ReadAll(w.Body)
+	requireServed(t, answer{status: w.StatusCode, header: w.Header, body: firstTwo + string(rest), err: err}, allFour)
+	require.Equal(t, "2", second.Seen()[0].LastEvent, "it goes on, and does not begin anew")
+}
+
+// The allowance of repeats is used up. A stream that left its slow target could not be
+// sent on, and its caller would see it break off; it stays, and ends late.
+func TestStreamStaysWithoutAnAllowance(t *testing.T) {
+	ending := make(chan struct{})
+	first := standin.NewServer(t, func(w standin.Reply, _ standin.Request) {
+		w.Head()
+		w.Event(1)
+		w.Event(2)
+		<-ending
+		w.Event(3)
+		w.Event(4)
+	})
+	second := standin.NewServer(t, events)
+	b := newBench(t, first, second)
+	b.Budget.Limits = func() Limits { return Limits{Window: 10 * time.Second} }
+	b.tell(admission.Told{Grant: 4}, admission.Told{})
+	w := b.begin()
+	defer w.Body.Close()
+	b.tell(admission.Told{Slow: true}, admission.Told{Grant: 4})
+	close(ending)
+	rest, err := io.ReadAll(w.Body)
+	requireServed(t, answer{status: w.StatusCode, header: w.Header, body: firstTwo + string(rest), err: err}, allFour)
+	require.Empty(t, second.Seen())
+}
+
+// begin calls for a stream and returns once the caller has two events.
+func (b *bench) begin() *http.Response {
+	b.t.Helper()
+	r := standin.Call(http.MethodPost, b.url+"/stream/x", "id-1", "", 1500, nil).WithContext(b.t.Context())
+	r.Host = host
+	w, err := http.DefaultClient.Do(r)
+	require.NoError(b.t, err)
+	begun := make([]byte, len(firstTwo))
+	_, err = io.ReadFull(w.Body, begun)
+	require.NoError(b.t, err)
+	require.Equal(b.t, firstTwo, string(begun))
+	return w
+}
+
 // A request that may run once only waits for its target: it may have run there.
 func TestUnsafeStaysAtALostHost(t *testing.T) {
 	first := standin.NewServer(t, func(w standin.Reply, _ standin.Request) {
--- a/internal/wire/digest/digest.go
+++ b/internal/wire/digest/digest.go
@@ -37,6 +37,8 @@
 	Grant  int    `cbor:"3,keyasint"` // requests that the entry may send there until it is told again
 	// Lost tells that the target's host does not answer, though its group goes on.
 	Lost bool `cbor:"4,keyasint,omitempty"`
+	// Slow tells that the whole group waits for what runs there.
+	Slow bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Digest is what the planner saw in one look.
@@ -50,6 +52,8 @@
 	Entries int              `cbor:"5,keyasint"` // that the planner hears from
 	Fresh   int              `cbor:"9,keyasint"` // of these, those whose rules are fresh
 	Limit   int              `cbor:"7,keyasint"` // requests that a rank should have at the same time
+	// Slow tells that the group's passes take longer than the pauses that are on time.
+	Slow bool `cbor:"11,keyasint,omitempty"`
 	// Age is how long before the sending the ranks were looked at. What an entry sent
 	// since is in none of the loads.
 	Age time.Duration `cbor:"8,keyasint"`
