After a loss, let in what the map carries, and serve the late by time left

Those refused together came back together, met the next wave, and were refused for good. Change: the limit foresees the pass that the map in force makes of the engine's own figures, with a skew of 3 while map or demand are not known; a group that was closed gets a third of the usual limit until a planner tells of it; those who can't be on time any more go by the time that they have left; who is refused by the queue comes back spread over 0.4 to 1 of the longest wait.

--- a/internal/program/companion/limit.go
+++ b/internal/program/companion/limit.go
@@ -74,6 +74,25 @@
 	waitPart = 0.35
 )
 
+// leastRequests are let in whatever passes take: without any, a rank's counts and the
+// length of passes would not be seen.
+const leastRequests = 2
+
+// mostOnTime is how many requests a rank may have so that passes keep the pauses between
+// events on time, while the most loaded rank has skew times the mean of the experts' work.
+// It foresees what the passes that were measured show only later: after a group has formed
+// its skew is 3 and more for a second, and as many requests as in ordinary times are all
+// late, and make those late that come after them.
+func mostOnTime(e *routing.Engine, aim time.Duration, skew float64) int {
+	if aim <= 0 || e.PassSteps <= 0 || e.StepPerRequest <= 0 {
+		return e.Slots
+	}
+	share := min(max(e.ExpertShare, 0), 1)
+	uneven := 1 - share + share*skew
+	step := time.Duration(slowPass * float64(aim) / uneven / float64(e.PassSteps))
+	return min(max(int((step-e.StepTime)/e.StepPerRequest), leastRequests), e.Slots)
+}
+
 // slow tells whether a group's passes take longer than the pauses that are on time, so
 // that all that it serves is late.
 func (l *limit) slow(aim time.Duration) bool { return aim > 0 && l.pass > aim }
--- a/internal/program/companion/look.go
+++ b/internal/program/companion/look.go
@@ -9,6 +9,8 @@
 	"github.com/ansel1/merry/v2"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+	"wagtailshelf.example/wagtailshelf/internal/expert/plan"
 	"wagtailshelf.example/wagtailshelf/internal/expert/seating"
 	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
@@ -167,7 +169,7 @@
 	free := make([]int, len(v.ranks))
 	var seats []int // the ranks that are told
 	d.Age = time.Since(v.began)
-	places := freePlaces(v.reports, p.limit.value)
+	places := freePlaces(v.reports, min(p.limit.value, mostOnTime(v.engine, p.gapAim, v.skew)))
 	for rank, s := range v.ranks {
 		if s.target == "" {
 			continue
@@ -352,11 +354,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	v.demand = p.demand(now, v, seen)
+	v.skew = skewOf(p.inForce, v)
 	p.view = v
 	signal(p.looked)
 	return nil
 }
 
+// assumedSkew is taken while the map or the demand is not known. A group that has just
+// formed has experts in turn, and 3.1 to 3.4 was seen.
+const assumedSkew = 3
+
+// skewOf is the skew of a group's experts' work by the map in force, which may be nil.
+func skewOf(m *expertmap.Map, v view) float64 {
+	if m == nil || m.Shape().Ranks != len(v.ranks) || slices.Max(v.demand) == 0 {
+		return assumedSkew
+	}
+	return plan.Skew(m, v.demand, paces(v.reports))
+}
+
 // demand adds what was counted to what is left of the demand before. The caller holds
 // the lock.
 func (p *planner) demand(now time.Time, v view, seen []rankport.Seen) []float64 {
--- a/internal/program/companion/move.go
+++ b/internal/program/companion/move.go
@@ -52,7 +52,8 @@
 func (p *planner) moveRound(ctx context.Context, v view) error {
 	if v.epoch != p.epoch {
 		p.c.log.Info().Str("event", "epoch").Str("group", string(p.group)).Int64("epoch", v.epoch).Int64("before", p.epoch).Msg("")
-		p.epoch, p.current, p.after, p.highest = v.epoch, nil, 0, 0
+		p.epoch, p.after, p.highest = v.epoch, 0, 0
+		p.know(nil, 0)
 	}
 	if len(v.lost) > 0 {
 		return p.moveWithout(ctx, v)
@@ -113,11 +114,19 @@
 func (p *planner) readMap(ctx context.Context, v view) error {
 	m, version, err := p.readLists(ctx, v)
 	if err == nil {
-		p.current, p.version = m, version
+		p.know(m, version)
 	}
 	return err
 }
 
+// know takes the map that is in force; nil while that is not known.
+func (p *planner) know(m *expertmap.Map, version int64) {
+	p.current, p.version = m, version
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inForce = m
+}
+
 // readLists reads which experts the ranks hold, but for those that are lost.
 func (p *planner) readLists(ctx context.Context, v view) (*expertmap.Map, int64, error) {
 	shape := expertmap.Shape{Layers: v.engine.Layers, Experts: v.engine.Experts, Ranks: len(v.ranks), Slots: v.engine.Places}
@@ -294,9 +303,9 @@
 		Dur("took", time.Since(begin)).Err(err).Msg("")
 	p.changed = time.Now()
 	signal(p.ended)
-	p.current = nil
+	p.know(nil, 0)
 	if err == nil {
-		p.current, p.version = next, p.highest
+		p.know(next, p.highest)
 		p.pending = changeover.Arming{Version: p.highest, Step: step}
 	}
 	return nil
--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -77,8 +77,9 @@
 	looked    chan struct{}  // a look has ended
 	ended     chan struct{}  // a change of map has
 
-	mu   sync.Mutex
-	view view
+	mu      sync.Mutex
+	view    view
+	inForce *expertmap.Map // the map that ranks have, as far as known; nil while it is not
 
 	current  *expertmap.Map    // in force; nil while it is not known
 	version  int64             // of current
@@ -97,6 +98,7 @@
 	reports []changeover.Report
 	epoch   int64
 	demand  []float64
+	skew    float64 // of the experts' work by the map in force
 	counted time.Time
 	began   time.Time // when the look began
 	engine  *routing.Engine
--- a/internal/program/companion/share_test.go
+++ b/internal/program/companion/share_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 )
 
@@ -136,3 +137,28 @@
 	require.False(t, (&limit{}).slow(aim), "not known yet")
 	require.False(t, (&limit{pass: time.Second}).slow(0), "no route aims at anything")
 }
+
+// Power comes back everywhere, and more callers wait than a group carries. Its experts are
+// where they were placed in turn: with the usual number of requests each pass would take
+// 200 ms, and all of them, and those that come after, would be late.
+func TestLimitForeseesThePass(t *testing.T) {
+	e := &routing.Engine{Slots: 12, PassSteps: 4, StepTime: 4550 * time.Microsecond, StepPerRequest: 905 * time.Microsecond, ExpertShare: 0.85}
+	const aim = 120 * time.Millisecond
+	require.Equal(t, 4, mostOnTime(e, aim, 3.2))
+	require.Equal(t, 9, mostOnTime(e, aim, 2))
+	require.Equal(t, 12, mostOnTime(e, aim, 1.3))
+	require.Equal(t, leastRequests, mostOnTime(e, aim, 12), "some at least")
+	require.Equal(t, 12, mostOnTime(e, 0, 12), "no route aims at anything")
+	require.Equal(t, 12, mostOnTime(&routing.Engine{Slots: 12}, aim, 12), "the engine does not say what a pass takes")
+}
+
+// As a group has formed, neither its map nor the demand is known. It is not even.
+func TestSkewOfANewGroup(t *testing.T) {
+	m, err := expertmap.Even(expertmap.Shape{Layers: 1, Experts: 4, Ranks: 2, Slots: 3})
+	require.NoError(t, err)
+	v := view{ranks: make([]*seat, 2), reports: make([]changeover.Report, 2), demand: make([]float64, 4)}
+	require.InDelta(t, assumedSkew, skewOf(nil, v), 0)
+	require.InDelta(t, assumedSkew, skewOf(m, v), 0, "nothing was counted yet")
+	v.demand = []float64{1, 1, 1, 1}
+	require.InDelta(t, 1, skewOf(m, v), 0)
+}
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -61,6 +61,8 @@
 	// queue in order of arrival makes all of them late.
 	Fresh time.Duration
 	Tried []string
+	// Deadline is when the caller stops waiting for the whole answer.
+	Deadline time.Time
 
 	// Seen is what the choice of the target went by, once granted.
 	Seen Seen
@@ -254,25 +256,36 @@
 	c.advance(now, t.Service)
 }
 
-// advance gives free places to those who wait.
+// advance gives free places to those who wait: first to those who can still be on time, in
+// the order of the queue, then to the others by the time that they have left. Of these
+// the ones that were refused before have least, and would not come back once more.
 func (c *Controller) advance(now time.Time, service string) {
 	q := c.queue(service)
+	if len(q.waiting) == 0 {
+		return
+	}
+	var fresh, late []*Ticket
+	for _, t := range q.waiting {
+		if t.late(now) {
+			late = append(late, t)
+		} else {
+			fresh = append(fresh, t)
+		}
+	}
+	slices.SortStableFunc(late, func(a, b *Ticket) int {
+		if a.Priority != b.Priority {
+			return a.Priority - b.Priority
+		}
+		return a.Deadline.Compare(b.Deadline)
+	})
 	rules := c.RulesFor(service)
-	for _, late := range []bool{false, true} {
-		for i := 0; i < len(q.waiting); {
-			t := q.waiting[i]
-			if t.late(now) != late {
-				i++
-				continue
-			}
-			target, found := c.choose(now, service, c.candidates(t), rules)
-			if !found {
-				i++
-				continue
-			}
-			q.waiting = slices.Delete(q.waiting, i, i+1)
-			c.grant(now, t, target)
+	for _, t := range append(fresh, late...) {
+		target, found := c.choose(now, service, c.candidates(t), rules)
+		if !found {
+			continue
 		}
+		q.waiting = slices.DeleteFunc(q.waiting, func(o *Ticket) bool { return o == t })
+		c.grant(now, t, target)
 	}
 }
 
--- a/internal/traffic/admission/group.go
+++ b/internal/traffic/admission/group.go
@@ -15,6 +15,7 @@
 	closedUntil time.Time // it takes no requests until then
 	doubtful    bool      // it was closed, and has served nothing since
 	slow        bool      // all that it serves is late, as was told last
+	opened      time.Time // when it was found open after it was closed
 }
 
 // untoldKept is how long groups and targets are remembered that nobody tells of.
@@ -43,10 +44,35 @@
 	g.closedUntil, g.doubtful = until, true
 }
 
-func (g *group) open() {
+func (g *group) open(now time.Time) {
+	if g.doubtful {
+		g.opened = now
+	}
 	g.closedUntil, g.doubtful = time.Time{}, false
 }
 
+const (
+	// openedShare is the part of a rank's usual limit that is used of a group that has
+	// opened and that no planner tells of yet: its experts are where they were placed in
+	// turn, and passes take three times as long as they will. When the usual number went
+	// in, all callers that had waited were late, and the places taken for three seconds.
+	openedShare = 0.35
+	// openedLasts is how long; a planner tells of the group within half a second.
+	openedLasts = time.Second
+)
+
+// most is how many requests a rank of the group should have.
+func (g *group) most(now time.Time, rules Rules) int {
+	limit := rules.PerTarget
+	if g.limit > 0 {
+		limit = g.limit
+	}
+	if now.Sub(g.opened) < openedLasts {
+		limit = max(int(openedShare*float64(limit)), 1)
+	}
+	return limit
+}
+
 // Told is how full a target is, from one that looks at all of its group.
 type Told struct {
 	Load  int  // requests of all entries
@@ -76,7 +102,7 @@
 		g.limit = l.Limit
 	}
 	if l.Open {
-		g.open()
+		g.open(now)
 	} else {
 		g.close(now.Add(toldLasts))
 	}
@@ -163,7 +189,7 @@
 	if !g.doubtful {
 		return
 	}
-	g.open()
+	g.open(now)
 	c.advance(now, t.Service)
 }
 
--- a/internal/traffic/admission/group_test.go
+++ b/internal/traffic/admission/group_test.go
@@ -164,3 +164,51 @@
 	c.Told(start, Look{Group: groupOne, Open: true, Targets: slow})
 	require.Equal(t, 4, left, "each is asked to leave once")
 }
+
+// A group opens after a loss, and a hundred callers wait. Nobody tells of it yet, and its
+// passes take three times as long as they will: if all went in at once all would be late,
+// and hold the places for three seconds.
+func TestFewGoIntoAGroupThatHasOpened(t *testing.T) {
+	c := newController(1, Rules{PerTarget: 9, Queue: 99, Entries: 1})
+	c.GroupClosed(start, roster.Target{ID: "t0", Service: "svc"})
+	waiting := make([]*Ticket, 20)
+	for i := range waiting {
+		waiting[i] = ticket()
+		c.Arrive(start, waiting[i])
+	}
+	granted := func() (n int) {
+		for _, k := range waiting {
+			select {
+			case <-k.Granted():
+				n++
+			default:
+			}
+		}
+		return n
+	}
+	opens := start.Add(closedPause)
+	c.Tick(opens)
+	require.Equal(t, 1, granted(), "one finds out whether it has opened")
+	c.Serves(opens, roster.Target{ID: "t0", Service: "svc"})
+	require.Equal(t, 3, granted())
+	c.Tick(opens.Add(openedLasts))
+	require.Equal(t, 9, granted(), "nobody has told anything")
+}
+
+// More callers wait than can be on time. Of the late ones those go first that have least
+// time left: they were refused before, and are not served at all if they are once more.
+func TestLateOnesByTheTimeTheyHaveLeft(t *testing.T) {
+	c := newController(1, Rules{PerTarget: 1, Queue: 9, Entries: 1})
+	running, first, returned, fresh := ticket(), ticket(), ticket(), ticket()
+	c.Arrive(start, running)
+	first.Deadline, returned.Deadline = start.Add(8*time.Second), start.Add(4*time.Second)
+	c.Arrive(start, first)
+	c.Arrive(start.Add(100*time.Millisecond), returned)
+	later := start.Add(1500 * time.Millisecond)
+	c.Arrive(later, fresh)
+	c.Done(later, running, End{})
+	requireGranted(t, fresh, true)
+	c.Done(later, fresh, End{})
+	requireGranted(t, returned, true)
+	requireGranted(t, first, false)
+}
--- a/internal/traffic/admission/target.go
+++ b/internal/traffic/admission/target.go
@@ -90,11 +90,7 @@
 	case told && s.toldAt.IsZero() && now.Sub(s.known) < joinTime:
 		return false
 	}
-	limit := rules.PerTarget
-	if g.limit > 0 {
-		limit = g.limit
-	}
-	return s.load(now, rules) < limit
+	return s.load(now, rules) < g.most(now, rules)
 }
 
 // state returns what is known of a target.
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -242,7 +242,7 @@
 
 // ticket describes the request to admission.
 func (c *call) ticket() *admission.Ticket {
-	t := &admission.Ticket{Service: c.service, Priority: c.route.Priority, Work: 1, Tried: c.tried}
+	t := &admission.Ticket{Service: c.service, Priority: c.route.Priority, Work: 1, Tried: c.tried, Deadline: c.deadline}
 	t.Fresh = time.Duration(freshShare*float64(c.route.Aim)) - c.f.Now().Sub(c.begin)
 	if c.space != nil && c.space.Ranked {
 		t.Priority = c.space.Priority
@@ -280,9 +280,9 @@
 	case admission.Wait:
 		return t, c.await(t, now)
 	case admission.Full:
-		c.giveUp(http.StatusServiceUnavailable, "queueFull")
+		c.giveUp(http.StatusServiceUnavailable, "queueFull", c.comeBackSpread())
 	case admission.NoTarget:
-		c.giveUp(http.StatusServiceUnavailable, "noTarget")
+		c.giveUp(http.StatusServiceUnavailable, "noTarget", c.comeBack())
 	}
 	return nil, false
 }
@@ -312,7 +312,7 @@
 	if c.callerLeft() {
 		return false
 	}
-	c.giveUp(http.StatusServiceUnavailable, "queueTooLong")
+	c.giveUp(http.StatusServiceUnavailable, "queueTooLong", c.comeBackSpread())
 	return false
 }
 
@@ -350,14 +350,14 @@
 
 // giveUp ends a request that has no target now. Only one that never ran is refused: an
 // earlier try may have run, and "not run" must be true of all of them.
-func (c *call) giveUp(status int, reason string) {
+func (c *call) giveUp(status int, reason string, back time.Duration) {
 	switch {
 	case c.stream.held != nil:
 		c.deliverHeld()
 	case c.stream.begun || c.ranOnce():
 		c.fail(reason)
 	default:
-		c.refuse(status, reason, c.comeBack())
+		c.refuse(status, reason, back)
 	}
 }
 
@@ -367,6 +367,16 @@
 	return max(time.Duration(float64(left)*refuseShare), 10*time.Millisecond)
 }
 
+// comeBackSpread is the same for callers that are refused since too many came at once:
+// those that are refused together would come back together.
+func (c *call) comeBackSpread() time.Duration {
+	share := leastReturn + (1-leastReturn)*rand.Float64()
+	return time.Duration(share * float64(c.comeBack()))
+}
+
+// leastReturn is the part of the longest wait that a refused caller waits at the least.
+const leastReturn = 0.4
+
 // comeBackWithin is the same where the reason is likely to last for a known time.
 func (c *call) comeBackWithin(d time.Duration) time.Duration { return min(d, c.comeBack()) }
 
--- a/internal/traffic/routing/routing.go
+++ b/internal/traffic/routing/routing.go
@@ -89,6 +89,13 @@
 	Places   int           // experts that a rank can hold of a layer
 	Spare    int           // experts of a layer that a rank can copy for one change
 	CopyTime time.Duration // that a rank takes to copy one expert; 0 if it is not told
+	// What a pass takes; zero if it is not told. A pass has PassSteps steps, each of
+	// StepTime and StepPerRequest for each request that runs at a rank. ExpertShare of
+	// that is the experts' part, in which all wait for the most loaded rank.
+	PassSteps      int
+	StepTime       time.Duration
+	StepPerRequest time.Duration
+	ExpertShare    float64
 }
 
 // Service is a set of targets that serve the same requests.
