Look after each change only in groups of up to 32, and foresee less strictly

Change: the look after a change is for groups of up to 32 ranks; the limit foresees passes of the whole pause on time, not of 0.8 of it.

--- a/internal/program/companion/limit.go
+++ b/internal/program/companion/limit.go
@@ -82,14 +82,16 @@
 // events on time, while the most loaded rank has skew times the mean of the experts' work.
 // It foresees what the passes that were measured show only later: after a group has formed
 // its skew is 3 and more for a second, and as many requests as in ordinary times are all
-// late, and make those late that come after them.
+// late, and make those late that come after them. The figures are the engine's own and
+// leave reading out, so the bound is the whole pause: what ordinary passes allow is for the
+// limit that is measured.
 func mostOnTime(e *routing.Engine, aim time.Duration, skew float64) int {
 	if aim <= 0 || e.PassSteps <= 0 || e.StepPerRequest <= 0 {
 		return e.Slots
 	}
 	share := min(max(e.ExpertShare, 0), 1)
 	uneven := 1 - share + share*skew
-	step := time.Duration(slowPass * float64(aim) / uneven / float64(e.PassSteps))
+	step := time.Duration(float64(aim) / uneven / float64(e.PassSteps))
 	return min(max(int((step-e.StepTime)/e.StepPerRequest), leastRequests), e.Slots)
 }
 
--- a/internal/program/companion/move.go
+++ b/internal/program/companion/move.go
@@ -199,7 +199,8 @@
 	return nil
 }
 
-// askedRanks of a group are asked before each change: 20 ms of the planner's share.
+// askedRanks of a group are asked before each change, and right after it: 20 ms of the
+// planner's share.
 const askedRanks = 32
 
 // access is the group as the changeover sees it.
@@ -302,7 +303,9 @@
 		Dur("planTook", begin.Sub(planned)).Dur("prepareTook", p.prepared.Sub(begin)).
 		Dur("took", time.Since(begin)).Err(err).Msg("")
 	p.changed = time.Now()
-	signal(p.ended)
+	if len(v.ranks) <= askedRanks {
+		signal(p.ended)
+	}
 	p.know(nil, 0)
 	if err == nil {
 		p.know(next, p.highest)
