Move experts while callers notice, and look less in groups of 32

Change: how uneven a layer may be goes from 1.25 where passes take 0.6 of the longest pause on time to 1.5 where they take 0.4; the look after a change is for groups of up to 16.

--- a/internal/expert/plan/follow.go
+++ b/internal/expert/plan/follow.go
@@ -34,7 +34,7 @@
 	slices.SortStableFunc(layers, func(a, b *follower) int { return cmp.Compare(b.hottestLoad(), a.hottestLoad()) })
 	copies := make([]int, s.Ranks)
 	for _, f := range layers {
-		f.copies, f.perRank = copies, l.PerRank
+		f.copies, f.perRank, f.even = copies, l.PerRank, l.Even
 		f.improve()
 		for rank, n := range f.fresh {
 			copies[rank] += n
@@ -52,6 +52,9 @@
 	PerLayer int     // experts of a layer that a rank may copy
 	PerRank  int     // experts that a rank may copy at all; the one with most decides how long it takes
 	Gain     float64 // part of the layers' times that a change must win, together
+	// Even is the hottest rank's load, relative to the mean, below which a layer is left
+	// alone: further copies cost more than the little that they win.
+	Even float64
 }
 
 // Skew is the mean over the layers of the hottest rank's work over that of the mean
@@ -87,6 +90,7 @@
 	spare    int
 	copies   []int // that ranks make for other layers
 	perRank  int
+	even     float64
 	ranks    []int // those that a weighed change touches
 }
 
@@ -151,15 +155,11 @@
 	cost  float64
 }
 
-// evenEnough is the hottest rank's load, relative to the mean, below which a layer is
-// left alone: further copies cost more than the little that they win.
-const evenEnough = 1.25
-
 // improve does the best change until none helps. Each lowers the sum of powers of
 // the loads, so it ends.
 func (f *follower) improve() {
 	for range f.shape.Ranks * f.shape.Slots {
-		if f.hottestLoad()*float64(f.shape.Ranks) < evenEnough {
+		if f.hottestLoad()*float64(f.shape.Ranks) < f.even {
 			return
 		}
 		best := f.bestStep()
--- a/internal/program/companion/look.go
+++ b/internal/program/companion/look.go
@@ -351,6 +351,7 @@
 	v.serving = p.pulse.beats(now, v.reports) || len(v.lost) == 0
 	p.limit.see(now, first.Step, p.engine.Slots, p.gapAim)
 	v.ahead = p.limit.ahead(len(v.ranks))
+	v.pass, v.gapAim = p.limit.pass, p.gapAim
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	v.demand = p.demand(now, v, seen)
--- a/internal/program/companion/move.go
+++ b/internal/program/companion/move.go
@@ -199,9 +199,13 @@
 	return nil
 }
 
-// askedRanks of a group are asked before each change, and right after it: 20 ms of the
-// planner's share.
-const askedRanks = 32
+const (
+	// askedRanks of a group are asked before each change: 20 ms of the planner's share.
+	askedRanks = 32
+	// followedRanks of a group are looked at right after each change, so that the next
+	// one follows. In a larger one callers wait for the planner instead.
+	followedRanks = 16
+)
 
 // access is the group as the changeover sees it.
 func (p *planner) access(v view) *changeover.Group {
@@ -285,7 +289,7 @@
 func (p *planner) move(ctx context.Context, v view) error {
 	planned := time.Now()
 	skew := plan.Skew(p.current, v.demand, paces(v.reports))
-	next := plan.Follow(p.current, v.demand, paces(v.reports), plan.FollowLimits{PerLayer: v.engine.Spare, PerRank: copiesIn(copyTime, v.engine), Gain: leastGain})
+	next := plan.Follow(p.current, v.demand, paces(v.reports), plan.FollowLimits{PerLayer: v.engine.Spare, PerRank: copiesIn(copyTime, v.engine), Gain: leastGain, Even: evenEnough(v.pass, v.gapAim)})
 	if next == nil {
 		return nil
 	}
@@ -303,7 +307,7 @@
 		Dur("planTook", begin.Sub(planned)).Dur("prepareTook", p.prepared.Sub(begin)).
 		Dur("took", time.Since(begin)).Err(err).Msg("")
 	p.changed = time.Now()
-	if len(v.ranks) <= askedRanks {
+	if len(v.ranks) <= followedRanks {
 		signal(p.ended)
 	}
 	p.know(nil, 0)
--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -98,7 +98,9 @@
 	reports []changeover.Report
 	epoch   int64
 	demand  []float64
-	skew    float64 // of the experts' work by the map in force
+	skew    float64       // of the experts' work by the map in force
+	pass    time.Duration // that a pass took lately; 0 until known
+	gapAim  time.Duration // longest pause between events that is on time
 	counted time.Time
 	began   time.Time // when the look began
 	engine  *routing.Engine
