--- a/internal/program/companion/even.go
+++ b/internal/expert/places/even.go
@@ -1,4 +1,4 @@
-package companion
+package places
 
 import "time"
 
@@ -16,10 +16,10 @@
 	loosePass = 0.4
 )
 
-// evenEnough is how uneven a layer of experts may be before experts are moved, by how long
+// EvenEnough is how uneven a layer of experts may be before experts are moved, by how long
 // a pass takes and should take at the most. It answers demand that moves all the time: to
 // follow each move is worth its price only while callers notice.
-func evenEnough(pass, aim time.Duration) float64 {
+func EvenEnough(pass, aim time.Duration) float64 {
 	if pass <= 0 || aim <= 0 {
 		return evenTight
 	}
--- a/internal/program/companion/even_test.go
+++ b/internal/expert/places/even_test.go
@@ -1,4 +1,4 @@
-package companion
+package places
 
 import (
 	"testing"
@@ -11,10 +11,10 @@
 // cost and win nothing. Under load each bit of skew makes callers late, and is moved away.
 func TestUnevenLayersAreLeftWhilePassesAreShort(t *testing.T) {
 	const aim = 100 * time.Millisecond
-	require.InDelta(t, evenLoose, evenEnough(30*time.Millisecond, aim), 1e-9)
-	require.InDelta(t, evenTight, evenEnough(60*time.Millisecond, aim), 1e-9)
-	require.InDelta(t, evenTight, evenEnough(time.Second, aim), 1e-9)
-	require.InDelta(t, (evenLoose+evenTight)/2, evenEnough(50*time.Millisecond, aim), 1e-9)
-	require.InDelta(t, evenTight, evenEnough(0, aim), 1e-9, "not known yet")
-	require.InDelta(t, evenTight, evenEnough(time.Second, 0), 1e-9, "no route aims at anything")
+	require.InDelta(t, evenLoose, EvenEnough(30*time.Millisecond, aim), 1e-9)
+	require.InDelta(t, evenTight, EvenEnough(60*time.Millisecond, aim), 1e-9)
+	require.InDelta(t, evenTight, EvenEnough(time.Second, aim), 1e-9)
+	require.InDelta(t, (evenLoose+evenTight)/2, EvenEnough(50*time.Millisecond, aim), 1e-9)
+	require.InDelta(t, evenTight, EvenEnough(0, aim), 1e-9, "not known yet")
+	require.InDelta(t, evenTight, EvenEnough(time.Second, 0), 1e-9, "no route aims at anything")
 }
--- a/internal/program/companion/limit.go
+++ b/internal/expert/places/places.go
@@ -1,4 +1,11 @@
-package companion
+// Package places decides how many requests the ranks of an expert group get, and which
+// entry may send them.
+//
+// All ranks run each pass together, so a request makes the passes of the whole group
+// longer, one at a slow rank most. The load that this answers is more callers than can be
+// on time: places are those that keep the pauses between events on time, and each goes to
+// one entry, as all that see the same free place would send a request there.
+package places
 
 import (
 	"math"
@@ -22,21 +29,21 @@
 	passWindow = 600 * time.Millisecond
 )
 
-// limit is how many requests a rank should have at the same time. More of them make
+// Limit is how many requests a rank should have at the same time. More of them make
 // each pass longer, and the group does more work in all: as many as keep the pauses
 // between events within their aim.
-type limit struct {
-	value int
-	step  int64 // at the begin of the window
+type Limit struct {
+	Value int           // 0 until a pass was seen
+	Pass  time.Duration // that a pass took lately; 0 until known
+	step  int64         // at the begin of the window
 	since time.Time
-	pass  time.Duration // that a pass took lately; 0 until known
 }
 
-// see takes the pass that a group has come to.
-func (l *limit) see(now time.Time, step int64, slots int, aim time.Duration) {
+// See takes the pass that a group has come to.
+func (l *Limit) See(now time.Time, step int64, slots int, aim time.Duration) {
 	least := max(int(leastShare*float64(slots)), 1)
-	if l.value == 0 {
-		l.value = (least + slots) / 2
+	if l.Value == 0 {
+		l.Value = (least + slots) / 2
 	}
 	if l.since.IsZero() || step < l.step {
 		l.step, l.since = step, now
@@ -51,15 +58,15 @@
 	if passes == 0 {
 		return // idle, or held
 	}
-	l.pass = window / time.Duration(passes)
+	l.Pass = window / time.Duration(passes)
 	if aim <= 0 {
 		return
 	}
 	switch {
-	case l.pass > time.Duration(slowPass*float64(aim)):
-		l.value = max(l.value-1, least)
-	case l.pass < time.Duration(quickPass*float64(aim)):
-		l.value = min(l.value+1, slots)
+	case l.Pass > time.Duration(slowPass*float64(aim)):
+		l.Value = max(l.Value-1, least)
+	case l.Pass < time.Duration(quickPass*float64(aim)):
+		l.Value = min(l.Value+1, slots)
 	}
 }
 
@@ -78,14 +85,14 @@
 // length of passes would not be seen.
 const leastRequests = 2
 
-// mostOnTime is how many requests a rank may have so that passes keep the pauses between
+// MostOnTime is how many requests a rank may have so that passes keep the pauses between
 // events on time, while the most loaded rank has skew times the mean of the experts' work.
 // It foresees what the passes that were measured show only later: after a group has formed
 // its skew is 3 and more for a second, and as many requests as in ordinary times are all
 // late, and make those late that come after them. The figures are the engine's own and
 // leave reading out, so the bound is the whole pause: what ordinary passes allow is for the
 // limit that is measured.
-func mostOnTime(e *routing.Engine, aim time.Duration, skew float64) int {
+func MostOnTime(e *routing.Engine, aim time.Duration, skew float64) int {
 	if aim <= 0 || e.PassSteps <= 0 || e.StepPerRequest <= 0 {
 		return e.Slots
 	}
@@ -95,30 +102,30 @@
 	return min(max(int((step-e.StepTime)/e.StepPerRequest), leastRequests), e.Slots)
 }
 
-// slow tells whether a group's passes take longer than the pauses that are on time, so
+// Slow tells whether a group's passes take longer than the pauses that are on time, so
 // that all that it serves is late.
-func (l *limit) slow(aim time.Duration) bool { return aim > 0 && l.pass > aim }
+func (l *Limit) Slow(aim time.Duration) bool { return aim > 0 && l.Pass > aim }
 
-// ahead is how many passes ahead a group changes its map.
-func (l *limit) ahead(ranks int) int64 {
-	if orderTime+time.Duration(ranks)*orderPerRank < time.Duration(waitPart*float64(l.pass)) {
+// Ahead is how many passes ahead a group changes its map.
+func (l *Limit) Ahead(ranks int) int64 {
+	if orderTime+time.Duration(ranks)*orderPerRank < time.Duration(waitPart*float64(l.Pass)) {
 		return 1
 	}
 	return 2
 }
 
-// freePlaces is how many more requests each rank should get, of a limit for each. A slow
-// rank gets fewer, and none from [leavePace] on while there are others: one prompt that is
+// Free is how many more requests each rank should get, of a limit for each. A slow
+// rank gets fewer, and none from [LeavePace] on while there are others: one prompt that is
 // read there holds the passes of all up for longer than the others take for all theirs.
-func freePlaces(reports []changeover.Report, limit int) []int {
+func Free(reports []changeover.Report, limit int) []int {
 	least := math.Inf(1)
 	for _, r := range reports {
-		least = min(least, paceOf(r))
+		least = min(least, Pace(r))
 	}
 	free := make([]int, len(reports))
 	for rank, r := range reports {
-		pace := paceOf(r)
-		if pace >= leavePace && least < leavePace {
+		pace := Pace(r)
+		if pace >= LeavePace && least < LeavePace {
 			continue
 		}
 		free[rank] = int(float64(limit)/pace) - r.Running - r.Waiting
@@ -130,26 +137,26 @@
 // entry that had no requests must be able to take its first.
 const evenPart = 0.2
 
-// share divides the free places of the ranks among the entries, by their demand. If
+// Share divides the free places of the ranks among the entries, by their demand. If
 // all entries saw the same free place, all would send a request there. The result is
 // indexed by entry and rank. Turn spreads the places differently each time.
-func share(free []int, entries []entry, turn uint64) [][]int {
-	grants := make([][]int, len(entries))
+func Share(free []int, demands []float64, turn uint64) [][]int {
+	grants := make([][]int, len(demands))
 	total := 0.0
-	for i, e := range entries {
+	for i, d := range demands {
 		grants[i] = make([]int, len(free))
-		total += e.demand
+		total += d
 	}
-	if len(entries) == 0 {
+	if len(demands) == 0 {
 		return grants
 	}
 	// Upper ends of the entries' parts of the interval from 0 to 1.
-	ends := make([]float64, len(entries))
+	ends := make([]float64, len(demands))
 	end := 0.0
-	for i, e := range entries {
-		part := 1 / float64(len(entries))
+	for i, d := range demands {
+		part := 1 / float64(len(demands))
 		if total > 0 {
-			part = evenPart*part + (1-evenPart)*e.demand/total
+			part = evenPart*part + (1-evenPart)*d/total
 		}
 		end += part
 		ends[i] = end
@@ -162,14 +169,14 @@
 			at += golden
 			at -= float64(int(at))
 			i, _ := slices.BinarySearch(ends, at)
-			grants[min(i, len(entries)-1)][rank]++
+			grants[min(i, len(demands)-1)][rank]++
 		}
 	}
 	return grants
 }
 
-// gapAim is the shortest pause between events that the routes to a service aim at.
-func gapAim(c *routing.Config, service string) time.Duration {
+// GapAim is the shortest pause between events that the routes to a service aim at.
+func GapAim(c *routing.Config, service string) time.Duration {
 	shortest := time.Duration(0)
 	for i := range c.Routes {
 		r := &c.Routes[i]
--- a/internal/program/companion/pulse.go
+++ b/internal/expert/places/pulse.go
@@ -1,4 +1,4 @@
-package companion
+package places
 
 import (
 	"time"
@@ -6,8 +6,8 @@
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
 )
 
-// pulse tells whether a group makes passes.
-type pulse struct {
+// Pulse tells whether a group makes passes.
+type Pulse struct {
 	step int64
 	at   time.Time // when it was seen to have moved on, or to have nothing to do
 }
@@ -17,8 +17,8 @@
 // 1.5 s before it says so.
 const pulseGrace = 400 * time.Millisecond
 
-// beats takes the reports of a look.
-func (p *pulse) beats(now time.Time, reports []changeover.Report) bool {
+// Beats takes the reports of a look.
+func (p *Pulse) Beats(now time.Time, reports []changeover.Report) bool {
 	step, work := int64(0), 0
 	for _, r := range reports {
 		step = max(step, r.Step)
--- a/internal/program/companion/look.go
+++ b/internal/program/companion/look.go
@@ -10,6 +10,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+	"wagtailshelf.example/wagtailshelf/internal/expert/places"
 	"wagtailshelf.example/wagtailshelf/internal/expert/plan"
 	"wagtailshelf.example/wagtailshelf/internal/expert/seating"
 	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
@@ -152,9 +153,11 @@
 	v := p.seen()
 	d := digest.Digest{
 		Term: p.asker.Term, Look: p.looks, Service: p.c.settings.Target.Service, Group: p.group,
-		Open: v.serving, Slow: p.limit.slow(p.gapAim), Entries: len(entries), Limit: p.limit.value,
+		Open: v.serving, Slow: p.limit.Slow(p.gapAim), Entries: len(entries), Limit: p.limit.Value,
 	}
-	for _, e := range entries {
+	demands := make([]float64, len(entries))
+	for i, e := range entries {
+		demands[i] = e.demand
 		if e.fresh {
 			d.Fresh++
 		}
@@ -169,19 +172,19 @@
 	free := make([]int, len(v.ranks))
 	var seats []int // the ranks that are told
 	d.Age = time.Since(v.began)
-	places := freePlaces(v.reports, min(p.limit.value, mostOnTime(v.engine, p.gapAim, v.skew)))
+	room := places.Free(v.reports, min(p.limit.Value, places.MostOnTime(v.engine, p.gapAim, v.skew)))
 	for rank, s := range v.ranks {
 		if s.target == "" {
 			continue
 		}
 		load := v.reports[rank].Running + v.reports[rank].Waiting
-		d.Ranks = append(d.Ranks, digest.Rank{Target: s.target, Load: load, Lost: s.lost.Load(), Slow: v.reports[rank].Pace >= leavePace})
+		d.Ranks = append(d.Ranks, digest.Rank{Target: s.target, Load: load, Lost: s.lost.Load(), Slow: v.reports[rank].Pace >= places.LeavePace})
 		seats = append(seats, rank)
 		if !slices.Contains(v.lost, rank) {
-			free[rank] = places[rank]
+			free[rank] = room[rank]
 		}
 	}
-	grants := share(free, entries, p.looks)
+	grants := places.Share(free, demands, p.looks)
 	for i, e := range entries {
 		for n := range d.Ranks {
 			d.Ranks[n].Grant = grants[i][seats[n]]
@@ -348,10 +351,10 @@
 		}
 	}
 	v.epoch, v.counted, v.engine = first.Epoch, now, p.engine
-	v.serving = p.pulse.beats(now, v.reports) || len(v.lost) == 0
-	p.limit.see(now, first.Step, p.engine.Slots, p.gapAim)
-	v.ahead = p.limit.ahead(len(v.ranks))
-	v.pass, v.gapAim = p.limit.pass, p.gapAim
+	v.serving = p.pulse.Beats(now, v.reports) || len(v.lost) == 0
+	p.limit.See(now, first.Step, p.engine.Slots, p.gapAim)
+	v.ahead = p.limit.Ahead(len(v.ranks))
+	v.pass, v.gapAim = p.limit.Pass, p.gapAim
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	v.demand = p.demand(now, v, seen)
@@ -370,7 +373,7 @@
 	if m == nil || m.Shape().Ranks != len(v.ranks) || slices.Max(v.demand) == 0 {
 		return assumedSkew
 	}
-	return plan.Skew(m, v.demand, paces(v.reports))
+	return plan.Skew(m, v.demand, places.Paces(v.reports))
 }
 
 // demand adds what was counted to what is left of the demand before. The caller holds
--- a/internal/program/companion/look_test.go
+++ b/internal/program/companion/look_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
+	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
 	"wagtailshelf.example/wagtailshelf/internal/expert/seating"
 	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
@@ -35,21 +36,6 @@
 	}
 }
 
-// A group with work makes passes. One that lost a rank for good stalls, and one whose
-// pass is held does, so nothing is sent to it; one without work has nothing to show.
-func TestPulse(t *testing.T) {
-	report := func(step int64, running int) []changeover.Report {
-		return []changeover.Report{{Step: step, Running: running}, {}}
-	}
-	var p pulse
-	require.True(t, p.beats(start, report(7, 3)))
-	require.True(t, p.beats(start.Add(pulseGrace/2), report(7, 3)), "a long pass")
-	require.False(t, p.beats(start.Add(pulseGrace), report(7, 3)))
-	require.True(t, p.beats(start.Add(2*pulseGrace), report(8, 3)), "it goes on")
-	require.True(t, p.beats(start.Add(9*pulseGrace), report(8, 0)), "it is idle")
-	require.True(t, p.beats(start.Add(9*pulseGrace+time.Millisecond), report(8, 2)), "the first request came")
-}
-
 // sidecars starts servers that answer looks; those that are silent never do.
 func sidecars(t *testing.T, n int, silent ...int) []*seat {
 	t.Helper()
@@ -172,3 +158,14 @@
 	cancel()
 	require.False(t, p.awaitView(ctx), "nothing new was seen")
 }
+
+// As a group has formed, neither its map nor the demand is known. It is not even.
+func TestSkewOfANewGroup(t *testing.T) {
+	m, err := expertmap.Even(expertmap.Shape{Layers: 1, Experts: 4, Ranks: 2, Slots: 3})
+	require.NoError(t, err)
+	v := view{ranks: make([]*seat, 2), reports: make([]changeover.Report, 2), demand: make([]float64, 4)}
+	require.InDelta(t, assumedSkew, skewOf(nil, v), 0)
+	require.InDelta(t, assumedSkew, skewOf(m, v), 0, "nothing was counted yet")
+	v.demand = []float64{1, 1, 1, 1}
+	require.InDelta(t, 1, skewOf(m, v), 0)
+}
--- a/internal/program/companion/move.go
+++ b/internal/program/companion/move.go
@@ -11,6 +11,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+	"wagtailshelf.example/wagtailshelf/internal/expert/places"
 	"wagtailshelf.example/wagtailshelf/internal/expert/plan"
 	"wagtailshelf.example/wagtailshelf/internal/expert/seating"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
@@ -288,8 +289,8 @@
 // move changes the map if the demand asks for it.
 func (p *planner) move(ctx context.Context, v view) error {
 	planned := time.Now()
-	skew := plan.Skew(p.current, v.demand, paces(v.reports))
-	next := plan.Follow(p.current, v.demand, paces(v.reports), plan.FollowLimits{PerLayer: v.engine.Spare, PerRank: copiesIn(copyTime, v.engine), Gain: leastGain, Even: evenEnough(v.pass, v.gapAim)})
+	skew := plan.Skew(p.current, v.demand, places.Paces(v.reports))
+	next := plan.Follow(p.current, v.demand, places.Paces(v.reports), plan.FollowLimits{PerLayer: v.engine.Spare, PerRank: copiesIn(copyTime, v.engine), Gain: leastGain, Even: places.EvenEnough(v.pass, v.gapAim)})
 	if next == nil {
 		return nil
 	}
@@ -302,7 +303,7 @@
 	step, err := p.access(v).Run(ctx, changeover.Change{Version: p.highest, Map: next, Own: p.own, Ahead: v.ahead, After: p.after})
 	p.after = max(p.after, step)
 	p.c.log.Info().Str("event", "change").Int64("version", p.highest).Int64("step", step).
-		Float64("skew", skew).Float64("planned", plan.Skew(next, v.demand, paces(v.reports))).
+		Float64("skew", skew).Float64("planned", plan.Skew(next, v.demand, places.Paces(v.reports))).
 		Int("copies", copies).Int("mostCopies", most).Dur("countsAge", planned.Sub(v.counted)).
 		Dur("planTook", begin.Sub(planned)).Dur("prepareTook", p.prepared.Sub(begin)).
 		Dur("took", time.Since(begin)).Err(err).Msg("")
@@ -318,31 +319,6 @@
 	return nil
 }
 
-// paces are how much longer than usual the ranks take for their work.
-func paces(reports []changeover.Report) []float64 {
-	list := make([]float64, len(reports))
-	for rank, r := range reports {
-		list[rank] = paceOf(r)
-	}
-	return list
-}
-
-// slowPace is from where a rank counts as slow; paces vary a little by themselves.
-const slowPace = 1.2
-
-// leavePace is from where requests leave a slow rank. Its own part of a pass, a seventh of
-// the work, then makes the passes of the whole group a quarter longer and more. With a
-// rank that is twelve times slower, the passes of its group of eight took 260 to 490 ms
-// while its streams stayed, and 40 to 90 ms once they had left and its experts too.
-const leavePace = 3
-
-func paceOf(r changeover.Report) float64 {
-	if r.Pace < slowPace {
-		return 1
-	}
-	return r.Pace
-}
-
 // copiesIn is how many experts a rank copies in a time.
 func copiesIn(d time.Duration, e *routing.Engine) int {
 	if e.CopyTime <= 0 {
--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -10,6 +10,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+	"wagtailshelf.example/wagtailshelf/internal/expert/places"
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
@@ -68,8 +69,8 @@
 	seats  []*seat       // of all servers of the service
 	listed bool          // the seats were read from the list, and not all asked since
 	looks  uint64
-	limit  limit
-	pulse  pulse
+	limit  places.Limit
+	pulse  places.Pulse
 	// switching is set while a pass is or is about to be held. The looks wait for that,
 	// since each order of the change would wait for them.
 	switching atomic.Bool
--- a/internal/program/companion/seats.go
+++ b/internal/program/companion/seats.go
@@ -9,6 +9,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"wagtailshelf.example/wagtailshelf/internal/expert/places"
 	"wagtailshelf.example/wagtailshelf/internal/expert/seating"
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
@@ -22,7 +23,7 @@
 	}
 	if s := config.Service(p.c.settings.Target.Service); s != nil {
 		p.engine = s.Engine
-		p.gapAim = gapAim(config, s.Name)
+		p.gapAim = places.GapAim(config, s.Name)
 	}
 	targets, err := p.c.store.Servers(ctx, p.c.malformed)
 	if err != nil {
