Tests that slow ranks are told, taken, and left at the price of one repeat

Cause: of 13 changes on purpose three made no test fail: a slow rank not told in the digest, not taken from it, and the repeat counted twice when a stream leaves. Change: TestTellsOfSlowRanks, TestSlowRanksAreTaken; TestStreamLeavesASlowTarget allows one repeat only.

--- a/internal/program/companion/look_test.go
+++ b/internal/program/companion/look_test.go
@@ -16,7 +16,9 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
+	"wagtailshelf.example/wagtailshelf/internal/expert/places"
 	"wagtailshelf.example/wagtailshelf/internal/expert/seating"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
@@ -169,3 +171,45 @@
 	v.demand = []float64{1, 1, 1, 1}
 	require.InDelta(t, 1, skewOf(m, v), 0)
 }
+
+// One rank is slow, and the group's passes are longer than pauses on time. Entries are
+// told both, with no place at the slow rank and those of the other; while the group is
+// closed they are told which targets it has.
+func TestTellsOfSlowRanks(t *testing.T) {
+	p := newPlanner()
+	p.gapAim = 100 * time.Millisecond
+	p.limit = places.Limit{Value: 4, Pass: 2 * p.gapAim}
+	told := make(chan digest.Digest, 1)
+	listener, err := digest.Open(netip.MustParseAddrPort("127.0.0.1:0"))
+	require.NoError(t, err)
+	go func() {
+		_ = listener.Serve(t.Context(), func(netip.AddrPort, digest.Hello) {}, func(_ netip.AddrPort, d digest.Digest) { told <- d })
+	}()
+	p.c.socket, err = digest.Open(netip.MustParseAddrPort("127.0.0.1:0"))
+	require.NoError(t, err)
+	p.c.heardEntry(listener.Addr(), digest.Hello{Demand: 1})
+	next := func() digest.Digest {
+		p.tell()
+		select {
+		case d := <-told:
+			return d
+		case <-time.After(20 * time.Second):
+			require.Fail(t, "nothing was told")
+			return digest.Digest{}
+		}
+	}
+	ranks := []*seat{{target: "a"}, {target: "b"}}
+	p.view = view{
+		ranks: ranks, serving: true, engine: &routing.Engine{Slots: 8}, skew: 1,
+		reports: []changeover.Report{{Pace: 12, Running: 1}, {Pace: 1}},
+	}
+	d := next()
+	require.Equal(t, roster.GroupName("g"), d.Group)
+	require.True(t, d.Slow)
+	require.Equal(t, []digest.Rank{{Target: "a", Load: 1, Slow: true}, {Target: "b", Grant: 4}}, d.Ranks)
+	p.view = view{}
+	p.seats = []*seat{{target: "a", spoke: true, last: changeover.Report{Group: "g"}}, {target: "x", spoke: true}}
+	d = next()
+	require.False(t, d.Open)
+	require.Equal(t, []digest.Rank{{Target: "a"}}, d.Ranks)
+}
--- a/internal/program/gateway/digest_test.go
+++ b/internal/program/gateway/digest_test.go
@@ -54,6 +54,23 @@
 	require.Equal(t, 3, entries, "as the one says that hears most")
 }
 
+// A planner tells that a rank is slow. The entry lets requests leave it, which hold up the
+// whole group, for a rank that is not.
+func TestSlowRanksAreTaken(t *testing.T) {
+	g := newGateway()
+	g.roster.Put(roster.Target{ID: "a", Service: "svc"})
+	d := digest.Digest{Service: "svc", Group: "g", Term: 1, Open: true, Ranks: []digest.Rank{{Target: "a", Grant: 1}}}
+	g.takeDigest(plannersAt[0], d)
+	k := &admission.Ticket{Service: "svc"}
+	require.Equal(t, admission.Go, g.admit.Arrive(time.Now(), k))
+	left := false
+	g.admit.OnSlow(k, func() bool { left = true; return true })
+	g.roster.Put(roster.Target{ID: "b", Service: "svc"})
+	d.Ranks = []digest.Rank{{Target: "a", Load: 1, Slow: true}, {Target: "b", Grant: 1}}
+	g.takeDigest(plannersAt[0], d)
+	require.True(t, left)
+}
+
 // The entries' demand decides on their shares of the places. Reading it begins the count
 // anew, so a group whose planner were told last would think that nobody comes.
 func TestDemandIsToldToEachGroup(t *testing.T) {
--- a/internal/traffic/forward/stream_test.go
+++ b/internal/traffic/forward/stream_test.go
@@ -128,6 +128,7 @@
 func TestStreamLeavesASlowTarget(t *testing.T) {
 	first, second := standin.NewServer(t, stalling), standin.NewServer(t, events)
 	b := newBench(t, first, second)
+	b.Budget.Limits = func() Limits { return Limits{Window: 10 * time.Second, Fixed: 1} } // to leave is one repeat
 	b.tell(admission.Told{Grant: 4}, admission.Told{})
 	w := b.begin()
 	defer w.Body.Close()
