A group without passes is not slow

Cause: found by reading. What passes took last stayed known while a group had no work; one that was slow, and so got no requests while others had places, would stay slow for good. Change: a window without passes forgets it; TestLimitOfIdleGroup fails without that.

--- a/internal/expert/places/places.go
+++ b/internal/expert/places/places.go
@@ -56,7 +56,10 @@
 	passes := step - l.step
 	l.step, l.since = step, now
 	if passes == 0 {
-		return // idle, or held
+		// Idle, or held. What passes took before says nothing any more: a group that was
+		// slow and got no requests for that would never be found quick again.
+		l.Pass = 0
+		return
 	}
 	l.Pass = window / time.Duration(passes)
 	if aim <= 0 {
--- a/internal/expert/places/places_test.go
+++ b/internal/expert/places/places_test.go
@@ -83,6 +83,10 @@
 		now = now.Add(time.Second)
 	}
 	require.Equal(t, 9, l.Value, "an idle group says nothing of its passes")
+	l.Pass = time.Second
+	require.True(t, l.Slow(120*time.Millisecond))
+	l.See(now, 5, 12, 120*time.Millisecond)
+	require.False(t, l.Slow(120*time.Millisecond), "a group that gets nothing since it was slow")
 }
 
 // The orders of a change take long beside a pass. Made at the next one, all ranks
