Log what an entry takes a group for, and why a stream left its target

Cause: who asks why callers of one group waited found only the ends of requests; a stream that left a slow rank was logged as cut off. Change: one line groupState for each change of belief (open, slow, who said so, its age); attempts say leftSlowTarget. Ruled out: a line for each digest, ten a second and group.

--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -78,6 +78,7 @@
 	g.pool.Dialled = dialled.Inc
 	g.admit.Targets = g.roster.Serving
 	g.admit.RulesFor = g.limits
+	g.admit.Believes = g.believes
 	g.store.Called = deployed.CountStoreCalls(m)
 	g.forward = &forward.Forwarder{
 		Rules:     g.currentRules,
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
 )
 
@@ -29,6 +30,12 @@
 	}
 }
 
+// believes logs what the entry takes a group for, as that changes.
+func (g *Gateway) believes(b admission.Belief) {
+	g.log.Info().Str("event", "groupState").Str("service", b.Group.Service).Str("group", string(b.Group.Name)).
+		Bool("open", b.Open).Bool("slow", b.Slow).Str("source", b.Source).Dur("age", b.Age).Msg("")
+}
+
 // ended logs and counts the end of a request.
 func (g *Gateway) ended(r forward.Record) {
 	g.metrics.GetOrCreateCounter(fmt.Sprintf(`wagtailshelf_requests_total{kind=%q,outcome=%q,reason=%q}`, r.Kind, r.Outcome, r.Reason)).Inc()
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -29,6 +29,8 @@
 	Targets func(service string) []roster.Target
 	// RulesFor returns the limits for a service.
 	RulesFor func(service string) Rules
+	// Believes hears when what the entry believes of a group changes; nil if nobody does.
+	Believes func(Belief)
 
 	mu       sync.Mutex
 	targets  map[string]*state
--- a/internal/traffic/admission/group.go
+++ b/internal/traffic/admission/group.go
@@ -16,6 +16,26 @@
 	doubtful    bool      // it was closed, and has served nothing since
 	slow        bool      // all that it serves is late, as was told last
 	opened      time.Time // when it was found open after it was closed
+
+	believed, wasOpen, wasSlow bool // what was told of it last
+}
+
+// Belief is what the entry takes a group for.
+type Belief struct {
+	Group  roster.Group
+	Open   bool
+	Slow   bool
+	Source string        // who said so: "planner", "target" or "answer"
+	Age    time.Duration // of what was said
+}
+
+// believe tells of a change of belief, once for each.
+func (c *Controller) believe(g *group, b Belief) {
+	if c.Believes == nil || g.believed && g.wasOpen == b.Open && g.wasSlow == b.Slow {
+		return
+	}
+	g.believed, g.wasOpen, g.wasSlow = true, b.Open, b.Slow
+	c.Believes(b)
 }
 
 // untoldKept is how long groups and targets are remembered that nobody tells of.
@@ -106,6 +126,7 @@
 	} else {
 		g.close(now.Add(toldLasts))
 	}
+	c.believe(g, Belief{Group: l.Group, Open: l.Open, Slow: l.Slow, Source: "planner", Age: l.Age})
 	for id, t := range l.Targets {
 		s := c.state(now, roster.Target{ID: id, Service: l.Group.Service})
 		s.group = l.Group
@@ -178,18 +199,23 @@
 func (c *Controller) GroupClosed(now time.Time, t roster.Target) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.group(c.state(now, t).group).close(now.Add(closedPause))
+	name := c.state(now, t).group
+	g := c.group(name)
+	g.close(now.Add(closedPause))
+	c.believe(g, Belief{Group: name, Slow: g.slow, Source: "target"})
 }
 
 // Serves takes note that a target has begun an answer: its group is open.
 func (c *Controller) Serves(now time.Time, t roster.Target) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	g := c.group(c.state(now, t).group)
+	name := c.state(now, t).group
+	g := c.group(name)
 	if !g.doubtful {
 		return
 	}
 	g.open(now)
+	c.believe(g, Belief{Group: name, Open: true, Slow: g.slow, Source: "answer"})
 	c.advance(now, t.Service)
 }
 
--- a/internal/traffic/admission/group_test.go
+++ b/internal/traffic/admission/group_test.go
@@ -212,3 +212,23 @@
 	requireGranted(t, returned, true)
 	requireGranted(t, first, false)
 }
+
+// An operator asks why callers of one group waited. Each change of what the entry took the
+// group for is told once, with who said so, and not ten times a second.
+func TestChangesOfBelief(t *testing.T) {
+	c := newController(2, Rules{PerTarget: 4, Queue: 9, Entries: 1})
+	var told []Belief
+	c.Believes = func(b Belief) { told = append(told, b) }
+	for range 5 {
+		tellOpen(c, start, groupOne, "t0")
+	}
+	c.GroupClosed(start, roster.Target{ID: "t0", Service: "svc"})
+	c.Serves(start, roster.Target{ID: "t0", Service: "svc"})
+	c.Told(start, Look{Group: groupOne, Open: true, Slow: true, Targets: map[string]Told{"t0": {}}})
+	require.Equal(t, []Belief{
+		{Group: groupOne, Open: true, Source: "planner"},
+		{Group: groupOne, Source: "target"},
+		{Group: groupOne, Open: true, Source: "answer"},
+		{Group: groupOne, Open: true, Slow: true, Source: "planner"},
+	}, told)
+}
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -124,6 +124,7 @@
 	whyTimeout  = "deadline"
 	whyAnswered = "answered"
 	whyLeft     = "callerLeft"
+	whySlow     = "leftSlowTarget"
 )
 
 // send does one exchange with a target.
@@ -183,6 +184,8 @@
 		return whyLeft
 	case c.ctx.Err() != nil:
 		return whyTimeout
+	case c.left.Load():
+		return whySlow
 	}
 	return otherwise
 }
--- a/internal/traffic/forward/stream_test.go
+++ b/internal/traffic/forward/stream_test.go
@@ -136,6 +136,15 @@
 	rest, err := io.ReadAll(w.Body)
 	requireServed(t, answer{status: w.StatusCode, header: w.Header, body: firstTwo + string(rest), err: err}, allFour)
 	require.Equal(t, "2", second.Seen()[0].LastEvent, "it goes on, and does not begin anew")
+	require.Eventually(t, func() bool { return len(b.ended()) == 1 }, 20*time.Second, time.Millisecond)
+	require.Equal(t, whySlow, b.ended()[0].Attempts[0].Result, "the log says why")
+}
+
+// ended are the requests that have ended.
+func (b *bench) ended() []Record {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Record(nil), b.records...)
 }
 
 // The allowance of repeats is used up. A stream that left its slow target could not be
