--- a/internal/program/companion/look.go
+++ b/internal/program/companion/look.go
@@ -370,12 +370,19 @@
 
 // skewOf is the skew of a group's experts' work by the map in force, which may be nil.
 func skewOf(m *expertmap.Map, v view) float64 {
-	if m == nil || m.Shape().Ranks != len(v.ranks) || slices.Max(v.demand) == 0 {
+	if m == nil || !v.fits(m) || slices.Max(v.demand) == 0 {
 		return assumedSkew
 	}
 	return plan.Skew(m, v.demand, places.Paces(v.reports))
 }
 
+// fits tells whether what was seen is of the shape of a map. The rules may tell of other
+// layers and experts from one look to the next, while the map is of what was told before.
+func (v view) fits(m *expertmap.Map) bool {
+	s := m.Shape()
+	return s.Ranks == len(v.ranks) && s.Layers*s.Experts == len(v.demand) && len(v.demand) > 0
+}
+
 // demand adds what was counted to what is left of the demand before. The caller holds
 // the lock.
 func (p *planner) demand(now time.Time, v view, seen []rankport.Seen) []float64 {
--- a/internal/program/companion/look_test.go
+++ b/internal/program/companion/look_test.go
@@ -170,6 +170,14 @@
 	require.InDelta(t, assumedSkew, skewOf(m, v), 0, "nothing was counted yet")
 	v.demand = []float64{1, 1, 1, 1}
 	require.InDelta(t, 1, skewOf(m, v), 0)
+	v.demand = []float64{1, 1, 1}
+	require.InDelta(t, assumedSkew, skewOf(m, v), 0, "the rules tell of fewer experts now")
+	v.demand = nil
+	require.InDelta(t, assumedSkew, skewOf(m, v), 0)
+	p := newPlanner()
+	p.know(m, 3)
+	require.ErrorIs(t, p.move(t.Context(), v), seating.ErrIncomplete)
+	require.Nil(t, p.current, "it is read again")
 }
 
 // One rank is slow, and the group's passes are longer than pauses on time. Entries are
--- a/internal/program/companion/move.go
+++ b/internal/program/companion/move.go
@@ -288,6 +288,10 @@
 
 // move changes the map if the demand asks for it.
 func (p *planner) move(ctx context.Context, v view) error {
+	if !v.fits(p.current) {
+		p.know(nil, 0) // it is read again
+		return merry.Wrap(seating.ErrIncomplete, merry.AppendMessage("the map is of another shape than the rules tell"))
+	}
 	planned := time.Now()
 	skew := plan.Skew(p.current, v.demand, places.Paces(v.reports))
 	next := plan.Follow(p.current, v.demand, places.Paces(v.reports), plan.FollowLimits{PerLayer: v.engine.Spare, PerRank: copiesIn(copyTime, v.engine), Gain: leastGain, Even: places.EvenEnough(v.pass, v.gapAim)})
