Tell a server that ended from streams that were cut, and requests by what stays

Cause: logs could not tell the incident's hypotheses apart. Each attempt has a new id, and a broken connection looks the same whether the server ended or lives.

Change: a fingerprint of workspace, host, method, path and body in the lines of requests whose connection broke; the event targetBroke after a probe of the target. No decision uses either.

Ruled out as evidence: a broken connection alone.

--- /dev/null
+++ b/internal/program/gateway/breaks_test.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
+)
+
+// lines are what a process logged.
+type lines struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// WriteEntry takes a line.
+func (l *lines) WriteEntry(e *log.Entry) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(e.Value())
+}
+
+// of returns the lines of an event.
+func (l *lines) of(event string) []map[string]any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []map[string]any
+	for text := range bytes.Lines(l.buf.Bytes()) {
+		var line map[string]any
+		if json.Unmarshal(text, &line) == nil && line["event"] == event {
+			list = append(list, line)
+		}
+	}
+	return list
+}
+
+// Two callers' streams are cut at the same moment at one target, and a third at another.
+// The first target has ended, and its host refuses connections; the other lives, and cut its
+// stream since a rank of its group was lost. Whoever looks for the request that ended a
+// server must not look among those of the other.
+func TestCrashIsToldFromACut(t *testing.T) {
+	alive, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer alive.Close()
+	gone, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, gone.Close())
+	g := newGateway()
+	heard := new(lines)
+	g.log = &log.Logger{Writer: heard}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- g.followBreaks(ctx) }()
+	target := func(id string, l net.Listener) roster.Target {
+		return roster.Target{ID: id, Address: netip.MustParseAddrPort(l.Addr().String())}
+	}
+	g.heardBreak(forward.Break{Request: quarantine.Fingerprint{1}, Target: target("gone", gone)})
+	g.heardBreak(forward.Break{Request: quarantine.Fingerprint{2}, Target: target("alive", alive)})
+	g.heardBreak(forward.Break{Request: quarantine.Fingerprint{3}, Target: target("gone", gone)})
+	require.Eventually(t, func() bool { return len(heard.of("targetBroke")) == 2 }, time.Minute, time.Millisecond)
+	stop()
+	require.NoError(t, <-ended)
+	for _, line := range heard.of("targetBroke") {
+		if line["target"] == "alive" {
+			require.Equal(t, "listening", line["presence"])
+			continue
+		}
+		require.Equal(t, "absent", line["presence"])
+		require.Equal(t, []any{quarantine.Fingerprint{1}.String(), quarantine.Fingerprint{3}.String()}, line["fingerprints"])
+	}
+}
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -59,6 +59,7 @@
 	forward  *forward.Forwarder
 	pool     *upstream.Pool
 	admit    *admission.Controller
+	breaks   chan forward.Break // connections that broke, until it is known why
 }
 
 // New returns an entry that does not run yet.
@@ -72,6 +73,7 @@
 		missing:  newMissing(),
 		pool:     upstream.NewPool(),
 		admit:    admission.New(),
+		breaks:   make(chan forward.Break, breakRing),
 	}
 	g.bounds.Store(&s.Bounds)
 	dialled := m.NewCounter("wagtailshelf_target_connections_total")
@@ -95,6 +97,7 @@
 		Gone:      g.heardGone,
 		Elsewhere: func() bool { return g.planners.elsewhere(time.Now()) },
 		Ended:     g.ended,
+		Broke:     g.heardBreak,
 	}
 	return g
 }
@@ -169,6 +172,7 @@
 	duty(g.followTargets)
 	duty(g.keepTime)
 	duty(g.hearDigests)
+	duty(g.followBreaks)
 	duty(g.serveReadiness)
 	duty(func(ctx context.Context) error {
 		return deployed.ServeMetrics(ctx, g.settings.Listen.Metrics, g.metrics)
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -50,6 +50,9 @@
 	for _, a := range r.Attempts {
 		attempts = append(attempts, describe(a))
 	}
+	if !r.Fingerprint.IsZero() {
+		e.Stringer("fingerprint", r.Fingerprint)
+	}
 	e.Strs("attempts", attempts).Msg("")
 }
 
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -44,6 +44,9 @@
 	a.Result = why
 	c.rec.Attempts = append(c.rec.Attempts, a)
 	c.f.Admission.Done(now, t, end)
+	if res == resultUnknown && (why == whyBroken || why == whyCut) {
+		c.f.Broke(Break{Request: c.fingerprint(), Target: t.Target()})
+	}
 	switch {
 	case res == resultDone:
 		return false
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -15,7 +15,9 @@
 	"sync/atomic"
 	"time"
 
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 	"wagtailshelf.example/wagtailshelf/platform"
@@ -39,6 +41,7 @@
 	Draining  *atomic.Bool
 	Gone      func(id string) // another server answers at a target's address
 	Ended     func(Record)    // hears of each request's end
+	Broke     func(Break)     // hears of each connection that broke under a request
 	Elsewhere func() bool     // other entries have fresh rules; nil if that is never known
 }
 
@@ -72,6 +75,14 @@
 	First     time.Duration // until the first event, or the answer
 	Took      time.Duration
 	Events    int
+	// Fingerprint of the request; zero if nothing asked for it.
+	Fingerprint quarantine.Fingerprint
+}
+
+// Break is a connection to a target that broke while a request was under way on it.
+type Break struct {
+	Request quarantine.Fingerprint
+	Target  roster.Target
 }
 
 // Attempt is one sending to a target.
@@ -214,6 +225,16 @@
 	return true
 }
 
+// fingerprint names the request by what stays the same when it comes again.
+func (c *call) fingerprint() quarantine.Fingerprint {
+	if c.rec.Fingerprint.IsZero() {
+		c.rec.Fingerprint = quarantine.Request{
+			Workspace: c.rec.Workspace, Host: c.route.Host, Method: c.r.Method, URI: c.r.RequestURI, Body: c.body,
+		}.Fingerprint()
+	}
+	return c.rec.Fingerprint
+}
+
 func headerSize(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -85,6 +85,7 @@
 		Now:      time.Now,
 		Draining: new(atomic.Bool),
 		Gone:     func(id string) { b.targets.Leave(id) },
+		Broke:    func(Break) {},
 		Ended: func(r Record) {
 			b.mu.Lock()
 			defer b.mu.Unlock()
--- /dev/null
+++ b/internal/traffic/quarantine/fingerprint_test.go
@@ -0,0 +1,65 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func ExampleRequest_Fingerprint() {
+	r := Request{Workspace: "acme", Host: "calls.example", Method: "POST", URI: "/drafts/opener", Body: []byte("Bonjour")}
+	fmt.Println(r.Fingerprint() == r.Fingerprint())
+	other := r
+	other.Workspace = "other"
+	fmt.Println(r.Fingerprint() == other.Fingerprint())
+	// Output:
+	// true
+	// false
+}
+
+func TestFingerprintsDiffer(t *testing.T) {
+	base := Request{Workspace: "w", Host: "h", Method: "GET", URI: "/a", Body: []byte("xy")}
+	seen := map[Fingerprint]string{base.Fingerprint(): "base"}
+	for name, change := range map[string]func(*Request){
+		"workspace":           func(r *Request) { r.Workspace = "v" },
+		"host":                func(r *Request) { r.Host = "i" },
+		"method":              func(r *Request) { r.Method = "PUT" },
+		"query":               func(r *Request) { r.URI = "/a?b" },
+		"end of the body":     func(r *Request) { r.Body = []byte("xz") },
+		"longer body":         func(r *Request) { r.Body = []byte("xyz") },
+		"parts moved by one":  func(r *Request) { r.URI, r.Body = "/ax", []byte("y") },
+		"no body at all":      func(r *Request) { r.Body = nil },
+		"workspace into host": func(r *Request) { r.Workspace, r.Host = "", "wh" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := base
+			change(&r)
+			require.NotContains(t, seen, r.Fingerprint())
+			seen[r.Fingerprint()] = name
+		})
+	}
+}
+
+func TestFingerprintIsReadBack(t *testing.T) {
+	f := Request{Body: []byte("x")}.Fingerprint()
+	got, err := ParseFingerprint(f.String())
+	require.NoError(t, err)
+	require.Equal(t, f, got)
+	for _, text := range []string{"", "xy", f.String()[1:], f.String() + "00", "zz" + f.String()[2:]} {
+		_, err := ParseFingerprint(text)
+		require.ErrorIs(t, err, ErrFingerprint, "%q", text)
+	}
+}
+
+// BenchmarkFingerprint: 1 kB is a usual body, 64 kB a long one.
+func BenchmarkFingerprint(b *testing.B) {
+	for _, size := range []int{1 << 10, 64 << 10} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			r := Request{Workspace: "acme", Host: "calls.example", Method: "POST", URI: "/drafts/opener", Body: make([]byte, size)}
+			for b.Loop() {
+				r.Fingerprint()
+			}
+		})
+	}
+}
