Hold a request back once two targets crashed under it, at all entries

Cause: nothing outlived an attempt of a caller, and nothing was shared. A request that crashes each server which runs it was new to every entry each time it came again.

Change: entries know requests by their fingerprint (internal/traffic/quarantine, decides without clock or sockets). Whose target crashed (its connection broke, and a probe finds nobody listening; not a target that leaves) is noted and told to all entries by a record of each entry in the platform's store. After two crashes a request is held back for 15 s, after three for 10 min, then 2 h and 24 h; each hold ends with one trial at a time in an entry; a whole answer clears it. A request held back is refused at once, 503 with the time of the next trial, or breaks off if it had run.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 )
 
 // GroupName is an expert group's name, as its engines tell it.
@@ -30,6 +31,8 @@
 	DataCentre string
 	Slots      int  // requests that run at the same time
 	Leaving    bool // the server has said that it will end
+	// Born is when the server started, by its own clock; zero if it doesn't say.
+	Born time.Time
 	// Since is the revision of the store at which the target was listed first. Of two at
 	// one address the later one lives.
 	Since int64
--- a/internal/program/gateway/breaks.go
+++ b/internal/program/gateway/breaks.go
@@ -7,6 +7,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 )
 
@@ -86,4 +87,24 @@
 	g.log.Info().Str("event", "targetBroke").Str("target", b.target.ID).Stringer("address", b.target.Address).
 		Stringer("presence", b.presence).Dur("after", time.Since(b.since)).
 		Int("requests", len(b.requests)).Strs("fingerprints", named).Msg("")
+	if b.presence == upstream.Absent && !g.endsAsPlanned(b.target.ID) {
+		g.noteCrash(b)
+	}
+}
+
+// endsAsPlanned tells whether a target had said that it leaves, or its entry was taken out
+// before it ended: what still runs there is cut as its time is over.
+func (g *Gateway) endsAsPlanned(id string) bool {
+	t, found := g.roster.Get(id)
+	return !found || t.Leaving
+}
+
+// noteCrash suspects the requests that ran at a target that crashed.
+func (g *Gateway) noteCrash(b *brokenTarget) {
+	requests := make([]quarantine.Fingerprint, 0, len(b.requests))
+	for _, r := range b.requests {
+		requests = append(requests, r.Request)
+	}
+	g.crashes.quarantine.Crashed(time.Now(), quarantine.Life{Target: b.target.ID, Born: b.target.Born}, requests)
+	g.crashes.noted()
 }
--- a/internal/program/gateway/crashes_test.go
+++ b/internal/program/gateway/crashes_test.go
@@ -9,7 +9,9 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,7 +20,11 @@
 	"github.com/stretchr/testify/require"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
+	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
@@ -113,6 +119,7 @@
 // none: records had 10 crashes in 17 s, "answerCut" at ever new targets, and of 871 other
 // generations asked for in those 20 s one was on time.
 func TestRequestThatCrashesServersIsStopped(t *testing.T) {
+	t.Parallel()
 	servers, entries := newCrashWorld(t)
 	const attempts = 24
 	before := 0 // attempts that reached a server, when the last ten began
@@ -128,6 +135,7 @@
 		}
 	}
 	require.Len(t, servers.Reached(), before, "once it is known no attempt reaches a server")
+	t.Logf("%d crashes, %d attempts reached a server", servers.Crashes(), len(servers.Reached()))
 	require.LessOrEqual(t, servers.Crashes(), 6, "three crashes, and three repeats that were under way")
 	awaitServers(t, servers, entries)
 	for n, e := range entries {
@@ -136,3 +144,113 @@
 		require.Equal(t, "answer to harmless", text)
 	}
 }
+
+// crashUnder has a target of an entry's list crash under a request, as its probe would tell.
+func (e *running) crashUnder(target string, request quarantine.Fingerprint) {
+	e.gateway.roster.Put(roster.Target{ID: target, Service: "other"})
+	e.gateway.judgeBreak(&brokenTarget{
+		target: roster.Target{ID: target}, presence: upstream.Absent,
+		requests: []forward.Break{{Request: request, Target: roster.Target{ID: target}}},
+	})
+}
+
+func requireCrashes(t *testing.T, e *running, request quarantine.Fingerprint, n int) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		return e.gateway.crashes.quarantine.Look(time.Now(), request).Crashes == n
+	}, time.Minute, time.Millisecond)
+}
+
+// The store turns all away while servers crash. Each entry goes by what it saw itself; once
+// the store is back all of them know, also an entry that starts after that.
+func TestCrashesAreToldOnceTheStoreIsBack(t *testing.T) {
+	t.Parallel()
+	store := standin.NewStore(t)
+	require.NoError(t, store.PutConfig(standin.Config{Version: 1, Host: callsHost, Plain: "app"}))
+	one, two := start(t, "entry-1", store.Address), start(t, "entry-2", store.Address)
+	store.Fail(func(string, string) standin.Fault { return standin.Refused })
+	fatal := quarantine.Fingerprint{7}
+	one.crashUnder("i-1", fatal)
+	two.crashUnder("i-2", fatal)
+	requireCrashes(t, one, fatal, 1)
+	require.Eventually(t, func() bool { return len(one.heard.of("crashesNotTold")) > 1 }, time.Minute, time.Millisecond)
+	store.Fail(func(string, string) standin.Fault { return standin.None })
+	requireCrashes(t, one, fatal, 2)
+	requireCrashes(t, two, fatal, 2)
+	requireCrashes(t, start(t, "entry-3", store.Address), fatal, 2)
+	require.Len(t, two.heard.of("requestHeld"), 1)
+}
+
+// An answer of the store is lost after the record was written. The entry finds it at another
+// revision and writes it once more; it must neither give up nor wipe it.
+func TestAnswerToTheRecordIsLost(t *testing.T) {
+	t.Parallel()
+	store := standin.NewStore(t)
+	require.NoError(t, store.PutConfig(standin.Config{Version: 1, Host: callsHost, Plain: "app"}))
+	one, two := start(t, "entry-1", store.Address), start(t, "entry-2", store.Address)
+	var lost atomic.Int32
+	store.Fail(func(method, _ string) standin.Fault {
+		if method != http.MethodGet && lost.Add(1) <= 3 {
+			return standin.LostAfter
+		}
+		return standin.None
+	})
+	for n := range 3 {
+		one.crashUnder(fmt.Sprint("i-", n), quarantine.Fingerprint{7})
+		requireCrashes(t, two, quarantine.Fingerprint{7}, n+1)
+	}
+	require.Eventually(t, func() bool { return lost.Load() > 3 }, time.Minute, time.Millisecond)
+	requireCrashes(t, two, quarantine.Fingerprint{7}, 3)
+}
+
+// An operator frees a request by removing the records. No entry brings it back.
+func TestRemovedRecordsFreeARequest(t *testing.T) {
+	t.Parallel()
+	store := standin.NewStore(t)
+	require.NoError(t, store.PutConfig(standin.Config{Version: 1, Host: callsHost, Plain: "app"}))
+	one, two := start(t, "entry-1", store.Address), start(t, "entry-2", store.Address)
+	fatal := quarantine.Fingerprint{7}
+	one.crashUnder("i-1", fatal)
+	requireCrashes(t, two, fatal, 1)
+	store.Remove("wagtailshelf-crashes", "entry-1")
+	requireCrashes(t, one, fatal, 0)
+	requireCrashes(t, two, fatal, 0)
+	one.crashUnder("i-2", fatal)
+	requireCrashes(t, two, fatal, 1)
+}
+
+// A server that has said that it leaves, or is not listed any more, ends as planned; what still
+// runs there is cut as its time is over. Three such ends in a release are no crash of a
+// request that was there.
+func TestPlannedEndsAreNoCrashes(t *testing.T) {
+	g := newGateway()
+	g.roster.Put(roster.Target{ID: "leaves", Service: "svc", Leaving: true})
+	g.roster.Put(roster.Target{ID: "crashes", Service: "svc"})
+	for id, crashes := range map[string]int{"leaves": 0, "notListed": 0, "crashes": 1} {
+		for presence, counts := range map[upstream.Presence]int{upstream.Silent: 0, upstream.Listening: 0, upstream.Absent: crashes} {
+			f := quarantine.Request{URI: id + presence.String()}.Fingerprint()
+			g.judgeBreak(&brokenTarget{
+				target: roster.Target{ID: id}, presence: presence, requests: []forward.Break{{Request: f}},
+			})
+			require.Equal(t, counts, g.crashes.quarantine.Look(time.Now(), f).Crashes, "%s %s", id, presence)
+		}
+	}
+}
+
+// A host is gone for good, and its entry's record stays in the store. Another entry removes
+// it once it can hold nothing back any more, and not before.
+func TestRecordsOfEntriesThatAreGone(t *testing.T) {
+	t.Parallel()
+	store := standin.NewStore(t)
+	require.NoError(t, store.PutConfig(standin.Config{Version: 1, Host: callsHost, Plain: "app"}))
+	put := func(name string, age time.Duration) {
+		store.Put("wagtailshelf-crashes", name, fmt.Sprintf(`{"told":%d,"crashes":[]}`, time.Now().Add(-age).UnixMilli()))
+	}
+	put("old", 30*time.Hour)
+	put("young", time.Hour)
+	start(t, "entry-1", store.Address)
+	require.Eventually(t, func() bool {
+		return slices.Contains(store.Calls(), "DELETE /objects/wagtailshelf-crashes/old")
+	}, time.Minute, time.Millisecond)
+	require.NotContains(t, store.Calls(), "DELETE /objects/wagtailshelf-crashes/young")
+}
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -60,6 +60,7 @@
 	pool     *upstream.Pool
 	admit    *admission.Controller
 	breaks   chan forward.Break // connections that broke, until it is known why
+	crashes  *crashRecords
 }
 
 // New returns an entry that does not run yet.
@@ -81,6 +82,8 @@
 	g.admit.Targets = g.roster.Serving
 	g.admit.RulesFor = g.limits
 	g.admit.Believes = g.believes
+	g.crashes = newCrashRecords(string(s.Name))
+	g.crashes.quarantine.Believes = g.believesRequest
 	g.store.Called = deployed.CountStoreCalls(m)
 	g.forward = &forward.Forwarder{
 		Rules:     g.currentRules,
@@ -98,6 +101,8 @@
 		Elsewhere: func() bool { return g.planners.elsewhere(time.Now()) },
 		Ended:     g.ended,
 		Broke:     g.heardBreak,
+
+		Quarantine: g.crashes.quarantine,
 	}
 	return g
 }
@@ -173,6 +178,8 @@
 	duty(g.keepTime)
 	duty(g.hearDigests)
 	duty(g.followBreaks)
+	duty(g.followCrashes)
+	duty(g.tellCrashes)
 	duty(g.serveReadiness)
 	duty(func(ctx context.Context) error {
 		return deployed.ServeMetrics(ctx, g.settings.Listen.Metrics, g.metrics)
@@ -198,6 +205,7 @@
 			if now.Sub(swept) >= sweepInterval {
 				swept = now
 				g.pool.Sweep(now)
+				g.crashes.quarantine.Sweep(now)
 				g.admit.Sweep(now, func(id string) bool { _, found := g.roster.Get(id); return found })
 			}
 		}
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -6,6 +6,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 )
 
 // malformed logs an object of the store that does not decode. The last good state
@@ -36,6 +37,17 @@
 		Bool("open", b.Open).Bool("slow", b.Slow).Str("source", b.Source).Dur("age", b.Age).Msg("")
 }
 
+// believesRequest logs when a request begins to be held back, and when it no longer is.
+func (g *Gateway) believesRequest(b quarantine.Belief) {
+	event := "requestHeld"
+	if b.Held == 0 {
+		event = "requestFreed"
+	}
+	g.metrics.GetOrCreateCounter(fmt.Sprintf(`wagtailshelf_quarantine_total{event=%q}`, event)).Inc()
+	g.log.Warn().Str("event", event).Stringer("fingerprint", b.Request).Int("crashes", b.Crashes).
+		Dur("for", b.Held).Str("source", b.Source).Msg("")
+}
+
 // ended logs and counts the end of a request.
 func (g *Gateway) ended(r forward.Record) {
 	g.metrics.GetOrCreateCounter(fmt.Sprintf(`wagtailshelf_requests_total{kind=%q,outcome=%q,reason=%q}`, r.Kind, r.Outcome, r.Reason)).Inc()
@@ -51,7 +63,7 @@
 		attempts = append(attempts, describe(a))
 	}
 	if !r.Fingerprint.IsZero() {
-		e.Stringer("fingerprint", r.Fingerprint)
+		e.Stringer("fingerprint", r.Fingerprint).Int("crashes", r.Crashes)
 	}
 	e.Strs("attempts", attempts).Msg("")
 }
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -8,6 +8,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 	"wagtailshelf.example/wagtailshelf/platform"
@@ -35,7 +36,7 @@
 )
 
 // attempt sends the request to one target. It tells whether to try another one.
-func (c *call) attempt(t *admission.Ticket) bool {
+func (c *call) attempt(t *admission.Ticket, v quarantine.Verdict) bool {
 	begin := c.f.Now()
 	a := Attempt{Target: t.Target().ID, Seen: t.Seen}
 	res, end, why := c.send(t, &a)
@@ -44,6 +45,9 @@
 	a.Result = why
 	c.rec.Attempts = append(c.rec.Attempts, a)
 	c.f.Admission.Done(now, t, end)
+	if !c.f.Quarantine.Empty() {
+		c.f.Quarantine.End(c.fingerprint(), v, why == whyAnswered && c.rec.Status < 300)
+	}
 	if res == resultUnknown && (why == whyBroken || why == whyCut) {
 		c.f.Broke(Break{Request: c.fingerprint(), Target: t.Target()})
 	}
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -42,7 +42,9 @@
 	Gone      func(id string) // another server answers at a target's address
 	Ended     func(Record)    // hears of each request's end
 	Broke     func(Break)     // hears of each connection that broke under a request
-	Elsewhere func() bool     // other entries have fresh rules; nil if that is never known
+	// Quarantine holds requests back that crash targets.
+	Quarantine *quarantine.Quarantine
+	Elsewhere  func() bool // other entries have fresh rules; nil if that is never known
 }
 
 // Outcome says how a request ended.
@@ -77,6 +79,7 @@
 	Events    int
 	// Fingerprint of the request; zero if nothing asked for it.
 	Fingerprint quarantine.Fingerprint
+	Crashes     int // of targets that ran the request, as far as known
 }
 
 // Break is a connection to a target that broke while a request was under way on it.
@@ -251,16 +254,46 @@
 	c.rec.Service = c.service
 	c.f.Budget.First(c.f.Now(), c.service)
 	for {
+		// Before it waits: one that is held back is refused at once.
+		if c.heldBack(c.verdict((*quarantine.Quarantine).Look)) {
+			return
+		}
 		t, ok := c.place()
 		if !ok {
 			return
 		}
-		if !c.attempt(t) {
+		// And after: a copy of it may have crashed targets meanwhile.
+		v := c.verdict((*quarantine.Quarantine).Begin)
+		if v.Held {
+			c.f.Admission.Done(c.f.Now(), t, admission.End{})
+		}
+		if c.heldBack(v) || !c.attempt(t, v) {
 			return
 		}
 	}
 }
 
+// verdict asks whether the request is held back. While no request is suspected that takes
+// no fingerprint.
+func (c *call) verdict(ask func(*quarantine.Quarantine, time.Time, quarantine.Fingerprint) quarantine.Verdict) quarantine.Verdict {
+	if c.f.Quarantine.Empty() {
+		return quarantine.Verdict{}
+	}
+	v := ask(c.f.Quarantine, c.f.Now(), c.fingerprint())
+	c.rec.Crashes = v.Crashes
+	return v
+}
+
+// heldBack answers a request that crashes its targets. It is refused at once, with the
+// time of the next trial: sent on, it would cost one more target, and its group's callers
+// some seconds.
+func (c *call) heldBack(v quarantine.Verdict) bool {
+	if v.Held {
+		c.giveUp(http.StatusServiceUnavailable, "crashesTargets", v.After)
+	}
+	return v.Held
+}
+
 // ticket describes the request to admission.
 func (c *call) ticket() *admission.Ticket {
 	t := &admission.Ticket{Service: c.service, Priority: c.route.Priority, Work: 1, Tried: c.tried, Deadline: c.deadline}
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -17,6 +17,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
@@ -86,6 +87,8 @@
 		Draining: new(atomic.Bool),
 		Gone:     func(id string) { b.targets.Leave(id) },
 		Broke:    func(Break) {},
+
+		Quarantine: quarantine.New("entry-1"),
 		Ended: func(r Record) {
 			b.mu.Lock()
 			defer b.mu.Unlock()
--- /dev/null
+++ b/internal/traffic/forward/quarantine_test.go
@@ -0,0 +1,117 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
+	"wagtailshelf.example/wagtailshelf/platform/standin"
+)
+
+// suspect has two targets crash under a request that a test will send.
+func (b *bench) suspect(method, path, body string) quarantine.Fingerprint {
+	f := quarantine.Request{Host: host, Method: method, URI: path, Body: []byte(body)}.Fingerprint()
+	for _, target := range []string{"i-8", "i-9"} {
+		b.Quarantine.Crashed(time.Now(), quarantine.Life{Target: target}, []quarantine.Fingerprint{f})
+	}
+	return f
+}
+
+// firstEnded waits for the first request to end: its caller may have the answer before.
+func (b *bench) firstEnded() Record {
+	require.Eventually(b.t, func() bool { return len(b.ended()) > 0 }, time.Minute, time.Millisecond)
+	return b.ended()[0]
+}
+
+// Two targets crashed under a request. Its caller sends it again, and is refused before it
+// waits for a target: at once, as not run, with the time of the next trial. Others on the
+// same path are served.
+func TestHeldBackAtOnce(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			s := standin.NewServer(t, whole(allFour))
+			b := newBench(t, s)
+			b.suspect(http.MethodPost, path, "fatal")
+			a := b.do(t.Context(), http.MethodPost, path, "", "fatal")
+			require.Equal(t, http.StatusServiceUnavailable, a.status)
+			after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+			require.NoError(t, err)
+			require.InDelta(t, 15, after, 5)
+			require.Empty(t, s.Seen())
+			r := b.firstEnded()
+			require.Equal(t, "crashesTargets", r.Reason)
+			require.Equal(t, NotRun, r.Outcome)
+			require.Equal(t, 2, r.Crashes)
+			require.False(t, r.Fingerprint.IsZero())
+			a = b.do(t.Context(), http.MethodPost, path, "", "harmless")
+			require.Equal(t, http.StatusOK, a.status)
+		})
+	}
+}
+
+// A target crashes in the middle of a stream, which goes on at another one after its last
+// event. It is the same request there, and counts for two crashes if that one ends too.
+func TestResumedStreamIsTheSameRequest(t *testing.T) {
+	breaks := func(w standin.Reply, _ standin.Request) { w.Head(); w.Event(1); w.Cut() }
+	one, two := standin.NewServer(t, breaks), standin.NewServer(t, breaks)
+	b := newBench(t, one, two)
+	broke := make(chan Break, 2)
+	b.Broke = func(v Break) { broke <- v }
+	require.Error(t, b.call(http.MethodGet, "/stream/x").err)
+	require.Equal(t, (<-broke).Request, (<-broke).Request)
+	require.Equal(t, 1, len(one.Seen()[0].LastEvent)+len(two.Seen()[0].LastEvent), "one of them resumed it")
+}
+
+// A request waits for a target while copies of it, which other entries sent, crash two. It
+// is not sent when a target is free, and its caller is told that it did not run.
+func TestHeldBackAfterWaiting(t *testing.T) {
+	s := standin.NewServer(t, whole("hello"))
+	b := newBench(t, s)
+	var asked atomic.Int32
+	targets := b.Admission.Targets
+	b.Admission.Targets = func(service string) (list []roster.Target) {
+		if asked.Add(1) == 1 {
+			b.suspect(http.MethodPost, "/safe/x", "fatal") // after the first look
+		}
+		return targets(service)
+	}
+	a := b.do(t.Context(), http.MethodPost, "/safe/x", "", "fatal")
+	require.Equal(t, http.StatusServiceUnavailable, a.status)
+	require.Empty(t, s.Seen())
+	for range 6 { // its place at the target is free again, for four at a time
+		requireServed(t, b.do(t.Context(), http.MethodPost, "/safe/x", "", "harmless"), "hello")
+	}
+}
+
+// A stream had begun when its target crashed, and another copy crashed one before. It breaks
+// off, and is not sent to a third target: a caller that has a part must not be told "not run".
+func TestBegunStreamIsNotSentOn(t *testing.T) {
+	second := standin.NewServer(t, whole("hello"))
+	first := standin.NewServer(t, func(w standin.Reply, _ standin.Request) { w.Head(); w.Event(1); w.Cut() })
+	b := newBench(t, first)
+	b.Broke = func(Break) {
+		b.targets.Put(roster.Target{ID: "i-5", Service: "svc", Address: second.Address, Slots: 4})
+		b.suspect(http.MethodGet, "/stream/x", "")
+	}
+	a := b.call(http.MethodGet, "/stream/x")
+	require.Error(t, a.err, "it breaks off")
+	require.Empty(t, second.Seen())
+	require.Equal(t, Broken, b.firstEnded().Outcome)
+}
+
+// A hold is over and the request is answered: it is let in again for good. Whoever was there
+// at two crashes by chance is served 15 s later.
+func TestTrialThatIsAnswered(t *testing.T) {
+	b := newBench(t, standin.NewServer(t, whole("hello")))
+	b.suspect(http.MethodPost, "/safe/x", "fatal")
+	later := time.Now().Add(16 * time.Second)
+	b.Now = func() time.Time { return later }
+	requireServed(t, b.do(t.Context(), http.MethodPost, "/safe/x", "", "fatal"), "hello")
+	require.True(t, b.Quarantine.Empty())
+}
--- /dev/null
+++ b/internal/traffic/quarantine/quarantine_test.go
@@ -0,0 +1,259 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	start = time.UnixMilli(1_700_000_000_000)
+	fatal = Request{Workspace: "acme", Method: "POST", URI: "/x", Body: []byte("fatal")}.Fingerprint()
+	other = Request{Workspace: "acme", Method: "POST", URI: "/x", Body: []byte("other")}.Fingerprint()
+)
+
+// at is a moment after the start.
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// life names a life of a server that says when it was born.
+func life(id string) Life { return Life{Target: id, Born: start} }
+
+func requireFree(t *testing.T, q *Quarantine, now time.Time, f Fingerprint) {
+	t.Helper()
+	require.False(t, q.Look(now, f).Held)
+}
+
+func requireHeld(t *testing.T, q *Quarantine, now time.Time, f Fingerprint, after time.Duration) {
+	t.Helper()
+	v := q.Look(now, f)
+	require.True(t, v.Held)
+	require.Equal(t, after, v.After)
+}
+
+// A request crashes a server, is sent again and crashes the next. The third waits, the fourth
+// waits for longer: each hold ends with one trial, so that a request that no longer does harm
+// gets through, and one that does costs a server in ever longer times.
+func TestHoldsGrow(t *testing.T) {
+	q := New("a")
+	now := start
+	for n, hold := range []time.Duration{0, 15 * time.Second, 10 * time.Minute, 2 * time.Hour, 24 * time.Hour, 24 * time.Hour} {
+		t.Run(fmt.Sprint(n+1), func(t *testing.T) {
+			q.Crashed(now, life(fmt.Sprint("i-", n)), []Fingerprint{fatal})
+			if hold == 0 {
+				requireFree(t, q, now, fatal)
+				return
+			}
+			requireHeld(t, q, now, fatal, hold)
+			requireHeld(t, q, now.Add(hold-time.Millisecond), fatal, time.Millisecond)
+			requireFree(t, q, now, other)
+			now = now.Add(hold)
+			requireFree(t, q, now, fatal)
+		})
+	}
+}
+
+// A hold is over, and callers come with the request through the same entry at the same time.
+// If all were let in, each would crash a server.
+func TestOneTrialAtATime(t *testing.T) {
+	q := New("a")
+	q.Crashed(start, life("i-1"), []Fingerprint{fatal})
+	q.Crashed(start, life("i-2"), []Fingerprint{fatal})
+	now := at(time.Minute)
+	v := q.Begin(now, fatal)
+	require.True(t, v.Trial)
+	require.Equal(t, 2, v.Crashes)
+	requireHeld(t, q, now, fatal, trialAgain)
+	require.True(t, q.Begin(now, fatal).Held)
+	q.End(fatal, Verdict{}, false) // of an attempt that was let in before
+	requireHeld(t, q, now, fatal, trialAgain)
+	q.End(fatal, v, false)
+	requireFree(t, q, now, fatal)
+}
+
+// Up to all slots of a server are in use as it crashes. Whoever did nothing gets an answer the
+// next time, and its later crashes count from none.
+func TestAnswerClears(t *testing.T) {
+	q := New("a")
+	q.Crashed(start, life("i-1"), []Fingerprint{fatal, other})
+	q.End(other, q.Begin(start, other), true)
+	q.Crashed(start, life("i-2"), []Fingerprint{fatal, other})
+	requireHeld(t, q, start, fatal, 15*time.Second)
+	requireFree(t, q, start, other)
+	require.False(t, q.Empty())
+}
+
+// Entries see one crash each. What two entries saw of one server is one crash, which an
+// innocent request must not be held back for.
+func TestCrashesOfOtherEntries(t *testing.T) {
+	a, b := New("a"), New("b")
+	a.Crashed(start, life("i-1"), []Fingerprint{fatal, other})
+	b.Crashed(start, life("i-1"), []Fingerprint{other})
+	share(start, a, b)
+	requireFree(t, a, start, other)
+	requireFree(t, b, start, other)
+	b.Crashed(at(time.Second), life("i-2"), []Fingerprint{fatal})
+	share(at(time.Second), a, b)
+	requireHeld(t, a, at(time.Second), fatal, 15*time.Second)
+	requireHeld(t, b, at(time.Second), fatal, 15*time.Second)
+}
+
+// share has entries take each other's records.
+func share(now time.Time, list ...*Quarantine) {
+	for _, from := range list {
+		r, _ := from.Own(now)
+		for _, to := range list {
+			if to != from {
+				to.Take(now, r)
+			}
+		}
+	}
+}
+
+// A server starts again under the id that it had, and crashes once more under the same
+// request. Taken for the crash that is known, it would never be held back.
+func TestServerCrashesTwiceUnderItsID(t *testing.T) {
+	t.Run("born is told", func(t *testing.T) {
+		q := New("a")
+		q.Crashed(start, Life{"i-1", start}, []Fingerprint{fatal})
+		q.Crashed(at(time.Millisecond), Life{"i-1", start}, []Fingerprint{fatal})
+		require.Equal(t, 1, q.Look(start, fatal).Crashes, "the same life")
+		q.Crashed(at(5*time.Second), Life{"i-1", at(3 * time.Second)}, []Fingerprint{fatal})
+		require.Equal(t, 2, q.Look(start, fatal).Crashes)
+	})
+	t.Run("born is not told", func(t *testing.T) {
+		q, b := New("a"), New("b")
+		q.Crashed(start, Life{Target: "i-1"}, []Fingerprint{fatal})
+		b.Crashed(at(30*time.Millisecond), Life{Target: "i-1"}, []Fingerprint{fatal})
+		share(start, q, b)
+		require.Equal(t, 1, q.Look(start, fatal).Crashes, "two entries saw one crash")
+		q.Crashed(at(5*time.Second), Life{Target: "i-1"}, []Fingerprint{fatal})
+		require.Equal(t, 2, q.Look(start, fatal).Crashes)
+	})
+}
+
+// An entry's record gets shorter as callers are served, or is removed by an operator. What it
+// no longer tells must not hold anything back at the others.
+func TestRecordsAreReplaced(t *testing.T) {
+	for name, drop := range map[string]func(a, b *Quarantine){
+		"shorter": func(a, b *Quarantine) {
+			a.End(fatal, Verdict{}, true)
+			share(start, a, b)
+		},
+		"removed": func(_, b *Quarantine) { b.Removed("a") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := New("a"), New("b")
+			a.Crashed(start, life("i-1"), []Fingerprint{fatal})
+			a.Crashed(start, life("i-2"), []Fingerprint{fatal})
+			share(start, a, b)
+			requireHeld(t, b, start, fatal, 15*time.Second)
+			share(start, a, b)
+			require.Equal(t, 2, b.Look(start, fatal).Crashes, "the same word twice is one")
+			drop(a, b)
+			requireFree(t, b, start, fatal)
+			require.True(t, b.Empty())
+		})
+	}
+}
+
+// An entry starts anew while a request is held back. It must not send what its earlier life
+// knew to crash servers, and must not wipe that from its record either.
+func TestEarlierLifeOfAnEntry(t *testing.T) {
+	q := New("a")
+	q.Crashed(start, life("i-1"), []Fingerprint{fatal})
+	q.Crashed(start, life("i-2"), []Fingerprint{fatal})
+	r, changed := q.Own(start)
+	require.True(t, changed)
+	next := New("a")
+	next.Crashed(start, life("i-3"), []Fingerprint{other}) // before it has read its record
+	next.Take(at(time.Second), r)
+	requireHeld(t, next, at(time.Second), fatal, 14*time.Second)
+	again, _ := next.Own(start)
+	require.Len(t, again.Crashes, 3)
+}
+
+// The clock of an entry's host is an hour ahead, or its record was made up. A request that is
+// on trial after 15 s elsewhere must not be held back for an hour.
+func TestTimesInTheFuture(t *testing.T) {
+	q := New("a")
+	late := at(time.Hour)
+	q.Take(start, Record{Entry: "b", Told: late, Crashes: []Crash{{fatal, life("i-1"), late}, {fatal, life("i-2"), late}}})
+	requireHeld(t, q, start, fatal, 15*time.Second)
+	requireFree(t, q, at(15*time.Second), fatal)
+}
+
+// Nothing is remembered for ever, so that a request is not held back for what its servers did
+// long ago, and memory does not grow.
+func TestForgottenInTheEnd(t *testing.T) {
+	q := New("a")
+	var told []Belief
+	q.Believes = func(b Belief) { told = append(told, b) }
+	q.Crashed(start, life("i-1"), []Fingerprint{fatal, other})
+	q.Crashed(start, life("i-2"), []Fingerprint{fatal})
+	q.Sweep(at(remembered))
+	require.Equal(t, 1, q.Look(at(remembered), other).Crashes)
+	q.Sweep(at(remembered + time.Millisecond))
+	require.Zero(t, q.Look(at(remembered), other).Crashes)
+	require.Equal(t, 2, q.Look(at(remembered), fatal).Crashes)
+	q.Sweep(at(remembered + 15*time.Second + time.Millisecond))
+	require.True(t, q.Empty())
+	require.Equal(t, []Belief{
+		{Request: fatal, Crashes: 2, Held: 15 * time.Second, Source: "a"},
+		{Request: fatal, Source: "a"},
+	}, told)
+}
+
+// A caller sends a new body each time, all of which run at servers that crash. The record
+// stays within its bound, and what crashed several servers is the last to go.
+func TestRecordIsBounded(t *testing.T) {
+	q := New("a")
+	q.Crashed(start, life("i-1"), []Fingerprint{fatal})
+	q.Crashed(start, life("i-2"), []Fingerprint{fatal})
+	for n := range 3 * mostNoted {
+		now := at(time.Duration(n) * time.Millisecond)
+		q.Crashed(now, life("i-3"), []Fingerprint{{1, byte(n), byte(n >> 8)}})
+	}
+	r, _ := q.Own(start)
+	require.Len(t, r.Crashes, mostNoted)
+	requireHeld(t, q, start, fatal, 15*time.Second)
+	n := 3*mostNoted - 1
+	last := Fingerprint{1, byte(n), byte(n >> 8)}
+	require.Equal(t, 1, q.Look(start, last).Crashes, "the newest is kept")
+}
+
+// A record that another writer has put there names more than an entry may. The rest is not
+// taken, so that memory stays bounded.
+func TestForeignRecordIsBounded(t *testing.T) {
+	q := New("a")
+	r := Record{Entry: "b", Told: start}
+	for n := range 3 * mostNoted {
+		r.Crashes = append(r.Crashes, Crash{Request: Fingerprint{byte(n), byte(n >> 8)}, Life: life("i"), At: start})
+	}
+	q.Take(start, r)
+	require.Len(t, q.suspects, mostNoted)
+}
+
+func TestSpentRecord(t *testing.T) {
+	r := Record{Entry: "a", Told: start}
+	require.False(t, r.Spent(at(24*time.Hour)))
+	require.True(t, r.Spent(at(25*time.Hour)))
+}
+
+func BenchmarkLookWithoutSuspects(b *testing.B) {
+	q := New("a")
+	for b.Loop() {
+		q.Empty()
+	}
+}
+
+func BenchmarkLookAmongSuspects(b *testing.B) {
+	q := New("a")
+	for n := range mostNoted {
+		q.Crashed(start, life("i"), []Fingerprint{{byte(n), byte(n >> 8)}})
+	}
+	for b.Loop() {
+		q.Look(start, Fingerprint{1})
+	}
+}
