Refuse at once what waits for a target and turns out to crash them

Cause: a copy that waited in the queue, up to 2 s for a stream, was looked at again only once a target was free for it.

Change: who waits hears when a further request is held back, and looks again. The file forward.go is split: waiting, refusing and what is suspected have files of their own.

Ruled out: looking at each waiting request every tick; it would make a fingerprint of each.

--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -45,9 +45,7 @@
 	a.Result = why
 	c.rec.Attempts = append(c.rec.Attempts, a)
 	c.f.Admission.Done(now, t, end)
-	if !c.f.Quarantine.Empty() {
-		c.f.Quarantine.End(c.fingerprint(), v, why == whyAnswered && c.rec.Status < 300)
-	}
+	c.endAttempt(v, why == whyAnswered && c.rec.Status < http.StatusMultipleChoices)
 	if res == resultUnknown && (why == whyBroken || why == whyCut) {
 		c.f.Broke(Break{Request: c.fingerprint(), Target: t.Target()})
 	}
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -11,11 +11,9 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
-	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
@@ -82,12 +80,6 @@
 	Crashes     int // of targets that ran the request, as far as known
 }
 
-// Break is a connection to a target that broke while a request was under way on it.
-type Break struct {
-	Request quarantine.Fingerprint
-	Target  roster.Target
-}
-
 // Attempt is one sending to a target.
 type Attempt struct {
 	Target string
@@ -193,16 +185,6 @@
 	return true
 }
 
-func (c *call) deny(stale bool, status int, reason string) bool {
-	if stale {
-		c.refuse(http.StatusServiceUnavailable, "rulesTooOld", c.untilRules())
-		return false
-	}
-	c.rec.Outcome, c.rec.Reason, c.rec.Status = Denied, reason, status
-	c.reply(status)
-	return false
-}
-
 func (c *call) readBody() bool {
 	limits := c.config.Limits
 	if limits.HeaderBytes > 0 && headerSize(c.r) > limits.HeaderBytes {
@@ -228,16 +210,6 @@
 	return true
 }
 
-// fingerprint names the request by what stays the same when it comes again.
-func (c *call) fingerprint() quarantine.Fingerprint {
-	if c.rec.Fingerprint.IsZero() {
-		c.rec.Fingerprint = quarantine.Request{
-			Workspace: c.rec.Workspace, Host: c.route.Host, Method: c.r.Method, URI: c.r.RequestURI, Body: c.body,
-		}.Fingerprint()
-	}
-	return c.rec.Fingerprint
-}
-
 func headerSize(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
@@ -255,7 +227,7 @@
 	c.f.Budget.First(c.f.Now(), c.service)
 	for {
 		// Before it waits: one that is held back is refused at once.
-		if c.heldBack(c.verdict((*quarantine.Quarantine).Look)) {
+		if c.heldBack(c.lookUp()) {
 			return
 		}
 		t, ok := c.place()
@@ -263,9 +235,9 @@
 			return
 		}
 		// And after: a copy of it may have crashed targets meanwhile.
-		v := c.verdict((*quarantine.Quarantine).Begin)
+		v := c.beginAttempt()
 		if v.Held {
-			c.f.Admission.Done(c.f.Now(), t, admission.End{})
+			c.f.Admission.Abandon(c.f.Now(), t)
 		}
 		if c.heldBack(v) || !c.attempt(t, v) {
 			return
@@ -273,127 +245,6 @@
 	}
 }
 
-// verdict asks whether the request is held back. While no request is suspected that takes
-// no fingerprint.
-func (c *call) verdict(ask func(*quarantine.Quarantine, time.Time, quarantine.Fingerprint) quarantine.Verdict) quarantine.Verdict {
-	if c.f.Quarantine.Empty() {
-		return quarantine.Verdict{}
-	}
-	v := ask(c.f.Quarantine, c.f.Now(), c.fingerprint())
-	c.rec.Crashes = v.Crashes
-	return v
-}
-
-// heldBack answers a request that crashes its targets. It is refused at once, with the
-// time of the next trial: sent on, it would cost one more target, and its group's callers
-// some seconds.
-func (c *call) heldBack(v quarantine.Verdict) bool {
-	if v.Held {
-		c.giveUp(http.StatusServiceUnavailable, "crashesTargets", v.After)
-	}
-	return v.Held
-}
-
-// ticket describes the request to admission.
-func (c *call) ticket() *admission.Ticket {
-	t := &admission.Ticket{Service: c.service, Priority: c.route.Priority, Work: 1, Tried: c.tried, Deadline: c.deadline}
-	t.Fresh = time.Duration(freshShare*float64(c.route.Aim)) - c.f.Now().Sub(c.begin)
-	if c.space != nil && c.space.Ranked {
-		t.Priority = c.space.Priority
-	}
-	if c.route.Generates {
-		t.Work = float64(c.in.Prompt)*readWork + float64(c.expectedAnswer())
-	}
-	return t
-}
-
-// freshShare is the part of its aim that a request may wait for a target and still
-// be answered on time: a loaded engine takes some 300 ms to the first event, of an
-// aim of 500.
-const freshShare = 0.4
-
-// readWork is the work of reading a prompt token, in tokens written. Reading takes
-// 1/61 ms a token; writing one takes some 10 ms, shared by about ten requests.
-const readWork = 0.016
-
-// expectedAnswer is how many tokens the answer will have, as the caller guesses.
-func (c *call) expectedAnswer() int {
-	if c.in.Hint > 0 && (c.in.Answer == 0 || c.in.Hint < c.in.Answer) {
-		return c.in.Hint
-	}
-	return c.in.Answer
-}
-
-// place waits for a target, or answers the request.
-func (c *call) place() (*admission.Ticket, bool) {
-	now := c.f.Now()
-	t := c.ticket()
-	switch c.f.Admission.Arrive(now, t) {
-	case admission.Go:
-		return t, true
-	case admission.Wait:
-		return t, c.await(t, now)
-	case admission.Full:
-		c.giveUp(http.StatusServiceUnavailable, "queueFull", c.comeBackSpread())
-	case admission.NoTarget:
-		c.giveUp(http.StatusServiceUnavailable, "noTarget", c.comeBack())
-	}
-	return nil, false
-}
-
-// await waits in the queue.
-func (c *call) await(t *admission.Ticket, since time.Time) bool {
-	limit := c.queueLimit()
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-t.Granted():
-		c.rec.Queued += c.f.Now().Sub(since)
-		return true
-	case <-timer.C:
-	case <-c.ctx.Done():
-	}
-	now := c.f.Now()
-	c.rec.Queued += now.Sub(since)
-	select {
-	case <-t.Granted(): // in the same moment
-		if c.ctx.Err() == nil {
-			return true
-		}
-	default:
-	}
-	c.f.Admission.Abandon(now, t)
-	if c.callerLeft() {
-		return false
-	}
-	c.giveUp(http.StatusServiceUnavailable, "queueTooLong", c.comeBackSpread())
-	return false
-}
-
-// queueLimit is how long the request may wait at the entry: for a quarter of the
-// time left there is still enough for the answer and for coming back. Callers leave a
-// stream that is silent for too long; one that waits for half of that still gets its
-// first event in time, or a refusal that says when to come back.
-func (c *call) queueLimit() time.Duration {
-	limit := c.deadline.Sub(c.f.Now()) / 4
-	if c.route.Kind == routing.Streaming {
-		limit = min(limit, c.streamPatience()/2)
-	}
-	return max(limit, time.Millisecond)
-}
-
-// What callers bear between two events of a stream, and before the first: the longest
-// of a fixed time and of multiples of the route's aims.
-const (
-	leastPatience  = 2 * time.Second
-	aimsPatience   = 4
-	pausesPatience = 8
-)
-
-func (c *call) streamPatience() time.Duration {
-	return max(leastPatience, aimsPatience*c.route.Aim, pausesPatience*c.route.GapAim)
-}
-
 func (c *call) callerLeft() bool {
 	if c.r.Context().Err() == nil {
 		return false
@@ -401,75 +252,3 @@
 	c.rec.Outcome, c.rec.Reason = CallerLeft, "callerLeft"
 	return true
 }
-
-// giveUp ends a request that has no target now. Only one that never ran is refused: an
-// earlier try may have run, and "not run" must be true of all of them.
-func (c *call) giveUp(status int, reason string, back time.Duration) {
-	switch {
-	case c.stream.held != nil:
-		c.deliverHeld()
-	case c.stream.begun || c.ranOnce():
-		c.fail(reason)
-	default:
-		c.refuse(status, reason, back)
-	}
-}
-
-// comeBack is when a refused caller should try again.
-func (c *call) comeBack() time.Duration {
-	left := c.deadline.Sub(c.f.Now())
-	return max(time.Duration(float64(left)*refuseShare), 10*time.Millisecond)
-}
-
-// comeBackSpread is the same for callers that are refused since too many came at once:
-// those that are refused together would come back together.
-func (c *call) comeBackSpread() time.Duration {
-	share := leastReturn + (1-leastReturn)*rand.Float64()
-	return time.Duration(share * float64(c.comeBack()))
-}
-
-// leastReturn is the part of the longest wait that a refused caller waits at the least.
-const leastReturn = 0.4
-
-// comeBackWithin is the same where the reason is likely to last for a known time.
-func (c *call) comeBackWithin(d time.Duration) time.Duration { return min(d, c.comeBack()) }
-
-// untilRules is when a caller should come back whom old rules don't serve: at once if
-// other entries have fresh ones, as callers come back through another entry.
-func (c *call) untilRules() time.Duration {
-	if c.f.Elsewhere != nil && c.f.Elsewhere() {
-		return c.comeBackWithin(elsewhereReturn)
-	}
-	return c.comeBackWithin(storeReturn)
-}
-
-// elsewhereReturn spreads callers that go to another entry at once.
-const elsewhereReturn = 20 * time.Millisecond
-
-// storeReturn is when an entry that lost the store can be expected to have fresh
-// rules: most losses are over within a second or two, and other entries have them.
-const storeReturn = time.Second
-
-// refuse says that the request did not run, and when to come back.
-func (c *call) refuse(status int, reason string, after time.Duration) {
-	c.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
-	c.end(NotRun, reason, status)
-}
-
-// end gives an answer of the entry's own.
-func (c *call) end(o Outcome, reason string, status int) {
-	c.rec.Outcome, c.rec.Reason, c.rec.Status = o, reason, status
-	c.reply(status)
-}
-
-func (c *call) reply(status int) {
-	platform.NameRequest(c.w.Header(), c.in.ID)
-	c.w.Header().Set("Content-Length", "0")
-	c.w.WriteHeader(status)
-}
-
-// breakOff cuts an answer that has begun, so that it can't be taken for a whole one.
-func (c *call) breakOff(reason string) {
-	c.rec.Outcome, c.rec.Reason = Broken, reason
-	panic(http.ErrAbortHandler)
-}
--- a/internal/traffic/forward/quarantine_test.go
+++ b/internal/traffic/forward/quarantine_test.go
@@ -89,6 +89,43 @@
 	}
 }
 
+// A request waits in the queue for a service whose targets are all busy, and copies of it
+// crash two. It is refused then: it has nothing to wait for. Another one waits on.
+func TestHeldBackWhileWaiting(t *testing.T) {
+	busy := make(chan struct{})
+	s := standin.NewServer(t, func(w standin.Reply, r standin.Request) {
+		if r.Body == "long" {
+			<-busy
+		}
+		w.Whole(http.StatusOK, "hello")
+	})
+	b := newBench(t, s)
+	b.patienceMS = 60_000
+	b.rules.Config.RouteFor(host, "/safe/x").Timeout = time.Minute
+	answers := make(chan answer, 6)
+	send := func(body string) {
+		go func() { answers <- b.do(t.Context(), http.MethodPost, "/safe/x", "", body) }()
+	}
+	for range 4 {
+		send("long")
+	}
+	require.Eventually(t, func() bool { return len(s.Seen()) == 4 }, time.Minute, time.Millisecond)
+	send("fatal")
+	require.Eventually(t, func() bool { return b.Admission.Waiting("svc") == 1 }, time.Minute, time.Millisecond)
+	send("other")
+	require.Eventually(t, func() bool { return b.Admission.Waiting("svc") == 2 }, time.Minute, time.Millisecond)
+	b.suspect(http.MethodPost, "/safe/x", "fatal")
+	require.Equal(t, http.StatusServiceUnavailable, (<-answers).status)
+	require.Equal(t, 1, b.Admission.Waiting("svc"))
+	close(busy)
+	for range 5 {
+		requireServed(t, <-answers, "hello")
+	}
+	for _, r := range s.Seen() {
+		require.NotEqual(t, "fatal", r.Body)
+	}
+}
+
 // A stream had begun when its target crashed, and another copy crashed one before. It breaks
 // off, and is not sent to a third target: a caller that has a part must not be told "not run".
 func TestBegunStreamIsNotSentOn(t *testing.T) {
--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -63,7 +63,8 @@
 
 	mu       sync.Mutex
 	suspects map[Fingerprint]*suspect
-	dirty    bool // the own record has changed since it was taken
+	news     chan struct{} // closed when a request begins to be held back
+	dirty    bool          // the own record has changed since it was taken
 }
 
 // Belief is what the entry takes a request for.
@@ -112,7 +113,7 @@
 
 // New returns a quarantine without requests.
 func New(entry string) *Quarantine {
-	return &Quarantine{Entry: entry, suspects: make(map[Fingerprint]*suspect)}
+	return &Quarantine{Entry: entry, suspects: make(map[Fingerprint]*suspect), news: make(chan struct{})}
 }
 
 // Empty tells whether no request is suspected, and no fingerprint needs to be made.
@@ -122,6 +123,14 @@
 	return len(q.suspects) == 0
 }
 
+// News returns a channel that is closed when a further request begins to be held back. Who
+// waits for a target looks again then: one that is held back has nothing to wait for.
+func (q *Quarantine) News() <-chan struct{} {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.news
+}
+
 // Verdict is what becomes of an attempt.
 type Verdict struct {
 	Held    bool
@@ -218,7 +227,12 @@
 }
 
 func (q *Quarantine) believe(f Fingerprint, crashes int, held time.Duration, source string) {
-	if q.Believes != nil && hold(crashes) > 0 {
+	if hold(crashes) == 0 {
+		return
+	}
+	close(q.news)
+	q.news = make(chan struct{})
+	if q.Believes != nil {
 		q.Believes(Belief{Request: f, Crashes: crashes, Held: max(held, 0), Source: source})
 	}
 }
