Keep records of crashes apart from the entry that sees them

Cause: the entry of the project's own interface repeats requests too, and has to tell the others as well; format and exchange stood in the adapter and in the gateway.

Change: the record's format is the quarantine's own, internal/program/crashes keeps a process's record in a store by function fields. No decision changed.

--- a/internal/program/gateway/breaks.go
+++ b/internal/program/gateway/breaks.go
@@ -105,6 +105,5 @@
 	for _, r := range b.requests {
 		requests = append(requests, r.Request)
 	}
-	g.crashes.quarantine.Crashed(time.Now(), quarantine.Life{Target: b.target.ID, Born: b.target.Born}, requests)
-	g.crashes.noted()
+	g.crashes.Crashed(time.Now(), quarantine.Life{Target: b.target.ID, Born: b.target.Born}, requests)
 }
--- a/internal/program/gateway/crashes_test.go
+++ b/internal/program/gateway/crashes_test.go
@@ -157,7 +157,7 @@
 func requireCrashes(t *testing.T, e *running, request quarantine.Fingerprint, n int) {
 	t.Helper()
 	require.Eventually(t, func() bool {
-		return e.gateway.crashes.quarantine.Look(time.Now(), request).Crashes == n
+		return e.gateway.crashes.Quarantine.Look(time.Now(), request).Crashes == n
 	}, time.Minute, time.Millisecond)
 }
 
@@ -232,7 +232,7 @@
 			g.judgeBreak(&brokenTarget{
 				target: roster.Target{ID: id}, presence: presence, requests: []forward.Break{{Request: f}},
 			})
-			require.Equal(t, counts, g.crashes.quarantine.Look(time.Now(), f).Crashes, "%s %s", id, presence)
+			require.Equal(t, counts, g.crashes.Quarantine.Look(time.Now(), f).Crashes, "%s %s", id, presence)
 		}
 	}
 }
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -15,9 +15,11 @@
 	"github.com/phuslu/log"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/program/crashes"
 	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
@@ -60,7 +62,7 @@
 	pool     *upstream.Pool
 	admit    *admission.Controller
 	breaks   chan forward.Break // connections that broke, until it is known why
-	crashes  *crashRecords
+	crashes  *crashes.Keeper
 }
 
 // New returns an entry that does not run yet.
@@ -82,8 +84,9 @@
 	g.admit.Targets = g.roster.Serving
 	g.admit.RulesFor = g.limits
 	g.admit.Believes = g.believes
-	g.crashes = newCrashRecords(string(s.Name))
-	g.crashes.quarantine.Believes = g.believesRequest
+	g.crashes = crashes.NewKeeper(quarantine.New(string(s.Name)), l)
+	g.crashes.Quarantine.Believes = g.believesRequest
+	g.keepCrashes()
 	g.store.Called = deployed.CountStoreCalls(m)
 	g.forward = &forward.Forwarder{
 		Rules:     g.currentRules,
@@ -102,7 +105,7 @@
 		Ended:     g.ended,
 		Broke:     g.heardBreak,
 
-		Quarantine: g.crashes.quarantine,
+		Quarantine: g.crashes.Quarantine,
 	}
 	return g
 }
@@ -179,7 +182,7 @@
 	duty(g.hearDigests)
 	duty(g.followBreaks)
 	duty(g.followCrashes)
-	duty(g.tellCrashes)
+	duty(g.crashes.Tell)
 	duty(g.serveReadiness)
 	duty(func(ctx context.Context) error {
 		return deployed.ServeMetrics(ctx, g.settings.Listen.Metrics, g.metrics)
@@ -205,7 +208,7 @@
 			if now.Sub(swept) >= sweepInterval {
 				swept = now
 				g.pool.Sweep(now)
-				g.crashes.quarantine.Sweep(now)
+				g.crashes.Quarantine.Sweep(now)
 				g.admit.Sweep(now, func(id string) bool { _, found := g.roster.Get(id); return found })
 			}
 		}
--- /dev/null
+++ b/internal/traffic/quarantine/json.go
@@ -0,0 +1,59 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// ErrRecord reports a text that is no record.
+var ErrRecord = merry.New("not a record of crashes")
+
+// recordText is how a record is written. The entry's name is the object's.
+type recordText struct {
+	Told    int64       `json:"told"` // Unix milliseconds
+	Crashes []crashText `json:"crashes"`
+}
+
+type crashText struct {
+	Request string `json:"request"` // fingerprint
+	Target  string `json:"target"`
+	Born    int64  `json:"born,omitempty"` // of the target; Unix milliseconds, 0 if not known
+	At      int64  `json:"at"`             // Unix milliseconds
+}
+
+// MarshalJSON writes the record without its entry's name.
+func (r Record) MarshalJSON() ([]byte, error) {
+	text := recordText{Told: r.Told.UnixMilli(), Crashes: make([]crashText, 0, len(r.Crashes))}
+	for _, c := range r.Crashes {
+		item := crashText{Request: c.Request.String(), Target: c.Life.Target, At: c.At.UnixMilli()}
+		if !c.Life.Born.IsZero() {
+			item.Born = c.Life.Born.UnixMilli()
+		}
+		text.Crashes = append(text.Crashes, item)
+	}
+	return json.Marshal(text)
+}
+
+// ParseRecord reads the record of an entry. Any process may have written it; one item that
+// does not decode makes all of it unusable, since its writer can't be trusted.
+func ParseRecord(entry string, text []byte) (Record, error) {
+	var t recordText
+	if err := json.Unmarshal(text, &t); err != nil {
+		return Record{}, merry.Wrap(ErrRecord, merry.AppendMessage(err.Error()))
+	}
+	r := Record{Entry: entry, Told: time.UnixMilli(t.Told)}
+	for _, c := range t.Crashes {
+		f, err := ParseFingerprint(c.Request)
+		if err != nil {
+			return Record{}, merry.Wrap(ErrRecord, merry.AppendMessage(err.Error()))
+		}
+		life := Life{Target: c.Target}
+		if c.Born > 0 {
+			life.Born = time.UnixMilli(c.Born)
+		}
+		r.Crashes = append(r.Crashes, Crash{Request: f, Life: life, At: time.UnixMilli(c.At)})
+	}
+	return r, nil
+}
