--- a/internal/program/gateway/breaks.go
+++ b/internal/program/gateway/breaks.go
@@ -8,7 +8,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
-	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
+	"wagtailshelf.example/wagtailshelf/internal/wire/presence"
 )
 
 const (
@@ -36,7 +36,7 @@
 	target   roster.Target
 	since    time.Time
 	requests []forward.Break
-	presence upstream.Presence
+	presence presence.Presence
 }
 
 // followBreaks finds out for each target whose connections break whether it ended.
@@ -71,9 +71,13 @@
 		return
 	case <-time.After(probeDelay):
 	}
+	seen := presence.Probe(ctx, t.Address)
+	if seen == presence.Listening {
+		g.pool.Dialled()
+	}
 	select {
 	case <-ctx.Done():
-	case probed <- &brokenTarget{target: t, presence: g.pool.Probe(ctx, t.Address)}:
+	case probed <- &brokenTarget{target: t, presence: seen}:
 	}
 }
 
@@ -87,7 +91,7 @@
 	g.log.Info().Str("event", "targetBroke").Str("target", b.target.ID).Stringer("address", b.target.Address).
 		Stringer("presence", b.presence).Dur("after", time.Since(b.since)).
 		Int("requests", len(b.requests)).Strs("fingerprints", named).Msg("")
-	if b.presence == upstream.Absent && !g.endsAsPlanned(b.target.ID) {
+	if b.presence == presence.Absent && !g.endsAsPlanned(b.target.ID) {
 		g.noteCrash(b)
 	}
 }
--- a/internal/program/gateway/crashes_test.go
+++ b/internal/program/gateway/crashes_test.go
@@ -24,7 +24,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
-	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
+	"wagtailshelf.example/wagtailshelf/internal/wire/presence"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
@@ -149,7 +149,7 @@
 func (e *running) crashUnder(target string, request quarantine.Fingerprint) {
 	e.gateway.roster.Put(roster.Target{ID: target, Service: "other"})
 	e.gateway.judgeBreak(&brokenTarget{
-		target: roster.Target{ID: target}, presence: upstream.Absent,
+		target: roster.Target{ID: target}, presence: presence.Absent,
 		requests: []forward.Break{{Request: request, Target: roster.Target{ID: target}}},
 	})
 }
@@ -227,7 +227,7 @@
 	g.roster.Put(roster.Target{ID: "leaves", Service: "svc", Leaving: true})
 	g.roster.Put(roster.Target{ID: "crashes", Service: "svc"})
 	for id, crashes := range map[string]int{"leaves": 0, "notListed": 0, "crashes": 1} {
-		for presence, counts := range map[upstream.Presence]int{upstream.Silent: 0, upstream.Listening: 0, upstream.Absent: crashes} {
+		for presence, counts := range map[presence.Presence]int{presence.Silent: 0, presence.Listening: 0, presence.Absent: crashes} {
 			f := quarantine.Request{URI: id + presence.String()}.Fingerprint()
 			g.judgeBreak(&brokenTarget{
 				target: roster.Target{ID: id}, presence: presence, requests: []forward.Break{{Request: f}},
--- a/internal/program/trial/deployment.go
+++ b/internal/program/trial/deployment.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -264,9 +265,12 @@
 
 // httpServer is a stand-in's server.
 type httpServer struct {
+	mu       sync.Mutex
 	listener net.Listener
 	server   *http.Server
 	done     chan error
+	crashed  bool // and not back yet
+	closed   bool
 }
 
 func serveHTTP(h http.Handler) (*httpServer, error) {
@@ -274,20 +278,30 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &httpServer{
-		listener: listener,
-		server:   &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second},
-		done:     make(chan error, 1),
-	}
-	go func() { s.done <- s.server.Serve(listener) }()
+	s := &httpServer{done: make(chan error, 1)}
+	s.serve(listener, h)
 	return s, nil
 }
 
+func (s *httpServer) serve(l net.Listener, h http.Handler) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	s.listener, s.server = l, server
+	go func() { s.done <- server.Serve(l) }()
+}
+
 func (s *httpServer) addr() netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return s.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
 func (s *httpServer) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	if s.crashed {
+		return
+	}
 	_ = s.server.Close() // calls still there are of no interest any more
 	<-s.done
 }
--- a/internal/wire/upstream/probe.go
+++ b/internal/wire/presence/presence.go
@@ -1,4 +1,5 @@
-package upstream
+// Package presence finds out whether a process listens at an address.
+package presence
 
 import (
 	"context"
@@ -6,8 +7,13 @@
 	"net"
 	"net/netip"
 	"syscall"
+	"time"
 )
 
+// timeout bounds a probe. A new connection takes some milliseconds, and a lost opening packet
+// is sent again after a second: waiting longer wins nothing.
+const timeout = 250 * time.Millisecond
+
 // Presence is what a new connection to an address shows.
 type Presence uint8
 
@@ -21,15 +27,13 @@
 // String is the presence as logs tell it.
 func (p Presence) String() string { return [...]string{"silent", "listening", "absent"}[p] }
 
-// Probe finds out whether a process listens at an address. A connection that broke does
-// not tell whether the target ended: targets, and what lies between, reset connections
-// while they live.
-func (p *Pool) Probe(ctx context.Context, target netip.AddrPort) Presence {
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp4", target.String())
+// Probe opens a connection to an address. One that broke does not tell whether the process
+// ended: servers, and what lies between, reset connections while they live.
+func Probe(ctx context.Context, at netip.AddrPort) Presence {
+	d := net.Dialer{Timeout: timeout}
+	conn, err := d.DialContext(ctx, "tcp4", at.String())
 	switch {
 	case err == nil:
-		p.Dialled()
 		_ = conn.Close() // nothing was sent on it
 		return Listening
 	case errors.Is(err, syscall.ECONNREFUSED):
