Hold a request back for a minute after the second crash

Cause: after 15 s a third crash may follow, and its group is closed for four seconds; callers wait for 8 s at the most, so that the shorter hold spares no innocent one.

Change: the first hold is a minute.

Ruled out: ten minutes, as after the third crash; whoever asks for the same again would wait for as long, though it may have been there by chance.

--- a/internal/traffic/forward/quarantine_test.go
+++ b/internal/traffic/forward/quarantine_test.go
@@ -42,7 +42,7 @@
 			require.Equal(t, http.StatusServiceUnavailable, a.status)
 			after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
 			require.NoError(t, err)
-			require.InDelta(t, 15, after, 5)
+			require.InDelta(t, 60, after, 5)
 			require.Empty(t, s.Seen())
 			r := b.firstEnded()
 			require.Equal(t, "crashesTargets", r.Reason)
@@ -143,11 +143,11 @@
 }
 
 // A hold is over and the request is answered: it is let in again for good. Whoever was there
-// at two crashes by chance is served 15 s later.
+// at two crashes by chance is served a minute later.
 func TestTrialThatIsAnswered(t *testing.T) {
 	b := newBench(t, standin.NewServer(t, whole("hello")))
 	b.suspect(http.MethodPost, "/safe/x", "fatal")
-	later := time.Now().Add(16 * time.Second)
+	later := time.Now().Add(61 * time.Second)
 	b.Now = func() time.Time { return later }
 	requireServed(t, b.do(t.Context(), http.MethodPost, "/safe/x", "", "fatal"), "hello")
 	require.True(t, b.Quarantine.Empty())
--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -28,10 +28,11 @@
 
 // holds are how long a request is held back after so many crashes; beyond the last, as
 // long as that. After one it is not: all that ran at the target look alike. After two it is
-// most likely to blame, and a short hold keeps a third crash from following within
-// seconds. After three it is, and each further trial may cost a target, so that there are
-// at most three in two days. A later version of the servers may bear it.
-var holds = []time.Duration{0, 0, 15 * time.Second, 10 * time.Minute, 2 * time.Hour, 24 * time.Hour}
+// most likely to blame; a minute is longer than callers wait for an answer, so that a
+// shorter hold would spare none of them that is innocent, and let a third crash follow
+// sooner. After three it is to blame, and each further trial may cost a target: there are
+// three in the first two days. A later version of the servers may bear it.
+var holds = []time.Duration{0, 0, time.Minute, 10 * time.Minute, 2 * time.Hour, 24 * time.Hour}
 
 const (
 	// remembered is how long a crash counts beyond the hold that it led to. Callers who
--- a/internal/traffic/quarantine/quarantine_test.go
+++ b/internal/traffic/quarantine/quarantine_test.go
@@ -38,7 +38,7 @@
 func TestHoldsGrow(t *testing.T) {
 	q := New("a")
 	now := start
-	for n, hold := range []time.Duration{0, 15 * time.Second, 10 * time.Minute, 2 * time.Hour, 24 * time.Hour, 24 * time.Hour} {
+	for n, hold := range []time.Duration{0, time.Minute, 10 * time.Minute, 2 * time.Hour, 24 * time.Hour, 24 * time.Hour} {
 		t.Run(fmt.Sprint(n+1), func(t *testing.T) {
 			q.Crashed(now, life(fmt.Sprint("i-", n)), []Fingerprint{fatal})
 			if hold == 0 {
@@ -79,7 +79,7 @@
 	q.Crashed(start, life("i-1"), []Fingerprint{fatal, other})
 	q.End(other, q.Begin(start, other), true)
 	q.Crashed(start, life("i-2"), []Fingerprint{fatal, other})
-	requireHeld(t, q, start, fatal, 15*time.Second)
+	requireHeld(t, q, start, fatal, time.Minute)
 	requireFree(t, q, start, other)
 	require.False(t, q.Empty())
 }
@@ -95,8 +95,8 @@
 	requireFree(t, b, start, other)
 	b.Crashed(at(time.Second), life("i-2"), []Fingerprint{fatal})
 	share(at(time.Second), a, b)
-	requireHeld(t, a, at(time.Second), fatal, 15*time.Second)
-	requireHeld(t, b, at(time.Second), fatal, 15*time.Second)
+	requireHeld(t, a, at(time.Second), fatal, time.Minute)
+	requireHeld(t, b, at(time.Second), fatal, time.Minute)
 }
 
 // share has entries take each other's records.
@@ -148,7 +148,7 @@
 			a.Crashed(start, life("i-1"), []Fingerprint{fatal})
 			a.Crashed(start, life("i-2"), []Fingerprint{fatal})
 			share(start, a, b)
-			requireHeld(t, b, start, fatal, 15*time.Second)
+			requireHeld(t, b, start, fatal, time.Minute)
 			share(start, a, b)
 			require.Equal(t, 2, b.Look(start, fatal).Crashes, "the same word twice is one")
 			drop(a, b)
@@ -169,19 +169,19 @@
 	next := New("a")
 	next.Crashed(start, life("i-3"), []Fingerprint{other}) // before it has read its record
 	next.Take(at(time.Second), r)
-	requireHeld(t, next, at(time.Second), fatal, 14*time.Second)
+	requireHeld(t, next, at(time.Second), fatal, 59*time.Second)
 	again, _ := next.Own(start)
 	require.Len(t, again.Crashes, 3)
 }
 
 // The clock of an entry's host is an hour ahead, or its record was made up. A request that is
-// on trial after 15 s elsewhere must not be held back for an hour.
+// on trial after a minute elsewhere must not be held back for an hour.
 func TestTimesInTheFuture(t *testing.T) {
 	q := New("a")
 	late := at(time.Hour)
 	q.Take(start, Record{Entry: "b", Told: late, Crashes: []Crash{{fatal, life("i-1"), late}, {fatal, life("i-2"), late}}})
-	requireHeld(t, q, start, fatal, 15*time.Second)
-	requireFree(t, q, at(15*time.Second), fatal)
+	requireHeld(t, q, start, fatal, time.Minute)
+	requireFree(t, q, at(time.Minute), fatal)
 }
 
 // Nothing is remembered for ever, so that a request is not held back for what its servers did
@@ -197,10 +197,10 @@
 	q.Sweep(at(remembered + time.Millisecond))
 	require.Zero(t, q.Look(at(remembered), other).Crashes)
 	require.Equal(t, 2, q.Look(at(remembered), fatal).Crashes)
-	q.Sweep(at(remembered + 15*time.Second + time.Millisecond))
+	q.Sweep(at(remembered + time.Minute + time.Millisecond))
 	require.True(t, q.Empty())
 	require.Equal(t, []Belief{
-		{Request: fatal, Crashes: 2, Held: 15 * time.Second, Source: "a"},
+		{Request: fatal, Crashes: 2, Held: time.Minute, Source: "a"},
 		{Request: fatal, Source: "a"},
 	}, told)
 }
@@ -217,7 +217,7 @@
 	}
 	r, _ := q.Own(start)
 	require.Len(t, r.Crashes, mostNoted)
-	requireHeld(t, q, start, fatal, 15*time.Second)
+	requireHeld(t, q, start, fatal, time.Minute)
 	n := 3*mostNoted - 1
 	last := Fingerprint{1, byte(n), byte(n >> 8)}
 	require.Equal(t, 1, q.Look(start, last).Crashes, "the newest is kept")
