Tests for what breaking the quarantine on purpose did not show

Cause: three changes on purpose failed nothing: a request looked at only when a target is free, a place kept by one that is held back, the own record not taken at the start.

Change: a test for each.

--- a/internal/program/gateway/crashes_test.go
+++ b/internal/program/gateway/crashes_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -33,6 +34,7 @@
 	callers netip.AddrPort
 	gateway *Gateway
 	heard   *lines
+	stop    func()
 }
 
 // freeAddress is one that nobody listens at, for HTTP and datagrams.
@@ -61,12 +63,13 @@
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- g.Run(ctx, &deployed.Reloader{File: file, Log: l}) }()
-	t.Cleanup(func() {
+	end := sync.OnceFunc(func() {
 		stop()
 		require.NoError(t, <-ended)
 	})
+	t.Cleanup(end)
 	require.Eventually(t, g.ready, time.Minute, time.Millisecond)
-	return &running{callers: s.Listen.Callers, gateway: g, heard: heard}
+	return &running{callers: s.Listen.Callers, gateway: g, heard: heard, stop: end}
 }
 
 // call sends a request and returns the status, the body and when to come back.
@@ -181,6 +184,24 @@
 	require.Len(t, two.heard.of("requestHeld"), 1)
 }
 
+// An entry starts anew after a crash, and sees a second one under the same request. It holds
+// the request back by what its earlier life told, and goes on telling that.
+func TestCrashesOfAnEarlierLife(t *testing.T) {
+	t.Parallel()
+	store := standin.NewStore(t)
+	require.NoError(t, store.PutConfig(standin.Config{Version: 1, Host: callsHost, Plain: "app"}))
+	fatal := quarantine.Fingerprint{7}
+	one, other := start(t, "entry-1", store.Address), start(t, "entry-2", store.Address)
+	one.crashUnder("i-1", fatal)
+	requireCrashes(t, other, fatal, 1)
+	one.stop()
+	again := start(t, "entry-1", store.Address)
+	requireCrashes(t, again, fatal, 1)
+	again.crashUnder("i-2", fatal)
+	requireCrashes(t, again, fatal, 2)
+	requireCrashes(t, other, fatal, 2)
+}
+
 // An answer of the store is lost after the record was written. The entry finds it at another
 // revision and writes it once more; it must neither give up nor wipe it.
 func TestAnswerToTheRecordIsLost(t *testing.T) {
--- a/internal/traffic/forward/quarantine_test.go
+++ b/internal/traffic/forward/quarantine_test.go
@@ -55,6 +55,16 @@
 	}
 }
 
+// The service has no target just now. Who is told to come back when there is one would be
+// refused again then; the caller hears at once how long it is.
+func TestHeldBackWithoutTargets(t *testing.T) {
+	b := newBench(t)
+	b.suspect(http.MethodPost, "/safe/x", "fatal")
+	a := b.do(t.Context(), http.MethodPost, "/safe/x", "", "fatal")
+	require.Equal(t, http.StatusServiceUnavailable, a.status)
+	require.Equal(t, "crashesTargets", b.firstEnded().Reason)
+}
+
 // A target crashes in the middle of a stream, which goes on at another one after its last
 // event. It is the same request there, and counts for two crashes if that one ends too.
 func TestResumedStreamIsTheSameRequest(t *testing.T) {
@@ -73,20 +83,23 @@
 func TestHeldBackAfterWaiting(t *testing.T) {
 	s := standin.NewServer(t, whole("hello"))
 	b := newBench(t, s)
-	var asked atomic.Int32
+	var body atomic.Value
+	body.Store("")
 	targets := b.Admission.Targets
-	b.Admission.Targets = func(service string) (list []roster.Target) {
-		if asked.Add(1) == 1 {
-			b.suspect(http.MethodPost, "/safe/x", "fatal") // after the first look
+	b.Admission.Targets = func(service string) []roster.Target {
+		if fatal := body.Swap("").(string); fatal != "" {
+			b.suspect(http.MethodPost, "/safe/x", fatal) // after the first look
 		}
 		return targets(service)
 	}
-	a := b.do(t.Context(), http.MethodPost, "/safe/x", "", "fatal")
-	require.Equal(t, http.StatusServiceUnavailable, a.status)
-	require.Empty(t, s.Seen())
-	for range 6 { // its place at the target is free again, for four at a time
-		requireServed(t, b.do(t.Context(), http.MethodPost, "/safe/x", "", "harmless"), "hello")
+	for _, fatal := range []string{"fatal 1", "fatal 2", "fatal 3", "fatal 4"} {
+		body.Store(fatal)
+		a := b.do(t.Context(), http.MethodPost, "/safe/x", "", fatal)
+		require.Equal(t, http.StatusServiceUnavailable, a.status)
 	}
+	require.Empty(t, s.Seen())
+	// The target takes four at a time: their places are free again.
+	requireServed(t, b.do(t.Context(), http.MethodPost, "/safe/x", "", "harmless"), "hello")
 }
 
 // A request waits in the queue for a service whose targets are all busy, and copies of it
