Failing tests: servers that start again under their id, entries by another writer

Cause: the list of servers is taken at its word, a life is taken for its id, and a page is decoded as one.

Change: tests only, and the fields that they read.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -36,6 +36,10 @@
 	// Since is the revision of the store at which the target was listed first. Of two at
 	// one address the later one lives.
 	Since int64
+	// Revision of the entry that told this.
+	Revision int64
+	// Beat counts the entry's writes by the server; it begins anew with each life.
+	Beat int64
 }
 
 // Living leaves out targets at whose address a later one is listed. A server that starts
--- /dev/null
+++ b/internal/program/gateway/lives_test.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/record/feed"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
+)
+
+// listed is a target as the store tells it.
+func listed(id string, born time.Time, beat, revision int64) feed.Change[roster.Target] {
+	return feed.Change[roster.Target]{Name: id, Object: roster.Target{
+		ID: id, Service: "svc", Address: netip.MustParseAddrPort("10.0.0.1:80"), Born: born, Beat: beat, Since: 1, Revision: revision,
+	}}
+}
+
+var noon = time.UnixMilli(1_700_000_000_000)
+
+// A server says that it leaves, and starts again under the id that it had. Its entry was taken
+// for that of the life that left, and it got no request until all entries had started anew.
+func TestServerLeavesAndStartsAgainUnderItsID(t *testing.T) {
+	for name, next := range map[string]feed.Change[roster.Target]{
+		"born later":                           listed("a", noon.Add(time.Minute), 1, 9),
+		"born earlier, as its clock went back": listed("a", noon.Add(-time.Hour), 1, 9),
+		"its beats begin anew":                 listed("a", time.Time{}, 1, 9),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGateway()
+			was := listed("a", noon, 70, 5)
+			if next.Object.Born.IsZero() {
+				was.Object.Born = time.Time{}
+			}
+			was.Object.Leaving = true
+			g.changeTarget(was)
+			requireServing(t, g)
+			g.changeTarget(next)
+			requireServing(t, g, "a")
+		})
+	}
+}
+
+// The same life is told of again, without its time of birth or with a later beat. One that
+// leaves does not come back for that.
+func TestTheSameLifeDoesNotComeBack(t *testing.T) {
+	g := newGateway()
+	was := listed("a", noon, 70, 5)
+	was.Object.Leaving = true
+	g.changeTarget(was)
+	g.changeTarget(listed("a", noon, 71, 9))
+	g.changeTarget(listed("a", time.Time{}, 72, 10))
+	requireServing(t, g)
+}
+
+// Another server answers at a target's address, which gets nothing more. The target starts
+// again there under its id: it is used again, and the other is the one that is gone.
+func TestAddressIsTakenAndTakenBack(t *testing.T) {
+	g := newGateway()
+	g.changeTarget(listed("a", noon, 70, 5))
+	other := listed("b", noon.Add(time.Second), 1, 7)
+	other.Object.Since = 7
+	g.changeTarget(other)
+	requireServing(t, g, "b")
+	g.changeTarget(listed("a", noon.Add(time.Minute), 1, 9))
+	requireServing(t, g, "a")
+}
+
+// A target is avoided after failures, its host was told to be lost and its rank to have no
+// place. It starts again under its id, and nothing of that holds: callers were refused for
+// want of a target though it served.
+func TestWhatWasBelievedOfAnEarlierLife(t *testing.T) {
+	g := newGateway()
+	g.changeTarget(listed("a", noon, 70, 5))
+	now := time.Now()
+	group := roster.Group{Service: "svc", Name: "g"}
+	g.admit.Told(now, admission.Look{Group: group, Open: true, Targets: map[string]admission.Told{"a": {Load: 9, Lost: true}}})
+	k := &admission.Ticket{Service: "svc"}
+	require.Equal(t, admission.NoTarget, arrive(g, now, k))
+	g.changeTarget(listed("a", noon.Add(time.Minute), 1, 9))
+	require.Equal(t, roster.Group{Service: "svc"}, g.admit.GroupOf(roster.Target{ID: "a", Service: "svc"}))
+}
+
+// arrive asks for a target, and takes waiting for none.
+func arrive(g *Gateway, now time.Time, k *admission.Ticket) admission.Verdict {
+	v := g.admit.Arrive(now, k)
+	if v == admission.Wait {
+		g.admit.Abandon(now, k)
+		return admission.NoTarget
+	}
+	return v
+}
+
+// A server's entry turns unreadable, as another writer has written there. It gets no new
+// request, and is used again once its entry can be read.
+func TestEntryTurnsUnreadable(t *testing.T) {
+	g := newGateway()
+	g.changeTarget(listed("a", noon, 70, 5))
+	requireServing(t, g, "a")
+	g.changeTarget(feed.Change[roster.Target]{Name: "a", Unreadable: true})
+	requireServing(t, g)
+	_, found := g.roster.Get("a")
+	require.True(t, found, "what runs there goes on")
+	g.changeTarget(feed.Change[roster.Target]{Name: "never-seen", Unreadable: true})
+	requireServing(t, g)
+	g.changeTarget(listed("a", noon, 71, 9))
+	requireServing(t, g, "a")
+}
--- a/internal/record/feed/feed.go
+++ b/internal/record/feed/feed.go
@@ -33,6 +33,8 @@
 	Name    string
 	Object  T
 	Removed bool
+	// Unreadable tells that the object is there and can't be read. Object is empty.
+	Unreadable bool
 }
 
 // Page is what the store told: the whole list, or the changes since a revision.
