A life of a server is more than its id; each entry of the list by itself

Cause: a life was taken for its id, so that a server that starts again under its id stayed leaving, lost, avoided or gone at its address for good; a page of the store was decoded as one, an entry was used for whatever of it decoded, and one that turned unreadable stayed in use.

Change: born and heartbeats tell lives apart (a clock that went back too); a new life begins with nothing believed of the earlier one, its connections included. Items and events are decoded one by one. A duty or a record of crashes that another writer spoilt is taken over. Findings are logged once each and counted. Counts of experts go on only within a life.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -23,7 +23,7 @@
 	Name    GroupName // "" stands for the targets whose group is not known, or that have none
 }
 
-// Target is one life of a server.
+// Target is a server under its id, in the life that it was listed in last.
 type Target struct {
 	ID         string
 	Service    string
@@ -31,6 +31,8 @@
 	DataCentre string
 	Slots      int  // requests that run at the same time
 	Leaving    bool // the server has said that it will end
+	// Unreadable tells that its entry can't be read any more: it gets no new request.
+	Unreadable bool
 	// Born is when the server started, by its own clock; zero if it doesn't say.
 	Born time.Time
 	// Since is the revision of the store at which the target was listed first. Of two at
@@ -42,6 +44,16 @@
 	Beat int64
 }
 
+// SameLife tells whether a later word for a target's id is of the same life. A server may
+// start again under its id; it was born at another time then, which is earlier if its clock
+// went back, or its heartbeats are counted anew.
+func (t Target) SameLife(later Target) bool {
+	if !t.Born.IsZero() && !later.Born.IsZero() {
+		return t.Born.Equal(later.Born)
+	}
+	return later.Beat >= t.Beat
+}
+
 // Living leaves out targets at whose address a later one is listed. A server that starts
 // again is listed under a new id while its earlier life still is, for seconds.
 func Living(list []Target) []Target {
@@ -120,12 +132,26 @@
 	return true
 }
 
+// Unread marks a target whose entry can't be read any more. It is used again once it is put.
+func (r *Roster) Unread(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, found := r.targets[id]
+	if !found || t.Unreadable {
+		return false
+	}
+	t.Unreadable = true
+	r.targets[id] = t
+	r.index(t.Service)
+	return true
+}
+
 // index makes the list of a service anew. Lists are never changed in place, so
 // that readers may keep the one they have.
 func (r *Roster) index(service string) {
 	var list []Target
 	for _, t := range r.targets {
-		if t.Service == service && !t.Leaving {
+		if t.Service == service && !t.Leaving && !t.Unreadable {
 			list = append(list, t)
 		}
 	}
--- a/internal/program/companion/companion.go
+++ b/internal/program/companion/companion.go
@@ -34,13 +34,13 @@
 	store    *platform.Store
 	engines  *platform.Engines
 	peers    *rankport.Client
+	bad      *deployed.Malformed
 
 	mu     sync.Mutex
 	own    roster.GroupName // of which the engine is, as it said last; "" until it did
 	groups map[roster.GroupName]*following
-	mark   uint64   // names the counts below
-	counts []uint64 // as they were told last
-	epoch  int64    // of the counts
+	mark   uint64          // names the counts below
+	counts platform.Counts // as they were told last
 	// doubted are the findings that were logged, so that each is once.
 	doubted map[seating.Finding]bool
 
@@ -59,6 +59,7 @@
 		store:    platform.NewStore(s.Store),
 		engines:  platform.NewEngines(),
 		peers:    rankport.NewClient(),
+		bad:      deployed.NewMalformed(l, m),
 		groups:   make(map[roster.GroupName]*following),
 		doubted:  make(map[seating.Finding]bool),
 		entries:  make(map[netip.AddrPort]entry),
@@ -192,17 +193,15 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	before, known := c.counts, since != 0 && since == c.mark && c.epoch == now.Epoch && len(c.counts) == len(now.Counts)
+	before, known := c.counts, since != 0 && since == c.mark
 	c.mark++
-	c.counts, c.epoch = now.Counts, now.Epoch
-	if !known {
+	c.counts = now
+	if !known || !now.Continues(before) {
 		return c.mark, rankport.Counts{}
 	}
-	added := make([]uint64, len(before))
+	added := make([]uint64, len(now.Counts))
 	for i, n := range now.Counts {
-		if n >= before[i] {
-			added[i] = n - before[i]
-		}
+		added[i] = n - before.Counts[i]
 	}
 	return c.mark, rankport.NewCounts(added)
 }
--- a/internal/program/companion/seats.go
+++ b/internal/program/companion/seats.go
@@ -25,7 +25,7 @@
 		p.engine = s.Engine
 		p.gapAim = places.GapAim(config, s.Name)
 	}
-	targets, err := p.c.store.Servers(ctx, p.c.malformed)
+	targets, err := p.c.store.Servers(ctx, p.c.bad.Note)
 	if err != nil {
 		return
 	}
@@ -55,10 +55,6 @@
 	}
 }
 
-func (c *Companion) malformed(name string, err error) {
-	c.log.Error().Str("event", "malformed").Str("object", name).Err(err).Msg("")
-}
-
 // seatRanks finds out which server is which rank. Servers that were of another group when
 // they answered last are asked only after the list was read again.
 func (p *planner) seatRanks(ctx context.Context) ([]*seat, error) {
--- a/internal/program/companion/seek.go
+++ b/internal/program/companion/seek.go
@@ -125,7 +125,11 @@
 // term, which rises with each holder.
 func (c *Companion) take(ctx context.Context, duty string) (int64, error) {
 	was, err := c.store.Duty(ctx, duty)
-	if err != nil {
+	switch {
+	case errors.Is(err, platform.ErrMalformed) && was.Revision != 0:
+		// Another writer's. Left alone, nobody would ever plan for the group.
+		c.bad.Note(duty, err)
+	case err != nil:
 		return 0, err
 	}
 	if c.takenLately(time.Now(), was) {
--- /dev/null
+++ b/internal/program/deployed/malformed_test.go
@@ -0,0 +1,33 @@
+package deployed
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+)
+
+// A list with an object that can't be read is read again each time that a watch is cut. The
+// log has a line for each change of what was found, and the counter all of them.
+func TestMalformedIsToldOnce(t *testing.T) {
+	var out bytes.Buffer
+	set := metrics.NewSet()
+	m := NewMalformed(&log.Logger{Writer: &log.IOWriter{Writer: &out}}, set)
+	for range 5 {
+		m.Note("i-1", errors.New("no slots"))
+		m.Note("i-2", errors.New("no slots"))
+	}
+	m.Note("i-1", errors.New("no state"))
+	require.Equal(t, 3, bytes.Count(out.Bytes(), []byte("malformed")))
+	var counts bytes.Buffer
+	set.WritePrometheus(&counts)
+	require.Contains(t, counts.String(), `wagtailshelf_malformed_total{named="true"} 11`)
+	for n := range 3 * mostMalformed {
+		m.Note(fmt.Sprint(n), errors.New("x"))
+	}
+	require.LessOrEqual(t, len(m.last), mostMalformed)
+}
--- a/internal/program/gateway/crashes.go
+++ b/internal/program/gateway/crashes.go
@@ -7,6 +7,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/program/crashes"
 	"wagtailshelf.example/wagtailshelf/internal/record/feed"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
 
@@ -29,6 +30,11 @@
 	}
 	g.crashes.Get = func(ctx context.Context) (crashes.Stored, error) {
 		r, err := g.store.Crashes(ctx, entry)
+		if errors.Is(err, platform.ErrMalformed) {
+			// Another writer's: the own one is written in its place.
+			g.bad.Note(entry, err)
+			return crashes.Stored{Record: quarantine.Record{Entry: entry}, Revision: r.Revision}, nil
+		}
 		return crashes.Stored(r), err
 	}
 	g.crashes.Remove = func(ctx context.Context, r crashes.Stored) error {
@@ -50,23 +56,26 @@
 
 // followCrashes takes what other entries, and earlier lives of this one, saw.
 func (g *Gateway) followCrashes(ctx context.Context) error {
-	f := g.store.FollowCrashes(crashesWait, g.malformed)
+	f := g.store.FollowCrashes(crashesWait, g.bad.Note)
 	f.Settle = crashesSettle
 	f.Failed = g.storeFailed("crashes")
 	f.Listed = func(_ time.Time, p feed.Page[platform.CrashRecord]) {
 		list := make([]crashes.Stored, 0, len(p.Changes))
 		for _, r := range p.Changes {
-			list = append(list, crashes.Stored(r.Object))
+			if !r.Unreadable {
+				list = append(list, crashes.Stored(r.Object))
+			}
 		}
 		g.crashes.Listed(ctx, time.Now(), list)
 	}
 	f.Changed = func(_ time.Time, p feed.Page[platform.CrashRecord]) {
 		for _, r := range p.Changes {
-			if r.Removed {
+			switch {
+			case r.Removed:
 				g.crashes.Removed(r.Name)
-				continue
+			case !r.Unreadable: // what it told before holds on
+				g.crashes.Changed(ctx, time.Now(), crashes.Stored(r.Object))
 			}
-			g.crashes.Changed(ctx, time.Now(), crashes.Stored(r.Object))
 		}
 	}
 	f.Run(ctx, time.Now)
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -63,6 +63,7 @@
 	admit    *admission.Controller
 	breaks   chan forward.Break // connections that broke, until it is known why
 	crashes  *crashes.Keeper
+	bad      *deployed.Malformed
 }
 
 // New returns an entry that does not run yet.
@@ -77,6 +78,7 @@
 		pool:     upstream.NewPool(),
 		admit:    admission.New(),
 		breaks:   make(chan forward.Break, breakRing),
+		bad:      deployed.NewMalformed(l, m),
 	}
 	g.bounds.Store(&s.Bounds)
 	dialled := m.NewCounter("wagtailshelf_target_connections_total")
--- a/internal/program/gateway/knowledge.go
+++ b/internal/program/gateway/knowledge.go
@@ -50,7 +50,7 @@
 
 func (g *Gateway) followRules(ctx context.Context) error {
 	wait := time.Duration(rulesWait * float64(g.settings.Bounds.Revoke))
-	f := g.store.FollowConfig(wait, g.malformed)
+	f := g.store.FollowConfig(wait, g.bad.Note)
 	var asked time.Duration
 	list, watch := f.List, f.Watch
 	f.List = func(ctx context.Context) (feed.Page[*routing.Config], error) {
@@ -95,7 +95,7 @@
 }
 
 func (g *Gateway) followTargets(ctx context.Context) error {
-	f := g.store.FollowServers(targetsWait, g.malformed)
+	f := g.store.FollowServers(targetsWait, g.bad.Note)
 	f.Settle = targetsSettle
 	failed := g.storeFailed("targets")
 	f.Failed = func(err error) {
@@ -138,9 +138,19 @@
 	}
 	g.missing.found(c.Name)
 	known, found := g.roster.Get(c.Name)
-	if found && known.Leaving {
+	if c.Unreadable {
+		if g.roster.Unread(c.Name) {
+			g.log.Warn().Str("event", "targetUnreadable").Str("target", c.Name).Msg("")
+		}
+		return
+	}
+	switch {
+	case found && known.SameLife(c.Object):
 		// A target that has said that it leaves doesn't come back in this life.
-		c.Object.Leaving = true
+		c.Object.Leaving = c.Object.Leaving || known.Leaving
+		c.Object.Since = known.Since
+	case found:
+		g.startedAgain(known, &c.Object)
 	}
 	for _, id := range g.roster.Put(c.Object) {
 		g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", "addressTaken").Str("by", c.Name).Msg("")
@@ -151,6 +161,18 @@
 	}
 }
 
+// startedAgain forgets what held for a target's earlier life. Its id tells the two apart no
+// longer: a connection, a place or a failure of the earlier one would be taken for the new
+// one's.
+func (g *Gateway) startedAgain(was roster.Target, t *roster.Target) {
+	t.Since = t.Revision // of two at one address the one that started last lives
+	g.pool.Drop(was.Address)
+	g.pool.Drop(t.Address)
+	g.admit.StartedAgain(time.Now(), *t)
+	g.log.Info().Str("event", "targetStartedAgain").Str("target", t.ID).Time("born", t.Born).
+		Int64("beat", t.Beat).Int64("beatBefore", was.Beat).Msg("")
+}
+
 func (g *Gateway) removeTarget(id, why string) {
 	if _, found := g.roster.Get(id); !found {
 		return
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -9,12 +9,6 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 )
 
-// malformed logs an object of the store that does not decode. The last good state
-// of it stays in use.
-func (g *Gateway) malformed(name string, err error) {
-	g.log.Error().Str("event", "malformed").Str("object", name).Err(err).Msg("")
-}
-
 // storeFailed logs when the store is lost and regained, once each.
 func (g *Gateway) storeFailed(what string) func(error) {
 	var since time.Time
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -224,6 +224,22 @@
 	}
 }
 
+// StartedAgain forgets what is known of a target's earlier life but its requests in flight,
+// which are about to break. What was told of its host, its places, its group and its failures
+// says nothing of the new one.
+func (c *Controller) StartedAgain(now time.Time, t roster.Target) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	was := c.targets[t.ID]
+	if was == nil {
+		return
+	}
+	delete(c.targets, t.ID)
+	s := c.state(now, t)
+	s.inFlight, s.work, s.held = was.inFlight, was.work, was.held
+	c.advance(now, t.Service)
+}
+
 // Demand is how many requests for a service came since it was asked last, and how
 // many wait.
 func (c *Controller) Demand(service string) float64 {
--- a/internal/traffic/admission/admission_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -192,3 +192,26 @@
 	k.Tried = []string{"t0", "t1"}
 	require.Equal(t, NoTarget, c.Arrive(start, k))
 }
+
+// A target fails and is avoided; its planner told that its host is lost and that it is full. It
+// starts again under its id while a request is still in flight at its earlier life, which then
+// breaks. Nothing of that keeps callers from it, and its places are counted right.
+func TestStartedAgain(t *testing.T) {
+	c := newController(1, Rules{PerTarget: 2, Queue: 1, Entries: 1})
+	first, second := ticket(), ticket()
+	require.Equal(t, Go, c.Arrive(start, first))
+	require.Equal(t, Go, c.Arrive(start, second))
+	c.Done(start, first, End{Failed: true})
+	told(c, start, 1, Told{Load: 9, Lost: true, Slow: true})
+	now := start.Add(2 * joinTime) // nobody tells any more
+	c.targets["t0"].avoid = now.Add(time.Hour)
+	c.StartedAgain(now, roster.Target{ID: "t0", Service: "svc"})
+	c.StartedAgain(now, roster.Target{ID: "never seen", Service: "svc"})
+	third := ticket()
+	require.Equal(t, Go, c.Arrive(now, third))
+	require.Zero(t, third.Seen.Age, "nothing was told of this life")
+	require.Equal(t, Wait, c.Arrive(now, ticket()), "one is in flight, one was sent")
+	c.Done(now, second, End{Failed: true})
+	c.Done(now, third, End{})
+	require.Zero(t, c.targets["t0"].inFlight)
+}
--- a/internal/wire/upstream/pool.go
+++ b/internal/wire/upstream/pool.go
@@ -123,6 +123,17 @@
 	p.idle[c.target] = append(p.idle[c.target], c)
 }
 
+// Drop closes the idle connections to a target that has started again. They lead to its
+// earlier life, and what is written on them is lost.
+func (p *Pool) Drop(target netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[target] {
+		c.Close()
+	}
+	delete(p.idle, target)
+}
+
 // Sweep closes the connections that are idle for too long to be used again.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
