--- a/internal/expert/changeover/changeover_test.go
+++ b/internal/expert/changeover/changeover_test.go
@@ -98,6 +98,34 @@
 	})
 }
 
+// Servers start again under their ids at any moment of a change of map, while several planners
+// go on with what they knew of the earlier lives, and orders to these land late. Ranks whose
+// versions and passes are counted anew would take such orders for new ones; callers must not be
+// served by ranks with different maps.
+func TestServersStartAgainUnderTheirIDs(t *testing.T) {
+	formed := 0
+	rapid.Check(t, func(t *rapid.T) {
+		ranks := rapid.IntRange(3, 6).Draw(t, "ranks")
+		m := newModel(rapid.Uint64().Draw(t, "seed"), ranks, rapid.SampledFrom([]float64{0, 0.1, 0.3}).Draw(t, "lose"))
+		m.again = rapid.SampledFrom([]float64{0.003, 0.02}).Draw(t, "again")
+		limits := make([][]int, 3)
+		for i := range limits {
+			limits[i] = rapid.SliceOfN(rapid.IntRange(5, 200), 1, 6).Draw(t, "lives")
+		}
+		var wg sync.WaitGroup
+		for process := range limits {
+			wg.Go(func() { live(m, process, limits[process]) })
+		}
+		wg.Wait()
+		for range 50 * m.every { // late orders land, and passes go on unless they are held
+			m.look(0)
+		}
+		require.Empty(t, m.broken)
+		formed += m.formed
+	})
+	require.Positive(t, formed)
+}
+
 // lifeOf returns a life of the process beside a rank.
 func lifeOf(rank, n int) Life { return Life(n*maxRanks + rank) }
 
--- a/internal/expert/changeover/model_test.go
+++ b/internal/expert/changeover/model_test.go
@@ -45,6 +45,10 @@
 	lose   float64 // part of the orders that get no answer
 	broken []string
 
+	first  expertmap.Digest // of the map that a group begins with
+	again  float64          // chance at each tick that a server starts again under its id
+	formed int              // times that this formed the group anew
+
 	// Of runs with hosts that stand still.
 	freeze  float64 // chance that a process's host stands still at one of its calls
 	frozen  []int   // by rank: until when its host stands still
@@ -58,9 +62,9 @@
 	if err != nil {
 		panic(err) // the shape is constant
 	}
-	m := &model{r: rand.New(rand.NewPCG(seed, 1)), epoch: 1, every: 2*ranks + 3, lose: lose}
+	m := &model{first: even.Digest(), r: rand.New(rand.NewPCG(seed, 1)), epoch: 1, every: 2*ranks + 3, lose: lose}
 	for range ranks {
-		m.ranks = append(m.ranks, modelRank{content: even.Digest()})
+		m.ranks = append(m.ranks, modelRank{content: m.first})
 	}
 	m.frozen, m.terms = make([]int, ranks), make([]int64, ranks)
 	return m
@@ -84,6 +88,9 @@
 // tick lets time pass: late orders are carried out and passes begin.
 func (m *model) tick() {
 	m.clock++
+	if m.r.Float64() < m.again {
+		m.formAnew()
+	}
 	kept := m.late[:0]
 	for _, l := range m.late {
 		if l.at <= m.clock {
@@ -100,6 +107,21 @@
 	}
 }
 
+// formAnew forms the group anew, as a server of its has started again under its id: in a new
+// epoch, with the first map and nothing prepared, armed or held. Versions that ranks have had
+// are counted anew, and passes maybe. Orders to the earlier lives are still on their way.
+func (m *model) formAnew() {
+	m.epoch++
+	m.formed++
+	m.passAt = m.clock + m.every
+	if m.r.IntN(2) == 0 {
+		m.step = 0
+	}
+	for i := range m.ranks {
+		m.ranks[i] = modelRank{content: m.first}
+	}
+}
+
 func (m *model) isHeld(step int64) bool {
 	for _, r := range m.ranks {
 		if r.held == step {
@@ -205,9 +227,12 @@
 		calls++
 		return calls > limit || ctx.Err() != nil
 	}
+	m.mu.Lock()
+	epoch := m.epoch
+	m.mu.Unlock()
 	g := &Group{
 		Ranks: len(m.ranks),
-		Epoch: m.epoch,
+		Epoch: epoch,
 		Order: func(_ context.Context, rank int, o Order) Result {
 			if dead() {
 				return NoAnswer
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -1,8 +1,8 @@
 // Package roster keeps the targets that the platform lists, by service.
 //
-// A target is one life of a server: a restart has another id, also at the same
-// address. A target that the platform no longer lists, or lists as leaving, gets
-// no new request; requests that run there go on.
+// A target is a server under its id. It may start again, under another id or its own, at the
+// same address. One that the platform no longer lists, or lists as leaving, gets no new
+// request; requests that run there go on.
 package roster
 
 import (
