A failing test: servers that end together are counted as many crashes

Cause: a request was held back by the number of servers that ended under it. Found by reading: the same harmless request, asked for by many callers, may run at several servers of a rack.

Change: the test; red, 5 crashes in place of 1.

--- a/internal/traffic/quarantine/quarantine_test.go
+++ b/internal/traffic/quarantine/quarantine_test.go
@@ -257,3 +257,15 @@
 		q.Look(start, Fingerprint{1})
 	}
 }
+
+// A rack of servers ends at the same moment. The same harmless request, which many callers ask
+// for, runs at several of them, and was counted once for each server: it was held back for ten
+// minutes for all its callers, though all that had happened to it was one loss of power.
+func TestServersThatEndTogetherAreOneCrash(t *testing.T) {
+	q := New("a")
+	for n := range 5 {
+		q.Crashed(at(time.Duration(n)*time.Millisecond), life(fmt.Sprint("i-", n)), []Fingerprint{fatal})
+	}
+	require.Equal(t, 1, q.Look(at(time.Second), fatal).Crashes)
+	requireFree(t, q, at(time.Second), fatal)
+}
