Targets that end together count as one crash

Cause: a request was held back by the number of targets that ended under it. A harmless one that many callers ask for, as with a hot key, runs at several servers of a rack; one loss of power would have held it back for ten minutes for all of them.

Change: a crash counts again only under a run that was sent after the crash before it; records tell when a run was sent and when its connection broke.

Ruled out: a fixed span in which crashes count once; the entry's own repeat crashes the next server within 30 ms, and that one is proof.

--- a/internal/program/crashes/crashes.go
+++ b/internal/program/crashes/crashes.go
@@ -74,8 +74,8 @@
 }
 
 // Crashed notes that a target crashed while it ran some requests, and has it told.
-func (k *Keeper) Crashed(now time.Time, life quarantine.Life, requests []quarantine.Fingerprint) {
-	k.Quarantine.Crashed(now, life, requests)
+func (k *Keeper) Crashed(now time.Time, life quarantine.Life, runs []quarantine.Run) {
+	k.Quarantine.Crashed(now, life, runs)
 	k.due()
 }
 
--- a/internal/program/entry/attempt.go
+++ b/internal/program/entry/attempt.go
@@ -57,6 +57,7 @@
 
 func (x *exchange) picked(p pick, conn *peer.Conn) {
 	x.endChoice(target.End{Kind: target.Failed})
+	p.at = time.Now()
 	x.choices = append(x.choices, p)
 	x.choice = p.choice
 	x.keep(conn)
--- a/internal/program/entry/crashes.go
+++ b/internal/program/entry/crashes.go
@@ -69,7 +69,7 @@
 	}
 	life := quarantine.Life{Target: string(x.choices[i].host)}
 	f := x.suspect.fingerprint()
-	x.entry.crashes.Crashed(now, life, []quarantine.Fingerprint{f})
+	x.entry.crashes.Crashed(now, life, []quarantine.Run{{Request: f, Sent: x.choices[i].at, Broke: now}})
 	x.entry.log.Warn().Str("event", "targetCrashed").Str("id", x.call.ID.String()).Str("target", life.Target).
 		Stringer("fingerprint", f).Msg("")
 }
--- a/internal/program/entry/routing.go
+++ b/internal/program/entry/routing.go
@@ -62,6 +62,7 @@
 	address netip.AddrPort
 	host    host.Name
 	ok      bool
+	at      time.Time // when it was chosen
 }
 
 // RouterState is what a dump shows of a service's router.
--- a/internal/program/gateway/breaks.go
+++ b/internal/program/gateway/breaks.go
@@ -105,9 +105,9 @@
 
 // noteCrash suspects the requests that ran at a target that crashed.
 func (g *Gateway) noteCrash(b *brokenTarget) {
-	requests := make([]quarantine.Fingerprint, 0, len(b.requests))
+	runs := make([]quarantine.Run, 0, len(b.requests))
 	for _, r := range b.requests {
-		requests = append(requests, r.Request)
+		runs = append(runs, r.Run)
 	}
-	g.crashes.Crashed(time.Now(), quarantine.Life{Target: b.target.ID, Born: b.target.Born}, requests)
+	g.crashes.Crashed(time.Now(), quarantine.Life{Target: b.target.ID, Born: b.target.Born}, runs)
 }
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -47,7 +47,7 @@
 	c.f.Admission.Done(now, t, end)
 	c.endAttempt(v, why == whyAnswered && c.rec.Status < http.StatusMultipleChoices)
 	if res == resultUnknown && (why == whyBroken || why == whyCut) {
-		c.f.Broke(Break{Request: c.fingerprint(), Target: t.Target()})
+		c.f.Broke(Break{Run: quarantine.Run{Request: c.fingerprint(), Sent: begin, Broke: now}, Target: t.Target()})
 	}
 	switch {
 	case res == resultDone:
--- a/internal/traffic/forward/connection_test.go
+++ b/internal/traffic/forward/connection_test.go
@@ -55,3 +55,28 @@
 	requireServed(t, b.do(t.Context(), http.MethodPost, "/unsafe/x", "", strings.Repeat("x", long)), "hello")
 	requireServed(t, b.call(http.MethodPost, "/unsafe/x"), "hello")
 }
+
+// A target starts again under its id while a connection to its earlier life is idle. A request
+// that may run once only would be lost on it, and nobody could say whether it ran; it goes
+// over a new connection.
+func TestConnectionToAnEarlierLifeIsNotUsed(t *testing.T) {
+	var connections atomic.Int64
+	s := standin.NewRaw(t, func(n int, c *bufio.ReadWriter) {
+		connections.Add(1)
+		for {
+			if _, err := http.ReadRequest(c.Reader); err != nil {
+				return
+			}
+			_, _ = c.WriteString(standin.Wire("id-1", hello, "hello"))
+			_ = c.Flush() // the test sees what arrives
+		}
+	})
+	b := newBench(t, s)
+	for range 2 {
+		requireServed(t, b.call(http.MethodPost, "/unsafe/x"), "hello")
+	}
+	require.Equal(t, int64(1), connections.Load())
+	b.Pool.Drop(s.Address)
+	requireServed(t, b.call(http.MethodPost, "/unsafe/x"), "hello")
+	require.Equal(t, int64(2), connections.Load())
+}
--- a/internal/traffic/forward/suspect.go
+++ b/internal/traffic/forward/suspect.go
@@ -9,8 +9,8 @@
 
 // Break is a connection to a target that broke while a request was under way on it.
 type Break struct {
-	Request quarantine.Fingerprint
-	Target  roster.Target
+	quarantine.Run
+	Target roster.Target
 }
 
 // fingerprint names the request by what stays the same when it comes again.
--- a/internal/traffic/quarantine/json.go
+++ b/internal/traffic/quarantine/json.go
@@ -20,14 +20,15 @@
 	Request string `json:"request"` // fingerprint
 	Target  string `json:"target"`
 	Born    int64  `json:"born,omitempty"` // of the target; Unix milliseconds, 0 if not known
-	At      int64  `json:"at"`             // Unix milliseconds
+	Sent    int64  `json:"sent"`           // Unix milliseconds
+	Broke   int64  `json:"broke"`          // Unix milliseconds
 }
 
 // MarshalJSON writes the record without its entry's name.
 func (r Record) MarshalJSON() ([]byte, error) {
 	text := recordText{Told: r.Told.UnixMilli(), Crashes: make([]crashText, 0, len(r.Crashes))}
 	for _, c := range r.Crashes {
-		item := crashText{Request: c.Request.String(), Target: c.Life.Target, At: c.At.UnixMilli()}
+		item := crashText{Request: c.Request.String(), Target: c.Life.Target, Sent: c.Sent.UnixMilli(), Broke: c.Broke.UnixMilli()}
 		if !c.Life.Born.IsZero() {
 			item.Born = c.Life.Born.UnixMilli()
 		}
@@ -53,7 +54,8 @@
 		if c.Born > 0 {
 			life.Born = time.UnixMilli(c.Born)
 		}
-		r.Crashes = append(r.Crashes, Crash{Request: f, Life: life, At: time.UnixMilli(c.At)})
+		run := Run{Request: f, Sent: time.UnixMilli(c.Sent), Broke: time.UnixMilli(c.Broke)}
+		r.Crashes = append(r.Crashes, Crash{Run: run, Life: life})
 	}
 	return r, nil
 }
--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -12,11 +12,17 @@
 	Born   time.Time // zero if the server doesn't say
 }
 
-// Crash is the end of a target while it ran a request.
-type Crash struct {
+// Run is a request that was under way at a target as that crashed.
+type Run struct {
 	Request Fingerprint
-	Life    Life
-	At      time.Time // by the clock of the entry that saw it
+	Sent    time.Time
+	Broke   time.Time // when its connection did
+}
+
+// Crash is the end of a target under a request. Times are by the clock of the entry that saw it.
+type Crash struct {
+	Run
+	Life Life
 }
 
 // Record is what one entry saw and still remembers.
@@ -85,29 +91,35 @@
 // sighting is an entry's word for a crash.
 type sighting struct {
 	entry string
-	life  Life
-	at    time.Time // not in the future
-	told  time.Time // as the entry tells it
+	crash Crash
+	at    time.Time // when it was; not in the future
 }
 
 // same tells whether two sightings are of one crash. A server that doesn't say when it was
 // born may have started again under its id, so time tells its lives apart.
 func (v sighting) same(o sighting) bool {
-	if v.life != o.life {
+	if v.crash.Life != o.crash.Life {
 		return false
 	}
-	return !v.life.Born.IsZero() || v.at.Sub(o.at).Abs() < sameCrash
+	return !v.crash.Life.Born.IsZero() || v.at.Sub(o.at).Abs() < sameCrash
 }
 
-// crashes is how many targets crashed, and when the last one did.
+// crashes is how often targets crashed after the request was sent to them anew, and when the
+// last one did. Targets that end together, as a rack loses its power, do so once: the runs
+// there were all sent before. When each was counted, a harmless request that many callers ask
+// for was held back after one loss of power.
 func (s *suspect) crashes() (n int, last time.Time) {
-	for i, v := range s.seen {
-		if v.at.After(last) {
-			last = v.at
+	var counted []sighting
+	for _, v := range s.seen { // in the order of their times
+		last = v.at
+		if n > 0 && v.crash.Sent.Before(counted[n-1].at) {
+			continue
 		}
-		if !slices.ContainsFunc(s.seen[:i], v.same) {
-			n++ // several entries may have seen the same crash
+		if slices.ContainsFunc(counted, v.same) {
+			continue // another entry saw it too
 		}
+		counted = append(counted, v)
+		n++
 	}
 	return n, last
 }
@@ -197,17 +209,18 @@
 }
 
 // Crashed notes that a target crashed while it ran some requests.
-func (q *Quarantine) Crashed(now time.Time, life Life, requests []Fingerprint) {
+func (q *Quarantine) Crashed(now time.Time, life Life, runs []Run) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, f := range requests {
-		q.add(now, f, sighting{entry: q.Entry, life: life, at: now, told: time.UnixMilli(now.UnixMilli())})
+	for _, r := range runs {
+		q.add(now, sighting{entry: q.Entry, crash: Crash{Run: r, Life: life}, at: r.Broke})
 	}
 	q.bound()
 }
 
 // add notes a sighting and tells if the request is held back for it.
-func (q *Quarantine) add(now time.Time, f Fingerprint, v sighting) {
+func (q *Quarantine) add(now time.Time, v sighting) {
+	f := v.crash.Request
 	s := q.suspects[f]
 	if s == nil {
 		s = &suspect{}
@@ -218,7 +231,8 @@
 		return
 	}
 	before, _ := s.crashes()
-	s.seen = append(s.seen, v)
+	at, _ := slices.BinarySearchFunc(s.seen, v, func(a, b sighting) int { return a.at.Compare(b.at) })
+	s.seen = slices.Insert(s.seen, at, v)
 	if v.entry == q.Entry {
 		q.dirty = true
 	}
--- a/internal/traffic/quarantine/record.go
+++ b/internal/traffic/quarantine/record.go
@@ -11,15 +11,15 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	r.Entry, r.Told = q.Entry, now
-	for f, s := range q.suspects {
+	for _, s := range q.suspects {
 		for _, v := range s.seen {
 			if v.entry == q.Entry {
-				r.Crashes = append(r.Crashes, Crash{Request: f, Life: v.life, At: v.told})
+				r.Crashes = append(r.Crashes, v.crash)
 			}
 		}
 	}
 	slices.SortFunc(r.Crashes, func(a, b Crash) int {
-		if c := a.At.Compare(b.At); c != 0 {
+		if c := a.Broke.Compare(b.Broke); c != 0 {
 			return c
 		}
 		return cmp.Compare(a.Request.String(), b.Request.String())
@@ -43,16 +43,18 @@
 	defer q.mu.Unlock()
 	if r.Entry != q.Entry {
 		q.forget(r.Entry, func(f Fingerprint, v sighting) bool {
-			listed := func(c Crash) bool { return c.Request == f && c.Life == v.life && c.At.Equal(v.told) }
+			listed := func(c Crash) bool {
+				return c.Request == f && c.Life == v.crash.Life && c.Broke.Equal(v.crash.Broke)
+			}
 			return !slices.ContainsFunc(r.Crashes, listed)
 		})
 	}
 	for _, c := range r.Crashes[:min(len(r.Crashes), mostNoted)] {
-		at := c.At
+		at := c.Broke
 		if at.After(now) {
 			at = now
 		}
-		q.add(now, c.Request, sighting{entry: r.Entry, life: c.Life, at: at, told: c.At})
+		q.add(now, sighting{entry: r.Entry, crash: c, at: at})
 	}
 	q.bound()
 }
