Tell of a hold only while it lasts

Cause: a record of an earlier life whose hold was over was logged as requestFreed.

Change: no line then. The size of a record is that with the times of runs, 140 bytes a crash.

--- a/internal/traffic/forward/connection_test.go
+++ b/internal/traffic/forward/connection_test.go
@@ -61,7 +61,7 @@
 // over a new connection.
 func TestConnectionToAnEarlierLifeIsNotUsed(t *testing.T) {
 	var connections atomic.Int64
-	s := standin.NewRaw(t, func(n int, c *bufio.ReadWriter) {
+	s := standin.NewRaw(t, func(_ int, c *bufio.ReadWriter) {
 		connections.Add(1)
 		for {
 			if _, err := http.ReadRequest(c.Reader); err != nil {
--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -19,7 +19,8 @@
 	Broke   time.Time // when its connection did
 }
 
-// Crash is the end of a target under a request. Times are by the clock of the entry that saw it.
+// Crash is the end of a target under a request, with times by the clock of the entry that saw
+// it.
 type Crash struct {
 	Run
 	Life Life
@@ -44,7 +45,7 @@
 	// remembered is how long a crash counts beyond the hold that it led to. Callers who
 	// get an error come again within seconds; ten minutes see the patient ones as well.
 	remembered = 10 * time.Minute
-	// mostNoted bounds the crashes of an entry's record, some 110 bytes each in the store.
+	// mostNoted bounds the crashes of an entry's record, some 140 bytes each in the store.
 	// As many requests run at 21 targets of 12 slots; they must all crash in ten minutes,
 	// and all be seen by one entry, before one is forgotten early.
 	mostNoted = 256
@@ -241,14 +242,15 @@
 	}
 }
 
+// believe tells that a request is held back for some time from now on.
 func (q *Quarantine) believe(f Fingerprint, crashes int, held time.Duration, source string) {
-	if hold(crashes) == 0 {
-		return
+	if held <= 0 {
+		return // it may be sent again, or its hold is over by now
 	}
 	close(q.news)
 	q.news = make(chan struct{})
 	if q.Believes != nil {
-		q.Believes(Belief{Request: f, Crashes: crashes, Held: max(held, 0), Source: source})
+		q.Believes(Belief{Request: f, Crashes: crashes, Held: held, Source: source})
 	}
 }
 
