--- a/internal/program/gateway/crashes_test.go
+++ b/internal/program/gateway/crashes_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -37,19 +36,25 @@
 	stop    func()
 }
 
-// freeAddress is one that nobody listens at, for HTTP and datagrams.
-func freeAddress(t *testing.T) netip.AddrPort {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+// hosts counts the hosts that were given out.
+var hosts atomic.Uint32
+
+// newHost returns an address for one entry alone. A port that was found free at the address
+// that all tests share was taken by another one's connection in the meantime.
+func newHost() netip.Addr {
+	n := hosts.Add(1)
+	return netip.AddrFrom4([4]byte{127, byte(64 + os.Getpid()%128), byte(n >> 8), byte(n)})
 }
 
 // start starts an entry and waits until it is ready.
 func start(t *testing.T, name host.Name, store netip.AddrPort) *running {
+	ip := newHost()
 	s := deployed.Settings{
-		Role: host.Entry, Name: name, Address: netip.MustParseAddr("127.0.0.1"), DataCentre: "z", Store: store, Memory: 200,
-		Listen: deployed.Listen{Callers: freeAddress(t), Readiness: freeAddress(t), Metrics: freeAddress(t), Peers: freeAddress(t)},
+		Role: host.Entry, Name: name, Address: ip, DataCentre: "z", Store: store, Memory: 200,
+		Listen: deployed.Listen{
+			Callers: netip.AddrPortFrom(ip, 7400), Readiness: netip.AddrPortFrom(ip, 7401),
+			Metrics: netip.AddrPortFrom(ip, 7402), Peers: netip.AddrPortFrom(ip, 7403),
+		},
 		Bounds: deployed.Bounds{
 			Apply: 2 * time.Second, Revoke: 5 * time.Second, Drain: 2 * time.Second, Grace: 8 * time.Second,
 			Stall: 1500 * time.Millisecond, RepeatRatio: 0.2, RepeatSlack: 90, RepeatWindow: 10 * time.Second,
@@ -100,7 +105,8 @@
 	return servers, []*running{start(t, "entry-1", store.Address), start(t, "entry-2", store.Address)}
 }
 
-// awaitServers waits until all servers run and both entries would send to them.
+// awaitServers waits until all servers run and both entries would send to just these lives. An
+// entry that has not heard of a restart asks the earlier life, and its caller is refused.
 func awaitServers(t *testing.T, servers *standin.Crashing, entries []*running) {
 	t.Helper()
 	require.Eventually(t, func() bool {
@@ -108,7 +114,11 @@
 			return false
 		}
 		for _, e := range entries {
-			if len(e.gateway.roster.Serving("app")) != 4 {
+			var ids []string
+			for _, target := range e.gateway.roster.Serving("app") {
+				ids = append(ids, target.ID)
+			}
+			if !slices.Equal(ids, servers.IDs()) {
 				return false
 			}
 		}
@@ -155,7 +165,7 @@
 	awaitServers(t, servers, entries)
 	for n, e := range entries {
 		status, text, _ := e.call(t, fmt.Sprint("other-", n), "/safe/x", "harmless")
-		require.Equal(t, http.StatusOK, status, "other requests of the caller are served")
+		require.Equal(t, http.StatusOK, status, "other requests of the caller are served: %v", e.heard.of("request"))
 		require.Equal(t, "answer to harmless", text)
 	}
 }
