--- a/internal/program/soak/world_test.go
+++ b/internal/program/soak/world_test.go
@@ -232,19 +232,10 @@
 	w.brittle = start(w.t, w.store, "brittle", "fatal", 3, 300*time.Millisecond)
 }
 
-// foreignEntries are put among those of the servers by another writer. Nobody serves there.
-var foreignEntries = []string{
-	`{"service":"gen","address":"127.0.0.9:9","zone":"z","version":"v1","slots":8,"state":"zombie","cold_remaining_ms":0,"seq":1}`,
-	`{"service":"app","address":"127.0.0.9:9","zone":"z","version":"v1","slots":-1,"state":"ready","cold_remaining_ms":0,"seq":1}`,
-	`{"service":"app","address":"127.0.0.9:9","state":"ready","slots":8}`,
-	`{"service":"brittle","address":"0.0.0.0:0","zone":"z","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"seq":1}`,
-	`"x"`, `[7]`, `null`,
-}
-
 // putForeign has another writer spoil the list: an entry of its own, or that of a server. The
 // returned function undoes it.
 func (w *world) putForeign() (undo func()) {
-	text := foreignEntries[w.r.IntN(len(foreignEntries))]
+	text := standin.ForeignServers[w.r.IntN(len(standin.ForeignServers))]
 	if n := w.r.IntN(2 * len(w.plain)); n < len(w.plain) {
 		w.store.Put("servers", fmt.Sprint("p-", n), text)
 		return func() { w.store.PutServer(fmt.Sprint("p-", n), "app", w.plain[n].Address) }
