Tell in logs and metrics which answers name a rate

Cause: the logs could not tell whether an entry never reads the limit that a target names, or learns of it too late or of the wrong target. No decision changes.

--- a/internal/program/companion/companion.go
+++ b/internal/program/companion/companion.go
@@ -21,6 +21,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/expert/seating"
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/ratelimit"
 	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
 	"wagtailshelf.example/wagtailshelf/platform"
@@ -48,6 +49,7 @@
 
 	socket  *digest.Socket
 	entries map[netip.AddrPort]entry
+	rates   map[netip.AddrPort]ratelimit.Said // that engines named in their reports; without those that name none
 }
 
 // New returns a sidecar that does not run yet.
@@ -63,7 +65,9 @@
 		groups:   make(map[roster.GroupName]*following),
 		doubted:  make(map[seating.Finding]bool),
 		entries:  make(map[netip.AddrPort]entry),
+		rates:    make(map[netip.AddrPort]ratelimit.Said),
 	}
+	c.engines.Rate = c.heardRate
 	c.store.Called = deployed.CountStoreCalls(m)
 	return c
 }
@@ -137,6 +141,21 @@
 	return list
 }
 
+// heardRate logs when an engine's reports begin to name a rate, name another, or cease to.
+func (c *Companion) heardRate(at netip.AddrPort, s ratelimit.Said) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	was := c.rates[at]
+	if s == was {
+		return
+	}
+	delete(c.rates, at)
+	if s.Kind != ratelimit.Nothing {
+		c.rates[at] = s
+	}
+	c.log.Info().Str("event", "reportedRate").Stringer("address", at).Stringer("rate", s).Stringer("before", was).Msg("")
+}
+
 func (c *Companion) servePeers(ctx context.Context) error {
 	mux := http.NewServeMux()
 	rankport.Handler{Look: c.look, Order: c.order}.Register(mux)
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -7,6 +7,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/ratelimit"
 )
 
 // storeFailed logs when the store is lost and regained, once each.
@@ -55,6 +56,9 @@
 	attempts := make([]string, 0, len(r.Attempts))
 	for _, a := range r.Attempts {
 		attempts = append(attempts, describe(a))
+		if a.Rate.Kind != ratelimit.Nothing {
+			g.metrics.GetOrCreateCounter("wagtailshelf_rate_limit_answers_total").Inc()
+		}
 	}
 	if !r.Fingerprint.IsZero() {
 		e.Stringer("fingerprint", r.Fingerprint).Int("crashes", r.Crashes)
@@ -62,9 +66,13 @@
 	e.Strs("attempts", attempts).Msg("")
 }
 
-// describe tells of an attempt: the target, what came of it after how long, and what
-// was known of the target when it was chosen.
+// describe tells of an attempt: the target, what came of it after how long, what was known
+// of the target when it was chosen, and the rate that its answer named.
 func describe(a forward.Attempt) string {
-	return fmt.Sprintf("%s %s %dms reused=%t load=%d loadAge=%dms",
+	text := fmt.Sprintf("%s %s %dms reused=%t load=%d loadAge=%dms",
 		a.Target, a.Result, a.Took.Milliseconds(), a.Reused, a.Seen.Load, a.Seen.Age.Milliseconds())
+	if a.Rate.Kind != ratelimit.Nothing {
+		text += " rate=" + a.Rate.String()
+	}
+	return text
 }
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -16,6 +16,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/ratelimit"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 	"wagtailshelf.example/wagtailshelf/platform"
@@ -87,6 +88,7 @@
 	Reused bool // the connection had carried requests before
 	Seen   admission.Seen
 	Took   time.Duration
+	Rate   ratelimit.Said // that the target named
 }
 
 const (
