--- /dev/null
+++ b/internal/program/gateway/rates_test.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/platform/standin"
+)
+
+// inNeed is a target that names a rate, and remembers what it got of whom.
+type inNeed struct {
+	*standin.Server
+	mu      sync.Mutex
+	rate    string
+	told    map[string]time.Time // when an entry got the first answer that named it
+	arrived []arrival
+}
+
+type arrival struct {
+	entry string
+	at    time.Time
+}
+
+// entryOf is the entry through which a test sent a request.
+func entryOf(id string) string { return id[:len("entry-1")] }
+
+func newInNeed(t *testing.T, rate string) *inNeed {
+	s := &inNeed{rate: rate, told: make(map[string]time.Time)}
+	s.Server = standin.NewServer(t, func(w standin.Reply, r standin.Request) {
+		s.mu.Lock()
+		entry := entryOf(r.ID)
+		s.arrived = append(s.arrived, arrival{entry, time.Now()})
+		if _, found := s.told[entry]; !found {
+			s.told[entry] = time.Now()
+		}
+		s.mu.Unlock()
+		w.Header("Server-Limit", s.rate)
+		w.Whole(http.StatusOK, "hello")
+	})
+	return s
+}
+
+const (
+	// rateWindow in which requests to a target that names a rate are counted, and what is
+	// allowed there: one and a half times the rate, and rateSlack.
+	rateWindow = 4 * time.Second
+	rateSlack  = 5
+	// rateNotice is how long after an entry was told its requests begin to count.
+	rateNotice = 500 * time.Millisecond
+)
+
+// most is the largest number of requests in a window from entries that had been told.
+func (s *inNeed) most() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var counted []time.Time
+	for _, a := range s.arrived {
+		if a.at.Sub(s.told[a.entry]) >= rateNotice {
+			counted = append(counted, a.at)
+		}
+	}
+	most, from := 0, 0
+	for i, at := range counted {
+		for at.Sub(counted[from]) > rateWindow {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return most
+}
+
+// newRateWorld starts entries before targets of one service.
+func newRateWorld(t *testing.T, entries int, targets ...*standin.Server) []*running {
+	store := standin.NewStore(t)
+	require.NoError(t, store.PutConfig(standin.Config{
+		Version: 1, Host: callsHost, Plain: "app", Workspaces: map[string][]string{"acme": {"k1"}},
+		Routes: []standin.Route{{Name: "safe", Kind: "safe", Service: "app"}},
+	}))
+	for n, s := range targets {
+		store.PutServer(fmt.Sprint("app-", n), "app", s.Address)
+	}
+	var list []*running
+	for n := range entries {
+		list = append(list, start(t, host.Name(fmt.Sprint("entry-", n)), store.Address))
+	}
+	return list
+}
+
+// press sends requests through all entries by turns for some time, without waiting for their
+// answers, and returns how many ended with each status.
+func press(t *testing.T, entries []*running, pause, lasts time.Duration) map[int]int {
+	var (
+		calls    sync.WaitGroup
+		mu       sync.Mutex
+		statuses = make(map[int]int)
+	)
+	end := time.Now().Add(lasts)
+	for n := 0; time.Now().Before(end); n++ {
+		calls.Go(func() {
+			status, _, _ := entries[n%len(entries)].call(t, fmt.Sprintf("entry-%d-%d", n%len(entries), n), "/safe/x", "")
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[status]++
+		})
+		time.Sleep(pause)
+	}
+	calls.Wait()
+	return statuses
+}
+
+// One of four targets is in need: each of its answers names the rate that it takes from all
+// entries together, one request a second. Callers see nothing of it; the target gets as many
+// requests as the others from each of five entries, for as long as it needs help. An answer's
+// headers were passed on to the caller, and nothing looked at that one. Records had 2.3
+// requests a second there before it named 1, and 3.5 after; 14 in 4 s, where 11 are allowed.
+func TestTargetThatNamesARateGetsNoMore(t *testing.T) {
+	t.Parallel()
+	limited := newInNeed(t, "1.0")
+	targets := []*standin.Server{limited.Server}
+	for range 3 {
+		targets = append(targets, standin.NewServer(t, func(w standin.Reply, _ standin.Request) { w.Whole(http.StatusOK, "hello") }))
+	}
+	entries := newRateWorld(t, 5, targets...)
+	statuses := press(t, entries, 20*time.Millisecond, rateNotice+rateWindow+rateWindow/4)
+	t.Logf("%d requests in %s, of all %v", limited.most(), rateWindow, statuses)
+	require.LessOrEqual(t, limited.most(), int(1.5*1.0*rateWindow.Seconds())+rateSlack)
+	require.Len(t, statuses, 1, "the others serve what it doesn't take")
+	require.Contains(t, statuses, http.StatusOK)
+}
