Keep what all entries send to a target in need below the rate that it names

Callers saw nothing; a target that named a rate got as many requests as its neighbours, 3.5 a second where 1 was named. Cause: entries bound only what a target has at the same time, each for itself; a rate, and a bound for all of them together, was kept nowhere, and nothing read the target's word. Change: ratelimit holds the decision, apart from input and output: each entry takes a share of the rate, with a random first moment; admission passes over a target whose turn has not come, and refuses at once if all are limited and the turn comes too late, with the time of the turn. A stamped answer without a rate to a later request ends it; so do a new life and a minute of silence. Ruled out: a share in numbers of requests at the same time (no bound on a rate); all entries at the full rate (N times); letting go after some time alone, as all entries would then send at once.

--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/ratelimit"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
@@ -86,6 +87,7 @@
 	g.admit.Targets = g.roster.Serving
 	g.admit.RulesFor = g.limits
 	g.admit.Believes = g.believes
+	g.admit.BelievesRate = g.believesRate
 	g.crashes = crashes.NewKeeper(quarantine.New(string(s.Name)), l)
 	g.crashes.Quarantine.Believes = g.believesRequest
 	g.keepCrashes()
@@ -123,6 +125,11 @@
 	return n + n/4 + 1
 }
 
+// senders are the entries among which the rate of a target in need is divided.
+func (g *Gateway) senders(now time.Time) ratelimit.Senders {
+	return ratelimit.Senders{Count: g.sharers(now)}
+}
+
 // apply takes changed settings. Addresses stay as they are until the next start.
 func (g *Gateway) apply(s deployed.Settings) {
 	g.bounds.Store(&s.Bounds)
@@ -143,7 +150,7 @@
 	if r == nil {
 		return admission.Rules{}
 	}
-	rules := admission.Rules{PerTarget: plainPerTarget, Queue: queueLength, Entries: 1}
+	rules := admission.Rules{PerTarget: plainPerTarget, Queue: queueLength, Entries: 1, Senders: g.senders(time.Now())}
 	if s := r.config.Service(service); s != nil && s.Engine != nil {
 		rules.PerTarget = max(int(slotShare*float64(s.Engine.Slots)), 1)
 		rules.Entries = guessedEntries
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -32,6 +32,17 @@
 		Bool("open", b.Open).Bool("slow", b.Slow).Str("source", b.Source).Dur("age", b.Age).Msg("")
 }
 
+// believesRate logs when a target begins to name a rate, names another, or ceases to.
+func (g *Gateway) believesRate(b admission.RateBelief) {
+	event := "targetLimited"
+	if !b.Active {
+		event = "targetUnlimited"
+	}
+	g.metrics.GetOrCreateCounter(fmt.Sprintf(`wagtailshelf_rate_limits_total{event=%q}`, event)).Inc()
+	g.log.Info().Str("event", event).Str("target", b.Target).Float64("rate", float64(b.Rate)).
+		Str("source", b.Source).Dur("age", b.Age).Msg("")
+}
+
 // believesRequest logs when a request begins to be held back, and when it no longer is.
 func (g *Gateway) believesRequest(b quarantine.Belief) {
 	event := "requestHeld"
--- a/internal/program/gateway/rates_test.go
+++ b/internal/program/gateway/rates_test.go
@@ -118,7 +118,9 @@
 // entries together, one request a second. Callers see nothing of it; the target gets as many
 // requests as the others from each of five entries, for as long as it needs help. An answer's
 // headers were passed on to the caller, and nothing looked at that one. Records had 2.3
-// requests a second there before it named 1, and 3.5 after; 14 in 4 s, where 11 are allowed.
+// requests a second there before it named 1, and 3.5 after, from four entries by turns that had
+// all been told: 14 in 4 s, where 11 are allowed. What an entry bounded was requests at the
+// same time, and each by itself.
 func TestTargetThatNamesARateGetsNoMore(t *testing.T) {
 	t.Parallel()
 	limited := newInNeed(t, "1.0")
@@ -133,3 +135,23 @@
 	require.Len(t, statuses, 1, "the others serve what it doesn't take")
 	require.Contains(t, statuses, http.StatusOK)
 }
+
+// All targets are in need, and callers press on. Each target gets no more than it takes; who
+// can't be served is refused at once, and told when to come back.
+func TestAllTargetsNameARate(t *testing.T) {
+	t.Parallel()
+	var limited []*inNeed
+	var targets []*standin.Server
+	for range 3 {
+		s := newInNeed(t, "1.2")
+		limited, targets = append(limited, s), append(targets, s.Server)
+	}
+	entries := newRateWorld(t, 3, targets...)
+	statuses := press(t, entries, 20*time.Millisecond, rateNotice+rateWindow+rateWindow/4)
+	t.Logf("%v", statuses)
+	for _, s := range limited {
+		require.LessOrEqual(t, s.most(), int(1.5*1.2*rateWindow.Seconds())+rateSlack)
+	}
+	require.Positive(t, statuses[http.StatusServiceUnavailable])
+	require.Len(t, statuses, 2, "served, or refused with the promise that it did not run")
+}
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/ratelimit"
 )
 
 // Rules are the limits for one service.
@@ -21,6 +22,8 @@
 	PerTarget int // requests that one target has at the same time, of all entries
 	Queue     int // requests that wait; more are refused at once
 	Entries   int // that share the targets, as far as known
+	// Senders are the entries among which the rate of a target in need is divided.
+	Senders ratelimit.Senders
 }
 
 // Controller holds the requests of one entry. It is safe for concurrent use.
@@ -31,6 +34,9 @@
 	RulesFor func(service string) Rules
 	// Believes hears when what the entry believes of a group changes; nil if nobody does.
 	Believes func(Belief)
+	// BelievesRate hears when what the entry believes of a target's rate changes; nil if
+	// nobody does.
+	BelievesRate func(RateBelief)
 
 	mu       sync.Mutex
 	targets  map[string]*state
@@ -65,11 +71,16 @@
 	Tried []string
 	// Deadline is when the caller stops waiting for the whole answer.
 	Deadline time.Time
+	// Patience is how long the request may wait in the queue.
+	Patience time.Duration
 
+	// After is when the caller of a request that found all targets limited should come back.
+	After time.Duration
 	// Seen is what the choice of the target went by, once granted.
 	Seen Seen
 
 	arrived time.Time
+	sent    time.Time // when it was granted
 	granted chan struct{}
 	target  roster.Target
 	held    bool
@@ -98,6 +109,7 @@
 	Wait                        // all targets are busy
 	Full                        // too many wait already
 	NoTarget                    // the service has no target that could be asked
+	Limited                     // all targets take no more than a rate, and its turn would come too late
 )
 
 // Arrive asks for a target.
@@ -122,6 +134,24 @@
 	if len(q.waiting) >= rules.Queue {
 		return Full
 	}
+	at := q.place(t)
+	// A caller that can't get its turn in time has nothing to wait for.
+	if wait, known := c.rateWait(now, candidates, at, rules); known && wait > t.Patience {
+		t.After = wait
+		return Limited
+	}
+	q.waiting = slices.Insert(q.waiting, at, t)
+	c.advance(now, t.Service)
+	select {
+	case <-t.granted:
+		return Go
+	default:
+		return Wait
+	}
+}
+
+// place is where in the queue a request belongs: behind those of its priority.
+func (q *queue) place(t *Ticket) int {
 	at, _ := slices.BinarySearchFunc(q.waiting, t, func(a, b *Ticket) int {
 		if a.Priority != b.Priority {
 			return a.Priority - b.Priority
@@ -131,14 +161,7 @@
 		}
 		return -1 // those that came in the same moment keep their order
 	})
-	q.waiting = slices.Insert(q.waiting, at, t)
-	c.advance(now, t.Service)
-	select {
-	case <-t.granted:
-		return Go
-	default:
-		return Wait
-	}
+	return at
 }
 
 // Abandon takes a request out of the queue, or gives its place at a target back.
@@ -205,6 +228,7 @@
 func (c *Controller) Tick(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.lapseRates(now)
 	for service := range c.services {
 		c.advance(now, service)
 	}
@@ -312,7 +336,9 @@
 func (c *Controller) grant(now time.Time, t *Ticket, target roster.Target) {
 	t.target = target
 	t.held = true
+	t.sent = now
 	s := c.state(now, target)
+	s.limit.Sent(now)
 	s.held[t] = true
 	t.Seen = Seen{Load: s.load(now, c.RulesFor(t.Service))}
 	if s.toldLately(now) {
@@ -356,6 +382,11 @@
 		if !g.takes(now, c.inFlight, s.group) || !s.free(now, g, rules, told) {
 			continue
 		}
+		// A target in need took as much as the others when only what it has at the same
+		// time was bounded: it answers each request soon, and gets the next one.
+		if !s.limit.Free(now, target.ID, rules.Senders) {
+			continue
+		}
 		if g.isSlow(now) {
 			slow = append(slow, target)
 			continue
--- a/internal/traffic/admission/group.go
+++ b/internal/traffic/admission/group.go
@@ -166,9 +166,13 @@
 // told of and not slow.
 func (c *Controller) places(now time.Time, service string) int {
 	n := 0
+	senders := c.RulesFor(service).Senders
 	for _, target := range c.Targets(service) {
 		s := c.state(now, target)
 		g := c.group(s.group)
+		if !s.limit.Free(now, target.ID, senders) {
+			continue
+		}
 		if s.toldLately(now) && !s.slow && !g.isSlow(now) && !now.Before(s.avoid) && g.takes(now, c.inFlight, s.group) {
 			n += max(s.grant, 0)
 		}
--- /dev/null
+++ b/internal/traffic/admission/rate.go
@@ -0,0 +1,90 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/ratelimit"
+)
+
+// RateBelief is what the entry takes a target's rate for.
+type RateBelief struct {
+	Target string
+	Active bool // it takes no more than the rate
+	Rate   ratelimit.Rate
+	Source string        // who said so: "answer", or "silence" if nobody said it again
+	Age    time.Duration // of what was said
+}
+
+// Heard takes what a target's answer to a request says of the rate that it takes. Proven says
+// that the target made the answer; only then does it count that it names no rate.
+func (c *Controller) Heard(now time.Time, t *Ticket, said ratelimit.Said, proven bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.targets[t.target.ID]
+	if s == nil {
+		return // it is gone
+	}
+	switch {
+	case said.Kind == ratelimit.Named:
+		if s.limit.Named(now, said.Rate, rand.Float64()) {
+			c.believeRate(t.target.ID, s, "answer", 0)
+		}
+	case said.Kind == ratelimit.Nothing && proven:
+		if s.limit.Unnamed(t.sent) {
+			c.believeRate(t.target.ID, s, "answer", 0)
+			c.advance(now, t.Service)
+		}
+	}
+}
+
+func (c *Controller) believeRate(id string, s *state, source string, age time.Duration) {
+	if c.BelievesRate != nil {
+		c.BelievesRate(RateBelief{Target: id, Active: s.limit.Active(), Rate: s.limit.Rate(), Source: source, Age: age})
+	}
+}
+
+// lapseRates ends limits that nobody has heard of for long.
+func (c *Controller) lapseRates(now time.Time) {
+	for id, s := range c.targets {
+		if !s.limit.Active() {
+			continue
+		}
+		heard := s.limit.Heard()
+		if s.limit.Lapse(now, id, c.RulesFor(s.group.Service).Senders) {
+			c.believeRate(id, s, "silence", now.Sub(heard))
+		}
+	}
+}
+
+// rateWait tells how long a request would wait if all its targets take no more than a rate:
+// until those that wait before it, and it, have had their turns. Known is false if one of
+// the targets names no rate; it may be free at any time.
+func (c *Controller) rateWait(now time.Time, targets []roster.Target, ahead int, rules Rules) (wait time.Duration, known bool) {
+	var (
+		first  time.Time // when this entry may send to one of them first
+		perSec float64   // requests that this entry may send to them in a second
+		all    float64   // that all entries may
+	)
+	for _, target := range targets {
+		s := c.state(now, target)
+		if !s.limit.Active() {
+			return 0, false
+		}
+		all += float64(max(s.limit.Rate(), ratelimit.LeastRate))
+		at, ok := s.limit.Next(now, target.ID, rules.Senders)
+		if !ok {
+			continue
+		}
+		perSec += s.limit.PerSecond(target.ID, rules.Senders)
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	if perSec == 0 {
+		// Other entries send to them. The caller comes back through another one.
+		return time.Duration(float64(time.Second) / all), true
+	}
+	return max(first.Sub(now), 0) + time.Duration(float64(ahead)*float64(time.Second)/perSec), true
+}
--- a/internal/traffic/admission/target.go
+++ b/internal/traffic/admission/target.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/ratelimit"
 )
 
 // state is what the entry knows of a target.
@@ -24,6 +25,7 @@
 	held     map[*Ticket]bool
 	avoid    time.Time
 	failures int
+	limit    ratelimit.Limit // that the target named
 }
 
 // abort tells the requests at a target that its host does not answer. Their callers see
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -165,9 +165,12 @@
 		return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.why(whyBroken)
 	}
 	meta := platform.ReadAnswer(answer.Status, answer.Header)
-	a.Rate = meta.Rate
-	if answer.Status == http.StatusMisdirectedRequest {
-		c.f.Gone(target.ID)
+	switch {
+	case answer.Status == http.StatusMisdirectedRequest:
+		c.f.Gone(target.ID) // another server answers, and says nothing of this one
+	case meta.Stamped || meta.NotRun: // not whatever else may answer at the address
+		a.Rate = meta.Rate
+		c.f.Admission.Heard(c.f.Now(), t, meta.Rate, meta.Stamped)
 	}
 	return c.take(answer, meta, target)
 }
--- a/internal/traffic/forward/refuse.go
+++ b/internal/traffic/forward/refuse.go
@@ -51,6 +51,12 @@
 // comeBackWithin is the same where the reason is likely to last for a known time.
 func (c *call) comeBackWithin(d time.Duration) time.Duration { return min(d, c.comeBack()) }
 
+// comeBackAfter is the same where it is known when the request can be served. Those that are
+// refused together are spread over the time after that.
+func (c *call) comeBackAfter(d time.Duration) time.Duration {
+	return c.comeBackWithin(d + time.Duration(rand.Float64()*float64(d)))
+}
+
 // untilRules is when a caller should come back whom old rules don't serve: at once if
 // other entries have fresh ones, as callers come back through another entry.
 func (c *call) untilRules() time.Duration {
--- a/internal/traffic/forward/wait.go
+++ b/internal/traffic/forward/wait.go
@@ -11,7 +11,7 @@
 
 // ticket describes the request to admission.
 func (c *call) ticket() *admission.Ticket {
-	t := &admission.Ticket{Service: c.service, Priority: c.route.Priority, Work: 1, Tried: c.tried, Deadline: c.deadline}
+	t := &admission.Ticket{Service: c.service, Priority: c.route.Priority, Work: 1, Tried: c.tried, Deadline: c.deadline, Patience: c.queueLimit()}
 	t.Fresh = time.Duration(freshShare*float64(c.route.Aim)) - c.f.Now().Sub(c.begin)
 	if c.space != nil && c.space.Ranked {
 		t.Priority = c.space.Priority
@@ -50,6 +50,8 @@
 		return t, c.await(t, now)
 	case admission.Full:
 		c.giveUp(http.StatusServiceUnavailable, "queueFull", c.comeBackSpread())
+	case admission.Limited:
+		c.giveUp(http.StatusServiceUnavailable, "rateLimited", c.comeBackAfter(t.After))
 	case admission.NoTarget:
 		c.giveUp(http.StatusServiceUnavailable, "noTarget", c.comeBack())
 	}
