Tell all entries of the rates of targets in need, and which of them send

Callers: where all targets of a service were in need, most were refused though the targets would have taken them; and an entry that sends nothing to a target never heard that it needs help no more. Cause: entries knew nothing of each other but a number, so each took a small share to be safe, and what one heard stayed with it. Change: hellos carry what targets said lately, planners pass it on to all entries once a second with their place among all; two entries, others for each target, send most of the rate. Nothing is sent while no target is in need; a datagram stays within a frame. A late word of before changes nothing. Ruled out: leases in the store (priced writes, none while it is away; the store is needed for no decision here); all entries at an even share of the rate (at 340 entries a request in five minutes each, all at once at worst).

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -6,6 +6,7 @@
 package roster
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"strings"
@@ -23,6 +24,11 @@
 	Name    GroupName // "" stands for the targets whose group is not known, or that have none
 }
 
+// Compare orders groups by service, then by name.
+func (g Group) Compare(o Group) int {
+	return cmp.Or(strings.Compare(g.Service, o.Service), strings.Compare(string(g.Name), string(o.Name)))
+}
+
 // Target is a server under its id, in the life that it was listed in last.
 type Target struct {
 	ID         string
--- a/internal/program/companion/companion.go
+++ b/internal/program/companion/companion.go
@@ -49,7 +49,11 @@
 
 	socket  *digest.Socket
 	entries map[netip.AddrPort]entry
-	rates   map[netip.AddrPort]ratelimit.Said // that engines named in their reports; without those that name none
+	words   ratelimit.Words // of targets in need, as entries heard
+	// toldRates is when entries were told of them last, and rateTurn counts these times.
+	toldRates time.Time
+	rateTurn  uint64
+	rates     map[netip.AddrPort]ratelimit.Said // that engines named in their reports; without those that name none
 }
 
 // New returns a sidecar that does not run yet.
@@ -112,7 +116,11 @@
 func (c *Companion) heardEntry(from netip.AddrPort, h digest.Hello) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.entries[from] = entry{address: from, demand: h.Demand, fresh: h.Fresh, heard: time.Now()}
+	now := time.Now()
+	c.entries[from] = entry{address: from, demand: h.Demand, fresh: h.Fresh, heard: now}
+	for _, w := range digest.Words(h.Rates) {
+		c.words.Take(now, w)
+	}
 }
 
 // learnEntries takes the entries that a planner has heard of, in case that this process
@@ -125,6 +133,26 @@
 	}
 }
 
+const (
+	// tellRates is how often entries are told the rates of targets in need.
+	tellRates = time.Second
+	// rateKept is how long a rate is told that no entry hears again. Who may send to a
+	// target that takes next to nothing asks it twice in that time.
+	rateKept = time.Minute
+)
+
+// ratesToTell are the rates of targets in need, when it is time to tell them.
+func (c *Companion) ratesToTell(now time.Time) []digest.Rate {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.toldRates) < tellRates {
+		return nil
+	}
+	c.toldRates = now
+	c.rateTurn++
+	return digest.Rates(c.words.Tell(now, rateKept, digest.MostRates, c.rateTurn))
+}
+
 // entriesHeard are the entries that made themselves known lately.
 func (c *Companion) entriesHeard(now time.Time) []entry {
 	c.mu.Lock()
--- a/internal/program/companion/look.go
+++ b/internal/program/companion/look.go
@@ -153,7 +153,7 @@
 	v := p.seen()
 	d := digest.Digest{
 		Term: p.asker.Term, Look: p.looks, Service: p.c.settings.Target.Service, Group: p.group,
-		Open: v.serving, Slow: p.limit.Slow(p.gapAim), Entries: len(entries), Limit: p.limit.Value,
+		Open: v.serving, Slow: p.limit.Slow(p.gapAim), Entries: len(entries), Limit: p.limit.Value, Rates: p.c.ratesToTell(time.Now()),
 	}
 	demands := make([]float64, len(entries))
 	for i, e := range entries {
@@ -164,7 +164,8 @@
 	}
 	if !v.serving {
 		d.Ranks = p.members()
-		for _, e := range entries {
+		for i, e := range entries {
+			d.Place = i + 1
 			p.c.socket.Send(e.address, d)
 		}
 		return
@@ -189,6 +190,7 @@
 		for n := range d.Ranks {
 			d.Ranks[n].Grant = grants[i][seats[n]]
 		}
+		d.Place = i + 1
 		p.c.socket.Send(e.address, d)
 	}
 }
--- a/internal/program/companion/look_test.go
+++ b/internal/program/companion/look_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -221,3 +222,42 @@
 	require.False(t, d.Open)
 	require.Equal(t, []digest.Rank{{Target: "a"}}, d.Ranks)
 }
+
+// One entry hears a target name a rate, another hears of it from the planner, with its place
+// among the entries: both divide the rate without a word to each other. Words of a rate go out
+// once a second, not with each look.
+func TestTellsOfRates(t *testing.T) {
+	p := newPlanner()
+	var err error
+	p.c.socket, err = digest.Open(netip.MustParseAddrPort("127.0.0.1:0"))
+	require.NoError(t, err)
+	told := make(chan digest.Digest, 8)
+	var addresses []netip.AddrPort
+	for range 2 {
+		l, err := digest.Open(netip.MustParseAddrPort("127.0.0.1:0"))
+		require.NoError(t, err)
+		addresses = append(addresses, l.Addr())
+		go func() {
+			_ = l.Serve(t.Context(), func(netip.AddrPort, digest.Hello) {}, func(_ netip.AddrPort, d digest.Digest) { told <- d })
+		}()
+	}
+	rate := digest.Rate{Target: "x", Named: true, Rate: 1.5, Age: time.Second}
+	p.c.heardEntry(addresses[0], digest.Hello{Rates: []digest.Rate{rate}})
+	p.c.heardEntry(addresses[1], digest.Hello{Rates: []digest.Rate{{Target: "y", Named: true, Rate: math.NaN()}}})
+	for _, want := range []int{1, 0} { // the second look comes too soon to tell them again
+		p.tell()
+		var places []int
+		for range addresses {
+			d := <-told
+			require.Equal(t, 2, d.Entries)
+			places = append(places, d.Place)
+			require.Len(t, d.Rates, want)
+			if want == 1 {
+				require.Equal(t, "x", d.Rates[0].Target)
+				require.InDelta(t, 1.5, d.Rates[0].Rate, 0)
+				require.GreaterOrEqual(t, d.Rates[0].Age, time.Second)
+			}
+		}
+		require.ElementsMatch(t, []int{1, 2}, places)
+	}
+}
--- a/internal/program/gateway/digest.go
+++ b/internal/program/gateway/digest.go
@@ -37,6 +37,9 @@
 // second would take an entry 1,300 datagrams at the size that is planned for.
 const mostGreeted = 96
 
+// rateTold is how long hellos tell what a target said of its rate: four of them may be lost.
+const rateTold = 5 * digest.HelloInterval
+
 // hello greets the planners of all groups, and the sidecars beside engines that none of
 // them speaks for: any of these may plan next.
 func (g *Gateway) hello(now time.Time, socket *digest.Socket) {
@@ -45,12 +48,14 @@
 		return
 	}
 	fresh := r.age() < g.freshAge()
+	g.hellos++
+	rates := digest.Rates(g.admit.Rates(now, rateTold, digest.MostRates, g.hellos))
 	for _, s := range r.config.Services {
 		if s.Engine == nil {
 			continue
 		}
 		// Read once, as reading it begins the count anew.
-		hello := digest.Hello{Demand: g.admit.Demand(s.Name), Fresh: fresh}
+		hello := digest.Hello{Demand: g.admit.Demand(s.Name), Fresh: fresh, Rates: rates}
 		for _, p := range g.planners.live(now, s.Name) {
 			socket.Hello(p.address, hello)
 		}
@@ -91,4 +96,5 @@
 		look.Targets[r.Target] = admission.Told{Load: r.Load, Grant: r.Grant, Lost: r.Lost, Slow: r.Slow}
 	}
 	g.admit.Told(now, look)
+	g.admit.HeardOf(now, digest.Words(d.Rates))
 }
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -59,6 +59,7 @@
 	targets  atomic.Bool // a list of targets was read
 	draining atomic.Bool
 	planners planners
+	hellos   uint64 // that were sent; of the goroutine that sends them
 	forward  *forward.Forwarder
 	pool     *upstream.Pool
 	admit    *admission.Controller
@@ -127,6 +128,9 @@
 
 // senders are the entries among which the rate of a target in need is divided.
 func (g *Gateway) senders(now time.Time) ratelimit.Senders {
+	if told, known := g.planners.senders(now); known {
+		return told
+	}
 	return ratelimit.Senders{Count: g.sharers(now)}
 }
 
--- a/internal/program/gateway/planners.go
+++ b/internal/program/gateway/planners.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/ratelimit"
 	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
 )
 
@@ -16,6 +17,7 @@
 	heard   time.Time
 	entries int // that it hears from
 	fresh   int // of these, those whose rules are fresh
+	place   int // of this entry among them, from 1 on; 0 if that is not told
 }
 
 const (
@@ -50,7 +52,7 @@
 	if p.byGroup == nil {
 		p.byGroup = make(map[roster.Group]planner)
 	}
-	p.byGroup[name] = planner{address: from, term: d.Term, heard: now, entries: d.Entries, fresh: d.Fresh}
+	p.byGroup[name] = planner{address: from, term: d.Term, heard: now, entries: d.Entries, fresh: d.Fresh, place: d.Place}
 	return true
 }
 
@@ -91,6 +93,24 @@
 	return n, n > 0
 }
 
+// senders are all entries, and the place of this one among them, as the planner says that hears
+// most. Of planners that hear as many, all entries go by the same one.
+func (p *planners) senders(now time.Time) (s ratelimit.Senders, known bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var by roster.Group
+	for name, v := range p.byGroup {
+		n := float64(v.entries)
+		if v.place == 0 || now.Sub(v.heard) >= countLasts || n < s.Count {
+			continue
+		}
+		if n > s.Count || name.Compare(by) < 0 {
+			s, by = ratelimit.Senders{Count: n, Place: v.place}, name
+		}
+	}
+	return s, s.Place > 0
+}
+
 // elsewhere tells whether other entries serve all callers, as a planner was told.
 func (p *planners) elsewhere(now time.Time) bool {
 	p.mu.Lock()
--- a/internal/program/gateway/rates_test.go
+++ b/internal/program/gateway/rates_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"math"
 	"net/http"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +13,13 @@
 	"github.com/stretchr/testify/require"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
+	"wagtailshelf.example/wagtailshelf/internal/record/feed"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/ratelimit"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
+	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
@@ -137,21 +147,134 @@
 }
 
 // All targets are in need, and callers press on. Each target gets no more than it takes; who
-// can't be served is refused at once, and told when to come back.
+// can't be served is refused at once, and told when to come back. Where a planner tells the
+// entries their places they give out most of what the targets take.
 func TestAllTargetsNameARate(t *testing.T) {
 	t.Parallel()
-	var limited []*inNeed
-	var targets []*standin.Server
-	for range 3 {
-		s := newInNeed(t, "1.2")
-		limited, targets = append(limited, s), append(targets, s.Server)
+	for name, c := range map[string]struct {
+		tell   func(*testing.T, []*running)
+		served int // at least
+	}{
+		"nobody tells the entries of each other": {func(*testing.T, []*running) {}, 3},
+		"a planner does":                         {tellPlaces, 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var limited []*inNeed
+			var targets []*standin.Server
+			for range 3 {
+				s := newInNeed(t, "1.2")
+				limited, targets = append(limited, s), append(targets, s.Server)
+			}
+			entries := newRateWorld(t, 3, targets...)
+			c.tell(t, entries)
+			statuses := press(t, entries, 20*time.Millisecond, 2*rateWindow)
+			t.Logf("%v", statuses)
+			for _, s := range limited {
+				require.LessOrEqual(t, s.most(), int(1.5*1.2*rateWindow.Seconds())+rateSlack)
+			}
+			require.GreaterOrEqual(t, statuses[http.StatusOK], c.served)
+			require.Positive(t, statuses[http.StatusServiceUnavailable])
+			require.Len(t, statuses, 2, "served, or refused with the promise that it did not run")
+		})
 	}
-	entries := newRateWorld(t, 3, targets...)
-	statuses := press(t, entries, 20*time.Millisecond, rateNotice+rateWindow+rateWindow/4)
-	t.Logf("%v", statuses)
-	for _, s := range limited {
-		require.LessOrEqual(t, s.most(), int(1.5*1.2*rateWindow.Seconds())+rateSlack)
+}
+
+// tellPlaces has entries know their places among all, as a planner of another service tells
+// them time and again until the test ends.
+func tellPlaces(t *testing.T, entries []*running) {
+	tell := func() {
+		for n, e := range entries {
+			e.gateway.takeDigest(plannersAt[0], digest.Digest{
+				Service: "other", Group: "g", Term: 1, Open: true, Entries: len(entries), Place: n + 1,
+			})
+		}
+	}
+	tell()
+	ended := make(chan struct{})
+	ctx, stop := context.WithCancel(t.Context())
+	go func() {
+		defer close(ended)
+		for ctx.Err() == nil {
+			tell()
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-ended
+	})
+}
+
+// requireLimited tells whether an entry has a turn for a target's service left.
+func requireLimited(t *testing.T, g *Gateway, want admission.Verdict) {
+	t.Helper()
+	require.Equal(t, want, g.admit.Arrive(time.Now(), &admission.Ticket{Service: "svc"}))
+}
+
+// A target in need is asked by two entries of sixteen. The others hear of its rate, and that
+// it needs help no more, from the planner; nobody else would ever tell them.
+func TestRatesAreToldByOtherEntries(t *testing.T) {
+	g := newGateway()
+	g.installRules(0, version(7))
+	g.roster.Put(roster.Target{ID: "a", Service: "svc"})
+	requireLimited(t, g, admission.Go)
+	d := digest.Digest{Service: "other", Group: "g", Term: 1, Open: true, Entries: 16, Place: 1}
+	d.Rates = []digest.Rate{{Target: "a", Named: true, Rate: 0.2}, {Target: "b", Named: true, Rate: 1}, {Target: "a", Named: true, Rate: math.Inf(-1)}}
+	g.takeDigest(plannersAt[0], d)
+	requireLimited(t, g, admission.Limited)
+	d.Rates = []digest.Rate{{Target: "a", Age: time.Minute}}
+	g.takeDigest(plannersAt[0], d)
+	requireLimited(t, g, admission.Limited) // it has named it since
+	d.Rates = []digest.Rate{{Target: "a"}}
+	g.takeDigest(plannersAt[0], d)
+	requireLimited(t, g, admission.Go)
+}
+
+// What a target says of its rate goes out with the entry's hellos for some seconds, as any of
+// them may be lost, and then no more: a day without need costs nothing.
+func TestHellosTellOfRates(t *testing.T) {
+	g := newGateway()
+	config := routing.New(routing.Config{Version: 3, Services: []routing.Service{{Name: "svc", Engine: &routing.Engine{}}}})
+	g.installRules(deployed.Elapsed(), feed.Page[*routing.Config]{Changes: []feed.Change[*routing.Config]{{Name: "main", Object: config}}})
+	listeners, heard := listen(t, 1)
+	g.takeDigest(listeners[0].Addr(), digest.Digest{Service: "svc", Group: "g", Term: 1, Open: true, Ranks: []digest.Rank{{Target: "a", Grant: 1}}})
+	g.roster.Put(roster.Target{ID: "a", Service: "svc"})
+	from, err := digest.Open(netip.MustParseAddrPort("127.0.0.1:0"))
+	require.NoError(t, err)
+	now := time.Now()
+	hello := func(at time.Time) []ratelimit.Word {
+		g.hello(at, from)
+		select {
+		case h := <-heard:
+			return digest.Words(h.Rates)
+		case <-time.After(20 * time.Second):
+			require.Fail(t, "the planner was not greeted")
+			return nil
+		}
+	}
+	require.Empty(t, hello(now))
+	k := &admission.Ticket{Service: "svc"}
+	require.Equal(t, admission.Go, g.admit.Arrive(now, k))
+	said := ratelimit.Said{Kind: ratelimit.Named, Rate: 1.2}
+	g.admit.Heard(now, k, said, true)
+	require.Equal(t, []ratelimit.Word{{Target: "a", Said: said, Age: time.Second}}, hello(now.Add(time.Second)))
+	require.Empty(t, g.admit.Rates(now.Add(rateTold+time.Millisecond), rateTold, digest.MostRates, 0))
+}
+
+// Two planners tell of the entries. All entries go by the one that hears most, so that their
+// places are of one row; if both hear as many, by the same one of the two.
+func TestPlaceAmongEntries(t *testing.T) {
+	g := newGateway()
+	now := time.Now()
+	require.Equal(t, ratelimit.Senders{Count: assumedEntries}, g.senders(now), "nobody tells")
+	tell := func(at int, group roster.GroupName, entries, place int) {
+		g.takeDigest(plannersAt[at], digest.Digest{Service: "svc", Group: group, Term: 1, Entries: entries, Place: place})
 	}
-	require.Positive(t, statuses[http.StatusServiceUnavailable])
-	require.Len(t, statuses, 2, "served, or refused with the promise that it did not run")
+	tell(1, "two", 5, 4)
+	tell(0, "one", 5, 3)
+	require.Equal(t, ratelimit.Senders{Count: 5, Place: 3}, g.senders(now))
+	tell(1, "two", 6, 5)
+	require.Equal(t, ratelimit.Senders{Count: 6, Place: 5}, g.senders(now))
+	require.Zero(t, g.senders(now.Add(countLasts+time.Second)).Place, "nobody has told for long")
 }
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -42,6 +42,7 @@
 	targets  map[string]*state
 	services map[string]*queue
 	groups   map[roster.Group]*group
+	words    ratelimit.Words // that targets told this entry
 }
 
 // New returns a controller without requests.
--- a/internal/traffic/ratelimit/limit.go
+++ b/internal/traffic/ratelimit/limit.go
@@ -67,6 +67,7 @@
 type Limit struct {
 	rate  Rate
 	heard time.Time // when it was named last; zero if it isn't, or no longer
+	ended time.Time // when it was known last that it is not
 	phase float64   // from 0 to 1: the part of an interval that the first request waits
 	role  role
 	begun time.Time // when the entry took that role, or heard of the rate first
@@ -104,8 +105,8 @@
 // random, from 0 to 1: entries that are told together would else send together. It tells
 // whether that is news.
 func (l *Limit) Named(heard time.Time, rate Rate, phase float64) bool {
-	if l.Active() && heard.Before(l.heard) {
-		return false
+	if heard.Before(l.heard) || !heard.After(l.ended) {
+		return false // an old word, which another entry passed on
 	}
 	news := !l.Active() || rate != l.rate
 	if !l.Active() {
@@ -122,7 +123,7 @@
 	if !l.Active() || sent.Before(l.heard) {
 		return false
 	}
-	l.heard = time.Time{}
+	l.heard, l.ended = time.Time{}, sent
 	return true
 }
 
@@ -136,7 +137,7 @@
 	if interval > math.MaxInt64/4 || now.Sub(l.heard) < lapses+2*interval {
 		return false
 	}
-	l.heard = time.Time{}
+	l.heard, l.ended = time.Time{}, l.heard
 	return true
 }
 
--- a/internal/traffic/ratelimit/limit_test.go
+++ b/internal/traffic/ratelimit/limit_test.go
@@ -213,6 +213,17 @@
 	require.Equal(t, Rate(1), l.Rate())
 }
 
+// An entry hears that a target is in need no more. Another one's word from before comes late,
+// by way of a third: it must not limit the target again.
+func TestOldWordAfterTheEnd(t *testing.T) {
+	var l Limit
+	l.Named(start, 1, 0)
+	require.True(t, l.Unnamed(start.Add(time.Second)))
+	require.False(t, l.Named(start.Add(900*time.Millisecond), 1, 0))
+	require.False(t, l.Active())
+	require.True(t, l.Named(start.Add(2*time.Second), 1, 0))
+}
+
 // Nobody has callers for a target in need, so nobody hears whether it still is. It is taken
 // for sound after a minute; but an entry whose own turn comes later than that waits for it.
 func TestLimitLapses(t *testing.T) {
--- a/internal/traffic/ratelimit/said.go
+++ b/internal/traffic/ratelimit/said.go
@@ -33,6 +33,14 @@
 	Unreadable             // it names something that is no rate
 )
 
+// NewSaid is the word for a rate that came as a number, from any writer.
+func NewSaid(rate float64) Said {
+	if !(rate >= 0) { // also what is no number
+		return Said{Kind: Unreadable}
+	}
+	return Said{Kind: Named, Rate: min(Rate(rate), mostRate)}
+}
+
 // decimal is how a rate is written: digits, maybe with a point. Signs, exponents, units and
 // words like "Inf", which a parser of numbers would take, are none.
 var decimal = regexp.MustCompile(`^[0-9]{1,300}(\.[0-9]{0,300})?$`)
--- a/internal/wire/digest/digest.go
+++ b/internal/wire/digest/digest.go
@@ -17,6 +17,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/ratelimit"
 )
 
 const (
@@ -57,13 +58,54 @@
 	// Age is how long before the sending the ranks were looked at. What an entry sent
 	// since is in none of the loads.
 	Age time.Duration `cbor:"8,keyasint"`
+	// Place of the entry that it is sent to among the entries, from 1 on.
+	Place int `cbor:"12,keyasint"`
+	// Rates that targets in need take, of any service, as entries heard.
+	Rates []Rate `cbor:"13,keyasint,omitempty"`
 	// Ranks of the group, or a part of them if they don't fit into one datagram. While the
 	// group is closed they say only which targets it has.
 	Ranks []Rank `cbor:"6,keyasint"`
 }
 
+// Rate is what an entry heard a target say of the rate of requests that it takes.
+type Rate struct {
+	Target string        `cbor:"1,keyasint"`
+	Named  bool          `cbor:"2,keyasint,omitempty"` // false if it ceased to name one
+	Rate   float64       `cbor:"3,keyasint,omitempty"` // requests a second
+	Age    time.Duration `cbor:"4,keyasint"`
+}
+
+// MostRates of one datagram: some 700 bytes, once a second, while targets are in need.
+const MostRates = 16
+
+// Rates puts words into a datagram.
+func Rates(words []ratelimit.Word) []Rate {
+	var list []Rate
+	for _, w := range words {
+		list = append(list, Rate{Target: w.Target, Named: w.Said.Kind == ratelimit.Named, Rate: float64(w.Said.Rate), Age: w.Age})
+	}
+	return list
+}
+
+// Words takes them out again. What is no rate is left out.
+func Words(rates []Rate) []ratelimit.Word {
+	var list []ratelimit.Word
+	for _, r := range rates {
+		w := ratelimit.Word{Target: r.Target, Age: max(r.Age, 0)}
+		if r.Named {
+			w.Said = ratelimit.NewSaid(r.Rate)
+		}
+		if w.Said.Kind != ratelimit.Unreadable {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
 // Hello makes an entry known.
 type Hello struct {
+	// Rates that targets in need take, as the entry heard from themselves lately.
+	Rates  []Rate  `cbor:"3,keyasint,omitempty"`
 	Demand float64 `cbor:"1,keyasint"` // requests that came in the last second, and that wait
 	Fresh  bool    `cbor:"2,keyasint"` // the entry's rules are fresh enough to serve all callers
 }
@@ -128,15 +170,28 @@
 
 // Send sends a digest, in parts if it is large.
 func (s *Socket) Send(to netip.AddrPort, d Digest) {
-	ranks := d.Ranks
+	for _, part := range parts(d) {
+		s.send(to, message{Digest: &part})
+	}
+}
+
+// parts divides a digest so that each part stays within an Ethernet frame. The first one has
+// all rates, and fewer ranks for that.
+func parts(d Digest) []Digest {
+	var list []Digest
+	ranks, room := d.Ranks, maxRanks
+	if len(d.Rates) > 0 {
+		room = maxRanks / 2
+	}
 	for {
 		part := d
-		part.Ranks = ranks[:min(len(ranks), maxRanks)]
+		part.Ranks = ranks[:min(len(ranks), room)]
 		ranks = ranks[len(part.Ranks):]
-		s.send(to, message{Digest: &part})
+		list = append(list, part)
 		if len(ranks) == 0 {
-			return
+			return list
 		}
+		d.Rates, room = nil, maxRanks
 	}
 }
 
