Remember how many entries there are while no planner tells

Cause: a bound for all entries together (repeats, and the rates of targets in need) is divided by how many there are; five seconds after the last planner's word all assumed 16, so 40 entries would send two and a half times that. Change: the count that was told last holds on, 16 at the least. TestEntriesAreRememberedWithoutAPlanner: 16 before, 51 after.

--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -40,9 +40,8 @@
 	// readyTrust is how old the rules may be while the entry asks for callers. Past
 	// that it can't serve those with keys for much longer.
 	readyTrust = 0.8
-	// assumedEntries share the allowance of repeats while nobody tells how many there
-	// are. All of them together must not send more than is allowed; the largest
-	// deployment has 16.
+	// assumedEntries share what all entries may send together while nobody tells how many
+	// there are, or more if somebody did before. The largest deployment has 16.
 	assumedEntries = 16
 )
 
@@ -115,17 +114,20 @@
 	return g
 }
 
-// sharers is how many entries the allowance of repeats is divided by: as many as the
-// planner hears, and a quarter more, since some may not reach it.
+// sharers is how many entries a bound for all of them together is divided by: as many as
+// the planner hears, and a quarter more, since some may not reach it. While none tells, as
+// many as one told of last: when all assumed the same, a deployment with more sent more than
+// all may as soon as its planners were gone.
 func (g *Gateway) sharers(now time.Time) float64 {
 	told, known := g.planners.entries(now)
 	if !known {
-		return assumedEntries
+		return max(assumedEntries, withUnheard(g.planners.remembered()))
 	}
-	n := float64(told)
-	return n + n/4 + 1
+	return withUnheard(told)
 }
 
+func withUnheard(entries int) float64 { return float64(entries)*5/4 + 1 }
+
 // senders are the entries among which the rate of a target in need is divided.
 func (g *Gateway) senders(now time.Time) ratelimit.Senders {
 	if told, known := g.planners.senders(now); known {
--- a/internal/program/gateway/planners.go
+++ b/internal/program/gateway/planners.go
@@ -39,6 +39,7 @@
 type planners struct {
 	mu      sync.Mutex
 	byGroup map[roster.Group]planner
+	last    int // entries that a planner told of last
 }
 
 // take tells whether a digest is of the newest planner of its group, and remembers it.
@@ -49,6 +50,7 @@
 	if was, found := p.byGroup[name]; found && d.Term < was.term && now.Sub(was.heard) < termLasts {
 		return false
 	}
+	p.last = d.Entries
 	if p.byGroup == nil {
 		p.byGroup = make(map[roster.Group]planner)
 	}
@@ -93,6 +95,13 @@
 	return n, n > 0
 }
 
+// remembered is how many entries there were when a planner told of them last.
+func (p *planners) remembered() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.last
+}
+
 // senders are all entries, and the place of this one among them, as the planner says that hears
 // most. Of planners that hear as many, all entries go by the same one.
 func (p *planners) senders(now time.Time) (s ratelimit.Senders, known bool) {
--- a/internal/program/gateway/rates_test.go
+++ b/internal/program/gateway/rates_test.go
@@ -278,3 +278,18 @@
 	require.Equal(t, ratelimit.Senders{Count: 6, Place: 5}, g.senders(now))
 	require.Zero(t, g.senders(now.Add(countLasts+time.Second)).Place, "nobody has told for long")
 }
+
+// Forty entries are told of each other; then no planner tells anything, as a data centre is
+// lost. Each entry would take a sixteenth of what all may send together, which is two and a
+// half times that.
+func TestEntriesAreRememberedWithoutAPlanner(t *testing.T) {
+	g := newGateway()
+	now := time.Now()
+	require.InDelta(t, assumedEntries, g.sharers(now), 0)
+	g.takeDigest(plannersAt[0], digest.Digest{Service: "svc", Group: "g", Term: 1, Entries: 40})
+	later := now.Add(countLasts + plannerKept)
+	g.planners.live(later, "svc") // forgets planners that are quiet
+	require.GreaterOrEqual(t, g.sharers(later), 40.0)
+	g.takeDigest(plannersAt[0], digest.Digest{Service: "svc", Group: "g", Term: 1, Entries: 3})
+	require.GreaterOrEqual(t, g.sharers(later), float64(assumedEntries), "some may not be heard by whoever told last")
+}
