Entries take turns with the trials of requests that crash targets

Callers: a hold ended for all entries at the same moment, and each let in a trial of its own; a request that comes back through five entries crashed up to five more servers, each with its group. Ruled out: a trial written to the store before it begins (a priced write for each, and no trial while the store is away). TestOneTrialAmongEntries: 5 trials at once before, 1 after.

--- a/internal/program/entry/crashes.go
+++ b/internal/program/entry/crashes.go
@@ -84,6 +84,7 @@
 func (e *Entry) keepCrashes() {
 	name := string(e.cfg.Identity.Name)
 	q := quarantine.New(name)
+	q.Turn = func(f quarantine.Fingerprint) int { return quarantine.TurnByName(name, f) }
 	q.Believes = func(b quarantine.Belief) {
 		e.log.Warn().Str("event", "requestHeld").Stringer("fingerprint", b.Request).Int("crashes", b.Crashes).
 			Dur("for", b.Held).Str("source", b.Source).Msg("")
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -90,6 +90,7 @@
 	g.admit.BelievesRate = g.believesRate
 	g.crashes = crashes.NewKeeper(quarantine.New(string(s.Name)), l)
 	g.crashes.Quarantine.Believes = g.believesRequest
+	g.crashes.Quarantine.Turn = g.trialTurn
 	g.keepCrashes()
 	g.store.Called = deployed.CountStoreCalls(m)
 	g.forward = &forward.Forwarder{
@@ -136,6 +137,14 @@
 	return ratelimit.Senders{Count: g.sharers(now)}
 }
 
+// trialTurn is how many entries may let a held request in for a trial before this one.
+func (g *Gateway) trialTurn(f quarantine.Fingerprint) int {
+	if told, known := g.planners.senders(time.Now()); known {
+		return quarantine.Turn(f, told.Place, int(told.Count))
+	}
+	return quarantine.TurnByName(string(g.settings.Name), f)
+}
+
 // apply takes changed settings. Addresses stay as they are until the next start.
 func (g *Gateway) apply(s deployed.Settings) {
 	g.bounds.Store(&s.Bounds)
--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -68,6 +68,9 @@
 	// Believes hears when a request begins to be held back, or no longer is; nil if
 	// nobody does.
 	Believes func(Belief)
+	// Turn tells how many entries may let a request in for a trial before this one; nil if
+	// there is no other entry.
+	Turn func(Fingerprint) int
 
 	mu       sync.Mutex
 	suspects map[Fingerprint]*suspect
@@ -167,7 +170,11 @@
 	}
 	n, last := s.crashes()
 	v := Verdict{Crashes: n}
-	switch left := hold(n) - now.Sub(last); {
+	left := hold(n) - now.Sub(last)
+	if q.Turn != nil {
+		left += time.Duration(q.Turn(f)) * trialTurn
+	}
+	switch {
 	case hold(n) == 0:
 	case left > 0:
 		v.Held, v.After = true, left
--- a/internal/traffic/quarantine/quarantine_test.go
+++ b/internal/traffic/quarantine/quarantine_test.go
@@ -293,3 +293,42 @@
 	require.Equal(t, 1, q.Look(at(time.Second), fatal).Crashes)
 	requireFree(t, q, at(time.Second), fatal)
 }
+
+// A hold ends for all entries at the same moment, and callers bring the request back through
+// each of them. Each let in a trial of its own, so that as many servers crashed as there are
+// entries; they take turns, and hear of a crash before the next one's.
+func TestOneTrialAmongEntries(t *testing.T) {
+	const entries = 5
+	list := make([]*Quarantine, entries)
+	for i := range list {
+		list[i] = New(fmt.Sprint("entry-", i))
+		list[i].Turn = func(f Fingerprint) int { return Turn(f, i+1, entries) }
+	}
+	crash(list[0], at(-time.Second), life("i-1"), fatal)
+	crash(list[0], start, life("i-2"), fatal)
+	share(start, list...)
+	trials := func(now time.Time) (n int) {
+		for _, q := range list {
+			if q.Begin(now, fatal).Trial {
+				n++
+			}
+		}
+		return n
+	}
+	require.Equal(t, 1, trials(at(time.Minute)), "one of five")
+	require.Equal(t, 0, trials(at(time.Minute)), "it runs yet")
+	require.Equal(t, 1, trials(at(time.Minute+trialTurn)), "the first one may have had no caller, or ended")
+	require.Equal(t, entries-2, trials(at(time.Minute+entries*trialTurn)))
+}
+
+// Entries that don't know each other take turns by their names; few of them have the same.
+func TestTurnsByName(t *testing.T) {
+	turns := make(map[int]int)
+	for i := range 32 {
+		turns[TurnByName(fmt.Sprint("front-", i), fatal)]++
+	}
+	require.Greater(t, len(turns), unknownTurns/2)
+	for turn := range turns {
+		require.Less(t, turn, unknownTurns)
+	}
+}
