Share a target's connections between all entries

Cause: a target takes a number of connections from all callers together and resets what is beyond it. The number was decoded and used nowhere; entries had six requests each at a plain target, 96 with 16 entries where one deployment's targets take 78, and kept any number of idle connections. Change: an entry has its share of the connections in use, at a plain target, and keeps its share of idle ones. Groups' ranks are bounded by their planner. TestConnectionsOfAllEntries: 240 and 600 before where 110 are taken; within now.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -181,6 +181,19 @@
 	return t, found
 }
 
+// At returns the service whose target lives at an address; "" if none does.
+func (r *Roster) At(address netip.AddrPort) string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	service := ""
+	for _, t := range r.targets {
+		if t.Address == address && (service == "" || !t.Leaving) {
+			service = t.Service
+		}
+	}
+	return service
+}
+
 // IDs returns the ids of all targets, those that leave included.
 func (r *Roster) IDs() []string {
 	r.mu.RLock()
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -84,6 +85,7 @@
 	g.bounds.Store(&s.Bounds)
 	dialled := m.NewCounter("wagtailshelf_target_connections_total")
 	g.pool.Dialled = dialled.Inc
+	g.pool.MostIdle = g.idleConnections
 	g.admit.Targets = g.roster.Serving
 	g.admit.RulesFor = g.limits
 	g.admit.Believes = g.believes
@@ -165,17 +167,47 @@
 	if r == nil {
 		return admission.Rules{}
 	}
-	rules := admission.Rules{PerTarget: plainPerTarget, Queue: queueLength, Entries: 1, Senders: g.senders(time.Now())}
-	if s := r.config.Service(service); s != nil && s.Engine != nil {
+	now := time.Now()
+	rules := admission.Rules{PerTarget: plainPerTarget, Queue: queueLength, Entries: 1, Senders: g.senders(now)}
+	s := r.config.Service(service)
+	if s == nil {
+		return rules
+	}
+	// Of a plain target each entry uses its share of the connections, as it knows nothing of
+	// the others' requests: the target resets what is beyond them, and what runs there.
+	connections := s.MaxConnections
+	if s.Engine != nil {
 		rules.PerTarget = max(int(slotShare*float64(s.Engine.Slots)), 1)
 		rules.Entries = guessedEntries
-		if told, known := g.planners.entries(time.Now()); known {
+		if told, known := g.planners.entries(now); known {
 			rules.Entries = told
 		}
+	} else {
+		connections = int(float64(connections) / g.sharers(now))
+	}
+	if s.MaxConnections > 0 {
+		rules.PerTarget = max(min(rules.PerTarget, connections), 1)
 	}
 	return rules
 }
 
+// idleConnections is how many connections to a target are kept without a request: the entry's
+// share of what the target takes from all of them, half of which is left to those with one.
+func (g *Gateway) idleConnections(target netip.AddrPort) int {
+	r := g.rules.Load()
+	if r == nil {
+		return 0
+	}
+	s := r.config.Service(g.roster.At(target))
+	if s == nil || s.MaxConnections == 0 {
+		return plainPerTarget
+	}
+	return int(idleShare * float64(s.MaxConnections) / g.sharers(time.Now()))
+}
+
+// idleShare is the part of a target's connections that may be idle.
+const idleShare = 0.5
+
 const (
 	// slotShare is the part of an engine's slots that is used until a planner tells
 	// how many. All ranks of a group wait for each other, and each request that
--- a/internal/program/gateway/rates_test.go
+++ b/internal/program/gateway/rates_test.go
@@ -293,3 +293,26 @@
 	g.takeDigest(plannersAt[0], digest.Digest{Service: "svc", Group: "g", Term: 1, Entries: 3})
 	require.GreaterOrEqual(t, g.sharers(later), float64(assumedEntries), "some may not be heard by whoever told last")
 }
+
+// A target takes a number of connections from all entries together and resets what is beyond
+// that, kept ones included. Forty entries with six requests each would have 240 where 110 are taken, and
+// callers would lose requests that can't be sent again.
+func TestConnectionsOfAllEntries(t *testing.T) {
+	for _, entries := range []int{1, 5, 16, 40, 100} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			g := newGateway()
+			config := routing.New(routing.Config{Version: 3, Services: []routing.Service{
+				{Name: "plain", MaxConnections: 110}, {Name: "engine", MaxConnections: 110, Engine: &routing.Engine{Slots: 64}},
+			}})
+			g.installRules(deployed.Elapsed(), feed.Page[*routing.Config]{Changes: []feed.Change[*routing.Config]{{Name: "main", Object: config}}})
+			g.takeDigest(plannersAt[0], digest.Digest{Service: "svc", Group: "g", Term: 1, Entries: entries})
+			plain, engine := g.limits("plain").PerTarget, g.limits("engine").PerTarget
+			require.Positive(t, plain)
+			require.LessOrEqual(t, plain*entries, 110)
+			require.LessOrEqual(t, engine, 110, "which all entries have together")
+			at := netip.MustParseAddrPort("10.0.0.9:80")
+			g.roster.Put(roster.Target{ID: "p", Service: "plain", Address: at})
+			require.LessOrEqual(t, g.idleConnections(at)*entries, 110)
+		})
+	}
+}
--- a/internal/wire/upstream/pool.go
+++ b/internal/wire/upstream/pool.go
@@ -44,6 +44,8 @@
 	idle map[netip.AddrPort][]*Conn // the one used last at the end
 	// Dialled hears of each new connection.
 	Dialled func()
+	// MostIdle is how many connections to a target are kept; nil keeps all.
+	MostIdle func(target netip.AddrPort) int
 }
 
 // NewPool returns a pool without connections.
@@ -120,6 +122,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.MostIdle != nil && len(p.idle[c.target]) >= p.MostIdle(c.target) {
+		c.Close()
+		return
+	}
 	p.idle[c.target] = append(p.idle[c.target], c)
 }
 
