A new life of an entry has no fixed part of repeats for a window

Cause: the fixed part of the repeats that all entries may send together was given to each life of an entry anew; entries that restart in a row sent it twice in one window. Change: in the first window of a life only the part that goes by its own requests. TestRepeatsOfEntriesThatRestart: 145 and 155 repeats in a window where 144 are allowed before; within in all three cases now.

--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -101,7 +101,7 @@
 		RuleTrust: func() time.Duration { return time.Duration(ruleTrust * float64(g.bounds.Load().Revoke)) },
 		Admission: g.admit,
 		Pool:      g.pool,
-		Budget: &forward.Budget{Limits: func() forward.Limits {
+		Budget: &forward.Budget{Started: time.Now(), Limits: func() forward.Limits {
 			b := g.bounds.Load()
 			return forward.Limits{Ratio: b.RepeatRatio, Window: b.RepeatWindow, Fixed: b.RepeatSlack / g.sharers(time.Now())}
 		}},
--- a/internal/traffic/forward/budget.go
+++ b/internal/traffic/forward/budget.go
@@ -10,6 +10,8 @@
 // ratio of its own requests, and an even part of the fixed allowance.
 type Budget struct {
 	Limits func() Limits // what is allowed now
+	// Started is when this life of the entry did.
+	Started time.Time
 
 	mu       sync.Mutex
 	start    time.Time // of the first slice; slices are counted by the steady clock
@@ -53,6 +55,11 @@
 		repeats += t.repeats[i]
 	}
 	l := b.Limits()
+	if now.Sub(b.Started) < l.Window {
+		// The entry's earlier life may have used the fixed part a moment before. When each
+		// life had it, entries that restart in a row sent more than all may together.
+		l.Fixed = 0
+	}
 	if float64(repeats+1) > l.Ratio*float64(requests)*(slices-2)/slices+l.Fixed {
 		return false
 	}
