A shift of demand right after another is no noise

Callers: none on the users' platform; on the project's own interface a group's map could stay ten percent off for an hour after demand had turned twice. Cause: after each shift the first two windows counted as learning, though the usual distance was known; a second shift there was smoothed in, and its size taken for noise of the demand (0.028 of a share of 0.118), which the planner asks any gain to exceed. Change: only a tracker's first windows teach.

--- a/internal/expert/demand/demand_test.go
+++ b/internal/expert/demand/demand_test.go
@@ -142,6 +142,22 @@
 	require.False(t, e.Settled())
 }
 
+// Demand turns over, and turns back two windows later. The first window after the jump was
+// not compared with the estimate, as if nothing were known of the usual distance yet: the
+// turn back was smoothed in, taken for noise, and maps that were ten percent off were left
+// alone for an hour.
+func TestShiftAfterAShift(t *testing.T) {
+	f := newFeed(t, small, Config{})
+	f.repeat(10, Report{Counts: calm})
+	for _, counts := range [][]uint32{other, calm, other} {
+		require.Equal(t, Suspected, f.close(Report{Counts: counts}))
+		require.Equal(t, Shifted, f.close(Report{Counts: counts}))
+	}
+	e := f.tracker.Estimate()
+	requireShare(t, e, 0, 0, 8.0/15, 1e-9)
+	require.Less(t, e.Deviation[0], 0.1*e.Share[0], "no noise was seen")
+}
+
 // One customer's batch fills a single window and is gone in the next. Jumping to
 // it would load weights for demand that has passed.
 func TestBurstIsDismissed(t *testing.T) {
--- a/internal/expert/demand/tracker.go
+++ b/internal/expert/demand/tracker.go
@@ -154,10 +154,12 @@
 }
 
 // far tells whether a window at distance d from the estimate may be a shift.
-// The first windows only teach the usual spread. Few tokens lie far off by chance.
+// The first windows only teach the usual spread, which holds on across a shift: when each
+// shift began that anew, one that followed within two windows was taken for noise, and
+// maps that were far off were left alone for an hour. Few tokens lie far off by chance.
 func (t *Tracker) far(d float64) bool {
-	const learning = 3
-	if t.windows < learning {
+	const learning = 2 // windows after the first one
+	if t.folds < learning {
 		return false
 	}
 	usual := max(t.usual, t.chance())
