--- a/internal/record/feed/feed_test.go
+++ b/internal/record/feed/feed_test.go
@@ -102,3 +102,49 @@
 	f.Run(ctx, time.Now)
 	require.Equal(t, 1, watched)
 }
+
+// The store comes back from a copy: its revision falls from 100 to 40, and it doesn't know of
+// 100. The new list was thrown away as an older one, and asked for again at once, 29,000
+// times in three seconds; the process went by what it knew before for as long as it lived.
+func TestStoreComesBackFromACopy(t *testing.T) {
+	s := &script{steps: []step{at(100), {err: ErrHistoryGone}, at(40), at(41)}}
+	s.run(t)
+	require.Equal(t, []string{"list", "watch", "list", "watch", "watch"}, s.calls)
+	require.Len(t, s.listed, 2)
+	require.Len(t, s.seen, 1)
+}
+
+// A store answers anything at once: lower revisions, empty watches, lost history. A process
+// that calls again at once takes the whole rate of the store from all others.
+func TestNoCallIsRepeatedWithoutAPause(t *testing.T) {
+	for name, answer := range map[string]func(n int) (Page[int], error){
+		"nothing new":  func(int) (Page[int], error) { return Page[int]{Revision: 9}, nil },
+		"always lower": func(n int) (Page[int], error) { return Page[int]{Revision: int64(1<<30 - n)}, nil },
+		"history gone": func(int) (Page[int], error) { return Page[int]{}, ErrHistoryGone },
+		"up and down":  func(n int) (Page[int], error) { return Page[int]{Revision: int64(n % 2)}, nil },
+		"changes each time": func(n int) (Page[int], error) {
+			return Page[int]{Revision: int64(n), Changes: []Change[int]{{Name: "a"}}}, nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const lasts = time.Second
+			ctx, cancel := context.WithTimeout(t.Context(), lasts)
+			defer cancel()
+			calls := 0
+			call := func() (Page[int], error) {
+				calls++
+				return answer(calls)
+			}
+			f := &Feed[int]{
+				List:    func(context.Context) (Page[int], error) { return call() },
+				Watch:   func(context.Context, int64) (Page[int], error) { return call() },
+				Listed:  func(time.Time, Page[int]) {},
+				Changed: func(time.Time, Page[int]) {},
+				Failed:  func(error) {},
+			}
+			f.Run(ctx, time.Now)
+			require.LessOrEqual(t, calls, 60, "in %s", lasts)
+		})
+	}
+}
