A position of the store is an era and a revision

Callers: after a store came back from a copy, an entry went by its old list of targets for as long as it lived, and took the whole rate of the store; a group could be left without a planner, and a request that crashes servers be freed. Cause: a revision was believed to rise for ever, and compared bare in eight places; only failed calls paused. Rules older than those in force prove no key. A store that tells no era is followed by revisions that fall. Ruled out: the era alone as a reason to drop all that is known (callers would be refused until all is read); following a lower era at once (two copies behind a load balancer would have all read anew with each answer).

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/record/position"
 )
 
 // GroupName is an expert group's name, as its engines tell it.
@@ -41,11 +43,11 @@
 	Unreadable bool
 	// Born is when the server started, by its own clock; zero if it doesn't say.
 	Born time.Time
-	// Since is the revision of the store at which the target was listed first. Of two at
+	// Since is the position of the store at which the target was listed first. Of two at
 	// one address the later one lives.
-	Since int64
-	// Revision of the entry that told this.
-	Revision int64
+	Since position.Position
+	// Changed is the position of the entry that told this.
+	Changed position.Position
 	// Beat counts the entry's writes by the server; it begins anew with each life.
 	Beat int64
 }
@@ -63,9 +65,11 @@
 // Living leaves out targets at whose address a later one is listed. A server that starts
 // again is listed under a new id while its earlier life still is, for seconds.
 func Living(list []Target) []Target {
-	latest := make(map[netip.AddrPort]int64, len(list))
+	latest := make(map[netip.AddrPort]position.Position, len(list))
 	for _, t := range list {
-		latest[t.Address] = max(latest[t.Address], t.Since)
+		if latest[t.Address].Before(t.Since) {
+			latest[t.Address] = t.Since
+		}
 	}
 	var living []Target
 	for _, t := range list {
@@ -99,8 +103,8 @@
 		if o.Address != t.Address || id == t.ID {
 			continue
 		}
-		t.Leaving = t.Leaving || t.Since < o.Since
-		if o.Since < t.Since && !o.Leaving {
+		t.Leaving = t.Leaving || t.Since.Before(o.Since)
+		if o.Since.Before(t.Since) && !o.Leaving {
 			o.Leaving = true
 			r.targets[id] = o
 			r.index(o.Service)
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"wagtailshelf.example/wagtailshelf/internal/record/position"
 )
 
 var at = netip.MustParseAddrPort("10.1.0.4:8501")
@@ -20,8 +21,8 @@
 // A server is killed and starts again at its address, under a new id. The store lists the
 // earlier one for three heartbeats yet; each request for it is refused by the new one.
 func TestLaterLifeAtAnAddress(t *testing.T) {
-	first := Target{ID: "first", Service: "svc", Address: at, Since: 4}
-	second := Target{ID: "second", Service: "svc", Address: at, Since: 9}
+	first := Target{ID: "first", Service: "svc", Address: at, Since: position.Position{Revision: 4}}
+	second := Target{ID: "second", Service: "svc", Address: at, Since: position.Position{Revision: 9}}
 	t.Run("as it comes", func(t *testing.T) {
 		r := New()
 		r.Put(first)
@@ -40,13 +41,13 @@
 	t.Run("of another service", func(t *testing.T) {
 		r := New()
 		r.Put(first)
-		r.Put(Target{ID: "third", Service: "other", Address: at, Since: 12})
+		r.Put(Target{ID: "third", Service: "other", Address: at, Since: position.Position{Revision: 12}})
 		require.Empty(t, r.Serving("svc"))
 	})
 	t.Run("other addresses", func(t *testing.T) {
 		r := New()
 		r.Put(first)
-		r.Put(Target{ID: "beside", Service: "svc", Address: netip.AddrPortFrom(at.Addr(), 1), Since: 12})
+		r.Put(Target{ID: "beside", Service: "svc", Address: netip.AddrPortFrom(at.Addr(), 1), Since: position.Position{Revision: 12}})
 		require.Len(t, r.Serving("svc"), 2)
 	})
 }
--- a/internal/program/companion/companion.go
+++ b/internal/program/companion/companion.go
@@ -73,6 +73,8 @@
 	}
 	c.engines.Rate = c.heardRate
 	c.store.Called = deployed.CountStoreCalls(m)
+	c.store.Malformed = c.bad.Note
+	c.store.Eras.Changed = deployed.TellEras(l, m)
 	return c
 }
 
--- a/internal/program/companion/following.go
+++ b/internal/program/companion/following.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/record/position"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
@@ -12,10 +13,17 @@
 type following struct {
 	term    int64     // of the newest that asked
 	planner int       // its rank
-	heard   time.Time // when it asked
-	holder  int64     // revision of the duty's record as it was read last
+	asked   time.Time // when it did last
+	heard   time.Time // the same, or when the sidecar's patience began anew
+	// holder is the position of the duty's record as it was read last.
+	holder position.Position
 }
 
+// termLasts is how long an earlier planner is not followed after a later one. It may have
+// stood still, and wakes with what it knew. A store that came back from a copy and doesn't
+// say so gives later planners lower terms: without an end to it, a group would have none.
+const termLasts = 5 * time.Second
+
 // keptGroups bounds how many groups a sidecar remembers. A rank is in one group at a
 // time, and may be in another after its server has started again.
 const keptGroups = 8
@@ -73,13 +81,13 @@
 		return 0, false
 	}
 	f := c.following()
-	if a.Term < f.term {
+	if a.Term < f.term && now.Sub(f.asked) < termLasts {
 		return f.term, false
 	}
-	if a.Term > f.term {
+	if a.Term != f.term {
 		c.log.Info().Str("event", "planner").Str("group", string(a.Group)).Str("planner", a.Name).Int64("term", a.Term).Int64("before", f.term).Msg("")
 	}
-	f.term, f.planner, f.heard = a.Term, a.Rank, now
+	f.term, f.planner, f.asked, f.heard = a.Term, a.Rank, now, now
 	return f.term, true
 }
 
@@ -112,7 +120,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	f := c.following()
-	isNew := was.Revision > f.term && was.Revision > f.holder && now.Sub(was.Taken).Abs() < lately
-	f.holder = max(f.holder, was.Revision)
+	isNew := was.Position.Term() > f.term && f.holder.Before(was.Position) && now.Sub(was.Taken).Abs() < lately
+	if f.holder.Before(was.Position) {
+		f.holder = was.Position
+	}
 	return isNew
 }
--- a/internal/program/companion/following_test.go
+++ b/internal/program/companion/following_test.go
@@ -7,12 +7,14 @@
 	"net/netip"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
 	"wagtailshelf.example/wagtailshelf/internal/expert/seating"
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/record/position"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
 )
 
@@ -93,3 +95,36 @@
 	c.doubt([]seating.Finding{f, {Target: "y", Problem: seating.NoGroup}})
 	require.Len(t, c.doubted, 2)
 }
+
+// The store comes back from a copy, in which the duty's record has a lower revision. The next
+// planner's term is of a later era, and is followed at once: when sidecars compared revisions
+// alone the group had no planner for as long as they lived.
+func TestPlannerOfANewEra(t *testing.T) {
+	c, _ := besideEngine(t, "g")
+	_, err := c.report(t.Context())
+	require.NoError(t, err)
+	before := position.Position{Era: 1, Revision: 900}.Term()
+	next := position.Position{Era: 2, Revision: 41}.Term()
+	requireFollows(t, c, start, before, true)
+	requireFollows(t, c, start, next, true)
+	requireFollows(t, c, start, before, false)
+}
+
+// The same where the store tells no era: the next planner's term is lower, and it is followed
+// once the one before has not asked for some seconds, whoever tries meanwhile.
+func TestPlannerOfANewEraThatIsNotTold(t *testing.T) {
+	c, _ := besideEngine(t, "g")
+	_, err := c.report(t.Context())
+	require.NoError(t, err)
+	requireFollows(t, c, start, 900, true)
+	c.wait(start.Add(termLasts - time.Millisecond)) // this one has tried to take the duty
+	requireFollows(t, c, start.Add(termLasts-time.Millisecond), 41, false)
+	requireFollows(t, c, start.Add(termLasts), 41, true)
+	requireFollows(t, c, start.Add(termLasts), 900, true) // it wakes, and is the later one by its number
+}
+
+func requireFollows(t *testing.T, c *Companion, now time.Time, term int64, follows bool) {
+	t.Helper()
+	_, got := c.follow(asker("g", term), now)
+	require.Equal(t, follows, got)
+}
--- a/internal/program/companion/seek.go
+++ b/internal/program/companion/seek.go
@@ -121,12 +121,12 @@
 	return "planner." + c.settings.Target.Service + "." + string(group)
 }
 
-// take makes this process the holder of a duty. The revision of the record is the
-// term, which rises with each holder.
+// take makes this process the holder of a duty. The term is the position of the record,
+// which rises with each holder.
 func (c *Companion) take(ctx context.Context, duty string) (int64, error) {
 	was, err := c.store.Duty(ctx, duty)
 	switch {
-	case errors.Is(err, platform.ErrMalformed) && was.Revision != 0:
+	case errors.Is(err, platform.ErrMalformed) && was.Position.Revision != 0:
 		// Another writer's. Left alone, nobody would ever plan for the group.
 		c.bad.Note(duty, err)
 	case err != nil:
@@ -135,17 +135,17 @@
 	if c.takenLately(time.Now(), was) {
 		return 0, errTakenLately
 	}
-	term, err := c.store.TakeDuty(ctx, was, string(c.settings.Name))
+	at, err := c.store.TakeDuty(ctx, was, string(c.settings.Name))
 	if err == nil {
-		return term, nil
+		return at.Term(), nil
 	}
 	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrNotDone) {
 		return 0, err
 	}
 	// The answer may be lost and the record written.
 	is, readErr := c.store.Duty(ctx, duty)
-	if readErr == nil && is.Holder == string(c.settings.Name) && is.Revision > was.Revision {
-		return is.Revision, nil
+	if readErr == nil && is.Holder == string(c.settings.Name) && was.Position.Before(is.Position) {
+		return is.Position.Term(), nil
 	}
 	return 0, err
 }
--- a/internal/program/companion/seek_test.go
+++ b/internal/program/companion/seek_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
+	"wagtailshelf.example/wagtailshelf/internal/record/position"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
 
@@ -15,7 +16,7 @@
 // holder that is gone must not be waited for, or callers wait for a map.
 func TestNewHoldersAreLeftTimeToAsk(t *testing.T) {
 	record := func(revision int64, taken time.Time) platform.Record {
-		return platform.Record{Name: "planner.g", Revision: revision, Holder: "another", Taken: taken}
+		return platform.Record{Name: "planner.g", Position: position.Position{Revision: revision}, Holder: "another", Taken: taken}
 	}
 	t.Run("new holder", func(t *testing.T) {
 		c := newPlanner().c
--- a/internal/program/crashes/crashes.go
+++ b/internal/program/crashes/crashes.go
@@ -8,12 +8,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 
+	"wagtailshelf.example/wagtailshelf/internal/record/position"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 )
 
@@ -43,7 +45,7 @@
 // Stored is a record as it lies in the store.
 type Stored struct {
 	quarantine.Record
-	Revision int64 // 0 if it does not exist
+	Position position.Position // revision 0 if it does not exist
 }
 
 // Keeper keeps a process's record in the store, and takes those of the others. Its fields
@@ -51,18 +53,18 @@
 type Keeper struct {
 	Quarantine *quarantine.Quarantine
 	Log        *log.Logger
-	// Put writes the own record if it is still at its revision, and returns the new one.
-	Put func(context.Context, Stored) (int64, Status, error)
+	// Put writes the own record if it is still at its position, and returns the new one.
+	Put func(context.Context, Stored) (position.Position, Status, error)
 	// Get reads the own record.
 	Get func(context.Context) (Stored, error)
-	// Remove removes a record if it is still at its revision.
+	// Remove removes a record if it is still at its position.
 	Remove func(context.Context, Stored) error
 
-	news     chan struct{} // a crash was noted
-	listed   chan struct{} // closed once the records were read: the own one is known
-	once     sync.Once
-	revision atomic.Int64 // of the own record; 0 if there is none
-	told     map[string]bool
+	news   chan struct{} // a crash was noted
+	listed chan struct{} // closed once the records were read: the own one is known
+	once   sync.Once
+	own    atomic.Pointer[position.Position] // of the own record; nil if there is none
+	told   map[string]bool
 }
 
 // NewKeeper returns a keeper whose functions are yet to be set.
@@ -87,22 +89,40 @@
 	}
 }
 
-// Listed takes all records that there are. It, Changed and Removed are called by one
-// goroutine.
-func (k *Keeper) Listed(ctx context.Context, now time.Time, list []Stored) {
+// Listed takes all records that there are. Renewed says that the store has come back from a
+// copy: records that aren't there are lost, and not removed by an operator. It, Changed and
+// Removed are called by one goroutine.
+func (k *Keeper) Listed(ctx context.Context, now time.Time, list []Stored, renewed bool) {
+	if renewed {
+		k.own.Store(nil) // its position was of the store before
+		list = k.withoutOld(list)
+	}
 	listed := make(map[string]bool, len(list))
 	for _, r := range list {
 		listed[r.Entry] = true
 		k.Changed(ctx, now, r)
 	}
 	for entry := range k.told {
-		if !listed[entry] {
+		if !listed[entry] && !renewed {
 			k.Removed(entry)
 		}
 	}
+	if renewed && (k.Quarantine.Noted() || k.own.Load() != nil) {
+		// What this entry saw holds, whatever the copy has of it: written again once.
+		k.Quarantine.NotKept()
+		k.due()
+	}
 	k.Learnt()
 }
 
+// withoutOld leaves out what a copy has of other entries: each tells what it saw since, and
+// its older word would free requests that are held back. The own record shows where it lies.
+func (k *Keeper) withoutOld(list []Stored) []Stored {
+	return slices.DeleteFunc(list, func(r Stored) bool {
+		return r.Entry != k.Quarantine.Entry && k.told[r.Entry]
+	})
+}
+
 // Learnt says that all records there are have been taken. The own one may be written now:
 // before, that could wipe what an earlier life told.
 func (k *Keeper) Learnt() { k.once.Do(func() { close(k.listed) }) }
@@ -124,10 +144,10 @@
 	}
 	k.told[r.Entry] = true
 	if own {
-		if r.Revision <= k.revision.Load() {
+		if !k.at().Before(r.Position) {
 			return
 		}
-		k.revision.Store(r.Revision)
+		k.own.Store(&r.Position)
 	}
 	k.Quarantine.Take(now, r.Record)
 }
@@ -138,8 +158,16 @@
 	delete(k.told, entry)
 	k.Quarantine.Removed(entry)
 	if entry == k.Quarantine.Entry {
-		k.revision.Store(0)
+		k.own.Store(nil)
+	}
+}
+
+// at is the position of the own record; zero if there is none.
+func (k *Keeper) at() position.Position {
+	if p := k.own.Load(); p != nil {
+		return *p
 	}
+	return position.Position{}
 }
 
 // Tell writes the own record whenever it has changed, until the context ends.
@@ -178,15 +206,15 @@
 // write writes the own record at its last known revision. If that was not the last, or the
 // record is gone, the next try goes by what the store has.
 func (k *Keeper) write(ctx context.Context, r quarantine.Record) bool {
-	revision, status, err := k.Put(ctx, Stored{Record: r, Revision: k.revision.Load()})
+	at, status, err := k.Put(ctx, Stored{Record: r, Position: k.at()})
 	if status == Kept {
-		k.revision.Store(revision)
+		k.own.Store(&at)
 		return true
 	}
 	k.Log.Warn().Str("event", "crashesNotTold").Int("crashes", len(r.Crashes)).Err(err).Msg("")
 	switch status {
 	case Gone:
-		k.revision.Store(0)
+		k.own.Store(nil)
 	case Changed:
 		k.readOwn(ctx)
 	}
@@ -199,7 +227,7 @@
 		k.Log.Warn().Str("event", "ownCrashesNotRead").Err(err).Msg("")
 		return
 	}
-	k.revision.Store(stored.Revision)
+	k.own.Store(&stored.Position)
 	k.Quarantine.Take(time.Now(), stored.Record)
 }
 
--- /dev/null
+++ b/internal/program/deployed/eras.go
@@ -0,0 +1,17 @@
+package deployed
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+
+	"wagtailshelf.example/wagtailshelf/internal/record/position"
+)
+
+// TellEras returns a function that logs and counts when the store has come back from a copy.
+func TellEras(l *log.Logger, m *metrics.Set) func(was, is position.Era, told int64) {
+	count := m.NewCounter("wagtailshelf_store_eras_total")
+	return func(was, is position.Era, told int64) {
+		count.Inc()
+		l.Warn().Str("event", "storeEra").Int64("era", int64(is)).Int64("before", int64(was)).Int64("told", told).Msg("")
+	}
+}
--- a/internal/program/entry/crashes.go
+++ b/internal/program/entry/crashes.go
@@ -9,6 +9,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/program/crashes"
 	"wagtailshelf.example/wagtailshelf/internal/record/object"
+	"wagtailshelf.example/wagtailshelf/internal/record/position"
 	"wagtailshelf.example/wagtailshelf/internal/record/watch"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
@@ -102,7 +103,7 @@
 		return crashes.Stored{}, merry.Errorf("status %d: %w", reply.Status, reply.Err)
 	}
 	k.Remove = func(ctx context.Context, r crashes.Stored) error {
-		call := object.Call{Op: object.Delete, Key: crashPrefix + object.Key(r.Entry), Version: object.Version(r.Revision), Cause: causeCrash}
+		call := object.Call{Op: object.Delete, Key: crashPrefix + object.Key(r.Entry), Version: object.Version(r.Position.Revision), Cause: causeCrash}
 		if reply := e.cfg.Platform.Do(ctx, call); reply.Status != object.Done {
 			return merry.Errorf("status %d: %w", reply.Status, reply.Err)
 		}
@@ -111,28 +112,28 @@
 	e.crashes = k
 }
 
-func (e *Entry) putCrashes(ctx context.Context, r crashes.Stored) (int64, crashes.Status, error) {
+func (e *Entry) putCrashes(ctx context.Context, r crashes.Stored) (position.Position, crashes.Status, error) {
 	value, err := json.Marshal(r.Record)
 	if err != nil {
-		return 0, crashes.Failed, merry.Wrap(err)
+		return position.Position{}, crashes.Failed, merry.Wrap(err)
 	}
 	reply := e.cfg.Platform.Do(ctx, object.Call{
-		Op: object.Put, Key: crashPrefix + object.Key(r.Entry), Version: object.Version(r.Revision), Value: value, Cause: causeCrash,
+		Op: object.Put, Key: crashPrefix + object.Key(r.Entry), Version: object.Version(r.Position.Revision), Value: value, Cause: causeCrash,
 	})
 	switch reply.Status {
 	case object.Done:
-		return int64(reply.Object.Version), crashes.Kept, nil
+		return position.Position{Revision: int64(reply.Object.Version)}, crashes.Kept, nil
 	case object.Conflict:
-		return 0, crashes.Changed, reply.Err
+		return position.Position{}, crashes.Changed, reply.Err
 	case object.NotFound:
-		return 0, crashes.Gone, reply.Err
+		return position.Position{}, crashes.Gone, reply.Err
 	}
-	return 0, crashes.Failed, reply.Err
+	return position.Position{}, crashes.Failed, reply.Err
 }
 
 func decodeCrashes(o object.Object) (crashes.Stored, error) {
 	r, err := quarantine.ParseRecord(o.Key.Name(), o.Value)
-	return crashes.Stored{Record: r, Revision: int64(o.Version)}, err
+	return crashes.Stored{Record: r, Position: position.Position{Revision: int64(o.Version)}}, err
 }
 
 // followCrashes takes what other entries, and earlier lives of this one, saw.
--- a/internal/program/gateway/crashes.go
+++ b/internal/program/gateway/crashes.go
@@ -7,6 +7,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/program/crashes"
 	"wagtailshelf.example/wagtailshelf/internal/record/feed"
+	"wagtailshelf.example/wagtailshelf/internal/record/position"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
@@ -24,16 +25,16 @@
 // keepCrashes has the entry's record kept in the store.
 func (g *Gateway) keepCrashes() {
 	entry := g.crashes.Quarantine.Entry
-	g.crashes.Put = func(ctx context.Context, r crashes.Stored) (int64, crashes.Status, error) {
-		revision, err := g.store.PutCrashes(ctx, platform.CrashRecord(r))
-		return revision, statusOf(err), err
+	g.crashes.Put = func(ctx context.Context, r crashes.Stored) (position.Position, crashes.Status, error) {
+		at, err := g.store.PutCrashes(ctx, platform.CrashRecord(r))
+		return at, statusOf(err), err
 	}
 	g.crashes.Get = func(ctx context.Context) (crashes.Stored, error) {
 		r, err := g.store.Crashes(ctx, entry)
 		if errors.Is(err, platform.ErrMalformed) {
 			// Another writer's: the own one is written in its place.
 			g.bad.Note(entry, err)
-			return crashes.Stored{Record: quarantine.Record{Entry: entry}, Revision: r.Revision}, nil
+			return crashes.Stored{Record: quarantine.Record{Entry: entry}, Position: r.Position}, nil
 		}
 		return crashes.Stored(r), err
 	}
@@ -66,7 +67,7 @@
 				list = append(list, crashes.Stored(r.Object))
 			}
 		}
-		g.crashes.Listed(ctx, time.Now(), list)
+		g.crashes.Listed(ctx, time.Now(), list, p.Renewed)
 	}
 	f.Changed = func(_ time.Time, p feed.Page[platform.CrashRecord]) {
 		for _, r := range p.Changes {
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -55,6 +55,7 @@
 	store    *platform.Store
 	roster   *roster.Roster
 	missing  *missing
+	left     *left
 	rules    atomic.Pointer[knownRules]
 	targets  atomic.Bool // a list of targets was read
 	draining atomic.Bool
@@ -77,6 +78,7 @@
 		store:    platform.NewStore(s.Store),
 		roster:   roster.New(),
 		missing:  newMissing(),
+		left:     newLeft(),
 		pool:     upstream.NewPool(),
 		admit:    admission.New(),
 		breaks:   make(chan forward.Break, breakRing),
@@ -95,6 +97,8 @@
 	g.crashes.Quarantine.Turn = g.trialTurn
 	g.keepCrashes()
 	g.store.Called = deployed.CountStoreCalls(m)
+	g.store.Malformed = g.bad.Note
+	g.store.Eras.Changed = deployed.TellEras(l, m)
 	g.forward = &forward.Forwarder{
 		Rules:     g.currentRules,
 		KeyTrust:  func() time.Duration { return g.bounds.Load().Revoke - keyMargin },
--- a/internal/program/gateway/knowledge.go
+++ b/internal/program/gateway/knowledge.go
@@ -35,6 +35,10 @@
 	// asked is when the call began that showed that there was nothing newer, on the
 	// clock that counts suspended time.
 	asked time.Duration
+	// behind tells that the store has an older version than these rules, as it came back
+	// from a copy. What it says since proves nothing: a later version, which took a key
+	// away, may be lost for now.
+	behind bool
 }
 
 func (r *knownRules) age() time.Duration { return deployed.Elapsed() - r.asked }
@@ -72,22 +76,33 @@
 // version in the life of a process, whatever the store says.
 func (g *Gateway) installRules(asked time.Duration, p feed.Page[*routing.Config]) {
 	known := g.rules.Load()
-	next := known
+	next := knownRules{asked: asked}
+	if known != nil {
+		next.config, next.behind = known.config, known.behind
+	}
+	if p.Renewed {
+		next.behind = next.config != nil && len(p.Changes) == 0 // they are lost as a whole
+	}
 	for _, c := range p.Changes {
 		if c.Object == nil || c.Removed {
 			continue
 		}
-		if next != nil && next.config != nil && c.Object.Version < next.config.Version {
-			g.log.Warn().Str("event", "olderRules").Int64("version", c.Object.Version).Msg("")
+		next.behind = next.config != nil && c.Object.Version < next.config.Version
+		if next.behind {
+			g.log.Warn().Str("event", "olderRules").Int64("version", c.Object.Version).
+				Int64("inForce", next.config.Version).Bool("newEra", p.Renewed).Msg("")
 			continue
 		}
-		next = &knownRules{config: c.Object}
+		next.config = c.Object
 	}
-	if next == nil {
+	if next.config == nil {
 		return
 	}
 	changed := known == nil || next.config != known.config
-	g.rules.Store(&knownRules{config: next.config, asked: asked})
+	if next.behind {
+		next.asked = known.asked
+	}
+	g.rules.Store(&next)
 	if changed {
 		g.log.Info().Str("event", "rules").Int64("version", next.config.Version).
 			Int("routes", len(next.config.Routes)).Dur("age", deployed.Elapsed()-asked).Msg("")
@@ -104,7 +119,7 @@
 		}
 		failed(err)
 	}
-	f.Listed = func(_ time.Time, p feed.Page[roster.Target]) { g.listTargets(p) }
+	f.Listed = func(_ time.Time, p feed.Page[roster.Target]) { g.listTargets(time.Now(), p) }
 	f.Changed = func(_ time.Time, p feed.Page[roster.Target]) {
 		for _, c := range p.Changes {
 			g.changeTarget(c)
@@ -114,7 +129,11 @@
 	return nil
 }
 
-func (g *Gateway) listTargets(p feed.Page[roster.Target]) {
+func (g *Gateway) listTargets(now time.Time, p feed.Page[roster.Target]) {
+	if p.Renewed {
+		g.missing.renewed(now)
+		g.left.renewed(now)
+	}
 	listed := make(map[string]bool, len(p.Changes))
 	for _, c := range p.Changes {
 		listed[c.Name] = true
@@ -137,6 +156,10 @@
 		return
 	}
 	g.missing.found(c.Name)
+	if !c.Unreadable && g.left.is(time.Now(), c.Object) {
+		g.log.Info().Str("event", "targetOfCopy").Str("target", c.Name).Stringer("at", c.Object.Changed).Msg("")
+		return
+	}
 	known, found := g.roster.Get(c.Name)
 	if c.Unreadable {
 		if g.roster.Unread(c.Name) {
@@ -165,7 +188,7 @@
 // longer: a connection, a place or a failure of the earlier one would be taken for the new
 // one's.
 func (g *Gateway) startedAgain(was roster.Target, t *roster.Target) {
-	t.Since = t.Revision // of two at one address the one that started last lives
+	t.Since = t.Changed // of two at one address the one that started last lives
 	g.pool.Drop(was.Address)
 	g.pool.Drop(t.Address)
 	g.admit.StartedAgain(time.Now(), *t)
@@ -174,9 +197,13 @@
 }
 
 func (g *Gateway) removeTarget(id, why string) {
-	if _, found := g.roster.Get(id); !found {
+	t, found := g.roster.Get(id)
+	if !found {
 		return
 	}
+	if why != stayedMissing {
+		g.left.note(time.Now(), t)
+	}
 	g.roster.Remove(id)
 	g.admit.Forget(id)
 	g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", why).Msg("")
@@ -192,10 +219,14 @@
 
 func (g *Gateway) dropMissing(now time.Time) {
 	for _, id := range g.missing.due(now) {
-		g.removeTarget(id, "stayedMissing")
+		g.removeTarget(id, stayedMissing)
 	}
 }
 
+// stayedMissing is why a target is gone that was not listed again after a trouble of the
+// store. Its server may live, and have lost the store for longer.
+const stayedMissing = "stayedMissing"
+
 // missing holds targets that vanished from the list while the store was away. Their
 // entries lapse when they can't be renewed, so all targets may vanish at once
 // though they live; those that live are back soon after the store is.
@@ -220,6 +251,14 @@
 	}
 }
 
+// renewed says that the store has come back from a copy. Servers that started since are not
+// in it, and write their entries again.
+func (m *missing) renewed(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.trouble = now
+}
+
 // hold tells whether a target that vanished is kept for now.
 func (m *missing) hold(now time.Time, id string) bool {
 	m.mu.Lock()
--- a/internal/program/gateway/knowledge_test.go
+++ b/internal/program/gateway/knowledge_test.go
@@ -122,7 +122,7 @@
 	g.changeTarget(put("a", false))
 	g.changeTarget(put("b", false))
 	g.missing.storeFailed(time.Now())
-	g.listTargets(feed.Page[roster.Target]{})
+	g.listTargets(time.Now(), feed.Page[roster.Target]{})
 	requireServing(t, g, "a", "b")
 	g.changeTarget(put("a", false))
 	g.dropMissing(time.Now().Add(missingWait))
@@ -134,7 +134,7 @@
 func TestUnlistedTargetIsGone(t *testing.T) {
 	g := newGateway()
 	g.changeTarget(put("a", false))
-	g.listTargets(feed.Page[roster.Target]{})
+	g.listTargets(time.Now(), feed.Page[roster.Target]{})
 	requireServing(t, g)
 }
 
--- a/internal/program/gateway/lives_test.go
+++ b/internal/program/gateway/lives_test.go
@@ -9,13 +9,14 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/record/feed"
+	"wagtailshelf.example/wagtailshelf/internal/record/position"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 )
 
 // listed is a target as the store tells it.
 func listed(id string, born time.Time, beat, revision int64) feed.Change[roster.Target] {
 	return feed.Change[roster.Target]{Name: id, Object: roster.Target{
-		ID: id, Service: "svc", Address: netip.MustParseAddrPort("10.0.0.1:80"), Born: born, Beat: beat, Since: 1, Revision: revision,
+		ID: id, Service: "svc", Address: netip.MustParseAddrPort("10.0.0.1:80"), Born: born, Beat: beat, Since: position.Position{Revision: 1}, Changed: position.Position{Revision: revision},
 	}}
 }
 
@@ -62,7 +63,7 @@
 	g := newGateway()
 	g.changeTarget(listed("a", noon, 70, 5))
 	other := listed("b", noon.Add(time.Second), 1, 7)
-	other.Object.Since = 7
+	other.Object.Since = position.Position{Revision: 7}
 	g.changeTarget(other)
 	requireServing(t, g, "b")
 	g.changeTarget(listed("a", noon.Add(time.Minute), 1, 9))
--- a/internal/record/feed/feed_test.go
+++ b/internal/record/feed/feed_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/record/position"
 )
 
 // script plays answers of a store one by one, then ends the feed.
@@ -26,6 +28,7 @@
 func (s *script) run(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
+	var eras position.Eras
 	next := func(what string) (Page[int], error) {
 		s.calls = append(s.calls, what)
 		if len(s.steps) == 0 {
@@ -34,9 +37,11 @@
 		}
 		st := s.steps[0]
 		s.steps = s.steps[1:]
+		st.page.Era = eras.Era() // the store tells none
 		return st.page, st.err
 	}
 	f := &Feed[int]{
+		Eras:    &eras,
 		List:    func(context.Context) (Page[int], error) { return next("list") },
 		Watch:   func(context.Context, int64) (Page[int], error) { return next("watch") },
 		Listed:  func(_ time.Time, p Page[int]) { s.listed = append(s.listed, p) },
@@ -112,6 +117,8 @@
 	require.Equal(t, []string{"list", "watch", "list", "watch", "watch"}, s.calls)
 	require.Len(t, s.listed, 2)
 	require.Len(t, s.seen, 1)
+	require.False(t, s.listed[0].Renewed)
+	require.True(t, s.listed[1].Renewed)
 }
 
 // A store answers anything at once: lower revisions, empty watches, lost history. A process
@@ -148,3 +155,34 @@
 		})
 	}
 }
+
+// Another feed of the process sees a new era first. This one's watch waits for a revision that
+// the store comes to in hours; it reads anew at once, within the time that all processes
+// spread over.
+func TestEraSeenByAnotherFeed(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	var eras position.Eras
+	_, _ = eras.Heard(time.Now(), 1)
+	var listed []Page[int]
+	f := &Feed[int]{
+		Eras: &eras,
+		List: func(context.Context) (Page[int], error) { return Page[int]{Revision: 40, Era: eras.Era()}, nil },
+		Watch: func(ctx context.Context, _ int64) (Page[int], error) {
+			_, _ = eras.Heard(time.Now(), 2)
+			<-ctx.Done()
+			return Page[int]{}, ctx.Err()
+		},
+		Listed: func(_ time.Time, p Page[int]) {
+			if listed = append(listed, p); len(listed) == 2 {
+				cancel()
+			}
+		},
+		Changed: func(time.Time, Page[int]) {},
+		Failed:  func(error) {},
+	}
+	f.Run(ctx, time.Now)
+	require.Len(t, listed, 2)
+	require.True(t, listed[1].Renewed)
+	require.Equal(t, position.Era(2), listed[1].Era)
+}
--- a/internal/traffic/quarantine/record.go
+++ b/internal/traffic/quarantine/record.go
@@ -28,6 +28,18 @@
 	return r, changed
 }
 
+// Noted tells whether this entry saw any crash that it still remembers.
+func (q *Quarantine) Noted() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, s := range q.suspects {
+		if slices.ContainsFunc(s.seen, func(v sighting) bool { return v.entry == q.Entry }) {
+			return true
+		}
+	}
+	return false
+}
+
 // NotKept says that the record that was taken last was not kept: it counts as changed.
 func (q *Quarantine) NotKept() {
 	q.mu.Lock()
