A process that starts from a copy of the store hears which rules the others have

Cause: a process that starts knows nothing but what the store says. Change: hellos tell the version of an entry's rules, digests the newest. One that started lately with older ones serves no keys; one that lives serves on by the proof that it has, which nothing renews. After a store has ever come back, a new process waits up to half a second for that word. Ruled out: to distrust at once (an entry would refuse all callers whenever a planner hears of a new version some milliseconds before it does).

--- a/internal/program/companion/companion.go
+++ b/internal/program/companion/companion.go
@@ -112,6 +112,7 @@
 	address netip.AddrPort
 	demand  float64
 	fresh   bool // its rules are
+	rules   int64
 	heard   time.Time
 }
 
@@ -119,7 +120,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	c.entries[from] = entry{address: from, demand: h.Demand, fresh: h.Fresh, heard: now}
+	c.entries[from] = entry{address: from, demand: h.Demand, fresh: h.Fresh, rules: h.Rules, heard: now}
 	for _, w := range digest.Words(h.Rates) {
 		c.words.Take(now, w)
 	}
--- a/internal/program/companion/look.go
+++ b/internal/program/companion/look.go
@@ -158,6 +158,7 @@
 	demands := make([]float64, len(entries))
 	for i, e := range entries {
 		demands[i] = e.demand
+		d.Rules = max(d.Rules, e.rules)
 		if e.fresh {
 			d.Fresh++
 		}
--- a/internal/program/companion/look_test.go
+++ b/internal/program/companion/look_test.go
@@ -242,14 +242,15 @@
 		}()
 	}
 	rate := digest.Rate{Target: "x", Named: true, Rate: 1.5, Age: time.Second}
-	p.c.heardEntry(addresses[0], digest.Hello{Rates: []digest.Rate{rate}})
-	p.c.heardEntry(addresses[1], digest.Hello{Rates: []digest.Rate{{Target: "y", Named: true, Rate: math.NaN()}}})
+	p.c.heardEntry(addresses[0], digest.Hello{Rules: 12, Rates: []digest.Rate{rate}})
+	p.c.heardEntry(addresses[1], digest.Hello{Rates: []digest.Rate{{Target: "y", Named: true, Rate: math.NaN()}}, Rules: 10})
 	for _, want := range []int{1, 0} { // the second look comes too soon to tell them again
 		p.tell()
 		var places []int
 		for range addresses {
 			d := <-told
 			require.Equal(t, 2, d.Entries)
+			require.Equal(t, int64(12), d.Rules, "the newest that one of them has")
 			places = append(places, d.Place)
 			require.Len(t, d.Rates, want)
 			if want == 1 {
--- a/internal/program/gateway/digest.go
+++ b/internal/program/gateway/digest.go
@@ -47,7 +47,7 @@
 	if r == nil {
 		return
 	}
-	fresh := r.age() < g.freshAge()
+	fresh := g.provenAge(now, r) < g.freshAge()
 	g.hellos++
 	rates := digest.Rates(g.admit.Rates(now, rateTold, digest.MostRates, g.hellos))
 	for _, s := range r.config.Services {
@@ -55,7 +55,7 @@
 			continue
 		}
 		// Read once, as reading it begins the count anew.
-		hello := digest.Hello{Demand: g.admit.Demand(s.Name), Fresh: fresh, Rates: rates}
+		hello := digest.Hello{Demand: g.admit.Demand(s.Name), Fresh: fresh, Rules: r.config.Version, Rates: rates}
 		for _, p := range g.planners.live(now, s.Name) {
 			socket.Hello(p.address, hello)
 		}
--- a/internal/program/gateway/eras_test.go
+++ b/internal/program/gateway/eras_test.go
@@ -14,6 +14,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/record/position"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
+	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
@@ -209,3 +210,50 @@
 	}
 	requireCrashes(t, start(t, "entry-3", store.Address), fatal, 2)
 }
+
+// A process starts while the store has come back from a copy, and reads rules of before. A key
+// that was taken away since is good in them. Another entry has the later rules, and its
+// planner tells: until the operator has written them again the new process serves no keys.
+func TestProcessThatStartsFromACopy(t *testing.T) {
+	g := newGateway()
+	g.targets.Store(true)
+	g.installRules(deployed.Elapsed(), version(10))
+	require.True(t, g.ready())
+	g.takeDigest(plannersAt[0], digest.Digest{Service: "svc", Term: 1, Rules: 12})
+	require.False(t, g.ready())
+	require.Greater(t, g.currentRules().Age, g.bounds.Load().Revoke)
+	g.installRules(deployed.Elapsed(), feed.Page[*routing.Config]{})
+	require.False(t, g.ready())
+	g.installRules(deployed.Elapsed(), version(12))
+	require.True(t, g.ready())
+}
+
+// An entry that lives hears that another one has later rules. It serves on by the proof that it
+// has, for as long as that holds; nothing that the store says renews it.
+func TestOtherEntryHasLaterRules(t *testing.T) {
+	g := newGateway()
+	g.begun = time.Now().Add(-time.Minute)
+	g.installRules(deployed.Elapsed()-3*time.Second, version(10))
+	g.takeDigest(plannersAt[0], digest.Digest{Service: "svc", Term: 1, Rules: 12})
+	requireRules(t, g, 10, false)
+	g.installRules(deployed.Elapsed(), feed.Page[*routing.Config]{})
+	requireRules(t, g, 10, false)
+	require.Less(t, g.currentRules().Age, g.bounds.Load().Revoke)
+	g.installRules(deployed.Elapsed(), version(12))
+	requireRules(t, g, 12, true)
+}
+
+// The store has come back from a copy at some time. A process that starts waits a moment for
+// the word of the others; nobody says anything, and it serves.
+func TestNewProcessWaitsForTheWordOfOthers(t *testing.T) {
+	g := newGateway()
+	_, _ = g.store.Eras.Heard(time.Now(), 3)
+	g.targets.Store(true)
+	g.installRules(deployed.Elapsed(), version(10))
+	require.False(t, g.ready())
+	g.begun = g.begun.Add(-wordWait)
+	require.True(t, g.ready())
+	g.begun = time.Now()
+	g.takeDigest(plannersAt[0], digest.Digest{Service: "svc", Term: 1, Rules: 10})
+	require.True(t, g.ready(), "they have the same")
+}
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -49,6 +49,7 @@
 // Gateway is the entry's state.
 type Gateway struct {
 	settings deployed.Settings // as they were at the start; bounds may change later
+	begun    time.Time         // when this process started
 	bounds   atomic.Pointer[deployed.Bounds]
 	log      *log.Logger
 	metrics  *metrics.Set
@@ -73,6 +74,7 @@
 func New(s deployed.Settings, l *log.Logger, m *metrics.Set) *Gateway {
 	g := &Gateway{
 		settings: s,
+		begun:    time.Now(),
 		log:      l,
 		metrics:  m,
 		store:    platform.NewStore(s.Store),
@@ -284,7 +286,7 @@
 	if r == nil {
 		return false
 	}
-	return r.age() < g.freshAge()
+	return g.provenAge(time.Now(), r) < g.freshAge()
 }
 
 // freshAge is the age up to which rules serve all callers for a while yet.
--- a/internal/program/gateway/knowledge.go
+++ b/internal/program/gateway/knowledge.go
@@ -49,9 +49,36 @@
 	if r == nil {
 		return forward.Rules{}
 	}
-	return forward.Rules{Config: r.config, Age: r.age()}
+	return forward.Rules{Config: r.config, Age: g.provenAge(time.Now(), r)}
 }
 
+const (
+	// unproven is the age of rules that prove nothing.
+	unproven = time.Hour
+	// wordWait is how long an entry that has just started waits for the word of the others on
+	// their rules, if the store has ever come back from a copy. A planner answers its first
+	// hello within a tenth of a second.
+	wordWait = 500 * time.Millisecond
+)
+
+// provenAge is how old the proof is that nothing is newer than some rules. A process that
+// starts while the store has come back from a copy reads rules of before: a key that was
+// taken away since would open everything to its holder. Others know better, and tell.
+func (g *Gateway) provenAge(now time.Time, r *knownRules) time.Duration {
+	lives := now.Sub(g.begun)
+	told, known := g.planners.rules(now)
+	switch {
+	case told > r.config.Version && lives < g.bounds.Load().Revoke:
+		return unproven
+	case !known && lives < wordWait && g.store.Eras.Era() > firstEra:
+		return unproven
+	}
+	return r.age()
+}
+
+// firstEra is that of a store that has never come back from a copy.
+const firstEra = 1
+
 func (g *Gateway) followRules(ctx context.Context) error {
 	wait := time.Duration(rulesWait * float64(g.settings.Bounds.Revoke))
 	f := g.store.FollowConfig(wait, g.bad.Note)
@@ -98,8 +125,11 @@
 	if next.config == nil {
 		return
 	}
+	if told, _ := g.planners.rules(time.Now()); told > next.config.Version && known != nil {
+		next.behind = true // another entry has read later ones, which the store has lost
+	}
 	changed := known == nil || next.config != known.config
-	if next.behind {
+	if next.behind && known != nil {
 		next.asked = known.asked
 	}
 	g.rules.Store(&next)
--- a/internal/program/gateway/planners.go
+++ b/internal/program/gateway/planners.go
@@ -15,9 +15,10 @@
 	address netip.AddrPort
 	term    int64
 	heard   time.Time
-	entries int // that it hears from
-	fresh   int // of these, those whose rules are fresh
-	place   int // of this entry among them, from 1 on; 0 if that is not told
+	entries int   // that it hears from
+	fresh   int   // of these, those whose rules are fresh
+	place   int   // of this entry among them, from 1 on; 0 if that is not told
+	rules   int64 // newest version that one of them has
 }
 
 const (
@@ -54,7 +55,7 @@
 	if p.byGroup == nil {
 		p.byGroup = make(map[roster.Group]planner)
 	}
-	p.byGroup[name] = planner{address: from, term: d.Term, heard: now, entries: d.Entries, fresh: d.Fresh, place: d.Place}
+	p.byGroup[name] = planner{address: from, term: d.Term, heard: now, entries: d.Entries, fresh: d.Fresh, place: d.Place, rules: d.Rules}
 	return true
 }
 
@@ -95,6 +96,19 @@
 	return n, n > 0
 }
 
+// rules is the newest version of the rules that an entry has, as planners told lately; known is
+// false if none told any.
+func (p *planners) rules(now time.Time) (version int64, known bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, v := range p.byGroup {
+		if now.Sub(v.heard) < countLasts {
+			version = max(version, v.rules)
+		}
+	}
+	return version, version > 0
+}
+
 // remembered is how many entries there were when a planner told of them last.
 func (p *planners) remembered() int {
 	p.mu.Lock()
--- a/internal/wire/digest/digest.go
+++ b/internal/wire/digest/digest.go
@@ -62,6 +62,8 @@
 	Place int `cbor:"12,keyasint"`
 	// Rates that targets in need take, of any service, as entries heard.
 	Rates []Rate `cbor:"13,keyasint,omitempty"`
+	// Rules is the newest version of the rules that an entry has.
+	Rules int64 `cbor:"14,keyasint,omitempty"`
 	// Ranks of the group, or a part of them if they don't fit into one datagram. While the
 	// group is closed they say only which targets it has.
 	Ranks []Rank `cbor:"6,keyasint"`
@@ -108,6 +110,7 @@
 	Rates  []Rate  `cbor:"3,keyasint,omitempty"`
 	Demand float64 `cbor:"1,keyasint"` // requests that came in the last second, and that wait
 	Fresh  bool    `cbor:"2,keyasint"` // the entry's rules are fresh enough to serve all callers
+	Rules  int64   `cbor:"4,keyasint"` // version of the entry's rules
 }
 
 // message is a datagram.
