--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -38,11 +38,11 @@
 	out, err := exec.Command("go", "build", "-o", binary, "wagtailshelf.example/wagtailshelf/cmd/wagtailshelf").CombinedOutput()
 	require.NoError(t, err, "%s", out)
 	for _, seed := range kept(t) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, binary, seed, 1) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, binary, seed, 1, false) })
 	}
 	for i := range *seeds {
 		seed, groups := *first+uint64(i), 1+i%mostGroups
-		t.Run(fmt.Sprintf("%d with %d groups", seed, groups), func(t *testing.T) { soak(t, binary, seed, groups) })
+		t.Run(fmt.Sprintf("%d with %d groups", seed, groups), func(t *testing.T) { soak(t, binary, seed, groups, true) })
 	}
 }
 
@@ -65,8 +65,14 @@
 // It takes a second or two; a busy machine must not change the verdict.
 const settleLimit = 60 * time.Second
 
-func soak(t *testing.T, binary string, seed uint64, groups int) {
+// soak runs one seed. With copies the store comes back from one now and then, beside the faults
+// that the seed draws anyway.
+func soak(t *testing.T, binary string, seed uint64, groups int, copies bool) {
 	w := newWorld(t, binary, seed, groups)
+	if copies {
+		w.copies = rand.New(rand.NewPCG(seed, 13))
+		w.store.TellEra(int64(w.copies.IntN(2)))
+	}
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Log(w.tails())
@@ -293,6 +299,9 @@
 	}
 	revokeAt := time.Now().Add(time.Until(end) / 2)
 	for time.Now().Before(end) {
+		if d, comesBack := w.copyOrPutBack(); comesBack {
+			later(d, w.writeAgain)
+		}
 		if w.revokedAt.IsZero() && time.Now().After(revokeAt) {
 			w.putConfig(false)
 			w.revokedAt = time.Now()
--- a/internal/program/soak/world_test.go
+++ b/internal/program/soak/world_test.go
@@ -92,6 +92,9 @@
 	readiness []netip.AddrPort
 	version   int
 	revokedAt time.Time
+	copies    *rand.Rand      // draws when the store comes back from a copy; nil if it never does
+	saved     []standin.Copy  // of the store, at the last steps
+	config    *standin.Config // that the operator wrote last
 
 	mu       sync.Mutex
 	problems []string
@@ -253,7 +256,9 @@
 	if leaverHasKey {
 		workspaces["leaver"] = []string{"k-leaver"}
 	}
-	require.NoError(w.t, w.store.PutConfig(standin.Config{
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.config = &standin.Config{
 		Version: w.version, Host: host, Engines: "gen", Group: shape, Plain: "app", Workspaces: workspaces,
 		Routes: []standin.Route{
 			{Name: "stream", Kind: "streaming", Service: "gen", Resumable: true},
@@ -261,7 +266,41 @@
 			{Name: "safe", Kind: "safe", Service: "app"},
 			{Name: "brittle", Kind: "safe", Service: "brittle"},
 		},
-	}))
+	}
+	require.NoError(w.t, w.store.PutConfig(*w.config))
+}
+
+// copyOrPutBack copies the store, or has it come back from a copy of some steps ago. The
+// operator and the servers write theirs again after a while.
+func (w *world) copyOrPutBack() (again time.Duration, comesBack bool) {
+	const steps = 4
+	if w.copies == nil {
+		return 0, false
+	}
+	w.saved = append(w.saved, w.store.Copy())
+	w.saved = w.saved[max(len(w.saved)-steps, 0):]
+	if w.copies.IntN(8) > 0 {
+		return 0, false
+	}
+	w.store.PutBack(w.saved[w.copies.IntN(len(w.saved))])
+	return time.Duration(100+w.copies.IntN(900)) * time.Millisecond, true
+}
+
+// writeAgain writes what the operator and the servers wrote last.
+func (w *world) writeAgain() {
+	w.mu.Lock()
+	err := w.store.PutConfig(*w.config)
+	w.mu.Unlock()
+	if err != nil {
+		w.problem("config not written: %v", err)
+	}
+	for _, g := range w.groups {
+		g.Register(w.store, "gen")
+	}
+	for n, s := range w.plain {
+		w.store.PutServer(fmt.Sprint("p-", n), "app", s.Address)
+	}
+	w.brittle.WriteAgain()
 }
 
 // end ends what the soak started, and nothing else.
