Leave the first in turn of a large group the time to ask

Callers: the planner of a group of 72 ranks stood still in the middle of a change; the first in turn took the duty, the second took it from it 0.12 to 0.17 s later, and the group was held while that one began anew. Cause: each turn was 0.15 s, for groups of any size. Change: 2.5 ms more for each rank beyond 16.

--- a/internal/program/companion/seek.go
+++ b/internal/program/companion/seek.go
@@ -23,6 +23,10 @@
 	// patiencePerRank is how much longer the next of a group's sidecars waits. The one
 	// that gets the duty has asked all others some 50 ms later.
 	patiencePerRank = 150 * time.Millisecond
+	// largeGroup is up to how many ranks that holds, and patiencePerMore how much longer it
+	// takes for each further one.
+	largeGroup      = 16
+	patiencePerMore = 2500 * time.Microsecond
 	// storePause after a failed call.
 	storePause = 400 * time.Millisecond
 )
@@ -72,7 +76,14 @@
 	if s.open.IsZero() {
 		s.open = now
 	}
-	return now.Sub(s.open) >= patiencePerRank*time.Duration(turnOf(own.Rank, planner, own.Ranks))
+	return now.Sub(s.open) >= turnTime(own.Ranks)*time.Duration(turnOf(own.Rank, planner, own.Ranks))
+}
+
+// turnTime is how much longer the next of a group's sidecars waits. When it was the same for
+// all groups, the second in turn of a large one took the duty before the first had asked it,
+// and callers waited for a held pass while it found out anew which server is which rank.
+func turnTime(ranks int) time.Duration {
+	return patiencePerRank + patiencePerMore*time.Duration(max(ranks-largeGroup, 0))
 }
 
 // takeUp plans for the group until the duty is lost, if it can be had.
--- a/internal/program/companion/seek_test.go
+++ b/internal/program/companion/seek_test.go
@@ -64,6 +64,24 @@
 	require.False(t, b.due(start.Add(2*patiencePerRank), report(second, true), 0), "it has just opened again")
 }
 
+// The planner of a group of 72 ranks stands still in the middle of a change. The first in turn
+// takes the duty, and has asked the second 0.17 s later; that one had taken the duty itself,
+// and the group was held for longer.
+func TestTurnsOfALargeGroup(t *testing.T) {
+	const ranks, asked = 72, 170 * time.Millisecond
+	second := 0
+	for rank := range ranks {
+		if turnOf(rank, 43, ranks) == 1 {
+			second = rank
+		}
+	}
+	var s seeking
+	report := changeover.Report{Group: "g", Rank: second, Ranks: ranks, Open: true}
+	require.False(t, s.due(start, report, 43))
+	require.False(t, s.due(start.Add(asked), report, 43))
+	require.True(t, s.due(start.Add(2*asked), report, 43), "the first one did not get it")
+}
+
 // A sidecar starts and learns of its group from its engine. Its patience runs since it
 // started: nobody asked it meanwhile, whatever the group is called.
 func TestPatienceRunsFromTheStart(t *testing.T) {
