--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -106,7 +106,8 @@
 		require.Empty(t, g.Broken(), "all ranks of %s have one map in each pass", g.Name)
 	}
 	require.Empty(t, w.problems)
-	t.Logf("%d streams and %d other requests whole, %d refused, %d unknown or cut", c.streams.Load(), c.plain.Load(), c.refused.Load(), c.unknown.Load())
+	t.Logf("%d streams and %d other requests whole, %d refused, %d unknown or cut; %d copies put back, seen %d times by processes",
+		c.streams.Load(), c.plain.Load(), c.refused.Load(), c.unknown.Load(), w.putBacks, strings.Count(w.logs(`"event":"storeEra"`), "\n"))
 }
 
 // calls are what callers did and saw.
--- a/internal/program/soak/world_test.go
+++ b/internal/program/soak/world_test.go
@@ -94,6 +94,7 @@
 	revokedAt time.Time
 	copies    *rand.Rand      // draws when the store comes back from a copy; nil if it never does
 	saved     []standin.Copy  // of the store, at the last steps
+	putBacks  int             // of the store from a copy
 	config    *standin.Config // that the operator wrote last
 
 	mu       sync.Mutex
@@ -282,6 +283,7 @@
 	if w.copies.IntN(8) > 0 {
 		return 0, false
 	}
+	w.putBacks++
 	w.store.PutBack(w.saved[w.copies.IntN(len(w.saved))])
 	return time.Duration(100+w.copies.IntN(900)) * time.Millisecond, true
 }
