--- a/internal/program/gateway/planners.go
+++ b/internal/program/gateway/planners.go
@@ -86,27 +86,27 @@
 
 // entries is how many entries share the targets, as the planner says that hears most.
 func (p *planners) entries(now time.Time) (n int, known bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, v := range p.byGroup {
-		if now.Sub(v.heard) < countLasts {
-			n = max(n, v.entries)
-		}
-	}
+	n = int(p.most(now, func(v planner) int64 { return int64(v.entries) }))
 	return n, n > 0
 }
 
 // rules is the newest version of the rules that an entry has, as planners told lately; known is
 // false if none told any.
 func (p *planners) rules(now time.Time) (version int64, known bool) {
+	version = p.most(now, func(v planner) int64 { return v.rules })
+	return version, version > 0
+}
+
+// most is the largest number that a planner told lately; 0 if none told any.
+func (p *planners) most(now time.Time, number func(planner) int64) (n int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, v := range p.byGroup {
 		if now.Sub(v.heard) < countLasts {
-			version = max(version, v.rules)
+			n = max(n, number(v))
 		}
 	}
-	return version, version > 0
+	return n
 }
 
 // remembered is how many entries there were when a planner told of them last.
