--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -7,7 +7,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -21,7 +20,6 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
-	"wagtailshelf.example/wagtailshelf/internal/traffic/ratelimit"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
