Tell of lost hosts while their group is held

Cause: entries took a host for lost only from a group that takes requests. Change: a closed group's planner tells which of its hosts don't answer, and idempotent requests leave them.

--- a/internal/program/companion/look.go
+++ b/internal/program/companion/look.go
@@ -202,7 +202,7 @@
 	var list []digest.Rank
 	for _, s := range p.seats {
 		if s.spoke && s.last.Group == p.group {
-			list = append(list, digest.Rank{Target: s.target})
+			list = append(list, digest.Rank{Target: s.target, Lost: s.lost.Load()})
 		}
 	}
 	return list
--- a/internal/program/companion/look_test.go
+++ b/internal/program/companion/look_test.go
@@ -221,6 +221,9 @@
 	d = next()
 	require.False(t, d.Open)
 	require.Equal(t, []digest.Rank{{Target: "a"}}, d.Ranks)
+	p.seats[0].lost.Store(true)
+	d = next()
+	require.Equal(t, []digest.Rank{{Target: "a", Lost: true}}, d.Ranks)
 }
 
 // One entry hears a target name a rate, another hears of it from the planner, with its place
--- a/internal/traffic/admission/group.go
+++ b/internal/traffic/admission/group.go
@@ -130,8 +130,11 @@
 	for id, t := range l.Targets {
 		s := c.state(now, roster.Target{ID: id, Service: l.Group.Service})
 		s.group = l.Group
-		if l.Open {
+		switch {
+		case l.Open:
 			s.tell(now, now.Add(-l.Age), t)
+		case t.Lost:
+			s.lose()
 		}
 	}
 	c.advance(now, l.Group.Service)
--- a/internal/traffic/admission/group_test.go
+++ b/internal/traffic/admission/group_test.go
@@ -232,3 +232,24 @@
 		{Group: groupOne, Open: true, Slow: true, Source: "planner"},
 	}, told)
 }
+
+// A host stands still in the middle of a change, and its group is held: it takes no requests.
+// What runs at that host could not go elsewhere, as only the groups that take some told of
+// hosts that are lost; its callers left after two seconds, and the requests ran on when the
+// host woke.
+func TestLostTargetOfAClosedGroup(t *testing.T) {
+	c := newController(2, Rules{PerTarget: 8, Queue: 9, Entries: 1})
+	told(c, start, 2, Told{Grant: 1})
+	at := make(map[string]*bool)
+	for range 2 {
+		k := ticket()
+		require.Equal(t, Go, c.Arrive(start, k))
+		lost := new(bool)
+		at[k.Target().ID] = lost
+		c.OnLost(start, k, func() { *lost = true })
+	}
+	require.Len(t, at, 2)
+	c.Told(start.Add(100*time.Millisecond), Look{Group: theGroup, Targets: map[string]Told{"t0": {Lost: true}, "t1": {}}})
+	require.True(t, *at["t0"])
+	require.False(t, *at["t1"])
+}
--- a/internal/traffic/admission/target.go
+++ b/internal/traffic/admission/target.go
@@ -53,12 +53,20 @@
 	// What was sent after the look is not in it yet.
 	s.sent = slices.DeleteFunc(s.sent, looked.After)
 	s.told, s.grant, s.toldAt, s.since = t.Load+len(s.sent), t.Grant-len(s.sent), now, 0
-	if t.Lost && !s.lost {
-		s.abort()
+	if t.Lost {
+		s.lose()
 	}
 	s.lost, s.slow = t.Lost, t.Slow
 }
 
+// lose takes note that the target's host does not answer.
+func (s *state) lose() {
+	if !s.lost {
+		s.abort()
+	}
+	s.lost = true
+}
+
 // load is how many requests a target has, of all entries: as was told and changed
 // since by this one, or as many of each other entry as of this one.
 func (s *state) load(now time.Time, rules Rules) int {
