Targets of a copy are held for ten seconds; the word of later rules ends

Callers: after a store came back, a server that had lost it and lives could get nothing for good, as nothing in its entry changes and no watch tells; an entry that once heard of later rules, which were lost, would have refused all callers with keys until it started anew. Cause: targets that left were passed over for two minutes, and then not looked at again; what a planner told was kept as if the store had said so. Change: held, and used if the entry still stands after ten seconds or is written again; the planners' word counts for as long as they tell it. TestTargetOfACopyThatLives, TestWordOfLaterRulesEnds.

--- a/internal/program/gateway/eras_test.go
+++ b/internal/program/gateway/eras_test.go
@@ -174,6 +174,53 @@
 	}
 }
 
+// A server had lost the store, and its entry had lapsed; it counted as one that left. The copy
+// has its entry. It lives, so that the entry does not lapse again, and as nothing in it
+// changes no watch tells: it is used once the entry of one that left would be gone.
+func TestTargetOfACopyThatLives(t *testing.T) {
+	copied := feed.Page[roster.Target]{Renewed: true, Changes: []feed.Change[roster.Target]{listed("a", noon, 70, 5)}}
+	heldTarget := func() (*Gateway, time.Time) {
+		g, now := newGateway(), time.Now()
+		g.changeTarget(listed("a", noon, 70, 5))
+		g.changeTarget(feed.Change[roster.Target]{Name: "a", Removed: true})
+		g.listTargets(now, copied)
+		requireServing(t, g)
+		return g, now
+	}
+	t.Run("its entry stays", func(t *testing.T) {
+		g, now := heldTarget()
+		g.settleTargets(now.Add(copyLasts - time.Millisecond))
+		requireServing(t, g)
+		g.settleTargets(now.Add(copyLasts))
+		requireServing(t, g, "a")
+	})
+	t.Run("it writes its entry", func(t *testing.T) {
+		g, _ := heldTarget()
+		g.changeTarget(listed("a", noon, 71, 9))
+		requireServing(t, g, "a")
+	})
+	t.Run("its entry lapses", func(t *testing.T) {
+		g, now := heldTarget()
+		g.changeTarget(feed.Change[roster.Target]{Name: "a", Removed: true})
+		g.settleTargets(now.Add(copyLasts))
+		requireServing(t, g)
+	})
+}
+
+// Another entry told of later rules that the store has lost, and has started anew since. What
+// the store has is the newest again, and keys are served by it.
+func TestWordOfLaterRulesEnds(t *testing.T) {
+	g := newGateway()
+	g.begun = time.Now().Add(-time.Minute)
+	g.installRules(deployed.Elapsed()-3*time.Second, version(10))
+	g.takeDigest(plannersAt[0], digest.Digest{Service: "svc", Term: 1, Rules: 12})
+	g.installRules(deployed.Elapsed(), feed.Page[*routing.Config]{})
+	requireRules(t, g, 10, false)
+	g.takeDigest(plannersAt[0], digest.Digest{Service: "svc", Term: 1, Rules: 10})
+	g.installRules(deployed.Elapsed(), feed.Page[*routing.Config]{})
+	requireRules(t, g, 10, true)
+}
+
 // A server said that it leaves. The copy has its entry from before; it does not come back.
 func TestLeavingTargetInACopy(t *testing.T) {
 	g := newGateway()
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -170,7 +170,7 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-tick.C:
-			g.dropMissing(now)
+			g.settleTargets(now)
 			g.admit.Tick(now)
 			if now.Sub(swept) >= sweepInterval {
 				swept = now
--- a/internal/program/gateway/knowledge.go
+++ b/internal/program/gateway/knowledge.go
@@ -125,11 +125,11 @@
 	if next.config == nil {
 		return
 	}
-	if told, _ := g.planners.rules(time.Now()); told > next.config.Version && known != nil {
-		next.behind = true // another entry has read later ones, which the store has lost
-	}
+	// Another entry may have read later ones, which the store has lost.
+	told, _ := g.planners.rules(time.Now())
+	proven := !next.behind && told <= next.config.Version
 	changed := known == nil || next.config != known.config
-	if next.behind && known != nil {
+	if !proven && known != nil {
 		next.asked = known.asked
 	}
 	g.rules.Store(&next)
@@ -162,11 +162,14 @@
 func (g *Gateway) listTargets(now time.Time, p feed.Page[roster.Target]) {
 	if p.Renewed {
 		g.missing.renewed(now)
-		g.left.renewed(now)
 	}
 	listed := make(map[string]bool, len(p.Changes))
 	for _, c := range p.Changes {
 		listed[c.Name] = true
+		if p.Renewed && !c.Unreadable && g.left.hold(now, c.Object) {
+			g.log.Info().Str("event", "targetOfCopy").Str("target", c.Name).Stringer("at", c.Object.Changed).Msg("")
+			continue
+		}
 		g.changeTarget(c)
 	}
 	for _, id := range g.roster.IDs() {
@@ -178,6 +181,7 @@
 }
 
 func (g *Gateway) changeTarget(c feed.Change[roster.Target]) {
+	g.left.told(c.Name)
 	if c.Removed {
 		if g.missing.hold(time.Now(), c.Name) {
 			return
@@ -186,10 +190,6 @@
 		return
 	}
 	g.missing.found(c.Name)
-	if !c.Unreadable && g.left.is(time.Now(), c.Object) {
-		g.log.Info().Str("event", "targetOfCopy").Str("target", c.Name).Stringer("at", c.Object.Changed).Msg("")
-		return
-	}
 	known, found := g.roster.Get(c.Name)
 	if c.Unreadable {
 		if g.roster.Unread(c.Name) {
@@ -247,7 +247,12 @@
 	}
 }
 
-func (g *Gateway) dropMissing(now time.Time) {
+// settleTargets decides on targets that were held: those that stay missing are gone, and those
+// of a copy whose entries have not lapsed live.
+func (g *Gateway) settleTargets(now time.Time) {
+	for _, t := range g.left.due(now) {
+		g.changeTarget(feed.Change[roster.Target]{Name: t.ID, Object: t})
+	}
 	for _, id := range g.missing.due(now) {
 		g.removeTarget(id, stayedMissing)
 	}
--- a/internal/program/gateway/knowledge_test.go
+++ b/internal/program/gateway/knowledge_test.go
@@ -125,7 +125,7 @@
 	g.listTargets(time.Now(), feed.Page[roster.Target]{})
 	requireServing(t, g, "a", "b")
 	g.changeTarget(put("a", false))
-	g.dropMissing(time.Now().Add(missingWait))
+	g.settleTargets(time.Now().Add(missingWait))
 	requireServing(t, g, "a")
 }
 
--- a/internal/program/gateway/left.go
+++ b/internal/program/gateway/left.go
@@ -9,10 +9,14 @@
 
 const (
 	// leftKept is how long a target that left is remembered. A copy that the store comes
-	// back from is some seconds old, and entries in it lapse within seconds.
+	// back from is some seconds old.
 	leftKept = 2 * time.Minute
 	// mostLeft bounds the memory of it: a release of all servers, three times over.
 	mostLeft = 4096
+	// copyLasts is how long a copy's entry of a server that has left may stand: it lapses
+	// after three heartbeats. One that stands longer is of a server that lives, and had lost
+	// the store.
+	copyLasts = 10 * time.Second
 )
 
 // left are the lives of targets that have left. A store that comes back from a copy lists
@@ -21,7 +25,7 @@
 type left struct {
 	mu    sync.Mutex
 	lives map[string]leftLife
-	until time.Time // the list may be of a copy until then
+	held  map[string]leftLife // that a copy lists, and since when
 }
 
 type leftLife struct {
@@ -29,7 +33,9 @@
 	at     time.Time
 }
 
-func newLeft() *left { return &left{lives: make(map[string]leftLife)} }
+func newLeft() *left {
+	return &left{lives: make(map[string]leftLife), held: make(map[string]leftLife)}
+}
 
 // note remembers a target that is gone.
 func (l *left) note(now time.Time, t roster.Target) {
@@ -43,23 +49,38 @@
 	}
 }
 
-// renewed says that the store has come back from a copy.
-func (l *left) renewed(now time.Time) {
+// hold tells whether a target that a copy lists is a life that has left. It is held then, until
+// its entry lapses, or has stood for so long that the server must live.
+func (l *left) hold(now time.Time, t roster.Target) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.sweep(now)
-	l.until = now.Add(leftKept)
+	was, found := l.lives[t.ID]
+	if !found || !was.target.SameLife(t) || now.Sub(was.at) >= leftKept {
+		return false
+	}
+	l.held[t.ID] = leftLife{target: t, at: now}
+	return true
 }
 
-// is tells whether a listed target is a life that has left, as a copy shows it.
-func (l *left) is(now time.Time, t roster.Target) bool {
+// told says that the store has told of a target since: that goes before what a copy has.
+func (l *left) told(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.After(l.until) {
-		return false
+	delete(l.held, id)
+}
+
+// due are the targets whose entries of a copy have not lapsed.
+func (l *left) due(now time.Time) []roster.Target {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []roster.Target
+	for id, life := range l.held {
+		if now.Sub(life.at) >= copyLasts {
+			list = append(list, life.target)
+			delete(l.held, id)
+		}
 	}
-	was, found := l.lives[t.ID]
-	return found && was.target.SameLife(t) && now.Sub(was.at) < leftKept
+	return list
 }
 
 func (l *left) sweep(now time.Time) {
