--- a/internal/record/history/keeper.go
+++ b/internal/record/history/keeper.go
@@ -13,8 +13,8 @@
 	"wagtailshelf.example/wagtailshelf/internal/record/object"
 )
 
-// MaxSegments are kept of one service; older ones are deleted. At 50 B a change, as
-// measured with 1,300 targets, they hold some 900,000 changes.
+// MaxSegments are kept of one service; older ones are deleted. At 50 B a change they hold
+// some 900,000 changes.
 const MaxSegments = 64
 
 const (
