--- a/internal/traffic/ratelimit/said.go
+++ b/internal/traffic/ratelimit/said.go
@@ -1,7 +1,8 @@
 // Package ratelimit holds an entry to the rate of requests that a target in need names.
 //
 // A target names the rate that it takes from all entries together, in its answers, for as
-// long as it needs it. Each entry takes an even share, with no word between them.
+// long as it needs it. Two of the entries send to it, others for each target. Entries that
+// don't know their place among all take an even share each.
 package ratelimit
 
 import (
