Logs and a counter of targets that ask for rest or say that they leave

Each attempt of a request's line tells what the target's answer said of itself, so that nobody reading it can be told from somebody overriding it. The adapter decodes both headers once; nothing is decided by them yet. Numbers in headers are read in one place now (internal/wire/decimal), which rates and rests share.

--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -70,6 +70,9 @@
 		if a.Rate.Kind != ratelimit.Nothing {
 			g.metrics.GetOrCreateCounter("wagtailshelf_rate_limit_answers_total").Inc()
 		}
+		if !a.Notice.Nothing() {
+			g.metrics.GetOrCreateCounter("wagtailshelf_notice_answers_total").Inc()
+		}
 	}
 	if !r.Fingerprint.IsZero() {
 		e.Stringer("fingerprint", r.Fingerprint).Int("crashes", r.Crashes)
@@ -78,12 +81,12 @@
 }
 
 // describe tells of an attempt: the target, what came of it after how long, what was known
-// of the target when it was chosen, and the rate that its answer named.
+// of the target when it was chosen, the rate that its answer named, and what it said of itself.
 func describe(a forward.Attempt) string {
 	text := fmt.Sprintf("%s %s %dms reused=%t load=%d loadAge=%dms",
 		a.Target, a.Result, a.Took.Milliseconds(), a.Reused, a.Seen.Load, a.Seen.Age.Milliseconds())
 	if a.Rate.Kind != ratelimit.Nothing {
 		text += " rate=" + a.Rate.String()
 	}
-	return text
+	return text + a.Notice.String()
 }
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -165,6 +165,7 @@
 		return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.why(whyBroken)
 	}
 	meta := platform.ReadAnswer(answer.Status, answer.Header)
+	a.Notice = meta.Notice
 	switch {
 	case answer.Status == http.StatusMisdirectedRequest:
 		c.f.Gone(target.ID) // another server answers, and says nothing of this one
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/notice"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/ratelimit"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
@@ -89,6 +90,7 @@
 	Seen   admission.Seen
 	Took   time.Duration
 	Rate   ratelimit.Said // that the target named
+	Notice notice.Said    // what the target said of itself
 }
 
 const (
--- /dev/null
+++ b/internal/traffic/notice/said_test.go
@@ -0,0 +1,60 @@
+package notice
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a rest that is cut short, or a word that nobody meant being believed.
+func TestWordsOfAnAnswer(t *testing.T) {
+	type list = []string
+	rest := func(d time.Duration) Said { return Said{Rest: d} }
+	unreadable := Said{Unreadable: true}
+	for name, c := range map[string]struct {
+		rests, leaves list
+		want          Said
+	}{
+		"none":               {nil, nil, Said{}},
+		"seconds":            {list{"3"}, nil, rest(3 * time.Second)},
+		"a fraction":         {list{" 0.25 "}, nil, rest(250 * time.Millisecond)},
+		"zero":               {list{"0"}, nil, Said{}},
+		"an hour":            {list{"3600"}, nil, rest(time.Hour)},
+		"absurd":             {list{strings.Repeat("9", 300)}, nil, rest(longestRest)},
+		"too large to read":  {list{strings.Repeat("9", 301)}, nil, unreadable},
+		"twice":              {list{"2", "3", "1"}, nil, rest(3 * time.Second)},
+		"one that is broken": {list{"3", "soon"}, nil, Said{Rest: 3 * time.Second, Unreadable: true}},
+		"empty":              {list{""}, nil, unreadable},
+		"negative":           {list{"-1"}, nil, unreadable},
+		"no number":          {list{"NaN"}, nil, unreadable},
+		"infinite":           {list{"Inf"}, nil, unreadable},
+		"exponent":           {list{"1e300"}, nil, unreadable},
+		"unit":               {list{"3s"}, nil, unreadable},
+		"date":               {list{"Thu, 03 Dec 2026 07:28:00 GMT"}, nil, unreadable},
+		"leaves":             {nil, list{"1"}, Said{Leaves: true}},
+		"does not leave":     {nil, list{"0"}, Said{}},
+		"leaves, twice":      {nil, list{"0", "1"}, Said{Leaves: true}},
+		"leaves, other word": {nil, list{"true"}, unreadable},
+		"leaves, empty":      {nil, list{""}, unreadable},
+		"both":               {list{"3"}, list{"1"}, Said{Rest: 3 * time.Second, Leaves: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, c.want, Parse(c.rests, c.leaves))
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, text := range []string{"", "3", "0.5", "-1", "NaN", "1e300", "1"} {
+		f.Add(text, text)
+	}
+	f.Fuzz(func(t *testing.T, rest, leaves string) {
+		s := Parse([]string{rest}, []string{leaves})
+		require.GreaterOrEqual(t, s.Rest, time.Duration(0))
+		require.LessOrEqual(t, s.Rest, longestRest)
+		require.Less(t, s.Rest, time.Duration(math.MaxInt64/4))
+	})
+}
--- a/internal/traffic/ratelimit/said.go
+++ b/internal/traffic/ratelimit/said.go
@@ -6,10 +6,9 @@
 package ratelimit
 
 import (
-	"math"
-	"regexp"
 	"strconv"
-	"strings"
+
+	"wagtailshelf.example/wagtailshelf/internal/wire/decimal"
 )
 
 // Rate is a number of requests a second.
@@ -42,10 +41,6 @@
 	return Said{Kind: Named, Rate: min(Rate(rate), mostRate)}
 }
 
-// decimal is how a rate is written: digits, maybe with a point. Signs, exponents, units and
-// words like "Inf", which a parser of numbers would take, are none.
-var decimal = regexp.MustCompile(`^[0-9]{1,300}(\.[0-9]{0,300})?$`)
-
 // Parse reads the rates that an answer names, which is one if the target is sound. Of several
 // the lowest counts: whichever is meant, it is kept to.
 func Parse(values []string) Said {
@@ -54,12 +49,8 @@
 	}
 	said := Said{Kind: Unreadable}
 	for _, text := range values {
-		text = strings.TrimSpace(text)
-		if !decimal.MatchString(text) {
-			continue
-		}
-		n, err := strconv.ParseFloat(text, 64)
-		if err != nil && !math.IsInf(n, 1) { // too large for a number is large
+		n, ok := decimal.Parse(text)
+		if !ok {
 			continue
 		}
 		rate := min(Rate(n), mostRate)
