A target that asks an entry for rest gets nothing from it until that is over

Callers saw: refusals (targetRefused, then budget) while other targets were free; targets that turned all away got up to 20 requests of one entry in a rest of 3 s, two allowed. Cause: a refusal was taken as 'ask elsewhere, and here again in 50 ms'; the time that the target named was dropped with the answer, on this path only. The own interface honours it. Change: traffic/notice keeps the word of each life, apart from the state of an attempt, the list and the configuration, so it outlives all of them; admission passes over a resting target whatever grants it (one check for rates and rests, also where requests leave slow ranks). Latest end stands. What waited for a connection is not sent. If all rest, refused at once with the time until the first is back; who waits already is turned away as the last one begins to rest. After a rest one request at a time, then twice as many with each answer; the first up to a tenth later than the end, so that entries told together don't come together.

--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -89,6 +89,7 @@
 	g.admit.RulesFor = g.limits
 	g.admit.Believes = g.believes
 	g.admit.BelievesRate = g.believesRate
+	g.admit.BelievesNotice = g.believesNotice
 	g.crashes = crashes.NewKeeper(quarantine.New(string(s.Name)), l)
 	g.crashes.Quarantine.Believes = g.believesRequest
 	g.crashes.Quarantine.Turn = g.trialTurn
--- a/internal/program/gateway/knowledge.go
+++ b/internal/program/gateway/knowledge.go
@@ -207,6 +207,7 @@
 	case found:
 		g.startedAgain(known, &c.Object)
 	}
+	g.admit.Listed(time.Now(), c.Object)
 	for _, id := range g.roster.Put(c.Object) {
 		g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", "addressTaken").Str("by", c.Name).Msg("")
 	}
--- a/internal/program/gateway/notices_test.go
+++ b/internal/program/gateway/notices_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,18 +13,23 @@
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
-// telling is a target that says something of itself in each answer, and remembers what it got
-// of whom.
+// telling is a target that says something of itself in each answer, once it tells, and remembers
+// what it got of whom.
 type telling struct {
 	*standin.Server
-	mu   sync.Mutex
-	said map[string][]time.Time // when it said so to an entry
-	got  map[string][]time.Time // what reached it from an entry
+	tells atomic.Bool
+	mu    sync.Mutex
+	said  map[string][]time.Time // when it said so to an entry
+	got   map[string][]time.Time // what reached it from an entry
 }
 
 func newTelling(t *testing.T, answer func(standin.Reply)) *telling {
 	s := &telling{said: make(map[string][]time.Time), got: make(map[string][]time.Time)}
 	s.Server = standin.NewServer(t, func(w standin.Reply, r standin.Request) {
+		if !s.tells.Load() {
+			w.Whole(http.StatusOK, "hello")
+			return
+		}
 		s.mu.Lock()
 		entry, now := entryOf(r.ID), time.Now()
 		s.got[entry] = append(s.got[entry], now)
@@ -70,6 +76,8 @@
 		w.NotRun()
 	})
 	entries := newRateWorld(t, 2, resting.Server, newHello(t), newHello(t))
+	press(t, entries, 20*time.Millisecond, time.Second) // as many repeats are allowed as callers come
+	resting.tells.Store(true)
 	statuses := press(t, entries, 20*time.Millisecond, 2*rest)
 	t.Logf("%d requests of one entry in %s, of all %v", resting.most(rest), rest, statuses)
 	require.LessOrEqual(t, resting.most(rest), 2)
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -43,6 +43,12 @@
 		Str("source", b.Source).Dur("age", b.Age).Msg("")
 }
 
+// believesNotice logs when a target asks for rest.
+func (g *Gateway) believesNotice(b admission.NoticeBelief) {
+	g.metrics.GetOrCreateCounter(`wagtailshelf_notices_total{event="targetRests"}`).Inc()
+	g.log.Info().Str("event", "targetRests").Str("target", b.Target.ID).Dur("for", b.Said.Rest).Msg("")
+}
+
 // believesRequest logs when a request begins to be held back, and when it no longer is.
 func (g *Gateway) believesRequest(b quarantine.Belief) {
 	event := "requestHeld"
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/notice"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/ratelimit"
 )
 
@@ -37,12 +38,15 @@
 	// BelievesRate hears when what the entry believes of a target's rate changes; nil if
 	// nobody does.
 	BelievesRate func(RateBelief)
+	// BelievesNotice hears when a target asks for rest, or for another one; nil if nobody does.
+	BelievesNotice func(NoticeBelief)
 
 	mu       sync.Mutex
 	targets  map[string]*state
 	services map[string]*queue
 	groups   map[roster.Group]*group
 	words    ratelimit.Words // that targets told this entry
+	notices  notice.Board    // what targets said of themselves
 }
 
 // New returns a controller without requests.
@@ -75,7 +79,8 @@
 	// Patience is how long the request may wait in the queue.
 	Patience time.Duration
 
-	// After is when the caller of a request that found all targets limited should come back.
+	// After is when the caller of a request that found all targets limited or resting should
+	// come back.
 	After time.Duration
 	// Seen is what the choice of the target went by, once granted.
 	Seen Seen
@@ -83,6 +88,8 @@
 	arrived time.Time
 	sent    time.Time // when it was granted
 	granted chan struct{}
+	refused chan struct{}
+	refusal Verdict // once refused
 	target  roster.Target
 	held    bool
 	lost    func()      // of the attempt
@@ -98,6 +105,12 @@
 // Granted is closed when the request may be sent.
 func (t *Ticket) Granted() <-chan struct{} { return t.granted }
 
+// Refused is closed when a request that waits has nothing to wait for any more.
+func (t *Ticket) Refused() <-chan struct{} { return t.refused }
+
+// Refusal says why, once refused.
+func (t *Ticket) Refusal() Verdict { return t.refusal }
+
 // Target is the one that the request may be sent to, once granted.
 func (t *Ticket) Target() roster.Target { return t.target }
 
@@ -111,6 +124,7 @@
 	Full                        // too many wait already
 	NoTarget                    // the service has no target that could be asked
 	Limited                     // all targets take no more than a rate, and its turn would come too late
+	Resting                     // all targets want rest, for longer than the request may wait
 )
 
 // Arrive asks for a target.
@@ -118,7 +132,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t.arrived = now
-	t.granted = make(chan struct{})
+	t.granted, t.refused = make(chan struct{}), make(chan struct{})
 	rules := c.RulesFor(t.Service)
 	candidates := c.candidates(t)
 	if len(candidates) == 0 {
@@ -137,9 +151,9 @@
 	}
 	at := q.place(t)
 	// A caller that can't get its turn in time has nothing to wait for.
-	if wait, known := c.rateWait(now, candidates, at, rules); known && wait > t.Patience {
+	if wait, v, known := c.hopeless(now, candidates, at, rules); known && wait > t.Patience {
 		t.After = wait
-		return Limited
+		return v
 	}
 	q.waiting = slices.Insert(q.waiting, at, t)
 	c.advance(now, t.Service)
@@ -383,9 +397,7 @@
 		if !g.takes(now, c.inFlight, s.group) || !s.free(now, g, rules, told) {
 			continue
 		}
-		// A target in need took as much as the others when only what it has at the same
-		// time was bounded: it answers each request soon, and gets the next one.
-		if !s.limit.Free(now, target.ID, rules.Senders) {
+		if !c.allows(now, target.ID, s, rules) {
 			continue
 		}
 		if g.isSlow(now) {
@@ -414,6 +426,13 @@
 	return best, seen > 0
 }
 
+// allows tells whether a target's own word allows one more request: the rate that it takes, and
+// the rest that it asked for. Nothing goes before that, a planner's grant or the last free place
+// no more than others.
+func (c *Controller) allows(now time.Time, id string, s *state, rules Rules) bool {
+	return s.limit.Free(now, id, rules.Senders) && c.notices.Free(now, id, s.inFlight)
+}
+
 func (c *Controller) queue(service string) *queue {
 	q := c.services[service]
 	if q == nil {
--- a/internal/traffic/admission/group.go
+++ b/internal/traffic/admission/group.go
@@ -169,11 +169,11 @@
 // told of and not slow.
 func (c *Controller) places(now time.Time, service string) int {
 	n := 0
-	senders := c.RulesFor(service).Senders
+	rules := c.RulesFor(service)
 	for _, target := range c.Targets(service) {
 		s := c.state(now, target)
 		g := c.group(s.group)
-		if !s.limit.Free(now, target.ID, senders) {
+		if !c.allows(now, target.ID, s, rules) {
 			continue
 		}
 		if s.toldLately(now) && !s.slow && !g.isSlow(now) && !now.Before(s.avoid) && g.takes(now, c.inFlight, s.group) {
@@ -188,6 +188,7 @@
 func (c *Controller) Sweep(now time.Time, listed func(id string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.notices.Sweep(now, listed)
 	for name, g := range c.groups {
 		if now.Sub(g.toldAt) > untoldKept && !now.Before(g.closedUntil) {
 			delete(c.groups, name)
@@ -212,10 +213,12 @@
 	c.believe(g, Belief{Group: name, Slow: g.slow, Source: "target"})
 }
 
-// Serves takes note that a target has begun an answer: its group is open.
+// Serves takes note that a target has begun an answer: its group is open, and the target takes
+// more after a rest.
 func (c *Controller) Serves(now time.Time, t roster.Target) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.notices.Served(now, t.ID)
 	name := c.state(now, t).group
 	g := c.group(name)
 	if !g.doubtful {
--- /dev/null
+++ b/internal/traffic/admission/notice_test.go
@@ -0,0 +1,126 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/traffic/notice"
+)
+
+const threeSeconds = 3 * time.Second
+
+// newResting returns a controller some of whose targets have asked for a rest of three seconds.
+func newResting(targets, resting int, rules Rules) *Controller {
+	c := newController(targets, rules)
+	for _, target := range c.Targets("svc")[:resting] {
+		k := ticket()
+		k.target = target
+		c.Noticed(start, k, notice.Said{Rest: threeSeconds})
+	}
+	return c
+}
+
+var roomy = Rules{PerTarget: 9, Queue: 9, Entries: 1, Senders: only}
+
+// Guards against a rest that something else goes before.
+func TestNothingOverridesARest(t *testing.T) {
+	during, after := start.Add(time.Second), start.Add(threeSeconds+notice.MostSpread)
+	for name, prepare := range map[string]func(*Controller){
+		"nothing":             func(*Controller) {},
+		"a planner's grant":   func(c *Controller) { tellOpen(c, during, groupOne, "t0") },
+		"a group that opens":  func(c *Controller) { tellClosed(c, start, groupOne, "t0"); tellOpen(c, during, groupOne, "t0") },
+		"a limited target":    func(c *Controller) { c.state(start, c.Targets("svc")[0]).limit.Named(start, 100, 0) },
+		"a list without it":   func(c *Controller) { c.Forget("t0"); c.Listed(during, c.Targets("svc")[0]) },
+		"it serves meanwhile": func(c *Controller) { c.Serves(during, c.Targets("svc")[0]) },
+		"it is swept":         func(c *Controller) { c.Sweep(during, func(string) bool { return false }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newResting(1, 1, roomy)
+			prepare(c)
+			k := patient(0)
+			k.Priority = -9
+			require.Equal(t, Resting, c.Arrive(during, k))
+			require.InDelta(t, 2, k.After.Seconds(), 0.4, "until its end")
+			k = patient(threeSeconds)
+			require.Equal(t, Wait, c.Arrive(during, k))
+			c.Tick(start.Add(threeSeconds - time.Millisecond))
+			requireGranted(t, k, false)
+			tellOpen(c, after, groupOne, "t0")
+			requireGranted(t, k, true)
+		})
+	}
+}
+
+// Guards against requests that wait or are refused though a target takes them.
+func TestOthersTakeWhatARestingTargetDoesNot(t *testing.T) {
+	c := newResting(3, 2, roomy)
+	for range 5 {
+		k := ticket()
+		require.Equal(t, Go, c.Arrive(start.Add(time.Second), k))
+		require.Equal(t, "t2", k.Target().ID)
+	}
+	busy := newResting(2, 1, Rules{PerTarget: 1, Queue: 9, Entries: 1, Senders: only})
+	first, second := ticket(), ticket()
+	require.Equal(t, Go, busy.Arrive(start, first))
+	require.Equal(t, Wait, busy.Arrive(start, second), "t1 may be free at any time")
+	busy.Done(start, first, End{})
+	requireGranted(t, second, true)
+}
+
+// Guards against callers that wait for a rest which ends after their patience.
+func TestWaitingRequestsAreTurnedAwayOnceAllRest(t *testing.T) {
+	c := newController(1, Rules{PerTarget: 1, Queue: 9, Entries: 1})
+	first, short, long := ticket(), patient(time.Second), patient(4*time.Second)
+	require.Equal(t, Go, c.Arrive(start, first))
+	require.Equal(t, Wait, c.Arrive(start, short))
+	require.Equal(t, Wait, c.Arrive(start, long))
+	c.Noticed(start, first, notice.Said{Rest: threeSeconds})
+	<-short.Refused()
+	require.Equal(t, Resting, short.Refusal())
+	require.GreaterOrEqual(t, short.After, threeSeconds)
+	require.Equal(t, 1, c.Waiting("svc"))
+	c.Done(start, first, End{})
+	c.Tick(start.Add(threeSeconds + notice.MostSpread))
+	requireGranted(t, long, true)
+}
+
+// Guards against a request that was chosen before the rest and is written within it.
+func TestWhatWaitedForAConnectionIsWithdrawn(t *testing.T) {
+	c := newController(1, roomy)
+	k := ticket()
+	require.Equal(t, Go, c.Arrive(start, k))
+	require.False(t, c.Withdrawn(start, k))
+	c.Noticed(start, k, notice.Said{Rest: threeSeconds})
+	require.True(t, c.Withdrawn(start.Add(time.Second), k))
+	require.False(t, c.Withdrawn(start.Add(threeSeconds+notice.MostSpread), k))
+}
+
+// Guards against requests that all go to a target as its rest is over.
+func TestCallersComeBackToATargetOneByOne(t *testing.T) {
+	c := newResting(1, 1, roomy)
+	at := start.Add(threeSeconds + notice.MostSpread)
+	first, second, third := ticket(), ticket(), ticket()
+	require.Equal(t, Go, c.Arrive(at, first))
+	require.Equal(t, Wait, c.Arrive(at, second))
+	require.Equal(t, Wait, c.Arrive(at, third))
+	c.Serves(at, first.Target())
+	c.Tick(at)
+	requireGranted(t, second, true)
+	requireGranted(t, third, false)
+}
+
+// Guards against a word that is told of again and again.
+func TestBeliefsOfRestsAreToldOnce(t *testing.T) {
+	c := newController(1, roomy)
+	var told []NoticeBelief
+	c.BelievesNotice = func(b NoticeBelief) { told = append(told, b) }
+	k := ticket()
+	c.Arrive(start, k)
+	for n := range 9 {
+		c.Noticed(start.Add(time.Duration(n)*time.Millisecond), k, notice.Said{Rest: threeSeconds})
+	}
+	c.Noticed(start, k, notice.Said{Unreadable: true})
+	require.Equal(t, []NoticeBelief{{Target: k.Target(), Said: notice.Said{Rest: threeSeconds}}}, told)
+}
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -152,7 +152,7 @@
 	}
 	a.Reused = conn.Reused
 	left := c.deadline.Sub(c.f.Now())
-	if left <= 0 {
+	if left <= 0 || c.f.Admission.Withdrawn(c.f.Now(), t) {
 		conn.Close()
 		return resultNotRun, admission.End{}, whyNotSent
 	}
@@ -166,16 +166,27 @@
 	}
 	meta := platform.ReadAnswer(answer.Status, answer.Header)
 	a.Notice = meta.Notice
-	switch {
-	case answer.Status == http.StatusMisdirectedRequest:
+	if answer.Status == http.StatusMisdirectedRequest {
 		c.f.Gone(target.ID) // another server answers, and says nothing of this one
-	case meta.Stamped || meta.NotRun: // not whatever else may answer at the address
-		a.Rate = meta.Rate
-		c.f.Admission.Heard(c.f.Now(), t, meta.Rate, meta.Stamped)
+	} else {
+		c.hear(t, a, meta)
 	}
 	return c.take(answer, meta, target)
 }
 
+// hear takes what an answer says of the target that made it. What names neither the request nor
+// a proof is of whatever else may answer at the address.
+func (c *call) hear(t *admission.Ticket, a *Attempt, meta platform.Answered) {
+	now := c.f.Now()
+	if meta.Stamped || meta.NotRun {
+		a.Rate = meta.Rate
+		c.f.Admission.Heard(now, t, meta.Rate, meta.Stamped)
+	}
+	if meta.Stamped || meta.NotRun || meta.ID == c.in.ID && meta.ID != "" {
+		c.f.Admission.Noticed(now, t, meta.Notice)
+	}
+}
+
 // leaves ends the attempt at a slow target if the request may be sent to another one. The
 // repeat is counted now: a stream that was cut and may not be sent again would be broken.
 func (c *call) leaves(cancel func()) bool {
--- a/internal/traffic/forward/wait.go
+++ b/internal/traffic/forward/wait.go
@@ -51,13 +51,24 @@
 	case admission.Full:
 		c.giveUp(http.StatusServiceUnavailable, "queueFull", c.comeBackSpread())
 	case admission.Limited:
-		c.giveUp(http.StatusServiceUnavailable, "rateLimited", c.comeBackAfter(t.After))
+		c.turnedAway(t, admission.Limited)
+	case admission.Resting:
+		c.turnedAway(t, admission.Resting)
 	case admission.NoTarget:
 		c.giveUp(http.StatusServiceUnavailable, "noTarget", c.comeBack())
 	}
 	return nil, false
 }
 
+// turnedAway ends a request all of whose targets take none by their own word.
+func (c *call) turnedAway(t *admission.Ticket, v admission.Verdict) {
+	reason := "targetsRest"
+	if v == admission.Limited {
+		reason = "rateLimited"
+	}
+	c.giveUp(http.StatusServiceUnavailable, reason, c.comeBackAfter(t.After))
+}
+
 // await waits in the queue.
 func (c *call) await(t *admission.Ticket, since time.Time) bool {
 	limit := c.queueLimit()
@@ -71,6 +82,11 @@
 		if c.ctx.Err() == nil {
 			return true
 		}
+	case <-t.Refused():
+		if !c.callerLeft() {
+			c.turnedAway(t, t.Refusal())
+		}
+		return false
 	default:
 	}
 	c.f.Admission.Abandon(now, t)
@@ -92,6 +108,8 @@
 		select {
 		case <-t.Granted():
 			return quarantine.Verdict{}
+		case <-t.Refused():
+			return quarantine.Verdict{}
 		case <-timeUp:
 			return quarantine.Verdict{}
 		case <-c.ctx.Done():
--- /dev/null
+++ b/internal/traffic/notice/board_test.go
@@ -0,0 +1,138 @@
+package notice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+)
+
+var (
+	start = time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
+	one   = roster.Target{ID: "t1", Service: "svc", Born: start.Add(-time.Hour), Beat: 70}
+)
+
+func requireRests(t *testing.T, b *Board, at time.Duration, want bool) {
+	t.Helper()
+	require.Equal(t, !want, b.Free(start.Add(at), one.ID, 0))
+	_, resting := b.Resting(start.Add(at), one.ID)
+	require.Equal(t, want, resting)
+}
+
+// resting returns a board whose target asked for three seconds.
+func resting() *Board {
+	b := &Board{}
+	b.Rest(start, one, 3*time.Second, 0)
+	return b
+}
+
+// Guards against a rest that a later, shorter word of the target cuts short.
+func TestLatestEndStands(t *testing.T) {
+	b := resting()
+	require.False(t, b.Rest(start.Add(time.Second), one, time.Second, 0))
+	requireRests(t, b, 2500*time.Millisecond, true)
+	require.False(t, b.Rest(start.Add(time.Second), one, 3*time.Second, 0), "the same again")
+	requireRests(t, b, 3900*time.Millisecond, true)
+	requireRests(t, b, 4*time.Second, false)
+	require.True(t, b.Rest(start.Add(5*time.Second), one, 3*time.Second, 0), "a new one")
+}
+
+// Guards against a rest that answers to earlier requests end.
+func TestAnswersDuringARest(t *testing.T) {
+	b := resting()
+	for range 9 {
+		b.Served(start.Add(time.Second), one.ID)
+	}
+	requireRests(t, b, 2900*time.Millisecond, true)
+	require.False(t, b.Free(start.Add(3*time.Second), one.ID, 1), "they don't let more in after it either")
+}
+
+// Guards against a crowd that a target would have to turn away right after its rest.
+func TestFewComeBackAfterARest(t *testing.T) {
+	b := resting()
+	at := start.Add(3 * time.Second)
+	for allowed := 1; allowed <= mostReturning; allowed *= 2 {
+		require.True(t, b.Free(at, one.ID, allowed-1))
+		require.False(t, b.Free(at, one.ID, allowed))
+		b.Served(at, one.ID)
+	}
+	require.True(t, b.Free(at, one.ID, 1000))
+	b.Sweep(at, func(string) bool { return true })
+	require.Empty(t, b.words)
+}
+
+// Guards against entries that were told together and come back together.
+func TestReturnsAreSpread(t *testing.T) {
+	for _, c := range []struct {
+		rest time.Duration
+		most time.Duration
+	}{{3 * time.Second, 3300 * time.Millisecond}, {time.Hour, time.Hour + MostSpread}} {
+		b := &Board{}
+		b.Rest(start, one, c.rest, 1)
+		requireRests(t, b, c.most-time.Millisecond, true)
+		requireRests(t, b, c.most, false)
+	}
+}
+
+// Guards against a word that outlives the life that gave it, or ends before that does.
+func TestWordsAreOfALife(t *testing.T) {
+	again := func(change func(*roster.Target)) roster.Target {
+		t := one
+		change(&t)
+		return t
+	}
+	for name, c := range map[string]struct {
+		next roster.Target
+		ends bool
+	}{
+		"listed again":                       {again(func(t *roster.Target) { t.Beat++ }), false},
+		"listed by another address":          {again(func(t *roster.Target) { t.DataCentre = "b" }), false},
+		"listed without its birth":           {again(func(t *roster.Target) { t.Born = time.Time{}; t.Beat = 71 }), false},
+		"born since":                         {again(func(t *roster.Target) { t.Born = start.Add(time.Second) }), true},
+		"born long before, as clocks differ": {again(func(t *roster.Target) { t.Born = start.Add(-2 * time.Hour) }), true},
+		"beats anew":                         {again(func(t *roster.Target) { t.Born = time.Time{}; t.Beat = 1 }), true},
+		"born just before it asked":          {again(func(t *roster.Target) { t.Born = start.Add(-time.Second) }), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := resting()
+			b.Listed(start.Add(time.Second), c.next)
+			requireRests(t, b, time.Second, !c.ends)
+			b = &Board{}
+			b.Leave(start, one)
+			b.Listed(start.Add(time.Second), c.next)
+			sameLife := one.SameLife(c.next)
+			require.Equal(t, sameLife, b.Leaves(one.ID), "a life that has just begun has not said so")
+		})
+	}
+}
+
+// Guards against words that are forgotten while a list lacks their target.
+func TestWordsOfTargetsThatAreNotListed(t *testing.T) {
+	gone := func(string) bool { return false }
+	b := resting()
+	b.Leave(start, one)
+	b.Sweep(start.Add(time.Minute), gone)
+	require.True(t, b.Leaves(one.ID))
+	b.Listed(start.Add(2*time.Minute), one)
+	require.True(t, b.Leaves(one.ID))
+	b.Sweep(start.Add(time.Hour), func(string) bool { return true })
+	b.Sweep(start.Add(time.Hour+kept), gone)
+	require.True(t, b.Leaves(one.ID), "it was listed until now")
+	b.Sweep(start.Add(2*time.Hour), gone)
+	require.False(t, b.Leaves(one.ID))
+	require.Empty(t, b.words)
+}
+
+// Guards against memory that grows with each target that ever said something.
+func TestWordsAreBounded(t *testing.T) {
+	b := &Board{}
+	for n := range 3 * mostWords {
+		b.Leave(start.Add(time.Duration(n)), roster.Target{ID: fmt.Sprint(n)})
+	}
+	require.Len(t, b.words, mostWords)
+	require.True(t, b.Leaves(fmt.Sprint(3*mostWords-1)))
+	require.False(t, b.Leaves("0"), "the oldest goes first")
+}
