--- a/internal/program/gateway/notices_test.go
+++ b/internal/program/gateway/notices_test.go
@@ -84,3 +84,38 @@
 	require.Len(t, statuses, 1, "the others serve what it doesn't take")
 	require.Contains(t, statuses, http.StatusOK)
 }
+
+// later is the number of requests that came some time after their entry got the first answer.
+func (s *telling) later(than time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for entry, answers := range s.said {
+		for _, at := range s.got[entry] {
+			if at.Sub(answers[0]) > than {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// drainTime of the entries of these tests: a target that leaves gets nothing after it.
+const drainTime = 2 * time.Second
+
+// Guards against requests to a target that has said that it leaves, and is listed as ready.
+func TestTargetThatSaysThatItLeavesGetsNothingAfter(t *testing.T) {
+	t.Parallel()
+	leaving := newTelling(t, func(w standin.Reply) {
+		w.Header("Server-Leaving", "1")
+		w.Whole(http.StatusOK, "hello")
+	})
+	entries := newRateWorld(t, 2, leaving.Server, newHello(t), newHello(t))
+	press(t, entries, 20*time.Millisecond, time.Second)
+	leaving.tells.Store(true)
+	statuses := press(t, entries, 20*time.Millisecond, 2*drainTime)
+	t.Logf("%d requests later than %s, of all %v", leaving.later(drainTime), drainTime, statuses)
+	require.Zero(t, leaving.later(drainTime))
+	require.Len(t, statuses, 1, "the others serve")
+	require.Contains(t, statuses, http.StatusOK)
+}
