A target that says in an answer that it leaves gets nothing more in that life

Cause: nothing read the header; the store's list alone decided who leaves, and a list may lack a target and have it back as ready, be of a copy, or not be read at all while the store is away. What waited for a connection is not sent. An answer to a request that was sent before the list told of a new life does not make that one leave.

--- a/internal/program/gateway/knowledge.go
+++ b/internal/program/gateway/knowledge.go
@@ -207,10 +207,13 @@
 	case found:
 		g.startedAgain(known, &c.Object)
 	}
-	g.admit.Listed(time.Now(), c.Object)
 	for _, id := range g.roster.Put(c.Object) {
 		g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", "addressTaken").Str("by", c.Name).Msg("")
 	}
+	// After Put: a target that says that it leaves in this moment would be listed over it.
+	if g.admit.Listed(time.Now(), c.Object) {
+		g.leave(c.Object)
+	}
 	if !found || known.Leaving != c.Object.Leaving {
 		g.log.Info().Str("event", "target").Str("target", c.Name).Str("service", c.Object.Service).
 			Bool("leaving", c.Object.Leaving).Stringer("address", c.Object.Address).Msg("")
@@ -250,6 +253,13 @@
 	}
 }
 
+// leave takes the word of a target that it is about to end, unless it has started again since.
+func (g *Gateway) leave(t roster.Target) {
+	if known, found := g.roster.Get(t.ID); found && (known.SameLife(t) || t.SameLife(known)) {
+		g.roster.Leave(t.ID)
+	}
+}
+
 // settleTargets decides on targets that were held: those that stay missing are gone, and those
 // of a copy whose entries have not lapsed live.
 func (g *Gateway) settleTargets(now time.Time) {
--- a/internal/program/gateway/lives_test.go
+++ b/internal/program/gateway/lives_test.go
@@ -11,6 +11,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/record/feed"
 	"wagtailshelf.example/wagtailshelf/internal/record/position"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/notice"
 )
 
 // listed is a target as the store tells it.
@@ -100,3 +101,45 @@
 	g.changeTarget(listed("a", noon, 71, 9))
 	requireServing(t, g, "a")
 }
+
+// Guards against a target that says that it leaves and is used again as some list has it.
+func TestWordOfLeavingOutlivesLists(t *testing.T) {
+	was := listed("a", noon, 70, 5)
+	says := func(g *Gateway) {
+		k := &admission.Ticket{Service: "svc"}
+		require.Equal(t, admission.Go, g.admit.Arrive(time.Now(), k))
+		g.admit.Noticed(time.Now(), k, notice.Said{Leaves: true})
+	}
+	removed := feed.Change[roster.Target]{Name: "a", Removed: true}
+	for name, c := range map[string]struct {
+		changes []feed.Change[roster.Target]
+		serves  bool
+	}{
+		"at once":                       {nil, false},
+		"listed as ready":               {[]feed.Change[roster.Target]{listed("a", noon, 71, 9)}, false},
+		"lost by the list, and back":    {[]feed.Change[roster.Target]{removed, listed("a", noon, 72, 11)}, false},
+		"back without its birth":        {[]feed.Change[roster.Target]{removed, listed("a", time.Time{}, 72, 11)}, false},
+		"started again":                 {[]feed.Change[roster.Target]{listed("a", noon.Add(time.Minute), 1, 12)}, true},
+		"gone, and started again":       {[]feed.Change[roster.Target]{removed, listed("a", noon.Add(time.Minute), 1, 12)}, true},
+		"started again, its clock back": {[]feed.Change[roster.Target]{listed("a", noon.Add(-time.Hour), 1, 12)}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGateway()
+			g.installRules(0, version(7))
+			g.changeTarget(was)
+			requireServing(t, g, "a")
+			says(g)
+			requireServing(t, g)
+			for _, change := range c.changes {
+				g.changeTarget(change)
+			}
+			if !c.serves {
+				requireServing(t, g)
+				return
+			}
+			requireServing(t, g, "a")
+			says(g)
+			requireServing(t, g)
+		})
+	}
+}
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -43,10 +43,16 @@
 		Str("source", b.Source).Dur("age", b.Age).Msg("")
 }
 
-// believesNotice logs when a target asks for rest.
+// believesNotice logs when a target asks for rest or says that it leaves, and gives one that leaves
+// nothing more, however the store lists it.
 func (g *Gateway) believesNotice(b admission.NoticeBelief) {
-	g.metrics.GetOrCreateCounter(`wagtailshelf_notices_total{event="targetRests"}`).Inc()
-	g.log.Info().Str("event", "targetRests").Str("target", b.Target.ID).Dur("for", b.Said.Rest).Msg("")
+	event := "targetRests"
+	if b.Said.Leaves {
+		event = "targetLeaves"
+		g.leave(b.Target)
+	}
+	g.metrics.GetOrCreateCounter(fmt.Sprintf(`wagtailshelf_notices_total{event=%q}`, event)).Inc()
+	g.log.Info().Str("event", event).Str("target", b.Target.ID).Dur("for", b.Said.Rest).Msg("")
 }
 
 // believesRequest logs when a request begins to be held back, and when it no longer is.
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -38,7 +38,8 @@
 	// BelievesRate hears when what the entry believes of a target's rate changes; nil if
 	// nobody does.
 	BelievesRate func(RateBelief)
-	// BelievesNotice hears when a target asks for rest, or for another one; nil if nobody does.
+	// BelievesNotice hears when a target asks for rest, or for another one, and when it says
+	// that it leaves; nil if nobody does.
 	BelievesNotice func(NoticeBelief)
 
 	mu       sync.Mutex
--- a/internal/traffic/admission/notice.go
+++ b/internal/traffic/admission/notice.go
@@ -22,6 +22,10 @@
 		c.believeNotice(NoticeBelief{Target: t.target, Said: notice.Said{Rest: said.Rest}})
 		c.turnAway(now, t.Service)
 	}
+	// A request that was sent before the list told of a new life may have met the earlier one.
+	if s := c.targets[t.target.ID]; said.Leaves && (s == nil || !t.sent.Before(s.known)) && c.notices.Leave(now, t.target) {
+		c.believeNotice(NoticeBelief{Target: t.target, Said: notice.Said{Leaves: true}})
+	}
 }
 
 func (c *Controller) believeNotice(b NoticeBelief) {
@@ -39,8 +43,8 @@
 	return c.notices.Leaves(t.ID)
 }
 
-// Withdrawn tells whether a request's target has asked for rest since it was chosen. What waited
-// for a connection meanwhile must not be sent.
+// Withdrawn tells whether a request's target has asked for rest, or said that it leaves, since it
+// was chosen. What waited for a connection meanwhile must not be sent.
 func (c *Controller) Withdrawn(now time.Time, t *Ticket) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/traffic/admission/notice_test.go
+++ b/internal/traffic/admission/notice_test.go
@@ -124,3 +124,19 @@
 	c.Noticed(start, k, notice.Said{Unreadable: true})
 	require.Equal(t, []NoticeBelief{{Target: k.Target(), Said: notice.Said{Rest: threeSeconds}}}, told)
 }
+
+// Guards against a new life that leaves since its earlier one had said so.
+func TestWordOfAnEarlierLifeThatComesLate(t *testing.T) {
+	c := newController(1, roomy)
+	k := ticket()
+	require.Equal(t, Go, c.Arrive(start, k))
+	again := k.Target()
+	again.Born = start
+	c.StartedAgain(start.Add(time.Second), again)
+	c.Noticed(start.Add(2*time.Second), k, notice.Said{Leaves: true})
+	require.False(t, c.Listed(start.Add(2*time.Second), again))
+	k = ticket()
+	require.Equal(t, Go, c.Arrive(start.Add(3*time.Second), k))
+	c.Noticed(start.Add(3*time.Second), k, notice.Said{Leaves: true})
+	require.True(t, c.Listed(start.Add(3*time.Second), k.Target()))
+}
