A target that refuses again and again is asked less and less

Callers saw: a target that turns away all that it gets, and asks for no rest, was avoided for 50 ms after each refusal, at each entry; without load it then drew most requests again. Change: the pause doubles with each refusal in a row, from 50 to 800 ms, and after the second one request at a time finds out whether it serves. Refusals of requests that were under way together count as one. How long is decided in admission alone now; forward says only what was refused. Ruled out: longer pauses for closed groups, whose ranks would all be avoided as the group opens.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -191,8 +191,9 @@
 
 // End tells how an attempt went.
 type End struct {
-	Failed bool          // the target, or the way to it, is at fault
-	Avoid  time.Duration // the target said that it can't serve for that long
+	Failed  bool // the target, or the way to it, is at fault
+	Refused bool // the target turned the request away
+	Closed  bool // it did as its group takes none
 }
 
 // OnSlow has a function called while the request's target is told to be slow and others
@@ -221,6 +222,11 @@
 	// is then asked some times a second, by all entries together.
 	avoidFirst = 100 * time.Millisecond
 	avoidMost  = time.Second
+	// AvoidRefused is how long a target is avoided after it turned a request away; it doubles
+	// with each further one in a row up to avoidRefusedMost. One that turns all away has no
+	// load, and would draw most of what comes.
+	AvoidRefused     = 50 * time.Millisecond
+	avoidRefusedMost = 800 * time.Millisecond
 )
 
 // Done ends an attempt and gives the place at the target back.
@@ -232,8 +238,10 @@
 	case end.Failed:
 		s.failures++
 		s.avoid = now.Add(min(avoidFirst<<min(s.failures-1, 5), avoidMost))
-	case end.Avoid > 0:
-		s.avoid = now.Add(end.Avoid)
+	case end.Refused:
+		s.refused(now, t.sent)
+	case end.Closed:
+		s.avoid = now.Add(AvoidRefused)
 	default:
 		s.failures = 0
 	}
--- a/internal/traffic/admission/admission_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -215,3 +215,41 @@
 	c.Done(now, third, End{})
 	require.Zero(t, c.targets["t0"].inFlight)
 }
+
+// Guards against a target that turns all away and draws most requests, as it has no load.
+func TestTargetThatTurnsAllAwayIsAskedLessAndLess(t *testing.T) {
+	c := newController(1, Rules{PerTarget: 9, Queue: 9, Entries: 1})
+	now, asked := start, 0
+	for ; now.Before(start.Add(10 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		k := ticket()
+		if c.Arrive(now, k) == Go {
+			asked++
+			c.Done(now.Add(time.Millisecond), k, End{Refused: true})
+			continue
+		}
+		c.Abandon(now, k)
+	}
+	require.LessOrEqual(t, asked, 5+int(10*time.Second/avoidRefusedMost))
+	now = now.Add(avoidRefusedMost)
+	first, second := ticket(), ticket()
+	require.Equal(t, Go, c.Arrive(now, first))
+	require.Equal(t, Wait, c.Arrive(now, second), "one finds out whether it serves again")
+	c.Serves(now, first.Target())
+	c.Done(now, first, End{})
+	requireGranted(t, second, true)
+}
+
+// Guards against one full moment of a target that counts as many.
+func TestRefusalsOfOneMomentAreOne(t *testing.T) {
+	c := newController(1, Rules{PerTarget: 9, Queue: 9, Entries: 1})
+	var list []*Ticket
+	for range 5 {
+		k := ticket()
+		require.Equal(t, Go, c.Arrive(start, k))
+		list = append(list, k)
+	}
+	for _, k := range list {
+		c.Done(start.Add(time.Millisecond), k, End{Refused: true})
+	}
+	require.Equal(t, Go, c.Arrive(start.Add(AvoidRefused+time.Millisecond), ticket()))
+}
--- a/internal/traffic/admission/group.go
+++ b/internal/traffic/admission/group.go
@@ -219,7 +219,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.notices.Served(now, t.ID)
-	name := c.state(now, t).group
+	s := c.state(now, t)
+	s.refusals = 0
+	name := s.group
 	g := c.group(name)
 	if !g.doubtful {
 		return
--- a/internal/traffic/admission/target.go
+++ b/internal/traffic/admission/target.go
@@ -25,6 +25,8 @@
 	held     map[*Ticket]bool
 	avoid    time.Time
 	failures int
+	refusals int             // in a row
+	refusal  time.Time       // when the last of them came
 	limit    ratelimit.Limit // that the target named
 }
 
@@ -87,11 +89,20 @@
 	joinTime = 1500 * time.Millisecond
 )
 
+// refused takes note that the target turned a request away that was sent at some time.
+func (s *state) refused(now, sent time.Time) {
+	if s.refusals == 0 || sent.After(s.refusal) { // else it was under way when another was refused
+		s.refusals++
+	}
+	s.refusal = now
+	s.avoid = now.Add(min(AvoidRefused<<min(s.refusals-1, 5), avoidRefusedMost))
+}
+
 // free tells whether a target may get one more request. Told says that planners tell of
 // some of the service's groups.
 func (s *state) free(now time.Time, g *group, rules Rules, told bool) bool {
 	switch {
-	case now.Before(s.avoid):
+	case now.Before(s.avoid), s.refusals > 1 && s.inFlight > 0:
 		return false
 	case s.toldLately(now):
 		return s.grant > 0
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -22,8 +22,6 @@
 	unsafeIdle = 1500 * time.Millisecond
 	// safeIdle is the same where the request can be sent again.
 	safeIdle = time.Minute
-	// avoidRefusing is how long a target that refused a request is not asked again.
-	avoidRefusing = 50 * time.Millisecond
 )
 
 // result says what an attempt proved.
@@ -235,11 +233,12 @@
 		answer.KeepOut()
 	}
 	if meta.NotRun {
+		c.drop(answer, meta)
 		if meta.Fault != "" {
 			c.f.Admission.GroupClosed(c.f.Now(), from)
+			return resultNotRun, admission.End{Closed: true}, whyNotRun
 		}
-		c.drop(answer, meta)
-		return resultNotRun, admission.End{Avoid: avoidRefusing}, whyNotRun
+		return resultNotRun, admission.End{Refused: true}, whyNotRun
 	}
 	c.f.Admission.Serves(c.f.Now(), from)
 	success := answer.Status >= 200 && answer.Status < 300
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -255,7 +255,7 @@
 	b.Now = func() time.Time { return time.Now().Add(time.Duration(passed.Load())) }
 	for range 20 {
 		requireServed(t, b.call(http.MethodPost, "/unsafe/x"), "hello")
-		passed.Add(int64(2 * avoidRefusing))
+		passed.Add(int64(2 * admission.AvoidRefused))
 	}
 	require.LessOrEqual(t, len(first.Seen()), 1)
 }
