Failing test: an earlier life of a leaving target, as a copy of the store has it

The list of a copy was taken for a new life of the target, which then got requests again though it had said that it leaves.

--- a/internal/program/gateway/eras_test.go
+++ b/internal/program/gateway/eras_test.go
@@ -12,6 +12,8 @@
 	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
 	"wagtailshelf.example/wagtailshelf/internal/record/feed"
 	"wagtailshelf.example/wagtailshelf/internal/record/position"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/notice"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
@@ -253,6 +255,38 @@
 	requireServing(t, g)
 }
 
+// Guards against a target that leaves and is used again, as a copy has an earlier life of it.
+func TestEarlierLifeOfALeavingTargetInACopy(t *testing.T) {
+	for name, c := range map[string]struct{ is, copied feed.Change[roster.Target] }{
+		"told by birth": {listed("a", noon, 70, 5), listed("a", noon.Add(-time.Minute), 300, 3)},
+		"told by beats": {listed("a", time.Time{}, 70, 5), listed("a", time.Time{}, 69, 3)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGateway()
+			g.installRules(0, version(7))
+			g.changeTarget(c.is)
+			k := &admission.Ticket{Service: "svc"}
+			require.Equal(t, admission.Go, g.admit.Arrive(time.Now(), k))
+			g.admit.Noticed(time.Now(), k, notice.Said{Leaves: true})
+			now := time.Now()
+			g.listTargets(now, feed.Page[roster.Target]{Renewed: true, Changes: []feed.Change[roster.Target]{c.copied}})
+			requireServing(t, g)
+			g.changeTarget(c.is) // it writes its entry again
+			requireServing(t, g)
+			g.settleTargets(now.Add(copyLasts))
+			requireServing(t, g)
+		})
+	}
+	t.Run("a later life is no copy's", func(t *testing.T) {
+		g := newGateway()
+		g.installRules(0, version(7))
+		g.changeTarget(listed("a", noon, 70, 5))
+		require.True(t, g.roster.Leave("a"))
+		g.listTargets(time.Now(), feed.Page[roster.Target]{Renewed: true, Changes: []feed.Change[roster.Target]{listed("a", noon.Add(time.Minute), 1, 3)}})
+		requireServing(t, g, "a")
+	})
+}
+
 // A request is held back as it crashed servers. The store comes back from a copy without the
 // records of it: that is no operator who frees the request. The entry writes what it saw
 // again; an entry that starts after that knows as well.
