What a target said holds though a copy of the store lists an earlier life of it

Callers would have been sent to a target that had said that it leaves: the store came back from a copy that has the target's life before that, which passed for a new one. What was kept of its life was forgotten, until the server wrote its entry again. Born later, it is a new life as before.

--- a/internal/program/gateway/knowledge.go
+++ b/internal/program/gateway/knowledge.go
@@ -166,7 +166,8 @@
 	listed := make(map[string]bool, len(p.Changes))
 	for _, c := range p.Changes {
 		listed[c.Name] = true
-		if p.Renewed && !c.Unreadable && g.left.hold(now, c.Object) {
+		known, _ := g.roster.Get(c.Name)
+		if p.Renewed && !c.Unreadable && g.left.hold(now, c.Object, known) {
 			g.log.Info().Str("event", "targetOfCopy").Str("target", c.Name).Stringer("at", c.Object.Changed).Msg("")
 			continue
 		}
--- a/internal/program/gateway/left.go
+++ b/internal/program/gateway/left.go
@@ -49,13 +49,16 @@
 	}
 }
 
-// hold tells whether a target that a copy lists is a life that has left. It is held then, until
-// its entry lapses, or has stood for so long that the server must live.
-func (l *left) hold(now time.Time, t roster.Target) bool {
+// hold tells whether a target that a copy lists is a life that has left, or an earlier one of a
+// target that the entry knows. It is held then, until its entry lapses, is written again, or has
+// stood for so long that the server must live.
+func (l *left) hold(now time.Time, t roster.Target, known roster.Target) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	was, found := l.lives[t.ID]
-	if !found || !was.target.SameLife(t) || now.Sub(was.at) >= leftKept {
+	hasLeft := found && was.target.SameLife(t) && now.Sub(was.at) < leftKept
+	isEarlier := known.ID == t.ID && !known.SameLife(t) && !t.Born.After(known.Born)
+	if !hasLeft && !isEarlier {
 		return false
 	}
 	l.held[t.ID] = leftLife{target: t, at: now}
