Soak: servers that ask for rest and that say that they leave

Two more plain servers turn all away at times and ask for rest, and at times say that they leave while they are listed as ready, and start again under their ids. The soak holds each entry to that, unless it was stopped, frozen or started since. Requests tell by their ids which entry they were sent to. The check of refused requests looks up the whole id: soak-1 found the lines of soak-12, and passed over some checks for it.

--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -95,6 +95,9 @@
 		r := rand.New(rand.NewPCG(seed, uint64(100+n)))
 		running.Go(func() { c.keepCalling(ctx, r) })
 	}
+	for n, s := range w.notifiers {
+		running.Go(func() { s.run(ctx, rand.New(rand.NewPCG(seed, uint64(200+n)))) })
+	}
 	w.harm(time.Now().Add(*lasts))
 	for i := range w.entries {
 		require.Eventually(t, func() bool { return w.ready(i) }, settleLimit, 50*time.Millisecond, "entry %d is ready again", i)
@@ -107,6 +110,10 @@
 	stop()
 	running.Wait()
 	c.check()
+	for _, n := range w.notifiers {
+		n.set(0, false)
+		n.check()
+	}
 	c.checkBrittle()
 	for _, g := range w.groups {
 		require.Empty(t, g.Broken(), "all ranks of %s have one map in each pass", g.Name)
@@ -143,7 +150,7 @@
 
 // call makes one request and tells whether its connection may be used again.
 func (c *calls) call(ctx context.Context, client *http.Client, entry int, r *rand.Rand) bool {
-	id := fmt.Sprintf("soak-%d", c.number.Add(1))
+	id := newID(entry, c.number.Add(1))
 	path, method, key := "stream", http.MethodPost, "k-stayer"
 	switch u := r.Float64(); {
 	case u < 0.25:
@@ -293,7 +300,9 @@
 
 // streamed tells whether a request may run more than once; then a refusal says only
 // that the last try did not run.
-func (w *world) streamed(id string) bool { return strings.Contains(w.logs(id), `"kind":"streaming"`) }
+func (w *world) streamed(id string) bool {
+	return strings.Contains(w.logs(`"id":"`+id+`"`), `"kind":"streaming"`)
+}
 
 // harm brings faults until the end, some at the same time, and then undoes them.
 func (w *world) harm(end time.Time) {
@@ -319,14 +328,19 @@
 		group := w.groups[side / *rankCount]
 		proxy := w.proxies[w.r.IntN(len(w.proxies))]
 		d := time.Duration(300+w.r.IntN(1700)) * time.Millisecond
+		w.disturb(p)
 		switch w.r.IntN(13) {
 		case 0:
 			p.signal(syscall.SIGKILL)
 			p.await(settleLimit)
+			w.disturb(p)
 			p.start(w.t, w.binary)
 		case 1:
 			p.signal(syscall.SIGSTOP)
-			later(d, func() { p.signal(syscall.SIGCONT) })
+			later(d, func() {
+				w.disturb(p)
+				p.signal(syscall.SIGCONT)
+			})
 		case 2:
 			p.signal(syscall.SIGCONT)
 			p.signal(syscall.SIGTERM)
@@ -335,6 +349,7 @@
 				p.signal(syscall.SIGKILL)
 				p.await(settleLimit)
 			}
+			w.disturb(p)
 			p.start(w.t, w.binary)
 		case 3:
 			p.signal(syscall.SIGHUP)
--- a/internal/program/soak/world_test.go
+++ b/internal/program/soak/world_test.go
@@ -96,9 +96,11 @@
 	saved     []standin.Copy  // of the store, at the last steps
 	putBacks  int             // of the store from a copy
 	config    *standin.Config // that the operator wrote last
+	notifiers []*notifier     // servers that say things of themselves
 
-	mu       sync.Mutex
-	problems []string
+	mu           sync.Mutex
+	problems     []string
+	disturbances []disturbance // of entries
 }
 
 func (w *world) problem(format string, args ...any) {
@@ -161,6 +163,9 @@
 	}
 	w.startPlain()
 	w.startBrittle()
+	for i := range 2 {
+		w.startNotifier(i)
+	}
 	w.putConfig(true)
 	peers, http, ready, metrics := freePort(t), freePort(t), freePort(t), freePort(t)
 	for i := range *entryCount {
@@ -303,6 +308,9 @@
 		w.store.PutServer(fmt.Sprint("p-", n), "app", s.Address)
 	}
 	w.brittle.WriteAgain()
+	for _, n := range w.notifiers {
+		n.write()
+	}
 }
 
 // end ends what the soak started, and nothing else.
