--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -40,6 +40,7 @@
 	Silent     bool          `json:"silent"`     // requests take effect, but get no answer
 	LoseAnswer bool          `json:"loseAnswer"` // requests take effect, then the connection breaks
 	Refuse     bool          `json:"refuse"`     // requests get 503 and take no effect
+	Rest       time.Duration `json:"rest"`       // that refusals ask for, in nanoseconds; 0 for none
 	CutShort   bool          `json:"cutShort"`   // answers break off half-way
 }
 
@@ -64,6 +65,7 @@
 	faults Faults
 	logged map[string]*Logged
 	order  []string
+	turned []time.Time // when requests were refused
 }
 
 // New returns a service with nothing logged.
@@ -121,6 +123,22 @@
 	return n
 }
 
+// Turned returns when requests were refused.
+func (s *Service) Turned() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.turned...)
+}
+
+func (s *Service) refuse(w http.ResponseWriter, rest time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turned = append(s.turned, time.Now())
+	if rest > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
+	}
+}
+
 // guard applies the faults around a handler. The handler's answer is held back
 // until its effect has taken place.
 func (s *Service) guard(next func(r *http.Request) (int, any)) http.HandlerFunc {
@@ -130,6 +148,7 @@
 			time.Sleep(f.Slowness)
 		}
 		if f.Refuse {
+			s.refuse(w, f.Rest)
 			reply(w, http.StatusServiceUnavailable, problem{Error: "not run"})
 			return
 		}
