A sidecar keeps to the rest that its target asks for

Callers of the project's own interface saw 503 from a target that wanted nothing for seconds, though another was free: the sidecar, its only door, passed each refusal on and the next request in. Change: the desk keeps the target's word on the same board as entries do (traffic/notice); requests are refused while it rests (targetRests, not run, with the time that is left), which the entry's chooser takes as a refusal of the target for all, as it always did for other reasons; what waited at the sidecar as the rest began is not sent, and goes elsewhere.

--- a/internal/program/sidecar/desk.go
+++ b/internal/program/sidecar/desk.go
@@ -7,6 +7,7 @@
 	"github.com/phuslu/log"
 
 	"wagtailshelf.example/wagtailshelf/internal/traffic/book"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/notice"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/workspace"
 )
@@ -60,6 +61,8 @@
 
 	ready func() bool // new work may begin; nil for always
 
+	notices notice.Board // what the target said of itself
+
 	lines      map[book.Peer]*line
 	jobs       map[request.ID]*job
 	tickets    map[workspace.Ticket]request.ID
@@ -181,6 +184,9 @@
 		if j := d.jobs[ev.ID]; j != nil {
 			j.begun = true
 		}
+		if ev.Kind == book.EngineHead {
+			d.hear(now, ev)
+		}
 	case book.EngineEnd, book.EngineNotReached:
 		if j := d.jobs[ev.ID]; j != nil {
 			if j.recovered {
@@ -223,7 +229,7 @@
 	case book.CloseStream:
 		d.dropLine(a.Peer)
 	case book.Admit:
-		d.admit(a)
+		d.admit(now, a)
 	case book.Withdraw:
 		d.withdraw(a.ID)
 	case book.Run:
@@ -248,11 +254,15 @@
 	}
 }
 
-func (d *desk) admit(a book.Action) {
+func (d *desk) admit(now time.Time, a book.Action) {
 	if d.ready != nil && !d.ready() {
 		d.refuseUnlearnt(a.ID)
 		return
 	}
+	if left, resting := d.resting(now); resting {
+		d.refuseResting(a.ID, left)
+		return
+	}
 	d.nextTicket++
 	j := &job{id: a.ID, ticket: d.nextTicket, deadline: a.Arrived.Add(a.Call.Remaining)}
 	d.jobs[a.ID] = j
@@ -291,7 +301,7 @@
 
 func (d *desk) start(now time.Time, a book.Action) {
 	j := d.jobs[a.ID]
-	if j == nil {
+	if _, resting := d.resting(now); j == nil || resting { // what waited until the rest began is not sent
 		d.later(deskEvent{kind: deskBook, book: book.Event{Kind: book.EngineNotReached, ID: a.ID}})
 		return
 	}
--- a/internal/program/trial/rest_test.go
+++ b/internal/program/trial/rest_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -48,3 +49,22 @@
 	require.LessOrEqual(t, late, 2)
 	require.Zero(t, refused, "the other target serves")
 }
+
+// Guards against requests that wait at a sidecar and are sent as its target's rest begins.
+func TestWhatWaitsAtASidecarIsNotSentIntoARest(t *testing.T) {
+	const rest = 3 * time.Second
+	d := newDeployment(t)
+	agenda := d.Targets[2].Service
+	agenda.SetFaults(service.Faults{Refuse: true, Rest: rest, Slowness: 300 * time.Millisecond})
+	var calls sync.WaitGroup
+	for n := range 160 {
+		calls.Go(func() { post(t, d, "/agenda/outcomes", trial.SmallKey, fmt.Sprint("call ", n)) })
+	}
+	calls.Wait()
+	turned := agenda.Turned()
+	require.NotEmpty(t, turned)
+	require.Less(t, len(turned), 160, "some waited")
+	for _, at := range turned {
+		require.Less(t, at.Sub(turned[0]), 300*time.Millisecond, "%d were turned away", len(turned))
+	}
+}
--- a/internal/traffic/request/outcome.go
+++ b/internal/traffic/request/outcome.go
@@ -38,6 +38,7 @@
 	Overloaded         Reason = "overloaded"         // admission refused it
 	Draining           Reason = "draining"           // the target is leaving
 	BookFull           Reason = "bookFull"           // the sidecar remembers as many requests as it may
+	TargetRests        Reason = "targetRests"        // the target asked for rest, for all requests
 	NeverSeen          Reason = "neverSeen"          // the sidecar did not get the request and now never will
 	BodyIncomplete     Reason = "bodyIncomplete"     // the body did not arrive whole
 	BodyTooLarge       Reason = "bodyTooLarge"       // the body is over the sidecar's bound
