While all targets of a service leave, they are used for a part of the drain time

Callers were refused at once (noTarget) for the two seconds in which targets that said that they leave still serve, where no other was left. Now they get requests for 0.4 of the drain time, if no other takes any: the rest is left for what the store takes to tell and a request to arrive. Not those that are gone, or met as leaving, which may have said so long ago. What waited for a connection is looked up in the same list before it is sent, so that a target which the store tells of as leaving meanwhile gets nothing either. TestAllTargetsLeave red before (serving none), each exception a subtest.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -39,6 +39,8 @@
 	DataCentre string
 	Slots      int  // requests that run at the same time
 	Leaving    bool // the server has said that it will end
+	// Said is when that was learnt; zero if the target does not leave, or is gone already.
+	Said time.Time
 	// Displaced tells that a later target is listed at its address: it gets no new request.
 	Displaced bool
 	// Unreadable tells that its entry can't be read any more: it gets no new request.
@@ -130,15 +132,15 @@
 	r.index(t.Service)
 }
 
-// Leave marks a target as leaving, on its own word.
-func (r *Roster) Leave(id string) bool {
+// Leave marks a target as leaving: it said so at some time, or is gone if that is zero.
+func (r *Roster) Leave(id string, said time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t, found := r.targets[id]
 	if !found || t.Leaving {
 		return false
 	}
-	t.Leaving = true
+	t.Leaving, t.Said = true, said
 	r.targets[id] = t
 	r.index(t.Service)
 	return true
@@ -179,6 +181,20 @@
 	return r.lists[service]
 }
 
+// Draining returns the targets of a service that said that they leave after some time. They
+// serve for a while yet.
+func (r *Roster) Draining(service string, after time.Time) []Target {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var list []Target
+	for _, t := range r.targets {
+		if t.Service == service && t.Leaving && t.Said.After(after) && !t.Displaced && !t.Unreadable {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
 // Get returns the target with that id.
 func (r *Roster) Get(id string) (Target, bool) {
 	r.mu.RLock()
--- a/internal/program/gateway/eras_test.go
+++ b/internal/program/gateway/eras_test.go
@@ -281,7 +281,7 @@
 		g := newGateway()
 		g.installRules(0, version(7))
 		g.changeTarget(listed("a", noon, 70, 5))
-		require.True(t, g.roster.Leave("a"))
+		require.True(t, g.roster.Leave("a", noon))
 		g.listTargets(time.Now(), feed.Page[roster.Target]{Renewed: true, Changes: []feed.Change[roster.Target]{listed("a", noon.Add(time.Minute), 1, 3)}})
 		requireServing(t, g, "a")
 	})
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -85,7 +85,7 @@
 	dialled := m.NewCounter("wagtailshelf_target_connections_total")
 	g.pool.Dialled = dialled.Inc
 	g.pool.MostIdle = g.idleConnections
-	g.admit.Targets = g.roster.Serving
+	g.admit.Targets = g.serving
 	g.admit.RulesFor = g.limits
 	g.admit.Believes = g.believes
 	g.admit.BelievesRate = g.believesRate
--- a/internal/program/gateway/knowledge.go
+++ b/internal/program/gateway/knowledge.go
@@ -202,18 +202,22 @@
 	case found && known.SameLife(c.Object):
 		// A target that has said that it leaves doesn't come back in this life.
 		c.Object.Leaving = c.Object.Leaving || known.Leaving
+		c.Object.Said = known.Said
 		if c.Object.Since.Era == known.Since.Era {
 			c.Object.Since, c.Object.Displaced = known.Since, known.Displaced
 		} // else which of two at one address lives is told anew, in the numbers of this era
 	case found:
 		g.startedAgain(known, &c.Object)
 	}
+	if found && c.Object.Leaving && !known.Leaving { // one that is met as leaving may have said so long ago
+		c.Object.Said = time.Now()
+	}
 	for _, id := range g.roster.Put(c.Object) {
 		g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", "addressTaken").Str("by", c.Name).Msg("")
 	}
 	// After Put: a target that says that it leaves in this moment would be listed over it.
-	if g.admit.Listed(time.Now(), c.Object) {
-		g.leave(c.Object)
+	if since, leaves := g.admit.Listed(time.Now(), c.Object); leaves {
+		g.leave(c.Object, since)
 	}
 	if !found || known.Leaving != c.Object.Leaving {
 		g.log.Info().Str("event", "target").Str("target", c.Name).Str("service", c.Object.Service).
@@ -249,16 +253,30 @@
 // heardGone takes the word of a server that it is not the target that was expected at
 // its address. The list may show that target for seconds yet.
 func (g *Gateway) heardGone(id string) {
-	if g.roster.Leave(id) {
+	if g.roster.Leave(id, time.Time{}) {
 		g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", "anotherAnswers").Msg("")
 	}
 }
 
 // leave takes the word of a target that it is about to end, unless it has started again since.
-func (g *Gateway) leave(t roster.Target) {
+func (g *Gateway) leave(t roster.Target, since time.Time) {
 	if known, found := g.roster.Get(t.ID); found && (known.SameLife(t) || t.SameLife(known)) {
-		g.roster.Leave(t.ID)
+		g.roster.Leave(t.ID, since)
+	}
+}
+
+// lastUse is the part of the drain time in which targets that leave get requests while no other
+// is left. It leaves what the store takes to tell, and a request to arrive.
+const lastUse = 0.4
+
+// serving are the targets of a service that take requests: of those that leave only if there is
+// no other, as when a whole data centre is taken away.
+func (g *Gateway) serving(service string) []roster.Target {
+	if list := g.roster.Serving(service); len(list) > 0 {
+		return list
 	}
+	last := time.Duration(lastUse * float64(g.bounds.Load().Drain))
+	return g.roster.Draining(service, time.Now().Add(-last))
 }
 
 // settleTargets decides on targets that were held: those that stay missing are gone, and those
--- a/internal/program/gateway/lives_test.go
+++ b/internal/program/gateway/lives_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
 	"wagtailshelf.example/wagtailshelf/internal/record/feed"
 	"wagtailshelf.example/wagtailshelf/internal/record/position"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
@@ -105,11 +106,7 @@
 // Guards against a target that says that it leaves and is used again as some list has it.
 func TestWordOfLeavingOutlivesLists(t *testing.T) {
 	was := listed("a", noon, 70, 5)
-	says := func(g *Gateway) {
-		k := &admission.Ticket{Service: "svc"}
-		require.Equal(t, admission.Go, g.admit.Arrive(time.Now(), k))
-		g.admit.Noticed(time.Now(), k, notice.Said{Leaves: true})
-	}
+	says := func(g *Gateway) { g.admit.Noticed(time.Now(), ticketOf(t, g), notice.Said{Leaves: true}) }
 	removed := feed.Change[roster.Target]{Name: "a", Removed: true}
 	for name, c := range map[string]struct {
 		changes []feed.Change[roster.Target]
@@ -143,3 +140,59 @@
 		})
 	}
 }
+
+// Guards against callers that are refused while all targets leave and still serve, and against
+// requests there after that.
+func TestAllTargetsLeave(t *testing.T) {
+	list := func(g *Gateway) int { return len(g.serving("svc")) }
+	leaving := listed("a", noon, 71, 9)
+	leaving.Object.Leaving = true
+	for name, leave := range map[string]func(*Gateway){
+		"by the list": func(g *Gateway) { g.changeTarget(leaving) },
+		"by its word": func(g *Gateway) { g.admit.Noticed(time.Now(), ticketOf(t, g), notice.Said{Leaves: true}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGateway()
+			g.bounds.Store(&deployed.Bounds{Drain: time.Second})
+			g.installRules(0, version(7))
+			g.changeTarget(listed("a", noon, 70, 5))
+			leave(g)
+			requireServing(t, g)
+			require.Equal(t, 1, list(g))
+			require.False(t, g.admit.Withdrawn(time.Now(), ticketOf(t, g)))
+			g.changeTarget(feed.Change[roster.Target]{Name: "a", Object: leaving.Object})
+			time.Sleep(time.Duration(lastUse * float64(time.Second)))
+			require.Zero(t, list(g))
+			g.changeTarget(listed("a", noon, 72, 11))
+			require.Zero(t, list(g), "told again")
+		})
+	}
+	t.Run("not one that is gone", func(t *testing.T) {
+		g := newGateway()
+		g.changeTarget(listed("a", noon, 70, 5))
+		g.heardGone("a")
+		require.Zero(t, list(g))
+	})
+	t.Run("not one that is met as leaving", func(t *testing.T) {
+		g := newGateway()
+		g.changeTarget(leaving)
+		require.Zero(t, list(g))
+	})
+	t.Run("not while another serves", func(t *testing.T) {
+		g := newGateway()
+		g.changeTarget(listed("a", noon, 70, 5))
+		other := listed("b", noon, 70, 6)
+		other.Object.Address = netip.MustParseAddrPort("10.0.0.2:80")
+		g.changeTarget(other)
+		g.changeTarget(leaving)
+		require.Equal(t, "b", g.serving("svc")[0].ID)
+		require.Equal(t, 1, list(g))
+	})
+}
+
+// ticketOf is a request that has been sent to a target of the service.
+func ticketOf(t *testing.T, g *Gateway) *admission.Ticket {
+	k := &admission.Ticket{Service: "svc"}
+	require.Equal(t, admission.Go, g.admit.Arrive(time.Now(), k))
+	return k
+}
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -49,7 +49,7 @@
 	event := "targetRests"
 	if b.Said.Leaves {
 		event = "targetLeaves"
-		g.leave(b.Target)
+		g.leave(b.Target, time.Now())
 	}
 	g.metrics.GetOrCreateCounter(fmt.Sprintf(`wagtailshelf_notices_total{event=%q}`, event)).Inc()
 	g.log.Info().Str("event", event).Str("target", b.Target.ID).Dur("for", b.Said.Rest).Msg("")
--- a/internal/traffic/admission/notice.go
+++ b/internal/traffic/admission/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
@@ -35,21 +36,23 @@
 }
 
 // Listed takes the word of the store that a target is in some life, and tells whether the
-// target has said that it leaves.
-func (c *Controller) Listed(now time.Time, t roster.Target) (leaves bool) {
+// target has said that it leaves, and since when.
+func (c *Controller) Listed(now time.Time, t roster.Target) (since time.Time, leaves bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.notices.Listed(now, t)
 	return c.notices.Leaves(t.ID)
 }
 
-// Withdrawn tells whether a request's target has asked for rest, or said that it leaves, since it
-// was chosen. What waited for a connection meanwhile must not be sent.
+// Withdrawn tells whether a request's target takes none any more since it was chosen: it asked for
+// rest, or leaves. What waited for a connection meanwhile must not be sent.
 func (c *Controller) Withdrawn(now time.Time, t *Ticket) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_, resting := c.notices.Resting(now, t.target.ID)
-	return resting || c.notices.Leaves(t.target.ID)
+	if _, resting := c.notices.Resting(now, t.target.ID); resting {
+		return true
+	}
+	return !slices.ContainsFunc(c.Targets(t.Service), func(o roster.Target) bool { return o.ID == t.target.ID })
 }
 
 // hopeless tells how long a request would wait, and the verdict if that is too long, where all
--- a/internal/traffic/admission/notice_test.go
+++ b/internal/traffic/admission/notice_test.go
@@ -134,9 +134,12 @@
 	again.Born = start
 	c.StartedAgain(start.Add(time.Second), again)
 	c.Noticed(start.Add(2*time.Second), k, notice.Said{Leaves: true})
-	require.False(t, c.Listed(start.Add(2*time.Second), again))
+	_, leaves := c.Listed(start.Add(2*time.Second), again)
+	require.False(t, leaves)
 	k = ticket()
 	require.Equal(t, Go, c.Arrive(start.Add(3*time.Second), k))
 	c.Noticed(start.Add(3*time.Second), k, notice.Said{Leaves: true})
-	require.True(t, c.Listed(start.Add(3*time.Second), k.Target()))
+	since, leaves := c.Listed(start.Add(4*time.Second), k.Target())
+	require.True(t, leaves)
+	require.Equal(t, start.Add(3*time.Second), since)
 }
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -85,7 +85,7 @@
 		}},
 		Now:      time.Now,
 		Draining: new(atomic.Bool),
-		Gone:     func(id string) { b.targets.Leave(id) },
+		Gone:     func(id string) { b.targets.Leave(id, time.Time{}) },
 		Broke:    func(Break) {},
 
 		Quarantine: quarantine.New("entry-1"),
--- a/internal/traffic/notice/board.go
+++ b/internal/traffic/notice/board.go
@@ -37,8 +37,8 @@
 	until  time.Time     // end of its rest; zero if it asked for none
 	back   time.Time     // when it gets the first request after that
 	allow  int           // requests at the same time until it has served some; 0 for no such bound
-	leaves bool
-	known  time.Time // when it was heard or listed last
+	leaves time.Time     // since when it says that it leaves; zero if it doesn't
+	known  time.Time     // when it was heard or listed last
 }
 
 // Rest takes the word of a target that it wants no request for some time. Of several the latest
@@ -62,9 +62,11 @@
 // whether that is news.
 func (b *Board) Leave(now time.Time, t roster.Target) bool {
 	w := b.of(now, t)
-	news := !w.leaves
-	w.leaves = true
-	return news
+	if !w.leaves.IsZero() {
+		return false
+	}
+	w.leaves = now
+	return true
 }
 
 // of returns the word of a target, a new one if there is none.
@@ -108,15 +110,18 @@
 			delete(b.words, t.ID)
 			return
 		}
-		w.leaves = false
+		w.leaves = time.Time{}
 	}
 	w.life, w.known = t, now
 }
 
-// Leaves tells whether a target has said that it is about to end.
-func (b *Board) Leaves(id string) bool {
+// Leaves tells whether a target has said that it is about to end, and since when.
+func (b *Board) Leaves(id string) (since time.Time, leaves bool) {
 	w := b.words[id]
-	return w != nil && w.leaves
+	if w == nil {
+		return time.Time{}, false
+	}
+	return w.leaves, !w.leaves.IsZero()
 }
 
 // Resting tells whether a target wants no request now, and until when.
@@ -154,13 +159,13 @@
 // Sweep forgets what nobody will ask for any more.
 func (b *Board) Sweep(now time.Time, listed func(id string) bool) {
 	for id, w := range b.words {
-		if w.leaves && listed(id) {
+		if !w.leaves.IsZero() && listed(id) {
 			w.known = now
 		}
 		if now.Before(w.back) {
 			continue
 		}
-		if !w.leaves && w.allow == 0 || now.Sub(w.known) > kept {
+		if w.leaves.IsZero() && w.allow == 0 || now.Sub(w.known) > kept {
 			delete(b.words, id)
 		}
 	}
--- a/internal/traffic/notice/board_test.go
+++ b/internal/traffic/notice/board_test.go
@@ -15,6 +15,12 @@
 	one   = roster.Target{ID: "t1", Service: "svc", Born: start.Add(-time.Hour), Beat: 70}
 )
 
+func requireLeaves(t *testing.T, b *Board, id string, want bool, msg ...any) {
+	t.Helper()
+	_, leaves := b.Leaves(id)
+	require.Equal(t, want, leaves, msg...)
+}
+
 func requireRests(t *testing.T, b *Board, at time.Duration, want bool) {
 	t.Helper()
 	require.Equal(t, !want, b.Free(start.Add(at), one.ID, 0))
@@ -104,7 +110,7 @@
 			b.Leave(start, one)
 			b.Listed(start.Add(time.Second), c.next)
 			sameLife := one.SameLife(c.next)
-			require.Equal(t, sameLife, b.Leaves(one.ID), "a life that has just begun has not said so")
+			requireLeaves(t, b, one.ID, sameLife, "a life that has just begun has not said so")
 		})
 	}
 }
@@ -115,14 +121,14 @@
 	b := resting()
 	b.Leave(start, one)
 	b.Sweep(start.Add(time.Minute), gone)
-	require.True(t, b.Leaves(one.ID))
+	requireLeaves(t, b, one.ID, true)
 	b.Listed(start.Add(2*time.Minute), one)
-	require.True(t, b.Leaves(one.ID))
+	requireLeaves(t, b, one.ID, true)
 	b.Sweep(start.Add(time.Hour), func(string) bool { return true })
 	b.Sweep(start.Add(time.Hour+kept), gone)
-	require.True(t, b.Leaves(one.ID), "it was listed until now")
+	requireLeaves(t, b, one.ID, true, "it was listed until now")
 	b.Sweep(start.Add(2*time.Hour), gone)
-	require.False(t, b.Leaves(one.ID))
+	requireLeaves(t, b, one.ID, false)
 	require.Empty(t, b.words)
 }
 
@@ -133,6 +139,6 @@
 		b.Leave(start.Add(time.Duration(n)), roster.Target{ID: fmt.Sprint(n)})
 	}
 	require.Len(t, b.words, mostWords)
-	require.True(t, b.Leaves(fmt.Sprint(mostWords+99)))
-	require.False(t, b.Leaves("0"), "the oldest goes first")
+	requireLeaves(t, b, fmt.Sprint(mostWords+99), true)
+	requireLeaves(t, b, "0", false, "the oldest goes first")
 }
