--- a/internal/traffic/admission/admission_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -235,8 +235,11 @@
 	require.Equal(t, Go, c.Arrive(now, first))
 	require.Equal(t, Wait, c.Arrive(now, second), "one finds out whether it serves again")
 	c.Serves(now, first.Target())
-	c.Done(now, first, End{})
+	c.Tick(now)
 	requireGranted(t, second, true)
+	c.Done(now, first, End{})
+	c.Done(now, second, End{Refused: true})
+	require.Equal(t, Go, c.Arrive(now.Add(AvoidRefused), ticket()), "it begins anew")
 }
 
 // Guards against one full moment of a target that counts as many.
--- a/internal/traffic/admission/notice_test.go
+++ b/internal/traffic/admission/notice_test.go
@@ -77,7 +77,11 @@
 	require.Equal(t, Wait, c.Arrive(start, short))
 	require.Equal(t, Wait, c.Arrive(start, long))
 	c.Noticed(start, first, notice.Said{Rest: threeSeconds})
-	<-short.Refused()
+	select {
+	case <-short.Refused():
+	default:
+		require.Fail(t, "it waits on")
+	}
 	require.Equal(t, Resting, short.Refusal())
 	require.GreaterOrEqual(t, short.After, threeSeconds)
 	require.Equal(t, 1, c.Waiting("svc"))
@@ -143,3 +147,21 @@
 	require.True(t, leaves)
 	require.Equal(t, start.Add(3*time.Second), since)
 }
+
+// Guards against requests that leave a slow rank for one that wants none.
+func TestRequestsDoNotLeaveForARestingTarget(t *testing.T) {
+	c := twoGroups()
+	c.Noticed(start, &Ticket{Service: "svc", target: c.Targets("svc")[1]}, notice.Said{Rest: threeSeconds})
+	k := ticket()
+	require.Equal(t, Go, c.Arrive(start, k))
+	require.Equal(t, "t0", k.Target().ID)
+	left := 0
+	c.OnSlow(k, func() bool { left++; return true })
+	slow := Look{Group: groupOne, Open: true, Targets: map[string]Told{"t0": {Load: 1, Slow: true}}}
+	c.Told(start, slow)
+	require.Zero(t, left)
+	after := start.Add(threeSeconds + notice.MostSpread)
+	tellOpen(c, after, groupTwo, "t1")
+	c.Told(after, slow)
+	require.Equal(t, 1, left, "it takes one again")
+}
--- a/internal/traffic/forward/notice_test.go
+++ b/internal/traffic/forward/notice_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/notice"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
@@ -97,3 +98,14 @@
 		})
 	}
 }
+
+// Guards against a request that is written to a target which asked for rest as it connected.
+func TestRestThatBeginsWhileARequestConnects(t *testing.T) {
+	s := standin.NewServer(t, whole("hello"))
+	b := newBench(t, s)
+	k := &admission.Ticket{Service: "svc", Fresh: time.Second}
+	require.Equal(t, admission.Go, b.Admission.Arrive(time.Now(), k))
+	b.Pool.Dialled = func() { b.Admission.Noticed(time.Now(), k, notice.Said{Rest: time.Minute}) }
+	requireRefused(t, b.call(http.MethodPost, "/unsafe/x"), http.StatusServiceUnavailable)
+	require.Empty(t, s.Seen())
+}
--- a/internal/traffic/notice/board_test.go
+++ b/internal/traffic/notice/board_test.go
@@ -118,7 +118,7 @@
 // Guards against words that are forgotten while a list lacks their target.
 func TestWordsOfTargetsThatAreNotListed(t *testing.T) {
 	gone := func(string) bool { return false }
-	b := resting()
+	b := &Board{}
 	b.Leave(start, one)
 	b.Sweep(start.Add(time.Minute), gone)
 	requireLeaves(t, b, one.ID, true)
