A sidecar's target that crashed has asked for nothing; each further rest turns away who waits

On the project's own interface a rest ends with the life of the target, as on the platform: when a connection broke and nothing listens at its address any more. TestRestOfASidecars- Target: red in 'it crashed' without it. At entries a rest that only moves the end of the last one looks after waiting requests as well.

--- a/internal/program/sidecar/desk.go
+++ b/internal/program/sidecar/desk.go
@@ -188,6 +188,9 @@
 			d.hear(now, ev)
 		}
 	case book.EngineEnd, book.EngineNotReached:
+		if ev.Reason == request.EngineCrashed {
+			d.notices = notice.Board{} // the next life has asked for nothing
+		}
 		if j := d.jobs[ev.ID]; j != nil {
 			if j.recovered {
 				d.forget(ev.ID) // admission does not know it
--- a/internal/traffic/admission/notice.go
+++ b/internal/traffic/admission/notice.go
@@ -19,8 +19,10 @@
 func (c *Controller) Noticed(now time.Time, t *Ticket, said notice.Said) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if said.Rest > 0 && c.notices.Rest(now, t.target, said.Rest, rand.Float64()) {
-		c.believeNotice(NoticeBelief{Target: t.target, Said: notice.Said{Rest: said.Rest}})
+	if said.Rest > 0 {
+		if c.notices.Rest(now, t.target, said.Rest, rand.Float64()) {
+			c.believeNotice(NoticeBelief{Target: t.target, Said: notice.Said{Rest: said.Rest}})
+		}
 		c.turnAway(now, t.Service)
 	}
 	// A request that was sent before the list told of a new life may have met the earlier one.
