--- a/internal/traffic/admission/notice_test.go
+++ b/internal/traffic/admission/notice_test.go
@@ -9,7 +9,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/notice"
 )
 
-const threeSeconds = 3 * time.Second
+const shortRest = 3 * time.Second
 
 // newResting returns a controller some of whose targets have asked for a rest of three seconds.
 func newResting(targets, resting int, rules Rules) *Controller {
@@ -17,7 +17,7 @@
 	for _, target := range c.Targets("svc")[:resting] {
 		k := ticket()
 		k.target = target
-		c.Noticed(start, k, notice.Said{Rest: threeSeconds})
+		c.Noticed(start, k, notice.Said{Rest: shortRest})
 	}
 	return c
 }
@@ -26,7 +26,7 @@
 
 // Guards against a rest that something else goes before.
 func TestNothingOverridesARest(t *testing.T) {
-	during, after := start.Add(time.Second), start.Add(threeSeconds+notice.MostSpread)
+	during, after := start.Add(time.Second), start.Add(shortRest+notice.MostSpread)
 	for name, prepare := range map[string]func(*Controller){
 		"nothing":             func(*Controller) {},
 		"a planner's grant":   func(c *Controller) { tellOpen(c, during, groupOne, "t0") },
@@ -43,9 +43,9 @@
 			k.Priority = -9
 			require.Equal(t, Resting, c.Arrive(during, k))
 			require.InDelta(t, 2, k.After.Seconds(), 0.4, "until its end")
-			k = patient(threeSeconds)
+			k = patient(shortRest)
 			require.Equal(t, Wait, c.Arrive(during, k))
-			c.Tick(start.Add(threeSeconds - time.Millisecond))
+			c.Tick(start.Add(shortRest - time.Millisecond))
 			requireGranted(t, k, false)
 			tellOpen(c, after, groupOne, "t0")
 			requireGranted(t, k, true)
@@ -76,17 +76,17 @@
 	require.Equal(t, Go, c.Arrive(start, first))
 	require.Equal(t, Wait, c.Arrive(start, short))
 	require.Equal(t, Wait, c.Arrive(start, long))
-	c.Noticed(start, first, notice.Said{Rest: threeSeconds})
+	c.Noticed(start, first, notice.Said{Rest: shortRest})
 	select {
 	case <-short.Refused():
 	default:
 		require.Fail(t, "it waits on")
 	}
 	require.Equal(t, Resting, short.Refusal())
-	require.GreaterOrEqual(t, short.After, threeSeconds)
+	require.GreaterOrEqual(t, short.After, shortRest)
 	require.Equal(t, 1, c.Waiting("svc"))
 	c.Done(start, first, End{})
-	c.Tick(start.Add(threeSeconds + notice.MostSpread))
+	c.Tick(start.Add(shortRest + notice.MostSpread))
 	requireGranted(t, long, true)
 }
 
@@ -96,15 +96,15 @@
 	k := ticket()
 	require.Equal(t, Go, c.Arrive(start, k))
 	require.False(t, c.Withdrawn(start, k))
-	c.Noticed(start, k, notice.Said{Rest: threeSeconds})
+	c.Noticed(start, k, notice.Said{Rest: shortRest})
 	require.True(t, c.Withdrawn(start.Add(time.Second), k))
-	require.False(t, c.Withdrawn(start.Add(threeSeconds+notice.MostSpread), k))
+	require.False(t, c.Withdrawn(start.Add(shortRest+notice.MostSpread), k))
 }
 
 // Guards against requests that all go to a target as its rest is over.
 func TestCallersComeBackToATargetOneByOne(t *testing.T) {
 	c := newResting(1, 1, roomy)
-	at := start.Add(threeSeconds + notice.MostSpread)
+	at := start.Add(shortRest + notice.MostSpread)
 	first, second, third := ticket(), ticket(), ticket()
 	require.Equal(t, Go, c.Arrive(at, first))
 	require.Equal(t, Wait, c.Arrive(at, second))
@@ -123,10 +123,10 @@
 	k := ticket()
 	c.Arrive(start, k)
 	for n := range 9 {
-		c.Noticed(start.Add(time.Duration(n)*time.Millisecond), k, notice.Said{Rest: threeSeconds})
+		c.Noticed(start.Add(time.Duration(n)*time.Millisecond), k, notice.Said{Rest: shortRest})
 	}
 	c.Noticed(start, k, notice.Said{Unreadable: true})
-	require.Equal(t, []NoticeBelief{{Target: k.Target(), Said: notice.Said{Rest: threeSeconds}}}, told)
+	require.Equal(t, []NoticeBelief{{Target: k.Target(), Said: notice.Said{Rest: shortRest}}}, told)
 }
 
 // Guards against a new life that leaves since its earlier one had said so.
@@ -151,7 +151,7 @@
 // Guards against requests that leave a slow rank for one that wants none.
 func TestRequestsDoNotLeaveForARestingTarget(t *testing.T) {
 	c := twoGroups()
-	c.Noticed(start, &Ticket{Service: "svc", target: c.Targets("svc")[1]}, notice.Said{Rest: threeSeconds})
+	c.Noticed(start, &Ticket{Service: "svc", target: c.Targets("svc")[1]}, notice.Said{Rest: shortRest})
 	k := ticket()
 	require.Equal(t, Go, c.Arrive(start, k))
 	require.Equal(t, "t0", k.Target().ID)
@@ -160,7 +160,7 @@
 	slow := Look{Group: groupOne, Open: true, Targets: map[string]Told{"t0": {Load: 1, Slow: true}}}
 	c.Told(start, slow)
 	require.Zero(t, left)
-	after := start.Add(threeSeconds + notice.MostSpread)
+	after := start.Add(shortRest + notice.MostSpread)
 	tellOpen(c, after, groupTwo, "t1")
 	c.Told(after, slow)
 	require.Equal(t, 1, left, "it takes one again")
--- a/internal/traffic/notice/board.go
+++ b/internal/traffic/notice/board.go
@@ -6,11 +6,13 @@
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 )
 
+// MostSpread bounds how much later than the end of a rest the first request goes out.
+const MostSpread = time.Second
+
 const (
-	// spreadPart of a rest, and MostSpread, bound how much later than its end the first request
-	// goes out: entries that were told in the same moment would come back in the same moment.
+	// spreadPart of a rest is drawn from for that: entries that were told in the same moment
+	// would come back in the same moment.
 	spreadPart = 0.1
-	MostSpread = time.Second
 	// mostReturning is the number of requests at the same time from which a target that has
 	// rested is bounded no more than others.
 	mostReturning = 16
