Entries come back to a target over a time that grows with their number

Entries that were told to rest in the same moment came back over a tenth of the rest, whatever their number. Requests that wait are looked through with each tick: one whose last target is gone, or takes none by its own word, is refused at once and not as its patience ends (TestWaitingRequestsAreTurnedAwayOnceNoTargetIsLeft, red before).

--- a/internal/program/sidecar/rest.go
+++ b/internal/program/sidecar/rest.go
@@ -27,7 +27,7 @@
 		}
 	}
 	said := notice.Parse(rests, nil)
-	if said.Rest > 0 && d.notices.Rest(now, ownTarget, said.Rest, rand.Float64()) {
+	if said.Rest > 0 && d.notices.Rest(now, ownTarget, said.Rest, 1, rand.Float64()) {
 		d.log.Warn().Str("event", "targetRests").Dur("for", said.Rest).Msg("")
 	}
 }
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -255,6 +255,7 @@
 	c.lapseRates(now)
 	for service := range c.services {
 		c.advance(now, service)
+		c.turnAway(now, service)
 	}
 }
 
--- a/internal/traffic/admission/notice.go
+++ b/internal/traffic/admission/notice.go
@@ -20,7 +20,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if said.Rest > 0 {
-		if c.notices.Rest(now, t.target, said.Rest, rand.Float64()) {
+		entries := c.RulesFor(t.Service).Senders.Count
+		if c.notices.Rest(now, t.target, said.Rest, entries, rand.Float64()) {
 			c.believeNotice(NoticeBelief{Target: t.target, Said: notice.Said{Rest: said.Rest}})
 		}
 		c.turnAway(now, t.Service)
@@ -85,12 +86,22 @@
 }
 
 // turnAway ends the waiting of requests that can't be sent in time any more, as the last of
-// their targets has asked for rest. They would wait until their patience is over.
+// their targets is gone or takes none. They would wait until their patience is over.
 func (c *Controller) turnAway(now time.Time, service string) {
-	q, rules := c.queue(service), c.RulesFor(service)
+	q := c.queue(service)
+	if len(q.waiting) == 0 {
+		return
+	}
+	rules := c.RulesFor(service)
 	var rest []*Ticket
 	for _, t := range q.waiting {
-		wait, v, known := c.hopeless(now, c.candidates(t), len(rest), rules)
+		candidates := c.candidates(t)
+		if len(candidates) == 0 {
+			t.refusal = NoTarget
+			close(t.refused)
+			continue
+		}
+		wait, v, known := c.hopeless(now, candidates, len(rest), rules)
 		if known && wait > t.Patience-now.Sub(t.arrived) {
 			t.After, t.refusal = wait, v
 			close(t.refused)
--- a/internal/traffic/admission/notice_test.go
+++ b/internal/traffic/admission/notice_test.go
@@ -6,10 +6,14 @@
 
 	"github.com/stretchr/testify/require"
 
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/notice"
 )
 
-const shortRest = 3 * time.Second
+const (
+	shortRest  = 3 * time.Second
+	mostSpread = time.Second // more than the few entries of these tests come back over
+)
 
 // newResting returns a controller some of whose targets have asked for a rest of three seconds.
 func newResting(targets, resting int, rules Rules) *Controller {
@@ -26,7 +30,7 @@
 
 // Guards against a rest that something else goes before.
 func TestNothingOverridesARest(t *testing.T) {
-	during, after := start.Add(time.Second), start.Add(shortRest+notice.MostSpread)
+	during, after := start.Add(time.Second), start.Add(shortRest+mostSpread)
 	for name, prepare := range map[string]func(*Controller){
 		"nothing":             func(*Controller) {},
 		"a planner's grant":   func(c *Controller) { tellOpen(c, during, groupOne, "t0") },
@@ -86,10 +90,29 @@
 	require.GreaterOrEqual(t, short.After, shortRest)
 	require.Equal(t, 1, c.Waiting("svc"))
 	c.Done(start, first, End{})
-	c.Tick(start.Add(shortRest + notice.MostSpread))
+	c.Tick(start.Add(shortRest + mostSpread))
 	requireGranted(t, long, true)
 }
 
+// Guards against callers that wait for a service whose last target is gone.
+func TestWaitingRequestsAreTurnedAwayOnceNoTargetIsLeft(t *testing.T) {
+	c := newController(1, Rules{PerTarget: 1, Queue: 9, Entries: 1})
+	first, second := ticket(), patient(4*time.Second)
+	require.Equal(t, Go, c.Arrive(start, first))
+	require.Equal(t, Wait, c.Arrive(start, second))
+	c.Tick(start.Add(time.Second))
+	require.Equal(t, 1, c.Waiting("svc"))
+	c.Targets = func(string) []roster.Target { return nil }
+	c.Tick(start.Add(2 * time.Second))
+	select {
+	case <-second.Refused():
+	default:
+		require.Fail(t, "it waits on")
+	}
+	require.Equal(t, NoTarget, second.Refusal())
+	require.Zero(t, c.Waiting("svc"))
+}
+
 // Guards against a request that was chosen before the rest and is written within it.
 func TestWhatWaitedForAConnectionIsWithdrawn(t *testing.T) {
 	c := newController(1, roomy)
@@ -98,13 +121,13 @@
 	require.False(t, c.Withdrawn(start, k))
 	c.Noticed(start, k, notice.Said{Rest: shortRest})
 	require.True(t, c.Withdrawn(start.Add(time.Second), k))
-	require.False(t, c.Withdrawn(start.Add(shortRest+notice.MostSpread), k))
+	require.False(t, c.Withdrawn(start.Add(shortRest+mostSpread), k))
 }
 
 // Guards against requests that all go to a target as its rest is over.
 func TestCallersComeBackToATargetOneByOne(t *testing.T) {
 	c := newResting(1, 1, roomy)
-	at := start.Add(shortRest + notice.MostSpread)
+	at := start.Add(shortRest + mostSpread)
 	first, second, third := ticket(), ticket(), ticket()
 	require.Equal(t, Go, c.Arrive(at, first))
 	require.Equal(t, Wait, c.Arrive(at, second))
@@ -160,7 +183,7 @@
 	slow := Look{Group: groupOne, Open: true, Targets: map[string]Told{"t0": {Load: 1, Slow: true}}}
 	c.Told(start, slow)
 	require.Zero(t, left)
-	after := start.Add(shortRest + notice.MostSpread)
+	after := start.Add(shortRest + mostSpread)
 	tellOpen(c, after, groupTwo, "t1")
 	c.Told(after, slow)
 	require.Equal(t, 1, left, "it takes one again")
--- a/internal/traffic/forward/wait.go
+++ b/internal/traffic/forward/wait.go
@@ -43,30 +43,30 @@
 func (c *call) place() (*admission.Ticket, bool) {
 	now := c.f.Now()
 	t := c.ticket()
-	switch c.f.Admission.Arrive(now, t) {
+	switch v := c.f.Admission.Arrive(now, t); v {
 	case admission.Go:
 		return t, true
 	case admission.Wait:
 		return t, c.await(t, now)
 	case admission.Full:
 		c.giveUp(http.StatusServiceUnavailable, "queueFull", c.comeBackSpread())
-	case admission.Limited:
-		c.turnedAway(t, admission.Limited)
-	case admission.Resting:
-		c.turnedAway(t, admission.Resting)
-	case admission.NoTarget:
-		c.giveUp(http.StatusServiceUnavailable, "noTarget", c.comeBack())
+	case admission.Limited, admission.Resting, admission.NoTarget:
+		c.turnedAway(t, v)
 	}
 	return nil, false
 }
 
-// turnedAway ends a request all of whose targets take none by their own word.
+// turnedAway ends a request that has no target, or all of whose targets take none by their own
+// word.
 func (c *call) turnedAway(t *admission.Ticket, v admission.Verdict) {
-	reason := "targetsRest"
-	if v == admission.Limited {
-		reason = "rateLimited"
+	switch v {
+	case admission.Limited:
+		c.giveUp(http.StatusServiceUnavailable, "rateLimited", c.comeBackAfter(t.After))
+	case admission.Resting:
+		c.giveUp(http.StatusServiceUnavailable, "targetsRest", c.comeBackAfter(t.After))
+	default:
+		c.giveUp(http.StatusServiceUnavailable, "noTarget", c.comeBack())
 	}
-	c.giveUp(http.StatusServiceUnavailable, reason, c.comeBackAfter(t.After))
 }
 
 // await waits in the queue.
--- a/internal/traffic/notice/board.go
+++ b/internal/traffic/notice/board.go
@@ -6,13 +6,13 @@
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 )
 
-// MostSpread bounds how much later than the end of a rest the first request goes out.
-const MostSpread = time.Second
-
 const (
-	// spreadPart of a rest is drawn from for that: entries that were told in the same moment
-	// would come back in the same moment.
-	spreadPart = 0.1
+	// returnGap is the mean time between the first requests of entries that come back after a
+	// rest. All that were told in the same moment would come back in the same moment, and be
+	// turned away again.
+	returnGap = 10 * time.Millisecond
+	// mostSpread bounds the time over which they come back.
+	mostSpread = 10 * time.Second
 	// mostReturning is the number of requests at the same time from which a target that has
 	// rested is bounded no more than others.
 	mostReturning = 16
@@ -44,9 +44,10 @@
 }
 
 // Rest takes the word of a target that it wants no request for some time. Of several the latest
-// end counts: each of them stands for itself. Phase, from 0 to 1, is drawn at random. Rest tells
-// whether that is news.
-func (b *Board) Rest(now time.Time, t roster.Target, rest time.Duration, phase float64) bool {
+// end counts: each of them stands for itself. The first request after that goes out at a moment
+// that phase, from 0 to 1, draws from a time which all entries share. Rest tells whether the word
+// is news.
+func (b *Board) Rest(now time.Time, t roster.Target, rest time.Duration, entries, phase float64) bool {
 	w := b.of(now, t)
 	w.heard = now
 	end := now.Add(rest)
@@ -54,12 +55,16 @@
 		return false
 	}
 	news := !now.Before(w.until) || rest != w.asked
-	spread := min(time.Duration(spreadPart*float64(rest)), MostSpread)
 	w.until, w.asked, w.allow = end, rest, 1
-	w.back = end.Add(time.Duration(phase * float64(spread)))
+	w.back = end.Add(time.Duration(phase * float64(Spread(entries))))
 	return news
 }
 
+// Spread is the time over which a number of entries come back to a target after its rest.
+func Spread(entries float64) time.Duration {
+	return time.Duration(min(entries*float64(returnGap), float64(mostSpread)))
+}
+
 // Leave takes the word of a target that it is about to end, which holds for its life. It tells
 // whether that is news.
 func (b *Board) Leave(now time.Time, t roster.Target) bool {
--- a/internal/traffic/notice/board_test.go
+++ b/internal/traffic/notice/board_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -31,19 +32,19 @@
 // resting returns a board whose target asked for three seconds.
 func resting() *Board {
 	b := &Board{}
-	b.Rest(start, one, 3*time.Second, 0)
+	b.Rest(start, one, 3*time.Second, 1, 0)
 	return b
 }
 
 // Guards against a rest that a later, shorter word of the target cuts short.
 func TestLatestEndStands(t *testing.T) {
 	b := resting()
-	require.False(t, b.Rest(start.Add(time.Second), one, time.Second, 0))
+	require.False(t, b.Rest(start.Add(time.Second), one, time.Second, 1, 0))
 	requireRests(t, b, 2500*time.Millisecond, true)
-	require.False(t, b.Rest(start.Add(time.Second), one, 3*time.Second, 0), "the same again")
+	require.False(t, b.Rest(start.Add(time.Second), one, 3*time.Second, 1, 0), "the same again")
 	requireRests(t, b, 3900*time.Millisecond, true)
 	requireRests(t, b, 4*time.Second, false)
-	require.True(t, b.Rest(start.Add(5*time.Second), one, 3*time.Second, 0), "a new one")
+	require.True(t, b.Rest(start.Add(5*time.Second), one, 3*time.Second, 1, 0), "a new one")
 }
 
 // Guards against a rest that answers to earlier requests end.
@@ -72,14 +73,71 @@
 
 // Guards against entries that were told together and come back together.
 func TestReturnsAreSpread(t *testing.T) {
-	for _, c := range []struct {
-		rest time.Duration
-		most time.Duration
-	}{{3 * time.Second, 3300 * time.Millisecond}, {time.Hour, time.Hour + MostSpread}} {
+	const rest = 3 * time.Second
+	for entries, most := range map[float64]time.Duration{5: 50 * time.Millisecond, 340: 3400 * time.Millisecond, 1e9: mostSpread} {
 		b := &Board{}
-		b.Rest(start, one, c.rest, 1)
-		requireRests(t, b, c.most-time.Millisecond, true)
-		requireRests(t, b, c.most, false)
+		b.Rest(start, one, rest, entries, 1)
+		requireRests(t, b, rest+most-time.Millisecond, true)
+		requireRests(t, b, rest+most, false)
+	}
+}
+
+// Guards against a target that has to turn all away again as its rest ends, or that is left alone.
+func TestTargetIsUsedAgainAfterARest(t *testing.T) {
+	const (
+		slots   = 12
+		room    = slots + 4 // more are turned away
+		takes   = 50 * time.Millisecond
+		rest    = 3 * time.Second
+		demand  = 0.9 // of what the target serves
+		lasts   = 7 * time.Second
+		tick    = time.Millisecond
+		perTick = demand * slots * float64(tick) / float64(takes)
+	)
+	for _, entries := range []int{5, 16, 340} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(1, uint64(entries)))
+			boards, inFlight := make([]*Board, entries), make([]int, entries)
+			for e := range boards {
+				boards[e] = &Board{}
+				boards[e].Rest(start, one, rest, float64(entries), r.Float64())
+			}
+			type run struct {
+				entry int
+				ends  time.Time
+			}
+			var runs []run // those that have a slot, then those that wait
+			served, turned := 0, 0
+			for now := start.Add(rest); now.Before(start.Add(rest + lasts)); now = now.Add(tick) {
+				for len(runs) > 0 && !runs[0].ends.After(now) {
+					inFlight[runs[0].entry]--
+					boards[runs[0].entry].Served(now, one.ID)
+					runs = runs[1:]
+					served++
+				}
+				for due := perTick; r.Float64() < due; due-- {
+					e := r.IntN(entries)
+					if !boards[e].Free(now, one.ID, inFlight[e]) {
+						continue // another target has it
+					}
+					if len(runs) >= room {
+						turned++
+						boards[e].Rest(now, one, rest, float64(entries), r.Float64())
+						continue
+					}
+					begins := now
+					if len(runs) >= slots {
+						begins = runs[len(runs)-slots].ends
+					}
+					inFlight[e]++
+					runs = append(runs, run{e, begins.Add(takes)})
+				}
+			}
+			possible := perTick * float64(lasts/tick)
+			t.Logf("%d entries: %d served, %d turned away, of %.0f", entries, served, turned, possible)
+			require.Less(t, float64(turned), 0.05*float64(served))
+			require.Greater(t, float64(served), 0.5*possible)
+		})
 	}
 }
 
