--- a/internal/traffic/admission/notice.go
+++ b/internal/traffic/admission/notice.go
@@ -64,7 +64,10 @@
 	var limited []roster.Target
 	for _, target := range targets {
 		until, resting := c.notices.Resting(now, target.ID)
-		if !resting {
+		switch {
+		case !resting && !c.state(now, target).limit.Active():
+			return 0, 0, false
+		case !resting:
 			limited = append(limited, target)
 			continue
 		}
