--- a/internal/traffic/forward/notice_test.go
+++ b/internal/traffic/forward/notice_test.go
@@ -66,22 +66,7 @@
 
 // Guards against a word of leaving that some kind of answer brings and nobody hears.
 func TestAnswersThatSayThatTheTargetLeaves(t *testing.T) {
-	for name, c := range map[string]struct {
-		path   string
-		answer func(standin.Reply)
-		leaves bool
-	}{
-		"success": {"/safe/x", func(w standin.Reply) { w.Whole(http.StatusOK, "hello") }, true},
-		"stream": {"/stream/x", func(w standin.Reply) {
-			w.Head()
-			w.Event(1)
-		}, true},
-		"refusal":             {"/safe/x", func(w standin.Reply) { w.NotRun() }, true},
-		"failure":             {"/unsafe/x", func(w standin.Reply) { w.Whole(http.StatusInternalServerError, "") }, true},
-		"too many":            {"/unsafe/x", func(w standin.Reply) { w.Whole(http.StatusTooManyRequests, "") }, true},
-		"another server's":    {"/safe/x", func(w standin.Reply) { w.Misdirected() }, false},
-		"whoever answers now": {"/unsafe/x", func(w standin.Reply) { w.Raw("hello") }, false},
-	} {
+	for name, c := range kindsOfAnswer {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, standin.NewServer(t, func(w standin.Reply, _ standin.Request) {
 				w.Header("Server-Leaving", "1")
@@ -90,7 +75,7 @@
 			var left []string
 			b.Admission.BelievesNotice = func(n admission.NoticeBelief) { left = append(left, n.Target.ID) }
 			b.call(http.MethodPost, c.path)
-			if !c.leaves {
+			if !c.own {
 				require.Empty(t, left)
 				return
 			}
--- a/internal/traffic/forward/rate_test.go
+++ b/internal/traffic/forward/rate_test.go
@@ -35,32 +35,35 @@
 	}
 }
 
-// A target in need names its rate in whatever it answers. Each kind of answer counts, but for
-// those that may be another server's.
+// kindsOfAnswer are what a target may answer. A word in the headers counts in each, but for those
+// that may be another server's.
+var kindsOfAnswer = map[string]struct {
+	path   string
+	answer func(standin.Reply)
+	own    bool // the target made it
+}{
+	"success": {"/safe/x", func(w standin.Reply) { w.Whole(http.StatusOK, "hello") }, true},
+	"stream": {"/stream/x", func(w standin.Reply) {
+		w.Head()
+		w.Event(1)
+	}, true},
+	"refusal":             {"/safe/x", func(w standin.Reply) { w.NotRun() }, true},
+	"failure":             {"/unsafe/x", func(w standin.Reply) { w.Whole(http.StatusInternalServerError, "") }, true},
+	"too many":            {"/unsafe/x", func(w standin.Reply) { w.Whole(http.StatusTooManyRequests, "") }, true},
+	"another server's":    {"/safe/x", func(w standin.Reply) { w.Misdirected() }, false},
+	"whoever answers now": {"/unsafe/x", func(w standin.Reply) { w.Raw("hello") }, false},
+}
+
+// A target in need names its rate in whatever it answers.
 func TestAnswersThatNameARate(t *testing.T) {
-	for name, c := range map[string]struct {
-		path   string
-		answer func(standin.Reply)
-		heard  bool
-	}{
-		"success": {"/safe/x", func(w standin.Reply) { w.Whole(http.StatusOK, "hello") }, true},
-		"stream": {"/stream/x", func(w standin.Reply) {
-			w.Head()
-			w.Event(1)
-		}, true},
-		"refusal":             {"/safe/x", func(w standin.Reply) { w.NotRun() }, true},
-		"failure":             {"/unsafe/x", func(w standin.Reply) { w.Whole(http.StatusInternalServerError, "") }, true},
-		"too many":            {"/unsafe/x", func(w standin.Reply) { w.Whole(http.StatusTooManyRequests, "") }, true},
-		"another server's":    {"/safe/x", func(w standin.Reply) { w.Misdirected() }, false},
-		"whoever answers now": {"/unsafe/x", func(w standin.Reply) { w.Raw("hello") }, false},
-	} {
+	for name, c := range kindsOfAnswer {
 		t.Run(name, func(t *testing.T) {
 			b, told := newRateBench(t, func(w standin.Reply, _ standin.Request) {
 				w.Header("Server-Limit", "0.5")
 				c.answer(w)
 			})
 			b.call(http.MethodPost, c.path)
-			if !c.heard {
+			if !c.own {
 				require.Empty(t, told())
 				return
 			}
