A sidecar that ends takes no event after one that it dropped

Cause: putting an event on the desk's ring selects between the ring and the end of the context. Once both are ready either is chosen, so one event is lost and the next one goes out: bytes that are no beginning of the answer. Change: after the end of the context nothing is taken any more. Evidence: TestNoEventIsTakenAfterOneWasDropped, red in each of three runs before. Ruled out: another request's answer; the text is that of draft 58 without one word.

--- a/internal/program/sidecar/desk.go
+++ b/internal/program/sidecar/desk.go
@@ -111,6 +111,11 @@
 
 // put hands an event to the desk; false if ctx ended first.
 func (d *desk) put(ctx context.Context, ev deskEvent) bool {
+	// Once an event was dropped none of those after it may be taken: a select that has both
+	// chooses either, and a stream went on behind what it had lost.
+	if ctx.Err() != nil {
+		return false
+	}
 	select {
 	case d.ring <- ev:
 		return true
--- /dev/null
+++ b/internal/program/sidecar/desk_test.go
@@ -0,0 +1,22 @@
+package sidecar
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/traffic/book"
+)
+
+// Guards against a stream that lacks an event in its middle, as the sidecar ends while it is sent.
+func TestNoEventIsTakenAfterOneWasDropped(t *testing.T) {
+	d := &desk{ring: make(chan deskEvent, deskRing)}
+	ctx, end := context.WithCancel(t.Context())
+	require.True(t, d.putBook(ctx, book.Event{Kind: book.EngineData}))
+	end()
+	for range 100 {
+		require.False(t, d.putBook(ctx, book.Event{Kind: book.EngineData}))
+	}
+	require.Len(t, d.ring, 1)
+}
