Soak: each port is given once

Cause: a fault of the soak. It asks for a port that is free, lets it go and asks for the next, and the kernel may give the same one again: callers and readiness of an entry then had one port. Its log shows it: GET /ready came as a caller's request without an id, answered noRules. Change: a port that was given is not given again. Nothing is checked less.

--- a/internal/program/soak/world_test.go
+++ b/internal/program/soak/world_test.go
@@ -109,20 +109,35 @@
 	w.problems = append(w.problems, fmt.Sprintf(format, args...))
 }
 
-// freePort is a port that is free at all addresses of the soak. Other soaks may run
-// beside this one.
+// givenPorts are those that freePort has returned.
+var givenPorts = make(map[uint16]bool)
+
+// freePort is a port that is free at all addresses of the soak, and another one each time. Other
+// soaks may run beside this one.
 func freePort(t *testing.T) uint16 {
 	for {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		require.NoError(t, err)
 		port := netip.MustParseAddrPort(l.Addr().String()).Port()
 		require.NoError(t, l.Close())
-		if freeEverywhere(port) {
+		if !givenPorts[port] && freeEverywhere(port) {
+			givenPorts[port] = true
 			return port
 		}
 	}
 }
 
+// Guards against an entry that answers its callers at the address where it is asked whether it is
+// ready, as both got the same port.
+func TestPortsOfASoakDiffer(t *testing.T) {
+	seen := make(map[uint16]bool)
+	for range 1000 {
+		port := freePort(t)
+		require.False(t, seen[port], "port %d twice", port)
+		seen[port] = true
+	}
+}
+
 func freeEverywhere(port uint16) bool {
 	for group := 1; group <= 2; group++ {
 		for number := range max(*entryCount, mostGroups**rankCount) {
