A planner's seats of servers outlive a reading of the list

Callers saw: their streams stood still at a host that stands still until they left after 2 s, though the planner had known for 1.4 s that it was lost; the server there worked on for nobody until the host was back (GONE).

Cause: while ranks don't answer, the list is read again each 20 looks (`without`), and takeList made new seats of all servers. The looks went on with the old ones, and so did the mark that a rank is lost; what a closed group's members are told by is the new ones.

Change: a server that is known at its address keeps its seat.

Before: TestLostRankIsToldAfterTheListWasReadAgain fails, Lost false.

Ruled out: the entries (each took the group for closed at the same moment, from the same digests); the time until the planner knows (0.5 s).

--- a/internal/program/companion/look_test.go
+++ b/internal/program/companion/look_test.go
@@ -265,3 +265,33 @@
 		require.ElementsMatch(t, []int{1, 2}, places)
 	}
 }
+
+// Guards against callers that wait at a host which stands still: after the list was read again,
+// entries were not told that it is lost as its group closed.
+func TestLostRankIsToldAfterTheListWasReadAgain(t *testing.T) {
+	p := newPlanner()
+	targets := []roster.Target{
+		{ID: "a", Service: "svc", Address: netip.MustParseAddrPort("10.0.0.1:80")},
+		{ID: "b", Service: "svc", Address: netip.MustParseAddrPort("10.0.0.2:80")},
+	}
+	p.takeList(targets)
+	for _, s := range p.seats {
+		s.spoke, s.last = true, changeover.Report{Group: "g"}
+	}
+	ranks := p.seats
+	p.takeList(targets)
+	p.note(ranks[1], errNoAnswer)
+	require.Equal(t, []digest.Rank{{Target: "a"}, {Target: "b", Lost: true}}, p.members())
+}
+
+// Guards against orders for a server that go to the address of its earlier life.
+func TestServerAtAnotherAddressIsReachedThere(t *testing.T) {
+	p := newPlanner()
+	p.takeList([]roster.Target{{ID: "a", Service: "svc", Address: netip.MustParseAddrPort("10.0.0.1:80")}})
+	p.seats[0].spoke, p.seats[0].last = true, changeover.Report{Group: "g"}
+	moved := netip.MustParseAddrPort("10.0.0.2:80")
+	p.takeList([]roster.Target{{ID: "a", Service: "svc", Address: moved}})
+	require.Len(t, p.seats, 1)
+	require.Equal(t, moved, p.seats[0].engine)
+	require.Equal(t, roster.GroupName("g"), p.seats[0].last.Group)
+}
--- a/internal/program/companion/seats.go
+++ b/internal/program/companion/seats.go
@@ -32,7 +32,8 @@
 	p.takeList(targets)
 }
 
-// takeList makes seats of the servers of the service. What they said stays known.
+// takeList makes seats of the servers of the service. Those that are known keep theirs, which
+// ranks and looks that are under way refer to.
 func (p *planner) takeList(targets []roster.Target) {
 	known := make(map[string]*seat, len(p.seats))
 	for _, s := range p.seats {
@@ -43,12 +44,17 @@
 		if t.Service != p.c.settings.Target.Service {
 			continue
 		}
+		k := known[t.ID]
+		if k != nil && k.engine == t.Address {
+			p.seats = append(p.seats, k)
+			continue
+		}
 		s := &seat{
 			target:  t.ID,
 			engine:  t.Address,
 			sidecar: netip.AddrPortFrom(t.Address.Addr(), p.c.settings.Listen.Peers.Port()),
 		}
-		if k := known[t.ID]; k != nil {
+		if k != nil {
 			s.spoke, s.last = k.spoke, k.last
 		}
 		p.seats = append(p.seats, s)
