An entry is ready only while it reads callers' requests; late turns are logged

"Ready" promised that rules and targets are known and fresh; nobody checked that a connection can be taken, and it was said by a goroutine that needs neither the callers' listener nor the lock that all requests need.

Change: before it says ready the entry sends itself a request, through the callers' listener and handler, and waits 0.5 s for the answer (callers give up after 1 s). Belief changes are logged (`intake`), the time is a histogram. A turn of the entry's clock that comes 0.2 s late is told (`turnLate`: connections accepted and open, who waits, goroutines), once a second at most, so that the next sighting tells processor time and lock from listener.

Ways weighed: the age of the last turn of the accept loop (an idle listener has none); the length of the kernel's queue (tells no reading); a check of its own each second besides the balancer's question (two seconds later).

Before: TestNotReadyWhileNoConnectionIsTaken and TestNotReadyWhileNoRequestIsRead fail, 200 for 503.

--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -63,6 +63,9 @@
 	breaks   chan forward.Break // connections that broke, until it is known why
 	crashes  *crashes.Keeper
 	bad      *deployed.Malformed
+	intake   *intake
+
+	connections callerConnections
 }
 
 // New returns an entry that does not run yet.
@@ -80,9 +83,12 @@
 		admit:    admission.New(),
 		breaks:   make(chan forward.Break, breakRing),
 		bad:      deployed.NewMalformed(l, m),
+		intake:   newIntake(s.Listen.Callers, l, m),
 	}
 	g.bounds.Store(&s.Bounds)
 	dialled := m.NewCounter("wagtailshelf_target_connections_total")
+	m.NewGauge("wagtailshelf_caller_connections", func() float64 { return float64(g.connections.open.Load()) })
+	m.NewGauge("wagtailshelf_caller_connections_accepted", func() float64 { return float64(g.connections.accepted.Load()) })
 	g.pool.Dialled = dialled.Inc
 	g.pool.MostIdle = g.idleConnections
 	g.admit.Targets = g.serving
@@ -166,6 +172,7 @@
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	swept := time.Now()
+	var p pulse
 	for {
 		select {
 		case <-ctx.Done():
@@ -173,6 +180,7 @@
 		case now := <-tick.C:
 			g.settleTargets(now)
 			g.admit.Tick(now)
+			g.noteTurn(&p, time.Now())
 			if now.Sub(swept) >= sweepInterval {
 				swept = now
 				g.pool.Sweep(now)
@@ -183,7 +191,7 @@
 	}
 }
 
-// ready tells whether the balancer should send callers here.
+// ready tells whether what the entry knows serves callers.
 func (g *Gateway) ready() bool {
 	if g.draining.Load() || !g.targets.Load() {
 		return false
@@ -200,16 +208,22 @@
 	return time.Duration(readyTrust * float64(g.bounds.Load().Revoke))
 }
 
-func (g *Gateway) serveReadiness(ctx context.Context) error {
+// readiness answers the balancer.
+func (g *Gateway) readiness() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if !g.ready() {
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, r *http.Request) {
+		// Whoever asks may leave; what the check finds holds all the same.
+		if !g.ready() || !g.intake.works(context.WithoutCancel(r.Context())) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	return mux
+}
+
+func (g *Gateway) serveReadiness(ctx context.Context) error {
 	l, err := net.Listen("tcp4", g.settings.Listen.Readiness.String())
 	if err != nil {
 		return err
 	}
-	return deployed.ServeHTTP(ctx, l, &http.Server{Handler: mux})
+	return deployed.ServeHTTP(ctx, l, &http.Server{Handler: g.readiness()})
 }
--- /dev/null
+++ b/internal/program/gateway/intake_test.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
+)
+
+// shutListener takes connections only once it is opened, as an entry without processor time.
+type shutListener struct {
+	net.Listener
+	opened chan struct{}
+}
+
+func (l shutListener) Accept() (net.Conn, error) {
+	<-l.opened
+	return l.Listener.Accept()
+}
+
+// readyGateway returns an entry that knows all it needs, with its listener.
+func readyGateway(t *testing.T) (*Gateway, net.Listener) {
+	t.Helper()
+	g := newGateway()
+	g.installRules(deployed.Elapsed(), version(7))
+	g.targets.Store(true)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	g.intake.address = netip.MustParseAddrPort(l.Addr().String())
+	return g, l
+}
+
+func askReady(g *Gateway) int {
+	w := httptest.NewRecorder()
+	g.readiness().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/ready", nil))
+	return w.Code
+}
+
+// Guards against an entry that says ready and takes no connection.
+func TestNotReadyWhileNoConnectionIsTaken(t *testing.T) {
+	g, l := readyGateway(t)
+	opened := make(chan struct{})
+	go func() { _ = g.serveOn(t.Context(), shutListener{Listener: l, opened: opened}) }()
+	require.Equal(t, http.StatusServiceUnavailable, askReady(g))
+	close(opened)
+	require.Eventually(t, func() bool { return askReady(g) == http.StatusOK }, 20*time.Second, time.Millisecond)
+}
+
+// Guards against an entry that says ready and takes connections, but reads no request on them.
+func TestNotReadyWhileNoRequestIsRead(t *testing.T) {
+	g, l := readyGateway(t)
+	defer func() { _ = l.Close() }()
+	require.Equal(t, http.StatusServiceUnavailable, askReady(g), "the connection waits in the kernel's queue")
+}
+
+// Guards against callers who get the answer that is the entry's own.
+func TestCallerIsNotTakenForTheEntrysCheck(t *testing.T) {
+	g, l := readyGateway(t)
+	go func() { _ = g.serveOn(t.Context(), l) }()
+	require.Eventually(t, func() bool { return askReady(g) == http.StatusOK }, 20*time.Second, time.Millisecond)
+	w, err := http.Get("http://" + l.Addr().String() + "/")
+	require.NoError(t, err)
+	require.NoError(t, w.Body.Close())
+	require.NotEqual(t, http.StatusNoContent, w.StatusCode)
+}
+
+// Guards against a check that goes on for good when whoever asked has left.
+func TestCheckEndsWithItsAnswer(t *testing.T) {
+	g, l := readyGateway(t)
+	go func() { _ = g.serveOn(t.Context(), l) }()
+	require.Eventually(t, func() bool { return g.intake.works(context.Background()) }, 20*time.Second, time.Millisecond)
+	require.False(t, g.intake.own.IsValid())
+}
+
+// Guards against a failure that no log tells: an entry without processor time, or with its lock held.
+func TestLateTurnsAreTold(t *testing.T) {
+	now := time.Now()
+	var p pulse
+	turn := func(after time.Duration) (time.Duration, bool) {
+		now = now.Add(after)
+		return p.turn(now)
+	}
+	_, tell := turn(0)
+	require.False(t, tell, "the first has none before it")
+	_, tell = turn(tickInterval + lateTurn - time.Millisecond)
+	require.False(t, tell)
+	worst, tell := turn(tickInterval + lateTurn)
+	require.True(t, tell)
+	require.Equal(t, lateTurn, worst)
+	_, tell = turn(tickInterval + lateTurn + time.Millisecond)
+	require.False(t, tell, "one line a second")
+	worst, tell = turn(tellTurns)
+	require.True(t, tell)
+	require.Equal(t, tellTurns-tickInterval, worst)
+}
