A pass that is held for a change is let go if a host stops before any rank is armed

Callers saw: all streams of a group stood still for 2.7 s, until a host that stood still was back; all of them left after 2 s (GONE is near whenever that happens: what runs at that host can't be told).

Cause: ranks were asked once, before the hold. A hold whose answer is lost takes up to half a second, and whoever stops in that time is told to arm; from then on nobody can tell.

Change: when a hold has waited for an answer, all are asked once more before the first arm order. If one does not answer, the pass is let go at once, which needs nothing of that rank as none was told to arm, and its begin is waited for, as a hold order that got no answer could land until then.

Not changed: a host that stops between that question and its own answer to the arm order still leaves the group held (some ms, or what its sidecar needs while orders are lost).

--- a/internal/expert/changeover/frozen_test.go
+++ b/internal/expert/changeover/frozen_test.go
@@ -372,3 +372,75 @@
 		})
 	}
 }
+
+// standsStill lets the host of a rank stand still for good from one of the planner's calls on.
+// It tells when the rank answered last, and when a hold got no answer last, in calls.
+type standsStill struct {
+	mu       sync.Mutex
+	rank     int
+	from     int // call
+	calls    int
+	answered int
+	unheld   int
+}
+
+// call counts a call, and tells whether the rank has stopped.
+func (s *standsStill) call() (n int, stopped bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	return s.calls, s.calls >= s.from
+}
+
+func (s *standsStill) wrap(g *Group) {
+	order, look := g.Order, g.Look
+	g.Order = func(ctx context.Context, rank int, o Order) Result {
+		n, stopped := s.call()
+		if rank == s.rank && stopped {
+			return NoAnswer
+		}
+		res := order(ctx, rank, o)
+		if o.Operation == Hold && res == NoAnswer {
+			s.mu.Lock()
+			s.unheld = max(s.unheld, n)
+			s.mu.Unlock()
+		}
+		return res
+	}
+	g.Look = func(ctx context.Context, rank int) (Report, error) {
+		n, stopped := s.call()
+		if rank == s.rank && stopped {
+			return Report{}, ErrLeft
+		}
+		if rank == s.rank {
+			s.mu.Lock()
+			s.answered = max(s.answered, n)
+			s.mu.Unlock()
+		}
+		return look(ctx, rank)
+	}
+}
+
+// Guards against a group that is held until a host is back which stood still while answers to a
+// hold were waited for, before any rank was told to arm.
+func TestPassIsLetGoIfAHostStopsBeforeTheArming(t *testing.T) {
+	spared := 0
+	for seed := range uint64(40) {
+		for from := range 60 {
+			m := newModel(seed, 5, 0.3)
+			g := m.group(t.Context(), alive)
+			s := &standsStill{rank: 4, from: from}
+			s.wrap(g)
+			version := NextVersion(m.reports(), 0, lifeOf(1, 0))
+			_, err := g.Run(t.Context(), Change{Version: version, Map: modelMap(5, 1), Own: 1, Ahead: 1})
+			require.Empty(t, m.broken)
+			if err == nil || s.unheld <= s.answered || from <= s.answered {
+				continue // it answered after the hold: nobody can tell whether it is armed
+			}
+			require.False(t, Stuck(m.reports()), "seed %d, from call %d", seed, from)
+			spared++
+		}
+	}
+	require.Positive(t, spared)
+	t.Logf("let go %d times", spared)
+}
--- a/internal/expert/changeover/recover.go
+++ b/internal/expert/changeover/recover.go
@@ -47,7 +47,7 @@
 		case armed != 0 && guard != armed:
 			// Without a hold of its own, another process's go could begin the pass
 			// when half of the ranks are disarmed.
-			if g.hold(ctx, guardRank(reports, own, armed), armed) {
+			if held, _ := g.hold(ctx, guardRank(reports, own, armed), armed); held {
 				guard = armed
 			}
 			fenced = false
--- a/internal/expert/changeover/switch.go
+++ b/internal/expert/changeover/switch.go
@@ -30,6 +30,9 @@
 	// tries of an order that gets no answer, within one step of a change. Each waits
 	// out the timeout of a call.
 	tries = 3
+	// giveUpTimeout bounds how long a change that was given up waits for its pass to begin.
+	// Passes of a loaded group take up to a quarter of a second.
+	giveUpTimeout = 500 * time.Millisecond
 	// recoverTimeout bounds the freeing of a group; past it the next look begins
 	// anew.
 	recoverTimeout = 5 * time.Second
@@ -81,12 +84,18 @@
 	g.Prepared()
 	// A rank whose host has stopped answering would leave the change half done, and
 	// the pass held until it is back. The copying took a while, so all are asked now.
-	if err := g.Reachable(ctx); err != nil {
-		return 0, merry.Wrap(ErrLeft, merry.AppendMessage(err.Error()))
+	if err := g.reachable(ctx); err != nil {
+		return 0, err
+	}
+	step, waited, err := g.holdNext(ctx, c)
+	if err == nil && waited {
+		// A host may have stopped meanwhile. Once it is told to arm nobody can tell whether it
+		// is armed, and all wait for it; until then the pass can be let go without it.
+		err = g.reachable(ctx)
 	}
-	step, err := g.holdNext(ctx, c)
 	if err != nil {
-		return 0, err
+		g.giveHoldUp(ctx, c, step)
+		return step, err
 	}
 	if !g.armInTurn(ctx, c, step) {
 		return step, merry.Wrap(ErrNotArmed)
@@ -97,6 +106,13 @@
 	return step, nil
 }
 
+func (g *Group) reachable(ctx context.Context) error {
+	if err := g.Reachable(ctx); err != nil {
+		return merry.Wrap(ErrLeft, merry.AppendMessage(err.Error()))
+	}
+	return nil
+}
+
 // prepare has all ranks copy the experts that are new to them.
 func (g *Group) prepare(ctx context.Context, c Change) error {
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
@@ -154,43 +170,64 @@
 	return left, nil
 }
 
-// holdNext holds the next pass that has not begun.
-func (g *Group) holdNext(ctx context.Context, c Change) (int64, error) {
-	step := c.After
+// holdNext holds the next pass that has not begun. Waited tells that an order got no answer in
+// time. If it fails it returns the last pass that it tried to hold.
+func (g *Group) holdNext(ctx context.Context, c Change) (step int64, waited bool, err error) {
+	step = c.After
 	holder := Second(c.Own, g.Ranks)
 	for range tries {
 		r, err := g.look(ctx, holder)
 		if err != nil {
-			return 0, err
+			return step, waited, err
 		}
 		step = max(r.Step+c.Ahead, step+1)
-		if g.hold(ctx, holder, step) {
-			return step, nil
+		held, late := g.hold(ctx, holder, step)
+		waited = waited || late
+		if held {
+			return step, waited, nil
 		}
 	}
-	// A hold order without an answer may land later; the next look shows it.
-	return 0, merry.Wrap(ErrNotArmed, merry.AppendMessage("no pass could be held"))
+	return step, waited, merry.Wrap(ErrNotArmed, merry.AppendMessage("no pass could be held"))
 }
 
-// hold holds a pass at a rank. False means that it may yet be held, by an order
-// that is under way.
-func (g *Group) hold(ctx context.Context, rank int, step int64) bool {
+// hold holds a pass at a rank. If it is not held it may yet be, by an order that is under way.
+// Waited tells that an order got no answer in time.
+func (g *Group) hold(ctx context.Context, rank int, step int64) (held, waited bool) {
 	for range tries {
 		res := g.order(ctx, rank, Order{Operation: Hold, Step: step})
 		if res == Accepted {
-			return true
+			return true, waited
 		}
+		waited = waited || res == NoAnswer
 		// One that got no answer may have been carried out, and the next then does
 		// not fit.
 		r, err := g.look(ctx, rank)
 		if err != nil || r.Held == step {
-			return err == nil
+			return err == nil, waited
 		}
 		if res != NoAnswer {
-			return false
+			return false, waited
 		}
 	}
-	return false
+	return false, waited
+}
+
+// giveHoldUp lets a pass go for which no rank was told to arm, and waits until it has begun: a
+// hold order that got no answer may land until then.
+func (g *Group) giveHoldUp(ctx context.Context, c Change, step int64) {
+	rank := Second(c.Own, g.Ranks)
+	ctx, cancel := context.WithTimeout(ctx, giveUpTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		r, err := g.look(ctx, rank)
+		if err != nil || r.Step >= step {
+			return // nobody can do more for it, or nothing has to be done
+		}
+		if r.Held > c.After && r.Held <= step {
+			g.order(ctx, rank, Order{Operation: Go, Step: r.Held})
+		}
+		g.Pause(ctx, recoverPause)
+	}
 }
 
 // armInTurn arms all ranks: first all but two, then the one that holds the pass, and
