A rank whose look is under way does not pass for one that answers

A host that stands still is always being asked. So the question missed just the ranks that it is for.

Change: for such a rank its answer to the other look counts, if it comes within the time that the others are given; if none comes the change is put off.

Before: TestRankThatIsBeingAskedIsNotPassedOver fails (no error).

--- a/internal/program/companion/look.go
+++ b/internal/program/companion/look.go
@@ -317,6 +317,9 @@
 
 // note tells a rank whose host does not answer from one that does.
 func (p *planner) note(s *seat, err error) {
+	if now := time.Now(); err == nil {
+		s.heard.Store(&now)
+	}
 	switch {
 	case err == nil && s.lost.Swap(false):
 		p.c.log.Info().Str("event", "rankFound").Str("target", s.target).Msg("")
--- a/internal/program/companion/look_test.go
+++ b/internal/program/companion/look_test.go
@@ -86,6 +86,31 @@
 	require.Equal(t, []int{5}, p.seen().lost)
 }
 
+// Guards against a pass that is held for a host which stands still: its look was under way, so it
+// was not asked again and passed for one that answers.
+func TestRankThatIsBeingAskedIsNotPassedOver(t *testing.T) {
+	p := newPlanner()
+	ranks := sidecars(t, 8, 5)
+	v := view{ranks: ranks, serving: true}
+	p.view = v
+	ranks[5].asking.Store(true)
+	require.ErrorIs(t, p.reachable(t.Context(), v), seating.ErrIncomplete)
+}
+
+// Guards against changes that are given up as a rank's answer to another look comes first.
+func TestRankThatAnswersAnotherLookIsReachable(t *testing.T) {
+	p := newPlanner()
+	ranks := sidecars(t, 2)
+	v := view{ranks: ranks, serving: true}
+	p.view = v
+	ranks[1].asking.Store(true)
+	go func() {
+		time.Sleep(time.Millisecond)
+		p.note(ranks[1], nil)
+	}()
+	require.NoError(t, p.reachable(t.Context(), v))
+}
+
 func TestTooManyLostRanks(t *testing.T) {
 	p := newPlanner()
 	require.ErrorIs(t, p.lookAll(t.Context(), sidecars(t, 8, 1, 2, 3)), seating.ErrIncomplete)
--- a/internal/program/companion/move.go
+++ b/internal/program/companion/move.go
@@ -186,12 +186,8 @@
 // it, 0.35 with it).
 func (p *planner) reachable(ctx context.Context, v view) error {
 	if len(v.ranks) <= askedRanks {
-		_, errs := p.ask(ctx, v.ranks, func(int) rankport.Look { return rankport.Look{} })
-		for _, err := range errs {
-			// Another look at the rank may be under way.
-			if err != nil && !errors.Is(err, errNoAnswer) {
-				return err
-			}
+		if err := p.answerNow(ctx, v.ranks); err != nil {
+			return err
 		}
 	}
 	if now := p.seen(); len(now.lost) > 0 || !now.serving {
@@ -200,6 +196,36 @@
 	return nil
 }
 
+// answerNow asks ranks and fails if one does not answer while the others do.
+func (p *planner) answerNow(ctx context.Context, ranks []*seat) error {
+	begin := time.Now()
+	_, errs := p.ask(ctx, ranks, func(int) rankport.Look { return rankport.Look{} })
+	for rank, err := range errs {
+		switch {
+		case err == nil:
+		case !errors.Is(err, errNoAnswer):
+			return err
+		case !p.awaitHeard(ctx, ranks[rank], begin):
+			// Passed over, the rank would be told to arm, and the pass be held until its host is back.
+			return merry.Wrap(seating.ErrIncomplete, merry.AppendMessagef("rank %d does not answer", rank))
+		}
+	}
+	return nil
+}
+
+// awaitHeard waits for a rank that another look is asking. It tells whether the rank has answered
+// since some time.
+func (p *planner) awaitHeard(ctx context.Context, s *seat, since time.Time) bool {
+	for end := since.Add(lookGrace); ; {
+		if at := s.heard.Load(); at != nil && at.After(since) {
+			return true
+		}
+		if !time.Now().Before(end) || !sleep(ctx, switchPoll) {
+			return false
+		}
+	}
+}
+
 const (
 	// askedRanks of a group are asked before each change: 20 ms of the planner's share.
 	askedRanks = 32
--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -50,9 +50,10 @@
 	spoke   bool              // it has answered
 	last    changeover.Report // what it answered
 	mark    uint64
-	told    time.Time   // when its sidecar was told of the entries
-	lost    atomic.Bool // its host does not answer
-	asking  atomic.Bool // a look at it is under way
+	told    time.Time                 // when its sidecar was told of the entries
+	lost    atomic.Bool               // its host does not answer
+	heard   atomic.Pointer[time.Time] // when it answered last; nil until then
+	asking  atomic.Bool               // a look at it is under way
 }
 
 // planner is one term of the duty. Two goroutines do it: one looks at the ranks and
