Ready means that admission gives a request its turn, too

From 13 to 33 s that entry ended some eight requests a second, all of callers that had left, and still answered what needs no admission (unknown routes) at once: it had processor time, and a queue of hundreds for the lock of admission, each of whom looked through all that wait when it got it. The check needed no lock.

Change: the entry's own request waits for its turn at admission before it is answered.

Before: TestNotReadyWhileAdmissionIsHeldUp fails, 200 for 503.

--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -83,8 +83,8 @@
 		admit:    admission.New(),
 		breaks:   make(chan forward.Break, breakRing),
 		bad:      deployed.NewMalformed(l, m),
-		intake:   newIntake(s.Listen.Callers, l, m),
 	}
+	g.intake = newIntake(s.Listen.Callers, g.admit.Await, l, m)
 	g.bounds.Store(&s.Bounds)
 	dialled := m.NewCounter("wagtailshelf_target_connections_total")
 	m.NewGauge("wagtailshelf_caller_connections", func() float64 { return float64(g.connections.open.Load()) })
--- a/internal/program/gateway/intake.go
+++ b/internal/program/gateway/intake.go
@@ -21,11 +21,13 @@
 
 var errIntake = merry.New("another answer than that of the entry itself")
 
-// intake finds out whether requests of callers are read here, by one of the entry's own that
-// takes the same way: listener, connection, handler. Without it an entry whose processor time is
-// used up says that it is ready, and callers are sent to it whose connections it does not accept.
+// intake finds out whether requests of callers get on here, by one of the entry's own that takes
+// the same way: listener, connection, handler, admission. Without it an entry whose processor time
+// is used up, or whose admission is held up, says that it is ready, and callers are sent to it whom
+// it does not serve.
 type intake struct {
 	address netip.AddrPort // that callers connect to
+	admit   func()         // returns once admission has taken a request
 	log     *log.Logger
 	took    *metrics.Histogram
 
@@ -36,11 +38,11 @@
 	own netip.AddrPort // of the check that is under way, as its handler sees it
 }
 
-func newIntake(address netip.AddrPort, l *log.Logger, m *metrics.Set) *intake {
-	return &intake{address: address, log: l, took: m.NewHistogram("wagtailshelf_intake_check_seconds")}
+func newIntake(address netip.AddrPort, admit func(), l *log.Logger, m *metrics.Set) *intake {
+	return &intake{address: address, admit: admit, log: l, took: m.NewHistogram("wagtailshelf_intake_check_seconds")}
 }
 
-// works sends a request to the entry itself and tells whether it was read in time.
+// works sends a request to the entry itself and tells whether it got on in time.
 func (i *intake) works(ctx context.Context) bool {
 	i.checking.Lock()
 	defer i.checking.Unlock()
@@ -103,6 +105,7 @@
 func (i *intake) before(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if i.isOwn(r.RemoteAddr) {
+			i.admit()
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
--- a/internal/program/gateway/intake_test.go
+++ b/internal/program/gateway/intake_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 )
 
 // shutListener takes connections only once it is opened, as an entry without processor time.
@@ -60,6 +61,25 @@
 	require.Equal(t, http.StatusServiceUnavailable, askReady(g), "the connection waits in the kernel's queue")
 }
 
+// Guards against an entry that says ready while its admission gives no request its turn.
+func TestNotReadyWhileAdmissionIsHeldUp(t *testing.T) {
+	g, l := readyGateway(t)
+	held, release := make(chan struct{}), make(chan struct{})
+	rules := g.admit.RulesFor
+	g.admit.RulesFor = func(service string) admission.Rules {
+		close(held)
+		<-release
+		return rules(service)
+	}
+	go func() { _ = g.serveOn(t.Context(), l) }()
+	require.Eventually(t, func() bool { return askReady(g) == http.StatusOK }, 20*time.Second, time.Millisecond)
+	go g.admit.Arrive(time.Now(), &admission.Ticket{Service: "svc"})
+	<-held
+	require.Equal(t, http.StatusServiceUnavailable, askReady(g))
+	close(release)
+	require.Eventually(t, func() bool { return askReady(g) == http.StatusOK }, 20*time.Second, time.Millisecond)
+}
+
 // Guards against callers who get the answer that is the entry's own.
 func TestCallerIsNotTakenForTheEntrysCheck(t *testing.T) {
 	g, l := readyGateway(t)
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -299,6 +299,12 @@
 	return float64(n)
 }
 
+// Await returns once a request that arrives now would have its turn.
+func (c *Controller) Await() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+}
+
 // Waiting is how many requests wait for a service.
 func (c *Controller) Waiting(service string) int {
 	c.mu.Lock()
