Requests cut off a host that stands still go before newer ones

Evidence: last event at 21.94 s, the host known as lost at 22.39 s, the streams cut and back in the queue at 22.49 s, sent on after 0.91 and 0.99 s at 23.49 s, callers gone at 23.94 s with 0.45 s in the new run.

Cause: the queue serves first who can still be on time, then the others by their deadline. Such a stream is late and has seconds left until its deadline, though its caller leaves 2 s after the last event.

Change: a request whose target's host was told lost is stranded and gets the first free place. They are as many as one entry has at one host.

Ruled out: to send them on sooner (the host is known as lost after 0.45 s, a question's timeout; sooner means to take busy ones for lost); a longer wait in the queue (they leave).

Before: TestStrandedRequestGoesFirst and TestStreamOfALostHostGoesFirst fail with the order as it was.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -72,7 +72,10 @@
 	// that can be on time go before those that can't any more: under overload, a
 	// queue in order of arrival makes all of them late.
 	Fresh time.Duration
-	Tried []string
+	// Stranded tells that the request's caller has waited at a host that stands still. It leaves
+	// soon, and what runs at that host can't be told to stop.
+	Stranded bool
+	Tried    []string
 	// Deadline is when the caller stops waiting for the whole answer.
 	Deadline time.Time
 	// Patience is how long the request may wait in the queue.
@@ -328,9 +331,9 @@
 	c.advance(now, t.Service)
 }
 
-// advance gives free places to those who wait: first to those who can still be on time, in
-// the order of the queue, then to the others by the time that they have left. Of these
-// the ones that were refused before have least, and would not come back once more.
+// advance gives free places to those who wait: first to the stranded, then to those who can
+// still be on time, in the order of the queue, then to the others by the time that they have left.
+// Of these the ones that were refused before have least, and would not come back once more.
 //
 // The targets are looked through once for all that wait, and again for each place that is
 // given. When each request that had been sent to a target before had a look of its own, an entry
@@ -360,11 +363,14 @@
 
 // inTurn returns those who wait in the order in which they get places.
 func (q *queue) inTurn(now time.Time) []*Ticket {
-	var fresh, late []*Ticket
+	var stranded, fresh, late []*Ticket
 	for _, t := range q.waiting {
-		if t.late(now) {
+		switch {
+		case t.Stranded:
+			stranded = append(stranded, t)
+		case t.late(now):
 			late = append(late, t)
-		} else {
+		default:
 			fresh = append(fresh, t)
 		}
 	}
@@ -374,7 +380,7 @@
 		}
 		return a.Deadline.Compare(b.Deadline)
 	})
-	return append(fresh, late...)
+	return slices.Concat(stranded, fresh, late)
 }
 
 func (t *Ticket) late(now time.Time) bool { return now.Sub(t.arrived) > t.Fresh }
--- a/internal/traffic/admission/admission_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -323,3 +323,17 @@
 	c.Done(start, running[1], End{})
 	requireGranted(t, was, true)
 }
+
+// Guards against callers who leave as their requests, cut off a host that stands still, wait behind
+// newer ones.
+func TestStrandedRequestGoesFirst(t *testing.T) {
+	c := newController(1, Rules{PerTarget: 1, Queue: 9, Entries: 1})
+	running, fresh, stranded := ticket(), patient(time.Minute), patient(time.Minute)
+	stranded.Stranded, stranded.Fresh = true, -time.Second
+	require.Equal(t, Go, c.Arrive(start, running))
+	require.Equal(t, Wait, c.Arrive(start, fresh))
+	require.Equal(t, Wait, c.Arrive(start.Add(time.Millisecond), stranded))
+	c.Done(start.Add(time.Second), running, End{})
+	requireGranted(t, fresh, false)
+	requireGranted(t, stranded, true)
+}
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -141,7 +141,10 @@
 	defer cancel()
 	if c.route.Idempotent() {
 		// What may run once only has to wait for its target, as it may have run there.
-		c.f.Admission.OnLost(c.f.Now(), t, cancel)
+		c.f.Admission.OnLost(c.f.Now(), t, func() {
+			c.stranded.Store(true)
+			cancel()
+		})
 		c.f.Admission.OnSlow(t, func() bool { return c.leaves(cancel) })
 	}
 	conn, err := c.f.Pool.Get(ctx, c.f.Now(), target.Address, idle)
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -122,6 +122,7 @@
 	sent     int      // times that the request was written to a target
 	stream   streamState
 	left     atomic.Bool // the request leaves a slow target, and the repeat is counted
+	stranded atomic.Bool // the host of a target that it was sent to does not answer
 }
 
 // ServeHTTP serves one request.
--- a/internal/traffic/forward/stream_test.go
+++ b/internal/traffic/forward/stream_test.go
@@ -123,6 +123,29 @@
 	require.Equal(t, "2", second.Seen()[0].LastEvent, "it goes on, and does not begin anew")
 }
 
+// Guards against a caller who leaves as its stream, cut off a host that stands still, waits behind a
+// newer request.
+func TestStreamOfALostHostGoesFirst(t *testing.T) {
+	first, second := standin.NewServer(t, stalling), standin.NewServer(t, events)
+	b := newBench(t, first, second)
+	b.patienceMS = 60_000
+	b.tell(admission.Told{Grant: 1}, admission.Told{})
+	w := b.begin()
+	defer w.Body.Close()
+	newer := make(chan answer, 1)
+	go func() { newer <- b.call(http.MethodPost, "/stream/newer") }()
+	waiting := func(n int) func() bool { return func() bool { return b.Admission.Waiting("svc") == n } }
+	require.Eventually(t, waiting(1), 20*time.Second, time.Millisecond)
+	b.tell(admission.Told{Lost: true}, admission.Told{})
+	require.Eventually(t, waiting(2), 20*time.Second, time.Millisecond)
+	b.tell(admission.Told{Lost: true}, admission.Told{Grant: 1})
+	_, err := io.ReadAll(w.Body)
+	require.NoError(t, err)
+	require.Equal(t, "2", second.Seen()[0].LastEvent, "the stream goes on before the newer request begins")
+	b.tell(admission.Told{Lost: true}, admission.Told{Grant: 1})
+	requireServed(t, <-newer, allFour)
+}
+
 // A rank has turned slow, and the whole group waits for it in each pass. Its streams go on
 // elsewhere after the last event that their callers got, and the group is quick again.
 func TestStreamLeavesASlowTarget(t *testing.T) {
--- a/internal/traffic/forward/wait.go
+++ b/internal/traffic/forward/wait.go
@@ -11,7 +11,10 @@
 
 // ticket describes the request to admission.
 func (c *call) ticket() *admission.Ticket {
-	t := &admission.Ticket{Service: c.service, Priority: c.route.Priority, Work: 1, Tried: c.tried, Deadline: c.deadline, Patience: c.queueLimit()}
+	t := &admission.Ticket{
+		Service: c.service, Priority: c.route.Priority, Work: 1, Tried: c.tried, Deadline: c.deadline, Patience: c.queueLimit(),
+		Stranded: c.stranded.Load(),
+	}
 	t.Fresh = time.Duration(freshShare*float64(c.route.Aim)) - c.f.Now().Sub(c.begin)
 	if c.space != nil && c.space.Ranked {
 		t.Priority = c.space.Priority
