The noise that is believed of the demand is bounded by what its windows show

Callers saw: an uneven map kept for hours, each step waiting for a rank that is 1.103 of the mean.

Evidence (trace of each plan and window): the search finds a map of 1.029 by one change of two experts, and a fresh solve finds the same; bound 1.000, room for loads 300,000, nothing held. The change wins 0.074 and is dropped as the threshold of noise is 0.091: the deviation of the hottest rank is believed to be 0.030.

Change: the distance that the believed noise explains is smoothed as the observed one is. Where the windows lie closer, the deviation is less by that ratio. Steady noise keeps it (the ratio is one).

Ruled out: the search, the bound, room for loads, holds, the plan's period.

--- a/internal/expert/demand/estimate.go
+++ b/internal/expert/demand/estimate.go
@@ -19,8 +19,9 @@
 // Estimate returns a copy of what is known now.
 func (t *Tracker) Estimate() Estimate {
 	deviation := make([]float64, len(t.variance))
+	quiet := t.quiet()
 	for i, v := range t.variance {
-		deviation[i] = math.Sqrt(v)
+		deviation[i] = quiet * math.Sqrt(v)
 	}
 	return Estimate{
 		Size:      t.size,
--- a/internal/expert/demand/tracker.go
+++ b/internal/expert/demand/tracker.go
@@ -52,6 +52,7 @@
 	folds     int     // windows folded since the start
 	usual     float64 // smoothed distance of windows from the estimate
 	spread    float64 // mean deviation of that distance
+	believed  float64 // smoothed distance that noise as it is believed explains
 	last      time.Time
 	lastShift time.Time
 	interval  time.Duration // shortest recent time between shifts, 0 if unknown
@@ -271,15 +272,38 @@
 	t.windows++
 	t.folds++
 	gain := t.gain(t.cfg.Smooth)
+	explained := t.explained()
 	for l, n := range t.tokens {
 		if n > 0 {
 			t.foldLayer(l, n)
 		}
 	}
+	t.believed += gain * (explained - t.believed)
 	t.spread += gain * (math.Abs(d-t.usual) - t.spread)
 	t.usual += gain * (d - t.usual)
 }
 
+// explained is the distance between the window and the estimate that noise as it is believed
+// leads to.
+func (t *Tracker) explained() float64 {
+	sum := 0.0
+	for i, v := range t.variance {
+		sum += math.Sqrt(t.noise(i) + v)
+	}
+	return sum * meanAbs / 2 / float64(t.size.Layers)
+}
+
+// quiet is the part of the believed noise that the windows of the last minutes show. A shift
+// that is smoothed in counts as noise of its experts for an hour; windows that lie close to the
+// estimate meanwhile say that there is less. Without it a map that is uneven by less than that
+// noise is kept, and callers wait for its hottest rank.
+func (t *Tracker) quiet() float64 {
+	if t.folds < settledWindows || t.believed == 0 {
+		return 1
+	}
+	return min(1, t.usual/t.believed)
+}
+
 // enough is how many tokens per expert and minute give a window its full weight.
 // At night the few tokens of a window say little, and following them would move
 // experts by chance. Sampling puts 5% of noise on as many.
