--- a/internal/expert/demand/demand_test.go
+++ b/internal/expert/demand/demand_test.go
@@ -218,6 +218,31 @@
 	require.Greater(t, e.Lasts, 30*time.Minute)
 }
 
+// Guards against an uneven map that is kept for hours, as demand that turned about is believed to be
+// noise long after it has settled.
+func TestTurnsAreNotNoiseOnceDemandHasSettled(t *testing.T) {
+	f := newFeed(t, small, Config{})
+	there, back := weights(small, 10, 20, 30, 40, 50, 60, 70, 80), weights(small, 80, 70, 60, 50, 40, 30, 20, 10)
+	scaled := func(counts []uint32) Report {
+		r := Report{Counts: make([]uint32, len(counts))}
+		for i, n := range counts {
+			r.Counts[i] = 1000 * n
+		}
+		return r
+	}
+	for turn := range 24 {
+		f.repeat(1+turn%4, scaled(there))
+		f.repeat(1+turn%3, scaled(back))
+	}
+	turning := f.tracker.Estimate()
+	require.Greater(t, turning.Deviation[7], 0.01*turning.Share[7], "nobody knows yet what comes")
+	f.repeat(40, scaled(back))
+	e := f.tracker.Estimate()
+	for i, d := range e.Deviation {
+		require.Less(t, d, 0.01*e.Share[i], "expert %d has had the same share for 40 minutes", i)
+	}
+}
+
 // At night the same customers ask for a hundredth of the tokens. Windows differ by
 // a quarter by chance then. That is no shift, and the estimate of the evening must
 // still be there in the morning.
