Requests cut off a host that stands still get empty slots beyond planners' grants; a plan says what noise holds back

Change: while it waits, a stranded request may take a slot that its target says is empty. They are a few, and a pass longer by one request costs the others less than it costs their callers to leave; nothing goes where a group is closed, a host is lost or slow, or a target's own word forbids it.

Before: TestStrandedRequestGetsAnEmptySlot fails (waits).

Besides, for operators: a plan that is dropped as noise explains more than it wins says so (`noise`, with leftGain and leftNoise); it said `stuck`, as if there were no better map.

--- a/internal/expert/plan/proposal.go
+++ b/internal/expert/plan/proposal.go
@@ -14,7 +14,8 @@
 const (
 	Move     Reason = "move"     // a new map is worth its loads
 	Balanced Reason = "balanced" // no layer is further from its lower bound than noise explains
-	Stuck    Reason = "stuck"    // no change found wins more than noise explains
+	Stuck    Reason = "stuck"    // no change that wins anything was found
+	Noise    Reason = "noise"    // the changes found win no more than noise explains
 	NotWorth Reason = "notWorth" // the changes found win less than they cost while the demand lasts
 	Paced    Reason = "paced"    // the weight store's allowance is used up
 	Learning Reason = "learning" // too few windows were seen
@@ -66,12 +67,16 @@
 	Horizon time.Duration  `json:"horizon"` // how long the demand is expected to last
 	// Won and Cost are drafting time, won over the horizon and lost to loading,
 	// before the weights of the document.
-	Won        time.Duration `json:"won"`
-	Cost       time.Duration `json:"cost"`
-	Weights    Weights       `json:"weights"`
-	Allowance  int64         `json:"allowance"` // bytes that could be loaded now
-	Layers     []LayerStep   `json:"layers,omitempty"`
-	Violations []Violation   `json:"violations,omitempty"`
+	Won  time.Duration `json:"won"`
+	Cost time.Duration `json:"cost"`
+	// LeftGain is the most that a change of one layer would win that was left alone, and LeftNoise
+	// what noise explains there, in the time of the layer's hottest rank relative to the ideal.
+	LeftGain   float64     `json:"leftGain,omitempty"`
+	LeftNoise  float64     `json:"leftNoise,omitempty"`
+	Weights    Weights     `json:"weights"`
+	Allowance  int64       `json:"allowance"` // bytes that could be loaded now
+	Layers     []LayerStep `json:"layers,omitempty"`
+	Violations []Violation `json:"violations,omitempty"`
 }
 
 // String explains the proposal in one sentence.
@@ -89,6 +94,9 @@
 		return fmt.Sprintf("keep the map: best change wins %v over %v for %v of loading, at weights %g to %g",
 			p.Won.Round(time.Millisecond), p.Horizon.Round(time.Second),
 			p.Cost.Round(time.Millisecond), p.Weights.Skew, p.Weights.Moves)
+	case Noise:
+		return fmt.Sprintf("keep the map: step time of the experts %.3f of ideal, a change of one layer would win %.3f of it, noise explains %.3f",
+			p.Before.Time, p.LeftGain, p.LeftNoise)
 	default:
 		return fmt.Sprintf("keep the map: %s, step time of the experts %.3f of ideal", p.Reason, p.Before.Time)
 	}
--- a/internal/expert/plan/session.go
+++ b/internal/expert/plan/session.go
@@ -98,8 +98,12 @@
 		s.result.Reason = Balanced
 		return
 	}
-	if len(s.segments) == 0 {
-		s.result.Reason = Stuck
+	if len(s.segments) > 0 {
+		return
+	}
+	s.result.Reason = Stuck
+	if s.result.LeftGain > 0 {
+		s.result.Reason = Noise
 	}
 }
 
@@ -123,7 +127,10 @@
 	find := search{layer: s.layer, work: s.cfg.Work / shape.Layers}
 	changes := find.run(nil, most, floor)
 	changes = s.restart(i, changes, most, floor)
-	if start-lowest(changes) <= noise {
+	if gain := start - lowest(changes); gain <= noise {
+		if gain > s.result.LeftGain {
+			s.result.LeftGain, s.result.LeftNoise = gain, noise
+		}
 		return true
 	}
 	s.changes[i] = changes
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -335,6 +335,9 @@
 // still be on time, in the order of the queue, then to the others by the time that they have left.
 // Of these the ones that were refused before have least, and would not come back once more.
 //
+// The stranded, a few at a time, also get slots beyond what planners grant: their callers would
+// leave before a place is free.
+//
 // The targets are looked through once for all that wait, and again for each place that is
 // given. When each request that had been sent to a target before had a look of its own, an entry
 // used its share of a core up as a group closed, and took no connection for seconds.
@@ -344,17 +347,25 @@
 		return
 	}
 	free := c.vacancies(now, service, c.Targets(service), rules)
-	if free.none() {
+	stranded := slices.ContainsFunc(q.waiting, func(t *Ticket) bool { return t.Stranded })
+	if free.none() && !stranded {
 		return
 	}
+	var slots []roster.Target
+	if stranded {
+		slots = c.withSlots(now, c.Targets(service), rules)
+	}
 	for _, t := range q.inTurn(now) {
 		target, found := c.choose(now, free, t.Tried, rules)
+		if !found && t.Stranded {
+			target, found = c.leastLoaded(now, slots, t.Tried, rules)
+		}
 		if !found {
 			continue
 		}
 		c.grant(now, t, target)
-		free = c.vacancies(now, service, free.all(), rules)
-		if free.none() {
+		free, slots = c.vacancies(now, service, free.all(), rules), c.withSlots(now, slots, rules)
+		if free.none() && len(slots) == 0 {
 			break
 		}
 	}
--- a/internal/traffic/admission/admission_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -337,3 +337,31 @@
 	requireGranted(t, fresh, false)
 	requireGranted(t, stranded, true)
 }
+
+// Guards against callers who leave as their requests, cut off a host that stands still, wait for a
+// planner's grant while slots are empty.
+func TestStrandedRequestGetsAnEmptySlot(t *testing.T) {
+	c := newController(2, Rules{PerTarget: 8, Queue: 9, Entries: 1})
+	list := c.Targets("svc")
+	list[0].Slots, list[1].Slots = 12, 12
+	arrive := func(isStranded bool) (*Ticket, Verdict) {
+		k := patient(time.Minute)
+		k.Stranded = isStranded
+		k.Tried = []string{"t0"}
+		return k, c.Arrive(start, k)
+	}
+	tell := func(load int) {
+		c.Told(start, Look{Group: theGroup, Open: true, Targets: map[string]Told{
+			"t0": {Lost: true, Load: load}, "t1": {Load: load},
+		}})
+	}
+	tell(11)
+	_, v := arrive(false)
+	require.Equal(t, Wait, v, "the planner grants none")
+	_, v = arrive(true)
+	require.Equal(t, Go, v)
+	second, v := arrive(true)
+	require.Equal(t, Wait, v, "that was the last slot")
+	tell(10)
+	requireGranted(t, second, true)
+}
--- a/internal/traffic/admission/vacancy.go
+++ b/internal/traffic/admission/vacancy.go
@@ -44,6 +44,23 @@
 	return free
 }
 
+// withSlots returns those of a service's targets that have an empty slot, whatever their planner
+// grants. It grants less so that passes stay short.
+func (c *Controller) withSlots(now time.Time, list []roster.Target, rules Rules) []roster.Target {
+	var slots []roster.Target
+	for _, target := range list {
+		s := c.state(now, target)
+		switch {
+		case !s.toldLately(now), s.lost, s.slow, now.Before(s.avoid):
+		case s.load(now, rules) >= target.Slots:
+		case !c.group(s.group).takes(now, c.inFlight, s.group), !c.allows(now, target.ID, s, rules):
+		default:
+			slots = append(slots, target)
+		}
+	}
+	return slots
+}
+
 // choose returns a target with a place for a request that was sent to some targets before.
 func (c *Controller) choose(now time.Time, free vacancies, tried []string, rules Rules) (roster.Target, bool) {
 	if target, found := c.leastLoaded(now, free.usable, tried, rules); found {
