The project's own interface: an entry is ready only while requests get on there

The same fault looked for elsewhere: `/readyz` of an entry on the project's own interface said ready by what it has learnt, on the administration address, and nothing of callers' listener or of the lock that each request takes. The check is a package now (internal/wire/intake) that both entries use.

Of the other places that say ready, open or alive: `/healthz` promises that the process lives, no more; a sidecar's desk says ready of what it has learnt to those who reach it by the connection that they use; a planner says open of a group from the ranks' own reports of passes; an entry's hello says fresh of its rules only. None of them is believed of what it does not say.

--- a/internal/operator/role/entry.go
+++ b/internal/operator/role/entry.go
@@ -33,7 +33,7 @@
 		Run:   e.Run,
 		Drain: e.Drain,
 		Admin: &process.Admin{
-			Ready: func() bool { return e.Ready() && !e.Draining() },
+			Ready: func() bool { return e.Serves(ctx) },
 			Dump:  func(ctx context.Context) (any, error) { return e.State(ctx) },
 			Mount: func(g *echo.Group) { e.MountAdministration(g, operator) },
 		},
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -24,6 +24,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/target"
 	"wagtailshelf.example/wagtailshelf/internal/wire/caller"
 	"wagtailshelf.example/wagtailshelf/internal/wire/credential"
+	"wagtailshelf.example/wagtailshelf/internal/wire/intake"
 	"wagtailshelf.example/wagtailshelf/internal/wire/peer"
 	"wagtailshelf.example/wagtailshelf/internal/wire/platform"
 )
@@ -59,6 +60,7 @@
 	known   *documents.Documents
 	socket  net.Listener
 	server  *http.Server
+	intake  *intake.Check
 	ctx     context.Context // of the duties and the requests
 	stop    context.CancelFunc
 	inForce atomic.Pointer[inForce]
@@ -112,6 +114,7 @@
 	e.known = documents.New(documents.Config{
 		Platform: cfg.Platform, Log: cfg.Log, Metrics: cfg.Metrics, InForce: e.take,
 	})
+	e.intake = e.newIntake()
 	e.server = e.newServer()
 	return e, nil
 }
@@ -148,13 +151,26 @@
 	handler := echo.New()
 	front.Mount(handler)
 	return &http.Server{
-		Handler:           handler,
+		Handler:           e.intake.Before(handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
 
+// newIntake returns the check that callers' requests get on here.
+func (e *Entry) newIntake() *intake.Check {
+	took := e.cfg.Metrics.NewHistogram("wagtailshelf_intake_check_seconds")
+	return &intake.Check{
+		Address: e.Addr(),
+		Turn:    func() { e.routerOf("") }, // each request asks for its router
+		Took:    func(d time.Duration, _ error) { took.Update(d.Seconds()) },
+		Believes: func(works bool, d time.Duration, err error) {
+			e.cfg.Log.Warn().Str("event", "intake").Bool("works", works).Dur("took", d).Err(err).Msg("")
+		},
+	}
+}
+
 // newRand returns a random source for one owner.
 func (e *Entry) newRand() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -174,6 +190,12 @@
 // them would otherwise turn their callers away whenever the platform is out.
 func (e *Entry) Ready() bool { return e.known.Learnt() }
 
+// Serves reports whether the balancer should send callers here: the entry is ready, does not
+// leave, and gets on with callers' requests.
+func (e *Entry) Serves(ctx context.Context) bool {
+	return e.Ready() && !e.Draining() && e.intake.Works(ctx)
+}
+
 // Draining reports whether the entry is leaving, so that the balancer should
 // send nothing more.
 func (e *Entry) Draining() bool { return e.draining.Load() }
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
+	"wagtailshelf.example/wagtailshelf/internal/wire/intake"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
@@ -63,7 +64,7 @@
 	breaks   chan forward.Break // connections that broke, until it is known why
 	crashes  *crashes.Keeper
 	bad      *deployed.Malformed
-	intake   *intake
+	intake   *intake.Check
 
 	connections callerConnections
 }
@@ -84,7 +85,11 @@
 		breaks:   make(chan forward.Break, breakRing),
 		bad:      deployed.NewMalformed(l, m),
 	}
-	g.intake = newIntake(s.Listen.Callers, g.admit.Await, l, m)
+	took := m.NewHistogram("wagtailshelf_intake_check_seconds")
+	g.intake = &intake.Check{
+		Address: s.Listen.Callers, Turn: g.admit.Await, Believes: g.believesIntake,
+		Took: func(d time.Duration, _ error) { took.Update(d.Seconds()) },
+	}
 	g.bounds.Store(&s.Bounds)
 	dialled := m.NewCounter("wagtailshelf_target_connections_total")
 	m.NewGauge("wagtailshelf_caller_connections", func() float64 { return float64(g.connections.open.Load()) })
@@ -213,7 +218,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, r *http.Request) {
 		// Whoever asks may leave; what the check finds holds all the same.
-		if !g.ready() || !g.intake.works(context.WithoutCancel(r.Context())) {
+		if !g.ready() || !g.intake.Works(context.WithoutCancel(r.Context())) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/internal/program/gateway/intake_test.go
+++ b/internal/program/gateway/intake_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -34,7 +33,7 @@
 	g.targets.Store(true)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	g.intake.address = netip.MustParseAddrPort(l.Addr().String())
+	g.intake.Address = netip.MustParseAddrPort(l.Addr().String())
 	return g, l
 }
 
@@ -80,25 +79,6 @@
 	require.Eventually(t, func() bool { return askReady(g) == http.StatusOK }, 20*time.Second, time.Millisecond)
 }
 
-// Guards against callers who get the answer that is the entry's own.
-func TestCallerIsNotTakenForTheEntrysCheck(t *testing.T) {
-	g, l := readyGateway(t)
-	go func() { _ = g.serveOn(t.Context(), l) }()
-	require.Eventually(t, func() bool { return askReady(g) == http.StatusOK }, 20*time.Second, time.Millisecond)
-	w, err := http.Get("http://" + l.Addr().String() + "/")
-	require.NoError(t, err)
-	require.NoError(t, w.Body.Close())
-	require.NotEqual(t, http.StatusNoContent, w.StatusCode)
-}
-
-// Guards against a check that goes on for good when whoever asked has left.
-func TestCheckEndsWithItsAnswer(t *testing.T) {
-	g, l := readyGateway(t)
-	go func() { _ = g.serveOn(t.Context(), l) }()
-	require.Eventually(t, func() bool { return g.intake.works(context.Background()) }, 20*time.Second, time.Millisecond)
-	require.False(t, g.intake.own.IsValid())
-}
-
 // Guards against a failure that no log tells: an entry without processor time, or with its lock held.
 func TestLateTurnsAreTold(t *testing.T) {
 	now := time.Now()
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -66,6 +66,11 @@
 		Dur("for", b.Held).Str("source", b.Source).Msg("")
 }
 
+// believesIntake logs when callers' requests cease to get on here, and when they do again.
+func (g *Gateway) believesIntake(works bool, took time.Duration, err error) {
+	g.log.Warn().Str("event", "intake").Bool("works", works).Dur("took", took).Err(err).Msg("")
+}
+
 // ended logs and counts the end of a request.
 func (g *Gateway) ended(r forward.Record) {
 	g.metrics.GetOrCreateCounter(fmt.Sprintf(`wagtailshelf_requests_total{kind=%q,outcome=%q,reason=%q}`, r.Kind, r.Outcome, r.Reason)).Inc()
