A planner that finds a pass held tells its group as open once a pass was seen

Evidence: the planner's host stands still at 12.09 s in a change; the next planner looks at 12.97 s and tells the host as lost and the group as open at once, though the pass is still held; all seven go to the two ranks of that group that have grants. It frees the group at 13.06 s, and its passes take 260 ms and more as all ranks read what was sent meanwhile. The other group had empty slots and passes of 80 ms.

Cause: the first look at a group counts as a pass seen.

Change: not where the next pass is held. And a stranded request looks at empty slots first, of groups that are not slow: a grant of a slow group went before them.

Before: TestPulseOfAGroupThatIsHeld fails.

--- a/internal/expert/places/pulse.go
+++ b/internal/expert/places/pulse.go
@@ -1,6 +1,7 @@
 package places
 
 import (
+	"slices"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
@@ -17,15 +18,24 @@
 // 1.5 s before it says so.
 const pulseGrace = 400 * time.Millisecond
 
-// Beats takes the reports of a look.
+// Beats takes the reports of a look. A group whose next pass is held as it is seen first makes
+// none until one is seen: whoever held it may stand still, and what is sent there meanwhile waits,
+// and is read by all ranks at once after that.
 func (p *Pulse) Beats(now time.Time, reports []changeover.Report) bool {
 	step, work := int64(0), 0
 	for _, r := range reports {
 		step = max(step, r.Step)
 		work += r.Running + r.Waiting
 	}
-	if step != p.step || work == 0 {
+	switch {
+	case p.at.IsZero() && work > 0 && isHeld(reports, step+1):
+		p.step, p.at = step, now.Add(-pulseGrace)
+	case step != p.step || work == 0:
 		p.step, p.at = step, now
 	}
 	return now.Sub(p.at) < pulseGrace
 }
+
+func isHeld(reports []changeover.Report, step int64) bool {
+	return slices.ContainsFunc(reports, func(r changeover.Report) bool { return r.Held == step })
+}
--- a/internal/expert/places/pulse_test.go
+++ b/internal/expert/places/pulse_test.go
@@ -25,3 +25,17 @@
 	require.True(t, p.Beats(start.Add(9*pulseGrace), report(8, 0)), "it is idle")
 	require.True(t, p.Beats(start.Add(9*pulseGrace+time.Millisecond), report(8, 2)), "the first request came")
 }
+
+// Guards against requests that are sent on to a group which waits for the host that holds its pass.
+func TestPulseOfAGroupThatIsHeld(t *testing.T) {
+	report := func(step, held int64) []changeover.Report {
+		return []changeover.Report{{Step: step, Running: 3}, {Step: step, Held: held}}
+	}
+	var p Pulse
+	require.False(t, p.Beats(start, report(7, 8)))
+	require.False(t, p.Beats(start.Add(time.Millisecond), report(7, 0)), "it was let go, and no pass has begun yet")
+	require.True(t, p.Beats(start.Add(2*time.Millisecond), report(8, 0)))
+	require.True(t, p.Beats(start.Add(3*time.Millisecond), report(8, 9)), "a change of the planner's own")
+	var ahead Pulse
+	require.True(t, ahead.Beats(start, report(7, 9)), "the next pass is not held")
+}
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -351,21 +351,24 @@
 	if free.none() && !stranded {
 		return
 	}
-	var slots []roster.Target
+	var slots vacancies
 	if stranded {
 		slots = c.withSlots(now, c.Targets(service), rules)
 	}
 	for _, t := range q.inTurn(now) {
-		target, found := c.choose(now, free, t.Tried, rules)
-		if !found && t.Stranded {
-			target, found = c.leastLoaded(now, slots, t.Tried, rules)
+		target, found := roster.Target{}, false
+		if t.Stranded {
+			target, found = c.choose(now, slots, t.Tried, rules)
+		}
+		if !found {
+			target, found = c.choose(now, free, t.Tried, rules)
 		}
 		if !found {
 			continue
 		}
 		c.grant(now, t, target)
-		free, slots = c.vacancies(now, service, free.all(), rules), c.withSlots(now, slots, rules)
-		if free.none() && len(slots) == 0 {
+		free, slots = c.vacancies(now, service, free.all(), rules), c.withSlots(now, slots.all(), rules)
+		if free.none() && slots.none() {
 			break
 		}
 	}
--- a/internal/traffic/admission/vacancy.go
+++ b/internal/traffic/admission/vacancy.go
@@ -44,18 +44,21 @@
 	return free
 }
 
-// withSlots returns those of a service's targets that have an empty slot, whatever their planner
-// grants. It grants less so that passes stay short.
-func (c *Controller) withSlots(now time.Time, list []roster.Target, rules Rules) []roster.Target {
-	var slots []roster.Target
+// withSlots are the targets of a service that have an empty slot, whatever their planner grants. It
+// grants less so that passes stay short.
+func (c *Controller) withSlots(now time.Time, list []roster.Target, rules Rules) vacancies {
+	var slots vacancies
 	for _, target := range list {
 		s := c.state(now, target)
+		g := c.group(s.group)
 		switch {
 		case !s.toldLately(now), s.lost, s.slow, now.Before(s.avoid):
 		case s.load(now, rules) >= target.Slots:
-		case !c.group(s.group).takes(now, c.inFlight, s.group), !c.allows(now, target.ID, s, rules):
+		case !g.takes(now, c.inFlight, s.group), !c.allows(now, target.ID, s, rules):
+		case g.isSlow(now):
+			slots.slow = append(slots.slow, target)
 		default:
-			slots = append(slots, target)
+			slots.usable = append(slots.usable, target)
 		}
 	}
 	return slots
