Entries see by their own streams that a group stands still while no planner tells

Evidence: the planner's host stands still at 9.78 s. Its word lapses after 0.7 s; from 10.43 s on entries go by their own count, and send 15 waiting requests within 40 ms ("load=5 loadAge=0ms"); the next planner looks at 10.65 s and frees the group at 10.78 s. Those streams get places at the last two ranks with empty slots at 10.65 s, no event until 11.76 s, when their callers leave.

Cause: "nobody plans, go on" does not tell a planner that ended from a group that stands still.

Change: each stream notes when it had an event (one atomic store, no lock). Where a planner has just ceased to tell and no stream of the entry had an event for 0.4 s, the group gets one request at a time, as one that was closed does. Five seconds after the planner's last word that ends.

Before: TestStalledGroupGetsNothing fails (sent at once).

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -9,6 +9,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
@@ -94,8 +95,9 @@
 	refusal Verdict // once refused
 	target  roster.Target
 	held    bool
-	lost    func()      // of the attempt
-	leave   func() bool // of the attempt
+	lost    func()        // of the attempt
+	leave   func() bool   // of the attempt
+	events  *atomic.Int64 // of the target's group
 }
 
 // Seen is what was known of a target when it was chosen.
@@ -104,6 +106,9 @@
 	Age  time.Duration // since it was told; 0 if the entry went by its own requests
 }
 
+// Progress takes note of an event of the request's stream. It takes no lock.
+func (t *Ticket) Progress(now time.Time) { t.events.Store(now.UnixNano()) }
+
 // Granted is closed when the request may be sent.
 func (t *Ticket) Granted() <-chan struct{} { return t.granted }
 
@@ -404,6 +409,7 @@
 	t.held = true
 	t.sent = now
 	s := c.state(now, target)
+	t.events = c.group(s.group).progress
 	s.limit.Sent(now)
 	s.held[t] = true
 	t.Seen = Seen{Load: s.load(now, c.RulesFor(t.Service))}
--- a/internal/traffic/admission/group.go
+++ b/internal/traffic/admission/group.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"sync/atomic"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
@@ -16,6 +17,9 @@
 	doubtful    bool      // it was closed, and has served nothing since
 	slow        bool      // all that it serves is late, as was told last
 	opened      time.Time // when it was found open after it was closed
+	// progress is when this entry had an event of one of its streams last, in Unix nanoseconds.
+	// Streams note it without the lock.
+	progress *atomic.Int64
 
 	believed, wasOpen, wasSlow bool // what was told of it last
 }
@@ -51,13 +55,32 @@
 // map that can't follow, is used only for what the others have no place for.
 func (g *group) isSlow(now time.Time) bool { return g.slow && g.toldLately(now) }
 
-// takes tells whether the group takes requests, as far as known. One that was closed gets
-// one request at a time until it has served something.
+const (
+	// stallAfter is how long no stream may have an event until the group counts as stalled,
+	// while no planner tells. Passes take 150 ms at the most where pauses are on time.
+	stallAfter = 400 * time.Millisecond
+	// stallLasts bounds for how long after its planner's last word that is believed.
+	stallLasts = 5 * time.Second
+)
+
+// stalled tells whether the group stands still: its planner has ceased to tell of it, and none of
+// this entry's streams has had an event since. A host that stands still may hold its pass; what
+// is sent there meanwhile waits, and then all ranks read it at once.
+func (g *group) stalled(now time.Time) bool {
+	if g.toldLately(now) || now.Sub(g.toldAt) > stallLasts {
+		return false
+	}
+	last := time.Unix(0, g.progress.Load())
+	return now.Sub(last) > stallAfter && last.After(g.toldAt.Add(-stallLasts))
+}
+
+// takes tells whether the group takes requests, as far as known. One that was closed, or stands
+// still, gets one request at a time until it has served something.
 func (g *group) takes(now time.Time, inFlight func(roster.Group) int, name roster.Group) bool {
 	if now.Before(g.closedUntil) {
 		return false
 	}
-	return !g.doubtful || inFlight(name) == 0
+	return !g.doubtful && !g.stalled(now) || inFlight(name) == 0
 }
 
 func (g *group) close(until time.Time) {
@@ -245,7 +268,7 @@
 func (c *Controller) group(name roster.Group) *group {
 	g := c.groups[name]
 	if g == nil {
-		g = &group{}
+		g = &group{progress: new(atomic.Int64)}
 		c.groups[name] = g
 	}
 	return g
--- a/internal/traffic/admission/group_test.go
+++ b/internal/traffic/admission/group_test.go
@@ -253,3 +253,34 @@
 	require.True(t, *at["t0"])
 	require.False(t, *at["t1"])
 }
+
+// Guards against a queue that is sent into a group whose pass is held, as its planner's host stands
+// still and entries go by their own count.
+func TestStalledGroupGetsNothing(t *testing.T) {
+	c := newController(2, Rules{PerTarget: 4, Queue: 9, Entries: 1})
+	told(c, start, 2, Told{Grant: 4})
+	running := patient(time.Minute)
+	require.Equal(t, Go, c.Arrive(start, running))
+	running.Progress(start.Add(100 * time.Millisecond))
+	silent := start.Add(toldLasts + time.Millisecond)
+	require.Equal(t, Wait, c.Arrive(silent, patient(time.Minute)), "nobody has had an event for 0.6 s")
+	running.Progress(silent)
+	c.Tick(silent)
+	require.Zero(t, c.Waiting("svc"), "its passes go on")
+}
+
+// Guards against a group that gets nothing for good, as its planner ended and its streams did.
+func TestGroupIsNotStalledForGood(t *testing.T) {
+	c := newController(2, Rules{PerTarget: 4, Queue: 9, Entries: 1})
+	told(c, start, 2, Told{Grant: 4})
+	running := patient(time.Minute)
+	require.Equal(t, Go, c.Arrive(start, running))
+	running.Progress(start)
+	silent := start.Add(toldLasts + time.Millisecond)
+	require.Equal(t, Wait, c.Arrive(silent, patient(time.Minute)))
+	c.Done(silent, running, End{})
+	require.Zero(t, c.Waiting("svc"), "one at a time finds out")
+	require.Equal(t, Wait, c.Arrive(silent, patient(time.Minute)))
+	c.Tick(start.Add(stallLasts + time.Millisecond))
+	require.Zero(t, c.Waiting("svc"))
+}
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
@@ -172,7 +171,7 @@
 	} else {
 		c.hear(t, a, meta)
 	}
-	return c.take(answer, meta, target)
+	return c.take(t, answer, meta)
 }
 
 // hear takes what an answer says of the target that made it. What names neither the request nor
@@ -231,26 +230,26 @@
 }
 
 // take passes a target's answer on, or says what it proves.
-func (c *call) take(answer *upstream.Answer, meta platform.Answered, from roster.Target) (result, admission.End, string) {
+func (c *call) take(t *admission.Ticket, answer *upstream.Answer, meta platform.Answered) (result, admission.End, string) {
 	if meta.Closing {
 		answer.KeepOut()
 	}
 	if meta.NotRun {
 		c.drop(answer, meta)
 		if meta.Fault != "" {
-			c.f.Admission.GroupClosed(c.f.Now(), from)
+			c.f.Admission.GroupClosed(c.f.Now(), t.Target())
 			return resultNotRun, admission.End{Closed: true}, whyNotRun
 		}
 		return resultNotRun, admission.End{Refused: true}, whyNotRun
 	}
-	c.f.Admission.Serves(c.f.Now(), from)
+	c.f.Admission.Serves(c.f.Now(), t.Target())
 	success := answer.Status >= 200 && answer.Status < 300
 	if !meta.Stamped || success && (meta.Encoded || meta.ID != c.in.ID) {
 		answer.Finish(c.f.Now(), false, 0)
 		return resultUnknown, admission.End{Failed: true}, whyNoProof
 	}
 	if success && c.route.Kind == routing.Streaming {
-		return c.relay(answer, meta)
+		return c.relay(t, answer, meta)
 	}
 	body, err := answer.ReadAll(maxAnswerBytes)
 	answer.Finish(c.f.Now(), err == nil, meta.KeepFor)
--- a/internal/traffic/forward/stream.go
+++ b/internal/traffic/forward/stream.go
@@ -22,7 +22,7 @@
 
 // relay passes a stream on, whole event by whole event. What broke off in the
 // middle of one goes on at another target after the last that went out.
-func (c *call) relay(answer *upstream.Answer, meta platform.Answered) (result, admission.End, string) {
+func (c *call) relay(t *admission.Ticket, answer *upstream.Answer, meta platform.Answered) (result, admission.End, string) {
 	events := upstream.NewEvents(answer.Body)
 	flusher, _ := c.w.(http.Flusher)
 	for {
@@ -34,6 +34,7 @@
 			answer.Finish(c.f.Now(), false, 0)
 			return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.why(whyCut)
 		}
+		t.Progress(c.f.Now())
 		c.beginStream(answer)
 		if _, err := c.w.Write(ev.Bytes); err != nil {
 			answer.Finish(c.f.Now(), false, 0)
