Admission's queue and ticket, and what a planner tells, in files of their own; one set-up for crowds

Moves only, and tests that shared their set-up. TestNotReadyWhileNoConnectionIsTaken of the gateway stands in wire/intake as TestConnectionIsNotTaken; the gateway's remaining one sees both, before and after it serves.

--- a/internal/program/gateway/intake_test.go
+++ b/internal/program/gateway/intake_test.go
@@ -14,17 +14,6 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 )
 
-// shutListener takes connections only once it is opened, as an entry without processor time.
-type shutListener struct {
-	net.Listener
-	opened chan struct{}
-}
-
-func (l shutListener) Accept() (net.Conn, error) {
-	<-l.opened
-	return l.Listener.Accept()
-}
-
 // readyGateway returns an entry that knows all it needs, with its listener.
 func readyGateway(t *testing.T) (*Gateway, net.Listener) {
 	t.Helper()
@@ -43,21 +32,12 @@
 	return w.Code
 }
 
-// Guards against an entry that says ready and takes no connection.
-func TestNotReadyWhileNoConnectionIsTaken(t *testing.T) {
-	g, l := readyGateway(t)
-	opened := make(chan struct{})
-	go func() { _ = g.serveOn(t.Context(), shutListener{Listener: l, opened: opened}) }()
-	require.Equal(t, http.StatusServiceUnavailable, askReady(g))
-	close(opened)
-	require.Eventually(t, func() bool { return askReady(g) == http.StatusOK }, 20*time.Second, time.Millisecond)
-}
-
-// Guards against an entry that says ready and takes connections, but reads no request on them.
+// Guards against an entry that says ready while nothing takes connections, or reads requests on them.
 func TestNotReadyWhileNoRequestIsRead(t *testing.T) {
 	g, l := readyGateway(t)
-	defer func() { _ = l.Close() }()
 	require.Equal(t, http.StatusServiceUnavailable, askReady(g), "the connection waits in the kernel's queue")
+	go func() { _ = g.serveOn(t.Context(), l) }()
+	require.Eventually(t, func() bool { return askReady(g) == http.StatusOK }, 20*time.Second, time.Millisecond)
 }
 
 // Guards against an entry that says ready while its admission gives no request its turn.
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -9,7 +9,6 @@
 import (
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
@@ -58,69 +57,6 @@
 	}
 }
 
-type queue struct {
-	waiting  []*Ticket
-	arrivals int
-	toldAt   time.Time // when a planner told of one of the service's groups last
-}
-
-// Ticket is a request's place: in the queue, then at a target.
-type Ticket struct {
-	Service  string
-	Priority int
-	Work     float64 // tokens to read and write, to compare targets by
-	// Fresh is how long the request may wait and still be answered on time. Those
-	// that can be on time go before those that can't any more: under overload, a
-	// queue in order of arrival makes all of them late.
-	Fresh time.Duration
-	// Stranded tells that the request's caller has waited at a host that stands still. It leaves
-	// soon, and what runs at that host can't be told to stop.
-	Stranded bool
-	Tried    []string
-	// Deadline is when the caller stops waiting for the whole answer.
-	Deadline time.Time
-	// Patience is how long the request may wait in the queue.
-	Patience time.Duration
-
-	// After is when the caller of a request that found all targets limited or resting should
-	// come back.
-	After time.Duration
-	// Seen is what the choice of the target went by, once granted.
-	Seen Seen
-
-	arrived time.Time
-	sent    time.Time // when it was granted
-	granted chan struct{}
-	refused chan struct{}
-	refusal Verdict // once refused
-	target  roster.Target
-	held    bool
-	lost    func()        // of the attempt
-	leave   func() bool   // of the attempt
-	events  *atomic.Int64 // of the target's group
-}
-
-// Seen is what was known of a target when it was chosen.
-type Seen struct {
-	Load int           // requests of all entries there
-	Age  time.Duration // since it was told; 0 if the entry went by its own requests
-}
-
-// Progress takes note of an event of the request's stream. It takes no lock.
-func (t *Ticket) Progress(now time.Time) { t.events.Store(now.UnixNano()) }
-
-// Granted is closed when the request may be sent.
-func (t *Ticket) Granted() <-chan struct{} { return t.granted }
-
-// Refused is closed when a request that waits has nothing to wait for any more.
-func (t *Ticket) Refused() <-chan struct{} { return t.refused }
-
-// Refusal says why, once refused.
-func (t *Ticket) Refusal() Verdict { return t.refusal }
-
-// Target is the one that the request may be sent to, once granted.
-func (t *Ticket) Target() roster.Target { return t.target }
-
 // Verdict tells what became of an arrival.
 type Verdict uint8
 
@@ -173,20 +109,6 @@
 	}
 }
 
-// place is where in the queue a request belongs: behind those of its priority.
-func (q *queue) place(t *Ticket) int {
-	at, _ := slices.BinarySearchFunc(q.waiting, t, func(a, b *Ticket) int {
-		if a.Priority != b.Priority {
-			return a.Priority - b.Priority
-		}
-		if a.arrived.After(b.arrived) {
-			return 1
-		}
-		return -1 // those that came in the same moment keep their order
-	})
-	return at
-}
-
 // Abandon takes a request out of the queue, or gives its place at a target back.
 func (c *Controller) Abandon(now time.Time, t *Ticket) {
 	c.mu.Lock()
@@ -336,74 +258,6 @@
 	c.advance(now, t.Service)
 }
 
-// advance gives free places to those who wait: first to the stranded, then to those who can
-// still be on time, in the order of the queue, then to the others by the time that they have left.
-// Of these the ones that were refused before have least, and would not come back once more.
-//
-// The stranded, a few at a time, also get slots beyond what planners grant: their callers would
-// leave before a place is free.
-//
-// The targets are looked through once for all that wait, and again for each place that is
-// given. When each request that had been sent to a target before had a look of its own, an entry
-// used its share of a core up as a group closed, and took no connection for seconds.
-func (c *Controller) advance(now time.Time, service string) {
-	q, rules := c.queue(service), c.RulesFor(service)
-	if len(q.waiting) == 0 {
-		return
-	}
-	free := c.vacancies(now, service, c.Targets(service), rules)
-	stranded := slices.ContainsFunc(q.waiting, func(t *Ticket) bool { return t.Stranded })
-	if free.none() && !stranded {
-		return
-	}
-	var slots vacancies
-	if stranded {
-		slots = c.withSlots(now, c.Targets(service), rules)
-	}
-	for _, t := range q.inTurn(now) {
-		target, found := roster.Target{}, false
-		if t.Stranded {
-			target, found = c.choose(now, slots, t.Tried, rules)
-		}
-		if !found {
-			target, found = c.choose(now, free, t.Tried, rules)
-		}
-		if !found {
-			continue
-		}
-		c.grant(now, t, target)
-		free, slots = c.vacancies(now, service, free.all(), rules), c.withSlots(now, slots.all(), rules)
-		if free.none() && slots.none() {
-			break
-		}
-	}
-	q.waiting = slices.DeleteFunc(q.waiting, func(t *Ticket) bool { return t.held })
-}
-
-// inTurn returns those who wait in the order in which they get places.
-func (q *queue) inTurn(now time.Time) []*Ticket {
-	var stranded, fresh, late []*Ticket
-	for _, t := range q.waiting {
-		switch {
-		case t.Stranded:
-			stranded = append(stranded, t)
-		case t.late(now):
-			late = append(late, t)
-		default:
-			fresh = append(fresh, t)
-		}
-	}
-	slices.SortStableFunc(late, func(a, b *Ticket) int {
-		if a.Priority != b.Priority {
-			return a.Priority - b.Priority
-		}
-		return a.Deadline.Compare(b.Deadline)
-	})
-	return slices.Concat(stranded, fresh, late)
-}
-
-func (t *Ticket) late(now time.Time) bool { return now.Sub(t.arrived) > t.Fresh }
-
 func (c *Controller) grant(now time.Time, t *Ticket, target roster.Target) {
 	t.target = target
 	t.held = true
@@ -448,12 +302,3 @@
 func (c *Controller) allows(now time.Time, id string, s *state, rules Rules) bool {
 	return s.limit.Free(now, id, rules.Senders) && c.notices.Free(now, id, s.inFlight)
 }
-
-func (c *Controller) queue(service string) *queue {
-	q := c.services[service]
-	if q == nil {
-		q = &queue{}
-		c.services[service] = q
-	}
-	return q
-}
--- a/internal/traffic/admission/admission_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -257,51 +257,45 @@
 	require.Equal(t, Go, c.Arrive(start.Add(AvoidRefused+time.Millisecond), ticket()))
 }
 
-// Guards against an entry that uses its share of a core up by looking through its queue.
-func TestCrowdThatWaitsIsLookedThroughOnce(t *testing.T) {
-	c := newController(72, Rules{PerTarget: 1, Queue: 400, Entries: 1})
-	looks, list := 0, c.Targets("svc")
-	c.Targets = func(string) []roster.Target { looks++; return list }
-	var last *Ticket
+// crowd has all of 72 targets busy and 400 requests wait, and counts the looks at the targets. Last
+// is one of those that run.
+func crowd(t *testing.T, waiting func(n int) *Ticket) (c *Controller, last *Ticket, looks *int) {
+	t.Helper()
+	c = newController(72, Rules{PerTarget: 1, Queue: 400, Entries: 1})
+	looks = new(int)
+	list := c.Targets("svc")
+	c.Targets = func(string) []roster.Target { *looks++; return list }
 	for range len(list) {
 		last = ticket()
 		require.Equal(t, Go, c.Arrive(start, last))
 	}
-	for range 400 {
-		require.Equal(t, Wait, c.Arrive(start, patient(time.Minute)))
+	for n := range 400 {
+		require.Equal(t, Wait, c.Arrive(start, waiting(n)))
 	}
-	looks = 0
+	return c, last, looks
+}
+
+func requireLookedThroughOnce(t *testing.T, waiting func(n int) *Ticket) {
+	t.Helper()
+	c, last, looks := crowd(t, waiting)
+	*looks = 0
 	c.Tick(start)
-	require.LessOrEqual(t, looks, 3)
-	looks = 0
+	require.LessOrEqual(t, *looks, 3)
+	*looks = 0
 	c.Done(start, last, End{})
-	require.LessOrEqual(t, looks, 3)
+	require.LessOrEqual(t, *looks, 3)
 	require.Equal(t, 399, c.Waiting("svc"))
 }
 
+// Guards against an entry that uses its share of a core up by looking through its queue.
+func TestCrowdThatWaitsIsLookedThroughOnce(t *testing.T) {
+	requireLookedThroughOnce(t, func(int) *Ticket { return patient(time.Minute) })
+}
+
 // Guards against an entry that uses its share of a core up, and takes no connection, as all that
 // ran at a group wait to be sent again.
 func TestCrowdThatWasSentBeforeIsLookedThroughOnce(t *testing.T) {
-	c := newController(72, Rules{PerTarget: 1, Queue: 400, Entries: 1})
-	looks, list := 0, c.Targets("svc")
-	c.Targets = func(string) []roster.Target { looks++; return list }
-	var last *Ticket
-	for range len(list) {
-		last = ticket()
-		require.Equal(t, Go, c.Arrive(start, last))
-	}
-	for n := range 400 {
-		k := patient(time.Minute)
-		k.Tried = []string{list[n%len(list)].ID}
-		require.Equal(t, Wait, c.Arrive(start, k))
-	}
-	looks = 0
-	c.Tick(start)
-	require.LessOrEqual(t, looks, 3)
-	looks = 0
-	c.Done(start, last, End{})
-	require.LessOrEqual(t, looks, 3)
-	require.Equal(t, 399, c.Waiting("svc"))
+	requireLookedThroughOnce(t, sentBefore)
 }
 
 // Guards against a request that waits for good while a place is free at a target that others were
--- a/internal/traffic/admission/notice.go
+++ b/internal/traffic/admission/notice.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
@@ -59,46 +58,8 @@
 	return !slices.ContainsFunc(c.Targets(t.Service), func(o roster.Target) bool { return o.ID == t.target.ID })
 }
 
-// turnAway ends the waiting of requests that can't be sent in time any more, as the last of
-// their targets is gone or takes none. They would wait until their patience is over.
-func (c *Controller) turnAway(now time.Time, service string) {
-	q := c.queue(service)
-	if len(q.waiting) == 0 {
-		return
-	}
-	rules, all := c.RulesFor(service), c.Targets(service)
-	anytime := slices.DeleteFunc(slices.Clone(all), func(t roster.Target) bool { return c.bound(now, t) })
-	outlooks := make(map[string]outlook) // by the targets that were tried; most were sent to the same few
-	var rest []*Ticket
-	for _, t := range q.waiting {
-		if slices.ContainsFunc(anytime, t.untried) {
-			rest = append(rest, t)
-			continue
-		}
-		tried := strings.Join(t.Tried, " ")
-		o, known := outlooks[tried]
-		if !known {
-			o = c.outlook(now, c.candidates(t), rules)
-			outlooks[tried] = o
-		}
-		switch ahead := len(rest); {
-		case o.targets == 0:
-			t.refusal = NoTarget
-			close(t.refused)
-		case !o.open && o.wait(ahead) > t.Patience-now.Sub(t.arrived):
-			t.After, t.refusal = o.wait(ahead), o.verdict(ahead)
-			close(t.refused)
-		default:
-			rest = append(rest, t)
-		}
-	}
-	q.waiting = rest
-}
-
 // bound tells whether a target takes no request for a while, or only some, by its own word.
 func (c *Controller) bound(now time.Time, t roster.Target) bool {
 	_, resting := c.notices.Resting(now, t.ID)
 	return resting || c.state(now, t).limit.Active()
 }
-
-func (t *Ticket) untried(target roster.Target) bool { return !slices.Contains(t.Tried, target.ID) }
