--- a/internal/program/companion/move.go
+++ b/internal/program/companion/move.go
@@ -101,7 +101,7 @@
 	}
 	p.highest = changeover.NextVersion(v.reports, p.highest, p.life)
 	begin := time.Now()
-	p.base = nil
+	filler = p.fenceWith(filler, lost)
 	err = p.access(v).RecoverWithout(ctx, lost, p.highest, filler)
 	if err != nil {
 		return err
@@ -111,6 +111,22 @@
 	return nil
 }
 
+// nobody is no rank.
+const nobody = -1
+
+// fenceWith returns the map to fence ranks with that have the experts of another one; one of them
+// may have any. Sidecars that have prepared it are told its digest: all callers wait while the whole
+// map goes to each over the planner's link.
+func (p *planner) fenceWith(m *expertmap.Map, but int) *expertmap.Map {
+	p.base = nil
+	kept := p.c.keptAs(m, but)
+	if kept == nil {
+		return m
+	}
+	p.base = newBase(kept, kept)
+	return kept
+}
+
 // readMap reads the map in force from all ranks.
 func (p *planner) readMap(ctx context.Context, v view) error {
 	m, version, err := p.readLists(ctx, v)
@@ -375,8 +391,7 @@
 func (p *planner) recover(ctx context.Context, v view) error {
 	p.highest = changeover.NextVersion(v.reports, p.highest, p.life)
 	begin := time.Now()
-	p.base = nil
-	highest, err := p.access(v).Recover(ctx, p.own, p.highest, p.current)
+	highest, err := p.access(v).Recover(ctx, p.own, p.highest, p.fenceWith(p.current, nobody))
 	p.highest = highest
 	p.c.log.Info().Str("event", "recovered").Dur("took", time.Since(begin)).Err(err).Msg("")
 	p.changed = time.Now()
--- a/internal/program/companion/order.go
+++ b/internal/program/companion/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
@@ -138,10 +139,42 @@
 			return false
 		}
 	}
-	c.maps = append(c.maps, o.Order.Map)
+	c.keep(o.Order.Map)
+	return true
+}
+
+// keep remembers a prepared map as the newest. The caller holds the lock.
+func (c *Companion) keep(m *expertmap.Map) {
+	c.maps = slices.DeleteFunc(c.maps, func(o *expertmap.Map) bool { return o.Equal(m) })
+	c.maps = append(c.maps, m)
 	if len(c.maps) > keptMaps {
 		c.maps = c.maps[1:]
 	}
+}
+
+// keptAs returns a prepared map whose ranks have the experts that they have in another one, but for
+// one rank that may have any; nil if none is kept. Nobody is at -1.
+func (c *Companion) keptAs(m *expertmap.Map, but int) *expertmap.Map {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range slices.Backward(c.maps) {
+		if k.Shape() == m.Shape() && sameRows(k, m, but) {
+			return k
+		}
+	}
+	return nil
+}
+
+// sameRows tells whether ranks have the same experts in two maps, in whatever slots.
+func sameRows(a, b *expertmap.Map, but int) bool {
+	s := a.Shape()
+	for layer := range s.Layers {
+		for rank := range s.Ranks {
+			if rank != but && !slices.Equal(slices.Sorted(slices.Values(a.Row(layer, rank))), slices.Sorted(slices.Values(b.Row(layer, rank)))) {
+				return false
+			}
+		}
+	}
 	return true
 }
 
--- a/internal/traffic/admission/queue.go
+++ b/internal/traffic/admission/queue.go
@@ -45,9 +45,9 @@
 // The stranded, a few at a time, also get slots beyond what planners grant: their callers would
 // leave before a place is free.
 //
-// The targets are looked through once for all that wait, and again for each place that is
-// given. When each request that had been sent to a target before had a look of its own, an entry
-// used its share of a core up as a group closed, and took no connection for seconds.
+// The targets are looked through once for all that wait, and again for each place that is given.
+// A look for each request that was sent to a target before would use an entry's share of a core up
+// as a group closes, and it would take no connection for seconds.
 func (c *Controller) advance(now time.Time, service string) {
 	q, rules := c.queue(service), c.RulesFor(service)
 	if len(q.waiting) == 0 {
