Ranks are asked by datagrams whether they run, also in large groups, before a pass is held

Evidence: the host stops at 21.47 s, while experts are copied; ranks are told to arm at some 21.68 s; "the rank that does not answer may be armed" until 24.53 s. Groups above 32 ranks were not asked before the hold, as reading 72 reports takes the planner's share of a core 43 ms: the last look counted, which began before the host stopped.

Change: sidecars answer a ping on the socket that carries digests. The limit of 32 ranks goes, and small groups are asked by less as well.

Before: TestLargeGroupIsAskedBeforeItsPassIsHeld fails (no error).

--- a/internal/program/companion/look_test.go
+++ b/internal/program/companion/look_test.go
@@ -33,6 +33,11 @@
 	s := deployed.Settings{}
 	s.Target.Service = "svc"
 	c := New(s, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, metrics.NewSet())
+	socket, err := digest.Open(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		panic(err) // there are free ports
+	}
+	c.socket = socket
 	return &planner{
 		c: c, group: "g", engine: &routing.Engine{Layers: 1, Experts: 4, Slots: 8},
 		looked: make(chan struct{}, 1), ended: make(chan struct{}, 1),
@@ -97,6 +102,33 @@
 	require.ErrorIs(t, p.reachable(t.Context(), v), seating.ErrIncomplete)
 }
 
+// Guards against a large group that is held for a host which stopped after the last look at it.
+func TestLargeGroupIsAskedBeforeItsPassIsHeld(t *testing.T) {
+	p := newPlanner()
+	v := view{ranks: sidecars(t, 40, 5), serving: true}
+	p.view = v
+	require.ErrorIs(t, p.reachable(t.Context(), v), seating.ErrIncomplete)
+}
+
+// Guards against a planner that uses its share of a core up with a look at each rank before each change.
+func TestSidecarsThatRunAreNotLookedAt(t *testing.T) {
+	p := newPlanner()
+	go func() { _ = p.c.socket.Serve(t.Context(), nil, nil) }()
+	ranks := make([]*seat, 3)
+	for rank := range ranks {
+		s, err := digest.Open(netip.MustParseAddrPort("127.0.0.1:0"))
+		require.NoError(t, err)
+		go func() { _ = s.Serve(t.Context(), nil, nil) }()
+		ranks[rank] = &seat{target: string(rune('a' + rank)), sidecar: s.Addr()}
+	}
+	v := view{ranks: ranks, serving: true}
+	p.view = v
+	require.NoError(t, p.reachable(t.Context(), v))
+	for _, s := range ranks {
+		require.Nil(t, s.heard.Load(), "its report was not read")
+	}
+}
+
 // Guards against changes that are given up as a rank's answer to another look comes first.
 func TestRankThatAnswersAnotherLookIsReachable(t *testing.T) {
 	p := newPlanner()
--- a/internal/program/companion/move.go
+++ b/internal/program/companion/move.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -196,34 +197,50 @@
 	return nil
 }
 
-// reachable tells of ranks that don't answer now. In a large group the looks that go on
-// beside a change have to do: one more takes the planner's share of a core 43 ms for 72
-// ranks, in which callers wait for the change (worth of a day of high load 0.42 without
-// it, 0.35 with it).
+// reachable tells of ranks that don't answer now. Their sidecars are asked whether they run, and only
+// where one does not answer is the rank looked at: its sidecar alone may have ended.
 func (p *planner) reachable(ctx context.Context, v view) error {
-	if len(v.ranks) <= askedRanks {
-		if err := p.answerNow(ctx, v.ranks); err != nil {
-			return err
+	begin := time.Now()
+	var sidecars []netip.AddrPort
+	for rank, s := range v.ranks {
+		if rank != p.own && s.target != "" {
+			sidecars = append(sidecars, s.sidecar)
 		}
 	}
+	silent := p.c.socket.Silent(ctx, sidecars)
+	var doubted []*seat
+	for rank, s := range v.ranks {
+		if rank != p.own && (s.target == "" || slices.Contains(silent, s.sidecar)) {
+			doubted = append(doubted, s)
+		}
+	}
+	if err := p.answerNow(ctx, begin, doubted); err != nil {
+		return err
+	}
 	if now := p.seen(); len(now.lost) > 0 || !now.serving {
 		return merry.Wrap(seating.ErrIncomplete, merry.AppendMessagef("ranks %v don't answer", now.lost))
 	}
 	return nil
 }
 
-// answerNow asks ranks and fails if one does not answer while the others do.
-func (p *planner) answerNow(ctx context.Context, ranks []*seat) error {
-	begin := time.Now()
+// followedRanks of a group are looked at right after each change, so that the next one follows. In a
+// larger one callers wait for the planner instead.
+const followedRanks = 16
+
+// answerNow looks at ranks and fails if one does not answer, and has not since some time.
+func (p *planner) answerNow(ctx context.Context, since time.Time, ranks []*seat) error {
+	if len(ranks) == 0 {
+		return nil
+	}
 	_, errs := p.ask(ctx, ranks, func(int) rankport.Look { return rankport.Look{} })
-	for rank, err := range errs {
+	for at, err := range errs {
 		switch {
 		case err == nil:
 		case !errors.Is(err, errNoAnswer):
 			return err
-		case !p.awaitHeard(ctx, ranks[rank], begin):
+		case !p.awaitHeard(ctx, ranks[at], since):
 			// Passed over, the rank would be told to arm, and the pass be held until its host is back.
-			return merry.Wrap(seating.ErrIncomplete, merry.AppendMessagef("rank %d does not answer", rank))
+			return merry.Wrap(seating.ErrIncomplete, merry.AppendMessagef("target %s does not answer", ranks[at].target))
 		}
 	}
 	return nil
@@ -232,7 +249,7 @@
 // awaitHeard waits for a rank that another look is asking. It tells whether the rank has answered
 // since some time.
 func (p *planner) awaitHeard(ctx context.Context, s *seat, since time.Time) bool {
-	for end := since.Add(lookGrace); ; {
+	for end := time.Now().Add(lookGrace); ; {
 		if at := s.heard.Load(); at != nil && at.After(since) {
 			return true
 		}
@@ -242,14 +259,6 @@
 	}
 }
 
-const (
-	// askedRanks of a group are asked before each change: 20 ms of the planner's share.
-	askedRanks = 32
-	// followedRanks of a group are looked at right after each change, so that the next
-	// one follows. In a larger one callers wait for the planner instead.
-	followedRanks = 16
-)
-
 // access is the group as the changeover sees it.
 func (p *planner) access(v view) *changeover.Group {
 	return &changeover.Group{
--- a/internal/wire/digest/digest.go
+++ b/internal/wire/digest/digest.go
@@ -117,11 +117,14 @@
 type message struct {
 	Digest *Digest `cbor:"1,keyasint,omitempty"`
 	Hello  *Hello  `cbor:"2,keyasint,omitempty"`
+	Ping   uint64  `cbor:"3,keyasint,omitempty"` // number of a question whether a process runs
+	Pong   uint64  `cbor:"4,keyasint,omitempty"` // of the question that is answered
 }
 
 // Socket sends and receives datagrams.
 type Socket struct {
-	conn *net.UDPConn
+	conn  *net.UDPConn
+	pings pings
 }
 
 // Open opens a socket at an address.
@@ -130,7 +133,7 @@
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
-	return &Socket{conn: conn}, nil
+	return &Socket{conn: conn, pings: newPings()}, nil
 }
 
 // Addr is the socket's address.
@@ -139,7 +142,7 @@
 	return netip.AddrPortFrom(at.Addr().Unmap(), at.Port())
 }
 
-// Serve hands over hellos and digests until the context ends.
+// Serve hands over hellos and digests, and answers pings, until the context ends.
 func (s *Socket) Serve(ctx context.Context, hello func(from netip.AddrPort, h Hello), take func(from netip.AddrPort, d Digest)) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
 	defer stop()
@@ -163,6 +166,12 @@
 		if m.Digest != nil {
 			take(from, *m.Digest)
 		}
+		if m.Ping != 0 {
+			s.send(from, message{Pong: m.Ping})
+		}
+		if m.Pong != 0 {
+			s.pings.answered(from, m.Pong)
+		}
 	}
 }
 
