A group is asked once whether it takes requests, wherever its targets are looked through

Left of the fault of the full queue: empty slots for stranded requests and places for those that leave a slow rank asked each target's group, which counts the requests of all its targets while it is in doubt or stands still.

--- a/internal/traffic/admission/group.go
+++ b/internal/traffic/admission/group.go
@@ -192,14 +192,14 @@
 // told of and not slow.
 func (c *Controller) places(now time.Time, service string) int {
 	n := 0
-	rules := c.RulesFor(service)
+	rules, takes := c.RulesFor(service), c.taking(now)
 	for _, target := range c.Targets(service) {
 		s := c.state(now, target)
 		g := c.group(s.group)
 		if !c.allows(now, target.ID, s, rules) {
 			continue
 		}
-		if s.toldLately(now) && !s.slow && !g.isSlow(now) && !now.Before(s.avoid) && g.takes(now, c.inFlight, s.group) {
+		if s.toldLately(now) && !s.slow && !g.isSlow(now) && !now.Before(s.avoid) && takes(s) {
 			n += max(s.grant, 0)
 		}
 	}
--- a/internal/traffic/admission/vacancy.go
+++ b/internal/traffic/admission/vacancy.go
@@ -22,17 +22,12 @@
 // vacancies returns those of a service's targets that have a place.
 func (c *Controller) vacancies(now time.Time, service string, list []roster.Target, rules Rules) vacancies {
 	told := now.Sub(c.queue(service).toldAt) < toldLasts
-	takes := make(map[*group]bool) // asked once for all targets of a group, whose requests it counts
+	takes := c.taking(now)
 	var free vacancies
 	for _, target := range list {
 		s := c.state(now, target)
 		g := c.group(s.group)
-		open, asked := takes[g]
-		if !asked {
-			open = g.takes(now, c.inFlight, s.group)
-			takes[g] = open
-		}
-		if !open || !s.free(now, g, rules, told) || !c.allows(now, target.ID, s, rules) {
+		if !takes(s) || !s.free(now, g, rules, told) || !c.allows(now, target.ID, s, rules) {
 			continue
 		}
 		if g.isSlow(now) {
@@ -44,18 +39,33 @@
 	return free
 }
 
+// taking returns what tells whether a target's group takes requests. Each group is asked once, as it
+// counts the requests of all its targets for that.
+func (c *Controller) taking(now time.Time) func(*state) bool {
+	asked := make(map[*group]bool)
+	return func(s *state) bool {
+		g := c.group(s.group)
+		takes, known := asked[g]
+		if !known {
+			takes = g.takes(now, c.inFlight, s.group)
+			asked[g] = takes
+		}
+		return takes
+	}
+}
+
 // withSlots are the targets of a service that have an empty slot, whatever their planner grants. It
 // grants less so that passes stay short.
 func (c *Controller) withSlots(now time.Time, list []roster.Target, rules Rules) vacancies {
+	takes := c.taking(now)
 	var slots vacancies
 	for _, target := range list {
 		s := c.state(now, target)
-		g := c.group(s.group)
 		switch {
-		case !s.toldLately(now), s.lost, s.slow, now.Before(s.avoid):
+		case !s.toldLately(now), s.lost, s.slow, s.refusals > 1, now.Before(s.avoid):
 		case s.load(now, rules) >= target.Slots:
-		case !g.takes(now, c.inFlight, s.group), !c.allows(now, target.ID, s, rules):
-		case g.isSlow(now):
+		case !takes(s), !c.allows(now, target.ID, s, rules):
+		case c.group(s.group).isSlow(now):
 			slots.slow = append(slots.slow, target)
 		default:
 			slots.usable = append(slots.usable, target)
