--- a/internal/expert/changeover/frozen_test.go
+++ b/internal/expert/changeover/frozen_test.go
@@ -225,8 +225,7 @@
 	t.Logf("%d changes were taken back without a rank", freed)
 }
 
-// Guards against ranks that begin a pass with different maps after the store came back from a copy:
-// planners have terms that were given out before, or lower ones.
+// Guards against two maps in one pass after planners got terms that were given out before, or lower ones.
 func TestStoreComesBackFromACopyWhileMapsChange(t *testing.T) {
 	for name, tells := range map[string]bool{"its era is told": true, "its era is not told": false} {
 		t.Run(name, func(t *testing.T) {
@@ -464,8 +463,7 @@
 	}
 }
 
-// Guards against a group that is held until a host is back which stood still while answers to a
-// hold were waited for, before any rank was told to arm.
+// Guards against a group that is held until a host is back that stopped before any rank was told to arm.
 func TestPassIsLetGoIfAHostStopsBeforeTheArming(t *testing.T) {
 	spared := 0
 	for seed := range uint64(40) {
--- a/internal/expert/demand/demand_test.go
+++ b/internal/expert/demand/demand_test.go
@@ -218,8 +218,7 @@
 	require.Greater(t, e.Lasts, 30*time.Minute)
 }
 
-// Guards against an uneven map that is kept for hours, as demand that turned about is believed to be
-// noise long after it has settled.
+// Guards against an uneven map that is kept for hours, as turns of demand are believed to be noise.
 func TestTurnsAreNotNoiseOnceDemandHasSettled(t *testing.T) {
 	f := newFeed(t, small, Config{})
 	there, back := weights(small, 10, 20, 30, 40, 50, 60, 70, 80), weights(small, 80, 70, 60, 50, 40, 30, 20, 10)
--- a/internal/program/companion/look_test.go
+++ b/internal/program/companion/look_test.go
@@ -91,8 +91,7 @@
 	require.Equal(t, []int{5}, p.seen().lost)
 }
 
-// Guards against a pass that is held for a host which stands still: its look was under way, so it
-// was not asked again and passed for one that answers.
+// Guards against a pass that is held for a host that stands still, whose look under way counted as an answer.
 func TestRankThatIsBeingAskedIsNotPassedOver(t *testing.T) {
 	p := newPlanner()
 	ranks := sidecars(t, 8, 5)
@@ -323,8 +322,7 @@
 	}
 }
 
-// Guards against callers that wait at a host which stands still: after the list was read again,
-// entries were not told that it is lost as its group closed.
+// Guards against callers that wait at a lost host, of which entries are not told once the list was read again.
 func TestLostRankIsToldAfterTheListWasReadAgain(t *testing.T) {
 	p := newPlanner()
 	targets := []roster.Target{
--- a/internal/program/companion/order_test.go
+++ b/internal/program/companion/order_test.go
@@ -22,8 +22,7 @@
 	return m
 }
 
-// Guards against a group that waits while its planner tells each sidecar the whole map, to take back
-// the change of one whose host stands still.
+// Guards against a group that waits while each sidecar is told the whole map to take a change back.
 func TestFenceIsToldByItsDigest(t *testing.T) {
 	var got rankport.Order
 	mux := http.NewServeMux()
--- a/internal/traffic/admission/admission_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -292,14 +292,12 @@
 	requireLookedThroughOnce(t, func(int) *Ticket { return patient(time.Minute) })
 }
 
-// Guards against an entry that uses its share of a core up, and takes no connection, as all that
-// ran at a group wait to be sent again.
+// Guards against an entry that takes no connection, as it looks through all that wait to be sent again.
 func TestCrowdThatWasSentBeforeIsLookedThroughOnce(t *testing.T) {
 	requireLookedThroughOnce(t, sentBefore)
 }
 
-// Guards against a request that waits for good while a place is free at a target that others were
-// sent to before.
+// Guards against a request that waits beside a free place, behind one that was sent there before.
 func TestPlaceGoesToTheFirstThatWasNotSentThere(t *testing.T) {
 	c := newController(2, Rules{PerTarget: 1, Queue: 9, Entries: 1})
 	running := []*Ticket{ticket(), ticket()}
@@ -318,8 +316,7 @@
 	requireGranted(t, was, true)
 }
 
-// Guards against callers who leave as their requests, cut off a host that stands still, wait behind
-// newer ones.
+// Guards against callers who leave as their requests, cut off a lost host, wait behind newer ones.
 func TestStrandedRequestGoesFirst(t *testing.T) {
 	c := newController(1, Rules{PerTarget: 1, Queue: 9, Entries: 1})
 	running, fresh, stranded := ticket(), patient(time.Minute), patient(time.Minute)
@@ -332,8 +329,7 @@
 	requireGranted(t, stranded, true)
 }
 
-// Guards against callers who leave as their requests, cut off a host that stands still, wait for a
-// planner's grant while slots are empty.
+// Guards against callers who leave as their requests, cut off a lost host, wait beside empty slots.
 func TestStrandedRequestGetsAnEmptySlot(t *testing.T) {
 	c := newController(2, Rules{PerTarget: 8, Queue: 9, Entries: 1})
 	list := c.Targets("svc")
--- a/internal/traffic/admission/group_test.go
+++ b/internal/traffic/admission/group_test.go
@@ -254,8 +254,7 @@
 	require.False(t, *at["t1"])
 }
 
-// Guards against a queue that is sent into a group whose pass is held, as its planner's host stands
-// still and entries go by their own count.
+// Guards against a queue that is sent into a group whose pass is held, by the entry's own count.
 func TestStalledGroupGetsNothing(t *testing.T) {
 	c := newController(2, Rules{PerTarget: 4, Queue: 9, Entries: 1})
 	told(c, start, 2, Told{Grant: 4})
--- a/internal/traffic/forward/stream_test.go
+++ b/internal/traffic/forward/stream_test.go
@@ -123,8 +123,7 @@
 	require.Equal(t, "2", second.Seen()[0].LastEvent, "it goes on, and does not begin anew")
 }
 
-// Guards against a caller who leaves as its stream, cut off a host that stands still, waits behind a
-// newer request.
+// Guards against a caller who leaves as its stream, cut off a lost host, waits behind a newer request.
 func TestStreamOfALostHostGoesFirst(t *testing.T) {
 	first, second := standin.NewServer(t, stalling), standin.NewServer(t, events)
 	b := newBench(t, first, second)
