The next planner tells a lost rank at once, though it never answered that planner and the group is held

Cause: a closed group's members are told from those that answered this planner, and the lost rank never did.

Change: the ranks that are seated are members, whether they ever answered or not.

Before: TestLostRankThatNeverAnsweredIsToldWhileItsGroupIsHeld fails.

--- a/internal/program/companion/look_test.go
+++ b/internal/program/companion/look_test.go
@@ -336,7 +336,7 @@
 	ranks := p.seats
 	p.takeList(targets)
 	p.note(ranks[1], errNoAnswer)
-	require.Equal(t, []digest.Rank{{Target: "a"}, {Target: "b", Lost: true}}, p.members())
+	require.Equal(t, []digest.Rank{{Target: "a"}, {Target: "b", Lost: true}}, p.members(view{}))
 }
 
 // Guards against orders for a server that go to the address of its earlier life.
@@ -350,3 +350,12 @@
 	require.Equal(t, moved, p.seats[0].engine)
 	require.Equal(t, roster.GroupName("g"), p.seats[0].last.Group)
 }
+
+// Guards against callers that wait at a lost host, of which the next planner tells only once the group goes on.
+func TestLostRankThatNeverAnsweredIsToldWhileItsGroupIsHeld(t *testing.T) {
+	p := newPlanner()
+	lost := &seat{target: "b"}
+	lost.lost.Store(true)
+	p.seats = []*seat{{target: "a", spoke: true, last: changeover.Report{Group: "g"}}, lost, {target: "x"}}
+	require.Equal(t, []digest.Rank{{Target: "a"}, {Target: "b", Lost: true}}, p.members(view{ranks: p.seats[:2]}))
+}
--- a/internal/program/companion/tell.go
+++ b/internal/program/companion/tell.go
@@ -31,7 +31,7 @@
 		}
 	}
 	if !v.serving {
-		d.Ranks = p.members()
+		d.Ranks = p.members(v)
 		for i, e := range entries {
 			d.Place = i + 1
 			p.c.socket.Send(e.address, d)
@@ -64,11 +64,18 @@
 }
 
 // members are the targets of a group that is closed. Without them an entry would take a
-// rank that has just come back for one of no group, and send requests there.
-func (p *planner) members() []digest.Rank {
+// rank that has just come back for one of no group, and send requests there. Of a group whose
+// ranks are known those count that never answered this planner, too: what runs at a host that
+// stands still has to leave at once.
+func (p *planner) members(v view) []digest.Rank {
 	var list []digest.Rank
+	for _, s := range v.ranks {
+		if s.target != "" {
+			list = append(list, digest.Rank{Target: s.target, Lost: s.lost.Load()})
+		}
+	}
 	for _, s := range p.seats {
-		if s.spoke && s.last.Group == p.group {
+		if s.spoke && s.last.Group == p.group && !slices.Contains(v.ranks, s) {
 			list = append(list, digest.Rank{Target: s.target, Lost: s.lost.Load()})
 		}
 	}
