--- a/internal/program/trial/requests_test.go
+++ b/internal/program/trial/requests_test.go
@@ -38,6 +38,8 @@
 	second, err := d.AddEntry("mtl-a-entry-1", "mtl-a", nil)
 	require.NoError(t, err)
 	require.Eventually(t, second.Ready, testTimeout, 5*time.Millisecond)
+	// Ready tells that it knows the documents, not that it has reached the target yet.
+	require.Eventually(t, func() bool { return targetStateAt(t, second, "agenda-0").Eligible }, testTimeout, 10*time.Millisecond)
 	logbook := d.Targets[2].Service
 	const body = `{"call":"c7","outcome":"reached"}`
 	requireRuns := func(t *testing.T, want int) {
--- a/internal/program/trial/routing_test.go
+++ b/internal/program/trial/routing_test.go
@@ -59,10 +59,15 @@
 	return d
 }
 
-// targetState returns what the entry's router knows of a target.
+// targetState returns what the first entry's router knows of a target.
 func targetState(t *testing.T, d *trial.Deployment, name string) entry.TargetState {
 	t.Helper()
-	state, err := d.Entries[0].State(testContext(t))
+	return targetStateAt(t, d.Entries[0], name)
+}
+
+func targetStateAt(t *testing.T, e *trial.Entry, name string) entry.TargetState {
+	t.Helper()
+	state, err := e.State(testContext(t))
 	require.NoError(t, err)
 	for _, r := range state.Routers {
 		for _, s := range r.Targets {
