A test's bound is put back: the wider one could not see its fault

What waits at a sidecar and is sent as the rest begins arrives some 300 ms after the first, so the wider bound passes the very failure that the test guards against. That the one arrival at 304 ms was allowed is worked out, not traced. No product code is changed.

--- a/internal/program/trial/rest_test.go
+++ b/internal/program/trial/rest_test.go
@@ -52,14 +52,10 @@
 
 // Guards against requests that wait at a sidecar and are sent as its target's rest begins.
 func TestWhatWaitsAtASidecarIsNotSentIntoARest(t *testing.T) {
-	const (
-		rest     = 3 * time.Second
-		slowness = 300 * time.Millisecond // until the first refusal is answered
-		underWay = 500 * time.Millisecond // after it
-	)
+	const rest = 3 * time.Second
 	d := newDeployment(t)
 	agenda := d.Targets[2].Service
-	agenda.SetFaults(service.Faults{Refuse: true, Rest: rest, Slowness: slowness})
+	agenda.SetFaults(service.Faults{Refuse: true, Rest: rest, Slowness: 300 * time.Millisecond})
 	var calls sync.WaitGroup
 	for n := range 160 {
 		calls.Go(func() { post(t, d, "/agenda/outcomes", trial.SmallKey, fmt.Sprint("call ", n)) })
@@ -69,6 +65,6 @@
 	require.NotEmpty(t, turned)
 	require.Less(t, len(turned), 160, "some waited")
 	for _, at := range turned {
-		require.Less(t, at.Sub(turned[0]), slowness+underWay, "%d were turned away", len(turned))
+		require.Less(t, at.Sub(turned[0]), 300*time.Millisecond, "%d were turned away", len(turned))
 	}
 }
