Logs: what a retry was decided by, when an attempt was written, and which targets are kept

Cause: the logs can't tell the hypotheses of the two faults apart (docs/incidents). Of retries neither the bound nor the number of entries nor the moment was logged; a target that is kept after it vanished left no line, and lines of targets had neither the store's position nor the heartbeat. No decision changes. Ruled out: nothing yet.

--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -67,6 +67,7 @@
 	crashes       *crashes.Keeper
 	malformed     *deployed.Malformed
 	intake        *intake.Check
+	repeats       repeatLog
 
 	connections callerConnections
 }
@@ -116,7 +117,7 @@
 		UnknownMaxAge: func() time.Duration { return time.Duration(configTrust * float64(g.bounds.Load().Revoke)) },
 		Admission:     g.admit,
 		Pool:          g.pool,
-		Budget: &forward.Budget{Started: time.Now(), Limits: func() forward.Limits {
+		Budget: &forward.Budget{Started: time.Now(), OnDecision: g.noteRepeat, Limits: func() forward.Limits {
 			b := g.bounds.Load()
 			return forward.Limits{Ratio: b.RepeatRatio, Window: b.RepeatWindow, Fixed: b.RepeatSlack / g.sharingEntries(time.Now())}
 		}},
--- a/internal/program/gateway/knowledge.go
+++ b/internal/program/gateway/knowledge.go
@@ -185,7 +185,10 @@
 func (g *Gateway) applyTarget(c feed.Change[roster.Target]) {
 	g.departed.reported(c.Name)
 	if c.Removed {
-		if g.missing.keep(time.Now(), c.Name) {
+		if kept, first := g.missing.keep(time.Now(), c.Name); kept {
+			if first {
+				g.log.Info().Str("event", "targetKept").Str("target", c.Name).Str("reason", "storeFailed").Msg("")
+			}
 			return
 		}
 		g.removeTarget(c.Name, "notListed")
@@ -223,7 +226,8 @@
 	}
 	if !found || known.Leaving != c.Object.Leaving {
 		g.log.Info().Str("event", "target").Str("target", c.Name).Str("service", c.Object.Service).
-			Bool("leaving", c.Object.Leaving).Stringer("address", c.Object.Address).Msg("")
+			Bool("leaving", c.Object.Leaving).Stringer("address", c.Object.Address).
+			Stringer("at", c.Object.ChangedAt).Int64("beat", c.Object.Heartbeats).Time("born", c.Object.Started).Msg("")
 	}
 }
 
@@ -249,7 +253,8 @@
 	}
 	g.roster.Remove(id)
 	g.admit.Forget(id)
-	g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", reason).Msg("")
+	g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", reason).
+		Bool("leaving", t.Leaving).Stringer("at", t.ChangedAt).Int64("beat", t.Heartbeats).Msg("")
 }
 
 // targetReplaced handles the response of a server that it is not the target expected at its
@@ -327,17 +332,19 @@
 	m.lastFailure = now
 }
 
-// keep reports whether a target that vanished from the list is kept for now.
-func (m *missing) keep(now time.Time, id string) bool {
+// keep reports whether a target that vanished from the list is kept for now, and whether that is
+// new.
+func (m *missing) keep(now time.Time, id string) (kept, first bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.lastFailure.IsZero() || now.Sub(m.lastFailure) > failureWindow {
-		return false
+		return false, false
 	}
-	if _, held := m.expiry[id]; !held {
+	_, held := m.expiry[id]
+	if !held {
 		m.expiry[id] = now.Add(missingGrace)
 	}
-	return true
+	return true, !held
 }
 
 func (m *missing) found(id string) {
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -99,11 +99,11 @@
 }
 
 // describeAttempt returns the log text of an attempt: the target, the result and its duration,
-// what was known of the target when it was chosen, the rate that its response gave, and its
+// when the request was written to the target, what was known of the target when it was chosen, the rate that its response gave, and its
 // notice.
 func describeAttempt(a forward.Attempt) string {
-	text := fmt.Sprintf("%s %s %dms reused=%t load=%d loadAge=%dms",
-		a.Target, a.Result, a.Took.Milliseconds(), a.Reused, a.Seen.Load, a.Seen.Age.Milliseconds())
+	text := fmt.Sprintf("%s %s %dms sent=%dms reused=%t load=%d loadAge=%dms",
+		a.Target, a.Result, a.Took.Milliseconds(), a.Sent.Milliseconds(), a.Reused, a.Seen.Load, a.Seen.Age.Milliseconds())
 	if a.Rate.Kind != ratelimit.NoRate {
 		text += " rate=" + a.Rate.String()
 	}
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -164,6 +164,7 @@
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Body: c.body,
 		Header: platform.RequestHeader(c.r.Header, c.outgoing(target.ID, left)),
 	}
+	a.Sent = c.f.Now().Sub(c.begin)
 	answer, err := c.f.Pool.Send(ctx, conn, req, c.isMine)
 	if err != nil {
 		return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.failureReason(reasonBroken)
--- a/internal/traffic/forward/budget.go
+++ b/internal/traffic/forward/budget.go
@@ -13,6 +13,8 @@
 	Limits func() Limits // returns the present limits
 	// Started is the start time of this incarnation of the entry.
 	Started time.Time
+	// OnDecision is called with each decision on a repeat; it may be nil.
+	OnDecision func(Decision)
 
 	mu       sync.Mutex
 	start    time.Time // start of the first slice; slices are counted by the monotonic clock
@@ -26,6 +28,15 @@
 	Fixed  float64       // repeats allowed in a window whatever the number of requests
 }
 
+// Decision is a decision on a repeat, with the counts and limits that it was made by.
+type Decision struct {
+	Service  string
+	Allowed  bool
+	Requests int // counted requests of the entry
+	Repeats  int // counted repeats of the entry, before this one
+	Limits
+}
+
 // tally counts requests and repeats in slices of a window.
 type tally struct {
 	slice    int64
@@ -63,11 +74,14 @@
 		// would together send more repeats than allowed.
 		l.Fixed = 0
 	}
-	if float64(repeats+1) > l.Ratio*float64(requests)*(slices-2)/slices+l.Fixed {
-		return false
+	allowed := float64(repeats+1) <= l.Ratio*float64(requests)*(slices-2)/slices+l.Fixed
+	if allowed {
+		t.repeats[t.slice%slices]++
+	}
+	if b.OnDecision != nil {
+		b.OnDecision(Decision{Service: service, Allowed: allowed, Requests: requests, Repeats: repeats, Limits: l})
 	}
-	t.repeats[t.slice%slices]++
-	return true
+	return allowed
 }
 
 // tally returns the tally of a service, with the slices that have passed since its last use
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -88,6 +88,7 @@
 	Result string
 	Reused bool // the connection had carried requests before
 	Seen   admission.Basis
+	Sent   time.Duration // from the request's arrival to its writing to the target; 0 if it was not written
 	Took   time.Duration
 	Rate   ratelimit.Statement // rate limit in the target's response
 	Notice notice.Notice       // target notice in the response
