A target that left after a failure of the store is not taken for one that expired

Cause: for 3 s after the last failed call, a target that vanished was kept for 2.2 s from the moment at which it vanished, and each further failure renewed that. A removal that the store reports when it is back passed for an expiry during the failure, as did one in a list after a dropped history, which is an answer and no failure. Class: a guess about the past (the entry expired during the failure) counted from the wrong moment, the guess's instead of the failure's. Change: the grace counts from when the last failed call began, the earliest moment at which the failure may have been over, and never beyond 0.8 of the drain time after the target vanished. After that, until 2.2 s after the first success, a missing target gets requests only if its service has no listed one: callers of a service whose entries have all expired are served as before. A dropped history is no failure. The first watch after a failure waits for 0.1 s, so that a store that is back is noticed at once, not after the 3 s of a watch without changes. Why it works: what is kept in full ends 2.2 s after the failure began to be over, before machines count as in touch again.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -45,6 +45,9 @@
 	// Displaced is set if a later target is listed at the same address: this one gets no new
 	// requests.
 	Displaced bool
+	// Missing is set if the store does not list the target, and it may be live: it gets requests
+	// only if its service has no other target.
+	Missing bool
 	// Unreadable is set if the target's entry in the store can't be decoded any more: it gets
 	// no new requests.
 	Unreadable bool
@@ -167,12 +170,27 @@
 	return true
 }
 
+// MarkMissing marks a target that the store does not list any more, until the next Put. MarkMissing
+// returns false if the target is not known or already marked.
+func (r *Roster) MarkMissing(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, found := r.targets[id]
+	if !found || t.Missing {
+		return false
+	}
+	t.Missing = true
+	r.targets[id] = t
+	r.index(t.Service)
+	return true
+}
+
 // index rebuilds the list of a service. Lists are never changed in place, so that
 // readers may keep the one that they have.
 func (r *Roster) index(service string) {
 	var list []Target
 	for _, t := range r.targets {
-		if t.Service == service && !t.Leaving && !t.Displaced && !t.Unreadable {
+		if t.Service == service && !t.Leaving && !t.Displaced && !t.Missing && !t.Unreadable {
 			list = append(list, t)
 		}
 	}
@@ -188,14 +206,17 @@
 	return r.serving[service]
 }
 
-// Draining returns the targets of a service that announced their shutdown after the given
-// time. They continue to serve for a while.
-func (r *Roster) Draining(service string, after time.Time) []Target {
+// LastResort returns the targets of a service that are missing from the list, and those that
+// announced their shutdown after the given time: these continue to serve for a while.
+func (r *Roster) LastResort(service string, after time.Time) []Target {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	var list []Target
 	for _, t := range r.targets {
-		if t.Service == service && t.Leaving && t.LeavingSince.After(after) && !t.Displaced && !t.Unreadable {
+		if t.Service != service || t.Displaced || t.Unreadable {
+			continue
+		}
+		if t.Leaving && t.LeavingSince.After(after) || t.Missing && !t.Leaving {
 			list = append(list, t)
 		}
 	}
--- a/internal/program/gateway/knowledge.go
+++ b/internal/program/gateway/knowledge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
@@ -24,9 +23,6 @@
 	// which a leaving target must be known. With 14 entries and 75 servers it halved the
 	// calls of a day without incidents (from 1,857 to 990), most of which come at the start.
 	targetSettleTime = 300 * time.Millisecond
-	// missingGrace is how long a target that is no longer listed is kept if the store was
-	// unavailable: live targets are listed again within two seconds.
-	missingGrace = 2200 * time.Millisecond
 )
 
 // knownConfig is the newest configuration that the entry has seen.
@@ -89,9 +85,9 @@
 		sentAt = deployed.Elapsed()
 		return list(ctx)
 	}
-	f.Watch = func(ctx context.Context, after int64) (feed.Page[*routing.Config], error) {
+	f.Watch = func(ctx context.Context, after int64, wait time.Duration) (feed.Page[*routing.Config], error) {
 		sentAt = deployed.Elapsed()
-		return watch(ctx, after)
+		return watch(ctx, after, wait)
 	}
 	install := func(_ time.Time, p feed.Page[*routing.Config]) { g.installConfig(sentAt, p) }
 	f.Listed, f.Changed = install, install
@@ -144,11 +140,9 @@
 	f := g.store.FollowServers(targetWatchWait, g.malformed.Report)
 	f.PauseAfterChanges = targetSettleTime
 	failed := g.storeFailed("targets")
-	f.Failed = func(err error) {
-		if err != nil {
-			g.missing.storeFailed(time.Now())
-		}
-		failed(err)
+	f.Failed = func(began time.Time, err error) {
+		g.noteStoreCall(time.Now(), began, err)
+		failed(began, err)
 	}
 	f.Listed = func(_ time.Time, p feed.Page[roster.Target]) { g.applyTargetList(time.Now(), p) }
 	f.Changed = func(_ time.Time, p feed.Page[roster.Target]) {
@@ -185,13 +179,7 @@
 func (g *Gateway) applyTarget(c feed.Change[roster.Target]) {
 	g.departed.reported(c.Name)
 	if c.Removed {
-		if kept, first := g.missing.keep(time.Now(), c.Name); kept {
-			if first {
-				g.log.Info().Str("event", "targetKept").Str("target", c.Name).Str("reason", "storeFailed").Msg("")
-			}
-			return
-		}
-		g.removeTarget(c.Name, "notListed")
+		g.targetVanished(time.Now(), c.Name)
 		return
 	}
 	g.missing.found(c.Name)
@@ -243,6 +231,25 @@
 		Int64("beat", current.Heartbeats).Int64("beatBefore", previous.Heartbeats).Msg("")
 }
 
+// targetVanished removes a target that the store does not list any more, or keeps it for a while if
+// its entry may have expired during a failure of the store.
+func (g *Gateway) targetVanished(now time.Time, id string) {
+	t, found := g.roster.Get(id)
+	if !found {
+		return
+	}
+	s, first := g.missing.vanished(now, id, time.Duration(keptShare*float64(g.bounds.Load().Drain)))
+	if s == stageGone {
+		g.removeTarget(id, "notListed")
+		return
+	}
+	if first {
+		g.log.Info().Str("event", "targetKept").Str("target", id).Str("reason", "storeFailed").
+			Bool("lastResort", s == stageLastResort).Stringer("at", t.ChangedAt).Msg("")
+	}
+	g.applyMissing(id, s)
+}
+
 func (g *Gateway) removeTarget(id, reason string) {
 	t, found := g.roster.Get(id)
 	if !found {
@@ -276,14 +283,14 @@
 // other target is left. The rest covers the delay of the store and of a request on its way.
 const lastUseShare = 0.4
 
-// serving returns the targets of a service that take requests. Leaving targets are among them
-// only if there is no other, as when a whole data centre is shut down.
+// serving returns the targets of a service that take requests. Leaving targets, and those that may
+// be gone, are among them only if there is no other, as when a whole data centre is shut down.
 func (g *Gateway) serving(service string) []roster.Target {
 	if list := g.roster.Serving(service); len(list) > 0 {
 		return list
 	}
 	last := time.Duration(lastUseShare * float64(g.bounds.Load().Drain))
-	return g.roster.Draining(service, time.Now().Add(-last))
+	return g.roster.LastResort(service, time.Now().Add(-last))
 }
 
 // resolveHeldTargets decides on targets that were kept or withheld: those that stay missing are
@@ -292,7 +299,19 @@
 	for _, t := range g.departed.due(now) {
 		g.applyTarget(feed.Change[roster.Target]{Name: t.ID, Object: t})
 	}
-	for _, id := range g.missing.due(now) {
+	for id, s := range g.missing.due(now) {
+		g.applyMissing(id, s)
+	}
+}
+
+// applyMissing applies the stage of a target that vanished from the list.
+func (g *Gateway) applyMissing(id string, s stage) {
+	switch s {
+	case stageLastResort:
+		if g.roster.MarkMissing(id) {
+			g.log.Info().Str("event", "targetMissing").Str("target", id).Msg("")
+		}
+	case stageGone:
 		g.removeTarget(id, stayedMissing)
 	}
 }
@@ -300,68 +319,3 @@
 // stayedMissing is the reason for removing a target that was not listed again after a store
 // failure. Its server may be live, and cut off from the store for longer.
 const stayedMissing = "stayedMissing"
-
-// missing keeps targets that vanished from the list while the store was unavailable. Their
-// entries expire when they can't be renewed, so all targets may vanish at once though
-// they are live; live targets are listed again soon after the store is back.
-type missing struct {
-	mu          sync.Mutex
-	lastFailure time.Time            // when a call to the store last failed
-	expiry      map[string]time.Time // when each target is considered gone
-}
-
-// failureWindow is how long after a failed call the list may still lack live targets.
-const failureWindow = 3 * time.Second
-
-func newMissing() *missing { return &missing{expiry: make(map[string]time.Time)} }
-
-func (m *missing) storeFailed(now time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.lastFailure = now
-	for id := range m.expiry {
-		m.expiry[id] = now.Add(missingGrace)
-	}
-}
-
-// storeRestored records that the store was restored from a backup. Servers that started after
-// the backup are not in it, and write their entries again.
-func (m *missing) storeRestored(now time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.lastFailure = now
-}
-
-// keep reports whether a target that vanished from the list is kept for now, and whether that is
-// new.
-func (m *missing) keep(now time.Time, id string) (kept, first bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.lastFailure.IsZero() || now.Sub(m.lastFailure) > failureWindow {
-		return false, false
-	}
-	_, held := m.expiry[id]
-	if !held {
-		m.expiry[id] = now.Add(missingGrace)
-	}
-	return true, !held
-}
-
-func (m *missing) found(id string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	delete(m.expiry, id)
-}
-
-func (m *missing) due(now time.Time) []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var ids []string
-	for id, t := range m.expiry {
-		if !now.Before(t) {
-			ids = append(ids, id)
-			delete(m.expiry, id)
-		}
-	}
-	return ids
-}
--- a/internal/program/gateway/knowledge_test.go
+++ b/internal/program/gateway/knowledge_test.go
@@ -21,7 +21,7 @@
 )
 
 func newGateway() *Gateway {
-	s := deployed.Settings{Bounds: deployed.Bounds{Revoke: 5 * time.Second, Apply: 2 * time.Second, RepeatWindow: time.Second, Grace: 10 * time.Second}}
+	s := deployed.Settings{Bounds: deployed.Bounds{Revoke: 5 * time.Second, Apply: 2 * time.Second, Drain: drainTime, RepeatWindow: time.Second, Grace: 10 * time.Second}}
 	return New(s, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, metrics.NewSet())
 }
 
@@ -129,6 +129,42 @@
 	requireServing(t, g, "a")
 }
 
+// Guards against refusing all callers while none of the targets that expired is listed again yet, and
+// against sending to such a target while others are listed.
+func TestMissingTargetIsTheLastResort(t *testing.T) {
+	g := newGateway()
+	now := time.Now()
+	g.applyTarget(put("a", false))
+	g.applyTarget(put("b", false))
+	g.missing.storeFailed(now.Add(-missingGrace))
+	g.missing.storeRegained(now)
+	g.applyTargetList(now, feed.Page[roster.Target]{})
+	requireServing(t, g)
+	require.Len(t, g.serving("svc"), 2, "none is listed")
+	g.applyTarget(put("a", false))
+	requireServing(t, g, "a")
+	require.Len(t, g.serving("svc"), 1, "one is listed")
+	g.resolveHeldTargets(now.Add(missingGrace))
+	_, found := g.roster.Get("b")
+	require.False(t, found)
+}
+
+// Guards against keeping a target that left for as long as calls of the store fail now and then.
+func TestKeptTargetIsNotKeptByLaterFailures(t *testing.T) {
+	m := newMissing()
+	now := time.Now()
+	m.storeFailed(now)
+	m.storeRegained(now)
+	s, _ := m.vanished(now, "a", drainTime)
+	require.Equal(t, stageKept, s)
+	for at := now; at.Before(now.Add(drainTime)); at = at.Add(time.Second / 2) {
+		m.storeFailed(at)
+		m.storeRegained(at)
+		require.Empty(t, m.due(at))
+	}
+	require.Equal(t, map[string]stage{"a": stageLastResort}, m.due(now.Add(drainTime)))
+}
+
 // Without a recent store failure a target that is no longer listed is removed at once: it serves
 // for two more seconds at the most.
 func TestUnlistedTargetIsGone(t *testing.T) {
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -12,9 +12,9 @@
 
 // storeFailed returns a function that logs when the store becomes unavailable and when it is
 // available again, once each.
-func (g *Gateway) storeFailed(what string) func(error) {
+func (g *Gateway) storeFailed(what string) func(time.Time, error) {
 	var since time.Time
-	return func(err error) {
+	return func(_ time.Time, err error) {
 		if err == nil {
 			g.log.Info().Str("event", "storeRegained").Str("feed", what).Dur("after", time.Since(since)).Msg("")
 			since = time.Time{}
--- a/internal/record/feed/feed.go
+++ b/internal/record/feed/feed.go
@@ -30,6 +30,8 @@
 	// one keeps twenty processes under a twentieth of the store's rate during an outage.
 	firstPause = 50 * time.Millisecond
 	maxPause   = 500 * time.Millisecond
+	// probeWait is how long a watch waits that follows a failed call.
+	probeWait = 100 * time.Millisecond
 	// callInterval is the minimum time between the beginnings of two calls. Otherwise a store
 	// that responds to every call at once would get as many calls as a process can make.
 	callInterval = 20 * time.Millisecond
@@ -62,8 +64,10 @@
 type Feed[T any] struct {
 	// List reads all objects.
 	List func(context.Context) (Page[T], error)
-	// Watch waits for changes after a revision. It bounds its waiting time itself.
-	Watch func(ctx context.Context, after int64) (Page[T], error)
+	// Watch waits for changes after a revision, at most for the time wait.
+	Watch func(ctx context.Context, after int64, wait time.Duration) (Page[T], error)
+	// Wait is how long a watch waits for changes.
+	Wait time.Duration
 	// Listed receives the list of all objects. The call began at the time began: the list
 	// is not older than that.
 	Listed func(began time.Time, p Page[T])
@@ -77,9 +81,9 @@
 	// Eras tracks the eras of the store. All feeds of a process share it; it may be nil if
 	// there is only one feed.
 	Eras *position.Eras
-	// Failed is called with the error of each failed call, and with nil at the first success
-	// after a failure.
-	Failed func(error)
+	// Failed is called with the error of each failed call and with the time at which the call
+	// began, and with nil at the first success after a failure.
+	Failed func(began time.Time, err error)
 }
 
 // Run follows the objects until the context ends.
@@ -103,7 +107,7 @@
 		case err != nil && s.eraOver():
 			// The watch was cancelled because its era ended; this is no failure.
 		case err != nil:
-			s.handleFailure(ctx, err)
+			s.handleFailure(ctx, began, err)
 		case s.accept(now(), began, page):
 			s.pause = firstPause
 			sleep(ctx, max(callInterval-elapsed, s.settlePause(page)))
@@ -144,16 +148,25 @@
 		case <-ended:
 		}
 	}()
-	return s.Watch(ctx, s.last.Revision)
+	return s.Watch(ctx, s.last.Revision, s.watchWait())
+}
+
+// watchWait returns how long the next watch waits. After a failure it hardly waits, as its response
+// shows that the store is back: a watch without changes responds only when its wait is over.
+func (s *state[T]) watchWait() time.Duration {
+	if s.failing {
+		return min(probeWait, s.Wait)
+	}
+	return s.Wait
 }
 
 // handleFailure records a failed call and waits.
-func (s *state[T]) handleFailure(ctx context.Context, err error) {
+func (s *state[T]) handleFailure(ctx context.Context, began time.Time, err error) {
 	if errors.Is(err, ErrHistoryGone) {
 		s.listed = false
 	}
 	s.failing = true
-	s.Failed(err)
+	s.Failed(began, err)
 	s.backOff(ctx)
 }
 
@@ -177,7 +190,7 @@
 func (s *state[T]) accept(now, began time.Time, p Page[T]) bool {
 	if s.failing {
 		s.failing = false
-		s.Failed(nil)
+		s.Failed(began, nil)
 	}
 	if s.listed {
 		return s.acceptChanges(began, p)
--- a/internal/record/feed/feed_test.go
+++ b/internal/record/feed/feed_test.go
@@ -43,10 +43,10 @@
 	f := &Feed[int]{
 		Eras:    &eras,
 		List:    func(context.Context) (Page[int], error) { return next("list") },
-		Watch:   func(context.Context, int64) (Page[int], error) { return next("watch") },
+		Watch:   func(context.Context, int64, time.Duration) (Page[int], error) { return next("watch") },
 		Listed:  func(_ time.Time, p Page[int]) { s.listed = append(s.listed, p) },
 		Changed: func(_ time.Time, p Page[int]) { s.changed = append(s.changed, p) },
-		Failed:  func(err error) { s.failed = append(s.failed, err) },
+		Failed:  func(_ time.Time, err error) { s.failed = append(s.failed, err) },
 	}
 	f.Run(ctx, time.Now)
 }
@@ -95,13 +95,13 @@
 	watched := 0
 	f := &Feed[int]{
 		List: func(context.Context) (Page[int], error) { return Page[int]{Revision: 1}, nil },
-		Watch: func(context.Context, int64) (Page[int], error) {
+		Watch: func(context.Context, int64, time.Duration) (Page[int], error) {
 			watched++
 			return Page[int]{Revision: 2, Changes: []Change[int]{{Name: "a"}}}, nil
 		},
 		Listed:            func(time.Time, Page[int]) {},
 		Changed:           func(time.Time, Page[int]) { time.AfterFunc(10*time.Millisecond, cancel) },
-		Failed:            func(error) {},
+		Failed:            func(time.Time, error) {},
 		PauseAfterChanges: time.Hour,
 	}
 	f.Run(ctx, time.Now)
@@ -145,10 +145,10 @@
 			}
 			f := &Feed[int]{
 				List:    func(context.Context) (Page[int], error) { return call() },
-				Watch:   func(context.Context, int64) (Page[int], error) { return call() },
+				Watch:   func(context.Context, int64, time.Duration) (Page[int], error) { return call() },
 				Listed:  func(time.Time, Page[int]) {},
 				Changed: func(time.Time, Page[int]) {},
-				Failed:  func(error) {},
+				Failed:  func(time.Time, error) {},
 			}
 			f.Run(ctx, time.Now)
 			require.LessOrEqual(t, calls, 60, "in %s", lasts)
@@ -168,7 +168,7 @@
 	f := &Feed[int]{
 		Eras: &eras,
 		List: func(context.Context) (Page[int], error) { return Page[int]{Revision: 40, Era: eras.Era()}, nil },
-		Watch: func(ctx context.Context, _ int64) (Page[int], error) {
+		Watch: func(ctx context.Context, _ int64, _ time.Duration) (Page[int], error) {
 			_, _ = eras.Observe(time.Now(), 2)
 			<-ctx.Done()
 			return Page[int]{}, ctx.Err()
@@ -179,7 +179,7 @@
 			}
 		},
 		Changed: func(time.Time, Page[int]) {},
-		Failed:  func(error) {},
+		Failed:  func(time.Time, error) {},
 	}
 	f.Run(ctx, time.Now)
 	require.Len(t, listed, 2)
