A target that leaves while a watch hangs is known within its drain time

Cause: a watch of targets waited for a fixed 3 s, and 0.6 s more for its answer, where a leaving target has to be known within the drain time (2 s here). Class: a constant where a bound is promised, chosen apart from the bound. Change: a watch of targets waits for 0.4 of the drain time. A failure that is shorter than entries last (two heartbeats after the last answer) lets none expire, so that a target missing after it has left: it is removed at once. The heartbeat interval comes from the platform's settings (bounds.heartbeat). Why: 0.3 s pause, 0.8 s wait, 0.6 s for the answer, 0.08 s pause and a call are 1.8 s of 2 s. Ruled out: keep-alive probes of the connection (the peer acknowledges), a signal between the feeds of a process (the feed of the configuration hangs for 2.1 s itself).

--- a/internal/program/deployed/settings.go
+++ b/internal/program/deployed/settings.go
@@ -48,6 +48,7 @@
 	RepeatSlack  float64       `yaml:"repeatSlack"`  // retries allowed in a window in any case, for all entries together
 	RepeatWindow time.Duration `yaml:"repeatWindow"` // the window in which both are counted
 	Stall        time.Duration `yaml:"stall"`        // a group waits that long for a lost rank
+	Heartbeat    time.Duration `yaml:"heartbeat"`    // interval at which targets renew their entries in the store; 0 if not known
 }
 
 // Load decodes and checks the text of a settings file. The list holds all findings.
@@ -91,5 +92,6 @@
 	{"bounds.repeatRatio", "bounds.repeatRatio must not be below 0", func(s Settings) bool { return s.Bounds.RepeatRatio < 0 }},
 	{"bounds.repeatSlack", "bounds.repeatSlack must not be below 0", func(s Settings) bool { return s.Bounds.RepeatSlack < 0 }},
 	{"bounds.repeatWindow", "bounds.repeatWindow must be above 0", func(s Settings) bool { return s.Bounds.RepeatWindow <= 0 }},
+	{"bounds.heartbeat", "bounds.heartbeat must not be below 0", func(s Settings) bool { return s.Bounds.Heartbeat < 0 }},
 	{"memoryMB", "memoryMB must be above 0", func(s Settings) bool { return s.Memory <= 0 }},
 }
--- a/internal/program/gateway/crashes_test.go
+++ b/internal/program/gateway/crashes_test.go
@@ -58,6 +58,7 @@
 		Bounds: deployed.Bounds{
 			Apply: 2 * time.Second, Revoke: 5 * time.Second, Drain: 2 * time.Second, Grace: 8 * time.Second,
 			Stall: 1500 * time.Millisecond, RepeatRatio: 0.2, RepeatSlack: 90, RepeatWindow: 10 * time.Second,
+			Heartbeat: 1200 * time.Millisecond,
 		},
 	}
 	file := filepath.Join(t.TempDir(), "settings.yaml")
--- a/internal/program/gateway/knowledge.go
+++ b/internal/program/gateway/knowledge.go
@@ -16,12 +16,13 @@
 	// configuration waits. What a watch proves dates from before it was sent, so keys must
 	// be trusted for two waits and a call; three parts of ten leave room for a failed call.
 	configWatchShare = 0.3
-	// targetWatchWait is how long a watch of targets waits. Watches sometimes end without
-	// an error, and a leaving target must be known about two seconds later.
-	targetWatchWait = 3 * time.Second
-	// targetSettleTime is the pause between reads of changed targets: a sixth of the time in
-	// which a leaving target must be known. With 14 entries and 75 servers it halved the
-	// calls of a day without incidents (from 1,857 to 990), most of which come at the start.
+	// targetWatchShare is the part of the drain time for which a watch of targets waits. A watch
+	// may hang that is never answered, and a target that leaves meanwhile must still be known
+	// within its drain time. The rest covers the pause before the watch, the time allowed for
+	// its response, and the call that follows.
+	targetWatchShare = 0.4
+	// targetSettleTime is the pause between reads of changed targets, so that targets that change
+	// one after the other are read together.
 	targetSettleTime = 300 * time.Millisecond
 )
 
@@ -137,15 +138,20 @@
 }
 
 func (g *Gateway) followTargets(ctx context.Context) error {
-	f := g.store.FollowServers(targetWatchWait, g.malformed.Report)
+	wait := time.Duration(targetWatchShare * float64(g.settings.Bounds.Drain))
+	f := g.store.FollowServers(wait, g.malformed.Report)
 	f.PauseAfterChanges = targetSettleTime
 	failed := g.storeFailed("targets")
 	f.Failed = func(began time.Time, err error) {
-		g.noteStoreCall(time.Now(), began, err)
+		g.noteStoreFailure(began, err)
 		failed(began, err)
 	}
-	f.Listed = func(_ time.Time, p feed.Page[roster.Target]) { g.applyTargetList(time.Now(), p) }
+	f.Listed = func(_ time.Time, p feed.Page[roster.Target]) {
+		g.storeAnswered(time.Now())
+		g.applyTargetList(time.Now(), p)
+	}
 	f.Changed = func(_ time.Time, p feed.Page[roster.Target]) {
+		g.storeAnswered(time.Now())
 		for _, c := range p.Changes {
 			g.applyTarget(c)
 		}
--- a/internal/program/gateway/knowledge_test.go
+++ b/internal/program/gateway/knowledge_test.go
@@ -137,7 +137,7 @@
 	g.applyTarget(put("a", false))
 	g.applyTarget(put("b", false))
 	g.missing.storeFailed(now.Add(-missingGrace))
-	g.missing.storeRegained(now)
+	g.missing.storeAnswered(now, 0)
 	g.applyTargetList(now, feed.Page[roster.Target]{})
 	requireServing(t, g)
 	require.Len(t, g.serving("svc"), 2, "none is listed")
@@ -149,17 +149,39 @@
 	require.False(t, found)
 }
 
+// Guards against keeping a target that left during a failure too short for its entry to expire.
+func TestTargetThatVanishesInAShortFailureHasLeft(t *testing.T) {
+	for name, c := range map[string]struct {
+		failure time.Duration
+		want    stage
+	}{
+		"shorter than entries last": {2 * time.Second, stageGone},
+		"as long as entries last":   {2400 * time.Millisecond, stageKept},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const expiry = 2400 * time.Millisecond
+			m := newMissing()
+			now := time.Now()
+			m.storeAnswered(now, expiry)
+			m.storeFailed(now.Add(c.failure - time.Second))
+			m.storeAnswered(now.Add(c.failure), expiry)
+			s, _ := m.vanished(now.Add(c.failure), "a", drainTime)
+			require.Equal(t, c.want, s)
+		})
+	}
+}
+
 // Guards against keeping a target that left for as long as calls of the store fail now and then.
 func TestKeptTargetIsNotKeptByLaterFailures(t *testing.T) {
 	m := newMissing()
 	now := time.Now()
 	m.storeFailed(now)
-	m.storeRegained(now)
+	m.storeAnswered(now, 0)
 	s, _ := m.vanished(now, "a", drainTime)
 	require.Equal(t, stageKept, s)
 	for at := now; at.Before(now.Add(drainTime)); at = at.Add(time.Second / 2) {
 		m.storeFailed(at)
-		m.storeRegained(at)
+		m.storeAnswered(at, 0)
 		require.Empty(t, m.due(at))
 	}
 	require.Equal(t, map[string]stage{"a": stageLastResort}, m.due(now.Add(drainTime)))
--- a/internal/program/gateway/missing.go
+++ b/internal/program/gateway/missing.go
@@ -15,6 +15,9 @@
 	// keptShare is the part of the drain time for which a target that vanished is kept as if it
 	// were listed. If it has left, it serves for the drain time from then on.
 	keptShare = 0.8
+	// expiryHeartbeats is how many heartbeat intervals an entry outlives the last answer of the
+	// store at least: it expires after three, and its last heartbeat may be one old.
+	expiryHeartbeats = 2
 )
 
 // stage is how far a target that vanished from the list is given up.
@@ -28,17 +31,20 @@
 
 // missing keeps targets that vanished from the list after a failure of the store. Their entries
 // expire when they can't be renewed, so all targets may vanish at once though they are live; live
-// targets are listed again soon after the store is back.
+// targets are listed again soon after the store is back. A failure too short for an entry to expire
+// counts for nothing: a target that vanished has left then.
 //
-// A target may also have left during the failure or after it. The failure is therefore taken to
+// A target may also have left during a longer failure or after it. The failure is therefore taken to
 // have ended as early as it may have: when the last failed call began. A watch that is never
 // answered shows the failure only seconds after it is over. Until the store is certain to have been
 // back for long enough, the target remains a last resort.
 type missing struct {
 	mu         sync.Mutex
-	failedAt   time.Time // when the last failed call began
-	failing    bool      // no call has succeeded since
-	regainedAt time.Time // when the first call succeeded after the last failure
+	answeredAt time.Time // when the store last answered
+	failing    bool      // a call has failed since, the last one of which began at failingAt
+	failingAt  time.Time
+	failedAt   time.Time // when the last call began that failed during a failure that is over
+	regainedAt time.Time // when the store answered first after that failure
 	keptUntil  map[string]time.Time
 }
 
@@ -48,16 +54,18 @@
 func (m *missing) storeFailed(began time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.failedAt, m.failing = began, true
+	m.failing, m.failingAt = true, began
 }
 
-// storeRegained records that a call succeeded after a failure.
-func (m *missing) storeRegained(now time.Time) {
+// storeAnswered records that a call succeeded. An entry can't expire within the time expiry after
+// the store has answered.
+func (m *missing) storeAnswered(now time.Time, expiry time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.failing {
-		m.failing, m.regainedAt = false, now
+	if m.failing && now.Sub(m.answeredAt) >= expiry {
+		m.failedAt, m.regainedAt = m.failingAt, now
 	}
+	m.failing, m.answeredAt = false, now
 }
 
 // storeRestored records that the store was restored from a backup. Servers that started after
@@ -65,7 +73,7 @@
 func (m *missing) storeRestored(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.failedAt, m.failing, m.regainedAt = now, false, now
+	m.failing, m.failedAt, m.regainedAt = false, now, now
 }
 
 // vanished records that a target is not listed any more, unless that is known. It returns the
@@ -88,7 +96,7 @@
 // stage returns the stage of a target that is kept until the given time at the most.
 func (m *missing) stage(now, until time.Time) stage {
 	switch {
-	case now.Before(until) && now.Before(m.failedAt.Add(missingGrace)):
+	case now.Before(until) && (m.failing || now.Before(m.failedAt.Add(missingGrace))):
 		return stageKept
 	case m.failing || now.Before(m.regainedAt.Add(missingGrace)):
 		return stageLastResort
@@ -125,14 +133,16 @@
 	return list
 }
 
-// noteStoreCall records the outcome of a call of the list of targets, which may be the first
-// success after a failure. A store that has dropped its history has answered: the entries that its
-// next list lacks have not expired for lack of a store.
-func (g *Gateway) noteStoreCall(now, began time.Time, err error) {
-	switch {
-	case err == nil:
-		g.missing.storeRegained(now)
-	case !errors.Is(err, feed.ErrHistoryGone):
+// storeAnswered records that the store has answered a call of the list of targets.
+func (g *Gateway) storeAnswered(now time.Time) {
+	g.missing.storeAnswered(now, expiryHeartbeats*g.bounds.Load().Heartbeat)
+}
+
+// noteStoreFailure records a failed call of the list of targets, or the first success after it,
+// which has no error. A store that has dropped its history has answered: the next list lacks no
+// target whose entry expired for lack of a store.
+func (g *Gateway) noteStoreFailure(began time.Time, err error) {
+	if err != nil && !errors.Is(err, feed.ErrHistoryGone) {
 		g.missing.storeFailed(began)
 	}
 }
