--- a/internal/program/gateway/knowledge_test.go
+++ b/internal/program/gateway/knowledge_test.go
@@ -196,6 +196,32 @@
 	requireServing(t, g)
 }
 
+// Guards against more repeats of all entries together than allowed when planners report fewer entries
+// than have sent repeats in the window: some are draining, or have sent no heartbeat to a new planner.
+func TestFixedRepeatsAreDividedByAllEntriesOfTheWindow(t *testing.T) {
+	const (
+		slack  = 132.0
+		window = 10 * time.Second
+	)
+	begin := time.Now()
+	used := make([]float64, 16) // repeats of each entry in the window
+	for reported, at := 16, begin; reported > 0; reported, at = reported-1, at.Add(window/20) {
+		for i := range reported {
+			g := newGateway()
+			for n, earlier := 16, begin; n >= reported; n, earlier = n-1, earlier.Add(window/20) {
+				g.planners.accept(earlier, netip.AddrPort{}, digest.Update{Service: "svc", Entries: n})
+			}
+			used[i] = max(used[i], slack/g.sharingEntries(at))
+		}
+	}
+	sum := 0.0
+	for _, n := range used {
+		sum += n
+	}
+	t.Logf("%.0f repeats of %.0f", sum, slack)
+	require.LessOrEqual(t, sum, slack)
+}
+
 // Sixteen entries share the retries that all may send together. With a divisor below their number
 // they would together send more than is allowed.
 func TestRetryBudgetIsShared(t *testing.T) {
--- a/internal/traffic/forward/budget_test.go
+++ b/internal/traffic/forward/budget_test.go
@@ -1,10 +1,16 @@
 package forward
 
 import (
+	"net/http"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
+	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
 // Guards against more repeats in a window than the platform allows, when entries restart one
@@ -64,3 +70,63 @@
 		})
 	}
 }
+
+// Guards against more repeats in a window than allowed, when those that were allowed earlier wait in
+// the queue and are sent together with new ones.
+func TestRepeatsThatWaitedCountWhenTheyAreSent(t *testing.T) {
+	const (
+		fixed  = 4
+		window = 150 * time.Millisecond
+	)
+	free := make(chan struct{})
+	release := sync.OnceFunc(func() { close(free) })
+	busy := standin.NewServer(t, func(w standin.Reply, _ standin.Request) {
+		<-free
+		w.Complete(http.StatusOK, "hello")
+	})
+	b := newTestbed(t, busy)
+	t.Cleanup(release)
+	b.Budget = &Budget{Limits: func() Limits { return Limits{Window: window, Fixed: fixed} }}
+	b.Admission.RulesFor = func(string) admission.Limits {
+		return admission.Limits{PerTarget: 2 * fixed, Queue: 4 * fixed, Entries: 1}
+	}
+	var calls sync.WaitGroup
+	send := func(n int, to *standin.Server) {
+		for range n {
+			calls.Go(func() { b.call(http.MethodGet, "/safe/x") })
+		}
+		require.Eventually(t, func() bool { return len(to.Seen()) == n }, 3*time.Second, time.Millisecond)
+	}
+	// sendRefused sends requests that a target refuses all at once, as it leaves the list. It is the
+	// same target each time, so that those that wait don't go there.
+	sendRefused := func() {
+		const id = "i-1"
+		refuse := make(chan struct{})
+		refuseAll := sync.OnceFunc(func() { close(refuse) })
+		refuses := standin.NewServer(t, func(w standin.Reply, _ standin.Request) {
+			<-refuse
+			w.NotRun()
+		})
+		t.Cleanup(refuseAll)
+		b.targets.Put(roster.Target{ID: id, Service: "svc", Address: refuses.Address, Slots: fixed})
+		send(fixed, refuses)
+		b.targets.Remove(id)
+		refuseAll()
+	}
+	settled := func() int { // requests that wait, or have ended
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.Admission.Waiting("svc") + len(b.records)
+	}
+	send(2*fixed, busy)
+	sendRefused()
+	require.Eventually(t, func() bool { return settled() == fixed }, 3*time.Second, time.Millisecond)
+	time.Sleep(window * slices / (slices - 1)) // after that, the repeats are no longer in the window
+	sendRefused()
+	require.Eventually(t, func() bool { return settled() == 2*fixed }, 3*time.Second, time.Millisecond)
+	released := time.Now()
+	release()
+	calls.Wait()
+	t.Logf("%d repeats within %s", len(busy.Seen())-2*fixed, time.Since(released))
+	require.LessOrEqual(t, len(busy.Seen())-2*fixed, fixed)
+}
