The fixed part of repeats is shared by all entries of the last minutes, not of the moment

Cause: each entry's part of the allowance in a window was divided by the number of entries that a planner hears at that moment. Entries that drain, are cut off, or have not reached a new planner yet are not in it, and have used or still use their part in the same window. Class: a bound over a window, divided by a count of the moment. Change: the divisor is the most that any planner reported within the last ten to twenty minutes (longer than regions lose each other), and the last such number while none reports. Where none ever did, 16 as before. A test was wrong: TestRetryBudgetIsShared asked for a division by 6 right after 16 entries were reported, which is the fault. It asks for 16 or more then, for 16 or more without reports, and for 6 once the others are gone for long. Price: after a fleet shrinks, the parts of repeats and connections stay smaller for ten to twenty minutes. Left: an entry that starts while it is cut off with a few others for longer than a window counts only these.

--- a/internal/program/gateway/knowledge_test.go
+++ b/internal/program/gateway/knowledge_test.go
@@ -231,6 +231,25 @@
 	g.applyPlannerUpdate(netip.AddrPort{}, digest.Update{Service: "svc", Entries: 16})
 	require.GreaterOrEqual(t, g.sharingEntries(time.Now()), 16.0)
 	g.applyPlannerUpdate(netip.AddrPort{}, digest.Update{Service: "svc", Entries: 4})
-	require.InDelta(t, 6, g.sharingEntries(time.Now()), 0)
-	require.InDelta(t, assumedEntries, g.sharingEntries(now.Add(time.Minute)), 0, "the last report is too old")
+	require.GreaterOrEqual(t, g.sharingEntries(time.Now()), 16.0, "the others may still send")
+	require.GreaterOrEqual(t, g.sharingEntries(now.Add(time.Minute)), 16.0, "the last report is too old")
+	later := now.Add(2*recentMaxSpan + time.Second)
+	g.planners.accept(later, netip.AddrPort{}, digest.Update{Service: "svc", Entries: 4})
+	require.InDelta(t, 6, g.sharingEntries(later), 0, "the others are gone for long")
+}
+
+func TestRecentMax(t *testing.T) {
+	var m recentMax
+	now := time.Now()
+	require.Zero(t, m.value())
+	m.add(now, 16)
+	for at := now; at.Before(now.Add(recentMaxSpan)); at = at.Add(time.Second) {
+		m.add(at, 3)
+		require.Equal(t, 16, m.value())
+	}
+	m.add(now.Add(2*recentMaxSpan), 4)
+	m.add(now.Add(3*recentMaxSpan), 3)
+	require.Equal(t, 4, m.value())
+	m.add(now.Add(6*recentMaxSpan), 2)
+	require.Equal(t, 2, m.value())
 }
--- a/internal/program/gateway/planners.go
+++ b/internal/program/gateway/planners.go
@@ -39,7 +39,7 @@
 type planners struct {
 	mu          sync.Mutex
 	byGroup     map[roster.Group]planner
-	lastEntries int // number of entries that was reported last
+	mostEntries recentMax // of the numbers of entries that were reported
 }
 
 // accept reports whether an update is from the newest planner of its group, and remembers that
@@ -51,7 +51,7 @@
 	if previous, found := p.byGroup[name]; found && d.Term < previous.term && now.Sub(previous.updatedAt) < staleTermWindow {
 		return false
 	}
-	p.lastEntries = d.Entries
+	p.mostEntries.add(now, d.Entries)
 	if p.byGroup == nil {
 		p.byGroup = make(map[roster.Group]planner)
 	}
@@ -110,11 +110,12 @@
 	return n
 }
 
-// lastEntryCount returns the last number of entries that a planner reported.
-func (p *planners) lastEntryCount() int {
+// mostEntryCount returns the largest number of entries that any planner reported recently, or before
+// reports ceased. It is 0 if none ever did.
+func (p *planners) mostEntryCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.lastEntries
+	return p.mostEntries.value()
 }
 
 // senders returns the number of entries and the index of this one among them, as reported by the
--- a/internal/program/gateway/shares.go
+++ b/internal/program/gateway/shares.go
@@ -14,20 +14,20 @@
 
 const (
 	// assumedEntries is the number of entries that is assumed while no planner reports one,
-	// unless a larger one was reported before. The largest deployment has 16.
+	// unless a larger one was reported before.
 	assumedEntries = 16
 )
 
-// sharingEntries returns by how many entries a bound for all of them together is divided: as
-// many as the planner receives heartbeats from, and a quarter more, since some may not reach it.
-// While no planner reports, the last reported number is used: with a fixed assumption, a larger
-// deployment would exceed the bound as soon as its planners were gone.
+// sharingEntries returns by how many entries a bound for all of them together is divided: the most
+// that planners reported recently, and a quarter more, since some may not reach any planner. An
+// entry that drains, is cut off, or has sent no heartbeat to a new planner yet is not in the number
+// of the moment, and has its part of the bound all the same.
 func (g *Gateway) sharingEntries(now time.Time) float64 {
-	reported, known := g.planners.entries(now)
-	if !known {
-		return max(assumedEntries, withUnreported(g.planners.lastEntryCount()))
+	most := withUnreported(g.planners.mostEntryCount())
+	if _, known := g.planners.entries(now); !known {
+		return max(assumedEntries, most)
 	}
-	return withUnreported(reported)
+	return most
 }
 
 func withUnreported(entries int) float64 { return float64(entries)*5/4 + 1 }
