A repeat counts when it is sent, not when it is allowed

Cause: the budget counted a repeat in the slice in which it was allowed; its window is longer than the rule's by less than a slice. Class: a bound on one event (sent), kept by counting another (allowed). Change: a repeat is reserved when it is allowed, and a reserved one counts in every window until it is sent or given back; it is counted in the slice in which it is written to the target. At the moment at which the last one of a window was allowed, all others of it were counted or reserved, so the sum is bounded for every window. Ruled out: a longer window (it would have to be as long as callers wait, and cost repeats always), a second check when it is sent (a stream that has left its target can't be refused then).

--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -66,14 +66,33 @@
 		c.expire(res, reason)
 	case c.sent >= c.route.MaxAttempts:
 		c.exhausted(res, reason)
-	case !c.leftSlow.Swap(false) && !c.f.Budget.AllowRepeat(now, c.service):
+	case !c.leftSlow.Swap(false) && !c.f.Budget.Reserve(now, c.service):
 		c.exhausted(res, "budget")
 	default:
+		c.repeat = true
 		return true
 	}
 	return false
 }
 
+// spendRepeat counts the repeat that is reserved for the request, if any, as it is sent now.
+func (c *call) spendRepeat() {
+	if c.repeat {
+		c.f.Budget.Spend(c.f.Now(), c.service)
+		c.repeat = false
+	}
+}
+
+// releaseRepeats gives back what is reserved for a request that is not sent again.
+func (c *call) releaseRepeats() {
+	if c.repeat {
+		c.f.Budget.Release(c.f.Now(), c.service)
+	}
+	if c.leftSlow.Load() {
+		c.f.Budget.Release(c.f.Now(), c.service)
+	}
+}
+
 // fail ends a request that may have run: it sends an error, or aborts a stream that has begun.
 func (c *call) fail(reason string) {
 	if c.stream.begun {
@@ -165,6 +184,7 @@
 		Header: platform.RequestHeader(c.r.Header, c.outgoing(target.ID, left)),
 	}
 	a.Sent = c.f.Now().Sub(c.begin)
+	c.spendRepeat()
 	answer, err := c.f.Pool.Send(ctx, conn, req, c.isMine)
 	if err != nil {
 		return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.failureReason(reasonBroken)
@@ -194,10 +214,10 @@
 }
 
 // leaveSlowTarget ends the attempt at a slow target if the request may be sent to another one.
-// The retry budget counts the repeat before the attempt is cancelled: a stream that was
+// The repeat is reserved in the retry budget before the attempt is cancelled: a stream that was
 // cancelled and may not be sent again would reach its caller truncated.
 func (c *call) leaveSlowTarget(cancel func()) bool {
-	if c.sent+1 >= c.route.MaxAttempts || !c.f.Budget.AllowRepeat(c.f.Now(), c.service) {
+	if c.sent+1 >= c.route.MaxAttempts || !c.f.Budget.Reserve(c.f.Now(), c.service) {
 		return false
 	}
 	c.leftSlow.Store(true)
--- a/internal/traffic/forward/budget.go
+++ b/internal/traffic/forward/budget.go
@@ -33,15 +33,17 @@
 	Service  string
 	Allowed  bool
 	Requests int // counted requests of the entry
-	Repeats  int // counted repeats of the entry, before this one
+	Repeats  int // counted and reserved repeats of the entry, before this one
 	Limits
 }
 
-// tally counts requests and repeats in slices of a window.
+// tally counts requests and repeats in slices of a window. Repeats count in the slice in which they
+// are sent.
 type tally struct {
 	slice    int64
 	requests [slices]int
 	repeats  [slices]int
+	reserved int // repeats that were allowed and are not sent yet
 }
 
 // slices is the number of slices that a tally keeps. They span one slice more than the window.
@@ -57,12 +59,14 @@
 	t.requests[t.slice%slices]++
 }
 
-// AllowRepeat reports whether a request may be sent once more, and counts the repeat if so.
-func (b *Budget) AllowRepeat(now time.Time, service string) bool {
+// Reserve reports whether a request may be sent once more. If so, [Budget.Spend] must be called when
+// it is sent, or [Budget.Release] if it is not. It may wait for a target in between: repeats that
+// counted when they were allowed, and were sent later, would come on top of those of a later window.
+func (b *Budget) Reserve(now time.Time, service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.tally(now, service)
-	requests, repeats := 0, 0
+	requests, repeats := 0, t.reserved
 	for i := range slices {
 		requests += t.requests[i]
 		repeats += t.repeats[i]
@@ -76,7 +80,7 @@
 	}
 	allowed := float64(repeats+1) <= l.Ratio*float64(requests)*(slices-2)/slices+l.Fixed
 	if allowed {
-		t.repeats[t.slice%slices]++
+		t.reserved++
 	}
 	if b.OnDecision != nil {
 		b.OnDecision(Decision{Service: service, Allowed: allowed, Requests: requests, Repeats: repeats, Limits: l})
@@ -84,6 +88,22 @@
 	return allowed
 }
 
+// Spend counts a reserved repeat, which is sent now.
+func (b *Budget) Spend(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.tally(now, service)
+	t.reserved--
+	t.repeats[t.slice%slices]++
+}
+
+// Release gives back a reserved repeat that is not sent.
+func (b *Budget) Release(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tally(now, service).reserved--
+}
+
 // tally returns the tally of a service, with the slices that have passed since its last use
 // cleared.
 func (b *Budget) tally(now time.Time, service string) *tally {
--- a/internal/traffic/forward/budget_test.go
+++ b/internal/traffic/forward/budget_test.go
@@ -50,7 +50,8 @@
 						budgets[i].CountRequest(now, "svc")
 						requests = append(requests, at)
 					}
-					if budgets[i].AllowRepeat(now, "svc") {
+					if budgets[i].Reserve(now, "svc") {
+						budgets[i].Spend(now, "svc")
 						repeats = append(repeats, at)
 					}
 				}
@@ -130,3 +131,42 @@
 	t.Logf("%d repeats within %s", len(busy.Seen())-2*fixed, time.Since(released))
 	require.LessOrEqual(t, len(busy.Seen())-2*fixed, fixed)
 }
+
+// Guards against a budget that runs dry by repeats that are allowed and never sent.
+func TestRepeatThatIsNotSentIsGivenBack(t *testing.T) {
+	refuse := make(chan struct{})
+	refuses := standin.NewServer(t, func(w standin.Reply, _ standin.Request) {
+		<-refuse
+		w.NotRun()
+	})
+	b := newTestbed(t, refuses)
+	refuseAll := sync.OnceFunc(func() { close(refuse) })
+	t.Cleanup(refuseAll)
+	b.Budget = &Budget{Limits: func() Limits { return Limits{Window: time.Minute, Fixed: 1} }}
+	reserved := func() int {
+		b.Budget.mu.Lock()
+		defer b.Budget.mu.Unlock()
+		return b.Budget.services["svc"].reserved
+	}
+	var call sync.WaitGroup
+	call.Go(func() { b.call(http.MethodGet, "/safe/x") })
+	require.Eventually(t, func() bool { return len(refuses.Seen()) == 1 }, 10*time.Second, time.Millisecond)
+	other := newSilentServer(t)
+	b.targets.Put(roster.Target{ID: "i-1", Service: "svc", Address: other.Address, Slots: 1})
+	b.Admission.RulesFor = func(string) admission.Limits { return admission.Limits{PerTarget: 1, Queue: 4, Entries: 1} }
+	call.Go(func() { b.call(http.MethodGet, "/safe/x") })
+	require.Eventually(t, func() bool { return len(other.Seen()) == 1 }, 10*time.Second, time.Millisecond)
+	refuseAll()
+	require.Eventually(t, func() bool { return reserved() == 1 }, 10*time.Second, time.Millisecond, "the repeat waits")
+	call.Wait()
+	require.Zero(t, reserved())
+	require.True(t, b.Budget.Reserve(time.Now(), "svc"))
+}
+
+// newSilentServer starts a target that does not respond until the test ends.
+func newSilentServer(t *testing.T) *standin.Server {
+	end := make(chan struct{})
+	s := standin.NewServer(t, func(standin.Reply, standin.Request) { <-end })
+	t.Cleanup(func() { close(end) })
+	return s
+}
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -122,7 +122,8 @@
 	tried     []string // IDs of the targets of earlier attempts
 	sent      int      // number of times that the request was written to a target
 	stream    streamState
-	leftSlow  atomic.Bool // the request moves away from a slow target, and the retry budget has counted the repeat
+	repeat    bool        // a repeat of the request is reserved in the retry budget
+	leftSlow  atomic.Bool // the request moves away from a slow target, and a repeat is reserved for that
 	stranded  atomic.Bool // the host of a target that the request was sent to is unreachable
 }
 
@@ -234,6 +235,7 @@
 	c.service = c.route.Pick(rand.Float64())
 	c.rec.Service = c.service
 	c.f.Budget.CountRequest(c.f.Now(), c.service)
+	defer c.releaseRepeats()
 	for {
 		// Checked before the request is queued, so that a quarantined one is refused at once.
 		if c.refuseQuarantined(c.checkQuarantine()) {
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -473,10 +473,11 @@
 		b.CountRequest(now, "svc")
 	}
 	n := 0
-	for b.AllowRepeat(now, "svc") {
+	for b.Reserve(now, "svc") {
+		b.Spend(now, "svc")
 		n++
 	}
 	require.Equal(t, 4, n, "two, and a fifth of twelve requests, less the margin of a slice")
-	require.False(t, b.AllowRepeat(now.Add(5*time.Second), "svc"))
-	require.True(t, b.AllowRepeat(now.Add(30*time.Second), "svc"), "the window has passed")
+	require.False(t, b.Reserve(now.Add(5*time.Second), "svc"))
+	require.True(t, b.Reserve(now.Add(30*time.Second), "svc"), "the window has passed")
 }
