An entry that drains still learns which targets leave, and still counts as an entry

Callers on connections to a draining entry: their requests went by the targets, groups and grants of the moment of SIGTERM, for up to 8 s; a target that left meanwhile got them. Cause: SIGTERM ended all tasks of the entry at once, the watch of targets, the planner updates and the heartbeats among them, while its callers were served on. Class: a part of a process that goes on after what it goes by has ended. Change: only the task that serves callers ends by SIGTERM; the others end when it has. A draining entry reports that it has no fresh configuration, so that nobody is sent to it. The readiness listener says 503 until the end, where it was closed. Elsewhere: the entry of the project's own interface drains before its tasks end, and had no such fault.

--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -147,15 +147,15 @@
 // valid, because a request takes some milliseconds to reach its target.
 const keyMargin = 200 * time.Millisecond
 
-// Run serves until the context ends, then waits for the requests in flight to end.
+// Run serves until the context ends, then waits for the requests in flight to end. All other tasks
+// run until then: the requests in flight are still sent to targets, which may leave meanwhile.
 func (g *Gateway) Run(ctx context.Context, r *deployed.Reloader) error {
 	var group run.Group
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	addTask := func(serve func(context.Context) error) {
+	addActor := func(ctx context.Context, serve func(context.Context) error) {
 		ctx, cancel := context.WithCancel(ctx)
 		group.Add(func() error { return serve(ctx) }, func(error) { cancel() })
 	}
+	addTask := func(serve func(context.Context) error) { addActor(context.WithoutCancel(ctx), serve) }
 	r.Apply = g.apply
 	addTask(r.Run)
 	addTask(g.followConfig)
@@ -169,7 +169,7 @@
 	addTask(func(ctx context.Context) error {
 		return deployed.ServeMetrics(ctx, g.settings.Listen.Metrics, g.metrics)
 	})
-	addTask(g.serveCallers)
+	addActor(ctx, g.serveCallers)
 	g.log.Info().Str("event", "started").Str("role", "entry").Msg("")
 	err := group.Run()
 	g.log.Info().Str("event", "stopped").Err(err).Msg("")
--- a/internal/program/gateway/removal_test.go
+++ b/internal/program/gateway/removal_test.go
@@ -114,3 +114,21 @@
 	s.remove(t)
 	s.requireNothingLate(t)
 }
+
+// Guards against an entry that serves on after SIGTERM, and sends requests to targets that have left
+// since.
+func TestDrainingEntryLearnsThatATargetLeaves(t *testing.T) {
+	t.Parallel()
+	s := newRemovalSetting(t)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		s.entry.stop()
+	}()
+	require.Eventually(t, s.entry.gateway.draining.Load, 10*time.Second, time.Millisecond)
+	s.store.Remove("servers", "leaves")
+	listsOne := func() bool { return len(s.entry.gateway.roster.Serving("app")) == 1 }
+	require.Eventually(t, listsOne, drainTime, time.Millisecond)
+	require.False(t, s.entry.gateway.ready())
+	<-stopped
+}
--- a/internal/program/soak/world_test.go
+++ b/internal/program/soak/world_test.go
@@ -211,7 +211,7 @@
 	require.NoError(w.t, err)
 	w.proxies = append(w.proxies, proxy)
 	text := settings + fmt.Sprintf("name: %s\ndataCentre: z\nstore: %s\nmemoryMB: 200\nbounds:\n"+
-		"  apply: 2s\n  revoke: %s\n  drain: 2s\n  grace: %s\n  stall: 1500ms\n  repeatRatio: 0.2\n  repeatSlack: 90\n  repeatWindow: 10s\n",
+		"  apply: 2s\n  revoke: %s\n  drain: 2s\n  grace: %s\n  stall: 1500ms\n  heartbeat: 1200ms\n  repeatRatio: 0.2\n  repeatSlack: 90\n  repeatWindow: 10s\n",
 		name, proxy.Address, revoke, grace)
 	p := &process{name: name, settings: filepath.Join(w.dir, name+".yaml")}
 	require.NoError(w.t, os.WriteFile(p.settings, []byte(text), 0o600))
