The retry budget holds for all entries together when requests move between them

Callers: repeats beyond the allowance, then refusals for 'budget'. Cause: an entry allowed itself the ratio of its own requests of its last 1.09 windows, and for all entries that is the ratio of all requests only while each has the same part of them all the time. Class: a bound for all, kept by each from its own past, where the parts move. Change: for each window that contains the moment, an entry counts half of its requests in it and in the window before. Half of both is never more than the more of both, and it adds up over entries whoever had the requests when. Slices of a twentieth. Ruled out: the most of the rule's three windows for each entry (does not add up), the window around the start (adds up; nothing allowed for five seconds after requests begin), fewer slices.

--- a/internal/program/gateway/repeats.go
+++ b/internal/program/gateway/repeats.go
@@ -59,6 +59,6 @@
 	}
 	reported, known := g.planners.entries(now)
 	g.log.Info().Str("event", "repeats").Str("service", d.Service).Int("allowed", n.allowed).Int("denied", n.denied).
-		Int("requests", d.Requests).Int("repeats", d.Repeats).Float64("fixed", d.Fixed).
+		Float64("requests", d.Requests).Int("repeats", d.Repeats).Float64("fixed", d.Fixed).
 		Int("entries", reported).Bool("entriesKnown", known).Msg("")
 }
--- a/internal/traffic/forward/budget.go
+++ b/internal/traffic/forward/budget.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -28,12 +29,13 @@
 	Fixed  float64       // repeats allowed in a window whatever the number of requests
 }
 
-// Decision is a decision on a repeat, with the counts and limits that it was made by.
+// Decision is a decision on a repeat, with the limits that it was made by and the counts of the
+// window that left the least room for it.
 type Decision struct {
 	Service  string
 	Allowed  bool
-	Requests int // counted requests of the entry
-	Repeats  int // counted and reserved repeats of the entry, before this one
+	Requests float64 // requests of the entry that count for the window
+	Repeats  int     // repeats of the entry in the window, with reserved ones and without this one
 	Limits
 }
 
@@ -41,22 +43,33 @@
 // are sent.
 type tally struct {
 	slice    int64
-	requests [slices]int
-	repeats  [slices]int
+	requests [keptSlices]int
+	repeats  [keptSlices]int
 	reserved int // repeats that were allowed and are not sent yet
 }
 
-// slices is the number of slices that a tally keeps. They span one slice more than the window.
-// Repeats are counted over all of them, and requests over one slice less than the window, so
-// that no window holds more repeats than allowed.
-const slices = 12
+const (
+	// windowSlices is the number of slices in a window.
+	windowSlices = 20
+	// keptSlices is the number of slices that a tally keeps: those of the windows that have not
+	// ended yet, and of the windows before them.
+	keptSlices = 2*windowSlices + 1
+)
+
+// sum returns the sum of the counts of the slices from one to another, both included.
+func (t *tally) sum(counts *[keptSlices]int, from, to int64) (n int) {
+	for i := max(from, 0); i <= min(to, t.slice); i++ {
+		n += counts[i%keptSlices]
+	}
+	return n
+}
 
 // CountRequest counts a request for a service.
 func (b *Budget) CountRequest(now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.tally(now, service)
-	t.requests[t.slice%slices]++
+	t.requests[t.slice%keptSlices]++
 }
 
 // Reserve reports whether a request may be sent once more. If so, [Budget.Spend] must be called when
@@ -66,11 +79,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.tally(now, service)
-	requests, repeats := 0, t.reserved
-	for i := range slices {
-		requests += t.requests[i]
-		repeats += t.repeats[i]
-	}
 	l := b.Limits()
 	if now.Sub(b.Started) < l.Window {
 		// An earlier incarnation of the entry may have just used the fixed part. If each
@@ -78,14 +86,39 @@
 		// would together send more repeats than allowed.
 		l.Fixed = 0
 	}
-	allowed := float64(repeats+1) <= l.Ratio*float64(requests)*(slices-2)/slices+l.Fixed
-	if allowed {
+	d := t.tightest(l)
+	d.Service = service
+	d.Allowed = float64(d.Repeats+1) <= l.Ratio*d.Requests+l.Fixed
+	if d.Allowed {
 		t.reserved++
 	}
 	if b.OnDecision != nil {
-		b.OnDecision(Decision{Service: service, Allowed: allowed, Requests: requests, Repeats: repeats, Limits: l})
+		b.OnDecision(d)
 	}
-	return allowed
+	return d.Allowed
+}
+
+// tightest returns the counts of the window that leaves the least room for a repeat now, among all
+// windows that contain this moment.
+//
+// For a window the platform counts the requests in it, or those in the window before it, whichever
+// are more, of all entries together. An entry does not know which, and if each took what is more of
+// its own, entries that get requests at different times would together take more. All count half
+// of both, which is never more.
+func (t *tally) tightest(l Limits) Decision {
+	var tightest Decision
+	leastRoom := math.Inf(1)
+	for start := t.slice - windowSlices; start <= t.slice; start++ {
+		repeats := t.sum(&t.repeats, start, t.slice) + t.reserved
+		// A window may start anywhere in its slice: that slice is in one of the two windows, and
+		// the first slice of the window before is in none if this one starts at the end of its.
+		requests := float64(t.sum(&t.requests, start-windowSlices+1, t.slice)) / 2
+		if room := l.Ratio*requests - float64(repeats); room < leastRoom {
+			leastRoom = room
+			tightest = Decision{Requests: requests, Repeats: repeats, Limits: l}
+		}
+	}
+	return tightest
 }
 
 // Spend counts a reserved repeat, which is sent now.
@@ -94,7 +127,7 @@
 	defer b.mu.Unlock()
 	t := b.tally(now, service)
 	t.reserved--
-	t.repeats[t.slice%slices]++
+	t.repeats[t.slice%keptSlices]++
 }
 
 // Release gives back a reserved repeat that is not sent.
@@ -114,17 +147,14 @@
 	if b.start.IsZero() {
 		b.start = now
 	}
-	slice := int64(now.Sub(b.start)) / max(int64(b.Limits().Window)/(slices-1), 1)
+	slice := int64(now.Sub(b.start)) / max(int64(b.Limits().Window)/windowSlices, 1)
 	if t == nil {
 		t = &tally{slice: slice}
 		b.services[service] = t
 	}
-	for ; t.slice < slice; t.slice++ {
-		if slice-t.slice > slices {
-			t.slice = slice - slices
-		}
-		t.requests[(t.slice+1)%slices] = 0
-		t.repeats[(t.slice+1)%slices] = 0
+	for t.slice = max(t.slice, slice-keptSlices); t.slice < slice; t.slice++ {
+		t.requests[(t.slice+1)%keptSlices] = 0
+		t.repeats[(t.slice+1)%keptSlices] = 0
 	}
 	return t
 }
