The last target of a service is used from its announcement on, not from when an entry learns of it

Callers of a service all of whose targets leave are served for a part of the drain time. That part (0.4) counted from when the entry learned of the leaving, which may be 1.8 s after the announcement (a watch that hangs): up to 2.6 s, drain time 2 s. Class: as the target that is kept, a time counted from when something is learned. Change: it counts from the store's answer before, the earliest moment of the announcement, and is 0.8 of the drain time. Tests: TestLastTargetIsUsedFromItsAnnouncementOn new (learned 1.9 s late: used before, not now).

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -39,8 +39,8 @@
 	DataCentre string
 	Slots      int  // how many requests it runs at the same time
 	Leaving    bool // the server has announced its shutdown, or is gone
-	// LeavingSince is when the announcement was received; zero if the target is not leaving, or is
-	// gone already.
+	// LeavingSince is the earliest time at which the target may have announced its shutdown; zero
+	// if the target is not leaving, or is gone already.
 	LeavingSince time.Time
 	// Displaced is set if a later target is listed at the same address: this one gets no new
 	// requests.
--- a/internal/program/gateway/knowledge.go
+++ b/internal/program/gateway/knowledge.go
@@ -208,7 +208,7 @@
 		g.targetRestarted(known, &c.Object)
 	}
 	if found && c.Object.Leaving && !known.Leaving { // a target first seen as leaving may have announced that long ago
-		c.Object.LeavingSince = time.Now()
+		c.Object.LeavingSince = g.previousAnswer
 	}
 	for _, id := range g.roster.Put(c.Object) {
 		g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", "addressTaken").Str("by", c.Name).Msg("")
@@ -286,8 +286,8 @@
 }
 
 // lastUseShare is the part of the drain time in which leaving targets get requests while no
-// other target is left. The rest covers the delay of the store and of a request on its way.
-const lastUseShare = 0.4
+// other target is left. The rest covers the delay of a request on its way.
+const lastUseShare = 0.8
 
 // serving returns the targets of a service that take requests. Leaving targets, and those that may
 // be gone, are among them only if there is no other, as when a whole data centre is shut down.
--- a/internal/program/gateway/knowledge_test.go
+++ b/internal/program/gateway/knowledge_test.go
@@ -253,3 +253,25 @@
 	m.add(now.Add(6*recentMaxSpan), 2)
 	require.Equal(t, 2, m.value())
 }
+
+// Guards against using the last target of a service for its drain time from when an entry learns that it
+// leaves, which may be long after the target announced it.
+func TestLastTargetIsUsedFromItsAnnouncementOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		learned time.Duration // after the store's answer before
+		want    int
+	}{
+		"learned at once": {100 * time.Millisecond, 1},
+		"learned late":    {1900 * time.Millisecond, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGateway()
+			now := time.Now()
+			g.storeAnswered(now.Add(-c.learned))
+			g.applyTarget(put("a", false))
+			g.storeAnswered(now)
+			g.applyTarget(put("a", true))
+			require.Len(t, g.serving("svc"), c.want)
+		})
+	}
+}
--- a/internal/program/gateway/missing.go
+++ b/internal/program/gateway/missing.go
@@ -57,15 +57,17 @@
 	m.failing, m.failingAt = true, began
 }
 
-// storeAnswered records that a call succeeded. An entry can't expire within the time expiry after
-// the store has answered.
-func (m *missing) storeAnswered(now time.Time, expiry time.Duration) {
+// storeAnswered records that a call succeeded, and returns when the one before did. An entry can't
+// expire within the time expiry after the store has answered.
+func (m *missing) storeAnswered(now time.Time, expiry time.Duration) (previous time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	previous = m.answeredAt
 	if m.failing && now.Sub(m.answeredAt) >= expiry {
 		m.failedAt, m.regainedAt = m.failingAt, now
 	}
 	m.failing, m.answeredAt = false, now
+	return previous
 }
 
 // storeRestored records that the store was restored from a backup. Servers that started after
@@ -135,7 +137,7 @@
 
 // storeAnswered records that the store has answered a call of the list of targets.
 func (g *Gateway) storeAnswered(now time.Time) {
-	g.missing.storeAnswered(now, expiryHeartbeats*g.bounds.Load().Heartbeat)
+	g.previousAnswer = g.missing.storeAnswered(now, expiryHeartbeats*g.bounds.Load().Heartbeat)
 }
 
 // noteStoreFailure records a failed call of the list of targets, or the first success after it,
