--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -143,43 +143,42 @@
 // MarkLeaving marks a target as leaving. The argument is when it announced its shutdown, or zero if
 // it is gone. MarkLeaving returns false if the target is not known or already leaving.
 func (r *Roster) MarkLeaving(id string, since time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	t, found := r.targets[id]
-	if !found || t.Leaving {
-		return false
-	}
-	t.Leaving, t.LeavingSince = true, since
-	r.targets[id] = t
-	r.index(t.Service)
-	return true
+	return r.mark(id, func(t *Target) bool {
+		news := !t.Leaving
+		if news {
+			t.Leaving, t.LeavingSince = true, since
+		}
+		return news
+	})
 }
 
 // MarkUnreadable marks a target whose entry can't be decoded any more. The target gets requests again
 // after the next Put. MarkUnreadable returns false if the target is not known or already marked.
 func (r *Roster) MarkUnreadable(id string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	t, found := r.targets[id]
-	if !found || t.Unreadable {
-		return false
-	}
-	t.Unreadable = true
-	r.targets[id] = t
-	r.index(t.Service)
-	return true
+	return r.mark(id, func(t *Target) bool { return set(&t.Unreadable) })
 }
 
 // MarkMissing marks a target that the store does not list any more, until the next Put. MarkMissing
 // returns false if the target is not known or already marked.
 func (r *Roster) MarkMissing(id string) bool {
+	return r.mark(id, func(t *Target) bool { return set(&t.Missing) })
+}
+
+// set sets a flag and reports whether that changed it.
+func set(flag *bool) (news bool) {
+	news = !*flag
+	*flag = true
+	return news
+}
+
+// mark changes a target. It returns false if the target is not known, or the change is no news.
+func (r *Roster) mark(id string, change func(*Target) bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t, found := r.targets[id]
-	if !found || t.Missing {
+	if !found || !change(&t) {
 		return false
 	}
-	t.Missing = true
 	r.targets[id] = t
 	r.index(t.Service)
 	return true
--- a/internal/program/gateway/removal_test.go
+++ b/internal/program/gateway/removal_test.go
@@ -56,20 +56,25 @@
 	require.Less(t, time.Duration(s.lateness.Load()), drainTime, "the latest request after the removal")
 }
 
+// failServerCalls injects a fault into all calls for the list of targets; None ends that.
+func (s *removalSetting) failServerCalls(f standin.Fault) {
+	s.store.SetFault(func(_, path string) standin.Fault {
+		if isServerCall(path) {
+			return f
+		}
+		return standin.None
+	})
+}
+
 func isServerCall(path string) bool { return strings.HasSuffix(path, "/servers") }
 
 // Guards against requests to a target that left after a failure of the store was over.
 func TestTargetRemovedAfterAStoreFailureIsNotKept(t *testing.T) {
 	t.Parallel()
 	s := newRemovalSetting(t)
-	s.store.SetFault(func(_, path string) standin.Fault {
-		if isServerCall(path) {
-			return standin.Refused
-		}
-		return standin.None
-	})
+	s.failServerCalls(standin.Refused)
 	require.Eventually(t, func() bool { return len(s.entry.logged.of("storeLost")) > 0 }, 10*time.Second, time.Millisecond)
-	s.store.SetFault(func(string, string) standin.Fault { return standin.None })
+	s.failServerCalls(standin.None)
 	time.Sleep(time.Second)
 	s.remove(t)
 	s.requireNothingLate(t)
@@ -79,17 +84,12 @@
 func TestTargetRemovedWithTheHistoryIsNotKept(t *testing.T) {
 	t.Parallel()
 	s := newRemovalSetting(t)
-	s.store.SetFault(func(_, path string) standin.Fault {
-		if isServerCall(path) {
-			return standin.Silent
-		}
-		return standin.None
-	})
+	s.failServerCalls(standin.Silent)
 	s.store.PutServer("wakes", "app", newHeartbeat(t).Address)
 	time.Sleep(targetSettleTime + 100*time.Millisecond)
 	s.store.Remove("servers", "leaves")
 	s.store.DropHistory()
-	s.store.SetFault(func(string, string) standin.Fault { return standin.None })
+	s.failServerCalls(standin.None)
 	s.remove(t)
 	s.requireNothingLate(t)
 }
--- a/internal/traffic/forward/budget_test.go
+++ b/internal/traffic/forward/budget_test.go
@@ -14,6 +14,22 @@
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
+func TestBudgetBoundsRepeats(t *testing.T) {
+	b := &Budget{Limits: func() Limits { return Limits{Ratio: 0.2, Window: 10 * time.Second, Fixed: 2} }}
+	now := time.Now()
+	for range 12 {
+		b.CountRequest(now, "svc")
+	}
+	n := 0
+	for b.Reserve(now, "svc") {
+		b.Spend(now, "svc")
+		n++
+	}
+	require.Equal(t, 3, n, "two, and a fifth of half of the twelve requests")
+	require.False(t, b.Reserve(now.Add(5*time.Second), "svc"))
+	require.True(t, b.Reserve(now.Add(30*time.Second), "svc"), "the window has passed")
+}
+
 // Guards against more repeats in a window than the platform allows, when entries restart one
 // after the other or all at once while every request fails. A new incarnation of an entry does
 // not know how many repeats the earlier one has just sent.
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -490,19 +490,3 @@
 	defer w.Body.Close()
 	require.True(t, w.Close, "the response announces that the connection closes")
 }
-
-func TestBudgetBoundsRepeats(t *testing.T) {
-	b := &Budget{Limits: func() Limits { return Limits{Ratio: 0.2, Window: 10 * time.Second, Fixed: 2} }}
-	now := time.Now()
-	for range 12 {
-		b.CountRequest(now, "svc")
-	}
-	n := 0
-	for b.Reserve(now, "svc") {
-		b.Spend(now, "svc")
-		n++
-	}
-	require.Equal(t, 3, n, "two, and a fifth of half of the twelve requests")
-	require.False(t, b.Reserve(now.Add(5*time.Second), "svc"))
-	require.True(t, b.Reserve(now.Add(30*time.Second), "svc"), "the window has passed")
-}
