The time of the store's answer before is read under its lock

Found by reading the diff: applyTarget runs in two goroutines (the list, and the ticks for targets of a backup), and the field that the last target's time comes from was written by one of them. It stands beside the store's other times now, under their lock. No decision changes; the tests of the package that concern it pass under the race detector.

--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -46,31 +46,28 @@
 
 // Gateway is the entry's state.
 type Gateway struct {
-	settings  deployed.Settings // as read at the start; bounds may change later
-	startedAt time.Time         // when this process started
-	bounds    atomic.Pointer[deployed.Bounds]
-	log       *log.Logger
-	metrics   *metrics.Set
-	store     *platform.Store
-	roster    *roster.Roster
-	missing   *missing
-	// previousAnswer is when the store answered before the answer that is applied now: what is new
-	// may have happened then. It is used only by the goroutine that follows the targets.
-	previousAnswer time.Time
-	departed       *departed
-	config         atomic.Pointer[knownConfig]
-	targetsListed  atomic.Bool // whether a list of targets was read
-	draining       atomic.Bool
-	planners       planners
-	heartbeats     uint64 // number of heartbeat rounds; used only by the goroutine that sends them
-	forward        *forward.Forwarder
-	pool           *upstream.Pool
-	admit          *admission.Controller
-	failures       chan forward.ConnectionFailure // connection failures whose cause is not known yet
-	crashes        *crashes.Keeper
-	malformed      *deployed.Malformed
-	intake         *intake.Check
-	repeats        repeatLog
+	settings      deployed.Settings // as read at the start; bounds may change later
+	startedAt     time.Time         // when this process started
+	bounds        atomic.Pointer[deployed.Bounds]
+	log           *log.Logger
+	metrics       *metrics.Set
+	store         *platform.Store
+	roster        *roster.Roster
+	missing       *missing
+	departed      *departed
+	config        atomic.Pointer[knownConfig]
+	targetsListed atomic.Bool // whether a list of targets was read
+	draining      atomic.Bool
+	planners      planners
+	heartbeats    uint64 // number of heartbeat rounds; used only by the goroutine that sends them
+	forward       *forward.Forwarder
+	pool          *upstream.Pool
+	admit         *admission.Controller
+	failures      chan forward.ConnectionFailure // connection failures whose cause is not known yet
+	crashes       *crashes.Keeper
+	malformed     *deployed.Malformed
+	intake        *intake.Check
+	repeats       repeatLog
 
 	connections callerConnections
 }
--- a/internal/program/gateway/missing.go
+++ b/internal/program/gateway/missing.go
@@ -41,6 +41,7 @@
 type missing struct {
 	mu         sync.Mutex
 	answeredAt time.Time // when the store last answered
+	previousAt time.Time // when it answered before that
 	failing    bool      // a call has failed since, the last one of which began at failingAt
 	failingAt  time.Time
 	failedAt   time.Time // when the last call began that failed during a failure that is over
@@ -57,17 +58,23 @@
 	m.failing, m.failingAt = true, began
 }
 
-// storeAnswered records that a call succeeded, and returns when the one before did. An entry can't
-// expire within the time expiry after the store has answered.
-func (m *missing) storeAnswered(now time.Time, expiry time.Duration) (previous time.Time) {
+// storeAnswered records that a call succeeded. An entry can't expire within the time expiry after
+// the store has answered.
+func (m *missing) storeAnswered(now time.Time, expiry time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	previous = m.answeredAt
 	if m.failing && now.Sub(m.answeredAt) >= expiry {
 		m.failedAt, m.regainedAt = m.failingAt, now
 	}
-	m.failing, m.answeredAt = false, now
-	return previous
+	m.failing, m.previousAt, m.answeredAt = false, m.answeredAt, now
+}
+
+// newsSince returns the earliest time at which that may have happened which the store's last answer
+// reported first: when it answered before that.
+func (m *missing) newsSince() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.previousAt
 }
 
 // storeRestored records that the store was restored from a backup. Servers that started after
@@ -137,7 +144,7 @@
 
 // storeAnswered records that the store has answered a call of the list of targets.
 func (g *Gateway) storeAnswered(now time.Time) {
-	g.previousAnswer = g.missing.storeAnswered(now, expiryHeartbeats*g.bounds.Load().Heartbeat)
+	g.missing.storeAnswered(now, expiryHeartbeats*g.bounds.Load().Heartbeat)
 }
 
 // noteStoreFailure records a failed call of the list of targets, or the first success after it,
--- a/internal/program/gateway/targets.go
+++ b/internal/program/gateway/targets.go
@@ -90,7 +90,7 @@
 		g.targetRestarted(known, &c.Object)
 	}
 	if found && c.Object.Leaving && !known.Leaving { // a target first seen as leaving may have announced that long ago
-		c.Object.LeavingSince = g.previousAnswer
+		c.Object.LeavingSince = g.missing.newsSince()
 	}
 	for _, id := range g.roster.Put(c.Object) {
 		g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", "addressTaken").Str("by", c.Name).Msg("")
