--- a/internal/traffic/forward/budget_test.go
+++ b/internal/traffic/forward/budget_test.go
@@ -294,3 +294,15 @@
 		})
 	}
 }
+
+func BenchmarkReserve(b *testing.B) {
+	now := time.Now()
+	budget := &Budget{Limits: func() Limits { return Limits{Ratio: 0.2, Window: 10 * time.Second, Fixed: 1e9} }}
+	for range b.N {
+		now = now.Add(time.Millisecond)
+		budget.CountRequest(now, "svc")
+		if budget.Reserve(now, "svc") {
+			budget.Spend(now, "svc")
+		}
+	}
+}
