Tests of what changes made on purpose were not caught: a store noticed back, a dropped history, a slow target's repeat

Not caught: a reserved repeat of a request that left a slow target kept, a dropped history taken for a failure, the first watch after a failure as long as others; each has a test now that fails with it. Still not caught: a draining entry that reports a fresh configuration.

--- a/internal/program/gateway/knowledge_test.go
+++ b/internal/program/gateway/knowledge_test.go
@@ -275,3 +275,24 @@
 		})
 	}
 }
+
+// Guards against taking a dropped history for a failure of the store: what the next list lacks has left.
+func TestDroppedHistoryIsNoFailure(t *testing.T) {
+	for name, c := range map[string]struct {
+		err  error
+		want stage
+	}{
+		"dropped history": {feed.ErrHistoryGone, stageGone},
+		"failure":         {platform.ErrRefused, stageKept},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGateway()
+			now := time.Now()
+			g.storeAnswered(now.Add(-time.Minute))
+			g.noteStoreFailure(now, c.err)
+			g.storeAnswered(now)
+			s, _ := g.missing.vanished(now, "a", drainTime)
+			require.Equal(t, c.want, s)
+		})
+	}
+}
--- a/internal/record/feed/feed_test.go
+++ b/internal/record/feed/feed_test.go
@@ -186,3 +186,29 @@
 	require.True(t, listed[1].FirstOfEra)
 	require.Equal(t, position.Era(2), listed[1].Era)
 }
+
+// Guards against noticing only after the wait of a watch that the store is back, when nothing changes.
+func TestFirstWatchAfterAFailureHardlyWaits(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var waits []time.Duration
+	f := &Feed[int]{
+		Wait: time.Minute,
+		List: func(context.Context) (Page[int], error) { return Page[int]{Revision: 3}, nil },
+		Watch: func(_ context.Context, after int64, wait time.Duration) (Page[int], error) {
+			waits = append(waits, wait)
+			switch len(waits) {
+			case 1:
+				return Page[int]{}, errors.New("cut")
+			case 3:
+				cancel()
+			}
+			return Page[int]{Revision: after + 1}, nil
+		},
+		Listed:  func(time.Time, Page[int]) {},
+		Changed: func(time.Time, Page[int]) {},
+		Failed:  func(time.Time, error) {},
+	}
+	f.Run(ctx, time.Now)
+	require.Equal(t, []time.Duration{time.Minute, probeWait, time.Minute}, waits)
+}
--- a/internal/traffic/forward/budget_test.go
+++ b/internal/traffic/forward/budget_test.go
@@ -306,3 +306,13 @@
 		}
 	}
 }
+
+// Guards against a budget that runs dry by requests that leave a slow target and are not sent again.
+func TestRepeatForASlowTargetIsGivenBack(t *testing.T) {
+	b := newTestbed(t)
+	require.True(t, b.Budget.Reserve(time.Now(), "svc"))
+	c := &call{f: b.Forwarder, service: "svc"}
+	c.leftSlow.Store(true)
+	c.releaseRepeats()
+	require.Zero(t, b.Budget.services["svc"].reserved)
+}
