Entries log the shared parts of prompts, of requests and of those at a target that ended

The logs could not tell apart whether crashes have a part of prompts in common: they had none. A request's line and targetBroke list the parts now, bounded in number and length. The header is read once, in the adapter, and passed on as it is. No decision uses it.

--- a/internal/program/gateway/breaks.go
+++ b/internal/program/gateway/breaks.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
@@ -86,12 +87,14 @@
 func (g *Gateway) judgeFailure(b *failedTarget) {
 	g.metrics.GetOrCreateCounter(fmt.Sprintf(`wagtailshelf_target_breaks_total{presence=%q}`, b.presence)).Inc()
 	fingerprints := make([]string, 0, maxLoggedRequests)
+	parts := make([]string, 0, maxLoggedRequests)
 	for _, r := range b.requests[:min(len(b.requests), maxLoggedRequests)] {
 		fingerprints = append(fingerprints, r.Request.String())
+		parts = append(parts, strings.Join(loggedParts(r.Parts), ","))
 	}
 	g.log.Info().Str("event", "targetBroke").Str("target", b.target.ID).Stringer("address", b.target.Address).
 		Stringer("presence", b.presence).Dur("after", time.Since(b.since)).
-		Int("requests", len(b.requests)).Strs("fingerprints", fingerprints).Msg("")
+		Int("requests", len(b.requests)).Strs("fingerprints", fingerprints).Strs("parts", parts).Msg("")
 	if b.presence == presence.Absent && !g.endedAsPlanned(b.target.ID) {
 		g.noteCrash(b)
 	}
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -95,9 +95,28 @@
 	if !r.Fingerprint.IsZero() {
 		e.Stringer("fingerprint", r.Fingerprint).Int("crashes", r.Crashes)
 	}
+	if len(r.Parts) > 0 {
+		e.Strs("parts", loggedParts(r.Parts))
+	}
 	e.Strs("attempts", attempts).Msg("")
 }
 
+const (
+	// maxLoggedParts bounds the parts of a prompt that a log line lists.
+	maxLoggedParts = 8
+	// maxLoggedPartID bounds the length of a part's ID in a log line.
+	maxLoggedPartID = 32
+)
+
+// loggedParts returns the IDs of a prompt's parts as a log line lists them.
+func loggedParts(ids []string) []string {
+	list := make([]string, 0, maxLoggedParts)
+	for _, id := range ids[:min(len(ids), maxLoggedParts)] {
+		list = append(list, id[:min(len(id), maxLoggedPartID)])
+	}
+	return list
+}
+
 // describeAttempt returns the log text of an attempt: the target, the result and its duration,
 // when the request was written to the target, what was known of the target when it was chosen, the rate that its response gave, and its
 // notice.
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -44,7 +44,9 @@
 	c.f.Admission.Done(now, t, end)
 	c.endAttempt(v, reason == reasonAnswered && c.rec.Status < http.StatusMultipleChoices)
 	if res == resultUnknown && (reason == reasonBroken || reason == reasonCut) {
-		c.f.OnConnectionFailure(ConnectionFailure{Run: quarantine.Run{Request: c.fingerprint(), Sent: begin, Failed: now}, Target: t.Target()})
+		c.f.OnConnectionFailure(ConnectionFailure{
+			Run: quarantine.Run{Request: c.fingerprint(), Sent: begin, Failed: now}, Target: t.Target(), Parts: c.in.SharedParts,
+		})
 	}
 	switch {
 	case res == resultDone:
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -80,6 +80,8 @@
 	// Fingerprint identifies the request; it is zero if it was not needed.
 	Fingerprint quarantine.Fingerprint
 	Crashes     int // known crashes of targets that ran the request
+	// Parts lists the IDs of the shared parts of the request's prompt.
+	Parts []string
 }
 
 // Attempt describes one attempt to send the request to a target.
@@ -130,7 +132,7 @@
 // ServeHTTP serves one request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{f: f, w: w, r: r, begin: f.Now(), in: platform.ReadIncoming(r.Header)}
-	c.rec.ID = c.in.ID
+	c.rec.ID, c.rec.Parts = c.in.ID, c.in.SharedParts
 	defer func() {
 		c.rec.Took = f.Now().Sub(c.begin)
 		f.OnEnd(c.rec)
--- a/internal/traffic/forward/suspect.go
+++ b/internal/traffic/forward/suspect.go
@@ -11,6 +11,7 @@
 type ConnectionFailure struct {
 	quarantine.Run
 	Target roster.Target
+	Parts  []string // IDs of the shared parts of the request's prompt
 }
 
 // fingerprint returns the request's fingerprint, which stays the same when the caller retries.
