A part of prompts under which two servers crashed is quarantined at all entries

Callers saw nearly no draft answered for half a minute, as one server after another crashed under requests of which no two are alike. Cause: what an entry remembers of a crash was a whole request.

Change: a quarantine suspects requests and the shared parts of their prompts by one rule and one account. What sets a part apart from its companions: a complete answer to a request with it in the last two minutes clears it, whichever entry had it; entries state in their records what others suspect and they know to be harmless. A crash at which an earlier suspect was is explained by that. Where two parts were at the same two crashes, or nothing is known to be harmless, a request with only one of them may be a probe at once. A probe that proved nothing is not followed by the next at once.

TestOneProbeAtATime states now that its probe was not sent; one that was sent and proved nothing is followed by a pause, TestProbeThatProvesNothing.

--- a/internal/program/crashes/crashes.go
+++ b/internal/program/crashes/crashes.go
@@ -158,7 +158,7 @@
 // they quarantine, so the own record is not written again with the same crashes.
 func (k *Keeper) ApplyRemoval(entry string) {
 	delete(k.known, entry)
-	k.Quarantine.ForgetEntry(entry)
+	k.Quarantine.ForgetEntry(time.Now(), entry)
 	if entry == k.Quarantine.Entry {
 		k.ownPosition.Store(nil)
 	}
--- a/internal/program/entry/crashes.go
+++ b/internal/program/entry/crashes.go
@@ -55,14 +55,24 @@
 	return !s.quarantine.Empty() && s.quarantine.Check(now, s.fingerprint()).Quarantined
 }
 
-// end reports the end of the request that began with verdict v, and whether it was
-// served.
-func (s *crashCheck) end(v quarantine.Verdict, served bool) {
+// end reports the end of the request that began with verdict v.
+func (s *crashCheck) end(now time.Time, v quarantine.Verdict, r quarantine.Result) {
 	if !s.quarantine.Empty() {
-		s.quarantine.End(s.fingerprint(), v, served)
+		s.quarantine.End(now, v, r, s.fingerprint())
 	}
 }
 
+// quarantineResult returns what a request's outcome says about its attempts.
+func quarantineResult(o request.Outcome) quarantine.Result {
+	switch o {
+	case request.Answered:
+		return quarantine.Served
+	case request.NotRun:
+		return quarantine.NotSent
+	}
+	return quarantine.Failed
+}
+
 // noteCrash records a crash that a sidecar reported: its target ended while it ran the
 // request.
 func (x *exchange) noteCrash(now time.Time, ev request.Event) {
--- a/internal/program/entry/exchange.go
+++ b/internal/program/entry/exchange.go
@@ -81,7 +81,7 @@
 	defer e.inFlight.Done()
 	router.trySend(routerMessage{kind: firstAttemptMessage, workspace: c.Workspace})
 	x.run(ctx, r.Context())
-	x.crashCheck.end(v, x.result.Outcome == request.Answered)
+	x.crashCheck.end(time.Now(), v, quarantineResult(x.result.Outcome))
 	x.close()
 	x.log()
 	a.Finish(x.result) // last, because it panics if the caller has to see a broken connection
--- a/internal/program/gateway/breaks.go
+++ b/internal/program/gateway/breaks.go
@@ -112,6 +112,7 @@
 	runs := make([]quarantine.Run, 0, len(b.requests))
 	for _, r := range b.requests {
 		runs = append(runs, r.Run)
+		runs = append(runs, r.PartRuns...)
 	}
 	g.crashes.NoteCrash(time.Now(), quarantine.Incarnation{Target: b.target.ID, Started: b.target.Started}, runs)
 }
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -56,15 +56,24 @@
 	g.log.Info().Str("event", event).Str("target", v.Target.ID).Dur("for", v.Said.BackOff).Msg("")
 }
 
-// logQuarantine logs when a request is quarantined, and when it is released.
+// logQuarantine logs when a request, or a part of prompts, is quarantined, and when it is released.
 func (g *Gateway) logQuarantine(s quarantine.State) {
 	event := "requestHeld"
-	if s.Quarantined == 0 {
+	switch {
+	case s.Part && s.Quarantined > 0:
+		event = "partHeld"
+	case s.Part:
+		event = "partFreed"
+	case s.Quarantined == 0:
 		event = "requestFreed"
 	}
 	g.metrics.GetOrCreateCounter(fmt.Sprintf(`wagtailshelf_quarantine_total{event=%q}`, event)).Inc()
+	evidence := make([]string, 0, len(s.Evidence))
+	for _, v := range s.Evidence {
+		evidence = append(evidence, fmt.Sprintf("%s seen by %s %dms ago", v.Target, v.Entry, v.Age.Milliseconds()))
+	}
 	g.log.Warn().Str("event", event).Stringer("fingerprint", s.Request).Int("crashes", s.Crashes).
-		Dur("for", s.Quarantined).Str("source", s.Source).Msg("")
+		Dur("for", s.Quarantined).Bool("unsure", s.Unsure).Str("source", s.Source).Strs("evidence", evidence).Msg("")
 }
 
 // logIntake logs when the entry stops handling callers' requests, and when it does so again.
@@ -95,6 +104,9 @@
 	if !r.Fingerprint.IsZero() {
 		e.Stringer("fingerprint", r.Fingerprint).Int("crashes", r.Crashes)
 	}
+	if !r.Cause.IsZero() {
+		e.Stringer("cause", r.Cause)
+	}
 	if len(r.Parts) > 0 {
 		e.Strs("parts", loggedParts(r.Parts))
 	}
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -42,11 +42,9 @@
 	a.Result = reason
 	c.rec.Attempts = append(c.rec.Attempts, a)
 	c.f.Admission.Done(now, t, end)
-	c.endAttempt(v, reason == reasonAnswered && c.rec.Status < http.StatusMultipleChoices)
+	c.endAttempt(v, reason)
 	if res == resultUnknown && (reason == reasonBroken || reason == reasonCut) {
-		c.f.OnConnectionFailure(ConnectionFailure{
-			Run: quarantine.Run{Request: c.fingerprint(), Sent: begin, Failed: now}, Target: t.Target(), Parts: c.in.SharedParts,
-		})
+		c.f.OnConnectionFailure(c.connectionFailure(t.Target(), begin, now))
 	}
 	switch {
 	case res == resultDone:
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -79,7 +79,10 @@
 	Events    int
 	// Fingerprint identifies the request; it is zero if it was not needed.
 	Fingerprint quarantine.Fingerprint
-	Crashes     int // known crashes of targets that ran the request
+	Crashes     int // known crashes of targets that ran the request, or another one with its part
+	// Cause is the fingerprint for which the request was refused; it is that of a part of its prompt
+	// if it is not the request's own.
+	Cause quarantine.Fingerprint
 	// Parts lists the IDs of the shared parts of the request's prompt.
 	Parts []string
 }
@@ -121,12 +124,14 @@
 	deadline  time.Time
 	rec       Record
 	service   string
-	tried     []string // IDs of the targets of earlier attempts
-	sent      int      // number of times that the request was written to a target
-	stream    streamState
-	repeat    bool        // a repeat of the request is reserved in the retry budget
-	leftSlow  atomic.Bool // the request moves away from a slow target, and a repeat is reserved for that
-	stranded  atomic.Bool // the host of a target that the request was sent to is unreachable
+	// partPrints are the fingerprints of the shared parts of the prompt; nil until they are needed.
+	partPrints []quarantine.Fingerprint
+	tried      []string // IDs of the targets of earlier attempts
+	sent       int      // number of times that the request was written to a target
+	stream     streamState
+	repeat     bool        // a repeat of the request is reserved in the retry budget
+	leftSlow   atomic.Bool // the request moves away from a slow target, and a repeat is reserved for that
+	stranded   atomic.Bool // the host of a target that the request was sent to is unreachable
 }
 
 // ServeHTTP serves one request.
--- a/internal/traffic/forward/suspect.go
+++ b/internal/traffic/forward/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
@@ -10,8 +11,9 @@
 // ConnectionFailure describes a connection to a target that failed during a request.
 type ConnectionFailure struct {
 	quarantine.Run
-	Target roster.Target
-	Parts  []string // IDs of the shared parts of the request's prompt
+	Target   roster.Target
+	Parts    []string         // IDs of the shared parts of the request's prompt
+	PartRuns []quarantine.Run // the parts, as the quarantine knows them
 }
 
 // fingerprint returns the request's fingerprint, which stays the same when the caller retries.
@@ -24,8 +26,23 @@
 	return c.rec.Fingerprint
 }
 
-// anySuspect reports whether any request is suspected of crashing targets, so that this one
-// needs a fingerprint.
+// parts returns the fingerprints of the shared parts of the request's prompt.
+func (c *call) parts() []quarantine.Fingerprint {
+	if c.partPrints == nil && len(c.in.SharedParts) > 0 {
+		for _, id := range c.in.SharedParts {
+			c.partPrints = append(c.partPrints, quarantine.PartFingerprint(c.service, id))
+		}
+	}
+	return c.partPrints
+}
+
+// suspects returns the fingerprints of all that may crash a target that runs the request.
+func (c *call) suspects() []quarantine.Fingerprint {
+	return append([]quarantine.Fingerprint{c.fingerprint()}, c.parts()...)
+}
+
+// anySuspect reports whether anything is suspected of crashing targets, so that this request needs
+// fingerprints.
 func (c *call) anySuspect() bool { return !c.f.Quarantine.Empty() }
 
 // checkQuarantine returns whether the request is quarantined now.
@@ -33,7 +50,7 @@
 	if !c.anySuspect() {
 		return quarantine.Verdict{}
 	}
-	return c.f.Quarantine.Check(c.f.Now(), c.fingerprint())
+	return c.f.Quarantine.Check(c.f.Now(), c.suspects()...)
 }
 
 // beginAttempt checks the quarantine just before the request is sent. endAttempt must follow,
@@ -42,15 +59,35 @@
 	if !c.anySuspect() {
 		return quarantine.Verdict{}
 	}
-	return c.f.Quarantine.Begin(c.f.Now(), c.fingerprint())
+	return c.f.Quarantine.Begin(c.f.Now(), c.suspects()...)
 }
 
-// endAttempt reports the end of an attempt to the quarantine. Served means that the target's
-// response was complete and successful.
-func (c *call) endAttempt(v quarantine.Verdict, served bool) {
+// endAttempt reports the end of an attempt to the quarantine.
+func (c *call) endAttempt(v quarantine.Verdict, reason string) {
+	result := quarantine.Failed
+	switch {
+	case reason == reasonNotSent:
+		result = quarantine.NotSent
+	case reason == reasonAnswered && c.rec.Status < http.StatusMultipleChoices:
+		result = quarantine.Served
+	}
+	now := c.f.Now()
 	if c.anySuspect() {
-		c.f.Quarantine.End(c.fingerprint(), v, served)
+		c.f.Quarantine.End(now, v, result, c.suspects()...)
 	}
+	if result == quarantine.Served && len(c.in.SharedParts) > 0 {
+		c.f.Quarantine.Answered(now, c.parts()...)
+	}
+}
+
+// connectionFailure describes a connection that failed during the request.
+func (c *call) connectionFailure(target roster.Target, sent, failed time.Time) ConnectionFailure {
+	f := ConnectionFailure{Target: target, Parts: c.in.SharedParts}
+	f.Run = quarantine.Run{Request: c.fingerprint(), Sent: sent, Failed: failed}
+	for _, part := range c.parts() {
+		f.PartRuns = append(f.PartRuns, quarantine.Run{Request: part, Part: true, Sent: sent, Failed: failed})
+	}
+	return f
 }
 
 // refuseQuarantined refuses a quarantined request at once, with a Retry-After of the time until
@@ -58,6 +95,9 @@
 // and delay the callers of that target's group by some seconds.
 func (c *call) refuseQuarantined(v quarantine.Verdict) bool {
 	c.rec.Crashes = v.Crashes
+	if v.Quarantined {
+		c.rec.Cause = v.Cause
+	}
 	if v.Quarantined {
 		c.giveUp(http.StatusServiceUnavailable, "crashesTargets", v.After)
 	}
--- a/internal/traffic/quarantine/fingerprint.go
+++ b/internal/traffic/quarantine/fingerprint.go
@@ -8,9 +8,9 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// Fingerprint identifies a request by the parts that stay the same when the caller sends it
-// again; its IDs and headers change each time. Keys and texts can't be recovered from it, so
-// it may be written to logs and to the store.
+// Fingerprint identifies what may crash targets: a request, by what stays the same when the caller
+// sends it again, as its IDs and headers change each time; or a part of prompts that many requests
+// have. Keys and texts can't be recovered from it, so it may be written to logs and to the store.
 type Fingerprint [16]byte
 
 // ErrFingerprint reports a text that is not a fingerprint.
@@ -28,12 +28,22 @@
 // Fingerprint returns the request's fingerprint. It covers the whole body, so that
 // bodies that differ only at their ends have different fingerprints. A body of 1 kB takes about 1 µs.
 func (r Request) Fingerprint() Fingerprint {
+	return fingerprintOf([]byte(r.Workspace), []byte(r.Host), []byte(r.Method), []byte(r.URI), r.Body)
+}
+
+// PartFingerprint returns the fingerprint of a part of the prompts of a service's requests. It is the
+// same for all workspaces, as such a part crashes a target whoever sends it.
+func PartFingerprint(service, id string) Fingerprint {
+	return fingerprintOf([]byte("part"), []byte(service), []byte(id))
+}
+
+func fingerprintOf(fields ...[]byte) Fingerprint {
 	h := sha256.New()
-	for _, part := range [][]byte{[]byte(r.Workspace), []byte(r.Host), []byte(r.Method), []byte(r.URI), r.Body} {
+	for _, field := range fields {
 		var size [8]byte
-		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
-		h.Write(size[:]) // so that moving bytes from one part to the next changes the hash
-		h.Write(part)
+		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
+		h.Write(size[:]) // so that moving bytes from one field to the next changes the hash
+		h.Write(field)
 	}
 	return Fingerprint(h.Sum(nil)[:len(Fingerprint{})])
 }
--- /dev/null
+++ b/internal/traffic/quarantine/part_test.go
@@ -0,0 +1,177 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	bad      = PartFingerprint("svc", "bad")
+	preamble = PartFingerprint("svc", "preamble")
+	topic    = PartFingerprint("svc", "topic")
+)
+
+// crashParts records a crash of a target during one request, which no other is like, with parts in its prompt.
+func crashParts(q *Quarantine, now time.Time, target string, parts ...Fingerprint) {
+	sent, failed := now.Add(-100*time.Millisecond), time.UnixMilli(now.UnixMilli())
+	runs := []Run{{Request: Request{Body: []byte(target)}.Fingerprint(), Sent: sent, Failed: failed}}
+	for _, f := range parts {
+		runs = append(runs, Run{Request: f, Part: true, Sent: sent, Failed: failed})
+	}
+	q.Crashed(now, incarnation(target), runs)
+}
+
+// Guards against a part that crashes servers under requests of which no two are alike.
+func TestPartIsQuarantined(t *testing.T) {
+	a, b := New("a"), New("b")
+	a.Answered(at(-time.Minute), preamble)
+	b.Answered(at(-time.Minute), preamble)
+	crashParts(a, at(-5*time.Second), "i-1", preamble, bad)
+	share(start, a, b)
+	requireNotHeld(t, b, start, bad)
+	crashParts(b, start, "i-2", preamble, bad)
+	share(start, a, b)
+	for _, q := range []*Quarantine{a, b} {
+		requireHeld(t, q, start, bad, time.Minute)
+		requireNotHeld(t, q, start, preamble)
+		require.Equal(t, bad, q.Check(start, Fingerprint{9}, preamble, bad).Cause)
+	}
+}
+
+// Guards against sound requests that are refused because the part that all of them have was at crashes too.
+func TestAnsweredPartIsNotSuspected(t *testing.T) {
+	t.Run("before the crashes", func(t *testing.T) {
+		q := New("a")
+		q.Answered(at(-answerValidity), preamble)
+		for n := range 5 {
+			crashParts(q, at(time.Duration(n-5)*time.Second), fmt.Sprint("i-", n), preamble)
+		}
+		requireNotHeld(t, q, start, preamble)
+	})
+	t.Run("after the crashes", func(t *testing.T) {
+		q := New("a")
+		crashParts(q, at(-time.Second), "i-1", preamble)
+		crashParts(q, start, "i-2", preamble)
+		require.True(t, q.Check(at(-time.Millisecond), preamble, bad).Quarantined)
+		q.Answered(start, preamble)
+		requireNotHeld(t, q, start, preamble)
+	})
+	t.Run("too long before", func(t *testing.T) {
+		q := New("a")
+		q.Answered(start, topic)
+		q.Answered(start, preamble)
+		crashParts(q, at(answerValidity+time.Second), "i-1", preamble)
+		crashParts(q, at(answerValidity+2*time.Second), "i-2", preamble)
+		requireHeld(t, q, at(answerValidity+2*time.Second), preamble, time.Minute)
+	})
+}
+
+// Guards against an entry that has just started, and suspects what all others know to be harmless.
+func TestPartAnsweredByAnotherEntry(t *testing.T) {
+	old, fresh, third := New("old"), New("fresh"), New("third")
+	old.Answered(at(-time.Second), preamble, topic)
+	crashParts(fresh, at(-time.Second), "i-1", preamble, bad)
+	crashParts(fresh, start, "i-2", preamble, bad)
+	third.Answered(start, topic)
+	share(start, fresh, old, third)
+	for _, q := range []*Quarantine{old, fresh, third} {
+		requireNotHeld(t, q, start, preamble)
+		requireHeld(t, q, start, bad, time.Minute)
+	}
+	r, _ := old.OwnRecord(start)
+	require.Equal(t, []Answer{{Part: preamble, At: at(-time.Second)}}, r.Answered, "only what others suspect")
+	crashParts(fresh, at(time.Second), "i-3", preamble)
+	requireNotHeld(t, fresh, at(time.Second), preamble)
+	old.Sweep(at(answerValidity + crashRetention + time.Second))
+	r, _ = old.OwnRecord(start)
+	require.Empty(t, r.Answered)
+}
+
+// Guards against a part that was at two crashes of another one by chance, and is held with it.
+func TestCrashesAreExplainedByAStrongerSuspect(t *testing.T) {
+	q := New("a")
+	q.Answered(at(-time.Minute), preamble)
+	crashParts(q, at(-10*time.Second), "i-1", bad)
+	crashParts(q, at(-5*time.Second), "i-2", bad, topic)
+	var freed []Fingerprint
+	q.OnChange = func(s State) {
+		if s.Quarantined == 0 {
+			freed = append(freed, s.Request)
+		}
+	}
+	crashParts(q, start, "i-3", bad, topic)
+	requireHeld(t, q, start, bad, 10*time.Minute)
+	requireNotHeld(t, q, start, topic)
+	crashParts(q, at(time.Second), "i-4", topic)
+	requireNotHeld(t, q, at(time.Second), topic)
+	crashParts(q, at(2*time.Second), "i-5", topic)
+	requireHeld(t, q, at(2*time.Second), topic, time.Minute)
+	require.Empty(t, freed)
+}
+
+// Guards against a preamble that is held for a minute because all requests with it so far had a part that
+// crashes servers, as after a start of all entries.
+func TestPartsThatWereAtTheSameCrashes(t *testing.T) {
+	q := New("a")
+	q.Answered(start, topic)
+	crashParts(q, at(-5*time.Second), "i-1", preamble, bad)
+	crashParts(q, start, "i-2", preamble, bad)
+	require.True(t, q.Check(start, preamble, bad).Quarantined, "it may hold the one that crashes servers")
+	v := q.Begin(start, Fingerprint{9}, preamble)
+	require.True(t, v.Probe)
+	requireHeld(t, q, start, preamble, probeRetryDelay)
+	q.End(at(time.Second), v, Served, Fingerprint{9}, preamble)
+	q.Answered(at(time.Second), preamble)
+	requireNotHeld(t, q, at(time.Second), preamble)
+	requireHeld(t, q, at(time.Second), bad, 59*time.Second)
+}
+
+// Guards against a service that refuses all requests for a minute: after a start of all entries two servers
+// ended by chance, and no part has been answered yet.
+func TestOnlyPartAfterAStart(t *testing.T) {
+	q := New("a")
+	crashParts(q, at(-5*time.Second), "i-1", preamble)
+	crashParts(q, start, "i-2", preamble)
+	v := q.Begin(start, preamble)
+	require.True(t, v.Probe)
+	q.End(start, v, Failed, preamble)
+	requireHeld(t, q, start, preamble, probeRetryDelay)
+	require.True(t, q.Begin(at(probeRetryDelay), preamble).Probe)
+	crashParts(q, at(2*time.Second), "i-3", preamble)
+	requireHeld(t, q, at(2*time.Second), preamble, 10*time.Minute)
+}
+
+// Guards against probes that crash servers one after the other unnoticed: their callers leave before
+// the crash, or the server refuses them as it ends.
+func TestProbeThatProvesNothing(t *testing.T) {
+	q := New("a")
+	q.Answered(start, topic)
+	crashParts(q, at(-5*time.Second), "i-1", bad)
+	crashParts(q, start, "i-2", bad)
+	now := at(time.Minute)
+	q.End(now, q.Begin(now, bad), NotSent, bad)
+	q.End(now, q.Begin(now, bad), Failed, bad)
+	requireHeld(t, q, now, bad, time.Minute)
+}
+
+// Guards against a part that is never suspected because the memory of answers is full.
+func TestAnsweredIsBounded(t *testing.T) {
+	q := New("a")
+	q.Answered(start, preamble)
+	for n := range 3 * maxAnswered {
+		q.Answered(start, Fingerprint{1, byte(n), byte(n >> 8), byte(n >> 16)})
+	}
+	require.LessOrEqual(t, len(q.answered.young)+len(q.answered.old), 2*maxAnswered)
+	require.True(t, q.answered.last(preamble).IsZero(), "the oldest goes first")
+	b := New("b")
+	r := Record{Entry: "b", Written: start}
+	for n := range 3 * maxRecordAnswers {
+		r.Answered = append(r.Answered, Answer{Part: Fingerprint{byte(n), byte(n >> 8)}, At: at(time.Hour)})
+	}
+	b.Merge(start, Record{Entry: "c", Answered: r.Answered})
+	require.Len(t, b.reported.young, maxRecordAnswers)
+	require.Equal(t, start, b.reported.last(Fingerprint{1}), "its time is not in the future")
+}
--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -12,11 +12,12 @@
 	Started time.Time // start time; zero if the target doesn't report it
 }
 
-// Run is a request that was running at a target when the target crashed.
+// Run is a request that was running at a target when the target crashed, or a part of its prompt.
 type Run struct {
 	Request Fingerprint
 	Sent    time.Time
 	Failed  time.Time // when the connection of the request failed
+	Part    bool      // the fingerprint is that of a part
 }
 
 // Crash is a crash of a target during a request. Its times are by the clock of the entry that
@@ -26,13 +27,24 @@
 	Incarnation Incarnation
 }
 
-// Record lists the crashes that one entry observed and has not yet forgotten.
+// Record lists the crashes that one entry observed and has not yet forgotten, and the parts that
+// it knows to be harmless although other entries suspect them.
 type Record struct {
-	Entry   string
-	Written time.Time // when the record was written, by the entry's clock
-	Crashes []Crash
+	Entry    string
+	Written  time.Time // when the record was written, by the entry's clock
+	Crashes  []Crash
+	Answered []Answer
 }
 
+// Answer is a complete response to a request with a part in its prompt.
+type Answer struct {
+	Part Fingerprint
+	At   time.Time
+}
+
+// firstQuarantine is the number of crashes after which a suspect is quarantined.
+const firstQuarantine = 2
+
 // quarantineTimes is how long a request is quarantined after its last crash, by the number of
 // its crashes; the last time holds for more crashes too. After one crash it is not quarantined,
 // since each request that ran at the target may be the cause. After two it is most likely the
@@ -50,6 +62,8 @@
 	// It is the number of requests that run at 21 targets of 12 slots: a crash is forgotten
 	// early only if all these targets crash within ten minutes and one entry observes them all.
 	maxRecordCrashes = 256
+	// maxRecordAnswers bounds the answers in an entry's record, some 70 bytes each in the store.
+	maxRecordAnswers = 64
 	// sameCrashWindow is the longest time between two observations of the same crash, for a
 	// target that does not report its start time. Entries check a target within a quarter of a
 	// second, and their clocks differ. A server takes longer than a second to restart.
@@ -65,87 +79,63 @@
 }
 
 // Quarantine holds the crashes that an entry knows of, its own and those of other entries'
-// records, by request. It is safe for concurrent use.
+// records, by suspect. It is safe for concurrent use.
 type Quarantine struct {
 	// Entry is the name of this entry's record.
 	Entry string
-	// OnChange, if not nil, is called when a request becomes quarantined, and when it is
+	// OnChange, if not nil, is called when a suspect becomes quarantined, and when it is
 	// no longer quarantined.
 	OnChange func(State)
-	// Turn returns how many entries may probe a request before this one; nil if there is no
+	// Turn returns how many entries may probe a suspect before this one; nil if there is no
 	// other entry.
 	Turn func(Fingerprint) int
 
 	mu              sync.Mutex
 	suspects        map[Fingerprint]*suspect
-	nextQuarantined chan struct{} // closed when a request becomes quarantined
-	dirty           bool          // the own record has changed since OwnRecord returned it
+	answered        answered                  // by own requests
+	reported        answered                  // by other entries' records
+	vouched         map[Fingerprint]time.Time // parts that other entries suspect, and when this one had them answered
+	nextQuarantined chan struct{}             // closed when a suspect becomes quarantined
+	dirty           bool                      // the own record has changed since OwnRecord returned it
 }
 
-// State is the entry's view of a request.
+// State is the entry's view of a suspect.
 type State struct {
 	Request     Fingerprint
+	Part        bool // the fingerprint is that of a part of prompts
 	Crashes     int
-	Quarantined time.Duration // remaining quarantine; 0 if the request is not quarantined
-	Source      string        // the entry whose observation caused the change
+	Quarantined time.Duration // remaining quarantine; 0 if the suspect is not quarantined
+	Unsure      bool          // a request without another suspect may be a probe at once
+	Source      string        // the entry whose observation or response caused the change
+	Evidence    []Evidence    // the newest observations of its crashes, at most maxEvidence
 }
 
-// suspect is a request that was running when a target crashed.
-type suspect struct {
-	sightings []sighting // by time
-	probing   bool       // this entry is running a probe of the request
+// Evidence is an observation of a crash, as it is logged.
+type Evidence struct {
+	Target string
+	Entry  string // the entry that observed the crash
+	Age    time.Duration
 }
 
-// sighting is an entry's observation of a crash.
-type sighting struct {
-	entry string
-	crash Crash
-	at    time.Time // time of the crash; not in the future
-}
-
-// sameCrash reports whether two sightings are of the same crash. A server that does not report its
-// start time may have restarted under its ID, so its incarnations are distinguished by time.
-func (v sighting) sameCrash(o sighting) bool {
-	if v.crash.Incarnation != o.crash.Incarnation {
-		return false
-	}
-	return !v.crash.Incarnation.Started.IsZero() || v.at.Sub(o.at).Abs() < sameCrashWindow
-}
-
-// crashes returns the number of crashes of the request and the time of the last one. A crash
-// counts only if the request was sent after the crash counted before. So targets that crash
-// together, as in a power loss of a rack, count once: all their requests were sent before.
-// If each of them counted, a harmless request that many callers send would be quarantined
-// after one power loss.
-func (s *suspect) crashes() (n int, last time.Time) {
-	var counted []sighting
-	for _, v := range s.sightings {
-		last = v.at
-		if n > 0 && v.crash.Sent.Before(counted[n-1].at) {
-			continue
-		}
-		if slices.ContainsFunc(counted, v.sameCrash) {
-			continue // another entry observed the same crash
-		}
-		counted = append(counted, v)
-		n++
-	}
-	return n, last
-}
+// maxEvidence bounds the observations in a State.
+const maxEvidence = 6
 
 // New returns an empty quarantine of an entry.
 func New(entry string) *Quarantine {
-	return &Quarantine{Entry: entry, suspects: make(map[Fingerprint]*suspect), nextQuarantined: make(chan struct{})}
+	return &Quarantine{
+		Entry: entry, suspects: make(map[Fingerprint]*suspect), answered: newAnswered(), reported: newAnswered(),
+		vouched: make(map[Fingerprint]time.Time), nextQuarantined: make(chan struct{}),
+	}
 }
 
-// Empty reports whether no request is suspected, so that no fingerprint is needed.
+// Empty reports whether nothing is suspected, so that no fingerprint is needed.
 func (q *Quarantine) Empty() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return len(q.suspects) == 0
 }
 
-// NextQuarantined returns a channel that is closed when the next request becomes quarantined.
+// NextQuarantined returns a channel that is closed when the next suspect becomes quarantined.
 // Each request that waits for a target is then checked again, since a quarantined one need not
 // wait.
 func (q *Quarantine) NextQuarantined() <-chan struct{} {
@@ -158,68 +148,156 @@
 type Verdict struct {
 	Quarantined bool          // the request is quarantined
 	After       time.Duration // when the caller should retry, if the request is quarantined
-	Crashes     int           // crashes of targets that ran the request
+	Crashes     int           // crashes of targets that ran the request, or another one with its part
 	Probe       bool          // the quarantine is over, and this attempt is its only probe
+	Cause       Fingerprint   // the suspect that is quarantined for the longest time; zero if there is none
 }
 
-// Check returns whether a request is quarantined now.
-func (q *Quarantine) Check(now time.Time, f Fingerprint) Verdict {
+// Check returns whether a request is quarantined now, given its own fingerprint and those of the
+// shared parts of its prompt.
+func (q *Quarantine) Check(now time.Time, of ...Fingerprint) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.check(now, f)
+	v, _ := q.check(now, of)
+	return v
 }
 
-func (q *Quarantine) check(now time.Time, f Fingerprint) Verdict {
-	s := q.suspects[f]
-	if s == nil {
-		return Verdict{}
+// check also returns the suspects that have been quarantined, or are.
+func (q *Quarantine) check(now time.Time, of []Fingerprint) (v Verdict, causes []*suspect) {
+	var judgements []judgement
+	var fingerprints []Fingerprint
+	for _, f := range of {
+		s := q.suspects[f]
+		if s == nil {
+			continue
+		}
+		j := q.judge(s)
+		v.Crashes = max(v.Crashes, j.crashes)
+		if quarantineTime(j.crashes) > 0 {
+			causes, judgements, fingerprints = append(causes, s), append(judgements, j), append(fingerprints, f)
+		}
+	}
+	for i, s := range causes {
+		left := q.timeLeft(now, fingerprints[i], s, judgements[i], len(causes) == 1)
+		if left > v.After {
+			v.Quarantined, v.After, v.Cause = true, left, fingerprints[i]
+		}
+	}
+	return v, causes
+}
+
+// timeLeft returns the time until this entry may probe a suspect. While the crashes are no proof, a
+// request in which nothing else is suspected may be a probe at once: if it is served the suspect is
+// harmless.
+func (q *Quarantine) timeLeft(now time.Time, f Fingerprint, s *suspect, j judgement, alone bool) time.Duration {
+	left := quarantineTime(j.crashes) - now.Sub(j.last)
+	if j.unsure && alone {
+		left = -now.Sub(j.last)
 	}
-	n, last := s.crashes()
-	v := Verdict{Crashes: n}
-	left := quarantineTime(n) - now.Sub(last)
 	if q.Turn != nil {
 		left += time.Duration(q.Turn(f)) * probeTurn
 	}
-	switch {
-	case quarantineTime(n) == 0:
-	case left > 0:
-		v.Quarantined, v.After = true, left
-	case s.probing:
-		v.Quarantined, v.After = true, probeRetryDelay
+	left = max(left, s.nextProbe.Sub(now))
+	if left <= 0 && s.probing {
+		return probeRetryDelay
 	}
-	return v
+	return left
 }
 
 // Begin returns whether a request may be sent to a target. After a quarantine only one attempt
 // at a time is allowed, as a probe: if the request still crashes targets, that costs one target
 // and not one for each caller. End must follow, unless the request is quarantined.
-func (q *Quarantine) Begin(now time.Time, f Fingerprint) Verdict {
+func (q *Quarantine) Begin(now time.Time, of ...Fingerprint) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	v := q.check(now, f)
-	if !v.Quarantined && quarantineTime(v.Crashes) > 0 {
-		v.Probe = true
-		q.suspects[f].probing = true
+	v, causes := q.check(now, of)
+	if v.Quarantined || len(causes) == 0 {
+		return v
+	}
+	v.Probe = true
+	for _, s := range causes {
+		s.probing = true
 	}
 	return v
 }
 
-// End ends an attempt that Begin allowed. A complete response removes this entry's sightings of
-// the request, since a request that crashes each target gets no response. Other entries keep
-// their own sightings until they have served the request too.
-func (q *Quarantine) End(f Fingerprint, v Verdict, served bool) {
+// Result is how an attempt of a request ended.
+type Result uint8
+
+// The results of attempts.
+const (
+	NotSent Result = iota // nothing of the request reached a target
+	Failed                // the attempt reached a target, and proves nothing
+	Served                // a target answered the request completely
+)
+
+// End ends an attempt of a request that Begin allowed, given the same fingerprints. A complete
+// response removes this entry's sightings of the request, since a request that crashes each target
+// gets no response. Other entries keep their own sightings until they have served the request too.
+func (q *Quarantine) End(now time.Time, v Verdict, r Result, of ...Fingerprint) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	s := q.suspects[f]
-	if s == nil {
-		return
-	}
-	if v.Probe {
-		s.probing = false
+	served := false
+	for _, f := range of {
+		s := q.suspects[f]
+		if s == nil {
+			continue
+		}
+		if v.Probe {
+			s.probing = false
+		}
+		if v.Probe && r == Failed {
+			s.nextProbe = now.Add(q.probePause(s))
+		}
+		if r == Served && !s.part {
+			q.remove(f, func(v sighting) bool { return v.entry == q.Entry })
+			served = true
+		}
 	}
 	if served {
-		q.remove(f, func(v sighting) bool { return v.entry == q.Entry })
+		q.announce(now, q.Entry)
+	}
+}
+
+// probePause returns how long this entry waits after a probe that proved nothing. Each probe may crash
+// a target without the entry noticing, as when the caller leaves before the crash.
+func (q *Quarantine) probePause(s *suspect) time.Duration {
+	j := q.judge(s)
+	if j.unsure {
+		return probeRetryDelay
+	}
+	return quarantineTime(j.crashes)
+}
+
+// Answered notes that a target answered a request with some parts in its prompt completely. A part
+// that crashes each target gets no response, so all its crashes had another cause, whoever observed
+// them.
+func (q *Quarantine) Answered(now time.Time, parts ...Fingerprint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	cleared := false
+	for _, f := range parts {
+		q.answered.note(now, f)
+		if q.suspects[f] == nil {
+			continue
+		}
+		q.remove(f, func(sighting) bool { return true })
+		q.vouch(f)
+		cleared = true
+	}
+	if cleared {
+		q.announce(now, q.Entry)
+	}
+}
+
+// vouch has the own record state that a part is harmless, for other entries that suspect it.
+func (q *Quarantine) vouch(f Fingerprint) {
+	last, stated := q.answered.last(f), q.vouched[f]
+	if last.Sub(stated) <= answerValidity/2 || stated.IsZero() && len(q.vouched) >= maxRecordAnswers {
+		return
 	}
+	q.vouched[f] = last
+	q.dirty = true
 }
 
 // Crashed records that a target crashed while it ran some requests.
@@ -227,116 +305,86 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, r := range runs {
-		q.add(now, sighting{entry: q.Entry, crash: Crash{Run: r, Incarnation: incarnation}, at: r.Failed})
+		q.add(sighting{entry: q.Entry, crash: Crash{Run: r, Incarnation: incarnation}, at: r.Failed})
 	}
 	q.limitOwn()
+	q.announce(now, q.Entry)
 }
 
-// add adds a sighting, and announces the request if that quarantines it.
-func (q *Quarantine) add(now time.Time, v sighting) {
+// add adds a sighting, unless it is of a part that is known to be harmless.
+func (q *Quarantine) add(v sighting) {
 	f := v.crash.Request
+	if v.crash.Part && q.answered.harmless(f, v.at) {
+		if v.entry != q.Entry {
+			q.vouch(f)
+		}
+		return
+	}
+	if v.crash.Part && q.reported.harmless(f, v.at) {
+		return
+	}
 	s := q.suspects[f]
 	if s == nil {
-		s = &suspect{}
+		s = &suspect{part: v.crash.Part}
 		q.suspects[f] = s
 	}
 	known := func(o sighting) bool { return o.entry == v.entry && o.sameCrash(v) }
 	if slices.ContainsFunc(s.sightings, known) {
 		return
 	}
-	before, _ := s.crashes()
-	at, _ := slices.BinarySearchFunc(s.sightings, v, func(a, b sighting) int { return a.at.Compare(b.at) })
-	s.sightings = slices.Insert(s.sightings, at, v)
+	s.insert(v)
 	if v.entry == q.Entry {
 		q.dirty = true
 	}
-	if n, last := s.crashes(); n > before {
-		q.announce(f, n, quarantineTime(n)-now.Sub(last), v.entry)
+}
+
+// announce announces which suspects have become quarantined, have crashed one more target, or are no
+// longer quarantined.
+func (q *Quarantine) announce(now time.Time, source string) {
+	for f, s := range q.suspects {
+		if s.count < firstQuarantine && s.announced == 0 {
+			continue
+		}
+		j := q.judge(s)
+		left := quarantineTime(j.crashes) - now.Sub(j.last)
+		switch {
+		case j.crashes >= firstQuarantine && j.crashes > s.announced:
+			s.announced = j.crashes
+			if left > 0 {
+				q.changed(State{
+					Request: f, Part: s.part, Crashes: j.crashes, Quarantined: left, Unsure: j.unsure, Source: source,
+					Evidence: s.evidence(now),
+				})
+			}
+		case j.crashes < firstQuarantine && s.announced > 0:
+			s.announced = 0
+			q.changed(State{Request: f, Part: s.part, Crashes: j.crashes, Source: source, Evidence: s.evidence(now)})
+		}
 	}
 }
 
-// announce announces that a request is quarantined for some time from now on.
-func (q *Quarantine) announce(f Fingerprint, crashes int, held time.Duration, source string) {
-	if held <= 0 {
-		return // the request is not quarantined, or no longer
+// changed reports a change of state, and wakes the requests that wait if something is quarantined.
+func (q *Quarantine) changed(s State) {
+	if s.Quarantined > 0 {
+		close(q.nextQuarantined)
+		q.nextQuarantined = make(chan struct{})
 	}
-	close(q.nextQuarantined)
-	q.nextQuarantined = make(chan struct{})
 	if q.OnChange != nil {
-		q.OnChange(State{Request: f, Crashes: crashes, Quarantined: held, Source: source})
+		q.OnChange(s)
 	}
 }
 
-// remove removes some sightings of a request.
+// remove removes some sightings of a suspect.
 func (q *Quarantine) remove(f Fingerprint, which func(sighting) bool) {
 	s := q.suspects[f]
-	before, _ := s.crashes()
 	own := func(v sighting) bool { return v.entry == q.Entry && which(v) }
 	q.dirty = q.dirty || slices.ContainsFunc(s.sightings, own)
-	s.sightings = slices.DeleteFunc(s.sightings, which)
-	if len(s.sightings) == 0 {
-		delete(q.suspects, f)
-	}
-	if after, _ := s.crashes(); quarantineTime(before) > 0 && quarantineTime(after) == 0 && q.OnChange != nil {
-		q.OnChange(State{Request: f, Crashes: after, Source: q.Entry})
-	}
-}
-
-// limitOwn removes own sightings until they fit into a record. It begins with the requests that have
-// the fewest crashes, and among these with the oldest last crash, so that a caller that sends a
-// new request each time can't displace one that did crash several targets.
-func (q *Quarantine) limitOwn() {
-	type candidate struct {
-		f    Fingerprint
-		n    int
-		last time.Time
-	}
-	var own []candidate
-	noted := 0
-	for f, s := range q.suspects {
-		mine := 0
-		for _, v := range s.sightings {
-			if v.entry == q.Entry {
-				mine++
-			}
-		}
-		if mine == 0 {
-			continue
-		}
-		noted += mine
-		n, last := s.crashes()
-		own = append(own, candidate{f, n, last})
-	}
-	if noted <= maxRecordCrashes {
+	s.drop(which)
+	if len(s.sightings) > 0 {
 		return
 	}
-	slices.SortFunc(own, func(a, b candidate) int {
-		if a.n != b.n {
-			return a.n - b.n
-		}
-		return a.last.Compare(b.last)
-	})
-	for _, c := range own {
-		if noted <= maxRecordCrashes {
-			return
-		}
-		q.remove(c.f, func(v sighting) bool {
-			if v.entry == q.Entry {
-				noted--
-				return true
-			}
-			return false
-		})
-	}
-}
-
-// Sweep forgets requests whose last crash no longer counts.
-func (q *Quarantine) Sweep(now time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for f, s := range q.suspects {
-		if n, last := s.crashes(); now.Sub(last) > quarantineTime(n)+crashRetention && !s.probing {
-			q.remove(f, func(sighting) bool { return true })
-		}
+	delete(q.suspects, f)
+	if s.announced > 0 {
+		q.changed(State{Request: f, Part: s.part, Source: q.Entry})
 	}
 }
--- a/internal/traffic/quarantine/quarantine_test.go
+++ b/internal/traffic/quarantine/quarantine_test.go
@@ -76,9 +76,9 @@
 	require.Equal(t, 2, v.Crashes)
 	requireHeld(t, q, now, fatal, probeRetryDelay)
 	require.True(t, q.Begin(now, fatal).Quarantined)
-	q.End(fatal, Verdict{}, false) // of an attempt that was allowed before
+	q.End(now, Verdict{}, Failed, fatal) // of an attempt that was allowed before
 	requireHeld(t, q, now, fatal, probeRetryDelay)
-	q.End(fatal, v, false)
+	q.End(now, v, NotSent, fatal)
 	requireNotHeld(t, q, now, fatal)
 }
 
@@ -87,7 +87,7 @@
 func TestCompleteResponseClearsARequest(t *testing.T) {
 	q := New("a")
 	crash(q, at(-time.Second), incarnation("i-1"), fatal, other)
-	q.End(other, q.Begin(start, other), true)
+	q.End(start, q.Begin(start, other), Served, other)
 	crash(q, start, incarnation("i-2"), fatal, other)
 	requireHeld(t, q, start, fatal, time.Minute)
 	requireNotHeld(t, q, start, other)
@@ -148,10 +148,10 @@
 func TestRecordsAreReplaced(t *testing.T) {
 	for name, drop := range map[string]func(a, b *Quarantine){
 		"shorter": func(a, b *Quarantine) {
-			a.End(fatal, Verdict{}, true)
+			a.End(start, Verdict{}, Served, fatal)
 			share(start, a, b)
 		},
-		"removed": func(_, b *Quarantine) { b.ForgetEntry("a") },
+		"removed": func(_, b *Quarantine) { b.ForgetEntry(start, "a") },
 	} {
 		t.Run(name, func(t *testing.T) {
 			a, b := New("a"), New("b")
@@ -190,7 +190,8 @@
 	q := New("a")
 	late := at(time.Hour)
 	q.Merge(start, Record{Entry: "b", Written: late, Crashes: []Crash{
-		{Run{fatal, late, late}, incarnation("i-1")}, {Run{fatal, late.Add(time.Second), late.Add(time.Second)}, incarnation("i-2")},
+		{Run{Request: fatal, Sent: late, Failed: late}, incarnation("i-1")},
+		{Run{Request: fatal, Sent: late.Add(time.Second), Failed: late.Add(time.Second)}, incarnation("i-2")},
 	}})
 	requireHeld(t, q, start, fatal, time.Minute)
 	requireNotHeld(t, q, at(time.Minute), fatal)
@@ -212,7 +213,9 @@
 	q.Sweep(at(crashRetention + time.Minute + time.Millisecond))
 	require.True(t, q.Empty())
 	require.Equal(t, []State{
-		{Request: fatal, Crashes: 2, Quarantined: time.Minute, Source: "a"},
+		{Request: fatal, Crashes: 2, Quarantined: time.Minute, Source: "a", Evidence: []Evidence{
+			{Target: "i-1", Entry: "a", Age: time.Second}, {Target: "i-2", Entry: "a"},
+		}},
 		{Request: fatal, Source: "a"},
 	}, states)
 }
@@ -274,7 +277,9 @@
 // crash, even if the first one is recorded later.
 func TestSentAgainAfterACrash(t *testing.T) {
 	q := New("a")
-	run := func(sent, failed time.Duration) []Run { return []Run{{fatal, at(sent), at(failed)}} }
+	run := func(sent, failed time.Duration) []Run {
+		return []Run{{Request: fatal, Sent: at(sent), Failed: at(failed)}}
+	}
 	q.Crashed(start, incarnation("i-2"), run(20*time.Millisecond, 30*time.Millisecond))
 	q.Crashed(start, incarnation("i-1"), run(0, 10*time.Millisecond))
 	require.Equal(t, 2, q.Check(start, fatal).Crashes)
--- a/internal/traffic/quarantine/record.go
+++ b/internal/traffic/quarantine/record.go
@@ -18,6 +18,10 @@
 			}
 		}
 	}
+	for f, at := range q.vouched {
+		r.Answered = append(r.Answered, Answer{Part: f, At: at})
+	}
+	slices.SortFunc(r.Answered, func(a, b Answer) int { return cmp.Compare(a.Part.String(), b.Part.String()) })
 	slices.SortFunc(r.Crashes, func(a, b Crash) int {
 		if c := a.Failed.Compare(b.Failed); c != 0 {
 			return c
@@ -62,20 +66,38 @@
 		})
 	}
 	for _, c := range r.Crashes[:min(len(r.Crashes), maxRecordCrashes)] {
-		at := c.Failed
-		if at.After(now) {
-			at = now
-		}
-		q.add(now, sighting{entry: r.Entry, crash: c, at: at})
+		q.add(sighting{entry: r.Entry, crash: c, at: earlier(c.Failed, now)})
+	}
+	for _, a := range r.Answered[:min(len(r.Answered), maxRecordAnswers)] {
+		q.mergeAnswer(now, a)
 	}
 	q.limitOwn()
+	q.announce(now, r.Entry)
+}
+
+// mergeAnswer notes that another entry knows a part to be harmless.
+func (q *Quarantine) mergeAnswer(now time.Time, a Answer) {
+	q.reported.note(earlier(a.At, now), a.Part)
+	harmless := func(v sighting) bool { return v.crash.Part && q.reported.harmless(a.Part, v.at) }
+	if s := q.suspects[a.Part]; s != nil && slices.ContainsFunc(s.sightings, harmless) {
+		q.remove(a.Part, harmless)
+	}
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.After(b) {
+		return b
+	}
+	return a
 }
 
 // ForgetEntry forgets the sightings of an entry whose record was removed.
-func (q *Quarantine) ForgetEntry(entry string) {
+func (q *Quarantine) ForgetEntry(now time.Time, entry string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.forget(entry, func(Fingerprint, sighting) bool { return true })
+	q.announce(now, entry)
 }
 
 // forget removes some of an entry's sightings.
--- /dev/null
+++ b/internal/traffic/quarantine/suspect.go
@@ -0,0 +1,149 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// suspect is what may have crashed a target: a request that was running there, or a part of its prompt.
+type suspect struct {
+	part      bool
+	sightings []sighting // by time
+	count     int        // crashes, by crashesIn
+	last      time.Time  // time of the last crash
+	since     time.Time  // time of the crash that made it quarantined; zero if there is none
+	probing   bool       // this entry is running a probe
+	nextProbe time.Time  // after a probe that proved nothing, when this entry may run the next one
+	announced int        // crashes when OnChange was last called; 0 if it is not quarantined
+}
+
+// sighting is an entry's observation of a crash.
+type sighting struct {
+	entry string
+	crash Crash
+	at    time.Time // time of the crash; not in the future
+}
+
+// sameCrash reports whether two sightings are of the same crash. A server that does not report its
+// start time may have restarted under its ID, so its incarnations are distinguished by time.
+func (v sighting) sameCrash(o sighting) bool {
+	if v.crash.Incarnation != o.crash.Incarnation {
+		return false
+	}
+	return !v.crash.Incarnation.Started.IsZero() || v.at.Sub(o.at).Abs() < sameCrashWindow
+}
+
+// insert adds a sighting.
+func (s *suspect) insert(v sighting) {
+	at, _ := slices.BinarySearchFunc(s.sightings, v, func(a, b sighting) int { return a.at.Compare(b.at) })
+	s.sightings = slices.Insert(s.sightings, at, v)
+	s.recount()
+}
+
+// drop removes some sightings.
+func (s *suspect) drop(which func(sighting) bool) {
+	s.sightings = slices.DeleteFunc(s.sightings, which)
+	s.recount()
+}
+
+func (s *suspect) recount() {
+	counted, last := crashesIn(s.sightings)
+	s.count, s.last, s.since = len(counted), last, time.Time{}
+	if s.count >= firstQuarantine {
+		s.since = counted[firstQuarantine-1].at
+	}
+}
+
+// crashesIn returns one sighting of each crash in sightings, which are by time, and the time of the
+// last crash. A crash counts only if the request was sent after the crash counted before. So targets that
+// crash together, as in a power loss of a rack, count once: all their requests were sent before.
+// If each of them counted, a harmless request that many callers send would be quarantined after
+// one power loss.
+func crashesIn(sightings []sighting) (counted []sighting, last time.Time) {
+	for _, v := range sightings {
+		last = v.at
+		if n := len(counted); n > 0 && v.crash.Sent.Before(counted[n-1].at) {
+			continue
+		}
+		if slices.ContainsFunc(counted, v.sameCrash) {
+			continue // another entry observed the same crash
+		}
+		counted = append(counted, v)
+	}
+	return counted, last
+}
+
+// evidence returns the newest observations of a suspect's crashes, as they are logged.
+func (s *suspect) evidence(now time.Time) []Evidence {
+	var list []Evidence
+	for _, v := range s.sightings[max(0, len(s.sightings)-maxEvidence):] {
+		list = append(list, Evidence{Target: v.crash.Incarnation.Target, Entry: v.entry, Age: now.Sub(v.at)})
+	}
+	return list
+}
+
+// judgement is what the known crashes prove about a suspect.
+type judgement struct {
+	crashes int       // those that no stronger suspect explains
+	last    time.Time // time of the last of them
+	// unsure is set if the crashes are no proof yet: another part was at each of them too, or no part
+	// is known to be harmless, as after a start of all entries.
+	unsure bool
+}
+
+// judge returns what the crashes prove about a suspect. A crash at which a stronger suspect was present
+// is explained by that: parts that many requests have are present at most crashes of the part that
+// causes them.
+func (q *Quarantine) judge(s *suspect) judgement {
+	j := judgement{crashes: s.count, last: s.last}
+	if quarantineTime(s.count) == 0 {
+		return j
+	}
+	unexplained := s.sightings
+	for _, o := range q.suspects {
+		if o.strongerThan(s) {
+			unexplained = without(unexplained, o.sightings)
+		}
+	}
+	counted, last := crashesIn(unexplained)
+	j.crashes, j.last = len(counted), last
+	j.unsure = s.part && j.crashes == firstQuarantine && (q.noAnswers() || q.hasRival(s, unexplained))
+	return j
+}
+
+// strongerThan reports whether a suspect became quarantined before another one, or at the same time and
+// was at more crashes since.
+func (s *suspect) strongerThan(o *suspect) bool {
+	switch {
+	case s.since.IsZero():
+		return false
+	case s.since.Sub(o.since).Abs() < sameCrashWindow:
+		return s.count > o.count
+	}
+	return s.since.Before(o.since)
+}
+
+// without returns the sightings whose crash is not among others.
+func without(sightings, others []sighting) []sighting {
+	var left []sighting
+	for _, v := range sightings {
+		if !slices.ContainsFunc(others, v.sameCrash) {
+			left = append(left, v)
+		}
+	}
+	return left
+}
+
+// noAnswers reports whether no part is known to be harmless.
+func (q *Quarantine) noAnswers() bool { return q.answered.empty() && q.reported.empty() }
+
+// hasRival reports whether another part was at all of a suspect's crashes, and is no stronger or weaker.
+func (q *Quarantine) hasRival(s *suspect, sightings []sighting) bool {
+	for _, o := range q.suspects {
+		equal := o != s && o.part && o.count == s.count && !o.strongerThan(s) && !s.strongerThan(o)
+		if equal && len(without(sightings, o.sightings)) == 0 {
+			return true
+		}
+	}
+	return false
+}
