A request is not sent on while a part of its prompt is suspected of the crash it was at

Class: acting on a failure before its cause is known.

Requests whose parts are all known to be harmless go on at once, as before.

Tests that stand in for the examination close its channel; TestCrashIsDistinguishedFromALostConnection waits for that of each request in place of polling the log.

--- a/internal/program/gateway/breaks.go
+++ b/internal/program/gateway/breaks.go
@@ -30,6 +30,7 @@
 	case g.failures <- b:
 	default:
 		g.metrics.GetOrCreateCounter("wagtailshelf_target_breaks_dropped_total").Inc()
+		close(b.Examined)
 	}
 }
 
@@ -41,6 +42,13 @@
 	presence presence.Presence
 }
 
+// end tells the requests that it is known whether the target ended.
+func (b *failedTarget) end() {
+	for _, r := range b.requests {
+		close(r.Examined)
+	}
+}
+
 // followFailures finds out, for each target whose connections fail, whether its process ended.
 func (g *Gateway) followFailures(ctx context.Context) error {
 	pending := make(map[string]*failedTarget)
@@ -62,6 +70,7 @@
 			delete(pending, p.target.ID)
 			known.presence = p.presence
 			g.judgeFailure(known)
+			known.end()
 		}
 	}
 }
--- a/internal/program/gateway/breaks_test.go
+++ b/internal/program/gateway/breaks_test.go
@@ -8,7 +8,6 @@
 	"net/netip"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/phuslu/log"
 	"github.com/stretchr/testify/require"
@@ -65,10 +64,19 @@
 	target := func(id string, l net.Listener) roster.Target {
 		return roster.Target{ID: id, Address: netip.MustParseAddrPort(l.Addr().String())}
 	}
-	g.connectionFailed(forward.ConnectionFailure{Run: quarantine.Run{Request: quarantine.Fingerprint{1}}, Target: target("gone", gone)})
-	g.connectionFailed(forward.ConnectionFailure{Run: quarantine.Run{Request: quarantine.Fingerprint{2}}, Target: target("alive", alive)})
-	g.connectionFailed(forward.ConnectionFailure{Run: quarantine.Run{Request: quarantine.Fingerprint{3}}, Target: target("gone", gone)})
-	require.Eventually(t, func() bool { return len(logged.of("targetBroke")) == 2 }, time.Minute, time.Millisecond)
+	var examined []chan struct{}
+	failed := func(request quarantine.Fingerprint, target roster.Target) {
+		done := make(chan struct{})
+		examined = append(examined, done)
+		g.connectionFailed(forward.ConnectionFailure{Run: quarantine.Run{Request: request}, Target: target, Examined: done})
+	}
+	failed(quarantine.Fingerprint{1}, target("gone", gone))
+	failed(quarantine.Fingerprint{2}, target("alive", alive))
+	failed(quarantine.Fingerprint{3}, target("gone", gone))
+	for _, done := range examined {
+		<-done
+	}
+	require.Len(t, logged.of("targetBroke"), 2)
 	stop()
 	require.NoError(t, <-ended)
 	for _, line := range logged.of("targetBroke") {
--- a/internal/program/gateway/parts_test.go
+++ b/internal/program/gateway/parts_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -64,3 +65,17 @@
 		e.callSound(t, 100+n)
 	}
 }
+
+// Guards against an entry that sends a request to the next server before it knows that the first one
+// crashed, and a part of the request's prompt may be why.
+func TestRequestIsNotSentOnWhileItsPartIsSuspected(t *testing.T) {
+	t.Parallel()
+	servers, entries := startCrashSetup(t, standin.NewCrashing)
+	awaitServers(t, servers, entries)
+	for n := range 40 { // so that the retry budget allows a second attempt
+		entries[0].callSound(t, n)
+	}
+	entries[0].callFatal(t, 0)
+	require.Never(t, func() bool { return servers.Crashes() > 1 }, 100*time.Millisecond, time.Millisecond)
+	require.Len(t, servers.FatalBodies(), 1)
+}
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -43,8 +43,9 @@
 	c.rec.Attempts = append(c.rec.Attempts, a)
 	c.f.Admission.Done(now, t, end)
 	c.endAttempt(v, reason)
+	var examined <-chan struct{} // nil if no connection failed
 	if res == resultUnknown && (reason == reasonBroken || reason == reasonCut) {
-		c.f.OnConnectionFailure(c.connectionFailure(t.Target(), begin, now))
+		examined = c.reportFailure(t.Target(), begin, now)
 	}
 	switch {
 	case res == resultDone:
@@ -66,6 +67,8 @@
 		c.expire(res, reason)
 	case c.sent >= c.route.MaxAttempts:
 		c.exhausted(res, reason)
+	case c.partSuspected(examined):
+		c.exhausted(res, reasonSuspected)
 	case !c.leftSlow.Swap(false) && !c.f.Budget.Reserve(now, c.service):
 		c.exhausted(res, "budget")
 	default:
@@ -148,6 +151,8 @@
 	reasonAnswered = "answered"
 	reasonLeft     = "callerLeft"
 	reasonSlow     = "leftSlowTarget"
+
+	reasonSuspected = "partSuspected" // the target crashed, perhaps because of a part of the prompt
 )
 
 // send does one exchange with a target. It returns what the attempt proved, how it ended for
--- a/internal/traffic/forward/quarantine_test.go
+++ b/internal/traffic/forward/quarantine_test.go
@@ -73,7 +73,10 @@
 	one, two := standin.NewServer(t, breaks), standin.NewServer(t, breaks)
 	b := newTestbed(t, one, two)
 	failures := make(chan ConnectionFailure, 2)
-	b.OnConnectionFailure = func(v ConnectionFailure) { failures <- v }
+	b.OnConnectionFailure = func(v ConnectionFailure) {
+		failures <- v
+		close(v.Examined)
+	}
 	require.Error(t, b.call(http.MethodGet, "/stream/x").err)
 	require.Equal(t, (<-failures).Request, (<-failures).Request)
 	require.Equal(t, 1, len(one.Seen()[0].LastEvent)+len(two.Seen()[0].LastEvent), "one of them resumed it")
@@ -147,7 +150,8 @@
 	second := standin.NewServer(t, complete("hello"))
 	first := standin.NewServer(t, func(w standin.Reply, _ standin.Request) { w.StampedHeader(); w.Event(1); w.Abort() })
 	b := newTestbed(t, first)
-	b.OnConnectionFailure = func(ConnectionFailure) {
+	b.OnConnectionFailure = func(f ConnectionFailure) {
+		defer close(f.Examined)
 		b.targets.Put(roster.Target{ID: "i-5", Service: "svc", Address: second.Address, Slots: 4})
 		b.crashTwoTargets(http.MethodGet, "/stream/x", "")
 	}
--- a/internal/traffic/forward/suspect.go
+++ b/internal/traffic/forward/suspect.go
@@ -14,6 +14,8 @@
 	Target   roster.Target
 	Parts    []string         // IDs of the shared parts of the request's prompt
 	PartRuns []quarantine.Run // the parts, as the quarantine knows them
+	// Examined is closed once it is known whether the target crashed, and the quarantine knows it too.
+	Examined chan<- struct{}
 }
 
 // fingerprint returns the request's fingerprint, which stays the same when the caller retries.
@@ -80,14 +82,34 @@
 	}
 }
 
-// connectionFailure describes a connection that failed during the request.
-func (c *call) connectionFailure(target roster.Target, sent, failed time.Time) ConnectionFailure {
-	f := ConnectionFailure{Target: target, Parts: c.in.SharedParts}
-	f.Run = quarantine.Run{Request: c.fingerprint(), Sent: sent, Failed: failed}
+// reportFailure reports that the connection to a target failed during the request. It returns a
+// channel that is closed once it is known whether the target crashed.
+func (c *call) reportFailure(target roster.Target, sent, failed time.Time) <-chan struct{} {
+	examined := make(chan struct{})
+	f := ConnectionFailure{
+		Run: quarantine.Run{Request: c.fingerprint(), Sent: sent, Failed: failed}, Target: target,
+		Parts: c.in.SharedParts, Examined: examined,
+	}
 	for _, part := range c.parts() {
 		f.PartRuns = append(f.PartRuns, quarantine.Run{Request: part, Part: true, Sent: sent, Failed: failed})
 	}
-	return f
+	c.f.OnConnectionFailure(f)
+	return examined
+}
+
+// partSuspected reports whether a part of the request's prompt is suspected of having crashed a
+// target, after the examination of the target whose connection failed. If the request were sent on
+// before that, one that crashes each target would crash two at each attempt of its caller. A
+// request whose parts are all known to be harmless does not wait.
+func (c *call) partSuspected(examined <-chan struct{}) bool {
+	if examined == nil || c.f.Quarantine.Harmless(c.f.Now(), c.parts()...) {
+		return false
+	}
+	select {
+	case <-examined:
+	case <-c.ctx.Done():
+	}
+	return c.f.Quarantine.Suspected(c.parts()...)
 }
 
 // refuseQuarantined refuses a quarantined request at once, with a Retry-After of the time until
--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -290,7 +290,27 @@
 	}
 }
 
-// vouch has the own record state that a part is harmless, for other entries that suspect it.
+// Harmless reports whether all of some parts were answered lately.
+func (q *Quarantine) Harmless(now time.Time, parts ...Fingerprint) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return !slices.ContainsFunc(parts, func(f Fingerprint) bool { return !q.harmless(f, now) })
+}
+
+// Suspected reports whether a target crashed during a request with any of some parts.
+func (q *Quarantine) Suspected(parts ...Fingerprint) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.ContainsFunc(parts, func(f Fingerprint) bool { return q.suspects[f] != nil })
+}
+
+// harmless reports whether a response proves that a part did not cause a crash at a moment.
+func (q *Quarantine) harmless(f Fingerprint, crashed time.Time) bool {
+	return q.answered.harmless(f, crashed) || q.reported.harmless(f, crashed)
+}
+
+// vouch has the own record state that a part is harmless, for other entries that suspect it, if an own
+// request showed that.
 func (q *Quarantine) vouch(f Fingerprint) {
 	last, stated := q.answered.last(f), q.vouched[f]
 	if last.Sub(stated) <= answerValidity/2 || stated.IsZero() && len(q.vouched) >= maxRecordAnswers {
@@ -314,15 +334,12 @@
 // add adds a sighting, unless it is of a part that is known to be harmless.
 func (q *Quarantine) add(v sighting) {
 	f := v.crash.Request
-	if v.crash.Part && q.answered.harmless(f, v.at) {
+	if v.crash.Part && q.harmless(f, v.at) {
 		if v.entry != q.Entry {
 			q.vouch(f)
 		}
 		return
 	}
-	if v.crash.Part && q.reported.harmless(f, v.at) {
-		return
-	}
 	s := q.suspects[f]
 	if s == nil {
 		s = &suspect{part: v.crash.Part}
