A response without length proves a part harmless only once its target is known to live

A crash ends a response that has no length in the same way as its end does. Counted as complete, it would clear the part that caused the crash for two minutes, so callers would lose one server after another in that time.

Change: such a response counts a second later, unless a crash of its target has become known; then it is one of the requests that were at the crash. It must count in the end: where all responses are like that, parts would never be cleared.

--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -42,7 +42,7 @@
 	a.Result = reason
 	c.rec.Attempts = append(c.rec.Attempts, a)
 	c.f.Admission.Done(now, t, end)
-	c.endAttempt(v, reason)
+	c.endAttempt(v, t.Target(), begin, reason)
 	var examined <-chan struct{} // nil if no connection failed
 	if res == resultUnknown && (reason == reasonBroken || reason == reasonCut) {
 		examined = c.reportFailure(t.Target(), begin, now)
@@ -278,6 +278,7 @@
 		return resultNotRun, admission.End{Refused: true}, reasonNotRun
 	}
 	c.f.Admission.ResponseBegun(c.f.Now(), t.Target())
+	c.unframed = answer.Unframed
 	success := answer.Status >= 200 && answer.Status < 300
 	if !meta.Stamped || success && (meta.Encoded || meta.ID != c.in.ID) {
 		answer.Finish(c.f.Now(), false, 0)
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -129,6 +129,7 @@
 	tried      []string // IDs of the targets of earlier attempts
 	sent       int      // number of times that the request was written to a target
 	stream     streamState
+	unframed   bool        // the newest response states no length and ends with its connection
 	repeat     bool        // a repeat of the request is reserved in the retry budget
 	leftSlow   atomic.Bool // the request moves away from a slow target, and a repeat is reserved for that
 	stranded   atomic.Bool // the host of a target that the request was sent to is unreachable
--- a/internal/traffic/forward/quarantine_test.go
+++ b/internal/traffic/forward/quarantine_test.go
@@ -171,3 +171,30 @@
 	requireServed(t, b.do(t.Context(), http.MethodPost, "/safe/x", "", "fatal"), "hello")
 	require.True(t, b.Quarantine.Empty())
 }
+
+// Guards against a crash that is taken for the end of a response which has no length: the part that caused
+// it would count as harmless.
+func TestResponseWithoutLengthProvesNothing(t *testing.T) {
+	event := "id: 1\ndata: a\n\n"
+	for name, unframed := range map[string]bool{"length": false, "no length": true} {
+		t.Run(name, func(t *testing.T) {
+			s := standin.NewServer(t, func(w standin.Reply, _ standin.Request) {
+				if unframed {
+					w.Bytes(w.Wire("", event))
+					return
+				}
+				w.Complete(http.StatusOK, event)
+			})
+			b := newTestbed(t, s)
+			r := standin.NewCall(http.MethodPost, b.url+"/stream/x", "id-1", "", 1500, nil)
+			r.Host = host
+			r.Header.Set("Wagtailshelf-Prompt-Prefix", "5c1e:40,9:600")
+			w, err := http.DefaultClient.Do(r)
+			require.NoError(t, err)
+			require.NoError(t, w.Body.Close())
+			require.Equal(t, http.StatusOK, w.StatusCode)
+			b.firstEnded()
+			require.Equal(t, !unframed, b.Quarantine.Harmless(time.Now(), quarantine.PartFingerprint("svc", "5c1e")))
+		})
+	}
+}
--- a/internal/traffic/forward/suspect.go
+++ b/internal/traffic/forward/suspect.go
@@ -64,22 +64,36 @@
 	return c.f.Quarantine.Begin(c.f.Now(), c.suspects()...)
 }
 
-// endAttempt reports the end of an attempt to the quarantine.
-func (c *call) endAttempt(v quarantine.Verdict, reason string) {
-	result := quarantine.Failed
-	switch {
-	case reason == reasonNotSent:
-		result = quarantine.NotSent
-	case reason == reasonAnswered && c.rec.Status < http.StatusMultipleChoices:
-		result = quarantine.Served
-	}
+// endAttempt reports the end of an attempt that was sent at some time to the quarantine.
+func (c *call) endAttempt(v quarantine.Verdict, target roster.Target, sent time.Time, reason string) {
 	now := c.f.Now()
+	result := c.quarantineResult(reason)
 	if c.anySuspect() {
 		c.f.Quarantine.End(now, v, result, c.suspects()...)
 	}
-	if result == quarantine.Served && len(c.in.SharedParts) > 0 {
+	switch {
+	case result == quarantine.Served && len(c.in.SharedParts) > 0:
 		c.f.Quarantine.Answered(now, c.parts()...)
+	case result == quarantine.Ended:
+		c.f.Quarantine.EndedWithConnection(quarantine.Unsettled{
+			Incarnation: quarantine.Incarnation{Target: target.ID, Started: target.Started},
+			Run:         quarantine.Run{Request: c.fingerprint(), Sent: sent, Failed: now},
+			Parts:       c.parts(),
+		})
+	}
+}
+
+// quarantineResult returns what the result of an attempt tells the quarantine.
+func (c *call) quarantineResult(reason string) quarantine.Result {
+	switch {
+	case reason == reasonNotSent:
+		return quarantine.NotSent
+	case reason != reasonAnswered || c.rec.Status >= http.StatusMultipleChoices:
+		return quarantine.Failed
+	case c.unframed:
+		return quarantine.Ended
 	}
+	return quarantine.Served
 }
 
 // reportFailure reports that the connection to a target failed during the request. It returns a
--- a/internal/traffic/quarantine/limit.go
+++ b/internal/traffic/quarantine/limit.go
@@ -56,6 +56,7 @@
 func (q *Quarantine) Sweep(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.settle(now)
 	for f, s := range q.suspects {
 		if now.Sub(s.last) > quarantineTime(s.count)+crashRetention && !s.probing {
 			q.remove(f, func(sighting) bool { return true })
--- a/internal/traffic/quarantine/part_test.go
+++ b/internal/traffic/quarantine/part_test.go
@@ -175,3 +175,39 @@
 	require.Len(t, b.reported.young, maxRecordAnswers)
 	require.Equal(t, start, b.reported.last(Fingerprint{1}), "its time is not in the future")
 }
+
+// Guards against a crash that is taken for the end of a response which has no length, and clears the part
+// that caused it; and against parts that are never cleared as all responses have no length.
+func TestResponsesThatEndWithTheirConnection(t *testing.T) {
+	ended := func(target string, at time.Time) Unsettled {
+		run := Run{Request: Fingerprint{9}, Sent: at.Add(-100 * time.Millisecond), Failed: at}
+		return Unsettled{Incarnation: incarnation(target), Run: run, Parts: []Fingerprint{preamble, bad}}
+	}
+	t.Run("the target lives", func(t *testing.T) {
+		q := New("a")
+		q.EndedWithConnection(ended("i-1", start))
+		q.Sweep(at(settleTime - time.Millisecond))
+		require.False(t, q.Harmless(start, bad))
+		q.Sweep(at(settleTime))
+		require.True(t, q.Harmless(at(settleTime), preamble, bad))
+	})
+	t.Run("the target crashed", func(t *testing.T) {
+		q := New("a")
+		q.Answered(start, preamble)
+		for n := range 2 {
+			now := at(time.Duration(n) * 5 * time.Second)
+			q.EndedWithConnection(ended(fmt.Sprint("i-", n), now))
+			crash(q, now, incarnation(fmt.Sprint("i-", n)), other)
+			q.Sweep(now.Add(settleTime))
+		}
+		requireHeld(t, q, at(6*time.Second), bad, 59*time.Second)
+		requireNotHeld(t, q, at(6*time.Second), preamble)
+	})
+	t.Run("too many", func(t *testing.T) {
+		q := New("a")
+		for range 2 * maxUnsettled {
+			q.EndedWithConnection(ended("i-1", start))
+		}
+		require.Len(t, q.unsettled, maxUnsettled)
+	})
+}
--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -95,6 +95,7 @@
 	answered        answered                  // by own requests
 	reported        answered                  // by other entries' records
 	vouched         map[Fingerprint]time.Time // parts that other entries suspect, and when this one had them answered
+	unsettled       []Unsettled               // responses that may prove to be complete
 	nextQuarantined chan struct{}             // closed when a suspect becomes quarantined
 	dirty           bool                      // the own record has changed since OwnRecord returned it
 }
@@ -229,6 +230,7 @@
 	NotSent Result = iota // nothing of the request reached a target
 	Failed                // the attempt reached a target, and proves nothing
 	Served                // a target answered the request completely
+	Ended                 // the response ended with its connection, see EndedWithConnection
 )
 
 // End ends an attempt of a request that Begin allowed, given the same fingerprints. A complete
@@ -237,7 +239,7 @@
 func (q *Quarantine) End(now time.Time, v Verdict, r Result, of ...Fingerprint) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	served := false
+	cleared := false
 	for _, f := range of {
 		s := q.suspects[f]
 		if s == nil {
@@ -251,10 +253,10 @@
 		}
 		if r == Served && !s.part {
 			q.remove(f, func(v sighting) bool { return v.entry == q.Entry })
-			served = true
+			cleared = true
 		}
 	}
-	if served {
+	if cleared {
 		q.announce(now, q.Entry)
 	}
 }
@@ -275,6 +277,11 @@
 func (q *Quarantine) Answered(now time.Time, parts ...Fingerprint) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.answer(now, parts)
+}
+
+// answer notes that parts were answered.
+func (q *Quarantine) answer(now time.Time, parts []Fingerprint) {
 	cleared := false
 	for _, f := range parts {
 		q.answered.note(now, f)
