--- a/internal/program/crashes/crashes.go
+++ b/internal/program/crashes/crashes.go
@@ -129,6 +129,16 @@
 // that could erase the crashes that an earlier incarnation recorded.
 func (k *Keeper) MarkLoaded() { k.once.Do(func() { close(k.loaded) }) }
 
+// Loaded reports whether all records have been read.
+func (k *Keeper) Loaded() bool {
+	select {
+	case <-k.loaded:
+		return true
+	default:
+		return false
+	}
+}
+
 func (k *Keeper) remove(ctx context.Context, r Stored) {
 	if err := k.Remove(ctx, r); err != nil {
 		// Another entry may have removed it; the next entry that lists the records tries again.
--- a/internal/program/gateway/knowledge_test.go
+++ b/internal/program/gateway/knowledge_test.go
@@ -73,12 +73,15 @@
 	require.NoError(t, <-ended)
 }
 
-func TestNotReadyWithoutConfigAndTargets(t *testing.T) {
+// Guards against an entry that has just started, and sends what the others know to crash targets.
+func TestNotReadyWithoutWhatItNeeds(t *testing.T) {
 	g := newGateway()
 	require.False(t, g.ready())
 	g.installConfig(deployed.Elapsed(), version(7))
 	require.False(t, g.ready(), "no targets are known")
 	g.targetsListed.Store(true)
+	require.False(t, g.ready(), "the crashes that others saw are not known")
+	g.crashes.MarkLoaded()
 	require.True(t, g.ready())
 	g.draining.Store(true)
 	require.False(t, g.ready())
