A start of all entries, and a harmless part at two faults' crashes, don't hide what crashes servers

Three faults, each with a test that failed before: - a suspect that is itself explained by another one still explained crashes of others: now only quarantined ones do (TestOnlyQuarantinedSuspectsExplainCrashes); - what is harmless was known by each entry's memory alone, so it went with them: an entry that records crashes also records the 128 parts answered most often, 9 KB at most (TestPopularPartsAreKnownAfterAStart); - that a part is harmless reached other entries after up to 10 s, as only the tick wrote the record (TestHarmlessPartIsReportedAtOnce).

--- a/internal/program/crashes/crashes.go
+++ b/internal/program/crashes/crashes.go
@@ -69,10 +69,12 @@
 
 // NewKeeper returns a keeper whose functions are not set yet.
 func NewKeeper(q *quarantine.Quarantine, l *log.Logger) *Keeper {
-	return &Keeper{
+	k := &Keeper{
 		Quarantine: q, Log: l,
 		dirty: make(chan struct{}, 1), loaded: make(chan struct{}), known: make(map[string]bool),
 	}
+	q.OnVouch = k.scheduleWrite
+	return k
 }
 
 // NoteCrash notes that a target crashed while it ran some requests, and has the own record written.
--- a/internal/traffic/quarantine/answered.go
+++ b/internal/traffic/quarantine/answered.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// answerValidity is how long a complete response proves that the parts of its prompt are harmless.
@@ -11,30 +15,53 @@
 	maxAnswered = 16384
 )
 
-// answered remembers when parts were last in the prompt of a request that a target answered completely.
-// It holds two generations: when the younger is full, it replaces the older.
+// answered remembers which parts were in the prompts of requests that targets answered completely. It
+// holds two generations: when the younger is full, it replaces the older.
 type answered struct {
-	young, old map[Fingerprint]time.Time
+	young, old map[Fingerprint]responses
+}
+
+// responses counts the complete responses to requests with a part.
+type responses struct {
+	last  time.Time
+	count int
 }
 
-func newAnswered() answered { return answered{young: make(map[Fingerprint]time.Time)} }
+func newAnswered() answered { return answered{young: make(map[Fingerprint]responses)} }
 
 // note notes that a part was answered.
 func (a *answered) note(at time.Time, f Fingerprint) {
-	if _, known := a.young[f]; !known && len(a.young) >= maxAnswered {
-		a.old, a.young = a.young, make(map[Fingerprint]time.Time)
+	r, known := a.young[f]
+	if !known && len(a.young) >= maxAnswered {
+		a.old, a.young = a.young, make(map[Fingerprint]responses)
 	}
-	if at.After(a.young[f]) {
-		a.young[f] = at
+	r.count++
+	if at.After(r.last) {
+		r.last = at
 	}
+	a.young[f] = r
 }
 
 // last returns when a part was last answered; zero if that is not known.
 func (a *answered) last(f Fingerprint) time.Time {
-	if at, known := a.young[f]; known {
-		return at
+	if r, known := a.young[f]; known {
+		return r.last
+	}
+	return a.old[f].last
+}
+
+// most returns at most n parts that were answered since a time, those that were answered most often.
+func (a *answered) most(since time.Time, n int) []Answer {
+	var list []Answer
+	for f, r := range a.young {
+		if !r.last.Before(since) {
+			list = append(list, Answer{Part: f, At: r.last})
+		}
 	}
-	return a.old[f]
+	slices.SortFunc(list, func(x, y Answer) int {
+		return cmp.Or(a.young[y.Part].count-a.young[x.Part].count, cmp.Compare(x.Part.String(), y.Part.String()))
+	})
+	return list[:min(len(list), n)]
 }
 
 // harmless reports whether a response proves that a part did not cause a crash at a moment.
--- a/internal/traffic/quarantine/part_test.go
+++ b/internal/traffic/quarantine/part_test.go
@@ -211,3 +211,46 @@
 		require.Len(t, q.unsettled, maxUnsettled)
 	})
 }
+
+// Guards against all entries that start at once while a part crashes servers, and suspect what all requests
+// have: nothing is answered between the crashes.
+func TestPopularPartsAreKnownAfterAStart(t *testing.T) {
+	old, next := New("a"), New("a")
+	for n := range 2 * maxPopularAnswers {
+		old.Answered(start, PartFingerprint("svc", fmt.Sprint("rare ", n)))
+	}
+	old.Answered(start, preamble)
+	old.Answered(at(time.Second), preamble)
+	crashParts(old, at(2*time.Second), "i-1", preamble, bad)
+	r, _ := old.OwnRecord(at(2 * time.Second))
+	require.Len(t, r.Answered, maxPopularAnswers)
+	next.Merge(at(3*time.Second), r)
+	crashParts(next, at(6*time.Second), "i-2", preamble, bad)
+	requireNotHeld(t, next, at(6*time.Second), preamble)
+	requireHeld(t, next, at(6*time.Second), bad, time.Minute)
+}
+
+// Guards against a part that crashes servers and is not held, because one that is harmless was at its crashes
+// and at one of another part.
+func TestOnlyQuarantinedSuspectsExplainCrashes(t *testing.T) {
+	q := New("a")
+	first := PartFingerprint("svc", "first")
+	q.Answered(at(-time.Minute), preamble)
+	crashParts(q, at(-20*time.Second), "i-1", first)
+	crashParts(q, at(-15*time.Second), "i-2", first, topic)
+	crashParts(q, at(-10*time.Second), "i-3", bad, topic)
+	crashParts(q, at(-5*time.Second), "i-4", bad)
+	requireHeld(t, q, start, bad, 55*time.Second)
+	requireHeld(t, q, start, first, 45*time.Second)
+	requireNotHeld(t, q, start, topic)
+}
+
+// Guards against entries that learn seconds late that a part is harmless, as its record is not written.
+func TestHarmlessPartIsReportedAtOnce(t *testing.T) {
+	q, reports := New("a"), 0
+	q.OnVouch = func() { reports++ }
+	crashParts(q, start, "i-1", topic)
+	q.Answered(at(time.Second), topic)
+	q.Answered(at(2*time.Second), topic)
+	require.Equal(t, 1, reports)
+}
--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -62,8 +62,12 @@
 	// It is the number of requests that run at 21 targets of 12 slots: a crash is forgotten
 	// early only if all these targets crash within ten minutes and one entry observes them all.
 	maxRecordCrashes = 256
-	// maxRecordAnswers bounds the answers in an entry's record, some 70 bytes each in the store.
-	maxRecordAnswers = 64
+	// maxVouched bounds the parts in an entry's record that others suspect.
+	maxVouched = 64
+	// maxPopularAnswers bounds those that are answered most often.
+	maxPopularAnswers = 128
+	// maxRecordAnswers bounds both, some 70 bytes each in the store.
+	maxRecordAnswers = maxVouched + maxPopularAnswers
 	// sameCrashWindow is the longest time between two observations of the same crash, for a
 	// target that does not report its start time. Entries check a target within a quarter of a
 	// second, and their clocks differ. A server takes longer than a second to restart.
@@ -86,12 +90,15 @@
 	// OnChange, if not nil, is called when a suspect becomes quarantined, and when it is
 	// no longer quarantined.
 	OnChange func(State)
+	// OnVouch, if not nil, is called when the own record is to tell others that a part is harmless.
+	OnVouch func()
 	// Turn returns how many entries may probe a suspect before this one; nil if there is no
 	// other entry.
 	Turn func(Fingerprint) int
 
 	mu              sync.Mutex
 	suspects        map[Fingerprint]*suspect
+	judged          map[*suspect]judgement    // of those with enough crashes; nil after a change
 	answered        answered                  // by own requests
 	reported        answered                  // by other entries' records
 	vouched         map[Fingerprint]time.Time // parts that other entries suspect, and when this one had them answered
@@ -283,6 +290,9 @@
 // answer notes that parts were answered.
 func (q *Quarantine) answer(now time.Time, parts []Fingerprint) {
 	cleared := false
+	if q.noAnswers() {
+		q.judged = nil
+	}
 	for _, f := range parts {
 		q.answered.note(now, f)
 		if q.suspects[f] == nil {
@@ -320,11 +330,14 @@
 // request showed that.
 func (q *Quarantine) vouch(f Fingerprint) {
 	last, stated := q.answered.last(f), q.vouched[f]
-	if last.Sub(stated) <= answerValidity/2 || stated.IsZero() && len(q.vouched) >= maxRecordAnswers {
+	if last.Sub(stated) <= answerValidity/2 || stated.IsZero() && len(q.vouched) >= maxVouched {
 		return
 	}
 	q.vouched[f] = last
 	q.dirty = true
+	if q.OnVouch != nil {
+		q.OnVouch()
+	}
 }
 
 // Crashed records that a target crashed while it ran some requests.
@@ -357,6 +370,7 @@
 		return
 	}
 	s.insert(v)
+	q.judged = nil
 	if v.entry == q.Entry {
 		q.dirty = true
 	}
@@ -404,6 +418,7 @@
 	own := func(v sighting) bool { return v.entry == q.Entry && which(v) }
 	q.dirty = q.dirty || slices.ContainsFunc(s.sightings, own)
 	s.drop(which)
+	q.judged = nil
 	if len(s.sightings) > 0 {
 		return
 	}
--- a/internal/traffic/quarantine/record.go
+++ b/internal/traffic/quarantine/record.go
@@ -18,9 +18,7 @@
 			}
 		}
 	}
-	for f, at := range q.vouched {
-		r.Answered = append(r.Answered, Answer{Part: f, At: at})
-	}
+	r.Answered = q.ownAnswers(now, len(r.Crashes) > 0)
 	slices.SortFunc(r.Answered, func(a, b Answer) int { return cmp.Compare(a.Part.String(), b.Part.String()) })
 	slices.SortFunc(r.Crashes, func(a, b Crash) int {
 		if c := a.Failed.Compare(b.Failed); c != 0 {
@@ -32,6 +30,23 @@
 	return r, changed
 }
 
+// ownAnswers returns the parts that the own record lists as harmless: those that others suspect, and, beside
+// crashes, those that are answered most often. An entry that starts later, when nothing has been answered
+// for a while, does not suspect what all requests have.
+func (q *Quarantine) ownAnswers(now time.Time, crashes bool) []Answer {
+	var list []Answer
+	if crashes {
+		list = q.answered.most(now.Add(-answerValidity), maxPopularAnswers)
+	}
+	for f, at := range q.vouched {
+		known := func(a Answer) bool { return a.Part == f }
+		if !slices.ContainsFunc(list, known) {
+			list = append(list, Answer{Part: f, At: at})
+		}
+	}
+	return list
+}
+
 // HasOwnCrashes reports whether this entry's own record has any crash.
 func (q *Quarantine) HasOwnCrashes() bool {
 	q.mu.Lock()
@@ -77,6 +92,9 @@
 
 // mergeAnswer notes that another entry knows a part to be harmless.
 func (q *Quarantine) mergeAnswer(now time.Time, a Answer) {
+	if q.noAnswers() {
+		q.judged = nil
+	}
 	q.reported.note(earlier(a.At, now), a.Part)
 	harmless := func(v sighting) bool { return v.crash.Part && q.reported.harmless(a.Part, v.at) }
 	if s := q.suspects[a.Part]; s != nil && slices.ContainsFunc(s.sightings, harmless) {
--- a/internal/traffic/quarantine/suspect.go
+++ b/internal/traffic/quarantine/suspect.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -95,29 +96,54 @@
 // is explained by that: parts that many requests have are present at most crashes of the part that
 // causes them.
 func (q *Quarantine) judge(s *suspect) judgement {
-	j := judgement{crashes: s.count, last: s.last}
 	if quarantineTime(s.count) == 0 {
-		return j
+		return judgement{crashes: s.count, last: s.last}
 	}
-	unexplained := s.sightings
-	for _, o := range q.suspects {
-		if o.strongerThan(s) {
-			unexplained = without(unexplained, o.sightings)
+	if q.judged == nil {
+		q.judgeAll()
+	}
+	return q.judged[s]
+}
+
+// judgeAll judges all suspects that were at enough crashes to be quarantined, the strongest first. Only
+// one that is quarantined in the end explains the crashes of others.
+func (q *Quarantine) judgeAll() {
+	q.judged = make(map[*suspect]judgement)
+	var list []*suspect
+	for _, s := range q.suspects {
+		if s.count >= firstQuarantine {
+			list = append(list, s)
+		}
+	}
+	slices.SortFunc(list, compareStrength)
+	var proven []*suspect
+	for _, s := range list {
+		unexplained := s.sightings
+		for _, o := range proven {
+			if o.strongerThan(s) {
+				unexplained = without(unexplained, o.sightings)
+			}
+		}
+		counted, last := crashesIn(unexplained)
+		j := judgement{crashes: len(counted), last: last}
+		if j.crashes >= firstQuarantine {
+			proven = append(proven, s)
+			j.unsure = s.part && j.crashes == firstQuarantine && (q.noAnswers() || hasRival(s, unexplained, list))
 		}
+		q.judged[s] = j
 	}
-	counted, last := crashesIn(unexplained)
-	j.crashes, j.last = len(counted), last
-	j.unsure = s.part && j.crashes == firstQuarantine && (q.noAnswers() || q.hasRival(s, unexplained))
-	return j
+}
+
+// compareStrength orders suspects: first those that became quarantined first, of these those with more
+// crashes.
+func compareStrength(a, b *suspect) int {
+	return cmp.Or(a.since.Compare(b.since), b.count-a.count)
 }
 
 // strongerThan reports whether a suspect became quarantined before another one, or at the same time and
 // was at more crashes since.
 func (s *suspect) strongerThan(o *suspect) bool {
-	switch {
-	case s.since.IsZero():
-		return false
-	case s.since.Sub(o.since).Abs() < sameCrashWindow:
+	if s.since.Sub(o.since).Abs() < sameCrashWindow {
 		return s.count > o.count
 	}
 	return s.since.Before(o.since)
@@ -138,12 +164,9 @@
 func (q *Quarantine) noAnswers() bool { return q.answered.empty() && q.reported.empty() }
 
 // hasRival reports whether another part was at all of a suspect's crashes, and is no stronger or weaker.
-func (q *Quarantine) hasRival(s *suspect, sightings []sighting) bool {
-	for _, o := range q.suspects {
+func hasRival(s *suspect, sightings []sighting, among []*suspect) bool {
+	return slices.ContainsFunc(among, func(o *suspect) bool {
 		equal := o != s && o.part && o.count == s.count && !o.strongerThan(s) && !s.strongerThan(o)
-		if equal && len(without(sightings, o.sightings)) == 0 {
-			return true
-		}
-	}
-	return false
+		return equal && len(without(sightings, o.sightings)) == 0
+	})
 }
