An entry is ready only once it has read the crashes that others saw

It started with none, so its callers' requests went to servers that all others protect. The store's other lists had to be read before; this one now too.

--- a/internal/program/gateway/eras_test.go
+++ b/internal/program/gateway/eras_test.go
@@ -323,6 +323,7 @@
 func TestProcessStartsFromABackup(t *testing.T) {
 	g := newGateway()
 	g.targetsListed.Store(true)
+	g.crashes.MarkLoaded()
 	g.installConfig(deployed.Elapsed(), version(10))
 	require.True(t, g.ready())
 	g.applyPlannerUpdate(plannerAddresses[0], digest.Update{Service: "svc", Term: 1, ConfigVersion: 12})
@@ -355,6 +356,7 @@
 	g := newGateway()
 	_, _ = g.store.Eras.Observe(time.Now(), 3)
 	g.targetsListed.Store(true)
+	g.crashes.MarkLoaded()
 	page := version(10)
 	page.Era = 3
 	g.installConfig(deployed.Elapsed(), page)
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -199,10 +199,10 @@
 	}
 }
 
-// ready reports whether the entry's configuration and targets are good enough to serve
-// callers.
+// ready reports whether the entry's configuration and targets are good enough to serve callers, and
+// it knows which requests crash targets.
 func (g *Gateway) ready() bool {
-	if g.draining.Load() || !g.targetsListed.Load() {
+	if g.draining.Load() || !g.targetsListed.Load() || !g.crashes.Loaded() {
 		return false
 	}
 	r := g.config.Load()
