A part at crashes of three targets at once is quarantined, and unrelated parts are not probed early

Found by simulating 5 to 340 entries (TestRequestsOfAllEntriesAfterTheFifthCrash): where requests with the part come ten times a second, five targets of a group crash before any entry knows of the first. They counted as one crash, as those of a rack do, and what waited crashed 12 to 27 more when the group opened, four seconds after the fifth. For a whole request that rule must stay; a part that nobody has answered is at three targets at once only if it is the cause (TestPartAtSeveralCrashesAtOnce).

Now only a part that was with the other one each time may be probed at once, as a preamble (TestPartsOfOtherRequestsAtTheSameCrashes; failed before).

--- a/internal/traffic/quarantine/part_test.go
+++ b/internal/traffic/quarantine/part_test.go
@@ -117,9 +117,13 @@
 func TestPartsThatWereAtTheSameCrashes(t *testing.T) {
 	q := New("a")
 	q.Answered(start, topic)
+	other := New("b")
+	crashParts(other, at(-5*time.Second), "i-1", preamble)
 	crashParts(q, at(-5*time.Second), "i-1", preamble, bad)
 	crashParts(q, start, "i-2", preamble, bad)
+	share(start, q, other)
 	require.True(t, q.Check(start, preamble, bad).Quarantined, "it may hold the one that crashes servers")
+	require.True(t, q.Check(start, bad).Quarantined, "the preamble was also there without it")
 	v := q.Begin(start, Fingerprint{9}, preamble)
 	require.True(t, v.Probe)
 	requireHeld(t, q, start, preamble, probeRetryDelay)
@@ -129,6 +133,19 @@
 	requireHeld(t, q, at(time.Second), bad, 59*time.Second)
 }
 
+// Guards against a probe that crashes one more server because an unrelated part was at both crashes.
+func TestPartsOfOtherRequestsAtTheSameCrashes(t *testing.T) {
+	a, b := New("a"), New("b")
+	a.Answered(start, preamble)
+	for n := range 2 {
+		crashParts(a, at(time.Duration(n-1)*5*time.Second), fmt.Sprint("i-", n), preamble, bad)
+		crashParts(b, at(time.Duration(n-1)*5*time.Second), fmt.Sprint("i-", n), topic)
+	}
+	share(start, a, b)
+	requireHeld(t, a, start, bad, time.Minute)
+	requireHeld(t, a, start, topic, time.Minute)
+}
+
 // Guards against a service that refuses all requests for a minute: after a start of all entries two servers
 // ended by chance, and no part has been answered yet.
 func TestOnlyPartAfterAStart(t *testing.T) {
@@ -254,3 +271,19 @@
 	q.Answered(at(2*time.Second), topic)
 	require.Equal(t, 1, reports)
 }
+
+// Guards against a part that is not held when its requests crash several targets of a group before any entry
+// knows of the first: what waits crashes as many again when the group opens.
+func TestPartAtSeveralCrashesAtOnce(t *testing.T) {
+	q, whole := New("a"), New("b")
+	q.Answered(start, preamble)
+	for n := range crashesAtOnce {
+		now := at(time.Duration(n) * time.Millisecond)
+		requireNotHeld(t, q, now, bad)
+		crashParts(q, now, fmt.Sprint("i-", n), preamble, bad)
+		crash(whole, now, incarnation(fmt.Sprint("i-", n)), fatal)
+	}
+	requireHeld(t, q, at(2*time.Millisecond), bad, time.Minute)
+	requireNotHeld(t, q, at(2*time.Millisecond), preamble)
+	requireNotHeld(t, whole, at(2*time.Millisecond), fatal)
+}
--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -45,6 +45,11 @@
 // firstQuarantine is the number of crashes after which a suspect is quarantined.
 const firstQuarantine = 2
 
+// crashesAtOnce is the number of targets that crash at once after which a part is quarantined like after
+// firstQuarantine crashes one after the other. In a group each further crash would be as many again, of what
+// waited for it to open.
+const crashesAtOnce = 3
+
 // quarantineTimes is how long a request is quarantined after its last crash, by the number of
 // its crashes; the last time holds for more crashes too. After one crash it is not quarantined,
 // since each request that ran at the target may be the cause. After two it is most likely the
--- a/internal/traffic/quarantine/suspect.go
+++ b/internal/traffic/quarantine/suspect.go
@@ -48,19 +48,46 @@
 }
 
 func (s *suspect) recount() {
-	counted, last := crashesIn(s.sightings)
-	s.count, s.last, s.since = len(counted), last, time.Time{}
-	if s.count >= firstQuarantine {
-		s.since = counted[firstQuarantine-1].at
+	s.count, s.last, s.since = s.crashesIn(s.sightings)
+}
+
+// crashesIn returns the number of crashes in sightings, which are by time, the time of the last one, and
+// when the suspect became quarantined; zero if it did not.
+func (s *suspect) crashesIn(sightings []sighting) (n int, last, since time.Time) {
+	counted, last := sequentialCrashes(sightings)
+	n = len(counted)
+	if n >= firstQuarantine {
+		return n, last, counted[firstQuarantine-1].at
+	}
+	if at, many := manyAtOnce(sightings); many && s.part {
+		return firstQuarantine, last, at
+	}
+	return n, last, time.Time{}
+}
+
+// manyAtOnce reports whether a suspect was at crashes of so many targets at once that it is their cause, and
+// when. That holds only for a part that no target has answered: a harmless one is at many targets only if
+// it is in many requests, and then it has been answered.
+func manyAtOnce(sightings []sighting) (at time.Time, many bool) {
+	var crashes []sighting
+	for _, v := range sightings {
+		if slices.ContainsFunc(crashes, v.sameCrash) {
+			continue
+		}
+		crashes = append(crashes, v)
+		if len(crashes) == crashesAtOnce {
+			return v.at, true
+		}
 	}
+	return time.Time{}, false
 }
 
-// crashesIn returns one sighting of each crash in sightings, which are by time, and the time of the
+// sequentialCrashes returns one sighting of each crash in sightings, which are by time, and the time of the
 // last crash. A crash counts only if the request was sent after the crash counted before. So targets that
 // crash together, as in a power loss of a rack, count once: all their requests were sent before.
 // If each of them counted, a harmless request that many callers send would be quarantined after
 // one power loss.
-func crashesIn(sightings []sighting) (counted []sighting, last time.Time) {
+func sequentialCrashes(sightings []sighting) (counted []sighting, last time.Time) {
 	for _, v := range sightings {
 		last = v.at
 		if n := len(counted); n > 0 && v.crash.Sent.Before(counted[n-1].at) {
@@ -87,8 +114,8 @@
 type judgement struct {
 	crashes int       // those that no stronger suspect explains
 	last    time.Time // time of the last of them
-	// unsure is set if the crashes are no proof yet: another part was at each of them too, or no part
-	// is known to be harmless, as after a start of all entries.
+	// unsure is set if the crashes are no proof yet: another part was in the same prompts each time, or no
+	// part is known to be harmless, as after a start of all entries.
 	unsure bool
 }
 
@@ -124,11 +151,11 @@
 				unexplained = without(unexplained, o.sightings)
 			}
 		}
-		counted, last := crashesIn(unexplained)
-		j := judgement{crashes: len(counted), last: last}
+		n, last, _ := s.crashesIn(unexplained)
+		j := judgement{crashes: n, last: last}
 		if j.crashes >= firstQuarantine {
 			proven = append(proven, s)
-			j.unsure = s.part && j.crashes == firstQuarantine && (q.noAnswers() || hasRival(s, unexplained, list))
+			j.unsure = s.part && j.crashes == firstQuarantine && (q.noAnswers() || hasCompanion(s, list))
 		}
 		q.judged[s] = j
 	}
@@ -163,10 +190,17 @@
 // noAnswers reports whether no part is known to be harmless.
 func (q *Quarantine) noAnswers() bool { return q.answered.empty() && q.reported.empty() }
 
-// hasRival reports whether another part was at all of a suspect's crashes, and is no stronger or weaker.
-func hasRival(s *suspect, sightings []sighting, among []*suspect) bool {
+// hasCompanion reports whether another part was at as many crashes, and wherever it was this one was too: a
+// preamble and a part that only comes after it. A request with the preamble alone tells which is at fault. Of
+// parts of different requests at the same targets either may have crashed them, so neither is tried.
+func hasCompanion(s *suspect, among []*suspect) bool {
 	return slices.ContainsFunc(among, func(o *suspect) bool {
 		equal := o != s && o.part && o.count == s.count && !o.strongerThan(s) && !s.strongerThan(o)
-		return equal && len(without(sightings, o.sightings)) == 0
+		return equal && !slices.ContainsFunc(o.sightings, func(v sighting) bool { return !s.seenWith(v) })
 	})
 }
+
+// seenWith reports whether the entry that made a sighting saw this suspect at the same crash.
+func (s *suspect) seenWith(v sighting) bool {
+	return slices.ContainsFunc(s.sightings, func(w sighting) bool { return w.entry == v.entry && w.sameCrash(v) })
+}
