The project's own interface quarantines leading parts of prompts that crash targets

Its prompts are not given in parts; what they share are their beginnings, which the document's affinity compares in blocks. Each beginning of whole blocks but the whole prompt counts as a part, and the same rule decides; an entry does not send a request on after a crash while one of its parts is suspected. Services without affinity have whole requests only.

--- a/internal/program/entry/crashes.go
+++ b/internal/program/entry/crashes.go
@@ -8,6 +8,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"wagtailshelf.example/wagtailshelf/internal/program/crashes"
+	"wagtailshelf.example/wagtailshelf/internal/record/document"
 	"wagtailshelf.example/wagtailshelf/internal/record/object"
 	"wagtailshelf.example/wagtailshelf/internal/record/position"
 	"wagtailshelf.example/wagtailshelf/internal/record/watch"
@@ -25,41 +26,67 @@
 type crashCheck struct {
 	quarantine *quarantine.Quarantine
 	request    quarantine.Request
-	cached     quarantine.Fingerprint // zero until it is first needed
+	affinity   document.Affinity
+	cached     []quarantine.Fingerprint // of the request and its leading parts; nil until it is first needed
+	crashed    bool                     // a target crashed during the request
 }
 
 func (e *Entry) newCrashCheck(c *caller.Call) crashCheck {
-	return crashCheck{quarantine: e.crashes.Quarantine, request: quarantine.Request{
-		Workspace: c.Workspace, Host: c.Service.Document.Service, Method: c.Method, URI: c.Path, Body: c.Body,
-	}}
+	return crashCheck{
+		quarantine: e.crashes.Quarantine, affinity: c.Service.Document.Affinity,
+		request: quarantine.Request{
+			Workspace: c.Workspace, Host: c.Service.Document.Service, Method: c.Method, URI: c.Path, Body: c.Body,
+		},
+	}
 }
 
-func (s *crashCheck) fingerprint() quarantine.Fingerprint {
-	if s.cached.IsZero() {
-		s.cached = s.request.Fingerprint()
+// suspects returns the fingerprints of all that may crash a target: the request's own, then those of its
+// leading parts, by which requests are also sent to the same targets.
+func (s *crashCheck) suspects() []quarantine.Fingerprint {
+	if s.cached == nil {
+		parts := quarantine.LeadingParts(s.request.Host, s.request.Body, int(s.affinity.BlockBytes), s.affinity.Blocks)
+		s.cached = append([]quarantine.Fingerprint{s.request.Fingerprint()}, parts...)
 	}
 	return s.cached
 }
 
-// begin returns whether the request may be sent to a target. The fingerprint is not
-// computed while the quarantine is empty.
+// begin returns whether the request may be sent to a target. No fingerprint is computed while the
+// quarantine is empty.
 func (s *crashCheck) begin(now time.Time) quarantine.Verdict {
 	if s.quarantine.Empty() {
 		return quarantine.Verdict{}
 	}
-	return s.quarantine.Begin(now, s.fingerprint())
+	return s.quarantine.Begin(now, s.suspects()...)
 }
 
-// quarantined reports whether the request must not be sent to another target.
+// quarantined reports whether the request must not be sent to another target: it is quarantined, or a
+// target crashed that may have done so because of one of its leading parts.
 func (s *crashCheck) quarantined(now time.Time) bool {
-	return !s.quarantine.Empty() && s.quarantine.Check(now, s.fingerprint()).Quarantined
+	if s.quarantine.Empty() {
+		return false
+	}
+	suspects := s.suspects()
+	return s.crashed && s.quarantine.Suspected(suspects[1:]...) || s.quarantine.Check(now, suspects...).Quarantined
 }
 
 // end reports the end of the request that began with verdict v.
 func (s *crashCheck) end(now time.Time, v quarantine.Verdict, r quarantine.Result) {
 	if !s.quarantine.Empty() {
-		s.quarantine.End(now, v, r, s.fingerprint())
+		s.quarantine.End(now, v, r, s.suspects()...)
+	}
+	if r == quarantine.Served && s.affinity.BlockBytes > 0 {
+		s.quarantine.Answered(now, s.suspects()[1:]...)
+	}
+}
+
+// crash notes that a target crashed while it ran the request, and returns what was running there.
+func (s *crashCheck) crash(now, sent time.Time) []quarantine.Run {
+	s.crashed = true
+	var runs []quarantine.Run
+	for i, f := range s.suspects() {
+		runs = append(runs, quarantine.Run{Request: f, Part: i > 0, Sent: sent, Failed: now})
 	}
+	return runs
 }
 
 // quarantineResult returns what a request's outcome says about its attempts.
@@ -82,10 +109,9 @@
 		return
 	}
 	incarnation := quarantine.Incarnation{Target: string(x.choices[i].host)}
-	f := x.crashCheck.fingerprint()
-	x.entry.crashes.NoteCrash(now, incarnation, []quarantine.Run{{Request: f, Sent: x.choices[i].pickedAt, Failed: now}})
+	x.entry.crashes.NoteCrash(now, incarnation, x.crashCheck.crash(now, x.choices[i].pickedAt))
 	x.entry.log.Warn().Str("event", "targetCrashed").Str("id", x.call.ID.String()).Str("target", incarnation.Target).
-		Stringer("fingerprint", f).Msg("")
+		Stringer("fingerprint", x.crashCheck.suspects()[0]).Msg("")
 }
 
 // logQuarantined logs a quarantined request that was refused before it began.
--- a/internal/program/trial/crash.go
+++ b/internal/program/trial/crash.go
@@ -1,6 +1,8 @@
 package trial
 
 import (
+	"bytes"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -17,6 +19,9 @@
 	service   *service.Service
 	fatalPath string
 	downTime  time.Duration
+	// FatalBody, if not empty, is a text that also crashes the targets if a request's body contains it. It
+	// is set before targets are added.
+	FatalBody string
 
 	mu        sync.Mutex
 	crashes   int
@@ -47,7 +52,13 @@
 func (d *Deployment) AddCrashingTarget(name string, dataCentre host.DataCentre, c *CrashingTargets) (*Target, error) {
 	t := &Target{Name: name, DataCentre: dataCentre, Service: c.service}
 	err := d.addTarget(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !strings.Contains(r.URL.Path, c.fatalPath) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return // the sender has disconnected
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		fatalBody := c.FatalBody != "" && strings.Contains(string(body), c.FatalBody)
+		if !fatalBody && !strings.Contains(r.URL.Path, c.fatalPath) {
 			c.service.ServeHTTP(w, r)
 			return
 		}
--- a/internal/program/trial/crash_test.go
+++ b/internal/program/trial/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,3 +81,49 @@
 	require.Eventually(t, served(1), testTimeout, 5*time.Millisecond)
 	require.Empty(t, d.Violations())
 }
+
+// Guards against requests of which no two are alike, and that share a leading part which crashes each target.
+func TestLeadingPartThatCrashesTargetsIsStopped(t *testing.T) {
+	t.Parallel()
+	d, err := trial.NewDeployment(io.Discard)
+	require.NoError(t, err)
+	t.Cleanup(d.Close)
+	crashing := trial.NewCrashingTargets(service.New(), "/fatal", 40*time.Millisecond)
+	crashing.FatalBody = strings.Repeat("bad ", 16)
+	for n := range 4 {
+		_, err := d.AddCrashingTarget(fmt.Sprint("agenda-", n), "mtl-a", crashing)
+		require.NoError(t, err)
+	}
+	settings := trial.AgendaDocument(d.Targets, "") + "affinity: {blockBytes: 64B, blocks: 8}\n"
+	require.NoError(t, d.Put(testContext(t), "agenda", settings))
+	for n := range 2 {
+		e, err := d.AddEntry(host.Name(fmt.Sprint("mtl-a-entry-", n)), "mtl-a", nil)
+		require.NoError(t, err)
+		require.Eventually(t, e.Ready, testTimeout, 5*time.Millisecond)
+	}
+	preamble := strings.Repeat("hello ", 32) // three blocks
+	get := func(n int, prompt string) int {
+		body := strings.NewReader(preamble + prompt + fmt.Sprint(" question ", n, strings.Repeat(" more", 20)))
+		r, err := http.NewRequestWithContext(testContext(t), http.MethodGet, "http://"+d.Entries[n%2].Addr().String()+"/agenda/lists/others", body)
+		require.NoError(t, err)
+		r.Header.Set("Authorization", "Bearer "+trial.LargeKey)
+		w, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return 0
+		}
+		defer w.Body.Close()
+		return w.StatusCode
+	}
+	before := 0 // crashes when the last eight attempts began
+	for n := range 16 {
+		require.Eventually(t, func() bool { return crashing.Up() && get(n, "") == http.StatusOK }, testTimeout, 5*time.Millisecond)
+		if n == 8 {
+			before = crashing.Crashes()
+		}
+		require.Contains(t, []int{http.StatusBadGateway, http.StatusServiceUnavailable}, get(n, crashing.FatalBody))
+	}
+	t.Logf("%d crashes", crashing.Crashes())
+	require.LessOrEqual(t, crashing.Crashes(), 5)
+	require.Equal(t, before, crashing.Crashes(), "no attempt reaches a target once the part is known to crash targets")
+	require.Empty(t, d.Violations())
+}
--- a/internal/traffic/quarantine/fingerprint.go
+++ b/internal/traffic/quarantine/fingerprint.go
@@ -37,6 +37,26 @@
 	return fingerprintOf([]byte("part"), []byte(service), []byte(id))
 }
 
+// maxLeadingParts bounds the leading parts of a prompt.
+const maxLeadingParts = 32
+
+// LeadingParts returns the fingerprints of the beginnings of a prompt that consist of whole blocks, the
+// shortest first, for a service whose prompts are not given in parts. The whole prompt is none of them.
+func LeadingParts(service string, prompt []byte, blockBytes, blocks int) []Fingerprint {
+	if blockBytes <= 0 {
+		return nil
+	}
+	h := sha256.New()
+	_, _ = h.Write([]byte(service)) // never fails
+	var list []Fingerprint
+	for n := 0; n < min(blocks, maxLeadingParts) && len(prompt) > blockBytes; n++ {
+		_, _ = h.Write(prompt[:blockBytes])
+		prompt = prompt[blockBytes:]
+		list = append(list, Fingerprint(h.Sum(nil)[:len(Fingerprint{})]))
+	}
+	return list
+}
+
 func fingerprintOf(fields ...[]byte) Fingerprint {
 	h := sha256.New()
 	for _, field := range fields {
