Logs tell what is suspected of a crash, which attempt was a probe, and why a hold ended

partsSuspected names the parts of a crash that nobody has answered lately, as callers and as the quarantine know them, so that a request's line (parts, cause) leads to partHeld and the crashes that decided it; release says why it ended. Gauge wagtailshelf_quarantined. No decision changes.

--- a/internal/program/entry/crashes.go
+++ b/internal/program/entry/crashes.go
@@ -127,8 +127,8 @@
 	q := quarantine.New(name)
 	q.Turn = func(f quarantine.Fingerprint) int { return quarantine.TurnByName(name, f) }
 	q.OnChange = func(b quarantine.State) {
-		e.log.Warn().Str("event", "requestHeld").Stringer("fingerprint", b.Request).Int("crashes", b.Crashes).
-			Dur("for", b.Quarantined).Str("source", b.Source).Msg("")
+		e.log.Warn().Str("event", "requestHeld").Stringer("fingerprint", b.Request).Bool("part", b.Part).Int("crashes", b.Crashes).
+			Dur("for", b.Quarantined).Bool("unsure", b.Unsure).Str("source", b.Source).Str("release", string(b.Release)).Msg("")
 	}
 	k := crashes.NewKeeper(q, e.log)
 	k.Put = e.putCrashes
--- a/internal/program/gateway/breaks.go
+++ b/internal/program/gateway/breaks.go
@@ -123,5 +123,22 @@
 		runs = append(runs, r.Run)
 		runs = append(runs, r.PartRuns...)
 	}
+	g.logSuspects(b)
 	g.crashes.NoteCrash(time.Now(), quarantine.Incarnation{Target: b.target.ID, Started: b.target.Started}, runs)
 }
+
+// logSuspects logs which parts of the prompts that ran on a crashed target may be the cause: those that
+// nobody has answered lately. They are named as callers and as the quarantine know them.
+func (g *Gateway) logSuspects(b *failedTarget) {
+	var suspects []string
+	for _, r := range b.requests {
+		for i, part := range r.PartRuns {
+			if len(suspects) < maxLoggedRequests && !g.crashes.Quarantine.Harmless(part.Failed, part.Request) {
+				suspects = append(suspects, loggedParts(r.Parts[i : i+1])[0]+"="+part.Request.String())
+			}
+		}
+	}
+	if len(suspects) > 0 {
+		g.log.Info().Str("event", "partsSuspected").Str("target", b.target.ID).Strs("parts", suspects).Msg("")
+	}
+}
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -107,6 +107,7 @@
 	g.crashes = crashes.NewKeeper(quarantine.New(string(s.Name)), l)
 	g.crashes.Quarantine.OnChange = g.logQuarantine
 	g.crashes.Quarantine.Turn = g.probeTurn
+	m.NewGauge("wagtailshelf_quarantined", func() float64 { return float64(g.crashes.Quarantine.Quarantined()) })
 	g.setUpCrashStore()
 	g.store.OnCall = deployed.StoreCallCounter(m)
 	g.store.OnMalformed = g.malformed.Report
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -73,7 +73,8 @@
 		evidence = append(evidence, fmt.Sprintf("%s seen by %s %dms ago", v.Target, v.Entry, v.Age.Milliseconds()))
 	}
 	g.log.Warn().Str("event", event).Stringer("fingerprint", s.Request).Int("crashes", s.Crashes).
-		Dur("for", s.Quarantined).Bool("unsure", s.Unsure).Str("source", s.Source).Strs("evidence", evidence).Msg("")
+		Dur("for", s.Quarantined).Bool("unsure", s.Unsure).Str("source", s.Source).Str("release", string(s.Release)).
+		Strs("evidence", evidence).Msg("")
 }
 
 // logIntake logs when the entry stops handling callers' requests, and when it does so again.
@@ -107,6 +108,9 @@
 	if !r.Cause.IsZero() {
 		e.Stringer("cause", r.Cause)
 	}
+	if r.Probe {
+		e.Bool("probe", true)
+	}
 	if len(r.Parts) > 0 {
 		e.Strs("parts", loggedParts(r.Parts))
 	}
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -83,6 +83,7 @@
 	// Cause is the fingerprint for which the request was refused; it is that of a part of its prompt
 	// if it is not the request's own.
 	Cause quarantine.Fingerprint
+	Probe bool // an attempt was the probe after a quarantine
 	// Parts lists the IDs of the shared parts of the request's prompt.
 	Parts []string
 }
@@ -277,6 +278,7 @@
 		// Checked again after the wait: other copies of the request may have crashed targets
 		// meanwhile.
 		v := c.beginAttempt()
+		c.rec.Probe = c.rec.Probe || v.Probe
 		if v.Quarantined {
 			c.f.Admission.Abandon(c.f.Now(), t)
 		}
--- a/internal/traffic/quarantine/limit.go
+++ b/internal/traffic/quarantine/limit.go
@@ -42,7 +42,7 @@
 		if noted <= maxRecordCrashes {
 			return
 		}
-		q.remove(c.f, func(v sighting) bool {
+		q.remove(c.f, Dropped, func(v sighting) bool {
 			if v.entry == q.Entry {
 				noted--
 				return true
@@ -59,7 +59,7 @@
 	q.settle(now)
 	for f, s := range q.suspects {
 		if now.Sub(s.last) > quarantineTime(s.count)+crashRetention && !s.probing {
-			q.remove(f, func(sighting) bool { return true })
+			q.remove(f, Expired, func(sighting) bool { return true })
 		}
 	}
 	for f, at := range q.vouched {
--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -120,9 +120,23 @@
 	Quarantined time.Duration // remaining quarantine; 0 if the suspect is not quarantined
 	Unsure      bool          // a request without another suspect may be a probe at once
 	Source      string        // the entry whose observation or response caused the change
+	Release     Release       // why the suspect is no longer quarantined; "" if it is
 	Evidence    []Evidence    // the newest observations of its crashes, at most maxEvidence
 }
 
+// Release is why a suspect is no longer quarantined.
+type Release string
+
+// The reasons for a release.
+const (
+	Answered  Release = "answered"      // a request with it was answered completely
+	Reported  Release = "reported"      // another entry had it answered
+	Explained Release = "explained"     // another suspect was at its crashes
+	Expired   Release = "expired"       // its crashes were too long ago
+	Dropped   Release = "dropped"       // the own record was full
+	Withdrawn Release = "recordChanged" // a record no longer lists its crashes, or was removed
+)
+
 // Evidence is an observation of a crash, as it is logged.
 type Evidence struct {
 	Target string
@@ -141,6 +155,19 @@
 	}
 }
 
+// Quarantined returns how many suspects are quarantined, or were and are not released.
+func (q *Quarantine) Quarantined() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := 0
+	for _, s := range q.suspects {
+		if s.announced > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Empty reports whether nothing is suspected, so that no fingerprint is needed.
 func (q *Quarantine) Empty() bool {
 	q.mu.Lock()
@@ -264,7 +291,7 @@
 			s.nextProbe = now.Add(q.probePause(s))
 		}
 		if r == Served && !s.part {
-			q.remove(f, func(v sighting) bool { return v.entry == q.Entry })
+			q.remove(f, Answered, func(v sighting) bool { return v.entry == q.Entry })
 			cleared = true
 		}
 	}
@@ -303,7 +330,7 @@
 		if q.suspects[f] == nil {
 			continue
 		}
-		q.remove(f, func(sighting) bool { return true })
+		q.remove(f, Answered, func(sighting) bool { return true })
 		q.vouch(f)
 		cleared = true
 	}
@@ -401,7 +428,7 @@
 			}
 		case j.crashes < firstQuarantine && s.announced > 0:
 			s.announced = 0
-			q.changed(State{Request: f, Part: s.part, Crashes: j.crashes, Source: source, Evidence: s.evidence(now)})
+			q.changed(State{Request: f, Part: s.part, Crashes: j.crashes, Source: source, Release: s.released(j), Evidence: s.evidence(now)})
 		}
 	}
 }
@@ -418,17 +445,18 @@
 }
 
 // remove removes some sightings of a suspect.
-func (q *Quarantine) remove(f Fingerprint, which func(sighting) bool) {
+func (q *Quarantine) remove(f Fingerprint, why Release, which func(sighting) bool) {
 	s := q.suspects[f]
 	own := func(v sighting) bool { return v.entry == q.Entry && which(v) }
 	q.dirty = q.dirty || slices.ContainsFunc(s.sightings, own)
 	s.drop(which)
+	s.release = why
 	q.judged = nil
 	if len(s.sightings) > 0 {
 		return
 	}
 	delete(q.suspects, f)
 	if s.announced > 0 {
-		q.changed(State{Request: f, Part: s.part, Source: q.Entry})
+		q.changed(State{Request: f, Part: s.part, Source: q.Entry, Release: why})
 	}
 }
--- a/internal/traffic/quarantine/quarantine_test.go
+++ b/internal/traffic/quarantine/quarantine_test.go
@@ -216,7 +216,7 @@
 		{Request: fatal, Crashes: 2, Quarantined: time.Minute, Source: "a", Evidence: []Evidence{
 			{Target: "i-1", Entry: "a", Age: time.Second}, {Target: "i-2", Entry: "a"},
 		}},
-		{Request: fatal, Source: "a"},
+		{Request: fatal, Source: "a", Release: Expired},
 	}, states)
 }
 
--- a/internal/traffic/quarantine/record.go
+++ b/internal/traffic/quarantine/record.go
@@ -98,7 +98,7 @@
 	q.reported.note(earlier(a.At, now), a.Part)
 	harmless := func(v sighting) bool { return v.crash.Part && q.reported.harmless(a.Part, v.at) }
 	if s := q.suspects[a.Part]; s != nil && slices.ContainsFunc(s.sightings, harmless) {
-		q.remove(a.Part, harmless)
+		q.remove(a.Part, Reported, harmless)
 	}
 }
 
@@ -123,7 +123,7 @@
 	for f, s := range q.suspects {
 		gone := func(v sighting) bool { return v.entry == entry && which(f, v) }
 		if slices.ContainsFunc(s.sightings, gone) {
-			q.remove(f, gone)
+			q.remove(f, Withdrawn, gone)
 		}
 	}
 }
--- a/internal/traffic/quarantine/suspect.go
+++ b/internal/traffic/quarantine/suspect.go
@@ -16,6 +16,7 @@
 	probing   bool       // this entry is running a probe
 	nextProbe time.Time  // after a probe that proved nothing, when this entry may run the next one
 	announced int        // crashes when OnChange was last called; 0 if it is not quarantined
+	release   Release    // why sightings were last removed
 }
 
 // sighting is an entry's observation of a crash.
@@ -101,6 +102,14 @@
 	return counted, last
 }
 
+// released returns why a suspect with a judgement is no longer quarantined.
+func (s *suspect) released(j judgement) Release {
+	if s.count > j.crashes {
+		return Explained
+	}
+	return s.release
+}
+
 // evidence returns the newest observations of a suspect's crashes, as they are logged.
 func (s *suspect) evidence(now time.Time) []Evidence {
 	var list []Evidence
--- a/internal/traffic/quarantine/unsettled.go
+++ b/internal/traffic/quarantine/unsettled.go
@@ -49,7 +49,7 @@
 			left = append(left, u)
 		default:
 			if q.suspects[u.Run.Request] != nil {
-				q.remove(u.Run.Request, func(v sighting) bool { return v.entry == q.Entry })
+				q.remove(u.Run.Request, Answered, func(v sighting) bool { return v.entry == q.Entry })
 			}
 			q.answer(now, u.Parts)
 		}
