A crash record holds the parts of each request within a bound, and few entries report a harmless part

A caller with dozens of parts of its own in each prompt could push what others had out of the record of 256 crashes: at most 16 of a request are suspected now (TestManyPartsInOnePrompt). An entry that has just started and suspects popular parts would cost a write of each of 340 entries, read by all: three by turn report one now (TestFewEntriesVouch, 100 before). 64 popular parts in a record of crashes in place of 128.

--- a/internal/traffic/quarantine/part_test.go
+++ b/internal/traffic/quarantine/part_test.go
@@ -287,3 +287,75 @@
 	requireNotHeld(t, q, at(2*time.Millisecond), preamble)
 	requireNotHeld(t, whole, at(2*time.Millisecond), fatal)
 }
+
+// Guards against a caller that hides a part which crashes targets among many that nobody else has.
+func TestManyPartsInOnePrompt(t *testing.T) {
+	q := New("a")
+	q.Answered(start, preamble)
+	const slots = 12
+	for n := range 2 {
+		now := at(time.Duration(n-1) * 5 * time.Second)
+		var runs []Run
+		for slot := range slots {
+			runs = append(runs, Run{Request: Fingerprint{8, byte(n), byte(slot)}, Sent: now, Failed: now})
+			for part := range 64 {
+				runs = append(runs, Run{Request: Fingerprint{7, byte(n), byte(slot), byte(part)}, Part: true, Sent: now, Failed: now})
+			}
+		}
+		runs[1].Request = bad
+		q.Crashed(now, incarnation(fmt.Sprint("i-", n)), runs)
+	}
+	requireHeld(t, q, start, bad, time.Minute)
+	r, _ := q.OwnRecord(start)
+	require.LessOrEqual(t, len(r.Crashes), maxRecordCrashes)
+}
+
+// Guards against a crash that costs a write of each entry, as all of them know a part that another suspects.
+func TestFewEntriesVouch(t *testing.T) {
+	fresh := New("fresh")
+	crashParts(fresh, start, "i-1", preamble)
+	record, _ := fresh.OwnRecord(start)
+	writes := 0
+	for i := range 100 {
+		q := New(fmt.Sprint("entry-", i))
+		q.Turn = func(f Fingerprint) int { return Turn(f, i+1, 100) }
+		q.OnVouch = func() { writes++ }
+		q.Answered(start, preamble)
+		q.Merge(start, record)
+		require.False(t, q.Suspected(preamble))
+	}
+	require.Equal(t, vouchers, writes)
+}
+
+func BenchmarkAnswered(b *testing.B) {
+	q := New("a")
+	now := start
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		q.Answered(now, preamble, topic)
+	}
+}
+
+func BenchmarkPartFingerprint(b *testing.B) {
+	for b.Loop() {
+		PartFingerprint("svc", "5c1e07a2")
+	}
+}
+
+// The check of a request with a quarantined part, among as many suspects as 340 entries' records can hold.
+func BenchmarkCheckAmongManySuspects(b *testing.B) {
+	q := New("a")
+	for e := range 340 {
+		r := Record{Entry: fmt.Sprint("e", e)}
+		for n := range maxRecordCrashes {
+			run := Run{Request: Fingerprint{byte(e), byte(e >> 8), byte(n)}, Part: true, Sent: start, Failed: start}
+			r.Crashes = append(r.Crashes, Crash{Run: run, Incarnation: incarnation("i")})
+		}
+		q.Merge(start, r)
+	}
+	crashParts(q, start, "i-1", bad)
+	crashParts(q, at(time.Second), "i-2", bad)
+	for b.Loop() {
+		q.Check(at(time.Second), bad)
+	}
+}
--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -70,7 +70,13 @@
 	// maxVouched bounds the parts in an entry's record that others suspect.
 	maxVouched = 64
 	// maxPopularAnswers bounds those that are answered most often.
-	maxPopularAnswers = 128
+	maxPopularAnswers = 64
+	// maxRunParts bounds the parts of one request that are suspected of a crash. With it all requests of a
+	// target of 12 slots fit into a record, so that none can displace what another one had.
+	maxRunParts = 16
+	// vouchers is how many entries tell another one that a part is harmless. If all did, a crash that an
+	// entry sees just after its start would cost a write of each.
+	vouchers = 3
 	// maxRecordAnswers bounds both, some 70 bytes each in the store.
 	maxRecordAnswers = maxVouched + maxPopularAnswers
 	// sameCrashWindow is the longest time between two observations of the same crash, for a
@@ -372,12 +378,22 @@
 	}
 }
 
-// Crashed records that a target crashed while it ran some requests.
+// Crashed records that a target crashed while it ran some requests, each followed by the parts of its
+// prompt.
 func (q *Quarantine) Crashed(now time.Time, incarnation Incarnation, runs []Run) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	parts := 0 // of the newest request
 	for _, r := range runs {
-		q.add(sighting{entry: q.Entry, crash: Crash{Run: r, Incarnation: incarnation}, at: r.Failed})
+		switch {
+		case !r.Part:
+			parts = 0
+		case !q.harmless(r.Request, r.Failed):
+			parts++
+		}
+		if parts <= maxRunParts {
+			q.add(sighting{entry: q.Entry, crash: Crash{Run: r, Incarnation: incarnation}, at: r.Failed})
+		}
 	}
 	q.limitOwn()
 	q.announce(now, q.Entry)
@@ -387,7 +403,7 @@
 func (q *Quarantine) add(v sighting) {
 	f := v.crash.Request
 	if v.crash.Part && q.harmless(f, v.at) {
-		if v.entry != q.Entry {
+		if v.entry != q.Entry && (q.Turn == nil || q.Turn(f) < vouchers) {
 			q.vouch(f)
 		}
 		return
