Test of a rank that answers an earlier poll: its answer comes after the check has begun

The answer was recorded a millisecond after the test's goroutine went on; where that one got no turn for so long, the answer came before the check began and rightly did not count.

--- a/internal/program/companion/look_test.go
+++ b/internal/program/companion/look_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -136,9 +137,14 @@
 	v := view{ranks: ranks, serving: true}
 	p.view = v
 	ranks[1].polling.Store(true)
+	sidecar, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer sidecar.Close()
+	ranks[1].sidecarAddr = netip.MustParseAddrPort(sidecar.LocalAddr().String())
 	go func() {
-		time.Sleep(time.Millisecond)
-		p.recordAnswer(ranks[1], nil)
+		if _, _, err := sidecar.ReadFrom(make([]byte, 64)); err == nil { // the ping that the check begins with
+			p.recordAnswer(ranks[1], nil)
+		}
 	}()
 	require.NoError(t, p.checkReachable(t.Context(), v))
 }
