Test of requests that wait at a sidecar: what was sent before it knew is told apart from what was sent after

It bounded the times of the target's refusals, which are those of the requests' arrivals, by 300 ms; the first refusal is answered after just as long, and what is on its way at that moment arrives later beside load (304 ms). Now the target holds all requests, answers one, and the rest once the sidecar is known to have read that; no request may arrive beyond those that were at the target before.

--- a/internal/program/trial/rest_test.go
+++ b/internal/program/trial/rest_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -54,19 +56,31 @@
 // Guards against requests that are queued at a sidecar and sent to its target although the target
 // has asked for back-off meanwhile.
 func TestWhatWaitsAtASidecarIsNotSentIntoARest(t *testing.T) {
-	const backoff = 3 * time.Second
+	const calls = 160
 	d := newDeployment(t)
 	agenda := d.Targets[2].Service
-	agenda.SetFaults(service.Faults{Refuse: true, Backoff: backoff, Slowness: 300 * time.Millisecond})
-	var calls sync.WaitGroup
-	for n := range 160 {
-		calls.Go(func() { post(t, d, "/agenda/outcomes", trial.SmallKey, fmt.Sprint("call ", n)) })
-	}
-	calls.Wait()
-	refusals := agenda.RefusedAt()
-	require.NotEmpty(t, refusals)
-	require.Less(t, len(refusals), 160, "some requests were queued at the sidecar")
-	for _, at := range refusals {
-		require.Less(t, at.Sub(refusals[0]), 300*time.Millisecond, "%d requests were refused by the target", len(refusals))
+	gate := make(chan struct{})
+	agenda.SetFaults(service.Faults{Refuse: true, Backoff: testTimeout, Hold: gate})
+	var ended sync.WaitGroup
+	for n := range calls {
+		ended.Go(func() { post(t, d, "/agenda/outcomes", trial.SmallKey, fmt.Sprint("call ", n)) })
 	}
+	arrived := 0
+	require.Eventually(t, func() bool { // the sidecar sends no more, as the target is full
+		before := arrived
+		arrived = agenda.Held()
+		return arrived > 0 && before == arrived
+	}, testTimeout, 200*time.Millisecond)
+	gate <- struct{}{} // one response asks for back-off, all other requests are still at the target
+	require.Eventually(t, func() bool { return len(agenda.RefusedAt()) == 1 }, testTimeout, time.Millisecond)
+	require.Eventually(t, func() bool {
+		resp := post(t, d, "/agenda/outcomes", trial.SmallKey, "probe")
+		body, err := io.ReadAll(resp.Body)
+		known := strings.Contains(string(body), "targetRests") || strings.Contains(string(body), "noTarget")
+		return err == nil && known // the sidecar says so, or the entry, which heard it from the sidecar
+	}, testTimeout, time.Millisecond)
+	close(gate)
+	ended.Wait()
+	require.Less(t, arrived, calls, "some requests were queued at the sidecar")
+	require.Equal(t, arrived, len(agenda.RefusedAt()), "none was sent once the sidecar knew")
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -43,6 +43,8 @@
 	Refuse       bool          `json:"refuse"`     // requests get 503 and take no effect
 	Backoff      time.Duration `json:"rest"`       // back-off that refusals ask for, in nanoseconds; 0 for none
 	Truncate     bool          `json:"cutShort"`   // responses are truncated in the middle
+	// Hold, if not nil, holds each request until a value can be received from it, or it is closed.
+	Hold <-chan struct{} `json:"-"`
 }
 
 // LoggedOutcome is one outcome with the number of times that it was logged.
@@ -67,6 +69,7 @@
 	logged       map[string]*LoggedOutcome
 	loggedBodies []string
 	refusedAt    []time.Time // times at which requests were refused
+	held         int         // requests that arrived while requests were held
 }
 
 // New returns a service with nothing logged.
@@ -131,6 +134,20 @@
 	return append([]time.Time(nil), s.refusedAt...)
 }
 
+// Held returns the number of requests that arrived while requests were held.
+func (s *Service) Held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held
+}
+
+func (s *Service) hold(gate <-chan struct{}) {
+	s.mu.Lock()
+	s.held++
+	s.mu.Unlock()
+	<-gate
+}
+
 func (s *Service) recordRefusal(w http.ResponseWriter, backOff time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -148,6 +165,9 @@
 		if f.Slowness > 0 {
 			time.Sleep(f.Slowness)
 		}
+		if f.Hold != nil {
+			s.hold(f.Hold)
+		}
 		if f.Refuse {
 			s.recordRefusal(w, f.Backoff)
 			reply(w, http.StatusServiceUnavailable, problem{Error: "not run"})
