--- a/internal/traffic/quarantine/part_test.go
+++ b/internal/traffic/quarantine/part_test.go
@@ -262,6 +262,19 @@
 	requireNotHeld(t, q, start, topic)
 }
 
+// Guards against a part that is not held because a harmless request was sent on after its first crash, and was
+// at the next one by chance.
+func TestRequestsDontExplainCrashes(t *testing.T) {
+	q := New("a")
+	q.Answered(start, preamble)
+	crashParts(q, at(-5*time.Second), "i-1", preamble, bad)
+	crash(q, at(-5*time.Second), incarnation("i-1"), other)
+	crash(q, at(-4900*time.Millisecond), incarnation("i-2"), other)
+	crashParts(q, start, "i-3", preamble, bad)
+	requireHeld(t, q, start, bad, time.Minute)
+	requireHeld(t, q, start, other, 55100*time.Millisecond)
+}
+
 // Guards against entries that learn seconds late that a part is harmless, as its record is not written.
 func TestHarmlessPartIsReportedAtOnce(t *testing.T) {
 	q, reports := New("a"), 0
--- a/internal/traffic/quarantine/suspect.go
+++ b/internal/traffic/quarantine/suspect.go
@@ -142,7 +142,8 @@
 }
 
 // judgeAll judges all suspects that were at enough crashes to be quarantined, the strongest first. Only
-// one that is quarantined in the end explains the crashes of others.
+// a part that is quarantined in the end explains the crashes of others: a request that is sent on after
+// one crash may be at the next by chance.
 func (q *Quarantine) judgeAll() {
 	q.judged = make(map[*suspect]judgement)
 	var list []*suspect
@@ -162,9 +163,9 @@
 		}
 		n, last, _ := s.crashesIn(unexplained)
 		j := judgement{crashes: n, last: last}
-		if j.crashes >= firstQuarantine {
+		if s.part && j.crashes >= firstQuarantine {
 			proven = append(proven, s)
-			j.unsure = s.part && j.crashes == firstQuarantine && (q.noAnswers() || hasCompanion(s, list))
+			j.unsure = j.crashes == firstQuarantine && (q.noAnswers() || hasCompanion(s, list))
 		}
 		q.judged[s] = j
 	}
