Soak: requests of which no two are alike, with a part in their prompts that crashes servers

A third kind of requests to the brittle servers; those that are served share their other part. In the last rounds none may reach a server, and the sound ones are served.

--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -160,9 +160,9 @@
 	case u < 0.5:
 		path, method = "safe", http.MethodGet
 	case u < 0.55:
-		return c.callBrittle(ctx, client, entry, "calm "+id)
+		return c.callBrittle(ctx, client, entry, "calm "+id, calmParts)
 	case u < 0.56:
-		return c.callBrittle(ctx, client, entry, fatalBodies[r.IntN(len(fatalBodies))])
+		return c.callFatal(ctx, client, entry, r.IntN(fatalKinds))
 	}
 	if r.Float64() < 0.2 {
 		key = "k-leaver"
@@ -196,16 +196,31 @@
 	return err == nil && !a.Close
 }
 
-// fatalBodies are request bodies that crash the servers that run them. Callers send each of
-// them again and again.
-var fatalBodies = []string{"fatal 1", "fatal 2"}
+// fatalKinds is the number of kinds of requests that crash the servers that run them. Callers send
+// the first two again and again. Of the third kind no two are alike, but for a part of their prompts.
+const fatalKinds = 3
+
+// The parts of the prompts of requests to the brittle servers.
+const (
+	calmParts  = "5c1e:40,91bd:600"
+	fatalParts = "5c1e:40,bad:100,91bd:600"
+)
+
+// callFatal makes a request that crashes the server that runs it.
+func (c *calls) callFatal(ctx context.Context, client *http.Client, entry, kind int) bool {
+	if kind == fatalKinds-1 {
+		return c.callBrittle(ctx, client, entry, fmt.Sprint("fatal part ", c.number.Add(1)), fatalParts)
+	}
+	return c.callBrittle(ctx, client, entry, fmt.Sprint("fatal ", kind+1), calmParts)
+}
 
 // callBrittle makes a request to the brittle servers, which some requests crash, and reports
 // whether its connection may be used again.
-func (c *calls) callBrittle(ctx context.Context, client *http.Client, entry int, body string) bool {
+func (c *calls) callBrittle(ctx context.Context, client *http.Client, entry int, body, parts string) bool {
 	id := fmt.Sprintf("brittle-%d", c.number.Add(1))
 	q := standin.NewCall(http.MethodPost, "http://"+c.w.callers[entry].String()+"/brittle/x", id, "k-stayer", 4000, strings.NewReader(body)).WithContext(ctx)
 	q.Host = host
+	q.Header.Set("Wagtailshelf-Prompt-Prefix", parts)
 	a, err := client.Do(q)
 	if err != nil {
 		c.unknown.Add(1)
@@ -229,10 +244,10 @@
 		if round == 4 {
 			reachedBefore = len(c.w.brittle.FatalBodies())
 		}
-		for _, body := range fatalBodies {
+		for kind := range fatalKinds {
 			for entry := range *entryCount {
 				require.Eventually(c.w.t, c.w.brittle.AllUp, settleLimit, 10*time.Millisecond)
-				c.callBrittle(c.w.t.Context(), client, entry, body)
+				c.callFatal(c.w.t.Context(), client, entry, kind)
 			}
 		}
 	}
@@ -242,6 +257,7 @@
 	require.Eventually(c.w.t, func() bool {
 		q := standin.NewCall(http.MethodPost, "http://"+c.w.callers[0].String()+"/brittle/x", "calm", "k-stayer", 4000, strings.NewReader("calm"))
 		q.Host = host
+		q.Header.Set("Wagtailshelf-Prompt-Prefix", calmParts)
 		a, err := client.Do(q)
 		if err != nil {
 			return false
