--- a/internal/traffic/quarantine/part_test.go
+++ b/internal/traffic/quarantine/part_test.go
@@ -161,6 +161,15 @@
 	requireHeld(t, q, at(2*time.Second), preamble, 10*time.Minute)
 }
 
+// Guards against a probe that tells nothing: a request with two parts, each of which may be at fault.
+func TestProbeHasOneSuspect(t *testing.T) {
+	q := New("a")
+	crashParts(q, at(-5*time.Second), "i-1", preamble, bad)
+	crashParts(q, start, "i-2", preamble, bad)
+	require.True(t, q.Check(start, preamble, bad).Quarantined)
+	require.True(t, q.Begin(start, preamble).Probe)
+}
+
 // Guards against probes that crash servers one after the other unnoticed: their callers leave before
 // the crash, or the server refuses them as it ends.
 func TestProbeThatProvesNothing(t *testing.T) {
