--- a/internal/traffic/quarantine/fingerprint_test.go
+++ b/internal/traffic/quarantine/fingerprint_test.go
@@ -63,3 +63,22 @@
 		})
 	}
 }
+
+// Guards against a part that is held at one service because it crashes the targets of another, and against
+// parts that pass for each other.
+func TestPartFingerprints(t *testing.T) {
+	seen := map[Fingerprint]string{}
+	for _, part := range [][2]string{{"a", "5c1e"}, {"b", "5c1e"}, {"a", "5c1f"}, {"a5", "c1e"}, {"", "a5c1e"}} {
+		f := PartFingerprint(part[0], part[1])
+		require.Empty(t, seen[f], part)
+		seen[f] = part[0] + " " + part[1]
+	}
+	prompt := []byte("one two three four")
+	leading := LeadingParts("a", prompt, 4, 8)
+	require.Len(t, leading, 4, "the whole prompt is no part of itself")
+	require.Equal(t, leading[:2], LeadingParts("a", []byte("one two 3"), 4, 8))
+	require.NotEqual(t, leading[0], LeadingParts("b", prompt, 4, 8)[0])
+	require.Len(t, LeadingParts("a", prompt, 4, 2), 2)
+	require.Empty(t, LeadingParts("a", prompt, 0, 8))
+	require.Empty(t, LeadingParts("a", prompt[:4], 4, 8), "a prompt that is all one block")
+}
--- a/internal/traffic/quarantine/part_test.go
+++ b/internal/traffic/quarantine/part_test.go
@@ -245,11 +245,18 @@
 	for n := range 2 * maxPopularAnswers {
 		old.Answered(start, PartFingerprint("svc", fmt.Sprint("rare ", n)))
 	}
-	old.Answered(start, preamble)
-	old.Answered(at(time.Second), preamble)
+	popular := []Fingerprint{preamble, topic}
+	for n := range 10 {
+		popular = append(popular, PartFingerprint("svc", fmt.Sprint("popular ", n)))
+	}
+	old.Answered(start, popular...)
+	old.Answered(at(time.Second), popular...)
 	crashParts(old, at(2*time.Second), "i-1", preamble, bad)
 	r, _ := old.OwnRecord(at(2 * time.Second))
 	require.Len(t, r.Answered, maxPopularAnswers)
+	for _, f := range popular {
+		require.Contains(t, r.Answered, Answer{Part: f, At: at(time.Second)})
+	}
 	next.Merge(at(3*time.Second), r)
 	crashParts(next, at(6*time.Second), "i-2", preamble, bad)
 	requireNotHeld(t, next, at(6*time.Second), preamble)
