--- a/internal/program/gateway/intake_test.go
+++ b/internal/program/gateway/intake_test.go
@@ -14,12 +14,13 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 )
 
-// readyGateway returns an entry that has its configuration and targets, with its listener.
+// readyGateway returns an entry that has its configuration, targets and records of crashes, with its listener.
 func readyGateway(t *testing.T) (*Gateway, net.Listener) {
 	t.Helper()
 	g := newGateway()
 	g.installConfig(deployed.Elapsed(), version(7))
 	g.targetsListed.Store(true)
+	g.crashes.MarkLoaded()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	g.intake.Address = netip.MustParseAddrPort(l.Addr().String())
