--- a/internal/program/crashes/crashes.go
+++ b/internal/program/crashes/crashes.go
@@ -73,7 +73,7 @@
 		Quarantine: q, Log: l,
 		dirty: make(chan struct{}, 1), loaded: make(chan struct{}), known: make(map[string]bool),
 	}
-	q.OnVouch = k.scheduleWrite
+	q.OnReport = k.scheduleWrite
 	return k
 }
 
--- a/internal/program/entry/crashes.go
+++ b/internal/program/entry/crashes.go
@@ -128,7 +128,7 @@
 	q.Turn = func(f quarantine.Fingerprint) int { return quarantine.TurnByName(name, f) }
 	q.OnChange = func(b quarantine.State) {
 		e.log.Warn().Str("event", "requestHeld").Stringer("fingerprint", b.Request).Bool("part", b.Part).Int("crashes", b.Crashes).
-			Dur("for", b.Quarantined).Bool("unsure", b.Unsure).Str("source", b.Source).Str("release", string(b.Release)).Msg("")
+			Dur("for", b.Quarantined).Bool("inconclusive", b.Inconclusive).Str("source", b.Source).Str("release", string(b.Release)).Msg("")
 	}
 	k := crashes.NewKeeper(q, e.log)
 	k.Put = e.putCrashes
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -73,7 +73,7 @@
 		evidence = append(evidence, fmt.Sprintf("%s seen by %s %dms ago", v.Target, v.Entry, v.Age.Milliseconds()))
 	}
 	g.log.Warn().Str("event", event).Stringer("fingerprint", s.Request).Int("crashes", s.Crashes).
-		Dur("for", s.Quarantined).Bool("unsure", s.Unsure).Str("source", s.Source).Str("release", string(s.Release)).
+		Dur("for", s.Quarantined).Bool("inconclusive", s.Inconclusive).Str("source", s.Source).Str("release", string(s.Release)).
 		Strs("evidence", evidence).Msg("")
 }
 
--- a/internal/traffic/forward/suspect.go
+++ b/internal/traffic/forward/suspect.go
@@ -75,7 +75,7 @@
 	case result == quarantine.Served && len(c.in.SharedParts) > 0:
 		c.f.Quarantine.Answered(now, c.parts()...)
 	case result == quarantine.Ended:
-		c.f.Quarantine.EndedWithConnection(quarantine.Unsettled{
+		c.f.Quarantine.EndedWithConnection(quarantine.Provisional{
 			Incarnation: quarantine.Incarnation{Target: target.ID, Started: target.Started},
 			Run:         quarantine.Run{Request: c.fingerprint(), Sent: sent, Failed: now},
 			Parts:       c.parts(),
--- a/internal/traffic/quarantine/limit.go
+++ b/internal/traffic/quarantine/limit.go
@@ -56,15 +56,15 @@
 func (q *Quarantine) Sweep(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.settle(now)
+	q.confirmProvisional(now)
 	for f, s := range q.suspects {
 		if now.Sub(s.last) > quarantineTime(s.count)+crashRetention && !s.probing {
 			q.remove(f, Expired, func(sighting) bool { return true })
 		}
 	}
-	for f, at := range q.vouched {
+	for f, at := range q.reports {
 		if now.Sub(at) > answerValidity+crashRetention {
-			delete(q.vouched, f)
+			delete(q.reports, f)
 			q.dirty = true
 		}
 	}
--- a/internal/traffic/quarantine/part_test.go
+++ b/internal/traffic/quarantine/part_test.go
@@ -198,24 +198,24 @@
 		r.Answered = append(r.Answered, Answer{Part: Fingerprint{byte(n), byte(n >> 8)}, At: at(time.Hour)})
 	}
 	b.Merge(start, Record{Entry: "c", Answered: r.Answered})
-	require.Len(t, b.reported.young, maxRecordAnswers)
-	require.Equal(t, start, b.reported.last(Fingerprint{1}), "its time is not in the future")
+	require.Len(t, b.answeredElsewhere.young, maxRecordAnswers)
+	require.Equal(t, start, b.answeredElsewhere.last(Fingerprint{1}), "its time is not in the future")
 }
 
 // Guards against a crash that is taken for the end of a response which has no length, and clears the part
 // that caused it; and against parts that are never cleared as all responses have no length.
 func TestResponsesThatEndWithTheirConnection(t *testing.T) {
-	ended := func(target string, at time.Time) Unsettled {
+	ended := func(target string, at time.Time) Provisional {
 		run := Run{Request: Fingerprint{9}, Sent: at.Add(-100 * time.Millisecond), Failed: at}
-		return Unsettled{Incarnation: incarnation(target), Run: run, Parts: []Fingerprint{preamble, bad}}
+		return Provisional{Incarnation: incarnation(target), Run: run, Parts: []Fingerprint{preamble, bad}}
 	}
 	t.Run("the target lives", func(t *testing.T) {
 		q := New("a")
 		q.EndedWithConnection(ended("i-1", start))
-		q.Sweep(at(settleTime - time.Millisecond))
+		q.Sweep(at(confirmDelay - time.Millisecond))
 		require.False(t, q.Harmless(start, bad))
-		q.Sweep(at(settleTime))
-		require.True(t, q.Harmless(at(settleTime), preamble, bad))
+		q.Sweep(at(confirmDelay))
+		require.True(t, q.Harmless(at(confirmDelay), preamble, bad))
 	})
 	t.Run("the target crashed", func(t *testing.T) {
 		q := New("a")
@@ -224,17 +224,17 @@
 			now := at(time.Duration(n) * 5 * time.Second)
 			q.EndedWithConnection(ended(fmt.Sprint("i-", n), now))
 			crash(q, now, incarnation(fmt.Sprint("i-", n)), other)
-			q.Sweep(now.Add(settleTime))
+			q.Sweep(now.Add(confirmDelay))
 		}
 		requireHeld(t, q, at(6*time.Second), bad, 59*time.Second)
 		requireNotHeld(t, q, at(6*time.Second), preamble)
 	})
 	t.Run("too many", func(t *testing.T) {
 		q := New("a")
-		for range 2 * maxUnsettled {
+		for range 2 * maxProvisional {
 			q.EndedWithConnection(ended("i-1", start))
 		}
-		require.Len(t, q.unsettled, maxUnsettled)
+		require.Len(t, q.provisional, maxProvisional)
 	})
 }
 
@@ -294,7 +294,7 @@
 // Guards against entries that learn seconds late that a part is harmless, as its record is not written.
 func TestHarmlessPartIsReportedAtOnce(t *testing.T) {
 	q, reports := New("a"), 0
-	q.OnVouch = func() { reports++ }
+	q.OnReport = func() { reports++ }
 	crashParts(q, start, "i-1", topic)
 	q.Answered(at(time.Second), topic)
 	q.Answered(at(2*time.Second), topic)
@@ -340,7 +340,7 @@
 }
 
 // Guards against a crash that costs a write of each entry, as all of them know a part that another suspects.
-func TestFewEntriesVouch(t *testing.T) {
+func TestFewEntriesReportAHarmlessPart(t *testing.T) {
 	fresh := New("fresh")
 	crashParts(fresh, start, "i-1", preamble)
 	record, _ := fresh.OwnRecord(start)
@@ -348,12 +348,12 @@
 	for i := range 100 {
 		q := New(fmt.Sprint("entry-", i))
 		q.Turn = func(f Fingerprint) int { return Turn(f, i+1, 100) }
-		q.OnVouch = func() { writes++ }
+		q.OnReport = func() { writes++ }
 		q.Answered(start, preamble)
 		q.Merge(start, record)
 		require.False(t, q.Suspected(preamble))
 	}
-	require.Equal(t, vouchers, writes)
+	require.Equal(t, reporters, writes)
 }
 
 func BenchmarkAnswered(b *testing.B) {
--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -34,15 +34,15 @@
 	// maxRunParts bounds the parts of one request that are suspected of a crash. With it all requests of a
 	// target of 12 slots fit into a record, so that none can displace what another one had.
 	maxRunParts = 16
-	// maxVouched bounds the harmless parts in an entry's record that others suspect.
-	maxVouched = 64
+	// maxReports bounds the harmless parts in an entry's record that others suspect.
+	maxReports = 64
 	// maxPopularAnswers bounds the harmless parts in it that are answered most often.
 	maxPopularAnswers = 64
 	// maxRecordAnswers bounds both, some 70 bytes each in the store.
-	maxRecordAnswers = maxVouched + maxPopularAnswers
-	// vouchers is how many entries report a harmless part that another one suspects. If all did, a crash
+	maxRecordAnswers = maxReports + maxPopularAnswers
+	// reporters is how many entries report a harmless part that another one suspects. If all did, a crash
 	// that an entry sees just after its start would cost a write of each.
-	vouchers = 3
+	reporters = 3
 	// sameCrashWindow is the longest time between two observations of the same crash, for a
 	// target that does not report its start time. Entries check a target within a quarter of a
 	// second, and their clocks differ. A server takes longer than a second to restart.
@@ -65,28 +65,28 @@
 	// OnChange, if not nil, is called when a suspect becomes quarantined, and when it is
 	// no longer quarantined.
 	OnChange func(State)
-	// OnVouch, if not nil, is called when the own record is to tell others that a part is harmless.
-	OnVouch func()
+	// OnReport, if not nil, is called when the own record is to tell others that a part is harmless.
+	OnReport func()
 	// Turn returns how many entries may probe a suspect before this one; nil if there is no
 	// other entry.
 	Turn func(Fingerprint) int
 
-	mu              sync.Mutex
-	suspects        map[Fingerprint]*suspect
-	judged          map[*suspect]judgement    // of those with enough crashes; nil after a change
-	answered        answered                  // by own requests
-	reported        answered                  // by other entries' records
-	vouched         map[Fingerprint]time.Time // parts that other entries suspect, and when this one had them answered
-	unsettled       []Unsettled               // responses that may prove to be complete
-	nextQuarantined chan struct{}             // closed when a suspect becomes quarantined
-	dirty           bool                      // the own record has changed since OwnRecord returned it
+	mu                sync.Mutex
+	suspects          map[Fingerprint]*suspect
+	assessed          map[*suspect]assessment   // of those with enough crashes; nil after a change
+	answered          answered                  // by own requests
+	answeredElsewhere answered                  // by other entries' records
+	reports           map[Fingerprint]time.Time // parts that other entries suspect, and when this one had them answered
+	provisional       []Provisional             // responses that may prove to be complete
+	nextQuarantined   chan struct{}             // closed when a suspect becomes quarantined
+	dirty             bool                      // the own record has changed since OwnRecord returned it
 }
 
 // New returns an empty quarantine of an entry.
 func New(entry string) *Quarantine {
 	return &Quarantine{
-		Entry: entry, suspects: make(map[Fingerprint]*suspect), answered: newAnswered(), reported: newAnswered(),
-		vouched: make(map[Fingerprint]time.Time), nextQuarantined: make(chan struct{}),
+		Entry: entry, suspects: make(map[Fingerprint]*suspect), answered: newAnswered(), answeredElsewhere: newAnswered(),
+		reports: make(map[Fingerprint]time.Time), nextQuarantined: make(chan struct{}),
 	}
 }
 
@@ -132,7 +132,7 @@
 func (q *Quarantine) answer(now time.Time, parts []Fingerprint) {
 	cleared := false
 	if q.noAnswers() {
-		q.judged = nil
+		q.assessed = nil
 	}
 	for _, f := range parts {
 		q.answered.note(now, f)
@@ -140,7 +140,7 @@
 			continue
 		}
 		q.remove(f, Answered, func(sighting) bool { return true })
-		q.vouch(f)
+		q.reportHarmless(f)
 		cleared = true
 	}
 	if cleared {
@@ -164,20 +164,20 @@
 
 // harmless reports whether a response proves that a part did not cause a crash at a moment.
 func (q *Quarantine) harmless(f Fingerprint, crashed time.Time) bool {
-	return q.answered.harmless(f, crashed) || q.reported.harmless(f, crashed)
+	return q.answered.harmless(f, crashed) || q.answeredElsewhere.harmless(f, crashed)
 }
 
-// vouch has the own record state that a part is harmless, for other entries that suspect it, if an own
+// reportHarmless has the own record state that a part is harmless, for other entries that suspect it, if an own
 // request showed that.
-func (q *Quarantine) vouch(f Fingerprint) {
-	last, stated := q.answered.last(f), q.vouched[f]
-	if last.Sub(stated) <= answerValidity/2 || stated.IsZero() && len(q.vouched) >= maxVouched {
+func (q *Quarantine) reportHarmless(f Fingerprint) {
+	last, stated := q.answered.last(f), q.reports[f]
+	if last.Sub(stated) <= answerValidity/2 || stated.IsZero() && len(q.reports) >= maxReports {
 		return
 	}
-	q.vouched[f] = last
+	q.reports[f] = last
 	q.dirty = true
-	if q.OnVouch != nil {
-		q.OnVouch()
+	if q.OnReport != nil {
+		q.OnReport()
 	}
 }
 
@@ -206,8 +206,8 @@
 func (q *Quarantine) add(v sighting) {
 	f := v.crash.Request
 	if v.crash.Part && q.harmless(f, v.at) {
-		if v.entry != q.Entry && (q.Turn == nil || q.Turn(f) < vouchers) {
-			q.vouch(f)
+		if v.entry != q.Entry && (q.Turn == nil || q.Turn(f) < reporters) {
+			q.reportHarmless(f)
 		}
 		return
 	}
@@ -221,7 +221,7 @@
 		return
 	}
 	s.insert(v)
-	q.judged = nil
+	q.assessed = nil
 	if v.entry == q.Entry {
 		q.dirty = true
 	}
@@ -234,7 +234,7 @@
 	q.dirty = q.dirty || slices.ContainsFunc(s.sightings, own)
 	s.drop(which)
 	s.release = why
-	q.judged = nil
+	q.assessed = nil
 	if len(s.sightings) > 0 {
 		return
 	}
--- a/internal/traffic/quarantine/record.go
+++ b/internal/traffic/quarantine/record.go
@@ -38,7 +38,7 @@
 	if crashes {
 		list = q.answered.most(now.Add(-answerValidity), maxPopularAnswers)
 	}
-	for f, at := range q.vouched {
+	for f, at := range q.reports {
 		known := func(a Answer) bool { return a.Part == f }
 		if !slices.ContainsFunc(list, known) {
 			list = append(list, Answer{Part: f, At: at})
@@ -93,10 +93,10 @@
 // mergeAnswer notes that another entry knows a part to be harmless.
 func (q *Quarantine) mergeAnswer(now time.Time, a Answer) {
 	if q.noAnswers() {
-		q.judged = nil
+		q.assessed = nil
 	}
-	q.reported.note(earlier(a.At, now), a.Part)
-	harmless := func(v sighting) bool { return v.crash.Part && q.reported.harmless(a.Part, v.at) }
+	q.answeredElsewhere.note(earlier(a.At, now), a.Part)
+	harmless := func(v sighting) bool { return v.crash.Part && q.answeredElsewhere.harmless(a.Part, v.at) }
 	if s := q.suspects[a.Part]; s != nil && slices.ContainsFunc(s.sightings, harmless) {
 		q.remove(a.Part, Reported, harmless)
 	}
--- a/internal/traffic/quarantine/state.go
+++ b/internal/traffic/quarantine/state.go
@@ -4,14 +4,14 @@
 
 // State is the entry's view of a suspect.
 type State struct {
-	Request     Fingerprint
-	Part        bool // the fingerprint is that of a part of prompts
-	Crashes     int
-	Quarantined time.Duration // remaining quarantine; 0 if the suspect is not quarantined
-	Unsure      bool          // a request without another suspect may be a probe at once
-	Source      string        // the entry whose observation or response caused the change
-	Release     Release       // why the suspect is no longer quarantined; "" if it is
-	Evidence    []Evidence    // the newest observations of its crashes, at most maxEvidence
+	Request      Fingerprint
+	Part         bool // the fingerprint is that of a part of prompts
+	Crashes      int
+	Quarantined  time.Duration // remaining quarantine; 0 if the suspect is not quarantined
+	Inconclusive bool          // a request without another suspect may be a probe at once
+	Source       string        // the entry whose observation or response caused the change
+	Release      Release       // why the suspect is no longer quarantined; "" if it is
+	Evidence     []Evidence    // the newest observations of its crashes, at most maxEvidence
 }
 
 // Release is why a suspect is no longer quarantined.
@@ -44,20 +44,20 @@
 		if s.count < firstQuarantine && s.announced == 0 {
 			continue
 		}
-		j := q.judge(s)
-		left := quarantineTime(j.crashes) - now.Sub(j.last)
+		a := q.assess(s)
+		left := quarantineTime(a.crashes) - now.Sub(a.last)
 		switch {
-		case j.crashes >= firstQuarantine && j.crashes > s.announced:
-			s.announced = j.crashes
+		case a.crashes >= firstQuarantine && a.crashes > s.announced:
+			s.announced = a.crashes
 			if left > 0 {
 				q.changed(State{
-					Request: f, Part: s.part, Crashes: j.crashes, Quarantined: left, Unsure: j.unsure, Source: source,
+					Request: f, Part: s.part, Crashes: a.crashes, Quarantined: left, Inconclusive: a.inconclusive, Source: source,
 					Evidence: s.evidence(now),
 				})
 			}
-		case j.crashes < firstQuarantine && s.announced > 0:
+		case a.crashes < firstQuarantine && s.announced > 0:
 			s.announced = 0
-			q.changed(State{Request: f, Part: s.part, Crashes: j.crashes, Source: source, Release: s.released(j), Evidence: s.evidence(now)})
+			q.changed(State{Request: f, Part: s.part, Crashes: a.crashes, Source: source, Release: s.released(a), Evidence: s.evidence(now)})
 		}
 	}
 }
--- a/internal/traffic/quarantine/suspect.go
+++ b/internal/traffic/quarantine/suspect.go
@@ -102,9 +102,9 @@
 	return counted, last
 }
 
-// released returns why a suspect with a judgement is no longer quarantined.
-func (s *suspect) released(j judgement) Release {
-	if s.count > j.crashes {
+// released returns why a suspect with a assessment is no longer quarantined.
+func (s *suspect) released(a assessment) Release {
+	if s.count > a.crashes {
 		return Explained
 	}
 	return s.release
@@ -119,33 +119,33 @@
 	return list
 }
 
-// judgement is what the known crashes prove about a suspect.
-type judgement struct {
+// assessment is what the known crashes prove about a suspect.
+type assessment struct {
 	crashes int       // those that no stronger suspect explains
 	last    time.Time // time of the last of them
-	// unsure is set if the crashes are no proof yet: another part was in the same prompts each time, or no
+	// inconclusive is set if the crashes are no proof yet: another part was in the same prompts each time, or no
 	// part is known to be harmless, as after a start of all entries.
-	unsure bool
+	inconclusive bool
 }
 
-// judge returns what the crashes prove about a suspect. A crash at which a stronger suspect was present
+// assess returns what the crashes prove about a suspect. A crash at which a stronger suspect was present
 // is explained by that: parts that many requests have are present at most crashes of the part that
 // causes them.
-func (q *Quarantine) judge(s *suspect) judgement {
+func (q *Quarantine) assess(s *suspect) assessment {
 	if quarantineTime(s.count) == 0 {
-		return judgement{crashes: s.count, last: s.last}
+		return assessment{crashes: s.count, last: s.last}
 	}
-	if q.judged == nil {
-		q.judgeAll()
+	if q.assessed == nil {
+		q.assessAll()
 	}
-	return q.judged[s]
+	return q.assessed[s]
 }
 
-// judgeAll judges all suspects that were at enough crashes to be quarantined, the strongest first. Only
+// assessAll assesses all suspects that were at enough crashes to be quarantined, the strongest first. Only
 // a part that is quarantined in the end explains the crashes of others: a request that is sent on after
 // one crash may be at the next by chance.
-func (q *Quarantine) judgeAll() {
-	q.judged = make(map[*suspect]judgement)
+func (q *Quarantine) assessAll() {
+	q.assessed = make(map[*suspect]assessment)
 	var list []*suspect
 	for _, s := range q.suspects {
 		if s.count >= firstQuarantine {
@@ -162,12 +162,12 @@
 			}
 		}
 		n, last, _ := s.crashesIn(unexplained)
-		j := judgement{crashes: n, last: last}
-		if s.part && j.crashes >= firstQuarantine {
+		a := assessment{crashes: n, last: last}
+		if s.part && a.crashes >= firstQuarantine {
 			proven = append(proven, s)
-			j.unsure = j.crashes == firstQuarantine && (q.noAnswers() || hasCompanion(s, list))
+			a.inconclusive = a.crashes == firstQuarantine && (q.noAnswers() || includesAnother(s, list))
 		}
-		q.judged[s] = j
+		q.assessed[s] = a
 	}
 }
 
@@ -198,12 +198,12 @@
 }
 
 // noAnswers reports whether no part is known to be harmless.
-func (q *Quarantine) noAnswers() bool { return q.answered.empty() && q.reported.empty() }
+func (q *Quarantine) noAnswers() bool { return q.answered.empty() && q.answeredElsewhere.empty() }
 
-// hasCompanion reports whether another part was at as many crashes, and wherever it was this one was too: a
+// includesAnother reports whether another part was at as many crashes, and wherever it was this one was too: a
 // preamble and a part that only comes after it. A request with the preamble alone tells which is at fault. Of
 // parts of different requests at the same targets either may have crashed them, so neither is tried.
-func hasCompanion(s *suspect, among []*suspect) bool {
+func includesAnother(s *suspect, among []*suspect) bool {
 	return slices.ContainsFunc(among, func(o *suspect) bool {
 		equal := o != s && o.part && o.count == s.count && !o.strongerThan(s) && !s.strongerThan(o)
 		return equal && !slices.ContainsFunc(o.sightings, func(v sighting) bool { return !s.seenWith(v) })
--- a/internal/traffic/quarantine/verdict.go
+++ b/internal/traffic/quarantine/verdict.go
@@ -22,21 +22,21 @@
 
 // check also returns the suspects that have been quarantined, or are.
 func (q *Quarantine) check(now time.Time, of []Fingerprint) (v Verdict, causes []*suspect) {
-	var judgements []judgement
+	var assessments []assessment
 	var fingerprints []Fingerprint
 	for _, f := range of {
 		s := q.suspects[f]
 		if s == nil {
 			continue
 		}
-		j := q.judge(s)
-		v.Crashes = max(v.Crashes, j.crashes)
-		if quarantineTime(j.crashes) > 0 {
-			causes, judgements, fingerprints = append(causes, s), append(judgements, j), append(fingerprints, f)
+		a := q.assess(s)
+		v.Crashes = max(v.Crashes, a.crashes)
+		if quarantineTime(a.crashes) > 0 {
+			causes, assessments, fingerprints = append(causes, s), append(assessments, a), append(fingerprints, f)
 		}
 	}
 	for i, s := range causes {
-		left := q.timeLeft(now, fingerprints[i], s, judgements[i], len(causes) == 1)
+		left := q.timeLeft(now, fingerprints[i], s, assessments[i], len(causes) == 1)
 		if left > v.After {
 			v.Quarantined, v.After, v.Cause = true, left, fingerprints[i]
 		}
@@ -47,10 +47,10 @@
 // timeLeft returns the time until this entry may probe a suspect. While the crashes are no proof, a
 // request in which nothing else is suspected may be a probe at once: if it is served the suspect is
 // harmless.
-func (q *Quarantine) timeLeft(now time.Time, f Fingerprint, s *suspect, j judgement, alone bool) time.Duration {
-	left := quarantineTime(j.crashes) - now.Sub(j.last)
-	if j.unsure && alone {
-		left = -now.Sub(j.last)
+func (q *Quarantine) timeLeft(now time.Time, f Fingerprint, s *suspect, a assessment, alone bool) time.Duration {
+	left := quarantineTime(a.crashes) - now.Sub(a.last)
+	if a.inconclusive && alone {
+		left = -now.Sub(a.last)
 	}
 	if q.Turn != nil {
 		left += time.Duration(q.Turn(f)) * probeTurn
@@ -121,9 +121,9 @@
 // probePause returns how long this entry waits after a probe that proved nothing. Each probe may crash
 // a target without the entry noticing, as when the caller leaves before the crash.
 func (q *Quarantine) probePause(s *suspect) time.Duration {
-	j := q.judge(s)
-	if j.unsure {
+	a := q.assess(s)
+	if a.inconclusive {
 		return probeRetryDelay
 	}
-	return quarantineTime(j.crashes)
+	return quarantineTime(a.crashes)
 }
