--- a/internal/traffic/forward/quarantine_test.go
+++ b/internal/traffic/forward/quarantine_test.go
@@ -198,3 +198,22 @@
 		})
 	}
 }
+
+// Guards against callers that wait for the examination of a target although no part of their prompts can have
+// crashed it.
+func TestRequestWithHarmlessPartsIsSentOnAtOnce(t *testing.T) {
+	breaks := standin.NewServer(t, func(w standin.Reply, _ standin.Request) { w.Abort() })
+	b := newTestbed(t, breaks)
+	b.Quarantine.Answered(time.Now(), quarantine.PartFingerprint("svc", "5c1e"))
+	serves := standin.NewServer(t, complete("hello"))
+	b.OnConnectionFailure = func(ConnectionFailure) { // whose examination never ends
+		b.targets.Put(roster.Target{ID: "i-5", Service: "svc", Address: serves.Address, Slots: 4})
+	}
+	r := standin.NewCall(http.MethodPost, b.url+"/safe/x", "id-1", "", 60_000, nil)
+	r.Host = host
+	r.Header.Set("Wagtailshelf-Prompt-Prefix", "5c1e:40,9:600")
+	w, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	require.NoError(t, w.Body.Close())
+	require.Equal(t, http.StatusOK, w.StatusCode)
+}
