--- a/internal/program/trial/crash_test.go
+++ b/internal/program/trial/crash_test.go
@@ -120,7 +120,9 @@
 		if n == 8 {
 			before = crashing.Crashes()
 		}
+		crashes := crashing.Crashes()
 		require.Contains(t, []int{http.StatusBadGateway, http.StatusServiceUnavailable}, get(n, crashing.FatalBody))
+		require.LessOrEqual(t, crashing.Crashes(), crashes+1, "it is not sent on after a crash")
 	}
 	t.Logf("%d crashes", crashing.Crashes())
 	require.LessOrEqual(t, crashing.Crashes(), 5)
