--- a/internal/traffic/forward/quarantine_test.go
+++ b/internal/traffic/forward/quarantine_test.go
@@ -172,6 +172,18 @@
 	require.True(t, b.Quarantine.Empty())
 }
 
+// requireServedPrompt sends a request whose prompt has some parts, and requires that it is served.
+func (b *testbed) requireServedPrompt(path, parts string) {
+	b.t.Helper()
+	r := standin.NewCall(http.MethodPost, b.url+path, "id-1", "", b.patienceMS, nil)
+	r.Host = host
+	r.Header.Set("Wagtailshelf-Prompt-Prefix", parts)
+	w, err := http.DefaultClient.Do(r)
+	require.NoError(b.t, err)
+	require.NoError(b.t, w.Body.Close())
+	require.Equal(b.t, http.StatusOK, w.StatusCode)
+}
+
 // Guards against a crash that is taken for the end of a response which has no length: the part that caused
 // it would count as harmless.
 func TestResponseWithoutLengthProvesNothing(t *testing.T) {
@@ -186,13 +198,7 @@
 				w.Complete(http.StatusOK, event)
 			})
 			b := newTestbed(t, s)
-			r := standin.NewCall(http.MethodPost, b.url+"/stream/x", "id-1", "", 1500, nil)
-			r.Host = host
-			r.Header.Set("Wagtailshelf-Prompt-Prefix", "5c1e:40,9:600")
-			w, err := http.DefaultClient.Do(r)
-			require.NoError(t, err)
-			require.NoError(t, w.Body.Close())
-			require.Equal(t, http.StatusOK, w.StatusCode)
+			b.requireServedPrompt("/stream/x", "5c1e:40,9:600")
 			b.firstEnded()
 			require.Equal(t, !unframed, b.Quarantine.Harmless(time.Now(), quarantine.PartFingerprint("svc", "5c1e")))
 		})
@@ -204,16 +210,11 @@
 func TestRequestWithHarmlessPartsIsSentOnAtOnce(t *testing.T) {
 	breaks := standin.NewServer(t, func(w standin.Reply, _ standin.Request) { w.Abort() })
 	b := newTestbed(t, breaks)
+	b.patienceMS = 60_000
 	b.Quarantine.Answered(time.Now(), quarantine.PartFingerprint("svc", "5c1e"))
 	serves := standin.NewServer(t, complete("hello"))
 	b.OnConnectionFailure = func(ConnectionFailure) { // whose examination never ends
 		b.targets.Put(roster.Target{ID: "i-5", Service: "svc", Address: serves.Address, Slots: 4})
 	}
-	r := standin.NewCall(http.MethodPost, b.url+"/safe/x", "id-1", "", 60_000, nil)
-	r.Host = host
-	r.Header.Set("Wagtailshelf-Prompt-Prefix", "5c1e:40,9:600")
-	w, err := http.DefaultClient.Do(r)
-	require.NoError(t, err)
-	require.NoError(t, w.Body.Close())
-	require.Equal(t, http.StatusOK, w.StatusCode)
+	b.requireServedPrompt("/safe/x", "5c1e:40,9:600")
 }
--- a/internal/traffic/quarantine/suspect.go
+++ b/internal/traffic/quarantine/suspect.go
@@ -102,7 +102,7 @@
 	return counted, last
 }
 
-// released returns why a suspect with a assessment is no longer quarantined.
+// released returns why a suspect is no longer quarantined, by its newest assessment.
 func (s *suspect) released(a assessment) Release {
 	if s.count > a.crashes {
 		return Explained
