A part that all requests of a service have is probed soon after a start, whatever crashes servers

While no part of a service was answered in the last two minutes, a part is probed at once, then after 5 s, 30 s, by entries in turns; after five crashes it is the cause. Before, that held for the second crash only, and where a part of any other service was known it did not hold.

--- a/internal/traffic/quarantine/answered.go
+++ b/internal/traffic/quarantine/answered.go
@@ -19,6 +19,7 @@
 // holds two generations: when the younger is full, it replaces the older.
 type answered struct {
 	young, old map[Fingerprint]responses
+	scopes     map[scope]time.Time // when any part of a service was last answered
 }
 
 // responses counts the complete responses to requests with a part.
@@ -27,7 +28,9 @@
 	count int
 }
 
-func newAnswered() answered { return answered{young: make(map[Fingerprint]responses)} }
+func newAnswered() answered {
+	return answered{young: make(map[Fingerprint]responses), scopes: make(map[scope]time.Time)}
+}
 
 // note notes that a part was answered.
 func (a *answered) note(at time.Time, f Fingerprint) {
@@ -40,6 +43,15 @@
 		r.last = at
 	}
 	a.young[f] = r
+	if at.After(a.scopes[f.scope()]) {
+		a.scopes[f.scope()] = at
+	}
+}
+
+// anyOf reports whether any part of a service counts as harmless at a moment.
+func (a *answered) anyOf(service scope, at time.Time) bool {
+	last := a.scopes[service]
+	return !last.IsZero() && at.Sub(last) <= answerValidity
 }
 
 // last returns when a part was last answered; zero if that is not known.
@@ -69,6 +81,3 @@
 	last := a.last(f)
 	return !last.IsZero() && crashed.Sub(last) <= answerValidity
 }
-
-// empty reports whether no part is known to have been answered.
-func (a *answered) empty() bool { return len(a.young)+len(a.old) == 0 }
--- a/internal/traffic/quarantine/fingerprint.go
+++ b/internal/traffic/quarantine/fingerprint.go
@@ -34,7 +34,20 @@
 // PartFingerprint returns the fingerprint of a part of the prompts of a service's requests. It is the
 // same for all workspaces, as such a part crashes a target whoever sends it.
 func PartFingerprint(service, id string) Fingerprint {
-	return fingerprintOf([]byte("part"), []byte(service), []byte(id))
+	return fingerprintOf([]byte("part"), []byte(service), []byte(id)).withScope(service)
+}
+
+// scope identifies the service of a part. Two services rarely have the same.
+type scope [2]byte
+
+// scope returns the scope of a part's fingerprint.
+func (f Fingerprint) scope() scope { return scope(f[:len(scope{})]) }
+
+// withScope returns the fingerprint with the scope of a service.
+func (f Fingerprint) withScope(service string) Fingerprint {
+	of := fingerprintOf([]byte("service"), []byte(service)).scope()
+	copy(f[:], of[:])
+	return f
 }
 
 // maxLeadingParts bounds the leading parts of a prompt.
@@ -52,7 +65,7 @@
 	for n := 0; n < min(blocks, maxLeadingParts) && len(prompt) > blockBytes; n++ {
 		_, _ = h.Write(prompt[:blockBytes])
 		prompt = prompt[blockBytes:]
-		list = append(list, Fingerprint(h.Sum(nil)[:len(Fingerprint{})]))
+		list = append(list, Fingerprint(h.Sum(nil)[:len(Fingerprint{})]).withScope(service))
 	}
 	return list
 }
--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -131,10 +131,10 @@
 // answer notes that parts were answered.
 func (q *Quarantine) answer(now time.Time, parts []Fingerprint) {
 	cleared := false
-	if q.noAnswers() {
-		q.assessed = nil
-	}
 	for _, f := range parts {
+		if !q.answered.anyOf(f.scope(), now) {
+			q.assessed = nil
+		}
 		q.answered.note(now, f)
 		if q.suspects[f] == nil {
 			continue
--- a/internal/traffic/quarantine/record.go
+++ b/internal/traffic/quarantine/record.go
@@ -92,9 +92,7 @@
 
 // mergeAnswer notes that another entry knows a part to be harmless.
 func (q *Quarantine) mergeAnswer(now time.Time, a Answer) {
-	if q.noAnswers() {
-		q.assessed = nil
-	}
+	q.assessed = nil
 	q.answeredElsewhere.note(earlier(a.At, now), a.Part)
 	harmless := func(v sighting) bool { return v.crash.Part && q.answeredElsewhere.harmless(a.Part, v.at) }
 	if s := q.suspects[a.Part]; s != nil && slices.ContainsFunc(s.sightings, harmless) {
--- a/internal/traffic/quarantine/suspect.go
+++ b/internal/traffic/quarantine/suspect.go
@@ -124,10 +124,15 @@
 	crashes int       // those that no stronger suspect explains
 	last    time.Time // time of the last of them
 	// inconclusive is set if the crashes are no proof yet: another part was in the same prompts each time, or no
-	// part is known to be harmless, as after a start of all entries.
+	// part of the service is known to be harmless, as after a start of all entries.
 	inconclusive bool
 }
 
+// probeDelays is how long after its last crash a part may be probed while the crashes are inconclusive, by their
+// number. What all requests have is then a suspect like any other, and while it is held nothing is served. After
+// more crashes the part is the cause, whatever else was there.
+var probeDelays = []time.Duration{0, 0, 0, 5 * time.Second, 30 * time.Second}
+
 // assess returns what the crashes prove about a suspect. A crash at which a stronger suspect was present
 // is explained by that: parts that many requests have are present at most crashes of the part that
 // causes them.
@@ -165,7 +170,7 @@
 		a := assessment{crashes: n, last: last}
 		if s.part && a.crashes >= firstQuarantine {
 			proven = append(proven, s)
-			a.inconclusive = a.crashes == firstQuarantine && (q.noAnswers() || includesAnother(s, list))
+			a.inconclusive = q.noAnswers(s) && a.crashes < len(probeDelays) || a.crashes == firstQuarantine && includesAnother(s, list)
 		}
 		q.assessed[s] = a
 	}
@@ -197,8 +202,11 @@
 	return left
 }
 
-// noAnswers reports whether no part is known to be harmless.
-func (q *Quarantine) noAnswers() bool { return q.answered.empty() && q.answeredElsewhere.empty() }
+// noAnswers reports whether no part of a suspect's service was known to be harmless at its last crash.
+func (q *Quarantine) noAnswers(s *suspect) bool {
+	service := s.sightings[0].crash.Request.scope()
+	return !q.answered.anyOf(service, s.last) && !q.answeredElsewhere.anyOf(service, s.last)
+}
 
 // includesAnother reports whether another part was at as many crashes, and wherever it was this one was too: a
 // preamble and a part that only comes after it. A request with the preamble alone tells which is at fault. Of
--- a/internal/traffic/quarantine/verdict.go
+++ b/internal/traffic/quarantine/verdict.go
@@ -50,7 +50,7 @@
 func (q *Quarantine) timeLeft(now time.Time, f Fingerprint, s *suspect, a assessment, alone bool) time.Duration {
 	left := quarantineTime(a.crashes) - now.Sub(a.last)
 	if a.inconclusive && alone {
-		left = -now.Sub(a.last)
+		left = probeDelays[a.crashes] - now.Sub(a.last)
 	}
 	if q.Turn != nil {
 		left += time.Duration(q.Turn(f)) * probeTurn
