--- a/internal/traffic/quarantine/part_test.go
+++ b/internal/traffic/quarantine/part_test.go
@@ -177,6 +177,17 @@
 	}
 }
 
+// Guards against a part that is probed at once, and crashes one more server, although others of its service are
+// answered by now.
+func TestCrashesAreConclusiveOnceOthersAreAnswered(t *testing.T) {
+	q := New("a")
+	crashParts(q, at(-5*time.Second), "i-1", bad)
+	crashParts(q, start, "i-2", bad)
+	requireNotHeld(t, q, start, bad)
+	q.Answered(start, preamble)
+	requireHeld(t, q, start, bad, time.Minute)
+}
+
 // Guards against a probe that tells nothing: a request with two parts, each of which may be at fault.
 func TestProbeHasOneSuspect(t *testing.T) {
 	q := New("a")
