--- /dev/null
+++ b/review/harness/foreign.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+)
+
+// startPlain starts servers of a plain service.
+func (w *World) startPlain(service string, n int, work time.Duration) error {
+	var at []netip.Addr
+	for i := range n {
+		at = append(at, netip.AddrFrom4([4]byte{127, 0, 3, byte(len(w.servers) + i + 1)}))
+	}
+	port, err := freePort(at)
+	if err != nil {
+		return err
+	}
+	for i, ip := range at {
+		id := fmt.Sprintf("i-%s-%d", service, i+1)
+		if _, err := w.StartServer(id, service, netip.AddrPortFrom(ip, uint16(port)), work); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// foreignEntry is an entry of another writer, which names a service that no configuration has.
+func foreignEntry(at netip.AddrPort) map[string]any {
+	return map[string]any{
+		"service": "inventory", "address": at.String(), "zone": zone, "version": "2", "slots": 1, "state": "ready",
+		"cold_remaining_ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
+	}
+}
+
+// ghost: another writer overwrites the entry of a server just before the server leaves. The server is
+// one of those that report no draining: its entry is removed, and it serves for some more seconds.
+func ghost(w *World, trouble bool) (bool, error) {
+	const (
+		servers   = 4
+		overwrite = 50 * time.Millisecond // from the other writer's write to the removal
+		lingers   = 6 * time.Second       // for which the server serves after that
+	)
+	w.PutConfig([]Route{{"log", "unsafe", "app"}}, []map[string]any{{"name": "hule930", "api_keys": []string{"key"}}})
+	if err := w.StartSystem(0); err != nil {
+		return false, err
+	}
+	if err := w.startPlain("app", servers, 100*time.Millisecond); err != nil {
+		return false, err
+	}
+	if err := w.AwaitReady(readyLimit); err != nil {
+		return false, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer stop()
+	for entry := range w.Entries {
+		running.Go(func() { w.CallEvery(ctx, 50*time.Millisecond, entry, "POST", "/log/a", "key", "log") })
+	}
+	time.Sleep(3 * time.Second)
+	leaving := w.servers[0]
+	if trouble {
+		w.Record("another writer: overwrites the entry of %s", leaving.ID)
+		w.Store.Put("servers", leaving.ID, foreignEntry(leaving.Address))
+		time.Sleep(overwrite)
+	}
+	leaving.Leave()
+	w.Record("server %s: the store has confirmed that its entry is removed", leaving.ID)
+	time.Sleep(lingers)
+	w.Record("server %s: exits", leaving.ID)
+	leaving.Exit()
+	time.Sleep(2 * time.Second)
+	stop()
+	running.Wait()
+	return w.reachedAfterLeaving(leaving)
+}
+
+// reachedAfterLeaving reports whether requests have reached a server later than the bound after all
+// entries had been told that it is gone.
+func (w *World) reachedAfterLeaving(s *Server) (bool, error) {
+	told := w.Store.Told(s.ID)
+	if len(told) < len(w.Entries) {
+		return false, fmt.Errorf("%d entries were told that %s is gone", len(told), s.ID)
+	}
+	slices.SortFunc(told, time.Time.Compare)
+	last := told[len(told)-1]
+	w.Record("check: the store told the entries at %.3f and %.3f", told[0].Sub(w.begin).Seconds(), last.Sub(w.begin).Seconds())
+	ends := make(map[string]Answer)
+	for _, a := range w.Answers() {
+		ends[a.Request] = a
+	}
+	reached, lost := 0, 0
+	for _, r := range w.Runs() {
+		if r.Server != s.ID || !r.At.After(last.Add(drainMS*time.Millisecond)) {
+			continue
+		}
+		reached++
+		end := ends[r.Request]
+		if !end.Stamped {
+			lost++
+		}
+		w.Record("check: %s reached %s %.3f s after the entries were told that it is gone, and ended with %d", r.Request, r.Server, r.At.Sub(last).Seconds(), end.Status)
+	}
+	w.Record("check: %d requests reached %s later than %d ms, and %d of them began to run and got no answer of it", reached, s.ID, drainMS, lost)
+	return reached > 0, nil
+}
+
+// expiry is how long the platform keeps an entry that nobody writes again: three heartbeat intervals.
+const expiry = 3 * heartbeat
+
+// displaced: another writer adds entries with the addresses of the servers of one service. They are
+// removed after three heartbeat intervals, as nobody writes them again. The route to that service was
+// added later than that to another service.
+func displaced(w *World, trouble bool) (bool, error) {
+	tenants := []map[string]any{{"name": "hule930", "api_keys": []string{"key"}}}
+	first := []Route{{"log", "unsafe", "app"}}
+	w.PutConfig(first, tenants)
+	if err := w.StartSystem(0); err != nil {
+		return false, err
+	}
+	for _, service := range []string{"app", "desk"} {
+		if err := w.startPlain(service, 2, 20*time.Millisecond); err != nil {
+			return false, err
+		}
+	}
+	if err := w.AwaitReady(readyLimit); err != nil {
+		return false, err
+	}
+	w.PutConfig(append(first, Route{"list", "safe", "desk"}), tenants)
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer stop()
+	for entry := range w.Entries {
+		running.Go(func() { w.CallEvery(ctx, 50*time.Millisecond, entry, "POST", "/log/a", "key", "first") })
+		running.Go(func() { w.CallEvery(ctx, 50*time.Millisecond, entry, "GET", "/list/a", "key", "later") })
+	}
+	time.Sleep(5 * time.Second)
+	w.recordServed("before", w.begin.Add(applyMS*time.Millisecond))
+	if trouble {
+		w.addForeign("desk")
+	}
+	time.Sleep(5 * time.Second)
+	steady := time.Now()
+	time.Sleep(20 * time.Second)
+	stop()
+	running.Wait()
+	served, later := w.recordServed("in the last 20 s", steady)
+	return later < served/4, nil
+}
+
+// addForeign adds an entry of another writer for each server of a service. The platform removes them
+// when they have expired.
+func (w *World) addForeign(service string) {
+	var names []string
+	for _, s := range w.servers {
+		if s.Service != service {
+			continue
+		}
+		name := "inventory-" + s.ID
+		names = append(names, name)
+		w.Record("another writer: adds the entry %s with the address of %s, %s", name, s.ID, s.Address)
+		w.Store.Put("servers", name, foreignEntry(s.Address))
+	}
+	time.Sleep(expiry)
+	for _, name := range names {
+		w.Store.Remove("servers", name)
+	}
+	w.Record("platform: the entries of the other writer have expired")
+}
+
+// recordServed returns which parts of the requests on the first route and on the one that was added
+// later were served, of those that were sent after some time.
+func (w *World) recordServed(when string, since time.Time) (first, later float64) {
+	served, all := make(map[string]float64), make(map[string]float64)
+	for _, a := range w.Answers() {
+		if a.SentAt.Before(since) {
+			continue
+		}
+		all[noteOf(a.Request)]++
+		if a.Status == http.StatusOK && a.Stamped {
+			served[noteOf(a.Request)]++
+		}
+	}
+	w.Record("check: %s %g of %g were served on the first route, %g of %g on the later one", when, served["first"], all["first"], served["later"], all["later"])
+	return served["first"] / max(all["first"], 1), served["later"] / max(all["later"], 1)
+}
