--- a/review/harness/drill.go
+++ b/review/harness/drill.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 )
@@ -59,6 +60,12 @@
 	return w.ranRevoked("leaver", confirmed), nil
 }
 
+// noteOf returns the note with which the ID of a request begins.
+func noteOf(request string) string {
+	note, _, _ := strings.Cut(request, "-")
+	return note
+}
+
 // ranRevoked reports whether requests of a tenant that were sent later than the bound after its key was
 // taken away have run.
 func (w *World) ranRevoked(tenant string, confirmed time.Time) bool {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -17,10 +17,12 @@
 
 // cases are the scripts. Each reports whether the rule was broken.
 var cases = map[string]func(w *World, trouble bool) (bool, error){
-	"drill":     drill,
-	"lastKey":   lastKey,
-	"ghost":     ghost,
-	"displaced": displaced,
+	"garbage": garbage,
+	"ghost":   ghost,
+	"drill":   drill,
+
+	"displaced": displaced, // in notes.go
+	"lastKey":   lastKey,   // in notes.go
 }
 
 func main() {
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -27,6 +28,7 @@
 	http  *http.Server
 	born  int64
 	stop  context.CancelFunc // of its heartbeats
+	faults
 
 	mu    sync.Mutex
 	seq   int
@@ -110,6 +112,14 @@
 		s.world.Record("server %s: request %s: its channel was closed while it ran", s.ID, id)
 		return
 	}
+	switch {
+	case s.spoilNow():
+		s.sendGarbage(w, id)
+		return
+	case strings.HasPrefix(r.URL.Path, streams):
+		sendEvents(w, id)
+		return
+	}
 	answer := fmt.Sprintf("%s of %d bytes, by %s", id, len(body), s.ID)
 	w.Header().Set("Wagtailshelf-Server-Stamp", "stamp-"+id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -41,7 +43,8 @@
 	Request string
 	SentAt  time.Time
 	Entry   int
-	Status  int // 0 if there was no complete answer
+	Kept    bool // its channel had carried a request before
+	Status  int  // 0 if there was no complete answer
 	Body    string
 	Stamped bool
 	Err     error
@@ -255,7 +258,7 @@
 		"node": node, "ip": ip.String(), "zone": zone, "heartbeat_ms": heartbeat.Milliseconds(),
 		"port_range": []int{ports[0], ports[1]},
 		"platform":   map[string]any{"address": w.Store.Address.String()},
-		"limits":     map[string]any{"memory_mb": 284},
+		"limits":     map[string]any{"memory_mb": memoryMB},
 		"listen":     map[string]any{"front": fmt.Sprintf("%s:%d", ip, ports[2]), "readiness": fmt.Sprintf("%s:%d", ip, ports[3])},
 		"bounds": map[string]any{
 			"config_apply_ms": applyMS, "revoke_ms": revokeMS, "drain_ms": drainMS, "grace_s": graceS, "stall_ms": 1500,
@@ -317,26 +320,43 @@
 	return a.StatusCode == http.StatusOK
 }
 
-// Call sends one request on a new channel and waits for its end.
+// Call sends one request on a new channel and waits for its end. The requester of a stream abandons it
+// if its first event does not come in time.
 func (w *World) Call(ctx context.Context, entry int, method, path, key, note string) Answer {
-	id := fmt.Sprintf("%s-%04d", note, w.number.Add(1))
+	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	if strings.HasPrefix(path, streams) {
+		t.ResponseHeaderTimeout = streamPatience
+	}
+	c := http.Client{Timeout: patience, Transport: t}
+	return w.call(ctx, &c, Answer{Entry: entry}, method, path, key, note)
+}
+
+const (
+	// patience is how long requesters wait.
+	patience = 8 * time.Second
+	// streamPatience is how long they wait for the first event of a stream.
+	streamPatience = 2 * time.Second
+	// streams begins the paths whose answers are streams.
+	streams = "/draft/"
+)
+
+func (w *World) call(ctx context.Context, c *http.Client, a Answer, method, path, key, note string) Answer {
+	a.Request = fmt.Sprintf("%s-%04d", note, w.number.Add(1))
 	body := ""
 	if method == http.MethodPost {
-		body = "text of " + id
+		body = "text of " + a.Request
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+w.Callers[entry].String()+path, strings.NewReader(body))
+	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { a.Kept = c.Reused }}
+	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, "http://"+w.Callers[a.Entry].String()+path, strings.NewReader(body))
 	if err != nil {
 		panic(err) // the harness passes valid paths
 	}
 	r.Host = host
-	r.Header.Set("Wagtailshelf-Request-Id", id)
-	r.Header.Set("Wagtailshelf-Request-Timeout-Ms", "3000")
-	if key != "" {
-		r.Header.Set("Authorization", "Bearer "+key)
-	}
-	c := http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
-	a := Answer{Request: id, SentAt: time.Now(), Entry: entry}
-	w.Record("requester: sends %s to %s: %s %s, key %q", id, w.Entries[entry].Name, method, path, key)
+	r.Header.Set("Wagtailshelf-Request-Id", a.Request)
+	r.Header.Set("Wagtailshelf-Request-Timeout-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
+	r.Header.Set("Authorization", "Bearer "+key)
+	a.SentAt = time.Now()
+	w.Record("requester: sends %s to %s: %s %s, key %q", a.Request, w.Entries[a.Entry].Name, method, path, key)
 	answer, err := c.Do(r)
 	if err == nil {
 		var text []byte
@@ -351,7 +371,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.answers = append(w.answers, a)
-	w.recordLocked("requester: %s ends with %d, %v", id, a.Status, err)
+	w.recordLocked("requester: %s ends with %d, %v, kept channel %t", a.Request, a.Status, err, a.Kept)
 	return a
 }
 
