--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -30,9 +30,9 @@
 	stop  context.CancelFunc // of its heartbeats
 	faults
 
-	mu    sync.Mutex
-	seq   int
-	state string
+	mu      sync.Mutex
+	seq     int
+	leaving bool
 }
 
 // StartServer starts a server at an address and registers it.
@@ -41,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ID: id, Service: service, Address: at, Work: work, world: w, born: time.Now().UnixMilli(), state: "ready"}
+	s := &Server{ID: id, Service: service, Address: at, Work: work, world: w, born: time.Now().UnixMilli()}
 	s.http = &http.Server{Handler: s}
 	go func() { _ = s.http.Serve(l) }() // it returns when the server is closed
 	ctx, stop := context.WithCancel(context.Background())
@@ -71,19 +71,28 @@
 	defer s.mu.Unlock()
 	s.seq++
 	s.world.Store.Put("servers", s.ID, map[string]any{
-		"service": s.Service, "address": s.Address.String(), "zone": zone, "version": "v1", "slots": 6, "state": s.state,
+		"service": s.Service, "address": s.Address.String(), "zone": zone, "version": "v1", "slots": 6, "state": "ready",
 		"cold_remaining_ms": 0, "seq": s.seq, "born": s.born,
 	})
 }
 
-// Leave removes the server's entry without a report of draining. The server goes on serving.
+// Leave removes the server's entry without a report of draining. The server goes on serving, and says
+// in all its answers that it leaves.
 func (s *Server) Leave() {
 	s.stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.leaving = true
 	s.world.Store.Remove("servers", s.ID)
 }
 
+// isLeaving reports whether the server leaves.
+func (s *Server) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 // Exit ends the server. It cuts off what still runs.
 func (s *Server) Exit() {
 	s.stop()
@@ -98,6 +107,9 @@
 		return
 	}
 	w.Header().Set("Wagtailshelf-Request-Id", id)
+	if s.isLeaving() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if expected := r.Header.Get("Wagtailshelf-Expect-Instance"); expected != "" && expected != s.ID {
 		s.world.Record("server %s: request %s is for %s: 421", s.ID, id, expected)
 		w.WriteHeader(http.StatusMisdirectedRequest)
