review: case 3, sound requests that share two parts with a deadly one are refused

Rule LOST (parts of prompts that crash servers). After two crashes every sound request with the template's two parts is refused: a request may be a probe at once only if one of its parts alone is suspected (internal/traffic/quarantine/verdict.go). The script of the former case 3 (a drill of the store) stays in review/harness/notes.go, which no case uses.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # With TROUBLE=0 it does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/wagtailshelf ] && [ -x target/review/harness ] || exit 2
-exec target/review/harness drill review/3
+exec target/review/harness part review/3
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -17,12 +19,15 @@
 
 // cases are the scripts. Each reports whether the rule was broken.
 var cases = map[string]func(w *World, trouble bool) (bool, error){
-	"garbage": garbage,
-	"ghost":   ghost,
-	"drill":   drill,
+	"garbage": garbage, // review/1
+	"ghost":   ghost,   // review/2
+	"part":    part,    // review/3
 
-	"displaced": displaced, // in notes.go
-	"lastKey":   lastKey,   // in notes.go
+	// In notes.go.
+	"displaced": displaced,
+	"drill":     drill,
+	"lastKey":   lastKey,
+	"pinned":    pinned,
 }
 
 func main() {
@@ -41,6 +46,13 @@
 		return failed
 	}
 	defer w.Close()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		w.Close() // ends the processes that the case started
+		os.Exit(failed)
+	}()
 	wasBroken, err := cases[name](w, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -13,6 +13,9 @@
 	"time"
 )
 
+// weights is the version of the servers' weights.
+const weights = "2"
+
 // heartbeat is the time between two writes of a server's entry.
 const heartbeat = 1200 * time.Millisecond
 
@@ -124,6 +127,15 @@
 		s.world.Record("server %s: request %s: its channel was closed while it ran", s.ID, id)
 		return
 	}
+	if v := r.Header.Get("Wagtailshelf-Expect-Version"); v != "" && v != weights {
+		s.world.Record("server %s: request %s is for weights %s: 421", s.ID, id, v)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.Header().Set("Wagtailshelf-Weight-Versions", weights)
+	if s.crashNow(r) {
+		return
+	}
 	switch {
 	case s.spoilNow():
 		s.sendGarbage(w, id)
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -43,8 +43,10 @@
 	Request string
 	SentAt  time.Time
 	Entry   int
-	Kept    bool // its channel had carried a request before
-	Status  int  // 0 if there was no complete answer
+	Kept    bool   // its channel had carried a request before
+	Parts   string // the shared parts of its prompt
+	Version string // the version of the weights that it asks for
+	Status  int    // 0 if there was no complete answer
 	Body    string
 	Stamped bool
 	Err     error
@@ -70,6 +72,7 @@
 	file    *os.File
 	runs    []Run
 	answers []Answer
+	crashes []time.Time // of servers
 	version int
 }
 
@@ -355,6 +358,14 @@
 	r.Header.Set("Wagtailshelf-Request-Id", a.Request)
 	r.Header.Set("Wagtailshelf-Request-Timeout-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
 	r.Header.Set("Authorization", "Bearer "+key)
+	if a.Parts != "" {
+		r.Header.Set("Wagtailshelf-Model", "m")
+		r.Header.Set("Wagtailshelf-Token-Usage", "1460,80")
+		r.Header.Set("Wagtailshelf-Prompt-Prefix", fmt.Sprintf("%s,%08x:250", a.Parts, w.number.Load()))
+	}
+	if a.Version != "" {
+		r.Header.Set("Wagtailshelf-Expect-Version", a.Version)
+	}
 	a.SentAt = time.Now()
 	w.Record("requester: sends %s to %s: %s %s, key %q", a.Request, w.Entries[a.Entry].Name, method, path, key)
 	answer, err := c.Do(r)
@@ -391,3 +402,9 @@
 		}
 	}
 }
+
+// noteOf returns the note with which the ID of a request begins.
+func noteOf(request string) string {
+	note, _, _ := strings.Cut(request, "-")
+	return note
+}
