--- a/review/harness/foreign.go
+++ b/review/harness/foreign.go
@@ -105,6 +105,29 @@
 		}
 		w.Record("check: %s reached %s %.3f s after the entries were told that it is gone, and ended with %d", r.Request, r.Server, r.At.Sub(last).Seconds(), end.Status)
 	}
+	w.Record("check: %d were sent later than %d ms after their entry had passed on an answer of %s that says it leaves", w.sentAfterNotice(s), drainMS, s.ID)
 	w.Record("check: %d requests reached %s later than %d ms, and %d of them began to run and got no answer of it", reached, s.ID, drainMS, lost)
 	return reached > 0, nil
 }
+
+// sentAfterNotice returns how many requests have reached a server that requesters had sent later than the
+// bound after the same entry had passed on an answer in which the server said that it leaves.
+func (w *World) sentAfterNotice(s *Server) int {
+	told := make(map[int]time.Time) // when an entry passed on the first of these answers
+	ends := make(map[string]Answer)
+	for _, a := range w.Answers() {
+		ends[a.Request] = a
+		if first, found := told[a.Entry]; a.Leaving && (!found || a.At.Before(first)) {
+			told[a.Entry] = a.At
+		}
+	}
+	n := 0
+	for _, r := range w.Runs() {
+		a, found := ends[r.Request]
+		first, noted := told[a.Entry]
+		if r.Server == s.ID && found && noted && a.SentAt.After(first.Add(drainMS*time.Millisecond)) {
+			n++
+		}
+	}
+	return n
+}
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -49,6 +49,8 @@
 	Status  int    // 0 if there was no complete answer
 	Body    string
 	Stamped bool
+	Leaving bool // it says that its server leaves
+	At      time.Time
 	Err     error
 }
 
@@ -374,11 +376,12 @@
 		text, err = io.ReadAll(answer.Body)
 		_ = answer.Body.Close()
 		a.Body, a.Stamped = string(text), answer.Header.Get("Wagtailshelf-Server-Stamp") != ""
+		a.Leaving = answer.Header.Get("Server-Leaving") == "1"
 		if err == nil {
 			a.Status = answer.StatusCode
 		}
 	}
-	a.Err = err
+	a.Err, a.At = err, time.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.answers = append(w.answers, a)
