--- a/review/harness/garbage.go
+++ b/review/harness/garbage.go
@@ -159,10 +159,10 @@
 	return lost > 3
 }
 
-// Counters of a faulty server.
+// faults is how a server is faulty.
 type faults struct {
-	spoil   int // it spoils one answer in so many; 0 for a sound server
-	answers atomic.Int64
+	spoil   int          // it spoils one answer in so many; 0 for a sound server
+	answers atomic.Int64 // that it has begun
 }
 
 // sendEvents answers with a short stream.
