Log what each attempt of a stream asked for and received

The logs could not tell the hypotheses of the incident on order apart: they had no numbers of events, not the number that a resumed run was asked to go on after, nor how a body was delimited. One line a request as before; IDs are cut at 32 bytes. No logic is changed.

--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -91,7 +91,7 @@
 		Str("service", r.Service).Str("workspace", r.Workspace).
 		Str("outcome", string(r.Outcome)).Str("reason", r.Reason).Int("status", r.Status).
 		Int64("rules", r.Config).Dur("rulesAge", r.Age).Dur("queued", r.Queued).
-		Dur("first", r.First).Dur("took", r.Took).Int("events", r.Events)
+		Dur("first", r.First).Dur("took", r.Took).Int("events", r.Events).Str("lastEvent", loggedID(r.LastEvent))
 	attempts := make([]string, 0, len(r.Attempts))
 	for _, a := range r.Attempts {
 		attempts = append(attempts, describeAttempt(a))
@@ -120,25 +120,37 @@
 const (
 	// maxLoggedParts bounds the parts of a prompt that a log line lists.
 	maxLoggedParts = 8
-	// maxLoggedPartID bounds the length of a part's ID in a log line.
-	maxLoggedPartID = 32
+	// maxLoggedID bounds the length of an ID from another process in a log line.
+	maxLoggedID = 32
 )
 
 // loggedParts returns the IDs of a prompt's parts as a log line lists them.
 func loggedParts(ids []string) []string {
 	list := make([]string, 0, maxLoggedParts)
 	for _, id := range ids[:min(len(ids), maxLoggedParts)] {
-		list = append(list, id[:min(len(id), maxLoggedPartID)])
+		list = append(list, loggedID(id))
 	}
 	return list
 }
 
-// describeAttempt returns the log text of an attempt: the target, the result and its duration,
-// when the request was written to the target, what was known of the target when it was chosen, the rate that its response gave, and its
-// notice.
+// loggedID returns an ID from another process as a log line gives it.
+func loggedID(id string) string { return id[:min(len(id), maxLoggedID)] }
+
+// describeAttempt returns the log text of an attempt: the target, the result and its duration, when the
+// request was written to the target, what was known of the target when it was chosen, the status of its
+// response, which events of a stream it sent, the rate that it gave, and its notice.
 func describeAttempt(a forward.Attempt) string {
 	text := fmt.Sprintf("%s %s %dms sent=%dms reused=%t load=%d loadAge=%dms",
 		a.Target, a.Result, a.Took.Milliseconds(), a.Sent.Milliseconds(), a.Reused, a.Seen.Load, a.Seen.Age.Milliseconds())
+	if a.Status != 0 {
+		text += fmt.Sprintf(" status=%d", a.Status)
+	}
+	if a.Unframed {
+		text += " unframed=true"
+	}
+	if p := a.Stream; p.Events > 0 || p.ResumeAfter != "" {
+		text += fmt.Sprintf(" after=%q events=%d ids=%q..%q", loggedID(p.ResumeAfter), p.Events, loggedID(p.First), loggedID(p.Last))
+	}
 	if a.Rate.Kind != ratelimit.NoRate {
 		text += " rate=" + a.Rate.String()
 	}
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -188,20 +188,20 @@
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Body: c.body,
 		Header: platform.RequestHeader(c.r.Header, c.outgoing(target.ID, left)),
 	}
-	a.Sent = c.f.Now().Sub(c.begin)
+	a.Sent, a.Stream.ResumeAfter = c.f.Now().Sub(c.begin), c.resumeAfter()
 	c.spendRepeat()
 	answer, err := c.f.Pool.Send(ctx, conn, req, c.isMine)
 	if err != nil {
 		return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.failureReason(reasonBroken)
 	}
 	meta := platform.ReadResponse(answer.Status, answer.Header)
-	a.Notice = meta.Notice
+	a.Notice, a.Status, a.Unframed = meta.Notice, answer.Status, answer.Unframed
 	if answer.Status == http.StatusMisdirectedRequest {
 		c.f.OnMisdirected(target.ID) // the response is another server's: its headers do not describe this target
 	} else {
 		c.noteTarget(t, a, meta)
 	}
-	return c.handleResponse(t, answer, meta)
+	return c.handleResponse(t, a, answer, meta)
 }
 
 // noteTarget passes the rate limit and the target notice in a response to admission. A response
@@ -256,6 +256,15 @@
 	return o
 }
 
+// resumeAfter returns the ID of the event after which a stream is to be resumed; "" for a whole
+// stream.
+func (c *call) resumeAfter() string {
+	if c.stream.lastID != "" {
+		return c.stream.lastID
+	}
+	return c.in.LastEventID
+}
+
 // isMine reports whether a response belongs to this request. One without an ID does: a
 // response to another request carries that request's ID.
 func (c *call) isMine(h http.Header) bool {
@@ -265,7 +274,7 @@
 
 // handleResponse passes a target's response on to the caller, or returns what it proves about
 // the request.
-func (c *call) handleResponse(t *admission.Ticket, answer *upstream.Answer, meta platform.ResponseInfo) (result, admission.End, string) {
+func (c *call) handleResponse(t *admission.Ticket, a *Attempt, answer *upstream.Answer, meta platform.ResponseInfo) (result, admission.End, string) {
 	if meta.Closing {
 		answer.DisableReuse()
 	}
@@ -285,7 +294,7 @@
 		return resultUnknown, admission.End{Failed: true}, reasonNoProof
 	}
 	if success && c.route.Kind == routing.Streaming {
-		return c.relay(t, answer, meta)
+		return c.relay(t, a, answer, meta)
 	}
 	body, err := answer.ReadAll(maxAnswerBytes)
 	answer.Finish(c.f.Now(), err == nil, meta.KeepAlive)
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -77,6 +77,8 @@
 	First     time.Duration // time until the first event, or until the response if it is no stream
 	Took      time.Duration
 	Events    int
+	// LastEvent is the ID of the last event that was sent to the caller.
+	LastEvent string
 	// Fingerprint identifies the request; it is zero if it was not needed.
 	Fingerprint quarantine.Fingerprint
 	Crashes     int // known crashes of targets that ran the request, or another one with its part
@@ -98,6 +100,17 @@
 	Took   time.Duration
 	Rate   ratelimit.Statement // rate limit in the target's response
 	Notice notice.Notice       // target notice in the response
+	Status int                 // of the response; 0 if none was received
+	// Unframed is set if the response stated no length and ended with its connection.
+	Unframed bool
+	Stream   StreamPart
+}
+
+// StreamPart describes the events of a stream that one attempt received.
+type StreamPart struct {
+	ResumeAfter string // ID of the event after which the target was asked to resume; "" for a whole stream
+	Events      int
+	First, Last string // IDs of the first and the last event
 }
 
 const (
@@ -141,7 +154,7 @@
 	c := &call{f: f, w: w, r: r, begin: f.Now(), in: platform.ReadIncoming(r.Header)}
 	c.rec.ID, c.rec.Parts = c.in.ID, c.in.SharedParts
 	defer func() {
-		c.rec.Took = f.Now().Sub(c.begin)
+		c.rec.Took, c.rec.LastEvent = f.Now().Sub(c.begin), c.stream.lastID
 		f.OnEnd(c.rec)
 	}()
 	if f.Draining.Load() {
--- a/internal/traffic/forward/stream.go
+++ b/internal/traffic/forward/stream.go
@@ -18,11 +18,20 @@
 	failure *failureAnswer // a target's failure response to pass on if no target gives a better one
 }
 
+// count adds an event that a target sent.
+func (p *StreamPart) count(id string) {
+	if p.Events == 0 {
+		p.First = id
+	}
+	p.Events++
+	p.Last = id
+}
+
 func contentLength(body []byte) string { return strconv.Itoa(len(body)) }
 
 // relay passes a stream on to the caller, one complete event at a time. If the stream is
 // truncated within an event, another target can resume it after the last event that was sent.
-func (c *call) relay(t *admission.Ticket, answer *upstream.Answer, meta platform.ResponseInfo) (result, admission.End, string) {
+func (c *call) relay(t *admission.Ticket, a *Attempt, answer *upstream.Answer, meta platform.ResponseInfo) (result, admission.End, string) {
 	events := upstream.NewEvents(answer.Body)
 	flusher, _ := c.w.(http.Flusher)
 	for {
@@ -35,6 +44,7 @@
 			return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.failureReason(reasonCut)
 		}
 		t.Progress(c.f.Now())
+		a.Stream.count(ev.ID)
 		c.beginStream(answer)
 		if _, err := c.w.Write(ev.Bytes); err != nil {
 			answer.Finish(c.f.Now(), false, 0)
