Failing tests of streams out of order, and of ends that are not proven

What callers saw: another response's body, events twice or of no number, or a truncated response, as a stream that looks complete. No logic is changed.

--- /dev/null
+++ b/internal/program/gateway/unframed_test.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/platform/standin"
+)
+
+// unframedServers is a set of servers whose responses state no length and end with their connection.
+type unframedServers struct {
+	cut, whole string // bodies of the response of the server that crashes, and of the others
+	crashed    atomic.Bool
+}
+
+// start starts a server. The first of all that receives a request crashes once it has sent its response.
+func (u *unframedServers) start(t *testing.T) netip.AddrPort {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() }) // closed already if the server has crashed
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(conn, l)
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func (u *unframedServers) serve(conn net.Conn, l net.Listener) {
+	defer conn.Close()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	body := u.whole
+	if u.crashed.CompareAndSwap(false, true) {
+		body = u.cut
+		_ = l.Close() // the server has only this listener
+	}
+	// The test checks what arrives.
+	_, _ = io.WriteString(conn, standin.Wire(r.Header.Get("Wagtailshelf-Request-Id"), "", body))
+}
+
+// Guards against a response without a length that looks complete although its target crashed.
+func TestUnframedResponseOfACrashedTarget(t *testing.T) {
+	t.Parallel()
+	const firstTwo, lastTwo = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 3\ndata: c\n\nid: 4\ndata: d\n\n"
+	for name, want := range map[string]struct {
+		cut, whole, body string
+		status           int
+	}{
+		"stream": {firstTwo, lastTwo, firstTwo + lastTwo, http.StatusOK},
+		"once":   {firstTwo, lastTwo, "", 0},
+		"safe":   {"hel", "hello", "hello", http.StatusOK},
+		"unsafe": {"hel", "hello", "", http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := standin.NewStore(t)
+			require.NoError(t, store.PutConfig(standin.Config{
+				Version: 1, Host: callsHost, Plain: "app", Workspaces: map[string][]string{"acme": {"k1"}},
+				Routes: []standin.Route{
+					{Name: "stream", Kind: "streaming", Service: "app", Resumable: true}, {Name: "once", Kind: "streaming", Service: "app"},
+					{Name: "safe", Kind: "safe", Service: "app"}, {Name: "unsafe", Kind: "unsafe", Service: "app"},
+				},
+			}))
+			u := &unframedServers{cut: want.cut, whole: want.whole}
+			for _, id := range []string{"i-0", "i-1"} {
+				store.PutServerStarted(id, "app", u.start(t), time.Now())
+			}
+			e := start(t, "entry-1", store.Address)
+			status, body, _ := e.call(t, "id-1", "/"+name+"/x", "")
+			require.Equal(t, want.status, status, "%v", e.logged.of("request"))
+			require.Equal(t, want.body, body)
+			status, body, _ = e.call(t, "id-2", "/"+name+"/x", "")
+			require.Equal(t, http.StatusOK, status, "of a running target: %v", e.logged.of("request"))
+			require.Equal(t, want.whole, body)
+		})
+	}
+}
