--- a/internal/traffic/forward/order_test.go
+++ b/internal/traffic/forward/order_test.go
@@ -147,7 +147,7 @@
 		requireServed(t, callStream(t, "/stream/x", inTurn(cutAfter(allFour), streamOf(""))), allFour)
 	})
 	t.Run("a line fills the buffer", func(t *testing.T) {
-		for length := 4094; length <= 4098; length++ {
+		for length := 4090; length <= 4110; length++ {
 			line := "id: 3\ndata: " + strings.Repeat("x", length-len("id: 3\ndata: "))
 			requireServed(t, callStream(t, "/stream/x", inTurn(cutAfter(firstTwo+line+"\n"), events)), allFour)
 			requireServed(t, callStream(t, "/stream/x", inTurn(streamOf(line+"\n\n"), events)), line+"\n\n")
