All that a caller receives passes through one place that knows what it has

What callers saw: in a stream that was cut and sent on, another response's body (202, 400, 404, 413); events again, from 1 or from the last one; events that skip; and as its end that of a run that was never shown to be whole.

Cause, one class: each way out of an attempt decided by itself what the caller had already been sent, and each reader of a body what complete means. One of the ways did not ask, nobody compared numbers, and an end of the connection counted as the end of the response.

Change: traffic/delivery owns the response. Once a stream has begun it takes only events whose numbers rise, from the one that the caller itself named on; at the joint of two runs none may be missing where numbers rose by one; a run ends the stream only if no event was left half sent, and if the target has stated the end, or, where a response ends with its connection, still runs: the examination that connection failures get tells the request its result. What is not proven is resumed or visibly cut. A stream that sent an event without a number after its last one is not resumed, and not moved.

TestResumedStreamIsTheSameRequest had a server that repeats an event when resumed, which is the fault: it goes on with the next one now, the checks are the same. The examination's channel carries its result; TestCrashIsDistinguishedFromALostConnection checks that too.

--- a/internal/program/gateway/breaks.go
+++ b/internal/program/gateway/breaks.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -42,13 +43,19 @@
 	presence presence.Presence
 }
 
-// end tells the requests that it is known whether the target ended.
+// end tells the requests whether the target still runs.
 func (b *failedTarget) end() {
 	for _, r := range b.requests {
+		r.Examined <- b.presence
 		close(r.Examined)
 	}
 }
 
+// onlyEnded reports whether each of the connections ended as a response without a length does.
+func (b *failedTarget) onlyEnded() bool {
+	return !slices.ContainsFunc(b.requests, func(r forward.ConnectionFailure) bool { return !r.Ended })
+}
+
 // followFailures finds out, for each target whose connections fail, whether its process ended.
 func (g *Gateway) followFailures(ctx context.Context) error {
 	pending := make(map[string]*failedTarget)
@@ -101,7 +108,11 @@
 		fingerprints = append(fingerprints, r.Request.String())
 		parts = append(parts, strings.Join(loggedParts(r.Parts), ","))
 	}
-	g.log.Info().Str("event", "targetBroke").Str("target", b.target.ID).Stringer("address", b.target.Address).
+	event := "targetBroke"
+	if b.presence == presence.Listening && b.onlyEnded() {
+		event = "responseEnded"
+	}
+	g.log.Info().Str("event", event).Str("target", b.target.ID).Stringer("address", b.target.Address).
 		Stringer("presence", b.presence).Dur("after", time.Since(b.since)).
 		Int("requests", len(b.requests)).Strs("fingerprints", fingerprints).Strs("parts", parts).Msg("")
 	if b.presence == presence.Absent && !g.endedAsPlanned(b.target.ID) {
--- a/internal/program/gateway/breaks_test.go
+++ b/internal/program/gateway/breaks_test.go
@@ -15,6 +15,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
+	"wagtailshelf.example/wagtailshelf/internal/wire/presence"
 )
 
 // logLines collects the lines that a process logs.
@@ -64,17 +65,19 @@
 	target := func(id string, l net.Listener) roster.Target {
 		return roster.Target{ID: id, Address: netip.MustParseAddrPort(l.Addr().String())}
 	}
-	var examined []chan struct{}
+	var examined []chan presence.Presence
 	failed := func(request quarantine.Fingerprint, target roster.Target) {
-		done := make(chan struct{})
+		done := make(chan presence.Presence, 1)
 		examined = append(examined, done)
 		g.connectionFailed(forward.ConnectionFailure{Run: quarantine.Run{Request: request}, Target: target, Examined: done})
 	}
 	failed(quarantine.Fingerprint{1}, target("gone", gone))
 	failed(quarantine.Fingerprint{2}, target("alive", alive))
 	failed(quarantine.Fingerprint{3}, target("gone", gone))
-	for _, done := range examined {
-		<-done
+	for i, want := range []presence.Presence{presence.Absent, presence.Listening, presence.Absent} {
+		require.Equal(t, want, <-examined[i])
+		_, open := <-examined[i]
+		require.False(t, open)
 	}
 	require.Len(t, logged.of("targetBroke"), 2)
 	stop()
--- a/internal/program/gateway/unframed_test.go
+++ b/internal/program/gateway/unframed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -17,11 +18,12 @@
 
 // unframedServers is a set of servers whose responses state no length and end with their connection.
 type unframedServers struct {
-	cut, whole string // bodies of the response of the server that crashes, and of the others
-	crashed    atomic.Bool
+	cut, whole string // bodies of the response of the server that crashes, and of all others
+	armed      atomic.Bool
 }
 
-// start starts a server. The first of all that receives a request crashes once it has sent its response.
+// start starts a server. It crashes once it has responded to the first request after the set was armed, if
+// that reached it.
 func (u *unframedServers) start(t *testing.T) netip.AddrPort {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -45,7 +47,7 @@
 		return
 	}
 	body := u.whole
-	if u.crashed.CompareAndSwap(false, true) {
+	if u.armed.CompareAndSwap(true, false) {
 		body = u.cut
 		_ = l.Close() // the server has only this listener
 	}
@@ -81,12 +83,15 @@
 				store.PutServerStarted(id, "app", u.start(t), time.Now())
 			}
 			e := start(t, "entry-1", store.Address)
-			status, body, _ := e.call(t, "id-1", "/"+name+"/x", "")
+			for n := range 20 { // they earn a repeat in the retry budget
+				status, body, _ := e.call(t, fmt.Sprint("id-", n), "/"+name+"/x", "")
+				require.Equal(t, http.StatusOK, status, "%v", e.logged.of("request"))
+				require.Equal(t, want.whole, body)
+			}
+			u.armed.Store(true)
+			status, body, _ := e.call(t, "id-last", "/"+name+"/x", "")
 			require.Equal(t, want.status, status, "%v", e.logged.of("request"))
 			require.Equal(t, want.body, body)
-			status, body, _ = e.call(t, "id-2", "/"+name+"/x", "")
-			require.Equal(t, http.StatusOK, status, "of a running target: %v", e.logged.of("request"))
-			require.Equal(t, want.whole, body)
 		})
 	}
 }
--- /dev/null
+++ b/internal/traffic/delivery/delivery_test.go
@@ -0,0 +1,98 @@
+package delivery
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
+)
+
+func event(n int) upstream.Event {
+	return upstream.Event{Bytes: fmt.Appendf(nil, "id: %d\ndata: x\n\n", n), ID: strconv.Itoa(n), HasData: true}
+}
+
+func newDelivery(after string) (*Delivery, *httptest.ResponseRecorder) {
+	w := httptest.NewRecorder()
+	return New(w, httptest.NewRequest(http.MethodPost, "/", nil), after), w
+}
+
+var head = Head{Status: http.StatusOK, Header: http.Header{}}
+
+// A run is cut within its third event. Another one goes on after the second.
+func ExampleDelivery() {
+	w := httptest.NewRecorder()
+	d := New(w, httptest.NewRequest(http.MethodPost, "/", nil), "")
+	_ = d.StartRun(http.StatusOK)
+	_ = d.Event(head, event(1), false)
+	_ = d.Event(head, event(2), false)
+	d.Cut()
+	_ = d.StartRun(http.StatusOK)
+	fmt.Println(d.Event(head, event(1), false))
+	fmt.Println(d.Respond(Head{Status: http.StatusNotFound}, nil))
+	fmt.Println(d.Event(head, event(3), false), d.End(head), d.LastID())
+	// Output:
+	// the event is out of order
+	// a response has begun
+	// <nil> <nil> 3
+}
+
+// Guards against a sequence of runs after which a caller has an event twice, too early or too late.
+func TestRunsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		after := rapid.IntRange(0, 3).Draw(t, "after")
+		id := ""
+		if after > 0 {
+			id = strconv.Itoa(after)
+		}
+		d, _ := newDelivery(id)
+		var sent []int
+		for range rapid.IntRange(1, 4).Draw(t, "runs") {
+			require.NoError(t, d.StartRun(http.StatusOK))
+			for range rapid.IntRange(0, 5).Draw(t, "events") {
+				n := rapid.IntRange(1, 8).Draw(t, "number")
+				if d.Event(head, event(n), false) == nil {
+					sent = append(sent, n)
+				}
+			}
+		}
+		last := after
+		for _, n := range sent {
+			require.Greater(t, n, last)
+			last = n
+		}
+		require.Equal(t, len(sent), d.Events())
+		if len(sent) > 0 {
+			require.Equal(t, strconv.Itoa(last), d.LastID())
+		}
+	})
+}
+
+// Guards against a stream that is resumed although nobody knows after which event.
+func TestEventWithoutANumberIsNotResumedAfter(t *testing.T) {
+	d, _ := newDelivery("")
+	require.NoError(t, d.StartRun(http.StatusOK))
+	require.True(t, d.Resumable())
+	require.NoError(t, d.Event(head, event(1), false))
+	require.NoError(t, d.Event(head, upstream.Event{Bytes: []byte("data: x\n\n"), HasData: true}, false))
+	require.False(t, d.Resumable())
+	require.NoError(t, d.Event(head, event(2), false))
+	require.True(t, d.Resumable(), "the position is known again")
+}
+
+// Guards against an entry's own response, or another status, in the middle of a stream.
+func TestNothingElseOnceAStreamHasBegun(t *testing.T) {
+	d, w := newDelivery("")
+	require.NoError(t, d.StartRun(http.StatusOK))
+	require.NoError(t, d.Event(head, event(1), false))
+	require.ErrorIs(t, d.Reply(http.StatusServiceUnavailable, "id-1"), ErrBegun)
+	require.ErrorIs(t, d.Respond(Head{Status: http.StatusOK}, []byte("x")), ErrBegun)
+	require.ErrorIs(t, d.StartRun(http.StatusAccepted), ErrBegun)
+	require.Equal(t, string(event(1).Bytes), w.Body.String())
+	require.PanicsWithValue(t, http.ErrAbortHandler, d.Abort)
+}
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/delivery"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
@@ -35,6 +36,7 @@
 // attempt sends the request to one target. It reports whether to try another one.
 func (c *call) attempt(t *admission.Ticket, v quarantine.Verdict) bool {
 	begin := c.f.Now()
+	c.sentAt, c.examined = begin, nil
 	a := Attempt{Target: t.Target().ID, Seen: t.Basis}
 	res, end, reason := c.send(t, &a)
 	now := c.f.Now()
@@ -43,9 +45,8 @@
 	c.rec.Attempts = append(c.rec.Attempts, a)
 	c.f.Admission.Done(now, t, end)
 	c.endAttempt(v, t.Target(), begin, reason)
-	var examined <-chan struct{} // nil if no connection failed
 	if res == resultUnknown && (reason == reasonBroken || reason == reasonCut) {
-		examined = c.reportFailure(t.Target(), begin, now)
+		c.examine(t.Target(), begin, now, false)
 	}
 	switch {
 	case res == resultDone:
@@ -59,15 +60,14 @@
 		return true
 	}
 	c.sent++
-	repeatable := res == resultNotRun || c.route.Idempotent()
 	switch {
-	case !repeatable:
+	case !c.repeatable(res):
 		c.fail(reason)
 	case c.ctx.Err() != nil:
 		c.expire(res, reason)
 	case c.sent >= c.route.MaxAttempts:
 		c.exhausted(res, reason)
-	case c.partSuspected(examined):
+	case c.partSuspected():
 		c.exhausted(res, reasonSuspected)
 	case !c.leftSlow.Swap(false) && !c.f.Budget.Reserve(now, c.service):
 		c.exhausted(res, "budget")
@@ -78,6 +78,11 @@
 	return false
 }
 
+// repeatable reports whether the request may be sent again after an attempt.
+func (c *call) repeatable(res result) bool {
+	return c.out.Resumable() && (res == resultNotRun || c.route.Idempotent())
+}
+
 // spendRepeat counts the repeat that is reserved for the request, if any, as it is sent now.
 func (c *call) spendRepeat() {
 	if c.repeat {
@@ -98,7 +103,7 @@
 
 // fail ends a request that may have run: it sends an error, or aborts a stream that has begun.
 func (c *call) fail(reason string) {
-	if c.stream.begun {
+	if c.out.Begun() {
 		c.abortResponse(reason)
 		return
 	}
@@ -112,7 +117,7 @@
 // expire ends a request that gets no further attempt. It refuses the request as not run only
 // if no attempt can have run.
 func (c *call) expire(res result, reason string) {
-	if res == resultNotRun && !c.stream.begun && !c.mayHaveRun() {
+	if res == resultNotRun && !c.out.Begun() && !c.mayHaveRun() {
 		c.refuse(http.StatusServiceUnavailable, reason, c.retryDelay())
 		return
 	}
@@ -122,7 +127,7 @@
 // exhausted ends a request that has used up its attempts or the retry budget. It passes on
 // an earlier failure response of a target, if there is one.
 func (c *call) exhausted(res result, reason string) {
-	if c.stream.failure != nil {
+	if c.failure != nil {
 		c.deliverFailure()
 		return
 	}
@@ -152,6 +157,11 @@
 	reasonLeft     = "callerLeft"
 	reasonSlow     = "leftSlowTarget"
 
+	// The target's response does not go on with the stream that the caller receives.
+	reasonNoStream   = "noStream"   // it is a response of another kind
+	reasonOutOfOrder = "outOfOrder" // an event does not follow those that the caller has
+	reasonEndsEarly  = "endsEarly"  // it ends before an event that an earlier run had begun
+
 	reasonSuspected = "partSuspected" // the target crashed, perhaps because of a part of the prompt
 )
 
@@ -169,8 +179,10 @@
 		// Only a repeatable request can leave a lost or slow target. One that may run only
 		// once has to wait for its target, because it may have run there.
 		c.f.Admission.OnLost(c.f.Now(), t, func() {
-			c.stranded.Store(true)
-			cancel()
+			if c.out.Resumable() {
+				c.stranded.Store(true)
+				cancel()
+			}
 		})
 		c.f.Admission.OnSlow(t, func() bool { return c.leaveSlowTarget(cancel) })
 	}
@@ -222,7 +234,7 @@
 // The repeat is reserved in the retry budget before the attempt is cancelled: a stream that was
 // cancelled and may not be sent again would reach its caller truncated.
 func (c *call) leaveSlowTarget(cancel func()) bool {
-	if c.sent+1 >= c.route.MaxAttempts || !c.f.Budget.Reserve(c.f.Now(), c.service) {
+	if c.sent+1 >= c.route.MaxAttempts || !c.out.Resumable() || !c.f.Budget.Reserve(c.f.Now(), c.service) {
 		return false
 	}
 	c.leftSlow.Store(true)
@@ -246,7 +258,7 @@
 
 // outgoing returns the values of the headers that the entry adds to a request.
 func (c *call) outgoing(instance string, left time.Duration) platform.Outgoing {
-	o := platform.Outgoing{Timeout: left, Instance: instance, Priority: -1, ResumeFrom: c.stream.lastID}
+	o := platform.Outgoing{Timeout: left, Instance: instance, Priority: -1, ResumeFrom: c.resumeAfter()}
 	if c.config.RequiresKeys() {
 		o.DropKey = true
 	}
@@ -259,8 +271,8 @@
 // resumeAfter returns the ID of the event after which a stream is to be resumed; "" for a whole
 // stream.
 func (c *call) resumeAfter() string {
-	if c.stream.lastID != "" {
-		return c.stream.lastID
+	if id := c.out.LastID(); id != "" {
+		return id
 	}
 	return c.in.LastEventID
 }
@@ -293,16 +305,22 @@
 		answer.Finish(c.f.Now(), false, 0)
 		return resultUnknown, admission.End{Failed: true}, reasonNoProof
 	}
-	if success && c.route.Kind == routing.Streaming {
+	isStream := success && c.route.Kind == routing.Streaming
+	if c.out.Begun() && !isStream || isStream && c.out.StartRun(answer.Status) != nil {
+		answer.Finish(c.f.Now(), false, 0)
+		return resultUnknown, admission.End{}, reasonNoStream
+	}
+	if isStream {
 		return c.relay(t, a, answer, meta)
 	}
 	body, err := answer.ReadAll(maxAnswerBytes)
-	answer.Finish(c.f.Now(), err == nil, meta.KeepAlive)
-	if err != nil {
+	complete := err == nil && (!a.Unframed || c.targetRuns(t))
+	answer.Finish(c.f.Now(), complete, meta.KeepAlive)
+	if !complete {
 		return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.failureReason(reasonCut)
 	}
 	if answer.Status >= 500 && c.route.Idempotent() {
-		c.stream.failure = &failureAnswer{status: answer.Status, header: answer.Header, body: body}
+		c.failure = &failureAnswer{status: answer.Status, header: answer.Header, body: body}
 		return resultUnknown, admission.End{}, reasonFailed
 	}
 	c.deliver(answer.Status, answer.Header, body)
@@ -325,22 +343,23 @@
 
 // deliverFailure passes the failure response of an earlier attempt on.
 func (c *call) deliverFailure() {
-	if c.stream.begun {
+	if c.out.Begun() {
 		c.abortResponse(reasonFailed)
 		return
 	}
-	h := c.stream.failure
+	h := c.failure
 	c.deliver(h.status, h.header, h.body)
 }
 
 // deliver passes a complete response on.
 func (c *call) deliver(status int, header http.Header, body []byte) {
-	platform.CopyResponseHeader(c.w.Header(), header)
-	c.w.Header().Set("Content-Length", contentLength(body))
 	c.rec.Outcome, c.rec.Status = Answered, status
 	c.rec.First = c.f.Now().Sub(c.begin)
-	c.w.WriteHeader(status)
-	if _, err := c.w.Write(body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+	err := c.out.Respond(delivery.Head{Status: status, Header: header}, body)
+	switch {
+	case errors.Is(err, delivery.ErrBegun):
+		c.abortResponse(reasonNoStream)
+	case err != nil:
 		c.rec.Outcome, c.rec.Reason = CallerLeft, "notWritten"
 	}
 }
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -15,10 +15,12 @@
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/delivery"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/notice"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/ratelimit"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
+	"wagtailshelf.example/wagtailshelf/internal/wire/presence"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
@@ -126,7 +128,7 @@
 // call is one request that is being served.
 type call struct {
 	f         *Forwarder
-	w         http.ResponseWriter
+	out       *delivery.Delivery
 	r         *http.Request
 	ctx       context.Context
 	in        platform.Incoming
@@ -140,25 +142,30 @@
 	service   string
 	// partPrints are the fingerprints of the shared parts of the prompt; nil until they are needed.
 	partPrints []quarantine.Fingerprint
-	tried      []string // IDs of the targets of earlier attempts
-	sent       int      // number of times that the request was written to a target
-	stream     streamState
-	unframed   bool        // the newest response states no length and ends with its connection
-	repeat     bool        // a repeat of the request is reserved in the retry budget
-	leftSlow   atomic.Bool // the request moves away from a slow target, and a repeat is reserved for that
-	stranded   atomic.Bool // the host of a target that the request was sent to is unreachable
+	tried      []string       // IDs of the targets of earlier attempts
+	sent       int            // number of times that the request was written to a target
+	failure    *failureAnswer // a target's failure response to pass on if no target gives a better one
+	sentAt     time.Time      // when the current attempt began
+	// examined receives whether the target of the current attempt still runs; nil if its connection
+	// has not ended.
+	examined <-chan presence.Presence
+	unframed bool        // the newest response states no length and ends with its connection
+	repeat   bool        // a repeat of the request is reserved in the retry budget
+	leftSlow atomic.Bool // the request moves away from a slow target, and a repeat is reserved for that
+	stranded atomic.Bool // the host of a target that the request was sent to is unreachable
 }
 
 // ServeHTTP serves one request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{f: f, w: w, r: r, begin: f.Now(), in: platform.ReadIncoming(r.Header)}
+	c := &call{f: f, r: r, begin: f.Now(), in: platform.ReadIncoming(r.Header)}
+	c.out = delivery.New(w, r, c.in.LastEventID)
 	c.rec.ID, c.rec.Parts = c.in.ID, c.in.SharedParts
 	defer func() {
-		c.rec.Took, c.rec.LastEvent = f.Now().Sub(c.begin), c.stream.lastID
+		c.rec.Took, c.rec.Events, c.rec.LastEvent = f.Now().Sub(c.begin), c.out.Events(), c.out.LastID()
 		f.OnEnd(c.rec)
 	}()
 	if f.Draining.Load() {
-		w.Header().Set("Connection", "close")
+		c.out.SetHeader("Connection", "close")
 	}
 	if !c.admit() || !c.readBody() {
 		return
@@ -208,7 +215,7 @@
 	// The key may have been revoked since; only a fresh configuration proves that it is valid.
 	if configuration.Age > c.f.KeyMaxAge() {
 		// With a new connection the caller may reach another entry.
-		c.w.Header().Set("Connection", "close")
+		c.out.SetHeader("Connection", "close")
 		c.refuse(http.StatusServiceUnavailable, "rulesTooOld", c.staleConfigDelay())
 		return false
 	}
@@ -234,7 +241,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if limits.BodyBytes > 0 && int64(len(text)) > limits.BodyBytes {
-		c.w.Header().Set("Connection", "close")
+		c.out.SetHeader("Connection", "close")
 		c.endUnread(Denied, "bodyTooLarge", http.StatusRequestEntityTooLarge)
 		return false
 	}
@@ -253,7 +260,7 @@
 // bounds. If the connection were closed with bytes unread, it would be reset, and the caller, which
 // still writes, would lose the response.
 func (c *call) endUnread(o Outcome, reason string, status int) {
-	connection := http.NewResponseController(c.w)
+	connection := c.out.Controller()
 	// These fail only for a connection that is closed or can't have deadlines: the body is then
 	// read without a bound in time, or not at all.
 	_ = connection.EnableFullDuplex()
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -22,6 +22,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
+	"wagtailshelf.example/wagtailshelf/internal/wire/presence"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
@@ -86,10 +87,13 @@
 		Budget: &Budget{Limits: func() Limits {
 			return Limits{Ratio: 0.2, Window: 10 * time.Second, Fixed: 10}
 		}},
-		Now:                 time.Now,
-		Draining:            new(atomic.Bool),
-		OnMisdirected:       func(id string) { b.targets.MarkLeaving(id, time.Time{}) },
-		OnConnectionFailure: func(f ConnectionFailure) { close(f.Examined) },
+		Now:           time.Now,
+		Draining:      new(atomic.Bool),
+		OnMisdirected: func(id string) { b.targets.MarkLeaving(id, time.Time{}) },
+		OnConnectionFailure: func(f ConnectionFailure) {
+			f.Examined <- presence.Probe(t.Context(), f.Target.Address)
+			close(f.Examined)
+		},
 
 		Quarantine: quarantine.New("entry-1"),
 		OnEnd: func(r Record) {
--- a/internal/traffic/forward/quarantine_test.go
+++ b/internal/traffic/forward/quarantine_test.go
@@ -69,7 +69,7 @@
 // A target crashes in the middle of a stream, which another target resumes after the last event.
 // The request has the same fingerprint there, and two crashes if that target crashes too.
 func TestResumedStreamIsTheSameRequest(t *testing.T) {
-	breaks := func(w standin.Reply, _ standin.Request) { w.StampedHeader(); w.Event(1); w.Abort() }
+	breaks := func(w standin.Reply, r standin.Request) { w.StampedHeader(); w.Event(len(r.LastEvent) + 1); w.Abort() }
 	one, two := standin.NewServer(t, breaks), standin.NewServer(t, breaks)
 	b := newTestbed(t, one, two)
 	failures := make(chan ConnectionFailure, 2)
--- a/internal/traffic/forward/refuse.go
+++ b/internal/traffic/forward/refuse.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"strconv"
 	"time"
-
-	"wagtailshelf.example/wagtailshelf/platform"
 )
 
 // deny ends a request that the configuration does not allow. A stale configuration can't prove
@@ -25,9 +23,9 @@
 // all its attempts: an earlier one may have run.
 func (c *call) giveUp(status int, reason string, retryAfter time.Duration) {
 	switch {
-	case c.stream.failure != nil:
+	case c.failure != nil:
 		c.deliverFailure()
-	case c.stream.begun || c.mayHaveRun():
+	case c.out.Begun() || c.mayHaveRun():
 		c.fail(reason)
 	default:
 		c.refuse(status, reason, retryAfter)
@@ -79,7 +77,7 @@
 
 // refuse ends the request with a response which states that it did not run and when to retry.
 func (c *call) refuse(status int, reason string, retryAfter time.Duration) {
-	c.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	c.out.SetHeader("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	c.end(NotRun, reason, status)
 }
 
@@ -91,14 +89,14 @@
 
 // reply sends an empty response that carries the request's ID.
 func (c *call) reply(status int) {
-	platform.SetRequestID(c.w.Header(), c.in.ID)
-	c.w.Header().Set("Content-Length", "0")
-	c.w.WriteHeader(status)
+	if c.out.Reply(status, c.in.ID) != nil {
+		c.abortResponse(c.rec.Reason)
+	}
 }
 
 // abortResponse aborts a response that has begun, so that the caller can't take it for a
 // complete one.
 func (c *call) abortResponse(reason string) {
 	c.rec.Outcome, c.rec.Reason = Broken, reason
-	panic(http.ErrAbortHandler)
+	c.out.Abort()
 }
--- a/internal/traffic/forward/stream.go
+++ b/internal/traffic/forward/stream.go
@@ -3,21 +3,13 @@
 import (
 	"errors"
 	"io"
-	"net/http"
-	"strconv"
 
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/delivery"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
 
-// streamState is what has been sent to the caller so far, and what to send if all attempts fail.
-type streamState struct {
-	begun   bool           // the response header has been sent
-	lastID  string         // ID of the last event that was sent
-	failure *failureAnswer // a target's failure response to pass on if no target gives a better one
-}
-
 // count adds an event that a target sent.
 func (p *StreamPart) count(id string) {
 	if p.Events == 0 {
@@ -27,58 +19,61 @@
 	p.Last = id
 }
 
-func contentLength(body []byte) string { return strconv.Itoa(len(body)) }
-
 // relay passes a stream on to the caller, one complete event at a time. If the stream is
-// truncated within an event, another target can resume it after the last event that was sent.
+// truncated, another target can resume it after the last event that was sent.
 func (c *call) relay(t *admission.Ticket, a *Attempt, answer *upstream.Answer, meta platform.ResponseInfo) (result, admission.End, string) {
 	events := upstream.NewEvents(answer.Body)
-	flusher, _ := c.w.(http.Flusher)
+	head := delivery.Head{Status: answer.Status, Header: answer.Header}
 	for {
 		ev, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			return c.finishStream(answer, meta)
+			return c.finishStream(t, a, answer, meta)
 		}
 		if err != nil {
-			answer.Finish(c.f.Now(), false, 0)
-			return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.failureReason(reasonCut)
+			if events.Inside() {
+				c.out.Cut()
+			}
+			return c.leaveStream(answer, c.failureReason(reasonCut))
 		}
 		t.Progress(c.f.Now())
 		a.Stream.count(ev.ID)
-		c.beginStream(answer)
-		if _, err := c.w.Write(ev.Bytes); err != nil {
+		// Events that arrived together are flushed together.
+		err = c.out.Event(head, ev, events.Ready())
+		if errors.Is(err, delivery.ErrNotWritten) {
 			answer.Finish(c.f.Now(), false, 0)
 			c.rec.Outcome, c.rec.Reason = CallerLeft, "notWritten"
 			return resultDone, admission.End{}, reasonLeft
 		}
-		c.rec.Events++
-		if ev.ID != "" {
-			c.stream.lastID = ev.ID
-		}
-		// Events that arrived together are flushed together.
-		if !events.Ready() {
-			flusher.Flush()
+		if err != nil {
+			return c.leaveStream(answer, reasonOutOfOrder)
 		}
+		c.noteFirst(answer.Status)
 	}
 }
 
-// beginStream sends the response header. It is called at the first event, since until then
-// another target can still serve the request with a header of its own.
-func (c *call) beginStream(answer *upstream.Answer) {
-	if c.stream.begun {
-		return
+// noteFirst records when the caller was sent the beginning of a stream.
+func (c *call) noteFirst(status int) {
+	if c.rec.First == 0 {
+		c.rec.First, c.rec.Status = c.f.Now().Sub(c.begin), status
 	}
-	c.stream.begun = true
-	c.rec.First = c.f.Now().Sub(c.begin)
-	platform.CopyResponseHeader(c.w.Header(), answer.Header)
-	c.rec.Status = answer.Status
-	c.w.WriteHeader(answer.Status)
 }
 
-// finishStream ends a stream that is complete.
-func (c *call) finishStream(answer *upstream.Answer, meta platform.ResponseInfo) (result, admission.End, string) {
+// leaveStream ends an attempt whose stream can't be passed on any further.
+func (c *call) leaveStream(answer *upstream.Answer, reason string) (result, admission.End, string) {
+	answer.Finish(c.f.Now(), false, 0)
+	return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, reason
+}
+
+// finishStream ends a stream whose target has ended it, if that proves that it is complete.
+func (c *call) finishStream(t *admission.Ticket, a *Attempt, answer *upstream.Answer, meta platform.ResponseInfo) (result, admission.End, string) {
+	if a.Unframed && (a.Stream.Events == 0 && a.Stream.ResumeAfter == "" || !c.targetRuns(t)) {
+		return c.leaveStream(answer, c.failureReason(reasonCut))
+	}
+	if err := c.out.End(delivery.Head{Status: answer.Status, Header: answer.Header}); err != nil {
+		return c.leaveStream(answer, reasonEndsEarly)
+	}
 	answer.Finish(c.f.Now(), true, meta.KeepAlive)
-	c.beginStream(answer)
+	c.noteFirst(answer.Status)
 	c.rec.Outcome, c.rec.Status = Answered, answer.Status
 	return resultDone, admission.End{}, reasonAnswered
 }
--- a/internal/traffic/forward/suspect.go
+++ b/internal/traffic/forward/suspect.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
+	"wagtailshelf.example/wagtailshelf/internal/wire/presence"
 )
 
 // ConnectionFailure describes a connection to a target that failed during a request.
@@ -14,8 +16,11 @@
 	Target   roster.Target
 	Parts    []string         // IDs of the shared parts of the request's prompt
 	PartRuns []quarantine.Run // the parts, as the quarantine knows them
-	// Examined is closed once it is known whether the target crashed, and the quarantine knows it too.
-	Examined chan<- struct{}
+	// Ended is set if the connection ended as a response without a length does.
+	Ended bool
+	// Examined receives whether the target still runs, and is closed, once the quarantine knows of a crash. It
+	// has room for one value. If it is closed without one, nothing is known.
+	Examined chan<- presence.Presence
 }
 
 // fingerprint returns the request's fingerprint, which stays the same when the caller retries.
@@ -96,31 +101,46 @@
 	return quarantine.Served
 }
 
-// reportFailure reports that the connection to a target failed during the request. It returns a
-// channel that is closed once it is known whether the target crashed.
-func (c *call) reportFailure(target roster.Target, sent, failed time.Time) <-chan struct{} {
-	examined := make(chan struct{})
+// examine asks whether the target whose connection has ended during the request still runs. If ended is set,
+// the connection ended as a response without a length does.
+func (c *call) examine(target roster.Target, sent, at time.Time, ended bool) {
+	if c.examined != nil {
+		return
+	}
+	examined := make(chan presence.Presence, 1)
 	f := ConnectionFailure{
-		Run: quarantine.Run{Request: c.fingerprint(), Sent: sent, Failed: failed}, Target: target,
-		Parts: c.in.SharedParts, Examined: examined,
+		Run: quarantine.Run{Request: c.fingerprint(), Sent: sent, Failed: at}, Target: target,
+		Parts: c.in.SharedParts, Ended: ended, Examined: examined,
 	}
 	for _, part := range c.parts() {
-		f.PartRuns = append(f.PartRuns, quarantine.Run{Request: part, Part: true, Sent: sent, Failed: failed})
+		f.PartRuns = append(f.PartRuns, quarantine.Run{Request: part, Part: true, Sent: sent, Failed: at})
 	}
 	c.f.OnConnectionFailure(f)
-	return examined
+	c.examined = examined
+}
+
+// targetRuns reports whether the target of the current attempt is known to run after its connection has
+// ended. If it does not, it may have crashed in the middle of a response without a length.
+func (c *call) targetRuns(t *admission.Ticket) bool {
+	c.examine(t.Target(), c.sentAt, c.f.Now(), true)
+	select {
+	case p := <-c.examined:
+		return p == presence.Listening
+	case <-c.ctx.Done():
+		return false
+	}
 }
 
 // partSuspected reports whether a part of the request's prompt is suspected of having crashed a
 // target, after the examination of the target whose connection failed. If the request were sent on
 // before that, one that crashes each target would crash two at each attempt of its caller. A
 // request whose parts are all known to be harmless does not wait.
-func (c *call) partSuspected(examined <-chan struct{}) bool {
-	if examined == nil || c.f.Quarantine.Harmless(c.f.Now(), c.parts()...) {
+func (c *call) partSuspected() bool {
+	if c.examined == nil || c.f.Quarantine.Harmless(c.f.Now(), c.parts()...) {
 		return false
 	}
 	select {
-	case <-examined:
+	case <-c.examined:
 	case <-c.ctx.Done():
 	}
 	return c.f.Quarantine.Suspected(c.parts()...)
