A broken response over HTTP/1.0 ends with a reset

What callers saw: a stream that broke off looked complete, as a response over HTTP/1.0 has no length and ends with its connection, and the entry closed that one as any other. Only a reset differs.

Evidence: TestBrokenStreamToAnOldCaller fails before and passes after. Ruled out: to refuse streams to such callers. Left: an entry that is killed closes its connections without a reset.

--- a/internal/traffic/delivery/delivery.go
+++ b/internal/traffic/delivery/delivery.go
@@ -6,6 +6,7 @@
 
 import (
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 
@@ -156,5 +157,21 @@
 // Abort aborts a response that has begun so that the caller can't take it for a complete one. It does
 // not return.
 func (d *Delivery) Abort() {
+	if !d.r.ProtoAtLeast(1, 1) {
+		d.reset()
+	}
 	panic(http.ErrAbortHandler)
 }
+
+// reset resets the connection. A response over HTTP/1.0 has no length and ends with its connection, so
+// only a reset shows that it is truncated.
+func (d *Delivery) reset() {
+	conn, _, err := d.Controller().Hijack()
+	if err != nil {
+		return // the connection has failed already
+	}
+	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
+		_ = tcp.SetLinger(0) // it fails only on a connection that is closed already
+	}
+	_ = conn.Close()
+}
