sidecar: an end within an event is no end of a stream

Callers saw a stream that ended as complete and lacked the event in which the engine's body had ended. Cause: the reader of events returned io.EOF whatever it still held of an event. The reader now decides what an end proves, and what has been passed on is kept in one place for all connections of a stream.

Before: TestEndWithinAnEventIsNoEnd failed in both forms (nothing resumed, no reason given). After: the stream is resumed at the token that is missing. TestEventReaderHoldsBackHalfEvents asked for io.EOF after half an event, which was the fault: it now asks for io.ErrUnexpectedEOF there, and for io.EOF as before in the other cases. Ruled out: a resumed attempt answered by 404, 413, 206 or another content type; resume refused these already.

--- a/internal/program/sidecar/call.go
+++ b/internal/program/sidecar/call.go
@@ -97,7 +97,7 @@
 
 func (s *Sidecar) copyBody(ctx, callCtx context.Context, j job, head book.Event, resp *http.Response) request.Reason {
 	if s.cfg.Model && isEventStream(resp) {
-		return s.copyEvents(ctx, callCtx, j, head, resp.Body)
+		return s.copyEvents(ctx, callCtx, j, head, resp)
 	}
 	s.desk.putBook(ctx, head)
 	return s.copyAnswer(ctx, j, resp.Body)
--- a/internal/program/sidecar/requestsrecover.go
+++ b/internal/program/sidecar/requestsrecover.go
@@ -35,8 +35,8 @@
 // bytes the entry already has. The engine's original head was lost with the earlier
 // incarnation, so recoverRun makes one.
 func (s *Sidecar) recoverRun(ctx, callCtx context.Context, j job) {
-	body := s.resume(callCtx, j, 0)
-	if body == nil {
+	resp := s.resume(callCtx, j, 0)
+	if resp == nil {
 		s.desk.putBook(ctx, book.Event{Kind: book.EngineNotReached, ID: j.id})
 		return
 	}
@@ -46,6 +46,6 @@
 		Kind: book.EngineHead, ID: j.id, Status: http.StatusOK,
 		Header: []request.Field{{Name: "Content-Type", Value: "text/event-stream"}},
 	}
-	reason := s.copyEvents(ctx, callCtx, j, head, body)
+	reason := s.copyEvents(ctx, callCtx, j, head, resp)
 	s.desk.putBook(ctx, book.Event{Kind: book.EngineEnd, ID: j.id, Reason: reason})
 }
--- /dev/null
+++ b/internal/program/sidecar/resume_test.go
@@ -0,0 +1,157 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/traffic/book"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/workspace"
+	"wagtailshelf.example/wagtailshelf/internal/wire/engine"
+)
+
+// scriptedEngine answers each call with the next of its texts, byte by byte as they are, and
+// closes the connection. After the last text it has no run any more.
+type scriptedEngine struct {
+	listener net.Listener
+	mu       sync.Mutex
+	texts    []string
+	asked    []string // the token that each call asked to go on at; "" for a new run
+	ended    bool     // the process ends after the next text
+}
+
+func newScriptedEngine(t *testing.T, texts ...string) *scriptedEngine {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	e := &scriptedEngine{listener: l, texts: texts}
+	t.Cleanup(func() { _ = l.Close() }) // it may be closed already
+	go e.serve()
+	return e
+}
+
+func (e *scriptedEngine) serve() {
+	for {
+		c, err := e.listener.Accept()
+		if err != nil {
+			return // the test has ended
+		}
+		e.answer(c)
+	}
+}
+
+func (e *scriptedEngine) answer(c net.Conn) {
+	defer func() { _ = c.Close() }() // the caller sees the end in any case
+	q, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return // a probe sends nothing
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asked = append(e.asked, q.Header.Get(engine.ResumeHeader))
+	text := "HTTP/1.1 404 Not Found\r\nContent-Length: 7\r\n\r\nno run\n"
+	if len(e.texts) > 0 {
+		text, e.texts = e.texts[0], e.texts[1:]
+	}
+	_, _ = c.Write([]byte(text)) // the test checks what arrives
+	if e.ended {
+		_ = e.listener.Close() // as the end of a process does
+	}
+}
+
+// result is what a sidecar reported of a call.
+type result struct {
+	text   string
+	reason request.Reason
+	asked  []string
+}
+
+// callEngine makes a call to an engine and returns what the sidecar reported.
+func callEngine(t *testing.T, e *scriptedEngine, model bool) result {
+	at := netip.MustParseAddrPort(e.listener.Addr().String())
+	s := &Sidecar{
+		cfg:    Config{Target: at, Model: model, Log: &log.Logger{Level: log.PanicLevel}},
+		target: engine.New(engine.Config{Target: at}),
+		desk:   newDesk(&log.Logger{Level: log.PanicLevel}, newCounts(metrics.NewSet()), book.DefaultConfig(1), workspace.Config{}),
+	}
+	t.Cleanup(s.target.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	id := request.ID{1}
+	j := job{id: id, call: request.Call{Method: http.MethodPost, Path: "/", Idempotent: true}, deadline: time.Now().Add(10 * time.Second)}
+	s.call(ctx, ctx, j)
+	var res result
+	for {
+		select {
+		case ev := <-s.desk.ring:
+			for _, b := range append(ev.books, ev.book) {
+				res.text += string(b.Data)
+				res.reason = max(res.reason, b.Reason)
+			}
+		default:
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			res.asked = e.asked
+			return res
+		}
+	}
+}
+
+// Parts of answers.
+const (
+	streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	chunkedEnd = "0\r\n\r\n"
+	endOfThree = "event: end\ndata: {\"tokens\":3}\n\n"
+)
+
+// tokens returns the events of the tokens with these numbers.
+func tokens(numbers ...int) string {
+	var b strings.Builder
+	for _, n := range numbers {
+		fmt.Fprintf(&b, "data: {\"index\":%d,\"token\":\"t%d\"}\n\n", n, n)
+	}
+	return b.String()
+}
+
+// chunked returns a stream in one chunk, without the last chunk, which ends it.
+func chunked(body string) string {
+	return streamHead + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+}
+
+// unframed returns a stream of no stated length.
+func unframed(body string) string { return streamHead + "\r\n" + body }
+
+// requireWhole requires that the whole stream of three tokens was passed on, and where it was
+// resumed.
+func requireWhole(t *testing.T, got result, resumedAt ...string) {
+	t.Helper()
+	require.Equal(t, result{text: tokens(0, 1, 2) + endOfThree, asked: append([]string{""}, resumedAt...)}, got)
+}
+
+// requireBroken requires that a stream was given as broken after a text.
+func requireBroken(t *testing.T, got result, text string) {
+	t.Helper()
+	require.Equal(t, text, got.text)
+	require.Equal(t, request.EngineTruncated, got.reason)
+}
+
+// Guards against a stream that is given as complete without the event that it broke off in.
+func TestEndWithinAnEventIsNoEnd(t *testing.T) {
+	for name, half := range map[string]string{"line": "data: {\"ind", "lines": tokens(2)[:len(tokens(2))-1]} {
+		t.Run(name, func(t *testing.T) {
+			e := newScriptedEngine(t, chunked(tokens(0, 1)+half)+chunkedEnd, chunked(tokens(2)+endOfThree)+chunkedEnd)
+			requireWhole(t, callEngine(t, e, true), "2")
+		})
+	}
+}
--- a/internal/program/sidecar/stream.go
+++ b/internal/program/sidecar/stream.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -22,74 +21,21 @@
 	// resumePause is the wait before a stream is resumed.
 	resumePause = 10 * time.Millisecond
 
-	// maxEventBytes is the largest incomplete event that is buffered.
-	maxEventBytes = 1 << 20
-
 	// cancelTimeout is the time limit of a call that cancels a run.
 	cancelTimeout = 2 * time.Second
 )
 
-var (
-	eventEnd   = []byte("\n\n")
-	eventField = []byte("event:")
-)
-
 func isEventStream(resp *http.Response) bool {
 	return resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 }
 
-// eventReader reads an engine's stream in complete events. A stream can break within
-// an event. If a part of the event had been forwarded, resuming the stream would repeat
-// or lose bytes in the middle of the answer.
-type eventReader struct {
-	r       io.Reader
-	partial []byte // the beginning of an event that is not complete yet
-	tokens  int    // events returned that carry a token
-}
-
-// next returns one or more complete events. With an error it returns none.
-func (e *eventReader) next(buf []byte) ([]byte, error) {
-	for {
-		n, err := e.r.Read(buf)
-		e.partial = append(e.partial, buf[:n]...)
-		if complete := e.takeComplete(); len(complete) > 0 {
-			return complete, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-		if len(e.partial) > maxEventBytes {
-			return nil, bytes.ErrTooLarge
-		}
-	}
-}
-
-// takeComplete removes the complete events from the buffer and returns them.
-func (e *eventReader) takeComplete() []byte {
-	end := bytes.LastIndex(e.partial, eventEnd)
-	if end < 0 {
-		return nil
-	}
-	end += len(eventEnd)
-	complete := e.partial[:end:end] // capped, because the book keeps it
-	e.partial = append([]byte(nil), e.partial[end:]...)
-	for event := range bytes.SplitSeq(complete, eventEnd) {
-		// Engines set a name on all events except those that carry a token.
-		if len(event) > 0 && !bytes.HasPrefix(event, eventField) {
-			e.tokens++
-		}
-	}
-	return complete
-}
-
 // copyEvents forwards an engine's stream to the desk, and resumes it when its connection
 // breaks: the run continues in the engine, and only the connection is lost.
-func (s *Sidecar) copyEvents(ctx, callCtx context.Context, j job, head book.Event, body io.ReadCloser) request.Reason {
-	tokens := 0
+func (s *Sidecar) copyEvents(ctx, callCtx context.Context, j job, head book.Event, resp *http.Response) request.Reason {
+	var sent passedOn
 	for resumes := 0; ; resumes++ {
-		n, err := s.copyCompleteEvents(ctx, j, &head, body)
-		tokens += n
-		_ = body.Close() // the stream has ended
+		err := s.copyCompleteEvents(ctx, j, &head, newEventReader(resp, &sent))
+		_ = resp.Body.Close() // the stream has ended
 		if err == io.EOF {
 			s.putHead(ctx, &head)
 			return request.NoReason
@@ -97,8 +43,8 @@
 		if resumes == maxResumes {
 			return request.EngineTruncated
 		}
-		body = s.resume(callCtx, j, tokens)
-		if body == nil {
+		resp = s.resume(callCtx, j, sent.tokens)
+		if resp == nil {
 			return request.EngineTruncated
 		}
 		s.desk.counts.resumes.Inc()
@@ -108,14 +54,13 @@
 // copyCompleteEvents forwards the head only with the first event. An engine sends the
 // head before its first step. Forwarded then, it would bind the request to an engine
 // that may never make a step, while another could answer.
-func (s *Sidecar) copyCompleteEvents(ctx context.Context, j job, head *book.Event, body io.Reader) (tokens int, err error) {
+func (s *Sidecar) copyCompleteEvents(ctx context.Context, j job, head *book.Event, events *eventReader) error {
 	buf := readBuffers.Get().(*[readBytes]byte)
 	defer readBuffers.Put(buf)
-	events := eventReader{r: body}
 	for {
 		complete, err := events.next(buf[:])
 		if err != nil {
-			return events.tokens, err
+			return err
 		}
 		s.putHead(ctx, head)
 		s.desk.putBook(ctx, book.Event{Kind: book.EngineData, ID: j.id, Data: complete})
@@ -132,7 +77,7 @@
 
 // resume requests the stream of a run after the first tokens; nil if the engine has no
 // such run. It refers to an existing run and begins none, so repeating it does no harm.
-func (s *Sidecar) resume(callCtx context.Context, j job, tokens int) io.ReadCloser {
+func (s *Sidecar) resume(callCtx context.Context, j job, tokens int) *http.Response {
 	select {
 	case <-callCtx.Done():
 		return nil
@@ -149,7 +94,7 @@
 		_ = resp.Body.Close() // a refusal; there is nothing to resume
 		return nil
 	}
-	return resp.Body
+	return resp
 }
 
 // cancelAbandoned cancels the run at the engine if its call was cancelled. The run was
--- a/internal/program/sidecar/stream_test.go
+++ b/internal/program/sidecar/stream_test.go
@@ -13,13 +13,14 @@
 // readEvents reads a stream to its end and returns its complete events and the last
 // error.
 func readEvents(r io.Reader) (text string, tokens int, err error) {
-	events := eventReader{r: r}
+	var sent passedOn
+	events := eventReader{r: r, sent: &sent}
 	buf := make([]byte, 16)
 	var all strings.Builder
 	for {
 		complete, err := events.next(buf)
 		if err != nil {
-			return all.String(), events.tokens, err
+			return all.String(), sent.tokens, err
 		}
 		all.Write(complete)
 	}
@@ -36,12 +37,13 @@
 		stream string
 		text   string
 		tokens int
+		end    error // what the end of the stream proves
 	}{
-		{"nothing", "", "", 0},
-		{"complete events", complete, complete, 2},
-		{"half an event", complete + "data: {\"ind", complete, 2},
-		{"half a separator", complete + "data: {}\n", complete, 2},
-		{"an event without a token", complete + "event: end\ndata: {}\n\n", complete + "event: end\ndata: {}\n\n", 2},
+		{"nothing", "", "", 0, io.EOF},
+		{"complete events", complete, complete, 2, io.EOF},
+		{"half an event", complete + "data: {\"ind", complete, 2, io.ErrUnexpectedEOF},
+		{"half a separator", complete + "data: {}\n", complete, 2, io.ErrUnexpectedEOF},
+		{"an event without a token", complete + "event: end\ndata: {}\n\n", complete + "event: end\ndata: {}\n\n", 2, io.EOF},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -52,7 +54,7 @@
 			require.Equal(t, test.tokens, tokens)
 
 			text, tokens, err = readEvents(iotest.OneByteReader(strings.NewReader(test.stream)))
-			require.ErrorIs(t, err, io.EOF)
+			require.ErrorIs(t, err, test.end)
 			require.Equal(t, test.text, text)
 			require.Equal(t, test.tokens, tokens)
 		})
