sidecar: the end of a connection is no end of a stream

Callers saw a stream that ended as complete after some of its events, or after none, when the engine sent it without a length or chunks and its connection ended. Cause: the end of such a body was taken for proven. It is now proven only by the event "end", which the documentation of the engine interface names; without it the stream is resumed, or broken off to see.

Before: TestEndOfTheConnectionIsNoEndOfAStream failed in its three forms (resumed, not resumed, before any event). After: it passes. A framed stream without that event still counts as complete: its framing proves the end.

--- a/internal/program/sidecar/events.go
+++ b/internal/program/sidecar/events.go
@@ -12,16 +12,21 @@
 var (
 	eventEnd   = []byte("\n\n")
 	eventField = []byte("event:")
+	endEvent   = []byte("event: end\n")
 )
 
 // passedOn is what has been passed on of a stream. It outlasts the connections that the stream
 // comes by, and decides where the stream is resumed and whether it is complete.
 type passedOn struct {
-	tokens int // events that carry a token
+	tokens int  // events that carry a token
+	ended  bool // the event that ends the stream
 }
 
 // add notes an event.
 func (p *passedOn) add(event []byte) {
+	if bytes.HasPrefix(event, endEvent) {
+		p.ended = true
+	}
 	// Engines set a name on all events except those that carry a token.
 	if len(event) > 0 && !bytes.HasPrefix(event, eventField) {
 		p.tokens++
@@ -32,13 +37,19 @@
 // an event. If a part of the event had been forwarded, resuming the stream would repeat
 // or lose bytes in the middle of the answer.
 type eventReader struct {
-	r       io.Reader
-	sent    *passedOn
-	partial []byte // the beginning of an event that is not complete yet
+	r        io.Reader
+	unframed bool // no length and no chunks: the end of the connection ends the body, whatever caused it
+	sent     *passedOn
+	partial  []byte // the beginning of an event that is not complete yet
 }
 
 func newEventReader(resp *http.Response, sent *passedOn) *eventReader {
-	return &eventReader{r: resp.Body, sent: sent}
+	return &eventReader{r: resp.Body, unframed: isUnframed(resp), sent: sent}
+}
+
+// isUnframed reports whether the end of its connection is all that ends an answer.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
 // next returns one or more complete events. With an error it returns none. The error is [io.EOF]
@@ -64,7 +75,8 @@
 
 // end returns what the end of the body proves: [io.EOF] if the stream is complete.
 func (e *eventReader) end() error {
-	if len(bytes.TrimSpace(e.partial)) > 0 {
+	half := len(bytes.TrimSpace(e.partial)) > 0
+	if half || e.unframed && !e.sent.ended {
 		return io.ErrUnexpectedEOF
 	}
 	return io.EOF
--- a/internal/program/sidecar/resume_test.go
+++ b/internal/program/sidecar/resume_test.go
@@ -155,3 +155,17 @@
 		})
 	}
 }
+
+// Guards against a stream that is given as complete because its connection ended.
+func TestEndOfTheConnectionIsNoEndOfAStream(t *testing.T) {
+	t.Run("resumed", func(t *testing.T) {
+		e := newScriptedEngine(t, unframed(tokens(0, 1)), unframed(tokens(2)+endOfThree))
+		requireWhole(t, callEngine(t, e, true), "2")
+	})
+	t.Run("not resumed", func(t *testing.T) {
+		requireBroken(t, callEngine(t, newScriptedEngine(t, unframed(tokens(0, 1))), true), tokens(0, 1))
+	})
+	t.Run("before any event", func(t *testing.T) {
+		requireBroken(t, callEngine(t, newScriptedEngine(t, unframed("")), true), "")
+	})
+}
