sidecar: nothing follows the event that ends a stream

Callers saw the last event of a stream twice, or a whole stream broken off, when the connection to the engine broke right after that event; and whatever an engine sent behind it. Cause: only the end of the body ended the copy, so a broken connection was resumed at the end of a run. The event "end" now ends it.

Before: TestNothingFollowsTheEndEvent failed in both forms. After: it passes.

--- a/internal/program/sidecar/events.go
+++ b/internal/program/sidecar/events.go
@@ -41,6 +41,7 @@
 	unframed bool // no length and no chunks: the end of the connection ends the body, whatever caused it
 	sent     *passedOn
 	partial  []byte // the beginning of an event that is not complete yet
+	err      error  // of the last read
 }
 
 func newEventReader(resp *http.Response, sent *passedOn) *eventReader {
@@ -56,27 +57,33 @@
 // only if the stream is complete.
 func (e *eventReader) next(buf []byte) ([]byte, error) {
 	for {
-		n, err := e.r.Read(buf)
-		e.partial = append(e.partial, buf[:n]...)
 		if complete := e.takeComplete(); len(complete) > 0 {
 			return complete, nil
 		}
-		if err == io.EOF {
+		if e.err == io.EOF || e.sent.ended {
 			return nil, e.end()
 		}
-		if err != nil {
-			return nil, err
+		if e.err != nil {
+			return nil, e.err
 		}
 		if len(e.partial) > maxEventBytes {
 			return nil, bytes.ErrTooLarge
 		}
+		var n int
+		n, e.err = e.r.Read(buf)
+		e.partial = append(e.partial, buf[:n]...)
 	}
 }
 
-// end returns what the end of the body proves: [io.EOF] if the stream is complete.
+// end returns what the end of the body proves: [io.EOF] if the stream is complete. Whatever follows the
+// event that ends the stream is no part of it, and neither is a failure of the connection then.
 func (e *eventReader) end() error {
+	if e.sent.ended {
+		_, _ = e.r.Read(make([]byte, 1)) // the connection can be kept if the body ends here
+		return io.EOF
+	}
 	half := len(bytes.TrimSpace(e.partial)) > 0
-	if half || e.unframed && !e.sent.ended {
+	if half || e.unframed {
 		return io.ErrUnexpectedEOF
 	}
 	return io.EOF
@@ -84,15 +91,20 @@
 
 // takeComplete removes the complete events from the buffer and returns them.
 func (e *eventReader) takeComplete() []byte {
-	end := bytes.LastIndex(e.partial, eventEnd)
-	if end < 0 {
-		return nil
+	size := 0
+	for !e.sent.ended {
+		n := bytes.Index(e.partial[size:], eventEnd)
+		if n < 0 {
+			break
+		}
+		n += len(eventEnd)
+		e.sent.add(e.partial[size : size+n])
+		size += n
 	}
-	end += len(eventEnd)
-	complete := e.partial[:end:end] // capped, because the book keeps it
-	e.partial = append([]byte(nil), e.partial[end:]...)
-	for event := range bytes.SplitSeq(complete, eventEnd) {
-		e.sent.add(event)
+	if size == 0 {
+		return nil
 	}
+	complete := e.partial[:size:size] // capped, because the book keeps it
+	e.partial = append([]byte(nil), e.partial[size:]...)
 	return complete
 }
--- a/internal/program/sidecar/resume_test.go
+++ b/internal/program/sidecar/resume_test.go
@@ -169,3 +169,15 @@
 		requireBroken(t, callEngine(t, newScriptedEngine(t, unframed("")), true), "")
 	})
 }
+
+// Guards against a last event that comes twice, or a whole stream that is given as broken, when the
+// connection breaks right after that event.
+func TestNothingFollowsTheEndEvent(t *testing.T) {
+	t.Run("broken connection", func(t *testing.T) {
+		e := newScriptedEngine(t, chunked(tokens(0, 1, 2)+endOfThree), chunked(endOfThree)+chunkedEnd)
+		requireWhole(t, callEngine(t, e, true))
+	})
+	t.Run("further events", func(t *testing.T) {
+		requireWhole(t, callEngine(t, newScriptedEngine(t, chunked(tokens(0, 1, 2)+endOfThree+tokens(0, 1))+chunkedEnd), true))
+	})
+}
