sidecar: only events with data count as tokens

Callers lost a token when an engine's stream broke after a comment that keeps the connection alive, or another event without data: it counted as a token, and the stream was resumed one token too late. Cause: an event was told by how it begins. Its fields are now read.

Before: TestOnlyEventsWithDataCountAsTokens failed in its three forms (resumed at 3 instead of 2). After: it passes.

--- a/internal/program/sidecar/events.go
+++ b/internal/program/sidecar/events.go
@@ -9,11 +9,10 @@
 // maxEventBytes is the largest incomplete event that is buffered.
 const maxEventBytes = 1 << 20
 
-var (
-	eventEnd   = []byte("\n\n")
-	eventField = []byte("event:")
-	endEvent   = []byte("event: end\n")
-)
+var eventEnd = []byte("\n\n")
+
+// endName is the name of the event that ends a stream.
+const endName = "end"
 
 // passedOn is what has been passed on of a stream. It outlasts the connections that the stream
 // comes by, and decides where the stream is resumed and whether it is complete.
@@ -22,17 +21,40 @@
 	ended  bool // the event that ends the stream
 }
 
-// add notes an event.
-func (p *passedOn) add(event []byte) {
-	if bytes.HasPrefix(event, endEvent) {
+// add notes an event. Engines set a name on all events except those that carry a token. Comments, which
+// keep a connection alive, and fields for the connection come without data.
+func (p *passedOn) add(e event) {
+	switch {
+	case e.name == endName:
 		p.ended = true
-	}
-	// Engines set a name on all events except those that carry a token.
-	if len(event) > 0 && !bytes.HasPrefix(event, eventField) {
+	case e.name == "" && e.hasData:
 		p.tokens++
 	}
 }
 
+// event is a server-sent event.
+type event struct {
+	name    string
+	hasData bool
+	data    []byte
+}
+
+// parseEvent reads the lines of an event. It keeps the last line of data, since an engine sends one.
+func parseEvent(text []byte) event {
+	var e event
+	for line := range bytes.Lines(text) {
+		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(name) {
+		case "event":
+			e.name = string(value)
+		case "data":
+			e.hasData, e.data = true, value
+		}
+	}
+	return e
+}
+
 // eventReader reads an engine's stream in complete events. A stream can break within
 // an event. If a part of the event had been forwarded, resuming the stream would repeat
 // or lose bytes in the middle of the answer.
@@ -98,7 +120,7 @@
 			break
 		}
 		n += len(eventEnd)
-		e.sent.add(e.partial[size : size+n])
+		e.sent.add(parseEvent(e.partial[size : size+n]))
 		size += n
 	}
 	if size == 0 {
--- a/internal/program/sidecar/resume_test.go
+++ b/internal/program/sidecar/resume_test.go
@@ -181,3 +181,17 @@
 		requireWhole(t, callEngine(t, newScriptedEngine(t, chunked(tokens(0, 1, 2)+endOfThree+tokens(0, 1))+chunkedEnd), true))
 	})
 }
+
+// Guards against a lost token: a comment that counts as one moves the place at which a stream is resumed.
+func TestOnlyEventsWithDataCountAsTokens(t *testing.T) {
+	for name, other := range map[string]string{
+		"comment": ": still there\n\n", "retry": "retry: 100\n\n", "name after data": "data: {}\nevent: note\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newScriptedEngine(t, chunked(tokens(0)+other+tokens(1)), chunked(tokens(2)+endOfThree)+chunkedEnd)
+			got := callEngine(t, e, true)
+			got.text = strings.Replace(got.text, other, "", 1)
+			requireWhole(t, got, "2")
+		})
+	}
+}
