sidecar: lines of a stream may end with carriage returns

Callers of an engine that ends its lines with CR and LF got an empty stream that ended as complete: the reader knew only LF LF as the end of an event, held all events back, and dropped them at the end. It now knows both forms of line ends, mixed too. It also searched all that it held at each read: an event without end, 2 MB in reads of 16 bytes, kept a core busy up to its bound of 1 MB.

Ruled out: short lines in place of one long line get round the bound; they did not.

--- a/internal/program/sidecar/events.go
+++ b/internal/program/sidecar/events.go
@@ -9,8 +9,6 @@
 // maxEventBytes is the largest incomplete event that is buffered.
 const maxEventBytes = 1 << 20
 
-var eventEnd = []byte("\n\n")
-
 // endName is the name of the event that ends a stream.
 const endName = "end"
 
@@ -63,6 +61,7 @@
 	unframed bool // no length and no chunks: the end of the connection ends the body, whatever caused it
 	sent     *passedOn
 	partial  []byte // the beginning of an event that is not complete yet
+	scanned  int    // bytes of partial that hold no end of an event
 	err      error  // of the last read
 }
 
@@ -115,14 +114,14 @@
 func (e *eventReader) takeComplete() []byte {
 	size := 0
 	for !e.sent.ended {
-		n := bytes.Index(e.partial[size:], eventEnd)
-		if n < 0 {
+		n := eventLength(e.partial[size:], e.scanned)
+		if n == 0 {
 			break
 		}
-		n += len(eventEnd)
 		e.sent.add(parseEvent(e.partial[size : size+n]))
-		size += n
+		size, e.scanned = size+n, 0
 	}
+	e.scanned = max(len(e.partial)-size-maxEventEnd, 0)
 	if size == 0 {
 		return nil
 	}
@@ -130,3 +129,24 @@
 	e.partial = append([]byte(nil), e.partial[size:]...)
 	return complete
 }
+
+// maxEventEnd is the length of the longest end of an event, less one byte.
+const maxEventEnd = len("\n\r\n") - 1
+
+// eventLength returns the length of the first event of a text, with the blank line that ends it; 0 if it is not
+// complete. The blank line is not in the bytes before from. Lines end with "\n" or "\r\n".
+func eventLength(text []byte, from int) int {
+	for {
+		n := bytes.IndexByte(text[from:], '\n')
+		if n < 0 {
+			return 0
+		}
+		from += n + 1
+		switch rest := text[from:]; {
+		case bytes.HasPrefix(rest, []byte("\n")):
+			return from + len("\n")
+		case bytes.HasPrefix(rest, []byte("\r\n")):
+			return from + len("\r\n")
+		}
+	}
+}
--- a/internal/program/sidecar/resume_test.go
+++ b/internal/program/sidecar/resume_test.go
@@ -195,3 +195,13 @@
 		})
 	}
 }
+
+// Guards against a stream with carriage returns that is given as complete without any of its events.
+func TestLinesMayEndWithCarriageReturns(t *testing.T) {
+	crlf := func(text string) string { return strings.ReplaceAll(text, "\n", "\r\n") }
+	e := newScriptedEngine(t, chunked(crlf(tokens(0, 1)+"data: {\"ind")), chunked(crlf(tokens(2)+endOfThree))+chunkedEnd)
+	got := callEngine(t, e, true)
+	require.Equal(t, crlf(tokens(0, 1, 2)+endOfThree), got.text)
+	got.text = strings.ReplaceAll(got.text, "\r", "")
+	requireWhole(t, got, "2")
+}
--- a/internal/program/sidecar/stream_test.go
+++ b/internal/program/sidecar/stream_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"strings"
@@ -32,6 +33,7 @@
 func TestEventReaderHoldsBackHalfEvents(t *testing.T) {
 	errBroken := errors.New("broken")
 	const complete = "data: {\"index\":0}\n\ndata: {\"index\":1}\n\n"
+	const crlf = "data: {\"index\":0}\r\n\r\ndata: {\"index\":1}\n\r\n"
 	tests := []struct {
 		name   string
 		stream string
@@ -41,6 +43,8 @@
 	}{
 		{"nothing", "", "", 0, io.EOF},
 		{"complete events", complete, complete, 2, io.EOF},
+		{"carriage returns", crlf, crlf, 2, io.EOF},
+		{"half a separator with carriage returns", crlf + "data: {}\r\n\r", crlf, 2, io.ErrUnexpectedEOF},
 		{"half an event", complete + "data: {\"ind", complete, 2, io.ErrUnexpectedEOF},
 		{"half a separator", complete + "data: {}\n", complete, 2, io.ErrUnexpectedEOF},
 		{"an event without a token", complete + "event: note\ndata: {}\n\n", complete + "event: note\ndata: {}\n\n", 2, io.EOF},
@@ -60,3 +64,14 @@
 		})
 	}
 }
+
+// Guards against an event without end: it is held only up to its bound, whatever its lines are.
+func TestEventWithoutEndIsBounded(t *testing.T) {
+	for name, line := range map[string]string{"one line": "a", "short lines": "a\n", "short lines with carriage returns": "a\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			text, _, err := readEvents(strings.NewReader("data: 0\n\n" + strings.Repeat(line, 2*maxEventBytes)))
+			require.ErrorIs(t, err, bytes.ErrTooLarge)
+			require.Equal(t, "data: 0\n\n", text)
+		})
+	}
+}
