sidecar: compare the numbers of tokens with what was passed on

Callers got numbers that went back, came twice or skipped, and an end that came too early, in a stream that ended as complete: within one run, and where a resumed run began anew, one too early or one too late. Cause: nothing compared what an engine sent with what had been passed on. A token whose data has an index must now bear the next number, and the count in the last event must be that of the tokens; else the stream is resumed, four times at most, or broken off. Streams without such numbers, or whose index stays 0, are passed on as before; that an index is the number is now in the documentation of the engine interface.

Ruled out: an answer that is no event stream in place of a resumed one (413, 404, 206, application/json): TestOnlyAStreamResumesAStream passed before.

--- a/internal/program/sidecar/events.go
+++ b/internal/program/sidecar/events.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 )
@@ -12,22 +14,48 @@
 // endName is the name of the event that ends a stream.
 const endName = "end"
 
+// errNumber reports an event that does not go on where its stream stands.
+var errNumber = errors.New("event out of order")
+
 // passedOn is what has been passed on of a stream. It outlasts the connections that the stream
-// comes by, and decides where the stream is resumed and whether it is complete.
+// comes by, and decides what may follow, where the stream is resumed and whether it is complete.
 type passedOn struct {
-	tokens int  // events that carry a token
-	ended  bool // the event that ends the stream
+	tokens   int  // events that carry a token
+	resumed  int  // the number of tokens when the stream was resumed last
+	numbered bool // all tokens bear their numbers
+	ended    bool // the event that ends the stream
 }
 
-// add notes an event. Engines set a name on all events except those that carry a token. Comments, which
-// keep a connection alive, and fields for the connection come without data.
-func (p *passedOn) add(e event) {
+// add notes an event, unless it doesn't go on where the stream stands. Engines set a name on all events except
+// those that carry a token. Comments, which keep a connection alive, and fields for the connection come
+// without data.
+func (p *passedOn) add(e event) error {
 	switch {
 	case e.name == endName:
+		count := e.numbers().Tokens
+		if count != nil && *count != p.tokens && (p.numbered || p.tokens == 0) {
+			return errNumber
+		}
 		p.ended = true
 	case e.name == "" && e.hasData:
+		if !p.continues(e) {
+			return errNumber
+		}
 		p.tokens++
 	}
+	return nil
+}
+
+// continues reports whether a token may follow. Tokens that bear the numbers 0 and 1 are numbered, and each
+// further one must bear the next number. A value that stays 0 in the first connection is no number.
+func (p *passedOn) continues(e event) bool {
+	number := e.numbers().Index
+	next := number != nil && *number == p.tokens
+	if p.tokens == 0 || p.tokens == 1 && p.resumed == 0 {
+		p.numbered = next && (p.numbered || p.tokens == 0)
+		return true
+	}
+	return next || !p.numbered
 }
 
 // event is a server-sent event.
@@ -53,6 +81,20 @@
 	return e
 }
 
+// eventNumbers are the numbers in the data of an event; nil if it has none.
+type eventNumbers struct {
+	Index  *int `json:"index"`  // number of a token
+	Tokens *int `json:"tokens"` // how many tokens the stream had, in its last event
+}
+
+// numbers returns the numbers in the event's data.
+func (e event) numbers() (n eventNumbers) {
+	if json.Unmarshal(e.data, &n) != nil {
+		return eventNumbers{} // data of another form
+	}
+	return n
+}
+
 // eventReader reads an engine's stream in complete events. A stream can break within
 // an event. If a part of the event had been forwarded, resuming the stream would repeat
 // or lose bytes in the middle of the answer.
@@ -63,6 +105,7 @@
 	partial  []byte // the beginning of an event that is not complete yet
 	scanned  int    // bytes of partial that hold no end of an event
 	err      error  // of the last read
+	wrong    error  // why the next event is not passed on
 }
 
 func newEventReader(resp *http.Response, sent *passedOn) *eventReader {
@@ -81,6 +124,9 @@
 		if complete := e.takeComplete(); len(complete) > 0 {
 			return complete, nil
 		}
+		if e.wrong != nil {
+			return nil, e.wrong
+		}
 		if e.err == io.EOF || e.sent.ended {
 			return nil, e.end()
 		}
@@ -110,16 +156,17 @@
 	return io.EOF
 }
 
-// takeComplete removes the complete events from the buffer and returns them.
+// takeComplete removes the complete events from the buffer, up to one that doesn't follow, and returns them.
 func (e *eventReader) takeComplete() []byte {
 	size := 0
-	for !e.sent.ended {
+	for !e.sent.ended && e.wrong == nil {
 		n := eventLength(e.partial[size:], e.scanned)
 		if n == 0 {
 			break
 		}
-		e.sent.add(parseEvent(e.partial[size : size+n]))
-		size, e.scanned = size+n, 0
+		if e.wrong = e.sent.add(parseEvent(e.partial[size : size+n])); e.wrong == nil {
+			size, e.scanned = size+n, 0
+		}
 	}
 	e.scanned = max(len(e.partial)-size-maxEventEnd, 0)
 	if size == 0 {
--- a/internal/program/sidecar/resume_test.go
+++ b/internal/program/sidecar/resume_test.go
@@ -205,3 +205,59 @@
 	got.text = strings.ReplaceAll(got.text, "\r", "")
 	requireWhole(t, got, "2")
 }
+
+// Guards against numbers that go back, come twice or skip: what a resumed run sends is compared with
+// what was passed on.
+func TestNumbersOfTokensAreCompared(t *testing.T) {
+	again := map[string]string{
+		"begins anew": tokens(0, 1, 2), "last one again": tokens(1, 2), "gap": tokens(3), "no number": "data: {\"token\":\"t\"}\n\n",
+		"no data of this form": "data: t\n\n",
+	}
+	for name, rest := range again {
+		t.Run("resumed run "+name, func(t *testing.T) {
+			e := newScriptedEngine(t, chunked(tokens(0, 1)), chunked(rest+endOfThree)+chunkedEnd, chunked(tokens(2)+endOfThree)+chunkedEnd)
+			requireWhole(t, callEngine(t, e, true), "2", "2")
+		})
+		t.Run("within a run "+name, func(t *testing.T) {
+			e := newScriptedEngine(t, chunked(tokens(0, 1)+rest+endOfThree)+chunkedEnd, chunked(tokens(2)+endOfThree)+chunkedEnd)
+			requireWhole(t, callEngine(t, e, true), "2")
+		})
+	}
+	t.Run("never right", func(t *testing.T) {
+		e := newScriptedEngine(t, chunked(tokens(0, 1)), chunked(tokens(0, 1, 2)+endOfThree)+chunkedEnd)
+		requireBroken(t, callEngine(t, e, true), tokens(0, 1))
+	})
+	t.Run("after the first token", func(t *testing.T) {
+		e := newScriptedEngine(t, chunked(tokens(0)), chunked(tokens(0, 1, 2)+endOfThree)+chunkedEnd, chunked(tokens(1, 2)+endOfThree)+chunkedEnd)
+		requireWhole(t, callEngine(t, e, true), "1", "1")
+	})
+	t.Run("an end that counts more tokens", func(t *testing.T) {
+		e := newScriptedEngine(t, chunked(tokens(0, 1)+endOfThree)+chunkedEnd, chunked(tokens(2)+endOfThree)+chunkedEnd)
+		requireWhole(t, callEngine(t, e, true), "2")
+	})
+	t.Run("an end before the first token", func(t *testing.T) {
+		e := newScriptedEngine(t, chunked(endOfThree)+chunkedEnd, chunked(tokens(0, 1, 2)+endOfThree)+chunkedEnd)
+		requireWhole(t, callEngine(t, e, true), "0")
+	})
+	t.Run("tokens without numbers are not compared", func(t *testing.T) {
+		const events = "data: a\n\ndata: {\"index\":0}\n\ndata: {\"index\":0}\n\n"
+		require.Equal(t, result{text: events, asked: []string{""}}, callEngine(t, newScriptedEngine(t, chunked(events)+chunkedEnd), true))
+		const constant = "data: {\"index\":0}\n\ndata: {\"index\":0}\n\ndata: {\"index\":0}\n\n"
+		require.Equal(t, result{text: constant, asked: []string{""}}, callEngine(t, newScriptedEngine(t, chunked(constant)+chunkedEnd), true))
+	})
+}
+
+// Guards against a foreign body in a stream: what resumes it must be a stream too.
+func TestOnlyAStreamResumesAStream(t *testing.T) {
+	for name, answer := range map[string]string{
+		"413":                "HTTP/1.1 413 Too Large\r\nContent-Type: text/event-stream\r\nContent-Length: 9\r\n\r\ntoo large",
+		"404":                "HTTP/1.1 404 Not Found\r\nContent-Length: 6\r\n\r\nno run",
+		"other content type": "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}",
+		"other success":      "HTTP/1.1 206 Partial\r\nContent-Type: text/event-stream\r\nContent-Length: 9\r\n\r\ndata: x\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newScriptedEngine(t, chunked(tokens(0, 1)+"data: {"), answer)
+			requireBroken(t, callEngine(t, e, true), tokens(0, 1))
+		})
+	}
+}
--- a/internal/program/sidecar/stream.go
+++ b/internal/program/sidecar/stream.go
@@ -47,6 +47,7 @@
 		if resp == nil {
 			return request.EngineTruncated
 		}
+		sent.resumed = sent.tokens
 		s.desk.counts.resumes.Inc()
 	}
 }
--- a/internal/wire/engine/doc.go
+++ b/internal/wire/engine/doc.go
@@ -8,5 +8,6 @@
 //
 // A model engine streams server-sent events. Those without a name that have data carry a token each;
 // [ResumeHeader] counts them. The data of a token may be an object whose "index" is the token's number,
-// from 0. The last event is named "end". It may be left out where a length or chunks delimit the body.
+// from 0. The last event is named "end", and its data may be an object whose "tokens" is their count. It may be
+// left out where a length or chunks delimit the body.
 package engine
