sidecar: an answer without a length of a target that ended is truncated

Callers got the first part of an answer as a complete one when the target sent it without a length or chunks and its process ended. Cause: the end of the connection was taken for the end of the answer, whatever caused it. The target is now probed 10 ms after such an end, and an answer of one that no longer listens is given as broken off by a crash.

Not covered: a process that was replaced by another within these 10 ms, and one whose host is lost without a word.

--- a/internal/program/sidecar/call.go
+++ b/internal/program/sidecar/call.go
@@ -28,6 +28,10 @@
 	streamIdle = 3 * time.Second
 )
 
+// probeDelay is how long after the end of an answer that only its connection's end delimits the target is
+// probed: that end is the same whether the answer was complete or its process ended.
+const probeDelay = 10 * time.Millisecond
+
 // readBytes is the size of one read of a target's answer.
 const readBytes = 32 << 10
 
@@ -100,7 +104,21 @@
 		return s.copyEvents(ctx, callCtx, j, head, resp)
 	}
 	s.desk.putBook(ctx, head)
-	return s.copyAnswer(ctx, j, resp.Body)
+	reason := s.copyAnswer(ctx, j, resp.Body)
+	if reason == request.NoReason && isUnframed(resp) && s.targetEnded(callCtx) {
+		return request.EngineTruncated
+	}
+	return reason
+}
+
+// targetEnded reports whether the target's process has ended. A process that ends closes its connections one by
+// one, and its listener before or after them.
+func (s *Sidecar) targetEnded(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+	case <-time.After(probeDelay):
+	}
+	return presence.Probe(ctx, s.cfg.Target) == presence.Absent
 }
 
 // completeAnswer reads a short answer to its end, so that all of it is sent in one
--- a/internal/program/sidecar/resume_test.go
+++ b/internal/program/sidecar/resume_test.go
@@ -261,3 +261,14 @@
 		})
 	}
 }
+
+// Guards against an answer without a length that is given as complete though the process that sent
+// it ended meanwhile.
+func TestUnframedAnswerOfAnEndedTarget(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nthe first part"
+	e := newScriptedEngine(t, answer)
+	require.Equal(t, result{text: "the first part", asked: []string{""}}, callEngine(t, e, false))
+	e = newScriptedEngine(t, answer)
+	e.ended = true
+	require.Equal(t, result{text: "the first part", reason: request.EngineCrashed, asked: []string{""}}, callEngine(t, e, false))
+}
