entry: callers of HTTP/1.0 see that an answer broke off

Callers of HTTP/1.0 got an answer without a length that broke off as a complete one, stream or plain: its connection was closed in good order, which is how such an answer ends. The same when the process ended in the middle. Cause: the abort relies on chunks, which HTTP/1.0 has not. The connection is now set to be reset by whatever closes it, from the head of such an answer until all of it is written.

Ruled out: HTTP/1.1 with Connection: close, which gets chunks; a head that was never flushed.

--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -27,6 +27,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/wire/intake"
 	"wagtailshelf.example/wagtailshelf/internal/wire/peer"
 	"wagtailshelf.example/wagtailshelf/internal/wire/platform"
+	"wagtailshelf.example/wagtailshelf/internal/wire/reset"
 )
 
 const (
@@ -155,6 +156,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       reset.ConnContext,
 	}
 }
 
--- a/internal/wire/caller/answer.go
+++ b/internal/wire/caller/answer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
+	"wagtailshelf.example/wagtailshelf/internal/wire/reset"
 )
 
 // bufferLimit is the greatest length of an answer that is buffered until it is complete.
@@ -19,6 +20,7 @@
 // Answer passes the answer of one request back to its caller.
 type Answer struct {
 	w        http.ResponseWriter
+	r        *http.Request
 	control  *http.ResponseController
 	id       request.ID
 	deadline time.Time
@@ -34,8 +36,8 @@
 	err       error
 }
 
-func newAnswer(w http.ResponseWriter, id request.ID, deadline time.Time) *Answer {
-	return &Answer{w: w, control: http.NewResponseController(w), id: id, deadline: deadline, length: -1}
+func newAnswer(w http.ResponseWriter, r *http.Request, id request.ID, deadline time.Time) *Answer {
+	return &Answer{w: w, r: r, control: http.NewResponseController(w), id: id, deadline: deadline, length: -1}
 }
 
 // Head sets the status and the header of the target's answer.
@@ -82,6 +84,9 @@
 	if a.length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(a.length, 10))
 	}
+	if a.length < 0 {
+		reset.Arm(a.r)
+	}
 	a.w.WriteHeader(a.status)
 	a.headSent = true
 }
@@ -108,7 +113,7 @@
 func (a *Answer) Err() error { return a.err }
 
 // Finish ends the answer. It panics with [http.ErrAbortHandler] if the caller has to
-// notice that the answer is truncated; net/http then resets the connection.
+// notice that the answer is truncated; net/http then closes the connection.
 func (a *Answer) Finish(res request.Result) {
 	switch {
 	case res.Outcome == request.Answered:
@@ -129,17 +134,19 @@
 	}
 	if a.length < 0 {
 		a.w.Header().Set(OutcomeHeader, request.Answered.String())
+		_ = a.control.Flush() // an error means that the caller has left
+		reset.Disarm(a.r)
 	}
 }
 
-// abort resets the connection, so that the caller notices that the answer is truncated.
+// abort closes the connection, so that the caller notices that the answer is truncated.
 // Returning from the handler would end a chunked body as if it were complete.
 func (a *Answer) abort(res request.Result) {
 	if a.isStream && a.err == nil {
 		body, err := json.Marshal(a.problem(res, ""))
 		if err == nil {
 			fmt.Fprintf(a.w, "event: %s\ndata: %s\n\n", ErrorEvent, body)
-			_ = a.control.Flush() // the connection is reset next, whether this succeeds or not
+			_ = a.control.Flush() // the connection is closed next, whether this succeeds or not
 		}
 	}
 	panic(http.ErrAbortHandler)
