entry: nothing is joined to half an event

Callers of a plain service's stream that broke off within an event got that part joined to the event which says so: the name of one in the data of the other, and as one event. Cause: the event was written wherever the answer stood. It is now written only behind a complete event; else the connection is closed without it.

Before: 4 of the 8 forms of TestNothingIsJoinedToHalfAnEvent failed. After: it passes. Streams of model engines are not affected: sidecars pass on whole events.

--- a/internal/wire/caller/answer.go
+++ b/internal/wire/caller/answer.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -33,6 +34,7 @@
 	headSent  bool // the status line and the header were sent
 	isStream  bool // the answer is an event stream
 	written   uint64
+	last      []byte // the last bytes written, as many as show whether an event is complete
 	err       error
 }
 
@@ -103,6 +105,8 @@
 	}
 	n, err := a.w.Write(data)
 	a.written += uint64(n)
+	a.last = append(a.last, data[max(n-len(eventEnd), 0):n]...)
+	a.last = a.last[max(len(a.last)-len(eventEnd), 0):]
 	if err == nil {
 		err = a.control.Flush()
 	}
@@ -139,10 +143,19 @@
 	}
 }
 
+// eventEnd is the longest end of an event.
+const eventEnd = "\n\r\n"
+
+// afterEvent reports whether all events that the caller has got are complete.
+func (a *Answer) afterEvent() bool {
+	return len(a.last) == 0 || bytes.HasSuffix(a.last, []byte("\n\n")) || bytes.HasSuffix(a.last, []byte(eventEnd))
+}
+
 // abort closes the connection, so that the caller notices that the answer is truncated.
-// Returning from the handler would end a chunked body as if it were complete.
+// Returning from the handler would end a chunked body as if it were complete. A stream says so in an
+// event of its own, unless that would be joined to an event of which the caller has only a part.
 func (a *Answer) abort(res request.Result) {
-	if a.isStream && a.err == nil {
+	if a.isStream && a.err == nil && a.afterEvent() {
 		body, err := json.Marshal(a.problem(res, ""))
 		if err == nil {
 			fmt.Fprintf(a.w, "event: %s\ndata: %s\n\n", ErrorEvent, body)
--- a/internal/wire/caller/answer_test.go
+++ b/internal/wire/caller/answer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -92,3 +93,26 @@
 		})
 	}
 }
+
+// Guards against an event that is joined to the event which says that the answer broke off.
+func TestNothingIsJoinedToHalfAnEvent(t *testing.T) {
+	for _, lines := range []string{"\n", "\r\n"} {
+		whole, half := "data: 1"+lines+lines, "data: {\"ind"
+		for part, said := range map[string]bool{whole: true, whole + half: false, whole + half + lines: false, "": true} {
+			t.Run(fmt.Sprintf("%q", part), func(t *testing.T) {
+				got := call(t, requests["HTTP 1.1"], func(_ *httptest.Server, a *Answer) {
+					a.Head(http.StatusOK, eventStream)
+					for _, b := range []byte(part) {
+						a.Write([]byte{b})
+					}
+					a.Finish(truncated)
+				})
+				require.Error(t, got.err)
+				rest, found := strings.CutPrefix(got.body, part)
+				require.True(t, found, "%q", got.body)
+				require.Equal(t, said, strings.HasPrefix(rest, "event: "+ErrorEvent), "%q", rest)
+				require.Equal(t, said, rest != "", "%q", rest)
+			})
+		}
+	}
+}
