book: a recovered run must begin with the bytes that its entry has

Callers whose sidecar restarted within a stream could get the beginning of one run joined to the rest of another, by bytes, within an event too: an engine that begins anew, or sends comments or line ends otherwise the second time. Cause: only the length of what the entry has was compared. An entry now states a digest of these bytes when it asks a later incarnation to go on; another beginning is broken off and its run cancelled. An answer that ends before these bytes counts as broken off too; entries took it for a contradiction of the sidecar.

--- a/internal/traffic/book/answer.go
+++ b/internal/traffic/book/answer.go
@@ -19,11 +19,16 @@
 	return request.Message{Kind: request.Head, Status: r.status, Header: r.answerHeader}
 }
 
-func (b *Book) engineData(ev Event) {
+func (b *Book) engineData(now time.Time, ev Event) {
 	r := b.records[ev.ID]
 	if r == nil || r.state != running || r.status == 0 {
 		return
 	}
+	if r.recovered && !r.sameAnswer(ev.Data) {
+		b.emit(Action{Kind: CancelEngine, ID: r.id})
+		b.end(now, r, request.EngineTruncated)
+		return
+	}
 	for _, l := range r.listeners {
 		b.sendFrom(r, l, ev.Data)
 	}
@@ -35,6 +40,18 @@
 	}
 }
 
+// sameAnswer reports whether an answer that goes on with data begins with the bytes that the entry has. A run
+// that began anew may have another answer, of which the rest must not be joined to them.
+func (r *record) sameAnswer(data []byte) bool {
+	have := r.answerLength()
+	if r.entryHas.digest == 0 || have >= r.entryHas.length {
+		return true
+	}
+	n := min(uint64(len(data)), r.entryHas.length-have)
+	r.digest = request.Digest(r.digest, data[:n])
+	return have+n < r.entryHas.length || r.digest == r.entryHas.digest
+}
+
 // trim drops the first n bytes of the kept answer. A later Resolve with an offset
 // before the remaining bytes gets End with AnswerDropped, and no data.
 func (b *Book) trim(r *record, n int) {
@@ -105,7 +122,7 @@
 	if r.state != running {
 		return
 	}
-	if reason == request.NoReason && r.status == 0 {
+	if reason == request.NoReason && (r.status == 0 || r.answerLength() < r.entryHas.length) {
 		reason = request.EngineTruncated
 	}
 	b.end(now, r, reason)
@@ -166,6 +183,7 @@
 		id: m.ID, attempt: m.Attempt, owner: p, call: *m.Call, state: running, recovered: true,
 		arrived: now, deadline: now.Add(m.Call.Remaining),
 		listeners: []listener{{peer: p, attempt: m.Attempt, startOffset: m.Offset}},
+		entryHas:  sent{m.Offset, m.Digest},
 	}
 	b.records[m.ID] = r
 	b.order = append(b.order, r)
--- a/internal/traffic/book/book.go
+++ b/internal/traffic/book/book.go
@@ -69,7 +69,7 @@
 	case EngineHead:
 		b.engineHead(ev)
 	case EngineData:
-		b.engineData(ev)
+		b.engineData(now, ev)
 	case EngineEnd:
 		b.engineEnd(now, ev.ID, ev.Reason)
 	case EngineNotReached:
--- a/internal/traffic/book/book_test.go
+++ b/internal/traffic/book/book_test.go
@@ -138,6 +138,39 @@
 		require.Equal(t, "jour", string(out[0].Message.Data))
 		require.Equal(t, uint64(3), out[0].Message.Offset)
 	})
+	const bon = "bon"
+	earlier.Digest = request.Digest(0, []byte(bon))
+	for name, parts := range map[string][]string{"in one part": {"soirbonne"}, "in small parts": {"b", "o", "ssoir"}} {
+		// Guards against bytes of one run that are joined to those of another.
+		t.Run("the engine has another run "+name, func(t *testing.T) {
+			h := begin(t)
+			h.handle(book.Event{Kind: book.EngineHead, ID: id, Status: 200})
+			var out []book.Action
+			for _, part := range parts {
+				out = h.handle(book.Event{Kind: book.EngineData, ID: id, Data: []byte(part)})
+			}
+			require.Equal(t, book.CancelEngine, out[0].Kind)
+			h.requireReplies(out, request.EngineTruncated, request.End)
+		})
+	}
+	t.Run("the engine has the same run in small parts", func(t *testing.T) {
+		h := begin(t)
+		h.handle(book.Event{Kind: book.EngineHead, ID: id, Status: 200})
+		var got string
+		for _, part := range []string{"b", "on", "j", "our"} {
+			for _, a := range h.handle(book.Event{Kind: book.EngineData, ID: id, Data: []byte(part)}) {
+				got += string(a.Message.Data)
+			}
+		}
+		require.Equal(t, "jour", got)
+	})
+	// Guards against a whole answer shorter than what the entry has of it.
+	t.Run("the engine's run is shorter", func(t *testing.T) {
+		h := begin(t)
+		h.handle(book.Event{Kind: book.EngineHead, ID: id, Status: 200})
+		h.handle(book.Event{Kind: book.EngineData, ID: id, Data: []byte(bon[:2])})
+		h.requireReplies(h.handle(book.Event{Kind: book.EngineEnd, ID: id}), request.EngineTruncated, request.End)
+	})
 	t.Run("the engine has no such run", func(t *testing.T) {
 		h := begin(t)
 		h.requireReplies(h.handle(book.Event{Kind: book.EngineNotReached, ID: id}), request.TargetRestarted, request.UnknownOutcome)
--- a/internal/traffic/book/record.go
+++ b/internal/traffic/book/record.go
@@ -23,6 +23,11 @@
 	join        bool            // the stream belongs to another request with the same key
 }
 
+// sent is the beginning of an answer.
+type sent struct {
+	length, digest uint64
+}
+
 // record is the state of one request.
 type record struct {
 	id        request.ID
@@ -39,6 +44,8 @@
 	forgotten    bool
 	dispatched   bool // Run was emitted; never reset
 	recovered    bool // dispatched by an earlier incarnation, if at all
+	entryHas     sent // what the entry had of the answer when it was recovered
+	digest       uint64
 	holdsSlot    bool // admission counts the request as running
 	status       int
 	answerHeader []request.Field
--- a/internal/traffic/request/answer.go
+++ b/internal/traffic/request/answer.go
@@ -147,6 +147,7 @@
 	}
 	m.Offset, m.Data = r.delivered, m.Data[skip:]
 	r.delivered += uint64(len(m.Data))
+	r.digest = Digest(r.digest, m.Data)
 	r.emit(Action{Kind: Deliver, Message: m})
 }
 
@@ -238,7 +239,7 @@
 	r.setResolveDeadline(now)
 	r.phase = resolving
 	r.retryAt = now.Add(r.cfg.ResolveWait)
-	m := Message{Kind: Resolve, Offset: r.delivered, Incarnation: r.incarnation, Join: r.joined}
+	m := Message{Kind: Resolve, Offset: r.delivered, Digest: r.digest, Incarnation: r.incarnation, Join: r.joined}
 	if !r.joined {
 		call := r.spec.Call
 		call.Remaining = r.remaining(now)
--- a/internal/traffic/request/message.go
+++ b/internal/traffic/request/message.go
@@ -96,6 +96,7 @@
 	Reason      Reason           `cbor:"10,keyasint,omitempty"`
 	RetryAfter  time.Duration    `cbor:"11,keyasint,omitempty"`
 	Join        bool             `cbor:"12,keyasint,omitempty"` // for Resolve and Cancel: ID is that of the earlier request with the same key
+	Digest      uint64           `cbor:"13,keyasint,omitempty"` // for Resolve: of the bytes before Offset; 0 if there are none, or not known
 }
 
 // Bounds of a [Message].
--- a/internal/traffic/request/request.go
+++ b/internal/traffic/request/request.go
@@ -59,6 +59,7 @@
 	resends         int // attempts that went to the same target again, since the connection was at fault
 	headDelivered   bool
 	delivered       uint64
+	digest          uint64        // of the delivered bytes
 	retryAfter      time.Duration // the longest RetryAfter received
 	retryAt         time.Time
 	resolveDeadline time.Time
--- a/internal/traffic/request/request_test.go
+++ b/internal/traffic/request/request_test.go
@@ -145,6 +145,7 @@
 	resolve := d.lastAction(request.Send).Message
 	require.Equal(t, request.Resolve, resolve.Kind)
 	require.Equal(t, uint64(3), resolve.Offset)
+	require.Equal(t, request.Digest(0, []byte("bon")), resolve.Digest)
 	d.receive(1, 1, chunk(0, "bonj"))
 	d.receive(2, 1, head)
 	d.receive(2, 1, chunk(3, "jour"))
