soak: streaming servers with faults, and a check of each piece

The soak had one group of streaming servers, which cut streams inside an event of a chunked body, and compared complete streams only. Of the forms of the incident its servers made none but that cut. Now further servers cut streams inside and between events, with chunks and without a length, and by ending the process; within a run they repeat, go back and skip; a request to go on they answer with 400, 404, 413, 500 and a body, anew, with repeated, skipped or no numbers, with another content type, no proof or another id. Callers go on by themselves at any entry, and on a route whose streams may not be resumed they do not. What a caller has of a stream may only grow by the next number, of its own run or one that was asked to go on right there, and complete means that the last piece came; a stream of the group that broke off must be the beginning of the whole.

A stream of no length that a running server ends between two events is not made: it is no other than a whole one.

--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -109,8 +109,10 @@
 	for i := range w.entries {
 		require.Eventually(t, func() bool { return w.ready(i) }, settleLimit, 50*time.Millisecond, "entry %d is ready again", i)
 	}
-	before := c.streams.Load()
+	w.faulty.Calm()
+	before, piecesBefore := c.streams.Load(), c.pieceStreams.Load()
 	require.Eventually(t, func() bool { return c.streams.Load() > before+50 }, settleLimit, 50*time.Millisecond, "streams are served after the last fault")
+	require.Eventually(t, func() bool { return c.pieceStreams.Load() > piecesBefore+20 }, settleLimit, 50*time.Millisecond, "streams of servers that had faults are served")
 	for _, g := range w.groups {
 		require.Eventually(t, func() bool { _, v := g.Step(); return v[0] > 0 }, settleLimit, 50*time.Millisecond, "the map of %s follows demand", g.Name)
 	}
@@ -126,6 +128,7 @@
 		require.Empty(t, g.MixedSteps(), "all ranks of %s have one map in each step", g.Name)
 	}
 	require.Empty(t, w.problems)
+	t.Logf("%d more streams complete, %d of them after the caller went on by itself; runs at the servers: %s", c.pieceStreams.Load(), c.resumedStreams.Load(), w.faulty.Forms())
 	t.Logf("%d streams and %d other requests complete, %d refused, %d unknown or truncated; %d restores of the store, seen %d times by processes",
 		c.streams.Load(), c.plain.Load(), c.refused.Load(), c.unknown.Load(), w.restores, strings.Count(w.logs(`"event":"storeEra"`), "\n"))
 }
@@ -135,6 +138,7 @@
 	w                                *world
 	number                           atomic.Int64
 	streams, plain, refused, unknown atomic.Int64
+	pieceStreams, resumedStreams     atomic.Int64 // complete ones of the servers with faults; those that callers went on with
 	mu                               sync.Mutex
 	notRun, runOnce                  []string
 }
@@ -169,6 +173,8 @@
 		return c.callBrittle(ctx, client, entry, "calm "+id, calmParts)
 	case u < 0.56:
 		return c.callFatal(ctx, client, entry, r.IntN(fatalKinds))
+	case u < 0.7:
+		return c.callStream(ctx, client, entry, r)
 	}
 	if r.Float64() < 0.2 {
 		key = "k-leaver"
@@ -194,7 +200,10 @@
 		c.mu.Unlock()
 		time.Sleep(30 * time.Millisecond)
 	case a.StatusCode == http.StatusUnauthorized && key == "k-leaver":
-	case a.StatusCode == http.StatusOK || a.StatusCode == http.StatusBadGateway || a.StatusCode == http.StatusGatewayTimeout:
+	case a.StatusCode == http.StatusOK:
+		c.unknown.Add(1)
+		c.checkBegun(path, id, string(body))
+	case a.StatusCode == http.StatusBadGateway || a.StatusCode == http.StatusGatewayTimeout:
 		c.unknown.Add(1)
 	default:
 		c.w.problem("%s %s: status %d", path, id, a.StatusCode)
@@ -288,21 +297,35 @@
 
 // checkComplete checks that a response without an error is the server's complete answer.
 func (c *calls) checkComplete(path, id, body string, h http.Header) {
-	expected := "body of " + id
 	if path == "stream" {
-		expected = ""
-		for n := 1; n <= standin.StreamEvents; n++ {
-			expected += standin.StreamEvent(id, n)
-		}
 		c.streams.Add(1)
 	} else {
 		c.plain.Add(1)
 	}
-	if body != expected || !standin.Stamped(h) {
+	if body != completeBody(path, id) || !standin.Stamped(h) {
 		c.w.problem("%s %s: not the server's complete answer: %q\n%s", path, id, body, c.w.logs(id))
 	}
 }
 
+// checkBegun checks that a response that broke off is the beginning of the server's complete answer.
+func (c *calls) checkBegun(path, id, body string) {
+	if !strings.HasPrefix(completeBody(path, id), body) {
+		c.w.problem("%s %s: not the beginning of the server's answer: %q\n%s", path, id, body, c.w.logs(id))
+	}
+}
+
+// completeBody returns the body of the server's complete answer.
+func completeBody(path, id string) string {
+	if path != "stream" {
+		return "body of " + id
+	}
+	var body strings.Builder
+	for n := 1; n <= standin.StreamEvents; n++ {
+		body.WriteString(standin.StreamEvent(id, n))
+	}
+	return body.String()
+}
+
 // check compares the runs on the servers with the outcomes that the callers got.
 func (c *calls) check() {
 	time.Sleep(200 * time.Millisecond) // for requests in flight when the callers stopped
--- a/internal/program/soak/world_test.go
+++ b/internal/program/soak/world_test.go
@@ -92,11 +92,12 @@
 	readiness    []netip.AddrPort
 	version      int
 	revokedAt    time.Time
-	backupDraws  *rand.Rand       // random source for restores of the store (when, which backup, the delay afterwards); nil if there are none
-	backups      []standin.Backup // of the store, the latest ones
-	restores     int              // restores of the store from a backup
-	config       *standin.Config  // the latest that the operator wrote
-	notifiers    []*notifier      // servers that send target notices
+	backupDraws  *rand.Rand         // random source for restores of the store (when, which backup, the delay afterwards); nil if there are none
+	backups      []standin.Backup   // of the store, the latest ones
+	restores     int                // restores of the store from a backup
+	config       *standin.Config    // the latest that the operator wrote
+	notifiers    []*notifier        // servers that send target notices
+	faulty       *standin.Streaming // servers that cut and misnumber streams
 
 	mu           sync.Mutex
 	problems     []string
@@ -181,6 +182,7 @@
 	}
 	w.startPlain()
 	w.startBrittle()
+	w.faulty = standin.NewStreaming(t, w.store, "feed", 3, 300*time.Millisecond, rand.New(rand.NewPCG(seed, 5)))
 	for i := range 2 {
 		w.startNotifier(i)
 	}
@@ -290,6 +292,8 @@
 			{Name: "once", Kind: "unsafe", Service: "app"},
 			{Name: "safe", Kind: "safe", Service: "app"},
 			{Name: "brittle", Kind: "safe", Service: "brittle"},
+			{Name: "feed", Kind: "streaming", Service: "feed", Resumable: true},
+			{Name: "flow", Kind: "streaming", Service: "feed"},
 		},
 	}
 	require.NoError(w.t, w.store.PutConfig(*w.config))
@@ -328,6 +332,7 @@
 		w.store.PutServer(fmt.Sprint("p-", n), "app", s.Address)
 	}
 	w.brittle.RegisterAgain()
+	w.faulty.RegisterAgain()
 	for _, n := range w.notifiers {
 		n.register()
 	}
