entry: the reset of connections of HTTP/1.0 is in one handler

No change of what callers get: a handler around the server sets the connection and unsets it, in place of the answer, so that another server can use it too.

--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -152,7 +152,7 @@
 	handler := echo.New()
 	front.Mount(handler)
 	return &http.Server{
-		Handler:           e.intake.Wrap(handler),
+		Handler:           reset.Wrap(e.intake.Wrap(handler)),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/wire/caller/answer.go
+++ b/internal/wire/caller/answer.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
-	"wagtailshelf.example/wagtailshelf/internal/wire/reset"
 )
 
 // bufferLimit is the greatest length of an answer that is buffered until it is complete.
@@ -21,7 +20,6 @@
 // Answer passes the answer of one request back to its caller.
 type Answer struct {
 	w        http.ResponseWriter
-	r        *http.Request
 	control  *http.ResponseController
 	id       request.ID
 	deadline time.Time
@@ -38,8 +36,8 @@
 	err       error
 }
 
-func newAnswer(w http.ResponseWriter, r *http.Request, id request.ID, deadline time.Time) *Answer {
-	return &Answer{w: w, r: r, control: http.NewResponseController(w), id: id, deadline: deadline, length: -1}
+func newAnswer(w http.ResponseWriter, id request.ID, deadline time.Time) *Answer {
+	return &Answer{w: w, control: http.NewResponseController(w), id: id, deadline: deadline, length: -1}
 }
 
 // Head sets the status and the header of the target's answer.
@@ -86,9 +84,6 @@
 	if a.length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(a.length, 10))
 	}
-	if a.length < 0 {
-		reset.Arm(a.r)
-	}
 	a.w.WriteHeader(a.status)
 	a.headSent = true
 }
@@ -138,8 +133,6 @@
 	}
 	if a.length < 0 {
 		a.w.Header().Set(OutcomeHeader, request.Answered.String())
-		_ = a.control.Flush() // an error means that the caller has left
-		reset.Disarm(a.r)
 	}
 }
 
--- a/internal/wire/caller/answer_test.go
+++ b/internal/wire/caller/answer_test.go
@@ -33,9 +33,9 @@
 // a caller reads it.
 func call(t *testing.T, text string, answer func(s *httptest.Server, a *Answer)) received {
 	var s *httptest.Server
-	s = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		answer(s, newAnswer(w, r, request.ID{1}, time.Now().Add(10*time.Second)))
-	}))
+	s = httptest.NewUnstartedServer(reset.Wrap(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		answer(s, newAnswer(w, request.ID{1}, time.Now().Add(10*time.Second)))
+	})))
 	s.Config.ConnContext = reset.ConnContext
 	s.Start()
 	defer s.Close()
--- a/internal/wire/caller/front.go
+++ b/internal/wire/caller/front.go
@@ -100,10 +100,10 @@
 	call, refusal := f.check(w, r, id, now)
 	if refusal != nil {
 		res := request.Result{Outcome: request.NotRun, Reason: refusal.reason, RetryAfter: refusal.retryAfter}
-		newAnswer(w, r, id, now.Add(bodyTimeout)).SendProblem(res, refusal.detail)
+		newAnswer(w, id, now.Add(bodyTimeout)).SendProblem(res, refusal.detail)
 		return nil
 	}
-	f.Serve(r, call, newAnswer(w, r, id, call.Deadline))
+	f.Serve(r, call, newAnswer(w, id, call.Deadline))
 	return nil
 }
 
--- a/internal/wire/reset/reset.go
+++ b/internal/wire/reset/reset.go
@@ -1,8 +1,8 @@
 // Package reset lets callers tell an answer that broke off from a complete one where only the end of the
 // connection delimits it: an answer of no length to a caller of HTTP/1.0.
 //
-// While such an answer is being sent, its connection is set so that whatever closes it resets it, even the end
-// of the process.
+// While such a caller's request is served, its connection is set so that whatever closes it resets it, even the
+// end of the process.
 package reset
 
 import (
@@ -20,18 +20,19 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// Arm makes the end of the request's connection a reset. Requests whose answers are delimited in another way,
-// because they are of HTTP/1.1 or later, are left as they are.
-func Arm(r *http.Request) { setLinger(r, 0) }
-
-// Disarm undoes Arm, after all of the answer has been written.
-func Disarm(r *http.Request) { setLinger(r, -1) }
-
-func setLinger(r *http.Request, seconds int) {
-	if r.ProtoAtLeast(1, 1) {
-		return
-	}
-	if c, ok := r.Context().Value(connKey{}).(interface{ SetLinger(int) error }); ok {
-		_ = c.SetLinger(seconds) // this fails only if the connection has ended
-	}
+// Wrap returns a handler that resets the connection of a request of HTTP/1.0, whatever closes it, until next has
+// returned. If next panics, the connection is reset. Answers to requests of HTTP/1.1 and later are delimited in
+// another way.
+func Wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(interface{ SetLinger(seconds int) error })
+		if !ok || r.ProtoAtLeast(1, 1) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		_ = c.SetLinger(0) // this fails only if the connection has ended
+		next.ServeHTTP(w, r)
+		_ = http.NewResponseController(w).Flush() // an error means that the caller has left
+		_ = c.SetLinger(-1)
+	})
 }
