gateway: callers of HTTP/1.0 see that an answer broke off

Callers of HTTP/1.0 got a stream that the entry broke off as a complete one: without chunks, the connection that was closed in good order is its end. The server for callers now uses the handler that resets such a connection.

After: the test passes; HTTP/1.1 with Connection: close was right before.

--- a/internal/program/gateway/callers.go
+++ b/internal/program/gateway/callers.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/wire/reset"
 )
 
 const (
@@ -29,13 +31,7 @@
 
 // serveOn serves callers until the context ends, and then drains.
 func (g *Gateway) serveOn(ctx context.Context, l net.Listener) error {
-	s := &http.Server{
-		Handler:           g.intake.Wrap(g.forward),
-		ConnState:         g.connections.track,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       callerIdle,
-		MaxHeaderBytes:    headerBytes,
-	}
+	s := g.callerServer(g.forward)
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(l) }()
 	select {
@@ -46,6 +42,18 @@
 	return g.drain(s)
 }
 
+// callerServer returns the server for callers.
+func (g *Gateway) callerServer(forward http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           reset.Wrap(g.intake.Wrap(forward)),
+		ConnContext:       reset.ConnContext,
+		ConnState:         g.connections.track,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       callerIdle,
+		MaxHeaderBytes:    headerBytes,
+	}
+}
+
 // drain keeps serving until the balancer has taken the entry out, then waits for the requests
 // in flight. Connections that callers keep open stay usable until the end; each response
 // announces that it is the last one on its connection.
