soak: callers of HTTP/1.0, and callers that close

A quarter of the callers of streams with faults use HTTP/1.0, whose answers have no chunks, and a quarter ask for the end of the connection.

--- a/internal/program/soak/stream_test.go
+++ b/internal/program/soak/stream_test.go
@@ -1,11 +1,14 @@
 package soak
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -126,9 +129,19 @@
 		route, resumes = "flow", 0 // may not be resumed
 	}
 	p := pieces{stream: fmt.Sprintf("%s-%d", route, c.number.Add(1))}
+	send := client.Do
+	switch r.IntN(4) {
+	case 0:
+		send = sendHTTP10
+	case 1:
+		send = func(q *http.Request) (*http.Response, error) {
+			q.Close = true
+			return client.Do(q)
+		}
+	}
 	for range 1 + resumes {
 		var broken bool
-		broken, reusable = c.askForPieces(ctx, client, entry, route, &p)
+		broken, reusable = c.askForPieces(ctx, send, entry, route, &p)
 		if !broken || ctx.Err() != nil {
 			break
 		}
@@ -139,13 +152,13 @@
 
 // askForPieces asks for the pieces of a stream that the caller doesn't have, and checks those that it gets. It
 // reports whether the stream was broken off, and whether the connection may be used again.
-func (c *calls) askForPieces(ctx context.Context, client *http.Client, entry int, route string, p *pieces) (broken, reusable bool) {
+func (c *calls) askForPieces(ctx context.Context, send sender, entry int, route string, p *pieces) (broken, reusable bool) {
 	id := newID(entry, c.number.Add(1))
 	q := standin.NewCall(http.MethodPost, "http://"+c.w.callers[entry].String()+"/"+route+"/"+p.stream, id, "k-stayer", 4000, nil).WithContext(ctx)
 	q.Host = host
 	standin.ResumeAfter(q, p.last)
 	had := p.last
-	a, err := client.Do(q)
+	a, err := send(q)
 	if err != nil {
 		c.unknown.Add(1)
 		return false, false
@@ -170,6 +183,44 @@
 	return err != nil, err == nil && !a.Close
 }
 
+// sender sends a request and returns the response as soon as its header has come.
+type sender func(q *http.Request) (*http.Response, error)
+
+// sendHTTP10 sends a request of HTTP/1.0, whose response has no chunks.
+func sendHTTP10(q *http.Request) (*http.Response, error) {
+	conn, err := net.Dial("tcp4", q.URL.Host)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(q.Context(), func() { _ = conn.Close() }) // whoever reads gets an error
+	var text bytes.Buffer
+	q.Body = nil
+	if err := q.Write(&text); err != nil {
+		return nil, err // the test made an invalid request
+	}
+	_, _ = conn.Write(bytes.Replace(text.Bytes(), []byte(" HTTP/1.1\r\n"), []byte(" HTTP/1.0\r\n"), 1)) // the response tells
+	a, err := http.ReadResponse(bufio.NewReader(conn), q)
+	if err != nil {
+		_ = conn.Close() // there is no response
+		return nil, err
+	}
+	a.Body = http10Body{a.Body, conn, stop}
+	return a, nil
+}
+
+// http10Body is the body of a response, with its connection.
+type http10Body struct {
+	io.ReadCloser
+	conn net.Conn
+	stop func() bool
+}
+
+// Close closes the connection.
+func (b http10Body) Close() error {
+	b.stop()
+	return b.conn.Close()
+}
+
 // addAnswer adds a successful answer. An answer that is no stream must be the server's.
 func (p *pieces) addAnswer(a *http.Response, body string, complete bool) error {
 	if !standin.Stamped(a.Header) {
