entry: a whole answer does not become a stream when a sidecar restarts

Callers who asked for a whole answer by the body of their request got an event stream with status 200 when the sidecar restarted before the answer: the next incarnation asked the engine for the run without the body, and the engine streams by default. An entry now sends the body along when it asks a later incarnation, up to 64 KiB. With a longer one, and nothing passed on yet, it gives the attempt up, as it does for a plain service.

Cost: a long request that may not be repeated ends as unknown where its stream was recovered before its first event.

--- a/internal/program/entry/attempt.go
+++ b/internal/program/entry/attempt.go
@@ -82,6 +82,9 @@
 		x.enqueue(request.Event{Kind: request.ConnectionSilent, Conn: a.Conn})
 		return
 	}
+	if a.Message.Kind == request.Resolve {
+		x.addBody(&a.Message)
+	}
 	write := stream.Write
 	if a.Message.Kind == request.Open {
 		write = stream.Add // buffered: the body follows at once and is sent with it
@@ -91,6 +94,18 @@
 	}
 }
 
+// addBody adds the request's body to a Resolve, which a later incarnation of the sidecar needs to ask the engine: the
+// body may say that the answer is no stream. Without a body that is too long, it can only go on with a stream.
+func (x *exchange) addBody(m *request.Message) {
+	switch {
+	case m.Call == nil:
+	case len(x.call.Body) <= request.MaxDataBytes:
+		m.Data = x.call.Body
+	case m.Offset == 0:
+		m.Call, m.Header = nil, nil
+	}
+}
+
 func (x *exchange) writeFailed(a request.Action) {
 	// A request whose body was not written completely cannot have run, because the
 	// sidecar counts the bytes. A failed write of BodyEnd proves nothing.
--- a/internal/program/sidecar/requestsrecover.go
+++ b/internal/program/sidecar/requestsrecover.go
@@ -11,7 +11,7 @@
 // recover asks the engine for a run that an earlier incarnation of the sidecar began.
 func (d *desk) recover(a book.Action) {
 	j := &job{
-		id: a.ID, call: a.Call, header: a.Header,
+		id: a.ID, call: a.Call, header: a.Header, body: a.Body,
 		deadline: a.Arrived.Add(a.Call.Remaining), recovered: true,
 	}
 	d.jobs[a.ID] = j
--- a/internal/program/trial/requests_test.go
+++ b/internal/program/trial/requests_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -115,3 +116,44 @@
 	}
 	require.Equal(t, 1, starts)
 }
+
+// loadOf returns the load that a target's engine reports.
+func loadOf(target *trial.Target) string {
+	w := httptest.NewRecorder()
+	target.Engine.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/load", nil))
+	return w.Body.String()
+}
+
+// Guards against a stream in place of the answer that a caller asked for: the sidecar of a request for a whole answer
+// is killed before that comes, and its next incarnation asks the engine for the run.
+func TestWholeAnswerDoesNotBecomeAStream(t *testing.T) {
+	d := newDeployment(t)
+	for name, padding := range map[string]int{"short": 0, "longer than a message": 70 << 10} {
+		t.Run(name, func(t *testing.T) {
+			answer := make(chan *http.Response, 1)
+			go func() {
+				body := `{"prompt":"bonjour ` + strings.Repeat("a", padding) + `","maxTokens":120,"stream":false}`
+				answer <- post(t, d, "/redaction/v1/draft", trial.LargeKey, body)
+			}()
+			killed := false
+			require.Eventually(t, func() bool {
+				for _, target := range d.Targets[:2] {
+					if !killed && strings.Contains(loadOf(target), `"running":1`) {
+						d.KillSidecar(target)
+						require.NoError(t, d.RestartSidecar(target))
+						killed = true
+					}
+				}
+				return killed
+			}, testTimeout, time.Millisecond)
+			resp := <-answer
+			body, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			if resp.StatusCode == http.StatusOK {
+				require.Contains(t, resp.Header.Get("Content-Type"), "application/json", "%.300s", body)
+				require.Contains(t, string(body), `"tokens":120`)
+			}
+			t.Logf("status %d, %.100s", resp.StatusCode, body)
+		})
+	}
+}
--- a/internal/traffic/book/answer.go
+++ b/internal/traffic/book/answer.go
@@ -188,7 +188,7 @@
 	b.records[m.ID] = r
 	b.order = append(b.order, r)
 	b.byPeer[p] = r
-	b.emit(Action{Kind: Recover, ID: r.id, Call: r.call, Header: m.Header, Arrived: now})
+	b.emit(Action{Kind: Recover, ID: r.id, Call: r.call, Header: m.Header, Body: m.Data, Arrived: now})
 }
 
 // notRecovered reports an unknown outcome for a request whose run the engine does
--- a/internal/traffic/book/event.go
+++ b/internal/traffic/book/event.go
@@ -59,7 +59,7 @@
 	Admit                              // ask admission to let ID run: Call, Arrived
 	Withdraw                           // cancel the Admit of ID
 	Run                                // dispatch ID to the engine: Call, Header, Body
-	Recover                            // get ID's answer again from its beginning if the engine has the run, but start no run: Call, Header, Arrived
+	Recover                            // get ID's answer again from its beginning if the engine has the run, but start no run: Call, Header, Body, Arrived
 	CancelEngine                       // end ID's stream at the engine
 	Release                            // ID no longer runs: release its request slot in admission
 	Drained                            // the book is draining and no request waits or runs any more
--- a/internal/traffic/request/message.go
+++ b/internal/traffic/request/message.go
@@ -28,7 +28,7 @@
 	Body                           // a part of the body: Offset, Data
 	BodyEnd                        // the body is complete: Offset is its length
 	Cancel                         // the entry no longer needs this attempt
-	Resolve                        // asks for the state of an attempt: Offset is the first byte wanted; Call, Header for a later incarnation
+	Resolve                        // asks for the state of an attempt: Offset is the first byte wanted; Call, Header, Data (the body) for a later incarnation
 )
 
 // Messages from sidecar to entry.
