--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -27,6 +27,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/wire/intake"
 	"wagtailshelf.example/wagtailshelf/internal/wire/peer"
 	"wagtailshelf.example/wagtailshelf/internal/wire/platform"
+	"wagtailshelf.example/wagtailshelf/internal/wire/reset"
 )
 
 const (
@@ -151,10 +152,11 @@
 	handler := echo.New()
 	front.Mount(handler)
 	return &http.Server{
-		Handler:           e.intake.Wrap(handler),
+		Handler:           reset.Wrap(e.intake.Wrap(handler)),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       reset.ConnContext,
 	}
 }
 
--- a/internal/traffic/request/message.go
+++ b/internal/traffic/request/message.go
@@ -28,7 +28,7 @@
 	Body                           // a part of the body: Offset, Data
 	BodyEnd                        // the body is complete: Offset is its length
 	Cancel                         // the entry no longer needs this attempt
-	Resolve                        // asks for the state of an attempt: Offset is the first byte wanted; Call, Header for a later incarnation
+	Resolve                        // asks for the state of an attempt: Offset is the first byte wanted; Call, Header, Data (the body) for a later incarnation
 )
 
 // Messages from sidecar to entry.
@@ -96,6 +96,7 @@
 	Reason      Reason           `cbor:"10,keyasint,omitempty"`
 	RetryAfter  time.Duration    `cbor:"11,keyasint,omitempty"`
 	Join        bool             `cbor:"12,keyasint,omitempty"` // for Resolve and Cancel: ID is that of the earlier request with the same key
+	Digest      uint64           `cbor:"13,keyasint,omitempty"` // for Resolve: of the bytes before Offset; 0 if there are none, or not known
 }
 
 // Bounds of a [Message].
