One handler resets broken responses over HTTP/1.0, on both interfaces

The merge had two: the one of wire/reset sets the connection so that whatever closes it resets it, the end of the process too, which the other could not. TestBrokenStreamToAnOldCaller runs behind it.

--- a/internal/traffic/delivery/delivery.go
+++ b/internal/traffic/delivery/delivery.go
@@ -6,7 +6,6 @@
 
 import (
 	"errors"
-	"net"
 	"net/http"
 	"strconv"
 
@@ -38,17 +37,16 @@
 // several runs may have sent parts. Only [Delivery.Resumable] is safe for concurrent use.
 type Delivery struct {
 	w      http.ResponseWriter
-	r      *http.Request
 	order  order
 	begun  bool
 	status int // of the response that has begun
 	events int
 }
 
-// New returns the delivery of the response to a request, whose caller asks for the events of a stream
-// after the one with the given ID; "" if it asks for a whole response.
-func New(w http.ResponseWriter, r *http.Request, after string) *Delivery {
-	d := &Delivery{w: w, r: r}
+// New returns the delivery of the response to a caller that asks for the events of a stream after the
+// one with the given ID; "" if it asks for a whole response.
+func New(w http.ResponseWriter, after string) *Delivery {
+	d := &Delivery{w: w}
 	d.order.startAfter(after)
 	return d
 }
@@ -157,21 +155,5 @@
 // Abort aborts a response that has begun so that the caller can't take it for a complete one. It does
 // not return.
 func (d *Delivery) Abort() {
-	if !d.r.ProtoAtLeast(1, 1) {
-		d.reset()
-	}
 	panic(http.ErrAbortHandler)
 }
-
-// reset resets the connection. A response over HTTP/1.0 has no length and ends with its connection, so
-// only a reset shows that it is truncated.
-func (d *Delivery) reset() {
-	conn, _, err := d.Controller().Hijack()
-	if err != nil {
-		return // the connection has failed already
-	}
-	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
-		_ = tcp.SetLinger(0) // it fails only on a connection that is closed already
-	}
-	_ = conn.Close()
-}
--- a/internal/traffic/delivery/delivery_test.go
+++ b/internal/traffic/delivery/delivery_test.go
@@ -19,7 +19,7 @@
 
 func newDelivery(after string) (*Delivery, *httptest.ResponseRecorder) {
 	w := httptest.NewRecorder()
-	return New(w, httptest.NewRequest(http.MethodPost, "/", nil), after), w
+	return New(w, after), w
 }
 
 var head = Head{Status: http.StatusOK, Header: http.Header{}}
@@ -27,7 +27,7 @@
 // A run is cut within its third event. Another one goes on after the second.
 func ExampleDelivery() {
 	w := httptest.NewRecorder()
-	d := New(w, httptest.NewRequest(http.MethodPost, "/", nil), "")
+	d := New(w, "")
 	_ = d.StartRun(http.StatusOK)
 	_ = d.Event(head, event(1), false)
 	_ = d.Event(head, event(2), false)
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -158,7 +158,7 @@
 // ServeHTTP serves one request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{f: f, r: r, begin: f.Now(), in: platform.ReadIncoming(r.Header)}
-	c.out = delivery.New(w, r, c.in.LastEventID)
+	c.out = delivery.New(w, c.in.LastEventID)
 	c.rec.ID, c.rec.Parts = c.in.ID, c.in.SharedParts
 	defer func() {
 		c.rec.Took, c.rec.Events, c.rec.LastEvent = f.Now().Sub(c.begin), c.out.Events(), c.out.LastID()
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -23,6 +23,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/presence"
+	"wagtailshelf.example/wagtailshelf/internal/wire/reset"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
@@ -102,7 +103,9 @@
 			b.records = append(b.records, r)
 		},
 	}
-	s := httptest.NewServer(b.Forwarder)
+	s := httptest.NewUnstartedServer(reset.Wrap(b.Forwarder))
+	s.Config.ConnContext = reset.ConnContext
+	s.Start()
 	t.Cleanup(s.Close)
 	b.url = s.URL
 	return b
