A gap in the numbers of a stream means that an event is missing

What callers saw: a stream that skips an event, within a run or after a caller had asked for the rest itself, as a complete one.

Change: numbers must rise by one, from 1 or from the event that the caller or an earlier run had. What skips is left and asked of another target. A run out of order does not count as a failure of its target, whose numbering may be of that kind.

--- a/internal/traffic/delivery/delivery.go
+++ b/internal/traffic/delivery/delivery.go
@@ -66,6 +66,10 @@
 // Controller returns the controller of the caller's connection.
 func (d *Delivery) Controller() *http.ResponseController { return http.NewResponseController(d.w) }
 
+// SetNumbering sets how the servers that send the stream number its events. Without it, each number must
+// be one above the last.
+func (d *Delivery) SetNumbering(n *Numbering) { d.order.numbering = n }
+
 // SetHeader sets a header of a response that has not begun.
 func (d *Delivery) SetHeader(name, value string) { d.w.Header().Set(name, value) }
 
@@ -139,6 +143,7 @@
 	if d.order.expected {
 		return ErrEndsEarly
 	}
+	d.order.endRun()
 	d.begin(h)
 	return nil
 }
--- a/internal/traffic/delivery/delivery_test.go
+++ b/internal/traffic/delivery/delivery_test.go
@@ -51,6 +51,9 @@
 			id = strconv.Itoa(after)
 		}
 		d, _ := newDelivery(id)
+		if rapid.Bool().Draw(t, "sparse") {
+			d.SetNumbering(&Numbering{gaps: maxRuns})
+		}
 		var sent []int
 		for range rapid.IntRange(1, 4).Draw(t, "runs") {
 			require.NoError(t, d.StartRun(http.StatusOK))
@@ -64,6 +67,9 @@
 		last := after
 		for _, n := range sent {
 			require.Greater(t, n, last)
+			if d.order.numbering == nil {
+				require.Equal(t, last+1, n)
+			}
 			last = n
 		}
 		require.Equal(t, len(sent), d.Events())
@@ -96,3 +102,24 @@
 	require.Equal(t, string(event(1).Bytes), w.Body.String())
 	require.PanicsWithValue(t, http.ErrAbortHandler, d.Abort)
 }
+
+// Guards against a service whose numbers rise in other steps than one, and none of whose streams is passed on;
+// and against a few servers that drop events and are taken for such a service.
+func TestNumbering(t *testing.T) {
+	var n Numbering
+	sparse := 0
+	for range 20 {
+		if n.note(true) {
+			sparse++
+		}
+	}
+	require.GreaterOrEqual(t, sparse, 17)
+	n = Numbering{}
+	for i := range 1000 {
+		require.False(t, n.note(i%10 == 0))
+	}
+	for range maxRuns {
+		n.note(true)
+	}
+	require.True(t, n.note(true), "the service has changed its way")
+}
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -307,8 +307,7 @@
 	}
 	isStream := success && c.route.Kind == routing.Streaming
 	if c.out.Begun() && !isStream || isStream && c.out.StartRun(answer.Status) != nil {
-		answer.Finish(c.f.Now(), false, 0)
-		return resultUnknown, admission.End{}, reasonNoStream
+		return c.leaveStream(answer, reasonNoStream)
 	}
 	if isStream {
 		return c.relay(t, a, answer, meta)
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -47,6 +47,8 @@
 	// Quarantine decides which requests are not sent to targets, because they crash them.
 	Quarantine        *quarantine.Quarantine
 	OtherEntriesFresh func() bool // reports whether other entries have a fresh configuration; nil if that is never known
+
+	numberings delivery.Numberings
 }
 
 // Outcome is the way in which a request ended.
@@ -284,6 +286,7 @@
 func (c *call) run() {
 	c.service = c.route.Pick(rand.Float64())
 	c.rec.Service = c.service
+	c.out.SetNumbering(c.f.numberings.Of(c.service))
 	c.f.Budget.CountRequest(c.f.Now(), c.service)
 	defer c.releaseRepeats()
 	for {
--- a/internal/traffic/forward/stream.go
+++ b/internal/traffic/forward/stream.go
@@ -33,7 +33,7 @@
 			if events.Inside() {
 				c.out.Cut()
 			}
-			return c.leaveStream(answer, c.failureReason(reasonCut))
+			return c.leaveTruncated(answer)
 		}
 		t.Progress(c.f.Now())
 		a.Stream.count(ev.ID)
@@ -58,16 +58,22 @@
 	}
 }
 
-// leaveStream ends an attempt whose stream can't be passed on any further.
+// leaveTruncated ends an attempt whose stream is truncated.
+func (c *call) leaveTruncated(answer *upstream.Answer) (result, admission.End, string) {
+	answer.Finish(c.f.Now(), false, 0)
+	return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.failureReason(reasonCut)
+}
+
+// leaveStream ends an attempt whose response does not go on with what the caller has.
 func (c *call) leaveStream(answer *upstream.Answer, reason string) (result, admission.End, string) {
 	answer.Finish(c.f.Now(), false, 0)
-	return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, reason
+	return resultUnknown, admission.End{}, reason
 }
 
 // finishStream ends a stream whose target has ended it, if that proves that it is complete.
 func (c *call) finishStream(t *admission.Ticket, a *Attempt, answer *upstream.Answer, meta platform.ResponseInfo) (result, admission.End, string) {
 	if a.Unframed && (a.Stream.Events == 0 && a.Stream.ResumeAfter == "" || !c.targetRuns(t)) {
-		return c.leaveStream(answer, c.failureReason(reasonCut))
+		return c.leaveTruncated(answer)
 	}
 	if err := c.out.End(delivery.Head{Status: answer.Status, Header: answer.Header}); err != nil {
 		return c.leaveStream(answer, reasonEndsEarly)
