sidecar: a resumed connection that goes silent is resumed again

Callers of a stream that had been resumed once stood still to their deadline when the new connection went silent: only the first connection had a bound for its pauses.

Before: TestResumedConnectionGoesSilent ended at its limit of 20 s without the last token. After: it passes, two runs of two, the package in 3.5 s.

--- a/internal/program/sidecar/resume_test.go
+++ b/internal/program/sidecar/resume_test.go
@@ -30,6 +30,7 @@
 	texts    []string
 	asked    []string // the token that each call asked to go on at; "" for a new run
 	ended    bool     // the process ends after the next text
+	silentAt string   // the connection of the call that asked to go on there stays open
 }
 
 func newScriptedEngine(t *testing.T, texts ...string) *scriptedEngine {
@@ -52,10 +53,13 @@
 }
 
 func (e *scriptedEngine) answer(c net.Conn) {
-	defer func() { _ = c.Close() }() // the caller sees the end in any case
 	q, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
-		return // a probe sends nothing
+		_ = c.Close() // a probe sends nothing
+		return
+	}
+	if at := q.Header.Get(engine.ResumeHeader); at == "" || at != e.silentAt {
+		defer func() { _ = c.Close() }() // the caller sees the end in any case
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -272,3 +276,12 @@
 	e.ended = true
 	require.Equal(t, result{text: "the first part", reason: request.EngineCrashed, asked: []string{""}}, callEngine(t, e, false))
 }
+
+// Guards against a stream that stands still to its deadline: the connection by which it was resumed goes silent.
+func TestResumedConnectionGoesSilent(t *testing.T) {
+	e := newScriptedEngine(t, chunked(tokens(0)), chunked(tokens(1)), chunked(tokens(2)+endOfThree)+chunkedEnd)
+	e.silentAt = "1"
+	begun := time.Now()
+	requireWhole(t, callEngine(t, e, true), "1", "2")
+	require.Less(t, time.Since(begun), 2*streamIdle)
+}
--- a/internal/program/sidecar/stream.go
+++ b/internal/program/sidecar/stream.go
@@ -87,6 +87,7 @@
 	c := targetCall(j)
 	c.Header.Set(engine.KeepRunningHeader, "true")
 	c.Header.Set(engine.ResumeHeader, strconv.Itoa(tokens))
+	c.Idle = streamIdle
 	resp, err := s.target.Do(callCtx, c)
 	if err != nil {
 		return nil
