Make no change of the search that only rounding improves

Plans could hold changes that gain nothing: a change that only brings another rank to the hottest rank's time was accepted where rounding placed its predicted time below, and two exchanges could undo one another, each at the price of loads.

Cause: candidates were compared with the hottest rank's time without a margin, and the least gain was absolute, 1e-9, where the potentials that it is a difference of reach 1e7 (times above 5) and round by more.

The rank that gets work must now stay below the hottest time by a part of 1e-9, and a gain must exceed the same part of the hottest potential.

TestSearchKeepsItsState is unchanged, and failed with its kept sequence.

Ruled out: a time that differs from the one computed anew from the cells.

--- a/internal/expert/plan/invariant_test.go
+++ b/internal/expert/plan/invariant_test.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -168,6 +169,66 @@
 	})
 }
 
+// A search that returns to an earlier state spends loads on changes that undo one another.
+func TestSearchDoesNotGoInCircles(t *testing.T) {
+	cases := []struct {
+		name          string
+		slots         int
+		weight, speed []float64
+	}{
+		{"equal ranks", 1, []float64{5, 2, 0, 0, 300, 1, 0}, []float64{1, 1, 1, 1, 1, 1, 1}},
+		{"a slow rank", 1, []float64{0, 2, 0, 1, 0, 0, 300, 0}, []float64{1, 1, 1, 1, 1, 0.1, 1, 1}},
+		{
+			"two slots", 2,
+			[]float64{0, 2, 0, 1, 0, 0, 0, 5, 1, 0, 300, 1, 5, 0, 0, 1},
+			[]float64{1, 1, 1, 1, 1, 0.1, 1, 0.1},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := expertmap.Shape{Layers: 1, Experts: len(c.weight), Ranks: len(c.speed), Slots: c.slots}
+			requireNoCircle(t, s, sharesOf(c.weight), c.speed)
+		})
+	}
+	t.Run("random", func(t *testing.T) {
+		rapid.Check(t, func(rt *rapid.T) {
+			d := drawGroup(rt)
+			d.redraw()
+			requireNoCircle(rt, d.shape, d.share[:d.shape.Experts], d.speed)
+		})
+	})
+}
+
+// requireNoCircle requires that no two states of a search in the first layer are equal.
+func requireNoCircle(t require.TestingT, s expertmap.Shape, share, speed []float64) {
+	m, err := expertmap.Even(s)
+	require.NoError(t, err)
+	l := newLayer(s, speed)
+	l.reset(m.Layer(0), share, share, make([]bool, s.Ranks*s.Slots))
+	finder := search{layer: l, candidatesLeft: 100_000}
+	changes := finder.run(nil, 50, 1)
+	l.reset(m.Layer(0), share, share, nil)
+	states := [][]uint16{slices.Clone(l.cells)}
+	for _, c := range changes {
+		finder.apply(c)
+		require.NotContains(t, states, l.cells)
+		states = append(states, slices.Clone(l.cells))
+	}
+}
+
+// sharesOf returns weights divided by their sum.
+func sharesOf(weight []float64) []float64 {
+	sum := 0.0
+	for _, w := range weight {
+		sum += w
+	}
+	share := make([]float64, len(weight))
+	for e, w := range weight {
+		share[e] = w / sum
+	}
+	return share
+}
+
 // No map has a time below the bound on time, and none is reached with fewer loads than
 // the bound on loads.
 func TestBounds(t *testing.T) {
--- a/internal/expert/plan/relocate.go
+++ b/internal/expert/plan/relocate.go
@@ -80,7 +80,7 @@
 	for _, d := range s.destinations {
 		s.candidatesLeft--
 		after := d.baseTime + s.replicaShare[hotExpert]*s.fullTime[d.rank]
-		if after >= s.hotTime || s.has(d.rank, hotExpert) || s.conflicts(d, s.hotRank) {
+		if after >= s.limit || s.has(d.rank, hotExpert) || s.conflicts(d, s.hotRank) {
 			continue
 		}
 		gain := relief + potential(s.rankTime[d.rank]) - potential(after) - d.loss
@@ -105,7 +105,7 @@
 			continue
 		}
 		after := s.rankTime[r] + (newShare-s.replicaShare[moved])*s.fullTime[r]
-		if after >= s.hotTime {
+		if after >= s.limit {
 			continue
 		}
 		gain := relief + potential(s.rankTime[r]) - potential(after)
@@ -123,7 +123,7 @@
 			continue
 		}
 		after := d.baseTime + s.replicaShare[moved]*s.fullTime[d.rank]
-		if after >= s.hotTime {
+		if after >= s.limit {
 			// The destinations are in the order of baseTime, which on ranks of
 			// equal speed is also the order of the time after the change.
 			return
@@ -158,7 +158,7 @@
 	newShare := s.share[kept] / float64(s.replicas[kept]+1)
 	reduction := s.replicaShare[kept] - newShare
 	after := timeWithIn - reduction*s.fullTime[first.rank]
-	if after >= s.hotTime {
+	if after >= s.limit {
 		return
 	}
 	gain += potential(s.rankTime[first.rank]) - potential(after)
@@ -172,7 +172,7 @@
 			continue
 		}
 		otherAfter := d.baseTime + newShare*s.fullTime[d.rank]
-		if otherAfter >= s.hotTime {
+		if otherAfter >= s.limit {
 			return
 		}
 		total := gain + potential(s.rankTime[d.rank]) - potential(otherAfter) - d.loss
--- a/internal/expert/plan/search.go
+++ b/internal/expert/plan/search.go
@@ -23,10 +23,15 @@
 // compared. It needs no load, but the replica may be needed again later.
 const dropPrice = 0.5
 
-// minImprovement is the smallest improvement that counts. Without it, rounding errors
-// could keep the search from ending.
+// minImprovement is the smallest difference between two relative times that counts.
 const minImprovement = 1e-9
 
+// minRelativeGain is the smallest improvement that counts in the search, relative to the
+// time or the potential of the hottest rank. It is far above what rounding adds to a sum
+// over all ranks. Without it, changes between states that are equal but for rounding
+// would cost loads, and could undo one another.
+const minRelativeGain = 1e-9
+
 // search finds changes that shorten the time of the hottest rank of a layer.
 type search struct {
 	*layer
@@ -34,8 +39,10 @@
 
 	hotRank      int     // hottest rank
 	hotTime      float64 // time of the hottest rank
+	limit        float64 // time that all ranks to which a change adds work must stay below
+	minScore     float64 // gain per load that a candidate must exceed
 	best         change  // best candidate so far
-	bestScore    float64 // gain per load of best
+	bestScore    float64 // gain per load of best, or minScore if there is none
 	destinations []destination
 }
 
@@ -97,7 +104,9 @@
 	if s.hotTime <= floor {
 		return false
 	}
-	s.bestScore = 0
+	s.limit = s.hotTime * (1 - minRelativeGain)
+	s.minScore = minRelativeGain * potential(s.hotTime)
+	s.bestScore = s.minScore
 	first := s.hotRank * s.shape.Slots
 	for i, e := range s.row(s.hotRank) {
 		if e == expertmap.Empty {
@@ -108,10 +117,10 @@
 		s.tryDrop(first+i, e)
 		s.tryLighter(first+i, e)
 	}
-	if s.bestScore <= minImprovement {
+	if s.bestScore <= s.minScore {
 		s.tryRelocations()
 	}
-	return s.bestScore > minImprovement
+	return s.bestScore > s.minScore
 }
 
 // offer keeps a candidate if its gain per price exceeds that of the best one so far.
@@ -130,7 +139,7 @@
 	reduction := s.replicaShare[in] - newShare
 	relief := s.relief(in, reduction)
 	for r, t := range s.rankTime {
-		if t+newShare*s.fullTime[r]-s.maxExpertTime[r] >= s.hotTime || s.has(r, in) {
+		if t+newShare*s.fullTime[r]-s.maxExpertTime[r] >= s.limit || s.has(r, in) {
 			continue
 		}
 		first := r * s.shape.Slots
@@ -162,7 +171,7 @@
 		after -= s.replicaShare[out] * s.fullTime[r]
 	}
 	gain := relief + potential(s.rankTime[r]) - potential(after)
-	if after >= s.hotTime || gain <= s.bestScore {
+	if after >= s.limit || gain <= s.bestScore {
 		return
 	}
 	if out != expertmap.Empty {
@@ -190,7 +199,7 @@
 			t -= reduction * s.fullTime[q]
 		}
 		after := t + increase*s.fullTime[q]
-		if after >= s.hotTime {
+		if after >= s.limit {
 			return 0, false
 		}
 		loss += potential(after) - potential(t)
@@ -223,7 +232,7 @@
 	}
 	d := s.replicaShare[hotExpert] - s.replicaShare[otherExpert]
 	after := t + d*s.fullTime[r]
-	if d <= 0 || after >= s.hotTime {
+	if d <= 0 || after >= s.limit {
 		return
 	}
 	gain := hotPotential - potential(s.hotTime-d*s.fullTime[s.hotRank]) + potential(t) - potential(after)
