Judge relocations with two loads by the state that they lead to

Cause: a displacement and a spread were judged as the sum of their parts, though two parts can affect the same rank: two dropped replicas whose experts share a third holder, or a destination that also holds the expert that gets a further replica. Each part alone kept below the hottest time; both together did not.

A candidate of these two kinds that would be the best one is now applied, measured and taken back.

--- a/internal/expert/plan/invariant_test.go
+++ b/internal/expert/plan/invariant_test.go
@@ -216,6 +216,76 @@
 	}
 }
 
+// A relocation that is judged part by part, though its parts add work to the same rank,
+// can lengthen the hottest rank's time.
+func TestRelocationDoesNotLengthenTheHottestRank(t *testing.T) {
+	cases := []struct {
+		name          string
+		slots         int
+		weight, speed []float64
+	}{
+		{
+			"six ranks", 4,
+			[]float64{3, 8, 4, 40, 1, 8, 12, 7, 3, 2, 2, 1, 12, 15, 40, 2},
+			[]float64{0.1, 1, 0.6, 0.1, 0.1, 1},
+		},
+		{
+			"seven ranks", 4,
+			[]float64{4, 10, 6, 30, 6, 10, 10, 10, 30, 20, 2, 6},
+			[]float64{1, 1, 0.6, 1, 1, 1, 1},
+		},
+		{
+			"eight ranks", 5,
+			[]float64{4, 2, 40, 1, 1, 1, 8, 20, 3, 12, 3, 8, 4, 12, 12},
+			[]float64{1, 1, 1.5, 1, 1, 0.6, 1, 1},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := expertmap.Shape{Layers: 1, Experts: len(c.weight), Ranks: len(c.speed), Slots: c.slots}
+			requireEachChangeGains(t, s, sharesOf(c.weight), c.speed)
+		})
+	}
+	t.Run("random", func(t *testing.T) {
+		weight := rapid.SampledFrom([]float64{1, 2, 3, 4, 6, 8, 10, 12, 15, 20, 40})
+		rapid.Check(t, func(rt *rapid.T) {
+			d := drawGroup(rt)
+			d.redraw()
+			weights := rapid.SliceOfN(weight, d.shape.Experts, d.shape.Experts).Draw(rt, "weights")
+			requireEachChangeGains(rt, d.shape, sharesOf(weights), d.speed)
+		})
+	})
+}
+
+// requireEachChangeGains requires that each change of a search in the first layer lowers
+// the sum of potentials and doesn't lengthen the hottest rank's time.
+func requireEachChangeGains(t require.TestingT, s expertmap.Shape, share, speed []float64) {
+	m, err := expertmap.Even(s)
+	require.NoError(t, err)
+	l := newLayer(s, speed)
+	l.reset(m.Layer(0), share, share, make([]bool, s.Ranks*s.Slots))
+	finder := search{layer: l, candidatesLeft: 100_000}
+	changes := finder.run(nil, 50, 1)
+	l.reset(m.Layer(0), share, share, nil)
+	_, longest := l.hottest()
+	sum := sumOfPotentials(l)
+	for _, c := range changes {
+		finder.apply(c)
+		_, time := l.hottest()
+		require.LessOrEqual(t, time, longest)
+		require.Less(t, sumOfPotentials(l), sum)
+		longest, sum = time, sumOfPotentials(l)
+	}
+}
+
+func sumOfPotentials(l *layer) float64 {
+	sum := 0.0
+	for _, t := range l.rankTime {
+		sum += potential(t)
+	}
+	return sum
+}
+
 // sharesOf returns weights divided by their sum.
 func sharesOf(weight []float64) []float64 {
 	sum := 0.0
--- a/internal/expert/plan/relocate.go
+++ b/internal/expert/plan/relocate.go
@@ -129,7 +129,7 @@
 			return
 		}
 		total := gain + potential(s.rankTime[d.rank]) - potential(after) - d.loss
-		s.offer(total, 2, change{cell: int32(cell), other: int32(d.cell), in: in, otherIn: moved})
+		s.offerExact(total, change{cell: int32(cell), other: int32(d.cell), in: in, otherIn: moved})
 	}
 }
 
@@ -176,6 +176,39 @@
 			return
 		}
 		total := gain + potential(s.rankTime[d.rank]) - potential(otherAfter) - d.loss
-		s.offer(total, 2, change{cell: int32(first.cell), other: int32(d.cell), in: in, otherIn: kept})
+		s.offerExact(total, change{cell: int32(first.cell), other: int32(d.cell), in: in, otherIn: kept})
 	}
 }
+
+// offerExact keeps a candidate of two loads if it is the best one so far. The parameter
+// gain is the sum over the parts of the change. It differs from the gain of the change
+// where two parts affect the same rank, so the gain is computed from the state that the
+// change leads to.
+func (s *search) offerExact(gain float64, c change) {
+	const loads = 2
+	if gain/loads <= s.bestScore {
+		return
+	}
+	back := change{cell: c.cell, other: c.other, in: s.cells[c.cell], otherIn: s.cells[c.other]}
+	s.timeBefore = append(s.timeBefore[:0], s.rankTime...)
+	s.apply(c)
+	gain, ok := s.gainSince(s.timeBefore)
+	s.apply(back)
+	if ok {
+		s.offer(gain, loads, c)
+	}
+}
+
+// gainSince returns the decrease in potential from earlier times of the ranks. ok is false
+// if a rank to which work was added is as slow as the hottest rank was.
+func (s *search) gainSince(earlier []float64) (gain float64, ok bool) {
+	for r, t := range s.rankTime {
+		if t > earlier[r] && t >= s.limit {
+			return 0, false
+		}
+		if t != earlier[r] {
+			gain += potential(earlier[r]) - potential(t)
+		}
+	}
+	return gain, true
+}
--- a/internal/expert/plan/search.go
+++ b/internal/expert/plan/search.go
@@ -44,6 +44,7 @@
 	best         change  // best candidate so far
 	bestScore    float64 // gain per load of best, or minScore if there is none
 	destinations []destination
+	timeBefore   []float64 // per rank: its time before a change that is tried
 }
 
 // potential is a convex function of a rank's time. The search lowers its sum over the
