Keep a part held that crashed several servers at once and then one more

Cause: three at once count as two crashes. Now the moment stays and the count goes up.

TestCrashAfterSeveralAtOnce fails on the code before (1 crash counted, and free) and passes now; the package's tests 20 times.

--- a/internal/traffic/quarantine/suspect.go
+++ b/internal/traffic/quarantine/suspect.go
@@ -53,16 +53,23 @@
 }
 
 // crashesIn returns the number of crashes in sightings, which are by time, the time of the last one, and
-// when the suspect became quarantined; zero if it did not.
+// when the suspect became quarantined; zero if it did not. A later crash changes neither that moment nor that the
+// crashes until then are at least firstQuarantine.
 func (s *suspect) crashesIn(sightings []sighting) (n int, last, since time.Time) {
 	counted, last := sequentialCrashes(sightings)
 	n = len(counted)
+	if at, many := manyAtOnce(sightings); many && s.part {
+		before := 0
+		for before < n && !counted[before].at.After(at) {
+			before++
+		}
+		if before < firstQuarantine { // the targets that crashed at once count as the rest
+			return n + firstQuarantine - before, last, at
+		}
+	}
 	if n >= firstQuarantine {
 		return n, last, counted[firstQuarantine-1].at
 	}
-	if at, many := manyAtOnce(sightings); many && s.part {
-		return firstQuarantine, last, at
-	}
 	return n, last, time.Time{}
 }
 
