Try sets of suspected parts, so that sound requests aren't held with a part that crashes servers

Cause: a probe before the end of the hold wanted a request with one suspect. Parts that always come together are suspected together, so no request has one alone. Now a request that lacks a part which explains the crashes as well is a trial of the suspects that it has: served, it clears all of them; if it crashes its target, they are at one crash more. Two trials that crash a target for each part, over all entries; smaller sets first; all parts of the same crashes have one turn. Each trial is logged (probeAllowed).

--- a/internal/program/entry/crashes.go
+++ b/internal/program/entry/crashes.go
@@ -130,6 +130,7 @@
 		e.log.Warn().Str("event", "requestHeld").Stringer("fingerprint", b.Request).Bool("part", b.Part).Int("crashes", b.Crashes).
 			Dur("for", b.Quarantined).Bool("inconclusive", b.Inconclusive).Str("source", b.Source).Str("release", string(b.Release)).Msg("")
 	}
+	q.OnProbe = func(p quarantine.Probe) { crashes.LogProbe(e.log, p) }
 	k := crashes.NewKeeper(q, e.log)
 	k.Put = e.putCrashes
 	k.Get = func(ctx context.Context) (crashes.Stored, error) {
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -106,6 +106,7 @@
 	g.admit.OnNoticeChange = g.applyNotice
 	g.crashes = crashes.NewKeeper(quarantine.New(string(s.Name)), l)
 	g.crashes.Quarantine.OnChange = g.logQuarantine
+	g.crashes.Quarantine.OnProbe = func(p quarantine.Probe) { crashes.LogProbe(g.log, p) }
 	g.crashes.Quarantine.Turn = g.probeTurn
 	m.NewGauge("wagtailshelf_quarantined", func() float64 { return float64(g.crashes.Quarantine.Quarantined()) })
 	g.setUpCrashStore()
--- a/internal/traffic/quarantine/doc.go
+++ b/internal/traffic/quarantine/doc.go
@@ -14,4 +14,7 @@
 // Requests of which no two are alike may share a part of their prompts that crashes each target. So each
 // shared part is suspected too, by the same rule, unless a request with it was answered completely
 // within the last two minutes, at any entry: most parts of a crash are in nearly all requests.
+//
+// Parts that always come together are suspected together. A request that has some of them, and lacks one that
+// explains the crashes as well, is sent as a trial: served, it clears those that it has.
 package quarantine
--- a/internal/traffic/quarantine/fleet_test.go
+++ b/internal/traffic/quarantine/fleet_test.go
@@ -22,12 +22,14 @@
 	records []fleetRecord
 	crashes []time.Time
 	sent    []time.Time // when requests with the part were sent
+	sound   soundRequests
 }
 
 type fleetRun struct {
 	entry       int
 	sent, crash time.Time
 	verdict     Verdict
+	parts       []Fingerprint
 }
 
 type fleetRecord struct {
@@ -59,6 +61,7 @@
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(fleetStep) {
 		f.deliver()
 		f.crash()
+		f.runSound()
 		arrivals := 0
 		for expected := rate * fleetStep.Seconds(); f.rng.Float64() < expected; expected-- {
 			arrivals++
@@ -75,12 +78,16 @@
 }
 
 func (f *fleet) send(entry int) {
-	v := f.entries[entry].Begin(f.now, preamble, bad)
+	parts := []Fingerprint{preamble, bad}
+	if f.sound.parts != nil {
+		parts = append(parts, f.sound.parts(f.rng)...)
+	}
+	v := f.entries[entry].Begin(f.now, parts...)
 	if v.Quarantined {
 		return
 	}
 	f.sent = append(f.sent, f.now)
-	f.running = append(f.running, fleetRun{entry: entry, sent: f.now, crash: f.now.Add(fleetRunTime), verdict: v})
+	f.running = append(f.running, fleetRun{entry: entry, sent: f.now, crash: f.now.Add(fleetRunTime), verdict: v, parts: parts})
 }
 
 // crash ends the targets whose requests have run long enough. In a group, requests at other targets are cut.
@@ -95,16 +102,13 @@
 		crashed = true
 		f.crashes = append(f.crashes, f.now)
 		q := f.entries[r.entry]
-		q.End(f.now, r.verdict, Failed, preamble, bad)
-		runs := []Run{{Request: preamble, Part: true, Sent: r.sent, Failed: f.now}, {Request: bad, Part: true, Sent: r.sent, Failed: f.now}}
-		q.Crashed(f.now, incarnation(fmt.Sprint("i-", len(f.crashes))), runs)
-		record, _ := q.OwnRecord(f.now)
-		for to := range f.entries {
-			if to != r.entry {
-				delay := time.Duration(f.rng.Int64N(int64(fleetMaxDelay)))
-				f.records = append(f.records, fleetRecord{f.now.Add(delay), to, record})
-			}
+		q.End(f.now, r.verdict, Failed, r.parts...)
+		var runs []Run
+		for _, part := range r.parts {
+			runs = append(runs, Run{Request: part, Part: true, Sent: r.sent, Failed: f.now})
 		}
+		q.Crashed(f.now, incarnation(fmt.Sprint("i-", len(f.crashes))), runs)
+		f.share(r.entry)
 	}
 	f.running = left
 	if crashed && f.group {
@@ -112,6 +116,17 @@
 	}
 }
 
+// share sends an entry's record to the others, each with a delay.
+func (f *fleet) share(entry int) {
+	record, _ := f.entries[entry].OwnRecord(f.now)
+	for to := range f.entries {
+		if to != entry {
+			delay := time.Duration(f.rng.Int64N(int64(fleetMaxDelay)))
+			f.records = append(f.records, fleetRecord{f.now.Add(delay), to, record})
+		}
+	}
+}
+
 func (f *fleet) deliver() {
 	left := f.records[:0]
 	for _, r := range f.records {
--- a/internal/traffic/quarantine/quarantine.go
+++ b/internal/traffic/quarantine/quarantine.go
@@ -65,6 +65,8 @@
 	// OnChange, if not nil, is called when a suspect becomes quarantined, and when it is
 	// no longer quarantined.
 	OnChange func(State)
+	// OnProbe, if not nil, is called when a request is allowed as a probe.
+	OnProbe func(Probe)
 	// OnReport, if not nil, is called when the own record is to tell others that a part is harmless.
 	OnReport func()
 	// Turn returns how many entries may probe a suspect before this one; nil if there is no
@@ -74,6 +76,8 @@
 	mu                sync.Mutex
 	suspects          map[Fingerprint]*suspect
 	assessed          map[*suspect]assessment   // of those with enough crashes; nil after a change
+	repeated          []*suspect                // those that are assessed
+	peers             map[*suspect]peers        // of those that were asked for since
 	answered          answered                  // by own requests
 	answeredElsewhere answered                  // by other entries' records
 	reports           map[Fingerprint]time.Time // parts that other entries suspect, and when this one had them answered
--- a/internal/traffic/quarantine/record.go
+++ b/internal/traffic/quarantine/record.go
@@ -108,6 +108,14 @@
 	return a
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // ForgetEntry forgets the sightings of an entry whose record was removed.
 func (q *Quarantine) ForgetEntry(now time.Time, entry string) {
 	q.mu.Lock()
--- a/internal/traffic/quarantine/state.go
+++ b/internal/traffic/quarantine/state.go
@@ -8,7 +8,7 @@
 	Part         bool // the fingerprint is that of a part of prompts
 	Crashes      int
 	Quarantined  time.Duration // remaining quarantine; 0 if the suspect is not quarantined
-	Inconclusive bool          // a request without another suspect may be a probe at once
+	Inconclusive bool          // a request without some other suspect may be a probe at once
 	Source       string        // the entry whose observation or response caused the change
 	Release      Release       // why the suspect is no longer quarantined; "" if it is
 	Evidence     []Evidence    // the newest observations of its crashes, at most maxEvidence
@@ -51,7 +51,7 @@
 			s.announced = a.crashes
 			if left > 0 {
 				q.changed(State{
-					Request: f, Part: s.part, Crashes: a.crashes, Quarantined: left, Inconclusive: a.inconclusive, Source: source,
+					Request: f, Part: s.part, Crashes: a.crashes, Quarantined: left, Inconclusive: q.inconclusive(s, a), Source: source,
 					Evidence: s.evidence(now),
 				})
 			}
--- a/internal/traffic/quarantine/suspect.go
+++ b/internal/traffic/quarantine/suspect.go
@@ -15,6 +15,8 @@
 	since     time.Time  // time of the crash that made it quarantined; zero if there is none
 	probing   bool       // this entry is running a probe
 	nextProbe time.Time  // after a probe that proved nothing, when this entry may run the next one
+	nextTrial time.Time  // the same for a probe before the quarantine is over
+	unproven  int        // trials that proved nothing
 	announced int        // crashes when OnChange was last called; 0 if it is not quarantined
 	release   Release    // why sightings were last removed
 }
@@ -128,17 +130,19 @@
 
 // assessment is what the known crashes prove about a suspect.
 type assessment struct {
-	crashes int       // those that no stronger suspect explains
-	last    time.Time // time of the last of them
-	// inconclusive is set if the crashes are no proof yet: another part was in the same prompts each time, or no
-	// part of the service is known to be harmless, as after a start of all entries.
-	inconclusive bool
+	crashes   int       // those that no stronger suspect explains
+	last      time.Time // time of the last of them
+	noAnswers bool      // no part of its service was known to be harmless, as after a start of all entries
 }
 
-// probeDelays is how long after its last crash a part may be probed while the crashes are inconclusive, by their
-// number. What all requests have is then a suspect like any other, and while it is held nothing is served. After
-// more crashes the part is the cause, whatever else was there.
-var probeDelays = []time.Duration{0, 0, 0, 5 * time.Second, 30 * time.Second}
+// repeatedTrialDelay is how long after its last crash a part may be tried again that crashed targets while
+// it was quarantined.
+const repeatedTrialDelay = 5 * time.Second
+
+// probeDelays is how long after its last crash a part may be probed while no part of its service is known to be
+// harmless, by its crashes. What all requests have is then a suspect like any other, and while it is held nothing is
+// served. After more crashes the part is the cause, whatever else was there.
+var probeDelays = []time.Duration{0, 0, 0, repeatedTrialDelay, 30 * time.Second}
 
 // assess returns what the crashes prove about a suspect. A crash at which a stronger suspect was present
 // is explained by that: parts that many requests have are present at most crashes of the part that
@@ -157,7 +161,7 @@
 // a part that is quarantined in the end explains the crashes of others: a request that is sent on after
 // one crash may be at the next by chance.
 func (q *Quarantine) assessAll() {
-	q.assessed = make(map[*suspect]assessment)
+	q.assessed, q.peers = make(map[*suspect]assessment), make(map[*suspect]peers)
 	var list []*suspect
 	for _, s := range q.suspects {
 		if s.count >= firstQuarantine {
@@ -165,6 +169,7 @@
 		}
 	}
 	slices.SortFunc(list, compareStrength)
+	q.repeated = list
 	var proven []*suspect
 	for _, s := range list {
 		unexplained := s.sightings
@@ -177,7 +182,7 @@
 		a := assessment{crashes: n, last: last}
 		if s.part && a.crashes >= firstQuarantine {
 			proven = append(proven, s)
-			a.inconclusive = q.noAnswers(s) && a.crashes < len(probeDelays) || a.crashes == firstQuarantine && includesAnother(s, list)
+			a.noAnswers = a.crashes < len(probeDelays) && q.noAnswers(s)
 		}
 		q.assessed[s] = a
 	}
@@ -214,18 +219,3 @@
 	service := s.sightings[0].crash.Request.scope()
 	return !q.answered.anyOf(service, s.last) && !q.answeredElsewhere.anyOf(service, s.last)
 }
-
-// includesAnother reports whether another part was at as many crashes, and wherever it was this one was too: a
-// preamble and a part that only comes after it. A request with the preamble alone tells which is at fault. Of
-// parts of different requests at the same targets either may have crashed them, so neither is tried.
-func includesAnother(s *suspect, among []*suspect) bool {
-	return slices.ContainsFunc(among, func(o *suspect) bool {
-		equal := o != s && o.part && o.count == s.count && !o.strongerThan(s) && !s.strongerThan(o)
-		return equal && !slices.ContainsFunc(o.sightings, func(v sighting) bool { return !s.seenWith(v) })
-	})
-}
-
-// seenWith reports whether the entry that made a sighting saw this suspect at the same crash.
-func (s *suspect) seenWith(v sighting) bool {
-	return slices.ContainsFunc(s.sightings, func(w sighting) bool { return w.entry == v.entry && w.sameCrash(v) })
-}
--- a/internal/traffic/quarantine/verdict.go
+++ b/internal/traffic/quarantine/verdict.go
@@ -7,7 +7,8 @@
 	Quarantined bool          // the request is quarantined
 	After       time.Duration // when the caller should retry, if the request is quarantined
 	Crashes     int           // crashes of targets that ran the request, or another one with its part
-	Probe       bool          // the quarantine is over, and this attempt is its only probe
+	Probe       bool          // this attempt is the only probe of its suspects
+	Why         Reason        // why it may be one
 	Cause       Fingerprint   // the suspect that is quarantined for the longest time; zero if there is none
 }
 
@@ -36,30 +37,41 @@
 		}
 	}
 	for i, s := range causes {
-		left := q.timeLeft(now, fingerprints[i], s, assessments[i], len(causes) == 1)
+		left, why := q.timeLeft(now, s, assessments[i], of, len(causes))
 		if left > v.After {
 			v.Quarantined, v.After, v.Cause = true, left, fingerprints[i]
 		}
+		if v.Why == "" || v.Why == HoldOver {
+			v.Why = why
+		}
 	}
 	return v, causes
 }
 
-// timeLeft returns the time until this entry may probe a suspect. While the crashes are no proof, a
-// request in which nothing else is suspected may be a probe at once: if it is served the suspect is
-// harmless.
-func (q *Quarantine) timeLeft(now time.Time, f Fingerprint, s *suspect, a assessment, alone bool) time.Duration {
-	left := quarantineTime(a.crashes) - now.Sub(a.last)
-	if a.inconclusive && alone {
-		left = probeDelays[a.crashes] - now.Sub(a.last)
-	}
-	if q.Turn != nil {
-		left += time.Duration(q.Turn(f)) * probeTurn
+// timeLeft returns the time until this entry may send a request as a probe of one of its suspects, and why. While
+// the crashes are no proof, that may be before the quarantine is over.
+func (q *Quarantine) timeLeft(now time.Time, s *suspect, a assessment, of []Fingerprint, suspects int) (time.Duration, Reason) {
+	turn := q.turn(s)
+	left := max(quarantineTime(a.crashes)-now.Sub(a.last)+turn, s.nextProbe.Sub(now))
+	why := HoldOver
+	if delay, reason, ok := q.trialDelay(s, a, of, suspects); ok {
+		if trial := max(delay-now.Sub(a.last)+turn, s.nextTrial.Sub(now)); left > 0 && trial < left {
+			left, why = trial, reason
+		}
 	}
-	left = max(left, s.nextProbe.Sub(now))
 	if left <= 0 && s.probing {
-		return probeRetryDelay
+		left = probeRetryDelay
 	}
-	return left
+	return left, why
+}
+
+// turn returns how much later than others this entry may probe a suspect. All parts of the same crashes have the
+// same turns, so that one request at a time is a probe of any of them.
+func (q *Quarantine) turn(s *suspect) time.Duration {
+	if q.Turn == nil {
+		return 0
+	}
+	return time.Duration(q.Turn(q.peersOf(s).lead)) * probeTurn
 }
 
 // Begin returns whether a request may be sent to a target. After a quarantine only one attempt
@@ -76,6 +88,9 @@
 	for _, s := range causes {
 		s.probing = true
 	}
+	if q.OnProbe != nil {
+		q.OnProbe(q.probe(v, of, causes))
+	}
 	return v
 }
 
@@ -106,7 +121,7 @@
 			s.probing = false
 		}
 		if v.Probe && r == Failed {
-			s.nextProbe = now.Add(q.probePause(s))
+			q.pauseProbes(now, s, v.Why)
 		}
 		if r == Served && !s.part {
 			q.remove(f, Answered, func(v sighting) bool { return v.entry == q.Entry })
@@ -118,12 +133,15 @@
 	}
 }
 
-// probePause returns how long this entry waits after a probe that proved nothing. Each probe may crash
-// a target without the entry noticing, as when the caller leaves before the crash.
-func (q *Quarantine) probePause(s *suspect) time.Duration {
-	a := q.assess(s)
-	if a.inconclusive {
-		return probeRetryDelay
+// pauseProbes has this entry wait after a probe that proved nothing. Each may crash a target without the entry
+// noticing, as when the caller leaves before the crash.
+func (q *Quarantine) pauseProbes(now time.Time, s *suspect, why Reason) {
+	hold := quarantineTime(q.assess(s).crashes)
+	trial := min(probeRetryDelay<<min(s.unproven, maxUnproven), max(hold, probeRetryDelay))
+	s.unproven++
+	s.nextTrial = now.Add(trial)
+	if why != HoldOver {
+		hold = trial
 	}
-	return quarantineTime(a.crashes)
+	s.nextProbe = later(s.nextProbe, now.Add(hold))
 }
