Build the lists of both services when a target's service changes

Callers saw requests cut off with 502: a server whose entry another writer had overwritten with one of an unknown service, and that left then, got requests until it exited. Roster.Put built only the list of the new service, so that the list of the former one kept a copy that Remove didn't reach.

All changes of the roster now go through one function that builds the lists of the services before and after. A service without targets has no list, since another writer may name any number of services.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -118,26 +118,35 @@
 		t.Displaced = t.Displaced || t.ListedAt.Before(other.ListedAt)
 		if other.ListedAt.Before(t.ListedAt) && !other.Leaving && !other.Displaced {
 			other.Displaced = true
-			r.targets[id] = other
-			r.index(other.Service)
+			r.change(id, &other)
 			ended = append(ended, id)
 		}
 	}
-	r.targets[t.ID] = t
-	r.index(t.Service)
+	r.change(t.ID, &t)
 	return ended
 }
 
+// change replaces a target, or removes it if next is nil, and builds the lists of the services
+// concerned: a target may change its service. All changes go through it, so that no list keeps a
+// copy of a target that has changed or is gone.
+func (r *Roster) change(id string, next *Target) {
+	previous, known := r.targets[id]
+	if next == nil {
+		delete(r.targets, id)
+	} else {
+		r.targets[id] = *next
+		r.index(next.Service)
+	}
+	if known && (next == nil || next.Service != previous.Service) {
+		r.index(previous.Service)
+	}
+}
+
 // Remove removes a target.
 func (r *Roster) Remove(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t, found := r.targets[id]
-	if !found {
-		return
-	}
-	delete(r.targets, id)
-	r.index(t.Service)
+	r.change(id, nil)
 }
 
 // MarkLeaving marks a target as leaving. The argument is when it announced its shutdown, or zero if
@@ -179,8 +188,7 @@
 	if !found || !change(&t) {
 		return false
 	}
-	r.targets[id] = t
-	r.index(t.Service)
+	r.change(id, &t)
 	return true
 }
 
@@ -193,6 +201,10 @@
 			list = append(list, t)
 		}
 	}
+	if len(list) == 0 {
+		delete(r.serving, service) // other writers may name any number of services
+		return
+	}
 	slices.SortFunc(list, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
 	r.serving[service] = list
 }
