Take an entry that another writer put over a server's for no word of it

Callers' requests went on to a server that said it was leaving: after another writer had overwritten its entry, the entry took the foreign one for a new incarnation and forgot what the server had said. It did so too in a restored store, which lists a departed server as ready. An entry with another service or address in the same incarnation was believed at once.

An entry that names a service no configuration has, or another service or address in the same incarnation, now names no server to use, as one that can't be read, and changes nothing else that is known of the server: service, address, incarnation, leaving. The server's next entry ends that. An entry that remains for longer than one that nobody renews is its server's own after all, unless the store fails meanwhile. An incarnation that is listed without its start keeps the one that is known.

--- a/internal/program/gateway/left.go
+++ b/internal/program/gateway/left.go
@@ -13,9 +13,9 @@
 	departureRetention = 2 * time.Minute
 	// maxDepartures bounds the memory used: a release of all servers, three times over.
 	maxDepartures = 4096
-	// restoredEntryLifetime is how long the restored entry of a server that has left may
-	// remain: it expires after three heartbeats. An entry that remains longer belongs to a
-	// live server that had lost the store.
+	// restoredEntryLifetime is how long an entry may remain that its server does not renew, as the
+	// restored one of a server that has left, or one that another writer has overwritten: it expires
+	// after three heartbeats. An entry that remains longer is written by a live server.
 	restoredEntryLifetime = 10 * time.Second
 )
 
@@ -25,7 +25,7 @@
 type departed struct {
 	mu         sync.Mutex
 	departures map[string]departure
-	withheld   map[string]departure // listed by a restored backup, and since when
+	withheld   map[string]departure // listed by a restored backup or another writer, and since when
 }
 
 // departure is an incarnation of a target and the time at which it was remembered.
@@ -66,15 +66,25 @@
 	return true
 }
 
-// reported records that the store has reported a target since the restore, which takes precedence
-// over what the backup has.
+// hold withholds an entry that is not known to be its server's own, until it expires, is written
+// again, or has remained for so long that it must be.
+func (l *departed) hold(now time.Time, t roster.Target) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if held, found := l.withheld[t.ID]; !found || held.target.ChangedAt != t.ChangedAt {
+		l.withheld[t.ID] = departure{target: t, at: now}
+	}
+}
+
+// reported records that the store has reported a target, which takes precedence over what is
+// withheld.
 func (l *departed) reported(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.withheld, id)
 }
 
-// due returns the targets whose restored entries have not expired in time.
+// due returns the targets whose withheld entries have not expired in time.
 func (l *departed) due(now time.Time) []roster.Target {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/program/gateway/missing.go
+++ b/internal/program/gateway/missing.go
@@ -69,6 +69,13 @@
 	m.failing, m.previousAt, m.answeredAt = false, m.answeredAt, now
 }
 
+// storeIsFailing reports whether the store's last answer is followed by a failed call.
+func (m *missing) storeIsFailing() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.failing
+}
+
 // newsSince returns the earliest time at which that may have happened which the store's last answer
 // reported first: when it answered before that.
 func (m *missing) newsSince() time.Time {
--- a/internal/program/gateway/targets.go
+++ b/internal/program/gateway/targets.go
@@ -65,48 +65,67 @@
 }
 
 func (g *Gateway) applyTarget(c feed.Change[roster.Target]) {
-	g.departed.reported(c.Name)
-	if c.Removed {
-		g.targetVanished(time.Now(), c.Name)
-		return
-	}
-	g.missing.found(c.Name)
 	known, found := g.roster.Get(c.Name)
-	if c.Unreadable {
-		if g.roster.MarkUnreadable(c.Name) {
-			g.log.Warn().Str("event", "targetUnreadable").Str("target", c.Name).Msg("")
+	if !c.Removed && !c.Unreadable && found {
+		if why := g.doubt(known, c.Object); why != "" {
+			g.departed.hold(time.Now(), c.Object)
+			g.doubtTarget(c.Object, why)
+			return
 		}
-		return
 	}
+	g.departed.reported(c.Name)
 	switch {
-	case found && known.SameIncarnation(c.Object):
-		// A target that has announced its shutdown doesn't come back in this incarnation.
-		c.Object.Leaving = c.Object.Leaving || known.Leaving
-		c.Object.LeavingSince = known.LeavingSince
-		if c.Object.ListedAt.Era == known.ListedAt.Era {
-			c.Object.ListedAt, c.Object.Displaced = known.ListedAt, known.Displaced
-		} // Otherwise this era's revisions decide which of two targets at one address is live.
-	case found:
-		g.targetRestarted(known, &c.Object)
-	}
-	if found && c.Object.Leaving && !known.Leaving { // a target first seen as leaving may have announced that long ago
-		c.Object.LeavingSince = g.missing.newsSince()
-	}
-	for _, id := range g.roster.Put(c.Object) {
-		g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", "addressTaken").Str("by", c.Name).Msg("")
+	case c.Removed:
+		g.targetVanished(time.Now(), c.Name)
+	case c.Unreadable:
+		g.doubtTarget(roster.Target{ID: c.Name}, doubtMalformed)
+	default:
+		g.putTarget(c.Object)
+	}
+}
+
+// putTarget applies an entry that counts as its target's own word.
+func (g *Gateway) putTarget(t roster.Target) {
+	g.missing.found(t.ID)
+	known, found := g.roster.Get(t.ID)
+	sameIncarnation := found && known.SameIncarnation(t)
+	if sameIncarnation {
+		keepIncarnation(known, &t)
+	}
+	if found && (!sameIncarnation || moved(known, t)) {
+		g.targetRestarted(known, &t)
+	}
+	if found && t.Leaving && !known.Leaving { // a target first seen as leaving may have announced that long ago
+		t.LeavingSince = g.missing.newsSince()
+	}
+	for _, id := range g.roster.Put(t) {
+		g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", "addressTaken").Str("by", t.ID).Msg("")
 	}
 	// This comes after Put, which would otherwise overwrite a leaving notice that arrives at
 	// the same moment.
-	if since, leaves := g.admit.Listed(time.Now(), c.Object); leaves {
-		g.markLeaving(c.Object, since)
+	if since, leaves := g.admit.Listed(time.Now(), t); leaves {
+		g.markLeaving(t, since)
 	}
-	if !found || known.Leaving != c.Object.Leaving {
-		g.log.Info().Str("event", "target").Str("target", c.Name).Str("service", c.Object.Service).
-			Bool("leaving", c.Object.Leaving).Stringer("address", c.Object.Address).
-			Stringer("at", c.Object.ChangedAt).Int64("beat", c.Object.Heartbeats).Time("born", c.Object.Started).Msg("")
+	if !found || known.Leaving != t.Leaving || known.Unreadable {
+		g.log.Info().Str("event", "target").Str("target", t.ID).Str("service", loggedID(t.Service)).
+			Bool("leaving", t.Leaving).Stringer("address", t.Address).
+			Stringer("at", t.ChangedAt).Int64("beat", t.Heartbeats).Time("born", t.Started).Msg("")
 	}
 }
 
+// keepIncarnation carries over what a later entry of the same incarnation does not change.
+func keepIncarnation(known roster.Target, t *roster.Target) {
+	// A target that has announced its shutdown doesn't come back in this incarnation.
+	t.Leaving = t.Leaving || known.Leaving
+	t.LeavingSince = known.LeavingSince
+	if t.Started.IsZero() {
+		t.Started = known.Started
+	}
+	if t.ListedAt.Era == known.ListedAt.Era {
+		t.ListedAt, t.Displaced = known.ListedAt, known.Displaced
+	} // Otherwise this era's revisions decide which of two targets at one address is live.
+}
+
 // targetRestarted discards the state of a target's earlier incarnation. Both have the same
 // id, so a connection, request slot or failure of the earlier one would be attributed to the
 // new one.
@@ -182,10 +201,12 @@
 }
 
 // resolveHeldTargets decides on targets that were kept or withheld: those that stay missing are
-// removed, and those from a backup whose entries have not expired are live.
+// removed, and withheld entries that have not expired are of live servers.
 func (g *Gateway) resolveHeldTargets(now time.Time) {
-	for _, t := range g.departed.due(now) {
-		g.applyTarget(feed.Change[roster.Target]{Name: t.ID, Object: t})
+	if !g.missing.storeIsFailing() { // otherwise the entries may have expired unnoticed
+		for _, t := range g.departed.due(now) {
+			g.putTarget(t)
+		}
 	}
 	for id, s := range g.missing.due(now) {
 		g.applyMissing(id, s)
