Give a displaced target its place back when its displacer ends

Callers of a service were refused for good: an entry of another writer that named an unknown service and a live server's address displaced that server at all entries, also after it had expired. Put set Displaced once, the next entry of the same incarnation carried it over, and nothing took it back.

Displaced now follows from the targets at an address, at each change of any of them: a target is displaced while a later one is listed there that may run there. One whose service the configuration doesn't name may not, nor one at whose address another server answered (421, Replaced). A 421 also ends the last use of a target that had announced its shutdown.

Ruled out: believing only the address's own answers, since each entry that starts would then waste an attempt for every server that has started again.

--- a/internal/fleet/roster/lists_test.go
+++ b/internal/fleet/roster/lists_test.go
@@ -24,6 +24,7 @@
 		for range rapid.IntRange(1, 30).Draw(rt, "changes") {
 			changeAnyTarget(rt, r)
 			requireListsMatch(rt, r)
+			requireDisplacedByLater(rt, r)
 		}
 	})
 }
@@ -31,7 +32,7 @@
 // changeAnyTarget makes one change of one target, whichever is drawn.
 func changeAnyTarget(rt *rapid.T, r *Roster) {
 	id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "id")
-	switch rapid.SampledFrom([]string{"put", "put", "remove", "leaving", "missing", "unreadable"}).Draw(rt, "change") {
+	switch rapid.SampledFrom([]string{"put", "put", "remove", "leaving", "missing", "unreadable", "replaced", "services"}).Draw(rt, "change") {
 	case "put":
 		r.Put(Target{
 			ID: id, Service: rapid.SampledFrom(listedServices).Draw(rt, "service"),
@@ -46,6 +47,11 @@
 		r.MarkMissing(id)
 	case "unreadable":
 		r.MarkUnreadable(id)
+	case "replaced":
+		r.MarkReplaced(id)
+	case "services":
+		named := rapid.SliceOfDistinct(rapid.SampledFrom(listedServices), rapid.ID[string]).Draw(rt, "named")
+		r.SetServices(func(service string) bool { return slices.Contains(named, service) })
 	}
 }
 
@@ -64,3 +70,16 @@
 		require.Equal(t, want[service], r.Serving(service), fmt.Sprint("the list of ", service))
 	}
 }
+
+// requireDisplacedByLater requires that exactly those targets are displaced at whose address a later one
+// is listed that may run there.
+func requireDisplacedByLater(t require.TestingT, r *Roster) {
+	for _, id := range r.IDs() {
+		target, _ := r.Get(id)
+		later := slices.ContainsFunc(r.IDs(), func(other string) bool {
+			o, _ := r.Get(other)
+			return o.Address == target.Address && target.ListedAt.Before(o.ListedAt) && !o.Replaced && (r.named == nil || r.named(o.Service))
+		})
+		require.Equal(t, later, target.Displaced, id)
+	}
+}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -42,9 +42,12 @@
 	// LeavingSince is the earliest time at which the target may have announced its shutdown; zero
 	// if the target is not leaving, or is gone already.
 	LeavingSince time.Time
-	// Displaced is set if a later target is listed at the same address: this one gets no new
-	// requests.
+	// Displaced is set by the roster while a later target is listed at the same address: this one
+	// gets no new requests.
 	Displaced bool
+	// Replaced is set if another server answers at the target's address: the target is gone, or
+	// never was there.
+	Replaced bool
 	// Missing is set if the store does not list the target, and it may be live: it gets requests
 	// only if its service has no other target.
 	Missing bool
@@ -94,9 +97,14 @@
 
 // Roster is the set of targets. It is safe for concurrent use.
 type Roster struct {
+	// OnRegained is called for each target that is not displaced any more, if it is not nil. It
+	// must not call the roster.
+	OnRegained func(id string)
+
 	mu      sync.RWMutex
 	targets map[string]Target
-	serving map[string][]Target // targets that accept requests, by service, ordered by id
+	serving map[string][]Target       // targets that accept requests, by service, ordered by id
+	named   func(service string) bool // nil as long as the services are not known
 }
 
 // New returns an empty roster.
@@ -104,6 +112,16 @@
 	return &Roster{targets: make(map[string]Target), serving: make(map[string][]Target)}
 }
 
+// SetServices sets which services there are. A target of another service displaces none.
+func (r *Roster) SetServices(named func(service string) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.named = named
+	services := make(map[string]bool)
+	r.settle(func(Target) bool { return true }, services)
+	r.indexAll(services)
+}
+
 // Put adds a target or replaces its state. Of two targets at one address, the later one is
 // the running one: the earlier one gets no more requests, though it stays listed for some
 // seconds. Otherwise each request for the earlier one would be refused by the later one,
@@ -111,34 +129,73 @@
 func (r *Roster) Put(t Target) (ended []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for id, other := range r.targets {
-		if other.Address != t.Address || id == t.ID {
-			continue
-		}
-		t.Displaced = t.Displaced || t.ListedAt.Before(other.ListedAt)
-		if other.ListedAt.Before(t.ListedAt) && !other.Leaving && !other.Displaced {
-			other.Displaced = true
-			r.change(id, &other)
-			ended = append(ended, id)
-		}
-	}
-	r.change(t.ID, &t)
-	return ended
+	return slices.DeleteFunc(r.change(t.ID, &t), func(id string) bool { return id == t.ID })
 }
 
-// change replaces a target, or removes it if next is nil, and builds the lists of the services
-// concerned: a target may change its service. All changes go through it, so that no list keeps a
-// copy of a target that has changed or is gone.
-func (r *Roster) change(id string, next *Target) {
+// change replaces a target, or removes it if next is nil, and brings up to date what follows from
+// the targets: which ones are displaced, and the lists of the services concerned. All changes go
+// through it, so that no list keeps a copy of a target that has changed or is gone. It returns the
+// targets that are displaced now.
+func (r *Roster) change(id string, next *Target) (displaced []string) {
 	previous, known := r.targets[id]
+	services := make(map[string]bool)
+	if known {
+		services[previous.Service] = true
+	}
 	if next == nil {
 		delete(r.targets, id)
+		next = &previous
 	} else {
+		next.Displaced = previous.Displaced
 		r.targets[id] = *next
-		r.index(next.Service)
+		services[next.Service] = true
 	}
-	if known && (next == nil || next.Service != previous.Service) {
-		r.index(previous.Service)
+	displaced = r.settle(func(t Target) bool { return t.Address == previous.Address || t.Address == next.Address }, services)
+	r.indexAll(services)
+	return displaced
+}
+
+// settle finds out which of the targets that match are displaced. Those that match must include all
+// at the same address. It adds the services of those that change, and returns the targets that are
+// displaced now and got requests until then.
+func (r *Roster) settle(match func(Target) bool, services map[string]bool) (displaced []string) {
+	var list []Target
+	latest := make(map[netip.AddrPort]position.Position)
+	for _, t := range r.targets {
+		if !match(t) {
+			continue
+		}
+		list = append(list, t)
+		if r.mayRun(t) && latest[t.Address].Before(t.ListedAt) {
+			latest[t.Address] = t.ListedAt
+		}
+	}
+	for _, t := range list {
+		now := t.ListedAt.Before(latest[t.Address])
+		if now == t.Displaced {
+			continue
+		}
+		t.Displaced = now
+		r.targets[t.ID] = t
+		services[t.Service] = true
+		switch {
+		case now && !t.Leaving:
+			displaced = append(displaced, t.ID)
+		case !now && r.OnRegained != nil:
+			r.OnRegained(t.ID)
+		}
+	}
+	return displaced
+}
+
+// mayRun reports whether a target may be the one that runs at its address.
+func (r *Roster) mayRun(t Target) bool {
+	return !t.Replaced && (r.named == nil || r.named(t.Service))
+}
+
+func (r *Roster) indexAll(services map[string]bool) {
+	for service := range services {
+		r.index(service)
 	}
 }
 
@@ -161,6 +218,15 @@
 	})
 }
 
+// MarkReplaced marks a target at whose address another server answers: it is gone. MarkReplaced
+// returns false if the target is not known or already marked.
+func (r *Roster) MarkReplaced(id string) bool {
+	return r.mark(id, func(t *Target) bool {
+		t.Leaving, t.LeavingSince = true, time.Time{}
+		return set(&t.Replaced)
+	})
+}
+
 // MarkUnreadable marks a target whose entry can't be decoded any more. The target gets requests again
 // after the next Put. MarkUnreadable returns false if the target is not known or already marked.
 func (r *Roster) MarkUnreadable(id string) bool {
--- a/internal/program/gateway/config.go
+++ b/internal/program/gateway/config.go
@@ -124,6 +124,7 @@
 	}
 	g.config.Store(&next)
 	if changed {
+		g.roster.SetServices(func(service string) bool { return next.config.Service(service) != nil })
 		g.log.Info().Str("event", "rules").Int64("version", next.config.Version).
 			Int("routes", len(next.config.Routes)).Dur("age", deployed.Elapsed()-sentAt).Msg("")
 	}
--- /dev/null
+++ b/internal/program/gateway/displaced_test.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
+	"wagtailshelf.example/wagtailshelf/internal/record/feed"
+	"wagtailshelf.example/wagtailshelf/internal/record/position"
+)
+
+// atAddressOfA returns an entry under another id with the address of the target "a", listed later.
+func atAddressOfA(service string) feed.Change[roster.Target] {
+	c := listed("b", noon.Add(time.Minute), 1, 9)
+	c.Object.Service, c.Object.ListedAt = service, position.Position{Revision: 9}
+	return c
+}
+
+// Guards against a live server that gets no requests for good, because another writer once named its
+// address.
+func TestDisplacedTargetIsUsedAgain(t *testing.T) {
+	t.Run("a service that nobody names displaces nobody", func(t *testing.T) {
+		g := newGatewayWith(t)
+		g.applyTarget(atAddressOfA("inventory"))
+		requireServing(t, g, "a")
+	})
+	t.Run("nor after its entry has gone", func(t *testing.T) {
+		g := newGatewayWith(t)
+		g.applyTarget(atAddressOfA("inventory"))
+		g.applyTarget(gone("b"))
+		requireServing(t, g, "a")
+	})
+	t.Run("nor if it was listed before the configuration", func(t *testing.T) {
+		g := newGateway()
+		g.applyTarget(listed("a", noon, 70, 5))
+		g.applyTarget(atAddressOfA("inventory"))
+		g.installConfig(deployed.Elapsed(), naming(7, "svc"))
+		requireServing(t, g, "a")
+	})
+	t.Run("a service that is named later does", func(t *testing.T) {
+		g := newGatewayWith(t)
+		g.applyTarget(atAddressOfA("inventory"))
+		g.installConfig(deployed.Elapsed(), naming(8, "svc", "inventory"))
+		requireServing(t, g)
+		require.Len(t, g.serving("inventory"), 1)
+	})
+	for _, service := range []string{"svc", "other"} {
+		for name, end := range map[string]func(*Gateway){
+			"its entry expires":            func(g *Gateway) { g.applyTarget(gone("b")) },
+			"another server answers (421)": func(g *Gateway) { g.targetReplaced("b") },
+		} {
+			t.Run(name+", "+service, func(t *testing.T) {
+				g := newGatewayWith(t)
+				logged := logOf(g)
+				g.applyTarget(atAddressOfA(service))
+				require.NotContains(t, servingIDs(g), "a")
+				end(g)
+				requireServing(t, g, "a")
+				require.Len(t, logged.of("targetRegained"), 1)
+			})
+		}
+	}
+}
+
+// Guards against believing again an entry whose address another server was found at, as it is listed
+// once more.
+func TestReplacedTargetStaysReplaced(t *testing.T) {
+	g := newGatewayWith(t)
+	g.applyTarget(atAddressOfA("svc"))
+	g.targetReplaced("b")
+	again := atAddressOfA("svc")
+	again.Object.Heartbeats, again.Object.ChangedAt = 2, position.Position{Revision: 12}
+	g.applyTarget(again)
+	requireServing(t, g, "a")
+}
+
+// servingIDs returns the targets of the service svc that get requests.
+func servingIDs(g *Gateway) []string {
+	var ids []string
+	for _, t := range g.serving("svc") {
+		ids = append(ids, t.ID)
+	}
+	return ids
+}
+
+// logOf returns what the entry logs from now on.
+func logOf(g *Gateway) *logLines {
+	logged := new(logLines)
+	g.log = &log.Logger{Writer: logged}
+	return logged
+}
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -99,6 +99,7 @@
 	m.NewGauge("wagtailshelf_caller_connections_accepted", func() float64 { return float64(g.connections.accepted.Load()) })
 	g.pool.OnDial = dialled.Inc
 	g.pool.MaxIdle = g.idleConnections
+	g.roster.OnRegained = g.targetRegained
 	g.admit.Targets = g.serving
 	g.admit.RulesFor = g.limits
 	g.admit.OnGroupChange = g.logGroupState
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -56,6 +56,11 @@
 	g.log.Info().Str("event", event).Str("target", v.Target.ID).Dur("for", v.Said.BackOff).Msg("")
 }
 
+// targetRegained logs that a target is used again, as none displaces it any more at its address.
+func (g *Gateway) targetRegained(id string) {
+	g.log.Info().Str("event", "targetRegained").Str("target", id).Msg("")
+}
+
 // logQuarantine logs when a request, or a part of prompts, is quarantined, and when it is released.
 func (g *Gateway) logQuarantine(s quarantine.State) {
 	event := "requestHeld"
--- a/internal/program/gateway/targets.go
+++ b/internal/program/gateway/targets.go
@@ -88,7 +88,9 @@
 func (g *Gateway) putTarget(t roster.Target) {
 	g.missing.found(t.ID)
 	known, found := g.roster.Get(t.ID)
-	sameIncarnation := found && known.SameIncarnation(t)
+	// What was never at the address that its entry named has said nothing, such as that it leaves.
+	neverThere := known.Replaced && moved(known, t)
+	sameIncarnation := found && known.SameIncarnation(t) && !neverThere
 	if sameIncarnation {
 		keepIncarnation(known, &t)
 	}
@@ -117,12 +119,12 @@
 func keepIncarnation(known roster.Target, t *roster.Target) {
 	// A target that has announced its shutdown doesn't come back in this incarnation.
 	t.Leaving = t.Leaving || known.Leaving
-	t.LeavingSince = known.LeavingSince
+	t.LeavingSince, t.Replaced = known.LeavingSince, known.Replaced
 	if t.Started.IsZero() {
 		t.Started = known.Started
 	}
 	if t.ListedAt.Era == known.ListedAt.Era {
-		t.ListedAt, t.Displaced = known.ListedAt, known.Displaced
+		t.ListedAt = known.ListedAt
 	} // Otherwise this era's revisions decide which of two targets at one address is live.
 }
 
@@ -174,7 +176,7 @@
 // targetReplaced handles the response of a server that it is not the target expected at its
 // address. The list may show that target for some more seconds.
 func (g *Gateway) targetReplaced(id string) {
-	if g.roster.MarkLeaving(id, time.Time{}) {
+	if g.roster.MarkReplaced(id) {
 		g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", "anotherAnswers").Msg("")
 	}
 }
--- a/internal/program/gateway/words.go
+++ b/internal/program/gateway/words.go
@@ -22,8 +22,10 @@
 // is no word of it.
 func (g *Gateway) doubt(known, listed roster.Target) string {
 	switch {
-	case !moved(known, listed), !g.named(known.Service):
-		return "" // what is known of a service that nobody names may be another writer's as well
+	case !moved(known, listed):
+		return ""
+	case known.Replaced, !g.named(known.Service):
+		return "" // what is known may be another writer's as well
 	case !g.named(listed.Service):
 		return doubtService
 	case known.SameIncarnation(listed), listed.Started.IsZero() && !known.Started.IsZero():
