Let an unknown service's entry displace no rank at planners

A planner that read the list while another writer's entry named a rank's address took the rank's server for displaced and left it out until a later list. The planner now leaves out entries of services that the configuration doesn't name, as entries do.

Before: TestUnknownServiceDisplacesNoRank fails, no server left of 1. After: it passes. Seen by reading, not in a run of the system.

--- a/internal/program/companion/seats.go
+++ b/internal/program/companion/seats.go
@@ -29,7 +29,9 @@
 	if err != nil {
 		return
 	}
-	p.updateServers(targets)
+	// An entry of a service that the configuration does not name is another writer's.
+	isForeign := func(t roster.Target) bool { return config.Service(t.Service) == nil }
+	p.updateServers(slices.DeleteFunc(targets, isForeign))
 }
 
 // updateServers updates the servers of the service from the list of targets. A known server keeps
