Draw no conclusion from a 421 to a caller's own condition

All callers of a service were refused: requests with the caller's Wagtailshelf-Expect-Version for weights that the servers don't have were answered 421, and the entry took each such server for replaced until it started again. Besides, each of them made the entry avoid the server for up to 0.8 s, and close its group where the answer named a server.

A 421 to a request with that header now proves that the request did not run, and nothing else. A server that has really been replaced is found by the next request without the header. A 421 that names a server which is listed at another address does not count against the target either.

--- a/internal/program/gateway/displaced_test.go
+++ b/internal/program/gateway/displaced_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,7 +53,7 @@
 	for _, service := range []string{"svc", "other"} {
 		for name, end := range map[string]func(*Gateway){
 			"its entry expires":            func(g *Gateway) { g.applyTarget(gone("b")) },
-			"another server answers (421)": func(g *Gateway) { g.targetReplaced("b") },
+			"another server answers (421)": func(g *Gateway) { g.targetReplaced("b", "") },
 		} {
 			t.Run(name+", "+service, func(t *testing.T) {
 				g := newGatewayWith(t)
@@ -71,7 +73,7 @@
 func TestReplacedTargetStaysReplaced(t *testing.T) {
 	g := newGatewayWith(t)
 	g.applyTarget(atAddressOfA("svc"))
-	g.targetReplaced("b")
+	g.targetReplaced("b", "")
 	again := atAddressOfA("svc")
 	again.Object.Heartbeats, again.Object.ChangedAt = 2, position.Position{Revision: 12}
 	g.applyTarget(again)
@@ -93,3 +95,28 @@
 	g.log = &log.Logger{Writer: logged}
 	return logged
 }
+
+// Guards against losing a target because it refused a request on account of another server.
+func TestMisdirectedAnswerThatNamesAServer(t *testing.T) {
+	beside := listed("b", noon, 70, 6)
+	beside.Object.Address = netip.MustParseAddrPort("10.0.0.2:80")
+	replacing := atAddressOfA("other")
+	replacing.Object.ListedAt = position.Position{} // listed at the same time, so that it doesn't displace the target
+	for name, c := range map[string]struct {
+		named   string
+		knows   feed.Change[roster.Target]
+		serving bool
+	}{
+		"names nobody":                       {"", beside, false},
+		"names a server at another address":  {"b", beside, true},
+		"names a server at the same address": {"b", replacing, false},
+		"names an unknown server":            {"i-9", beside, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGatewayWith(t)
+			g.applyTarget(c.knows)
+			g.targetReplaced("a", c.named)
+			require.Equal(t, c.serving, slices.Contains(servingIDs(g), "a"))
+		})
+	}
+}
--- a/internal/program/gateway/targets.go
+++ b/internal/program/gateway/targets.go
@@ -174,8 +174,14 @@
 }
 
 // targetReplaced handles the response of a server that it is not the target expected at its
-// address. The list may show that target for some more seconds.
-func (g *Gateway) targetReplaced(id string) {
+// address. The list may show that target for some more seconds. If the response names a server at
+// another address as the one at fault, it says nothing of this one.
+func (g *Gateway) targetReplaced(id, named string) {
+	t, known := g.roster.Get(id)
+	if at, found := g.roster.Get(named); known && found && at.Address != t.Address {
+		g.log.Info().Str("event", "targetRefusedForOther").Str("target", id).Str("named", loggedID(named)).Msg("")
+		return
+	}
 	if g.roster.MarkReplaced(id) {
 		g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", "anotherAnswers").Msg("")
 	}
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -197,7 +197,7 @@
 	meta := platform.ReadResponse(answer.Status, answer.Header)
 	a.Notice, a.Status, a.Unframed = meta.Notice, answer.Status, answer.Unframed
 	if answer.Status == http.StatusMisdirectedRequest {
-		c.f.OnMisdirected(target.ID) // the response is another server's: its headers do not describe this target
+		c.noteMisdirected(target.ID, answer.Status, meta)
 	} else {
 		c.noteTarget(t, a, meta)
 	}
@@ -280,6 +280,9 @@
 	}
 	if meta.NotRun {
 		c.discardRefusal(answer, meta)
+		if c.refusedCondition(answer.Status) {
+			return resultNotRun, admission.End{}, reasonNotRun
+		}
 		if meta.WaitsFor != "" {
 			c.f.Admission.GroupClosed(c.f.Now(), t.Target())
 			return resultNotRun, admission.End{Closed: true}, reasonNotRun
