Ask what the other entries know before trusting a restored store

A key that had been taken away worked at an entry that started just after the store came back from an older copy, from 0.5 s to 1.0 s after the start. The entry waited 0.5 s from its start for a planner's report of newer configurations, but sent its first heartbeat with a configuration after 1 s.

A new entry now sends heartbeats every 50 ms as soon as it knows its configuration and its targets, until a planner has reported; the 0.5 s count from the first of these. A report of a planner that hears this entry alone says nothing of others.

Ruled out: a longer wait from the start, since the store's answers may take any time; more datagrams in a store that was never restored, where nothing is asked.

--- a/internal/program/gateway/config.go
+++ b/internal/program/gateway/config.go
@@ -46,7 +46,8 @@
 	unprovenAge = time.Hour
 	// peerReportWait is how long an entry that has just started waits for a report of the
 	// other entries' configuration version, if the store has ever been restored from a
-	// backup. A planner answers the first heartbeat within a tenth of a second.
+	// backup. It counts from the first heartbeat that asks for it, which a planner answers
+	// within a tenth of a second.
 	peerReportWait = 500 * time.Millisecond
 )
 
@@ -56,16 +57,23 @@
 // it through the planners. One that read its configuration before the restore keeps that.
 func (g *Gateway) provenAge(now time.Time, r *knownConfig) time.Duration {
 	uptime := now.Sub(g.startedAt)
-	reported, known := g.planners.configVersion(now)
+	reported, _ := g.planners.configVersion(now)
 	switch {
 	case reported > r.config.Version && uptime < g.bounds.Load().Revoke:
 		return unprovenAge
-	case !known && uptime < peerReportWait && r.firstRead > firstEra:
+	case !g.planners.othersReported(now) && uptime < g.bounds.Load().Revoke && r.firstRead > firstEra && g.awaitsReports(now):
 		return unprovenAge
 	}
 	return r.age()
 }
 
+// awaitsReports reports whether the other entries' configuration version may still be reported: the
+// planners have not been asked yet, or a moment ago.
+func (g *Gateway) awaitsReports(now time.Time) bool {
+	asked := g.askedAt.Load()
+	return asked == nil || now.Sub(*asked) < peerReportWait
+}
+
 // firstEra is the era of a store that was never restored from a backup.
 const firstEra = 1
 
--- a/internal/program/gateway/digest.go
+++ b/internal/program/gateway/digest.go
@@ -21,16 +21,47 @@
 	go func() { ended <- socket.Serve(ctx, func(netip.AddrPort, digest.Heartbeat) {}, g.applyPlannerUpdate) }()
 	tick := time.NewTicker(digest.HeartbeatInterval)
 	defer tick.Stop()
+	ask := time.NewTicker(askInterval)
+	defer ask.Stop()
 	for {
-		g.sendHeartbeats(time.Now(), socket)
 		select {
-		case <-tick.C:
+		case now := <-tick.C:
+			g.sendHeartbeats(now, socket)
+		case now := <-ask.C:
+			if g.askPlanners(now, socket) {
+				ask.Stop()
+			}
 		case err := <-ended:
 			return err
 		}
 	}
 }
 
+// askInterval is the time between the heartbeats of an entry that has just started, and waits for a
+// report of the other entries' configuration version. Any of them may be lost.
+const askInterval = 50 * time.Millisecond
+
+// askPlanners sends heartbeats until a planner has reported which configuration the other entries
+// have, once the entry knows whom to ask. It returns whether nothing is left to ask for.
+func (g *Gateway) askPlanners(now time.Time, socket *digest.Socket) (done bool) {
+	r := g.config.Load()
+	if r == nil || !g.targetsListed.Load() {
+		return false
+	}
+	reported, _ := g.planners.configVersion(now)
+	known := g.planners.othersReported(now)
+	if g.askedAt.Load() == nil {
+		g.askedAt.Store(&now)
+	}
+	if known || r.firstRead <= firstEra || !g.awaitsReports(now) {
+		g.log.Info().Str("event", "rulesOfOthers").Bool("known", known).Int64("version", reported).
+			Int64("own", r.config.Version).Dur("after", now.Sub(*g.askedAt.Load())).Msg("")
+		return true
+	}
+	g.sendHeartbeats(now, socket)
+	return false
+}
+
 // maxSidecarHeartbeats bounds the sidecars without a known planner that get a heartbeat at a
 // time. Whichever of them plans next learns of the entry from a heartbeat; sending one to all each
 // second would take an entry 1,300 datagrams at the largest planned size.
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -56,7 +56,8 @@
 	missing       *missing
 	departed      *departed
 	config        atomic.Pointer[knownConfig]
-	targetsListed atomic.Bool // whether a list of targets was read
+	targetsListed atomic.Bool               // whether a list of targets was read
+	askedAt       atomic.Pointer[time.Time] // when planners were first asked for the other entries' configuration version; nil before
 	draining      atomic.Bool
 	planners      planners
 	heartbeats    uint64 // number of heartbeat rounds; used only by the goroutine that sends them
--- a/internal/program/gateway/planners.go
+++ b/internal/program/gateway/planners.go
@@ -98,6 +98,12 @@
 	return version, version > 0
 }
 
+// othersReported reports whether a planner recently reported the configuration version of other
+// entries. One that receives heartbeats from this entry alone reports only what this entry told it.
+func (p *planners) othersReported(now time.Time) bool {
+	return p.maxRecent(now, func(v planner) int64 { return min(v.configVersion, int64(v.entries-1)) }) > 0
+}
+
 // maxRecent returns the largest number that a planner recently reported; 0 if none did.
 func (p *planners) maxRecent(now time.Time, number func(planner) int64) (n int64) {
 	p.mu.Lock()
