Let a late 421 end only the incarnation that it was sent to

A server that starts again under its id got no requests until its next start if a request to its earlier incarnation was still under way and answered 421 by the server that had the address in between. The answer was applied by id alone.

It now counts only against the incarnation, service and address that the request was sent to.

Before, without the check: TestLateMisdirectedAnswerToAnEarlierIncarnation fails in the 4 cases of a later incarnation. After: it passes. Found by reading, not seen in a run of the system.

--- a/internal/program/gateway/displaced_test.go
+++ b/internal/program/gateway/displaced_test.go
@@ -53,7 +53,7 @@
 	for _, service := range []string{"svc", "other"} {
 		for name, end := range map[string]func(*Gateway){
 			"its entry expires":            func(g *Gateway) { g.applyTarget(gone("b")) },
-			"another server answers (421)": func(g *Gateway) { g.targetReplaced("b", "") },
+			"another server answers (421)": func(g *Gateway) { misdirect(g, "b", "") },
 		} {
 			t.Run(name+", "+service, func(t *testing.T) {
 				g := newGatewayWith(t)
@@ -73,7 +73,7 @@
 func TestReplacedTargetStaysReplaced(t *testing.T) {
 	g := newGatewayWith(t)
 	g.applyTarget(atAddressOfA("svc"))
-	g.targetReplaced("b", "")
+	misdirect(g, "b", "")
 	again := atAddressOfA("svc")
 	again.Object.Heartbeats, again.Object.ChangedAt = 2, position.Position{Revision: 12}
 	g.applyTarget(again)
@@ -115,7 +115,39 @@
 		t.Run(name, func(t *testing.T) {
 			g := newGatewayWith(t)
 			g.applyTarget(c.knows)
-			g.targetReplaced("a", c.named)
+			misdirect(g, "a", c.named)
+			require.Equal(t, c.serving, slices.Contains(servingIDs(g), "a"))
+		})
+	}
+}
+
+// misdirect passes on a 421 to a request for a target, as the entry knows it now.
+func misdirect(g *Gateway, id, named string) {
+	t, _ := g.roster.Get(id)
+	g.targetReplaced(t, named)
+}
+
+// Guards against losing a server that has started again, because another one had its address before and
+// refuses a request that was under way.
+func TestLateMisdirectedAnswerToAnEarlierIncarnation(t *testing.T) {
+	elsewhere := listed("a", noon.Add(time.Minute), 1, 9)
+	elsewhere.Object.Address = netip.MustParseAddrPort("10.0.0.2:80")
+	for name, c := range map[string]struct {
+		earlier, current feed.Change[roster.Target]
+		serving          bool
+	}{
+		"the same incarnation":    {listed("a", noon, 70, 5), listed("a", noon, 71, 6), false},
+		"distinguished by birth":  {listed("a", noon, 70, 5), listed("a", noon.Add(time.Minute), 1, 9), true},
+		"distinguished by beats":  {listed("a", time.Time{}, 70, 5), listed("a", time.Time{}, 1, 9), true},
+		"started again elsewhere": {listed("a", noon, 70, 5), elsewhere, true},
+		"its clock was set back":  {listed("a", noon, 70, 5), listed("a", noon.Add(-time.Hour), 1, 9), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGateway()
+			g.applyTarget(c.earlier)
+			sentTo, _ := g.roster.Get("a")
+			g.applyTarget(c.current)
+			g.targetReplaced(sentTo, "")
 			require.Equal(t, c.serving, slices.Contains(servingIDs(g), "a"))
 		})
 	}
--- a/internal/program/gateway/lives_test.go
+++ b/internal/program/gateway/lives_test.go
@@ -173,7 +173,7 @@
 	t.Run("not one that is gone", func(t *testing.T) {
 		g := newGateway()
 		g.applyTarget(listed("a", noon, 70, 5))
-		g.targetReplaced("a", "")
+		misdirect(g, "a", "")
 		require.Zero(t, countServing(g))
 	})
 	t.Run("not one that is first seen as leaving", func(t *testing.T) {
--- a/internal/program/gateway/targets.go
+++ b/internal/program/gateway/targets.go
@@ -174,16 +174,21 @@
 }
 
 // targetReplaced handles the response of a server that it is not the target expected at its
-// address. The list may show that target for some more seconds. If the response names a server at
-// another address as the one at fault, it says nothing of this one.
-func (g *Gateway) targetReplaced(id, named string) {
-	t, known := g.roster.Get(id)
-	if at, found := g.roster.Get(named); known && found && at.Address != t.Address {
-		g.log.Info().Str("event", "targetRefusedForOther").Str("target", id).Str("named", loggedID(named)).Msg("")
+// address. The list may show that target for some more seconds. It says nothing of a later
+// incarnation than the one that the request was sent to, nor of this one if it names a server at
+// another address as the one at fault.
+func (g *Gateway) targetReplaced(t roster.Target, named string) {
+	known, found := g.roster.Get(t.ID)
+	if !found {
+		return
+	}
+	other, namesOther := g.roster.Get(named)
+	if moved(t, known) || !t.SameIncarnation(known) || namesOther && other.Address != t.Address {
+		g.log.Info().Str("event", "targetStays").Str("target", t.ID).Str("reason", "misdirectedForOther").Str("named", loggedID(named)).Msg("")
 		return
 	}
-	if g.roster.MarkReplaced(id) {
-		g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", "anotherAnswers").Msg("")
+	if g.roster.MarkReplaced(t.ID) {
+		g.log.Info().Str("event", "targetGone").Str("target", t.ID).Str("reason", "anotherAnswers").Msg("")
 	}
 }
 
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -197,7 +197,7 @@
 	meta := platform.ReadResponse(answer.Status, answer.Header)
 	a.Notice, a.Status, a.Unframed = meta.Notice, answer.Status, answer.Unframed
 	if answer.Status == http.StatusMisdirectedRequest {
-		c.noteMisdirected(target.ID, answer.Status, meta)
+		c.noteMisdirected(target, answer.Status, meta)
 	} else {
 		c.noteTarget(t, a, meta)
 	}
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/notice"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
@@ -39,9 +40,9 @@
 	Budget              *Budget
 	Now                 func() time.Time
 	Draining            *atomic.Bool
-	OnMisdirected       func(target, named string) // called when a target's address refuses a request as misdirected, and may name the server at fault
-	OnEnd               func(Record)               // called at the end of each request
-	OnConnectionFailure func(ConnectionFailure)    // called for each connection that failed during a request
+	OnMisdirected       func(t roster.Target, named string) // called when a target's address refuses a request as misdirected, and may name the server at fault
+	OnEnd               func(Record)                        // called at the end of each request
+	OnConnectionFailure func(ConnectionFailure)             // called for each connection that failed during a request
 	// Quarantine decides which requests are not sent to targets, because they crash them.
 	Quarantine        *quarantine.Quarantine
 	OtherEntriesFresh func() bool // reports whether other entries have a fresh configuration; nil if that is never known
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -88,7 +88,7 @@
 		}},
 		Now:                 time.Now,
 		Draining:            new(atomic.Bool),
-		OnMisdirected:       func(id, _ string) { b.targets.MarkLeaving(id, time.Time{}) },
+		OnMisdirected:       func(t roster.Target, _ string) { b.targets.MarkLeaving(t.ID, time.Time{}) },
 		OnConnectionFailure: func(f ConnectionFailure) { close(f.Examined) },
 
 		Quarantine: quarantine.New("entry-1"),
--- a/internal/traffic/forward/misdirected.go
+++ b/internal/traffic/forward/misdirected.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
 
@@ -15,7 +16,7 @@
 // noteMisdirected reports that another server than the target responds at its address, if the
 // response proves that. The response is then another server's: its headers do not describe the
 // target.
-func (c *call) noteMisdirected(target string, status int, meta platform.ResponseInfo) {
+func (c *call) noteMisdirected(target roster.Target, status int, meta platform.ResponseInfo) {
 	if !c.refusedCondition(status) {
 		c.f.OnMisdirected(target, meta.WaitsFor)
 	}
