Look up an address's service among those that are named

An entry kept too many idle connections to a server with a bound on them while another writer's entry named its address: the service at an address was that of either entry, as a map's order had it.

Before: TestServiceAtAnAddress fails. After: it passes. Found by reading.

--- a/internal/fleet/roster/displaced_test.go
+++ b/internal/fleet/roster/displaced_test.go
@@ -51,3 +51,14 @@
 		})
 	}
 }
+
+// Guards against taking a server for one of another service, because another writer named its address.
+func TestServiceAtAnAddress(t *testing.T) {
+	r := New()
+	r.SetServices(func(service string) bool { return service == "svc" })
+	r.Put(Target{ID: "live", Service: "svc", Address: sharedAddress, ListedAt: position.Position{Revision: 4}})
+	r.Put(Target{ID: "foreign", Service: "inventory", Address: sharedAddress, ListedAt: position.Position{Revision: 9}})
+	for range 100 { // the order of a map is random
+		require.Equal(t, "svc", r.ServiceAt(sharedAddress))
+	}
+}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -314,7 +314,7 @@
 	defer r.mu.RUnlock()
 	service := ""
 	for _, t := range r.targets {
-		if t.Address == address && (service == "" || !t.Leaving && !t.Displaced) {
+		if t.Address == address && r.mayRun(t) && (service == "" || !t.Leaving && !t.Displaced) {
 			service = t.Service
 		}
 	}
