Bound the head of a target's response

Callers saw: a faulty server's bytes without a line end were collected until the entry exceeded its 284 MB and was killed, with all requests that it carried. http.ReadResponse reads the status line and the headers without a bound.

Bodies are not affected.

Interim responses were bounded already, two an exchange.

--- a/internal/wire/upstream/exchange.go
+++ b/internal/wire/upstream/exchange.go
@@ -87,9 +87,9 @@
 		go func() { a.written <- writeBody(c, r.Body) }()
 	}
 	for range maxResponses {
-		w, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
+		w, err := c.readHead(r.Method)
 		if err != nil {
-			return nil, merry.Wrap(ErrConnectionFailed, merry.AppendMessage(err.Error()))
+			return nil, err
 		}
 		if w.StatusCode >= 100 && w.StatusCode < 200 {
 			continue
--- a/internal/wire/upstream/pool.go
+++ b/internal/wire/upstream/pool.go
@@ -57,7 +57,8 @@
 // Conn is a connection to a target. It carries one request at a time.
 type Conn struct {
 	net    net.Conn
-	r      *bufio.Reader
+	in     *headReader
+	r      *bufio.Reader // reads from in
 	w      *bufio.Writer
 	target netip.AddrPort
 	Reused bool // it has carried an earlier request
@@ -92,9 +93,11 @@
 		return nil, err
 	}
 	p.OnDial()
+	in := &headReader{r: conn}
 	return &Conn{
 		net:    conn,
-		r:      bufio.NewReaderSize(conn, bufferSize),
+		in:     in,
+		r:      bufio.NewReaderSize(in, bufferSize),
 		w:      bufio.NewWriterSize(conn, bufferSize),
 		target: target,
 		keep:   defaultKeep,
