--- a/internal/wire/upstream/exchange_test.go
+++ b/internal/wire/upstream/exchange_test.go
@@ -50,9 +50,9 @@
 // repeat writes a text again and again, until the other side closes the connection or withoutEnd
 // bytes are written.
 func repeat(w io.Writer, text string) {
-	chunk := strings.Repeat(text, 1+(64<<10)/len(text))
+	chunk := []byte(strings.Repeat(text, 1+(64<<10)/len(text)))
 	for sent := 0; sent < withoutEnd; sent += len(chunk) {
-		if _, err := io.WriteString(w, chunk); err != nil {
+		if _, err := w.Write(chunk); err != nil {
 			return // the other side has closed the connection
 		}
 	}
