A panic gives its request's slot back, and ends its probe

Callers saw: after a panic in a call its slot at the target was held for all time; when all were, each request was refused as not run. A probe that ended so counted as running, and its request was never sent again.

The log line of such a request has the outcome unknown and the reason panic; it had none.

--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -41,8 +41,10 @@
 	a.Took = now.Sub(begin)
 	a.Result = reason
 	c.rec.Attempts = append(c.rec.Attempts, a)
+	c.slot = nil
 	c.f.Admission.Done(now, t, end)
 	c.endAttempt(v, t.Target(), begin, reason)
+	c.verdict = quarantine.Verdict{}
 	var examined <-chan struct{} // nil if no connection failed
 	if res == resultUnknown && (reason == reasonBroken || reason == reasonCut) {
 		examined = c.reportFailure(t.Target(), begin, now)
@@ -151,6 +153,7 @@
 	reasonAnswered = "answered"
 	reasonLeft     = "callerLeft"
 	reasonSlow     = "leftSlowTarget"
+	reasonPanic    = "panic" // a fault of the entry
 
 	reasonSuspected = "partSuspected" // the target crashed, perhaps because of a part of the prompt
 )
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -140,8 +140,10 @@
 	service   string
 	// partPrints are the fingerprints of the shared parts of the prompt; nil until they are needed.
 	partPrints []quarantine.Fingerprint
-	tried      []string // IDs of the targets of earlier attempts
-	sent       int      // number of times that the request was written to a target
+	slot       *admission.Ticket  // holds a place in the queue or a slot at a target; nil if the request has none
+	verdict    quarantine.Verdict // of the current attempt
+	tried      []string           // IDs of the targets of earlier attempts
+	sent       int                // number of times that the request was written to a target
 	stream     streamState
 	unframed   bool        // the newest response states no length and ends with its connection
 	repeat     bool        // a repeat of the request is reserved in the retry budget
@@ -279,6 +281,7 @@
 	c.rec.Service = c.service
 	c.f.Budget.CountRequest(c.f.Now(), c.service)
 	defer c.releaseRepeats()
+	defer c.releaseSlot()
 	for {
 		// Checked before the request is queued, so that a quarantined one is refused at once.
 		if c.refuseQuarantined(c.checkQuarantine()) {
@@ -286,13 +289,16 @@
 		}
 		t, ok := c.acquireTarget()
 		if !ok {
+			c.slot = nil
 			return
 		}
 		// Checked again after the wait: other copies of the request may have crashed targets
 		// meanwhile.
 		v := c.beginAttempt()
+		c.verdict = v
 		c.rec.Probe = c.rec.Probe || v.Probe
 		if v.Quarantined {
+			c.slot = nil
 			c.f.Admission.Abandon(c.f.Now(), t)
 		}
 		if c.refuseQuarantined(v) || !c.attempt(t, v) {
@@ -301,6 +307,21 @@
 	}
 }
 
+// releaseSlot gives back the slot of a request that a panic ended, and ends its probe.
+func (c *call) releaseSlot() {
+	if c.slot == nil {
+		return
+	}
+	now := c.f.Now()
+	c.f.Admission.Abandon(now, c.slot)
+	if c.verdict.Probe {
+		c.f.Quarantine.End(now, c.verdict, quarantine.Failed, c.suspects()...)
+	}
+	if c.rec.Outcome == "" {
+		c.rec.Outcome, c.rec.Reason = Unknown, reasonPanic
+	}
+}
+
 // callerLeft reports whether the caller has disconnected, and records that.
 func (c *call) callerLeft() bool {
 	if c.r.Context().Err() == nil {
--- a/internal/traffic/forward/wait.go
+++ b/internal/traffic/forward/wait.go
@@ -47,6 +47,7 @@
 func (c *call) acquireTarget() (*admission.Ticket, bool) {
 	now := c.f.Now()
 	t := c.ticket()
+	c.slot = t
 	switch v := c.f.Admission.Arrive(now, t); v {
 	case admission.Admitted:
 		return t, true
