Refuse a response whose status HTTP doesn't have

Callers saw: a stamped response with the status 020 was passed on, the HTTP server panicked at it, and the caller's channel was closed without an answer. A status of 600 to 999 was passed on as it was.

--- a/internal/wire/upstream/exchange.go
+++ b/internal/wire/upstream/exchange.go
@@ -18,6 +18,8 @@
 	// ErrConnectionFailed reports that the connection failed after bytes were written: the
 	// request may have run.
 	ErrConnectionFailed = merry.New("the connection failed")
+	// ErrMalformed reports a response that HTTP doesn't allow.
+	ErrMalformed = merry.New("the response is malformed")
 	// ErrTruncated reports a response that ended before it was complete.
 	ErrTruncated = merry.New("the response is truncated")
 )
@@ -94,6 +96,10 @@
 		if w.StatusCode >= 100 && w.StatusCode < 200 {
 			continue
 		}
+		if w.StatusCode < 200 || w.StatusCode > 599 {
+			// The HTTP server that passes it on to the caller panics at some of these.
+			return nil, merry.Appendf(ErrMalformed, "status %d", w.StatusCode)
+		}
 		if !matches(w.Header) {
 			if _, err := io.Copy(io.Discard, w.Body); err != nil {
 				return nil, merry.Wrap(ErrConnectionFailed, merry.AppendMessage(err.Error()))
--- a/internal/wire/upstream/exchange_test.go
+++ b/internal/wire/upstream/exchange_test.go
@@ -120,3 +120,16 @@
 	require.Equal(t, body, string(got))
 	a.Finish(time.Now(), true, 0)
 }
+
+// A response has a status that HTTP doesn't have. The HTTP server panics when it is passed on.
+func TestImpossibleStatus(t *testing.T) {
+	for _, status := range []string{"000", "020", "099", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			to := serve(t, func(w io.Writer) {
+				_, _ = io.WriteString(w, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 0\r\n\r\n") // what arrives is checked
+			})
+			_, err := send(t, to)
+			require.ErrorIs(t, err, ErrMalformed)
+		})
+	}
+}
