Bound the bodies that an entry holds at the same time

Callers saw: 60 uploads at once, each within max_body_bytes, drove an entry over its 284 MB; it was killed with all that it carried. Each body had a bound, their sum had none.

internal/wire/space is one budget of bytes for the process, 30% of its memory. Space is reserved as bytes arrive, the first 16 KiB of a body need none, and a source may hold no more than what is left, so that one can't use up the rest. A body for which there is no space is refused at once, 503 with Retry-After and Connection: close (noSpace); the request has not run. A long body that stalls gives its space back after its caller's patience, 30 s at the least.

A buffer is no larger than a stated length asks for, and grows by doubling, so there are no more copies than before. Weighed: a fixed share for each source; two faulty ones then leave less, and one alone gets less than there is.

--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/wire/intake"
+	"wagtailshelf.example/wagtailshelf/internal/wire/space"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
@@ -42,6 +43,11 @@
 	// age while the entry is ready. Past that it can't serve callers with keys for much
 	// longer.
 	readyAgeShare = 0.8
+	// bodyShare is the part of the process's memory that bodies of requests and responses may take
+	// up. The memory limit that the runtime aims at is more than twice that, which leaves room for
+	// buffers that were outgrown.
+	bodyShare = 0.3
+	megabyte  = 1e6
 )
 
 // Gateway is the entry's state.
@@ -88,6 +94,8 @@
 		failures:  make(chan forward.ConnectionFailure, failureRing),
 		malformed: deployed.NewMalformed(l, m),
 	}
+	bodies := &space.Budget{Total: int64(bodyShare * float64(s.Memory) * megabyte)}
+	m.NewGauge("wagtailshelf_body_bytes", func() float64 { return float64(bodies.Used()) })
 	took := m.NewHistogram("wagtailshelf_intake_check_seconds")
 	g.intake = &intake.Check{
 		Address: s.Listen.Callers, WaitTurn: g.admit.Await, OnChange: g.logIntake,
@@ -118,6 +126,7 @@
 		UnknownMaxAge: func() time.Duration { return time.Duration(configTrust * float64(g.bounds.Load().Revoke)) },
 		Admission:     g.admit,
 		Pool:          g.pool,
+		Space:         bodies,
 		Budget: &forward.Budget{Started: time.Now(), OnDecision: g.noteRepeat, Limits: func() forward.Limits {
 			b := g.bounds.Load()
 			return forward.Limits{Ratio: b.RepeatRatio, Window: b.RepeatWindow, Fixed: b.RepeatSlack / g.sharingEntries(time.Now())}
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -19,6 +20,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/ratelimit"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
+	"wagtailshelf.example/wagtailshelf/internal/wire/space"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
@@ -36,6 +38,7 @@
 	UnknownMaxAge       func() time.Duration // maximum age of a configuration that can prove a route or key unknown
 	Admission           *admission.Controller
 	Pool                *upstream.Pool
+	Space               *space.Budget // bounds the bytes of bodies that are held; nil for no bound
 	Budget              *Budget
 	Now                 func() time.Time
 	Draining            *atomic.Bool
@@ -134,6 +137,7 @@
 	config    *routing.Config
 	workspace *routing.Workspace
 	body      []byte
+	held      *space.Hold // of the body
 	begin     time.Time
 	deadline  time.Time
 	rec       Record
@@ -156,6 +160,7 @@
 	c := &call{f: f, w: w, r: r, begin: f.Now(), in: platform.ReadIncoming(r.Header)}
 	c.rec.ID, c.rec.Parts = c.in.ID, c.in.SharedParts
 	defer func() {
+		c.held.Release()
 		c.rec.Took, c.rec.LastEvent = f.Now().Sub(c.begin), c.stream.lastID
 		f.OnEnd(c.rec)
 	}()
@@ -218,32 +223,52 @@
 }
 
 // readBody reads the request body. If it returns false, it has refused the request because
-// its header or body is too large.
+// its header or body is too large, or because the entry holds too many bytes of other bodies.
 func (c *call) readBody() bool {
 	limits := c.config.Limits
 	if limits.HeaderBytes > 0 && headerSize(c.r) > limits.HeaderBytes {
 		c.end(Denied, "headerTooLarge", http.StatusRequestHeaderFieldsTooLarge)
 		return false
 	}
-	body := io.Reader(c.r.Body)
-	if limits.BodyBytes > 0 {
-		body = io.LimitReader(c.r.Body, limits.BodyBytes+1)
-	}
-	text, err := io.ReadAll(body)
-	if err != nil {
-		// The caller disconnected or sent a malformed body: nobody waits for a response.
-		c.rec.Outcome, c.rec.Reason = CallerLeft, "bodyNotRead"
-		panic(http.ErrAbortHandler)
-	}
-	if limits.BodyBytes > 0 && int64(len(text)) > limits.BodyBytes {
+	c.held = c.f.Space.Hold(space.Callers)
+	defer c.boundBodyTime()()
+	text, err := space.ReadAll(c.r.Body, c.r.ContentLength, limits.BodyBytes, c.held)
+	switch {
+	case errors.Is(err, space.ErrTooLong):
 		c.w.Header().Set("Connection", "close")
 		c.endUnread(Denied, "bodyTooLarge", http.StatusRequestEntityTooLarge)
 		return false
+	case errors.Is(err, space.ErrNoSpace):
+		c.held.Release() // while the rest of the body is read
+		c.w.Header().Set("Connection", "close")
+		c.w.Header().Set("Retry-After", retryAfterText(c.retryDelaySpread()))
+		c.endUnread(NotRun, reasonNoSpace, http.StatusServiceUnavailable)
+		return false
+	case err != nil:
+		// The caller disconnected or sent a malformed body: nobody waits for a response.
+		c.rec.Outcome, c.rec.Reason = CallerLeft, "bodyNotRead"
+		panic(http.ErrAbortHandler)
 	}
 	c.body = text
 	return true
 }
 
+// boundBodyTime bounds the time for reading a body that needs space, by the caller's patience. A caller
+// that is gone without its connection having ended would hold the space for long. The returned function
+// lifts the bound.
+func (c *call) boundBodyTime() func() {
+	if n := c.r.ContentLength; n >= 0 && n < space.Free {
+		return func() {}
+	}
+	connection := http.NewResponseController(c.w)
+	set := func(t time.Time) {
+		// This fails only for a connection that is closed, or that can't have deadlines.
+		_ = connection.SetReadDeadline(t)
+	}
+	set(c.begin.Add(max(c.in.Timeout, defaultPatience)))
+	return func() { set(time.Time{}) }
+}
+
 const (
 	// maxUnreadBody is how many bytes of a request's body are read after the response.
 	maxUnreadBody = 4 << 20
--- a/internal/traffic/forward/refuse.go
+++ b/internal/traffic/forward/refuse.go
@@ -79,10 +79,17 @@
 
 // refuse ends the request with a response which states that it did not run and when to retry.
 func (c *call) refuse(status int, reason string, retryAfter time.Duration) {
-	c.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	c.w.Header().Set("Retry-After", retryAfterText(retryAfter))
 	c.end(NotRun, reason, status)
 }
 
+// retryAfterText returns the value of a Retry-After header.
+func retryAfterText(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+
+// reasonNoSpace is the reason of a request that is refused because the bodies that the entry holds
+// take up all the space for them.
+const reasonNoSpace = "noSpace"
+
 // end ends the request with a response of the entry itself.
 func (c *call) end(o Outcome, reason string, status int) {
 	c.rec.Outcome, c.rec.Reason, c.rec.Status = o, reason, status
--- /dev/null
+++ b/internal/traffic/forward/space_test.go
@@ -0,0 +1,119 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/wire/space"
+	"wagtailshelf.example/wagtailshelf/platform/standin"
+)
+
+const (
+	// spaceBytes is the space for bodies in these tests.
+	spaceBytes = 32 << 20
+	// otherBytes is what the process may hold beside, as buffers and what the stand-ins need.
+	otherBytes = 16 << 20
+)
+
+// newSpaceTestbed returns a testbed whose forwarder has a bounded space.
+func newSpaceTestbed(t *testing.T, servers ...*standin.Server) *testbed {
+	b := newTestbed(t, servers...)
+	b.Space = &space.Budget{Total: spaceBytes}
+	b.configuration.Config.Limits.BodyBytes = 4 << 20
+	return b
+}
+
+// liveBytes returns how many bytes of the heap are in use.
+func liveBytes() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// upload is a request whose body comes slowly.
+type upload struct {
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+// beginUpload sends a request of a size but for its last byte.
+func (b *testbed) beginUpload(path string, size int) upload {
+	conn, err := net.Dial("tcp4", strings.TrimPrefix(b.url, "http://"))
+	require.NoError(b.t, err)
+	b.t.Cleanup(func() { _ = conn.Close() }) // it may be closed already
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nWagtailshelf-Request-Id: id-1\r\nContent-Length: %d\r\n\r\n", path, host, size)
+	_, err = io.WriteString(conn, head)
+	require.NoError(b.t, err)
+	rest := size - 1
+	for chunk := make([]byte, 64<<10); rest > 0; rest -= len(chunk) {
+		if _, err := conn.Write(chunk[:min(rest, len(chunk))]); err != nil {
+			break // it was refused, and the rest isn't read
+		}
+	}
+	return upload{conn: conn, r: bufio.NewReader(conn)}
+}
+
+// refused reports whether the upload is refused before its last byte is sent.
+func (u upload) refused(t *testing.T) bool {
+	require.NoError(t, u.conn.SetReadDeadline(time.Now().Add(500*time.Millisecond)))
+	w, err := http.ReadResponse(u.r, nil)
+	if err != nil {
+		return false
+	}
+	a := answer{status: w.StatusCode, header: w.Header}
+	require.Equal(t, http.StatusServiceUnavailable, a.status)
+	require.NotEmpty(t, a.header.Get("Retry-After"))
+	require.True(t, w.Close)
+	return true
+}
+
+// Callers send many long bodies at once, each within its bound. Together they would exceed the memory
+// of the process. Those for which there is no space must be refused before they are complete, and a
+// small request must be served meanwhile.
+func TestManyUploadsAtOnce(t *testing.T) {
+	const count, size = 60, 4_000_000
+	b := newSpaceTestbed(t, standin.NewServer(t, complete("hello")))
+	before := liveBytes()
+	var uploads [count]upload
+	var sending sync.WaitGroup
+	for i := range uploads {
+		sending.Go(func() { uploads[i] = b.beginUpload("/unsafe/x", size) })
+	}
+	sending.Wait()
+	require.Less(t, liveBytes()-before, int64(spaceBytes+otherBytes))
+	requireServed(t, b.do(t.Context(), http.MethodPost, "/unsafe/x", "", "small"), "hello")
+	refused := 0
+	for _, u := range uploads {
+		if u.refused(t) {
+			refused++
+		}
+		_ = u.conn.Close() // whatever it has to say, nobody listens
+	}
+	require.NotZero(t, refused)
+	require.Less(t, refused, count, "those for which there is space are read")
+	require.Eventually(t, func() bool { return b.Space.Used() == 0 }, time.Minute, time.Millisecond)
+	for _, r := range b.ended()[1:] {
+		require.Contains(t, []string{reasonNoSpace, "bodyNotRead"}, r.Reason)
+	}
+}
+
+// A caller is gone in the middle of a long body, and its connection stays open. It must not hold its
+// space for long.
+func TestStalledUploadGivesItsSpaceBack(t *testing.T) {
+	b := newSpaceTestbed(t)
+	b.Now = func() time.Time { return time.Now().Add(100*time.Millisecond - defaultPatience) }
+	b.beginUpload("/unsafe/x", 1<<20)
+	require.Eventually(t, func() bool { return len(b.ended()) > 0 }, 10*time.Second, time.Millisecond)
+	require.Zero(t, b.Space.Used())
+}
--- /dev/null
+++ b/internal/wire/space/space_test.go
@@ -0,0 +1,105 @@
+package space
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/require"
+)
+
+const total = 1 << 20 // bytes
+
+func source(port uint16) Source {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
+}
+
+// fill holds as many bodies of a source as there is space for.
+func fill(b *Budget, s Source) {
+	for b.Hold(s).Grow(Free + 1<<10) {
+	}
+}
+
+// Faulty sources take all the space that they can get. There must be some left for a sound one.
+func TestFaultySourcesLeaveSpace(t *testing.T) {
+	for faulty := range 8 {
+		b := &Budget{Total: total}
+		for n := range faulty {
+			fill(b, source(uint16(n+1)))
+		}
+		require.GreaterOrEqual(t, b.Total-b.Used(), int64(total>>faulty), "%d faulty sources", faulty)
+		require.True(t, b.Hold(source(99)).Grow(Free+1<<10), "%d faulty sources", faulty)
+	}
+}
+
+// A faulty source has taken all its space. Small bodies must be read, its own too.
+func TestSmallBodiesNeedNoSpace(t *testing.T) {
+	b := &Budget{Total: total}
+	fill(b, Callers)
+	for range 1000 {
+		_, err := ReadAll(strings.NewReader(strings.Repeat("0", Free-1)), -1, 0, b.Hold(Callers))
+		require.NoError(t, err)
+	}
+}
+
+// Space that is not given back would be lost for all time.
+func TestSpaceIsGivenBack(t *testing.T) {
+	b := &Budget{Total: total}
+	h := b.Hold(Callers)
+	for size := range int64(total / 2) {
+		require.True(t, h.Grow(size))
+	}
+	require.Equal(t, int64(total/2-1-Free), b.Used())
+	h.Release()
+	h.Release()
+	require.Zero(t, b.Used())
+	require.Empty(t, b.held)
+}
+
+// A stated length that is wrong, or a reader that returns few bytes at a time, must not change what
+// is read, and what is reserved must cover it.
+func TestBodiesAreReadUnchanged(t *testing.T) {
+	for _, size := range []int{0, 1, 511, 512, 513, Free - 1, Free, Free + 1, total / 4} {
+		want := bytes.Repeat([]byte("0123456789"), size/10+1)[:size]
+		for _, length := range []int64{-1, 0, int64(size) - 1, int64(size), int64(size) + 1, total} {
+			for _, limit := range []int64{0, int64(max(size, 1)), int64(total)} {
+				if length > limit && limit > 0 {
+					continue
+				}
+				b := &Budget{Total: total}
+				h := b.Hold(Callers)
+				got, err := ReadAll(iotest.HalfReader(bytes.NewReader(want)), length, limit, h)
+				require.NoError(t, err)
+				require.Equal(t, string(want), string(got))
+				require.GreaterOrEqual(t, b.Used(), int64(size-Free))
+			}
+		}
+	}
+}
+
+// A body that isn't complete, or that exceeds its bound or the space, must not be taken for a whole one.
+func TestIncompleteBodiesAreNotReturned(t *testing.T) {
+	broken := errors.New("the connection failed")
+	long := strings.Repeat("0", total)
+	for name, c := range map[string]struct {
+		body          io.Reader
+		length, limit int64
+		want          error
+	}{
+		"one byte over its bound":      {strings.NewReader("0123"), -1, 3, ErrTooLong},
+		"a stated length over its own": {strings.NewReader("0123"), 4, 3, ErrTooLong},
+		"no space":                     {strings.NewReader(long), -1, 0, ErrNoSpace},
+		"broken":                       {io.MultiReader(strings.NewReader("0123"), iotest.ErrReader(broken)), 8, 0, broken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := &Budget{Total: total}
+			got, err := ReadAll(c.body, c.length, c.limit, b.Hold(Callers))
+			require.ErrorIs(t, err, c.want)
+			require.Empty(t, got)
+		})
+	}
+}
