Bound the answers that an entry holds at the same time

Callers would see: one faulty server whose long answers don't end makes an entry hold 4 MiB for each request there, more than its memory together. Their space is reserved from the process's budget now, the server being the source: what exceeds it counts as cut (answerCut), and another server's long answer is read meanwhile. An answer's space is given back once it is delivered, dropped, or replaced by that of another attempt.

--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -9,6 +9,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
+	"wagtailshelf.example/wagtailshelf/internal/wire/space"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
@@ -299,22 +300,26 @@
 	if success && c.route.Kind == routing.Streaming {
 		return c.relay(t, a, answer, meta)
 	}
-	body, err := answer.ReadAll(maxAnswerBytes)
+	held := c.f.Space.Hold(t.Target().Address)
+	body, err := answer.ReadAll(maxAnswerBytes, held)
 	answer.Finish(c.f.Now(), err == nil, meta.KeepAlive)
 	if err != nil {
+		held.Release()
 		return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.failureReason(reasonCut)
 	}
 	if answer.Status >= 500 && c.route.Idempotent() {
-		c.stream.failure = &failureAnswer{status: answer.Status, header: answer.Header, body: body}
+		c.stream.failure.release()
+		c.stream.failure = &failureAnswer{status: answer.Status, header: answer.Header, body: body, held: held}
 		return resultUnknown, admission.End{}, reasonFailed
 	}
+	defer held.Release()
 	c.deliver(answer.Status, answer.Header, body)
 	return resultDone, admission.End{}, reasonAnswered
 }
 
 // discardRefusal reads a refusal to its end, so that its connection can be reused.
 func (c *call) discardRefusal(answer *upstream.Answer, meta platform.ResponseInfo) {
-	_, err := answer.ReadAll(maxAnswerBytes)
+	_, err := answer.ReadAll(maxAnswerBytes, nil)
 	answer.Finish(c.f.Now(), err == nil, meta.KeepAlive)
 }
 
@@ -324,6 +329,14 @@
 	status int
 	header http.Header
 	body   []byte
+	held   *space.Hold // of the body
+}
+
+// release gives back the space of the response, if there is one.
+func (a *failureAnswer) release() {
+	if a != nil {
+		a.held.Release()
+	}
 }
 
 // deliverFailure passes the failure response of an earlier attempt on.
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -161,6 +161,7 @@
 	c.rec.ID, c.rec.Parts = c.in.ID, c.in.SharedParts
 	defer func() {
 		c.held.Release()
+		c.stream.failure.release()
 		c.rec.Took, c.rec.LastEvent = f.Now().Sub(c.begin), c.stream.lastID
 		f.OnEnd(c.rec)
 	}()
--- a/internal/traffic/forward/space_test.go
+++ b/internal/traffic/forward/space_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +16,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/wire/space"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
@@ -117,3 +121,66 @@
 	require.Eventually(t, func() bool { return len(b.ended()) > 0 }, 10*time.Second, time.Millisecond)
 	require.Zero(t, b.Space.Used())
 }
+
+// A faulty server holds many answers, all of them long and none complete. Together they would exceed
+// the memory of the process. Those for which there is no space must count as cut, and another
+// server's long answer must be read meanwhile.
+func TestManyLongAnswersAtOnce(t *testing.T) {
+	const count, size, sound = 60, 4_000_000, 1_000_000
+	ending := make(chan struct{})
+	faulty := standin.NewServer(t, func(w standin.Reply, _ standin.Request) {
+		w.StampedHeader()
+		w.Header("Content-Length", strconv.Itoa(size))
+		w.Raw(strings.Repeat("0", size-1))
+		<-ending
+	})
+	t.Cleanup(func() { close(ending) })
+	b := newSpaceTestbed(t, faulty)
+	b.patienceMS = 60_000
+	b.configuration.Config.RouteFor(host, "/unsafe/x").Timeout = time.Minute
+	b.Admission.RulesFor = func(string) admission.Limits {
+		return admission.Limits{PerTarget: count, Queue: count, Entries: 1}
+	}
+	before := liveBytes()
+	ctx, leave := context.WithCancel(t.Context())
+	answers := make(chan answer, count)
+	for range count {
+		go func() { answers <- b.do(ctx, http.MethodPost, "/unsafe/x", "", "") }()
+	}
+	time.Sleep(2 * time.Second) // until they are read as far as they are
+	require.Less(t, liveBytes()-before, int64(spaceBytes+otherBytes))
+	first := <-answers
+	require.NoError(t, first.err)
+	require.Equal(t, http.StatusBadGateway, first.status)
+	b.targets.MarkLeaving("i-0", time.Time{})
+	body := strings.Repeat("1", sound)
+	b.targets.Put(roster.Target{ID: "i-9", Service: "svc", Slots: 4, Address: standin.NewServer(t, complete(body)).Address})
+	requireServed(t, b.call(http.MethodPost, "/unsafe/x"), body)
+	leave()
+	require.Eventually(t, func() bool { return len(b.ended()) == count+1 }, time.Minute, time.Millisecond)
+	require.Zero(t, b.Space.Used())
+	require.Equal(t, reasonCut, b.ended()[0].Attempts[0].Result)
+}
+
+// Answers that end in any way give their space back: delivered, kept as a failure and then replaced
+// or delivered, and cut.
+func TestAnswersGiveTheirSpaceBack(t *testing.T) {
+	long := strings.Repeat("0", 1<<20)
+	failing := func(w standin.Reply, _ standin.Request) { w.Complete(http.StatusInternalServerError, long) }
+	cut := func(w standin.Reply, _ standin.Request) { w.StampedHeader(); w.Raw(long); w.Abort() }
+	type answers = func(standin.Reply, standin.Request)
+	for name, servers := range map[string][2]answers{
+		"delivered":         {complete(long), complete(long)},
+		"failed twice":      {failing, failing},
+		"failed, then cut":  {failing, cut},
+		"cut twice":         {cut, cut},
+		"failed, then well": {failing, complete(long)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newSpaceTestbed(t, standin.NewServer(t, servers[0]), standin.NewServer(t, servers[1]))
+			require.NoError(t, b.call(http.MethodGet, "/safe/x").err)
+			b.firstEnded()
+			require.Zero(t, b.Space.Used())
+		})
+	}
+}
--- a/internal/wire/space/read.go
+++ b/internal/wire/space/read.go
@@ -15,12 +15,8 @@
 	ErrNoSpace = merry.New("no space for the body")
 )
 
-const (
-	// firstBuffer is the size of the first buffer for a body whose length isn't known.
-	firstBuffer = 512
-	// maxFirstBuffer bounds the first buffer for a body with a stated length, which may not come.
-	maxFirstBuffer = Free
-)
+// step is the size of the steps in which space is reserved.
+const step = 64 << 10
 
 // ReadAll reads a body to its end. The body may have limit bytes at most, or any number if limit is
 // 0. Its stated length is a hint; it is negative if there is none. Space is reserved in h, which the
@@ -29,41 +25,48 @@
 	if limit > 0 && length > limit {
 		return nil, merry.Wrap(ErrTooLong)
 	}
-	size := int64(firstBuffer)
-	if length >= 0 {
-		size = min(length+1, maxFirstBuffer) // with room for the read that finds the end
+	r := &reader{r: body, limit: limit, hold: h}
+	var begin []byte
+	if length >= 0 && length < Free {
+		begin = make([]byte, 0, length+1) // with room for the read that finds the end
 	}
-	buf := make([]byte, 0, size)
-	for {
-		if len(buf) == cap(buf) {
-			size = nextSize(int64(cap(buf)), length, limit)
-			if !h.Grow(size) {
-				return nil, merry.Wrap(ErrNoSpace)
-			}
-			buf = append(make([]byte, 0, size), buf...)
+	for len(begin) < cap(begin) {
+		n, err := r.Read(begin[len(begin):cap(begin)])
+		begin = begin[:len(begin)+n]
+		if errors.Is(err, io.EOF) {
+			return begin, nil
 		}
-		n, err := body.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		switch {
-		case limit > 0 && int64(len(buf)) > limit:
-			return nil, merry.Wrap(ErrTooLong)
-		case errors.Is(err, io.EOF):
-			return buf, nil
-		case err != nil:
+		if err != nil {
 			return nil, err
 		}
 	}
+	rest, err := io.ReadAll(r)
+	if err != nil {
+		return nil, err
+	}
+	if len(begin) == 0 {
+		return rest, nil
+	}
+	return append(begin, rest...), nil
 }
 
-// nextSize returns the size of the buffer that follows one of a size: twice as much, but no more than
-// the body can need. One byte more than a bound shows that the body exceeds it.
-func nextSize(size, length, limit int64) int64 {
-	next := 2 * size
-	if limit > 0 {
-		next = min(next, limit+1)
-	}
-	if length >= size {
-		next = min(next, length+1)
+// reader reads a body within its bound, and reserves space for it.
+type reader struct {
+	r     io.Reader
+	limit int64 // 0 for none
+	hold  *Hold
+	n     int64 // bytes read
+}
+
+// Read reads from the body. It fails with [ErrTooLong] or [ErrNoSpace].
+func (r *reader) Read(p []byte) (int, error) {
+	n, err := r.r.Read(p)
+	r.n += int64(n)
+	switch {
+	case r.limit > 0 && r.n > r.limit:
+		return 0, merry.Wrap(ErrTooLong)
+	case r.n > Free && !r.hold.Grow((r.n+step-1)/step*step):
+		return 0, merry.Wrap(ErrNoSpace)
 	}
-	return next
+	return n, err
 }
--- a/internal/wire/upstream/exchange.go
+++ b/internal/wire/upstream/exchange.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"wagtailshelf.example/wagtailshelf/internal/wire/space"
 )
 
 // Errors of exchanges.
@@ -51,6 +53,7 @@
 	// Unframed reports that the body has no stated length and ends with the connection.
 	Unframed bool
 
+	length   int64 // of the body as stated; negative if it isn't
 	conn     *Conn
 	pool     *Pool
 	stop     func() bool
@@ -109,7 +112,7 @@
 		}
 		a.Status, a.Header = w.StatusCode, w.Header
 		a.Unframed = w.ContentLength < 0 && len(w.TransferEncoding) == 0
-		a.Body = w.Body
+		a.Body, a.length = w.Body, w.ContentLength
 		if w.Close || a.Unframed {
 			a.reusable = false
 		}
@@ -176,15 +179,12 @@
 // DisableReuse excludes the connection from reuse.
 func (a *Answer) DisableReuse() { a.reusable = false }
 
-// ReadAll reads the complete body, at most limit bytes. An error means that the returned
-// body is not complete.
-func (a *Answer) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
+// ReadAll reads the complete body, at most limit bytes, and reserves space for it in h. An error
+// means that there is no complete body.
+func (a *Answer) ReadAll(limit int64, h *space.Hold) ([]byte, error) {
+	body, err := space.ReadAll(a.Body, a.length, limit, h)
 	if err != nil {
-		return nil, merry.Wrap(ErrTruncated, merry.AppendMessage(err.Error()))
-	}
-	if int64(len(body)) > limit {
-		return nil, merry.Wrap(ErrTruncated, merry.AppendMessage("longer than the limit"))
+		return nil, merry.Wrap(ErrTruncated, merry.WithCause(err))
 	}
 	return body, nil
 }
--- a/internal/wire/upstream/exchange_test.go
+++ b/internal/wire/upstream/exchange_test.go
@@ -115,7 +115,7 @@
 	})
 	a, err := send(t, to)
 	require.NoError(t, err)
-	got, err := a.ReadAll(int64(len(body)))
+	got, err := a.ReadAll(int64(len(body)), nil)
 	require.NoError(t, err)
 	require.Equal(t, body, string(got))
 	a.Finish(time.Now(), true, 0)
