Bound what is read of a response that nobody needs

Callers saw: a refusal whose body doesn't end (in drops, in silence) kept its request, which had not run, until the caller left; and a late response to another request that sends bytes without end did so too. Up to 4 MiB of each refusal were held in memory to be dropped.

A refusal is read for 300 ms and 256 KiB at the most, without being kept; beyond that its connection is closed. A response to another request is read up to 4 MiB. Its time has the bound of the call only, since the answer may follow: a request that may run only once would be lost without need.

Evidence: TestRefusalWithoutEnd (in drops, in silence) and TestForeignResponseWithoutEnd failed before: 1.4 to 1.5 s of a patience of 1.5 s. TestConnectionOfARefusalIsKept passed before as well.

--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -283,7 +283,7 @@
 		answer.DisableReuse()
 	}
 	if meta.NotRun {
-		c.discardRefusal(answer, meta)
+		answer.Finish(c.f.Now(), answer.Discard(), meta.KeepAlive)
 		if meta.WaitsFor != "" {
 			c.f.Admission.GroupClosed(c.f.Now(), t.Target())
 			return resultNotRun, admission.End{Closed: true}, reasonNotRun
@@ -317,12 +317,6 @@
 	return resultDone, admission.End{}, reasonAnswered
 }
 
-// discardRefusal reads a refusal to its end, so that its connection can be reused.
-func (c *call) discardRefusal(answer *upstream.Answer, meta platform.ResponseInfo) {
-	_, err := answer.ReadAll(maxAnswerBytes, nil)
-	answer.Finish(c.f.Now(), err == nil, meta.KeepAlive)
-}
-
 // failureAnswer is a target's failure response, which the caller receives if no other target
 // gives a better one.
 type failureAnswer struct {
--- a/internal/wire/upstream/exchange.go
+++ b/internal/wire/upstream/exchange.go
@@ -34,6 +34,13 @@
 	// before the connection is closed. Informational responses and responses to other
 	// requests count.
 	maxResponses = 2
+	// maxForeign bounds the body of a response to another request, which is read since the one to the
+	// request may follow.
+	maxForeign = 4 << 20
+	// maxDiscarded bounds a body that is read although nobody needs it, and discardTime the time for
+	// that: a packet that is lost is sent again after 200 ms.
+	maxDiscarded = 256 << 10
+	discardTime  = 300 * time.Millisecond
 )
 
 // Request is a request to a target.
@@ -104,8 +111,8 @@
 			return nil, merry.Appendf(ErrMalformed, "status %d", w.StatusCode)
 		}
 		if !matches(w.Header) {
-			if _, err := io.Copy(io.Discard, w.Body); err != nil {
-				return nil, merry.Wrap(ErrConnectionFailed, merry.AppendMessage(err.Error()))
+			if !discard(w.Body, maxForeign) {
+				return nil, merry.Wrap(ErrConnectionFailed, merry.AppendMessage("a response to another request has no end"))
 			}
 			a.reusable = false
 			continue
@@ -189,6 +196,23 @@
 	return body, nil
 }
 
+// Discard reads the rest of the body, which nobody needs, so that the connection can be reused, and
+// reports whether it found its end. A body that is long, or that doesn't come at once, is given up: a
+// new connection costs less than its caller's time.
+func (a *Answer) Discard() bool {
+	// An error means that the connection is closed, which the read finds as well.
+	_ = a.conn.net.SetReadDeadline(time.Now().Add(discardTime))
+	complete := discard(a.Body, maxDiscarded)
+	_ = a.conn.net.SetReadDeadline(time.Time{})
+	return complete
+}
+
+// discard reads a body of at most limit bytes to its end, and reports whether it found it.
+func discard(body io.Reader, limit int64) bool {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
+	return err == nil && n <= limit
+}
+
 // IsTruncated reports whether an error of reading a body means that the response is truncated.
 func IsTruncated(err error) bool {
 	return err != nil && !errors.Is(err, io.EOF)
