--- a/internal/wire/intake/intake.go
+++ b/internal/wire/intake/intake.go
@@ -23,6 +23,9 @@
 // timeout bounds a check. Callers give up if nothing reads their request for a second.
 const timeout = 500 * time.Millisecond
 
+// maxAnswer bounds the bytes that are read of a response. The process's own has less than 200.
+const maxAnswer = 4 << 10
+
 // ErrForeignResponse reports that the response at the process's address came from something else.
 var ErrForeignResponse = merry.New("the response is not that of the process itself")
 
@@ -78,7 +81,7 @@
 	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: self\r\nConnection: close\r\n\r\n"); err != nil {
 		return err
 	}
-	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	answer, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxAnswer)), nil)
 	if err != nil {
 		return err
 	}
--- a/internal/wire/intake/intake_test.go
+++ b/internal/wire/intake/intake_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
 // blockedListener accepts connections only once opened is closed, like a process that gets no
@@ -104,3 +106,11 @@
 	require.NoError(t, w.Body.Close())
 	require.Equal(t, http.StatusNotFound, w.StatusCode)
 }
+
+// Something else has the process's address, and its head has no end.
+func TestHeadWithoutEnd(t *testing.T) {
+	standin.RequireHeadsBounded(t, func(s *standin.Server) error {
+		c := &Check{Address: s.Address}
+		return c.run(t.Context())
+	})
+}
--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -30,6 +30,8 @@
 const (
 	maxIdleConns = 4
 	idleTimeout  = 30 * time.Second
+	// maxHeadBytes bounds the head of a response; heads have some hundred bytes.
+	maxHeadBytes = 32 << 10
 )
 
 // Errors of calls that were not sent.
@@ -108,6 +110,8 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 		ForceAttemptHTTP2:   false,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Client{
 		cfg:  cfg,
--- a/internal/wire/rankport/rankport.go
+++ b/internal/wire/rankport/rankport.go
@@ -90,6 +90,8 @@
 	orderPath = "/rank/order"
 	// maxMessage bounds a message; the largest is a map of some hundred ranks.
 	maxMessage = 4 << 20
+	// maxHeadBytes bounds the head of a response; heads have some hundred bytes.
+	maxHeadBytes = 32 << 10
 	// callTimeout covers the sidecar's own call to its engine.
 	callTimeout = 350 * time.Millisecond
 	// lookTimeout bounds a poll: a lost packet is sent again after 200 ms.
@@ -143,7 +145,9 @@
 // NewClient returns a client with a connection pool of its own.
 func NewClient() *Client {
 	return &Client{client: &http.Client{
-		Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 5 * time.Second, DisableCompression: true},
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: 2, IdleConnTimeout: 5 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
+		},
 	}}
 }
 
