Log which bound a response exceeded, and count it

An attempt that ended at a bound looked like any broken or cut one. Its part of the request's log line has bound=head, status, length or space now, and wagtailshelf_answers_over_bound_total counts by bound.

Evidence: TestBoundIsRecorded, TestExceededBoundIsLogged; the field didn't exist before.

--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -98,6 +98,9 @@
 		if a.Rate.Kind != ratelimit.NoRate {
 			g.metrics.GetOrCreateCounter("wagtailshelf_rate_limit_answers_total").Inc()
 		}
+		if a.Bound != "" {
+			g.metrics.GetOrCreateCounter(fmt.Sprintf(`wagtailshelf_answers_over_bound_total{bound=%q}`, a.Bound)).Inc()
+		}
 		if !a.Notice.Empty() {
 			g.metrics.GetOrCreateCounter("wagtailshelf_notice_answers_total").Inc()
 		}
@@ -138,7 +141,7 @@
 
 // describeAttempt returns the log text of an attempt: the target, the result and its duration, when the
 // request was written to the target, what was known of the target when it was chosen, the status of its
-// response, which events of a stream it sent, the rate that it gave, and its notice.
+// response, the bound that its bytes exceeded, which events of a stream it sent, the rate that it gave, and its notice.
 func describeAttempt(a forward.Attempt) string {
 	text := fmt.Sprintf("%s %s %dms sent=%dms reused=%t load=%d loadAge=%dms",
 		a.Target, a.Result, a.Took.Milliseconds(), a.Sent.Milliseconds(), a.Reused, a.Seen.Load, a.Seen.Age.Milliseconds())
@@ -148,6 +151,9 @@
 	if a.Unframed {
 		text += " unframed=true"
 	}
+	if a.Bound != "" {
+		text += " bound=" + a.Bound
+	}
 	if p := a.Stream; p.Events > 0 || p.ResumeAfter != "" {
 		text += fmt.Sprintf(" after=%q events=%d ids=%q..%q", loggedID(p.ResumeAfter), p.Events, loggedID(p.First), loggedID(p.Last))
 	}
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -196,6 +196,7 @@
 	c.spendRepeat()
 	answer, err := c.f.Pool.Send(ctx, conn, req, c.isMine)
 	if err != nil {
+		a.Bound = upstream.Bound(err)
 		return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.failureReason(reasonBroken)
 	}
 	meta := platform.ReadResponse(answer.Status, answer.Header)
@@ -304,6 +305,7 @@
 	body, err := answer.ReadAll(maxAnswerBytes, held)
 	answer.Finish(c.f.Now(), err == nil, meta.KeepAlive)
 	if err != nil {
+		a.Bound = upstream.Bound(err)
 		held.Release()
 		return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.failureReason(reasonCut)
 	}
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -106,7 +106,9 @@
 	Status int                 // of the response; 0 if none was received
 	// Unframed is set if the response stated no length and ended with its connection.
 	Unframed bool
-	Stream   StreamPart
+	// Bound is the bound on a response's bytes that ended the attempt; "" if none did.
+	Bound  string
+	Stream StreamPart
 }
 
 // StreamPart describes the events of a stream that one attempt received.
--- a/internal/traffic/forward/space_test.go
+++ b/internal/traffic/forward/space_test.go
@@ -184,3 +184,28 @@
 		})
 	}
 }
+
+// A response exceeds a bound. The log must tell which, or an operator can't tell a faulty server from
+// one whose connection failed.
+func TestBoundIsRecorded(t *testing.T) {
+	stamped := func(headers string) string { return standin.Wire("id-1", headers, "") }
+	for name, c := range map[string]struct{ begin, bound, reason string }{
+		"a head without end":           {"", "head", reasonBroken},
+		"an impossible status":         {"HTTP/1.1 020 Odd\r\n\r\n", "status", reasonBroken},
+		"a body without end":           {stamped(""), "space", reasonCut},
+		"a stated length that is long": {stamped("Content-Length: 1000000000\r\n"), "length", reasonCut},
+		"a foreign body without end":   {standin.Wire("another", "", ""), "length", reasonBroken},
+		"garbled chunks":               {stamped("Transfer-Encoding: chunked\r\n"), "", reasonCut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newSpaceTestbed(t, standin.NewEndless(t, c.begin, "0"))
+			b.Space.Total = 1 << 20
+			a := b.call(http.MethodPost, "/unsafe/x")
+			require.NoError(t, a.err)
+			require.Equal(t, http.StatusBadGateway, a.status)
+			attempt := b.firstEnded().Attempts[0]
+			require.Equal(t, c.bound, attempt.Bound)
+			require.Equal(t, c.reason, attempt.Result)
+		})
+	}
+}
--- a/internal/wire/upstream/exchange.go
+++ b/internal/wire/upstream/exchange.go
@@ -111,8 +111,8 @@
 			return nil, merry.Appendf(ErrMalformed, "status %d", w.StatusCode)
 		}
 		if !matches(w.Header) {
-			if !discard(w.Body, maxForeign) {
-				return nil, merry.Wrap(ErrConnectionFailed, merry.AppendMessage("a response to another request has no end"))
+			if err := discard(w.Body, maxForeign); err != nil {
+				return nil, merry.Wrap(ErrConnectionFailed, merry.WithCause(err))
 			}
 			a.reusable = false
 			continue
@@ -202,15 +202,35 @@
 func (a *Answer) Discard() bool {
 	// An error means that the connection is closed, which the read finds as well.
 	_ = a.conn.net.SetReadDeadline(time.Now().Add(discardTime))
-	complete := discard(a.Body, maxDiscarded)
+	err := discard(a.Body, maxDiscarded)
 	_ = a.conn.net.SetReadDeadline(time.Time{})
-	return complete
+	return err == nil
 }
 
-// discard reads a body of at most limit bytes to its end, and reports whether it found it.
-func discard(body io.Reader, limit int64) bool {
+// discard reads a body of at most limit bytes to its end. It fails with [space.ErrTooLong] if the body
+// is longer.
+func discard(body io.Reader, limit int64) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
-	return err == nil && n <= limit
+	if err == nil && n > limit {
+		return merry.Wrap(space.ErrTooLong)
+	}
+	return err
+}
+
+// Bound returns which bound on the bytes of a response made an exchange, or the reading of its body,
+// fail; "" if none did.
+func Bound(err error) string {
+	switch {
+	case errors.Is(err, ErrHeadTooLong):
+		return "head"
+	case errors.Is(err, ErrMalformed):
+		return "status"
+	case errors.Is(err, space.ErrTooLong):
+		return "length"
+	case errors.Is(err, space.ErrNoSpace):
+		return "space"
+	}
+	return ""
 }
 
 // IsTruncated reports whether an error of reading a body means that the response is truncated.
