--- a/internal/wire/space/space.go
+++ b/internal/wire/space/space.go
@@ -3,8 +3,8 @@
 //
 // Each body has a bound of its own, but many of them together may exceed the memory of the process,
 // which then ends with all that it carries. Space is reserved in steps, as bytes arrive: a stated
-// length takes none. A source may hold no more than what is left. So a single faulty source can take
-// half of the space, two a third each, and there is always some for a sound one.
+// length takes none. A source may hold no more than what is left: a faulty one gets at most half of
+// what the others leave, and there is always some for a sound one.
 package space
 
 import (
