--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -10,6 +10,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/delivery"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
+	"wagtailshelf.example/wagtailshelf/internal/wire/space"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
@@ -43,8 +44,10 @@
 	a.Took = now.Sub(begin)
 	a.Result = reason
 	c.rec.Attempts = append(c.rec.Attempts, a)
+	c.slot = nil
 	c.f.Admission.Done(now, t, end)
 	c.endAttempt(v, t.Target(), begin, reason)
+	c.verdict = quarantine.Verdict{}
 	if res == resultUnknown && (reason == reasonBroken || reason == reasonCut) {
 		c.examine(t.Target(), begin, now, false)
 	}
@@ -156,6 +159,7 @@
 	reasonAnswered = "answered"
 	reasonLeft     = "callerLeft"
 	reasonSlow     = "leftSlowTarget"
+	reasonPanic    = "panic" // a fault of the entry
 
 	// The target's response does not go on with the stream that the caller receives.
 	reasonNoStream   = "noStream"   // it is a response of another kind
@@ -204,6 +208,7 @@
 	c.spendRepeat()
 	answer, err := c.f.Pool.Send(ctx, conn, req, c.isMine)
 	if err != nil {
+		a.Bound = upstream.Bound(err)
 		return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.failureReason(reasonBroken)
 	}
 	meta := platform.ReadResponse(answer.Status, answer.Header)
@@ -291,7 +296,7 @@
 		answer.DisableReuse()
 	}
 	if meta.NotRun {
-		c.discardRefusal(answer, meta)
+		answer.Finish(c.f.Now(), answer.Discard(), meta.KeepAlive)
 		if c.refusedCondition(answer.Status) {
 			return resultNotRun, admission.End{}, reasonNotRun
 		}
@@ -315,32 +320,39 @@
 	if isStream {
 		return c.relay(t, a, answer, meta)
 	}
-	body, err := answer.ReadAll(maxAnswerBytes)
+	held := c.f.Space.Hold(t.Target().Address)
+	body, err := answer.ReadAll(maxAnswerBytes, held)
 	complete := err == nil && (!a.Unframed || c.targetRuns(t))
 	answer.Finish(c.f.Now(), complete, meta.KeepAlive)
 	if !complete {
+		a.Bound = upstream.Bound(err)
+		held.Release()
 		return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.failureReason(reasonCut)
 	}
 	if answer.Status >= 500 && c.route.Idempotent() {
-		c.failure = &failureAnswer{status: answer.Status, header: answer.Header, body: body}
+		c.failure.release()
+		c.failure = &failureAnswer{status: answer.Status, header: answer.Header, body: body, held: held}
 		return resultUnknown, admission.End{}, reasonFailed
 	}
+	defer held.Release()
 	c.deliver(answer.Status, answer.Header, body)
 	return resultDone, admission.End{}, reasonAnswered
 }
 
-// discardRefusal reads a refusal to its end, so that its connection can be reused.
-func (c *call) discardRefusal(answer *upstream.Answer, meta platform.ResponseInfo) {
-	_, err := answer.ReadAll(maxAnswerBytes)
-	answer.Finish(c.f.Now(), err == nil, meta.KeepAlive)
-}
-
 // failureAnswer is a target's failure response, which the caller receives if no other target
 // gives a better one.
 type failureAnswer struct {
 	status int
 	header http.Header
 	body   []byte
+	held   *space.Hold // of the body
+}
+
+// release gives back the space of the response, if there is one.
+func (a *failureAnswer) release() {
+	if a != nil {
+		a.held.Release()
+	}
 }
 
 // deliverFailure passes the failure response of an earlier attempt on.
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -22,6 +23,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/ratelimit"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/presence"
+	"wagtailshelf.example/wagtailshelf/internal/wire/space"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
@@ -39,6 +41,7 @@
 	UnknownMaxAge       func() time.Duration // maximum age of a configuration that can prove a route or key unknown
 	Admission           *admission.Controller
 	Pool                *upstream.Pool
+	Space               *space.Budget // bounds the bytes of bodies that are held; nil for no bound
 	Budget              *Budget
 	Now                 func() time.Time
 	Draining            *atomic.Bool
@@ -108,7 +111,9 @@
 	Status int                 // of the response; 0 if none was received
 	// Unframed is set if the response stated no length and ended with its connection.
 	Unframed bool
-	Stream   StreamPart
+	// Bound is the bound on a response's bytes that ended the attempt; "" if none did.
+	Bound  string
+	Stream StreamPart
 }
 
 // StreamPart describes the events of a stream that one attempt received.
@@ -139,16 +144,19 @@
 	config    *routing.Config
 	workspace *routing.Workspace
 	body      []byte
+	held      *space.Hold // of the body
 	begin     time.Time
 	deadline  time.Time
 	rec       Record
 	service   string
 	// partPrints are the fingerprints of the shared parts of the prompt; nil until they are needed.
 	partPrints []quarantine.Fingerprint
-	tried      []string       // IDs of the targets of earlier attempts
-	sent       int            // number of times that the request was written to a target
-	failure    *failureAnswer // a target's failure response to pass on if no target gives a better one
-	sentAt     time.Time      // when the current attempt began
+	slot       *admission.Ticket  // holds a place in the queue or a slot at a target; nil if the request has none
+	verdict    quarantine.Verdict // of the current attempt
+	tried      []string           // IDs of the targets of earlier attempts
+	sent       int                // number of times that the request was written to a target
+	failure    *failureAnswer     // a target's failure response to pass on if no target gives a better one
+	sentAt     time.Time          // when the current attempt began
 	// examined receives whether the target of the current attempt still runs; nil if its connection
 	// has not ended.
 	examined <-chan presence.Presence
@@ -164,6 +172,8 @@
 	c.out = delivery.New(w, c.in.LastEventID)
 	c.rec.ID, c.rec.Parts = c.in.ID, c.in.SharedParts
 	defer func() {
+		c.held.Release()
+		c.failure.release()
 		c.rec.Took, c.rec.Events, c.rec.LastEvent = f.Now().Sub(c.begin), c.out.Events(), c.out.LastID()
 		f.OnEnd(c.rec)
 	}()
@@ -226,32 +236,52 @@
 }
 
 // readBody reads the request body. If it returns false, it has refused the request because
-// its header or body is too large.
+// its header or body is too large, or because the entry holds too many bytes of other bodies.
 func (c *call) readBody() bool {
 	limits := c.config.Limits
 	if limits.HeaderBytes > 0 && headerSize(c.r) > limits.HeaderBytes {
 		c.end(Denied, "headerTooLarge", http.StatusRequestHeaderFieldsTooLarge)
 		return false
 	}
-	body := io.Reader(c.r.Body)
-	if limits.BodyBytes > 0 {
-		body = io.LimitReader(c.r.Body, limits.BodyBytes+1)
-	}
-	text, err := io.ReadAll(body)
-	if err != nil {
-		// The caller disconnected or sent a malformed body: nobody waits for a response.
-		c.rec.Outcome, c.rec.Reason = CallerLeft, "bodyNotRead"
-		panic(http.ErrAbortHandler)
-	}
-	if limits.BodyBytes > 0 && int64(len(text)) > limits.BodyBytes {
+	c.held = c.f.Space.Hold(space.Callers)
+	defer c.boundBodyTime()()
+	text, err := space.ReadAll(c.r.Body, c.r.ContentLength, limits.BodyBytes, c.held)
+	switch {
+	case errors.Is(err, space.ErrTooLong):
 		c.out.SetHeader("Connection", "close")
 		c.endUnread(Denied, "bodyTooLarge", http.StatusRequestEntityTooLarge)
 		return false
+	case errors.Is(err, space.ErrNoSpace):
+		c.held.Release() // while the rest of the body is read
+		c.out.SetHeader("Connection", "close")
+		c.out.SetHeader("Retry-After", retryAfterText(c.retryDelaySpread()))
+		c.endUnread(NotRun, reasonNoSpace, http.StatusServiceUnavailable)
+		return false
+	case err != nil:
+		// The caller disconnected or sent a malformed body: nobody waits for a response.
+		c.rec.Outcome, c.rec.Reason = CallerLeft, "bodyNotRead"
+		panic(http.ErrAbortHandler)
 	}
 	c.body = text
 	return true
 }
 
+// boundBodyTime bounds the time for reading a body that needs space, by the caller's patience. A caller
+// that is gone without its connection having ended would hold the space for long. The returned function
+// lifts the bound.
+func (c *call) boundBodyTime() func() {
+	if n := c.r.ContentLength; n >= 0 && n < space.Free {
+		return func() {}
+	}
+	connection := c.out.Controller()
+	set := func(t time.Time) {
+		// This fails only for a connection that is closed, or that can't have deadlines.
+		_ = connection.SetReadDeadline(t)
+	}
+	set(c.begin.Add(max(c.in.Timeout, defaultPatience)))
+	return func() { set(time.Time{}) }
+}
+
 const (
 	// maxUnreadBody is how many bytes of a request's body are read after the response.
 	maxUnreadBody = 4 << 20
@@ -290,6 +320,7 @@
 	c.out.SetNumbering(c.f.numberings.Of(c.service))
 	c.f.Budget.CountRequest(c.f.Now(), c.service)
 	defer c.releaseRepeats()
+	defer c.releaseSlot()
 	for {
 		// Checked before the request is queued, so that a quarantined one is refused at once.
 		if c.refuseQuarantined(c.checkQuarantine()) {
@@ -297,13 +328,16 @@
 		}
 		t, ok := c.acquireTarget()
 		if !ok {
+			c.slot = nil
 			return
 		}
 		// Checked again after the wait: other copies of the request may have crashed targets
 		// meanwhile.
 		v := c.beginAttempt()
+		c.verdict = v
 		c.rec.Probe = c.rec.Probe || v.Probe
 		if v.Quarantined {
+			c.slot = nil
 			c.f.Admission.Abandon(c.f.Now(), t)
 		}
 		if c.refuseQuarantined(v) || !c.attempt(t, v) {
@@ -312,6 +346,21 @@
 	}
 }
 
+// releaseSlot gives back the slot of a request that a panic ended, and ends its probe.
+func (c *call) releaseSlot() {
+	if c.slot == nil {
+		return
+	}
+	now := c.f.Now()
+	c.f.Admission.Abandon(now, c.slot)
+	if c.verdict.Probe {
+		c.f.Quarantine.End(now, c.verdict, quarantine.Failed, c.suspects()...)
+	}
+	if c.rec.Outcome == "" {
+		c.rec.Outcome, c.rec.Reason = Unknown, reasonPanic
+	}
+}
+
 // callerLeft reports whether the caller has disconnected, and records that.
 func (c *call) callerLeft() bool {
 	if c.r.Context().Err() == nil {
--- a/internal/wire/upstream/exchange.go
+++ b/internal/wire/upstream/exchange.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"wagtailshelf.example/wagtailshelf/internal/wire/space"
 )
 
 // Errors of exchanges.
@@ -18,6 +20,8 @@
 	// ErrConnectionFailed reports that the connection failed after bytes were written: the
 	// request may have run.
 	ErrConnectionFailed = merry.New("the connection failed")
+	// ErrMalformed reports a response that HTTP doesn't allow.
+	ErrMalformed = merry.New("the response is malformed")
 	// ErrTruncated reports a response that ended before it was complete.
 	ErrTruncated = merry.New("the response is truncated")
 )
@@ -30,6 +34,13 @@
 	// before the connection is closed. Informational responses and responses to other
 	// requests count.
 	maxResponses = 2
+	// maxForeign bounds the body of a response to another request, which is read since the one to the
+	// request may follow.
+	maxForeign = 4 << 20
+	// maxDiscarded bounds a body that is read although nobody needs it, and discardTime the time for
+	// that: a packet that is lost is sent again after 200 ms.
+	maxDiscarded = 256 << 10
+	discardTime  = 300 * time.Millisecond
 )
 
 // Request is a request to a target.
@@ -49,6 +60,7 @@
 	// Unframed reports that the body has no stated length and ends with the connection.
 	Unframed bool
 
+	length   int64 // of the body as stated; negative if it isn't
 	conn     *Conn
 	pool     *Pool
 	stop     func() bool
@@ -87,23 +99,27 @@
 		go func() { a.written <- writeBody(c, r.Body) }()
 	}
 	for range maxResponses {
-		w, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
+		w, err := c.readHead(r.Method)
 		if err != nil {
-			return nil, merry.Wrap(ErrConnectionFailed, merry.AppendMessage(err.Error()))
+			return nil, err
 		}
 		if w.StatusCode >= 100 && w.StatusCode < 200 {
 			continue
 		}
+		if w.StatusCode < 200 || w.StatusCode > 599 {
+			// The HTTP server that passes it on to the caller panics at some of these.
+			return nil, merry.Appendf(ErrMalformed, "status %d", w.StatusCode)
+		}
 		if !matches(w.Header) {
-			if _, err := io.Copy(io.Discard, w.Body); err != nil {
-				return nil, merry.Wrap(ErrConnectionFailed, merry.AppendMessage(err.Error()))
+			if err := discard(w.Body, maxForeign); err != nil {
+				return nil, merry.Wrap(ErrConnectionFailed, merry.WithCause(err))
 			}
 			a.reusable = false
 			continue
 		}
 		a.Status, a.Header = w.StatusCode, w.Header
 		a.Unframed = w.ContentLength < 0 && len(w.TransferEncoding) == 0
-		a.Body = w.Body
+		a.Body, a.length = w.Body, w.ContentLength
 		if w.Close || a.Unframed {
 			a.reusable = false
 		}
@@ -170,19 +186,53 @@
 // DisableReuse excludes the connection from reuse.
 func (a *Answer) DisableReuse() { a.reusable = false }
 
-// ReadAll reads the complete body, at most limit bytes. An error means that the returned
-// body is not complete.
-func (a *Answer) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
+// ReadAll reads the complete body, at most limit bytes, and reserves space for it in h. An error
+// means that there is no complete body.
+func (a *Answer) ReadAll(limit int64, h *space.Hold) ([]byte, error) {
+	body, err := space.ReadAll(a.Body, a.length, limit, h)
 	if err != nil {
-		return nil, merry.Wrap(ErrTruncated, merry.AppendMessage(err.Error()))
-	}
-	if int64(len(body)) > limit {
-		return nil, merry.Wrap(ErrTruncated, merry.AppendMessage("longer than the limit"))
+		return nil, merry.Wrap(ErrTruncated, merry.WithCause(err))
 	}
 	return body, nil
 }
 
+// Discard reads the rest of the body, which nobody needs, so that the connection can be reused, and
+// reports whether it found its end. A body that is long, or that doesn't come at once, is given up: a
+// new connection costs less than its caller's time.
+func (a *Answer) Discard() bool {
+	// An error means that the connection is closed, which the read finds as well.
+	_ = a.conn.net.SetReadDeadline(time.Now().Add(discardTime))
+	err := discard(a.Body, maxDiscarded)
+	_ = a.conn.net.SetReadDeadline(time.Time{})
+	return err == nil
+}
+
+// discard reads a body of at most limit bytes to its end. It fails with [space.ErrTooLong] if the body
+// is longer.
+func discard(body io.Reader, limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
+	if err == nil && n > limit {
+		return merry.Wrap(space.ErrTooLong)
+	}
+	return err
+}
+
+// Bound returns which bound on the bytes of a response made an exchange, or the reading of its body,
+// fail; "" if none did.
+func Bound(err error) string {
+	switch {
+	case errors.Is(err, ErrHeadTooLong):
+		return "head"
+	case errors.Is(err, ErrMalformed):
+		return "status"
+	case errors.Is(err, space.ErrTooLong):
+		return "length"
+	case errors.Is(err, space.ErrNoSpace):
+		return "space"
+	}
+	return ""
+}
+
 // IsTruncated reports whether an error of reading a body means that the response is truncated.
 func IsTruncated(err error) bool {
 	return err != nil && !errors.Is(err, io.EOF)
