--- a/internal/program/gateway/breaks.go
+++ b/internal/program/gateway/breaks.go
@@ -17,9 +17,11 @@
 	// failureRing is how many connection failures may wait to be examined: all of an entry's
 	// requests, when a group of 256 ranks ends. More are dropped and counted.
 	failureRing = 4096
-	// probeDelay is how long after the first connection failure a target is probed. A process
-	// that ends closes its connections one by one, and its listener before or after them.
+	// probeDelay is how long after a connection failure a target is probed. A process that ends
+	// closes its connections one by one, and its listener before or after them.
 	probeDelay = 10 * time.Millisecond
+	// maxProbeDelay bounds the delay of a probe for failures that go on.
+	maxProbeDelay = 30 * time.Millisecond
 	// maxLoggedRequests bounds the requests that one log line lists.
 	maxLoggedRequests = 16
 )
@@ -39,8 +41,29 @@
 type failedTarget struct {
 	target   roster.Target
 	since    time.Time
-	requests []forward.ConnectionFailure
+	due      time.Time // when the target is probed
+	requests []failedRequest
 	presence presence.Presence
+	// later are the requests whose connections failed too late for the probe that is running.
+	later []failedRequest
+}
+
+type failedRequest struct {
+	forward.ConnectionFailure
+	at time.Time
+}
+
+// startProbe moves the requests that have waited for too short a time for a probe to later.
+func (b *failedTarget) startProbe(now time.Time) {
+	var ready []failedRequest
+	for _, r := range b.requests {
+		if now.Sub(r.at) < probeDelay {
+			b.later = append(b.later, r)
+			continue
+		}
+		ready = append(ready, r)
+	}
+	b.requests = ready
 }
 
 // end tells the requests whether the target still runs.
@@ -53,50 +76,100 @@
 
 // onlyEnded reports whether each of the connections ended as a response without a length does.
 func (b *failedTarget) onlyEnded() bool {
-	return !slices.ContainsFunc(b.requests, func(r forward.ConnectionFailure) bool { return !r.Ended })
+	return !slices.ContainsFunc(b.requests, func(r failedRequest) bool { return !r.Ended })
 }
 
 // followFailures finds out, for each target whose connections fail, whether its process ended.
 func (g *Gateway) followFailures(ctx context.Context) error {
-	pending := make(map[string]*failedTarget)
-	probed := make(chan *failedTarget)
+	f := failures{pending: make(map[string]*failedTarget), due: make(chan *failedTarget), probed: make(chan *failedTarget)}
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case b := <-g.failures:
-			known := pending[b.Target.ID]
-			if known == nil {
-				known = &failedTarget{target: b.Target, since: time.Now()}
-				pending[b.Target.ID] = known
-				go g.probe(ctx, known.target, probed)
+			f.add(ctx, time.Now(), failedRequest{ConnectionFailure: b, at: time.Now()})
+		case t := <-f.due:
+			f.probe(ctx, time.Now(), t, g.probe)
+		case t := <-f.probed:
+			delete(f.pending, t.target.ID)
+			g.judgeFailure(t)
+			t.end()
+			for _, r := range t.later {
+				f.add(ctx, r.at, r)
 			}
-			known.requests = append(known.requests, b)
-		case p := <-probed:
-			known := pending[p.target.ID]
-			delete(pending, p.target.ID)
-			known.presence = p.presence
-			g.judgeFailure(known)
-			known.end()
 		}
 	}
 }
 
-// probe finds out whether a target listens and sends the result to probed.
-func (g *Gateway) probe(ctx context.Context, t roster.Target, probed chan<- *failedTarget) {
+// failures are the targets whose connections failed, by ID, until they are judged.
+type failures struct {
+	pending     map[string]*failedTarget
+	due, probed chan *failedTarget
+}
+
+// add adds a request whose connection failed. Those of a crash fail one after another, and are judged by
+// one probe.
+func (f *failures) add(ctx context.Context, now time.Time, r failedRequest) {
+	t := f.pending[r.Target.ID]
+	switch {
+	case t == nil:
+		t = &failedTarget{target: r.Target, since: now, due: now.Add(probeDelay), requests: []failedRequest{r}}
+		f.pending[r.Target.ID] = t
+		go sendAt(ctx, t.due, t, f.due)
+	case t.due.IsZero():
+		t.later = append(t.later, r)
+	default:
+		t.requests = append(t.requests, r)
+		if last := t.since.Add(maxProbeDelay); !r.Ended && t.due.Before(last) {
+			t.due = minTime(now.Add(probeDelay), last)
+		}
+	}
+}
+
+// probe probes a target, unless connections to it have failed since that are to be judged with the others.
+func (f *failures) probe(ctx context.Context, now time.Time, t *failedTarget, probe func(context.Context, roster.Target) presence.Presence) {
+	if now.Before(t.due) {
+		go sendAt(ctx, t.due, t, f.due)
+		return
+	}
+	t.due = time.Time{}
+	t.startProbe(now)
+	go func() {
+		t.presence = probe(ctx, t.target)
+		send(ctx, t, f.probed)
+	}()
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// sendAt sends a target at some time, unless the context ends before.
+func sendAt(ctx context.Context, at time.Time, t *failedTarget, to chan<- *failedTarget) {
 	select {
 	case <-ctx.Done():
-		return
-	case <-time.After(probeDelay):
+	case <-time.After(time.Until(at)):
+		send(ctx, t, to)
+	}
+}
+
+func send(ctx context.Context, t *failedTarget, to chan<- *failedTarget) {
+	select {
+	case <-ctx.Done():
+	case to <- t:
 	}
+}
+
+// probe finds out whether a target listens.
+func (g *Gateway) probe(ctx context.Context, t roster.Target) presence.Presence {
 	seen := presence.Probe(ctx, t.Address)
 	if seen == presence.Listening {
 		g.pool.OnDial()
 	}
-	select {
-	case <-ctx.Done():
-	case probed <- &failedTarget{target: t, presence: seen}:
-	}
+	return seen
 }
 
 // judgeFailure logs why the connections to a target failed, and notes a crash.
--- a/internal/program/gateway/crashes_test.go
+++ b/internal/program/gateway/crashes_test.go
@@ -177,7 +177,7 @@
 	e.gateway.roster.Put(roster.Target{ID: target, Service: "other"})
 	e.gateway.judgeFailure(&failedTarget{
 		target: roster.Target{ID: target}, presence: presence.Absent,
-		requests: []forward.ConnectionFailure{{Run: quarantine.Run{Request: request, Sent: now, Failed: now}, Target: roster.Target{ID: target}}},
+		requests: []failedRequest{{ConnectionFailure: forward.ConnectionFailure{Run: quarantine.Run{Request: request, Sent: now, Failed: now}, Target: roster.Target{ID: target}}}},
 	})
 }
 
@@ -275,7 +275,7 @@
 		for presence, counts := range map[presence.Presence]int{presence.Silent: 0, presence.Listening: 0, presence.Absent: crashes} {
 			f := quarantine.Request{URI: id + presence.String()}.Fingerprint()
 			g.judgeFailure(&failedTarget{
-				target: roster.Target{ID: id}, presence: presence, requests: []forward.ConnectionFailure{{Run: quarantine.Run{Request: f}}},
+				target: roster.Target{ID: id}, presence: presence, requests: []failedRequest{{ConnectionFailure: forward.ConnectionFailure{Run: quarantine.Run{Request: f}}}},
 			})
 			require.Equal(t, counts, g.crashes.Quarantine.Check(time.Now(), f).Crashes, "%s %s", id, presence)
 		}
--- a/internal/program/gateway/unframed_test.go
+++ b/internal/program/gateway/unframed_test.go
@@ -19,6 +19,7 @@
 // unframedServers is a set of servers whose responses state no length and end with their connection.
 type unframedServers struct {
 	cut, whole string // bodies of the response of the server that crashes, and of all others
+	rest       string // body of the response to a request that resumes a stream
 	armed      atomic.Bool
 }
 
@@ -47,6 +48,9 @@
 		return
 	}
 	body := u.whole
+	if r.Header.Get("Last-Event-Id") != "" {
+		body = u.rest
+	}
 	if u.armed.CompareAndSwap(true, false) {
 		body = u.cut
 		_ = l.Close() // the server has only this listener
@@ -63,8 +67,8 @@
 		cut, whole, body string
 		status           int
 	}{
-		"stream": {firstTwo, lastTwo, firstTwo + lastTwo, http.StatusOK},
-		"once":   {firstTwo, lastTwo, "", 0},
+		"stream": {firstTwo, firstTwo + lastTwo, firstTwo + lastTwo, http.StatusOK},
+		"once":   {firstTwo, firstTwo + lastTwo, "", 0},
 		"safe":   {"hel", "hello", "hello", http.StatusOK},
 		"unsafe": {"hel", "hello", "", http.StatusBadGateway},
 	} {
@@ -78,7 +82,7 @@
 					{Name: "safe", Kind: "safe", Service: "app"}, {Name: "unsafe", Kind: "unsafe", Service: "app"},
 				},
 			}))
-			u := &unframedServers{cut: want.cut, whole: want.whole}
+			u := &unframedServers{cut: want.cut, whole: want.whole, rest: lastTwo}
 			for _, id := range []string{"i-0", "i-1"} {
 				store.PutServerStarted(id, "app", u.start(t), time.Now())
 			}
--- a/internal/traffic/delivery/delivery.go
+++ b/internal/traffic/delivery/delivery.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/ansel1/merry/v2"
 
@@ -33,13 +34,26 @@
 	Header http.Header
 }
 
+// mediaType returns the content type without its parameters.
+func (h Head) mediaType() string {
+	name, _, _ := strings.Cut(h.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
+// continues reports whether the body behind a head may go on with the stream behind another.
+func (h Head) continues(begun Head) bool {
+	this, that := h.mediaType(), begun.mediaType()
+	return h.Status == begun.Status && (this == that || this == "" || that == "")
+}
+
 // Delivery is the response to one request of a caller: a complete response, or a stream of which
 // several runs may have sent parts. Only [Delivery.Resumable] is safe for concurrent use.
 type Delivery struct {
 	w      http.ResponseWriter
 	order  order
 	begun  bool
-	status int // of the response that has begun
+	ended  bool
+	head   Head // of the response that has begun
 	events int
 }
 
@@ -61,7 +75,7 @@
 func (d *Delivery) LastID() string { return d.order.lastID }
 
 // Resumable reports whether another run can go on after the events that were sent.
-func (d *Delivery) Resumable() bool { return !d.order.lost.Load() }
+func (d *Delivery) Resumable() bool { return !d.order.unnumbered.Load() }
 
 // Controller returns the controller of the caller's connection.
 func (d *Delivery) Controller() *http.ResponseController { return http.NewResponseController(d.w) }
@@ -80,6 +94,7 @@
 	}
 	d.SetHeader("Content-Length", strconv.Itoa(len(body)))
 	d.begin(h)
+	d.ended = true
 	if _, err := d.w.Write(body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		return merry.Wrap(ErrNotWritten, merry.AppendMessage(err.Error()))
 	}
@@ -94,13 +109,14 @@
 	platform.SetRequestID(d.w.Header(), id)
 	d.SetHeader("Content-Length", "0")
 	d.begin(Head{Status: status})
+	d.ended = true
 	return nil
 }
 
 // StartRun prepares for the events of a target's run. A run that goes on with a stream must have the
-// status of the run that began it.
-func (d *Delivery) StartRun(status int) error {
-	if d.begun && status != d.status {
+// status and the content type of the run that began it.
+func (d *Delivery) StartRun(h Head) error {
+	if d.begun && !h.continues(d.head) {
 		return ErrBegun
 	}
 	d.order.startRun()
@@ -136,15 +152,16 @@
 }
 
 // Cut notes that the run was cut off within an event, so that the stream goes on after its last event.
-func (d *Delivery) Cut() { d.order.expected = true }
+func (d *Delivery) Cut() { d.order.partial = true }
 
 // End ends the stream with the end of a run, which the target has proven.
 func (d *Delivery) End(h Head) error {
-	if d.order.expected {
+	if d.order.partial {
 		return ErrEndsEarly
 	}
 	d.order.endRun()
 	d.begin(h)
+	d.ended = true
 	return nil
 }
 
@@ -152,11 +169,19 @@
 	if d.begun {
 		return
 	}
-	d.begun, d.status = true, h.Status
+	d.begun, d.head = true, h
 	platform.CopyResponseHeader(d.w.Header(), h.Header)
 	d.w.WriteHeader(h.Status)
 }
 
+// Close ends the use of the delivery. A response that has begun and not ended is aborted, as the server
+// would end it as a complete one: Close does not return then.
+func (d *Delivery) Close() {
+	if d.begun && !d.ended {
+		d.Abort()
+	}
+}
+
 // Abort aborts a response that has begun so that the caller can't take it for a complete one. It does
 // not return.
 func (d *Delivery) Abort() {
--- a/internal/traffic/delivery/delivery_test.go
+++ b/internal/traffic/delivery/delivery_test.go
@@ -14,7 +14,7 @@
 )
 
 func event(n int) upstream.Event {
-	return upstream.Event{Bytes: fmt.Appendf(nil, "id: %d\ndata: x\n\n", n), ID: strconv.Itoa(n), HasData: true}
+	return upstream.Event{Bytes: fmt.Appendf(nil, "id: %d\ndata: x\n\n", n), ID: strconv.Itoa(n)}
 }
 
 func newDelivery(after string) (*Delivery, *httptest.ResponseRecorder) {
@@ -28,11 +28,11 @@
 func ExampleDelivery() {
 	w := httptest.NewRecorder()
 	d := New(w, "")
-	_ = d.StartRun(http.StatusOK)
+	_ = d.StartRun(head)
 	_ = d.Event(head, event(1), false)
 	_ = d.Event(head, event(2), false)
 	d.Cut()
-	_ = d.StartRun(http.StatusOK)
+	_ = d.StartRun(head)
 	fmt.Println(d.Event(head, event(1), false))
 	fmt.Println(d.Respond(Head{Status: http.StatusNotFound}, nil))
 	fmt.Println(d.Event(head, event(3), false), d.End(head), d.LastID())
@@ -56,7 +56,7 @@
 		}
 		var sent []int
 		for range rapid.IntRange(1, 4).Draw(t, "runs") {
-			require.NoError(t, d.StartRun(http.StatusOK))
+			require.NoError(t, d.StartRun(head))
 			for range rapid.IntRange(0, 5).Draw(t, "events") {
 				n := rapid.IntRange(1, 8).Draw(t, "number")
 				if d.Event(head, event(n), false) == nil {
@@ -82,10 +82,10 @@
 // Guards against a stream that is resumed although nobody knows after which event.
 func TestEventWithoutANumberIsNotResumedAfter(t *testing.T) {
 	d, _ := newDelivery("")
-	require.NoError(t, d.StartRun(http.StatusOK))
+	require.NoError(t, d.StartRun(head))
 	require.True(t, d.Resumable())
 	require.NoError(t, d.Event(head, event(1), false))
-	require.NoError(t, d.Event(head, upstream.Event{Bytes: []byte("data: x\n\n"), HasData: true}, false))
+	require.NoError(t, d.Event(head, upstream.Event{Bytes: []byte("data: x\n\n")}, false))
 	require.False(t, d.Resumable())
 	require.NoError(t, d.Event(head, event(2), false))
 	require.True(t, d.Resumable(), "the position is known again")
@@ -94,11 +94,11 @@
 // Guards against an entry's own response, or another status, in the middle of a stream.
 func TestNothingElseOnceAStreamHasBegun(t *testing.T) {
 	d, w := newDelivery("")
-	require.NoError(t, d.StartRun(http.StatusOK))
+	require.NoError(t, d.StartRun(head))
 	require.NoError(t, d.Event(head, event(1), false))
 	require.ErrorIs(t, d.Reply(http.StatusServiceUnavailable, "id-1"), ErrBegun)
 	require.ErrorIs(t, d.Respond(Head{Status: http.StatusOK}, []byte("x")), ErrBegun)
-	require.ErrorIs(t, d.StartRun(http.StatusAccepted), ErrBegun)
+	require.ErrorIs(t, d.StartRun(Head{Status: http.StatusAccepted}), ErrBegun)
 	require.Equal(t, string(event(1).Bytes), w.Body.String())
 	require.PanicsWithValue(t, http.ErrAbortHandler, d.Abort)
 }
--- a/internal/traffic/delivery/order.go
+++ b/internal/traffic/delivery/order.go
@@ -15,9 +15,9 @@
 	joint     bool   // the next event is the first of a run that goes on after lastID
 	sparse    bool   // the current run has had a gap, and gaps are the service's way of numbering
 	counted   bool   // the current run is counted in numbering
-	expected  bool   // an event that follows the last one had begun
-	// lost is set once an event without a number was sent: no other run can go on after it.
-	lost atomic.Bool
+	partial   bool   // a run was cut within the event that follows
+	// unnumbered is set if the last event had no number: no other run can go on after it.
+	unnumbered atomic.Bool
 }
 
 // startAfter sets the event after which the caller asks a stream to go on. An ID that is no number is
@@ -38,10 +38,9 @@
 	}
 }
 
-// admit takes the next event of a run, unless it is out of order. An event without data and number, a
-// comment for example, may stand anywhere.
+// admit takes the next event of a run, unless it is out of order. A neutral one may stand anywhere.
 func (o *order) admit(ev upstream.Event) error {
-	if !ev.HasData && ev.ID == "" {
+	if ev.Neutral {
 		return nil
 	}
 	n, numbered := parseNumber(ev.ID)
@@ -50,14 +49,14 @@
 		return ErrOutOfOrder
 	case numbered && o.lastID != "" && n <= o.last:
 		return ErrOutOfOrder
-	case numbered && n > o.last+1 && !o.lost.Load() && !o.gapAllowed():
+	case numbered && n > o.last+1 && !o.unnumbered.Load() && !o.gapAllowed():
 		return ErrOutOfOrder
 	}
 	if numbered {
 		o.last, o.lastID = n, ev.ID
 	}
-	o.lost.Store(!numbered)
-	o.joint, o.expected = false, false
+	o.unnumbered.Store(!numbered)
+	o.joint, o.partial = false, false
 	return nil
 }
 
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -314,7 +314,7 @@
 		return resultUnknown, admission.End{Failed: true}, reasonNoProof
 	}
 	isStream := success && c.route.Kind == routing.Streaming
-	if c.out.Begun() && !isStream || isStream && c.out.StartRun(answer.Status) != nil {
+	if c.out.Begun() && !isStream || isStream && c.out.StartRun(headOf(answer)) != nil {
 		return c.leaveStream(answer, reasonNoStream)
 	}
 	if isStream {
@@ -322,7 +322,7 @@
 	}
 	held := c.f.Space.Hold(t.Target().Address)
 	body, err := answer.ReadAll(maxAnswerBytes, held)
-	complete := err == nil && (!a.Unframed || c.targetRuns(t))
+	complete := err == nil && c.endProven(t, a)
 	answer.Finish(c.f.Now(), complete, meta.KeepAlive)
 	if !complete {
 		a.Bound = upstream.Bound(err)
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -187,6 +187,7 @@
 	defer cancel()
 	c.ctx = ctx
 	c.run()
+	c.out.Close()
 }
 
 // admit finds the route and the workspace of the request. If it returns false, it has sent a
--- a/internal/traffic/forward/order_more_test.go
+++ b/internal/traffic/forward/order_more_test.go
@@ -75,11 +75,6 @@
 	require.LessOrEqual(t, strings.Count(a.body, "piece 1"), 1, "%q", a.body)
 }
 
-// Guards against streams with numbers in other steps that are broken off after their first event.
-func TestSparseEventNumbersAfterTheFirst(t *testing.T) {
-	requireServed(t, callStream(t, "/stream/x", inTurn(cutAfter(eventsOf("3")+"id: 7\nda"), streamOf(eventsOf("7", "9")))), eventsOf("3", "7", "9"))
-}
-
 // Guards against proper responses to HEAD, which have no body, that are taken for truncated ones.
 func TestHeadWithoutLength(t *testing.T) {
 	for _, path := range []string{"/safe/x", "/stream/x", "/once/x"} {
@@ -99,12 +94,6 @@
 	}
 }
 
-// Guards against event streams with lines that end in CR, as their format allows, that never begin.
-func TestCarriageReturnsInAStream(t *testing.T) {
-	text := strings.ReplaceAll(allFour, "\n", "\r")
-	requireServed(t, callStream(t, "/stream/x", streamOf(text)), text)
-}
-
 // Guards against a response that is lost behind several interim ones.
 func TestInterimResponses(t *testing.T) {
 	const interim = "HTTP/1.1 103 Early Hints\r\n\r\n"
--- a/internal/traffic/forward/order_test.go
+++ b/internal/traffic/forward/order_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -127,13 +128,16 @@
 // Guards against a service whose streams are all broken off as their numbers rise in other steps than one.
 func TestSparseEventNumbers(t *testing.T) {
 	begun, rest := eventsOf("3", "7"), eventsOf("9", "20")
-	var cut atomic.Bool
+	var cut atomic.Value
+	cut.Store("")
 	serve := func(w standin.Reply, r standin.Request) {
 		switch {
+		case r.LastEvent == "3":
+			streamOf(eventsOf("7")+rest)(w, r)
 		case r.LastEvent == "7":
 			streamOf(rest)(w, r)
-		case cut.Swap(false):
-			cutAfter(begun+"id: 9\ndata")(w, r)
+		case cut.Load() != "":
+			cutAfter(cut.Swap("").(string))(w, r)
 		default:
 			streamOf(begun+rest)(w, r)
 		}
@@ -146,7 +150,10 @@
 	for range 10 {
 		requireServed(t, b.call(http.MethodPost, "/stream/x"), begun+rest)
 	}
-	cut.Store(true)
+	cut.Store(begun + "id: 9\ndata")
+	requireServed(t, b.call(http.MethodPost, "/stream/x"), begun+rest)
+	time.Sleep(100 * time.Millisecond) // the target that was cut is avoided for a while
+	cut.Store(eventsOf("3") + "id: 7\ndata")
 	requireServed(t, b.call(http.MethodPost, "/stream/x"), begun+rest)
 }
 
--- a/internal/traffic/forward/stream.go
+++ b/internal/traffic/forward/stream.go
@@ -19,11 +19,15 @@
 	p.Last = id
 }
 
+func headOf(answer *upstream.Answer) delivery.Head {
+	return delivery.Head{Status: answer.Status, Header: answer.Header}
+}
+
 // relay passes a stream on to the caller, one complete event at a time. If the stream is
 // truncated, another target can resume it after the last event that was sent.
 func (c *call) relay(t *admission.Ticket, a *Attempt, answer *upstream.Answer, meta platform.ResponseInfo) (result, admission.End, string) {
 	events := upstream.NewEvents(answer.Body)
-	head := delivery.Head{Status: answer.Status, Header: answer.Header}
+	head := headOf(answer)
 	for {
 		ev, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -36,7 +40,9 @@
 			return c.leaveTruncated(answer)
 		}
 		t.Progress(c.f.Now())
-		a.Stream.count(ev.ID)
+		if !ev.Neutral {
+			a.Stream.count(ev.ID)
+		}
 		// Events that arrived together are flushed together.
 		err = c.out.Event(head, ev, events.Ready())
 		if errors.Is(err, delivery.ErrNotWritten) {
@@ -72,10 +78,11 @@
 
 // finishStream ends a stream whose target has ended it, if that proves that it is complete.
 func (c *call) finishStream(t *admission.Ticket, a *Attempt, answer *upstream.Answer, meta platform.ResponseInfo) (result, admission.End, string) {
-	if a.Unframed && (a.Stream.Events == 0 && a.Stream.ResumeAfter == "" || !c.targetRuns(t)) {
+	empty := a.Stream.Events == 0 && a.Stream.ResumeAfter == ""
+	if empty && a.Unframed || !c.endProven(t, a) {
 		return c.leaveTruncated(answer)
 	}
-	if err := c.out.End(delivery.Head{Status: answer.Status, Header: answer.Header}); err != nil {
+	if err := c.out.End(headOf(answer)); err != nil {
 		return c.leaveStream(answer, reasonEndsEarly)
 	}
 	answer.Finish(c.f.Now(), true, meta.KeepAlive)
--- a/internal/traffic/forward/suspect.go
+++ b/internal/traffic/forward/suspect.go
@@ -119,9 +119,12 @@
 	c.examined = examined
 }
 
-// targetRuns reports whether the target of the current attempt is known to run after its connection has
-// ended. If it does not, it may have crashed in the middle of a response without a length.
-func (c *call) targetRuns(t *admission.Ticket) bool {
+// endProven reports whether the end of a response proves that it is complete. The end of a response without a
+// length does so only if its target still runs: it may have crashed in the middle of it.
+func (c *call) endProven(t *admission.Ticket, a *Attempt) bool {
+	if !a.Unframed {
+		return true
+	}
 	c.examine(t.Target(), c.sentAt, c.f.Now(), true)
 	select {
 	case p := <-c.examined:
--- a/internal/wire/presence/presence.go
+++ b/internal/wire/presence/presence.go
@@ -37,6 +37,8 @@
 	case err == nil:
 		_ = conn.Close() // nothing was sent on it
 		return Listening
+	case errors.Is(err, syscall.ECONNRESET):
+		return Listening // it was accepted, and reset at once
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return Absent
 	}
--- a/internal/wire/upstream/event.go
+++ b/internal/wire/upstream/event.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"slices"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -27,19 +28,25 @@
 type Event struct {
 	Bytes   []byte // as sent by the target, including the blank line at the end
 	ID      string // "" if it has none
-	HasData bool   // it has a data field; a comment has none
+	Neutral bool   // it has neither data nor an ID: it is blank, a comment, or sets the retry time or a name
 }
 
 var (
-	idField   = []byte("id:")
-	dataField = []byte("data")
+	idField       = []byte("id:")
+	byteOrderMark = []byte("\ufeff")
+	// neutralFields begin the lines that have no effect on their own.
+	neutralFields = [][]byte{[]byte(":"), []byte("retry:"), []byte("event:")}
 )
 
+func isNeutral(line []byte) bool {
+	return slices.ContainsFunc(neutralFields, func(f []byte) bool { return bytes.HasPrefix(line, f) })
+}
+
 // Next returns the next complete event. It returns [io.EOF] if the stream ended after
 // a complete event, and [ErrTruncated] if it ended inside one or the event is too long.
 func (e *Events) Next() (Event, error) {
 	e.buf = e.buf[:0]
-	var ev Event
+	ev := Event{Neutral: true}
 	for {
 		line, err := e.readLine()
 		if errors.Is(err, io.EOF) && len(e.buf) == 0 {
@@ -52,7 +59,8 @@
 			ev.Bytes = e.buf
 			return ev, nil
 		}
-		ev.HasData = ev.HasData || bytes.HasPrefix(line, dataField)
+		line = bytes.TrimPrefix(line, byteOrderMark)
+		ev.Neutral = ev.Neutral && isNeutral(line)
 		if value, found := bytes.CutPrefix(line, idField); found {
 			ev.ID = string(bytes.TrimSpace(value))
 		}
@@ -77,10 +85,10 @@
 	}
 }
 
-// Inside reports whether the stream ended inside an event that is no comment, after an error of Next.
+// Inside reports whether the stream ended inside an event that is not neutral, after an error of Next.
 func (e *Events) Inside() bool {
 	for line := range bytes.Lines(e.buf) {
-		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+		if line = bytes.TrimSpace(line); len(line) > 0 && !isNeutral(line) {
 			return true
 		}
 	}
--- a/internal/wire/upstream/exchange.go
+++ b/internal/wire/upstream/exchange.go
@@ -31,9 +31,10 @@
 	// is read: such a body fits into the initial windows of a new connection.
 	smallBody = 8 << 10
 	// maxResponses is how many responses are read in search of the one to the request,
-	// before the connection is closed. Informational responses and responses to other
-	// requests count.
+	// before the connection is closed. Those to other requests count.
 	maxResponses = 2
+	// maxInterim is how many heads are read in search of one that is not interim.
+	maxInterim = 8
 	// maxForeign bounds the body of a response to another request, which is read since the one to the
 	// request may follow.
 	maxForeign = 4 << 20
@@ -99,13 +100,10 @@
 		go func() { a.written <- writeBody(c, r.Body) }()
 	}
 	for range maxResponses {
-		w, err := c.readHead(r.Method)
+		w, err := c.readFinalHead(r.Method)
 		if err != nil {
 			return nil, err
 		}
-		if w.StatusCode >= 100 && w.StatusCode < 200 {
-			continue
-		}
 		if w.StatusCode < 200 || w.StatusCode > 599 {
 			// The HTTP server that passes it on to the caller panics at some of these.
 			return nil, merry.Appendf(ErrMalformed, "status %d", w.StatusCode)
@@ -118,7 +116,7 @@
 			continue
 		}
 		a.Status, a.Header = w.StatusCode, w.Header
-		a.Unframed = w.ContentLength < 0 && len(w.TransferEncoding) == 0
+		a.Unframed = w.ContentLength < 0 && len(w.TransferEncoding) == 0 && r.Method != http.MethodHead
 		a.Body, a.length = w.Body, w.ContentLength
 		if w.Close || a.Unframed {
 			a.reusable = false
@@ -128,6 +126,17 @@
 	return nil, merry.Wrap(ErrConnectionFailed, merry.AppendMessage("received only responses to other requests"))
 }
 
+// readFinalHead reads the head of the next response, after the interim ones before it.
+func (c *Conn) readFinalHead(method string) (*http.Response, error) {
+	for range maxInterim {
+		w, err := c.readHead(method)
+		if err != nil || w.StatusCode < 100 || w.StatusCode >= 200 {
+			return w, err
+		}
+	}
+	return nil, merry.Wrap(ErrMalformed, merry.AppendMessage("too many interim responses"))
+}
+
 func writeHead(c *Conn, r Request) {
 	// The buffered writer keeps an error and returns it from Flush.
 	w := c.w
