TestAllTargetsFull: engines that are full by construction

Beside load the test failed with "0 is not positive". It was taken for engines that keep up. The runs show another cause: not one of the 600 calls was answered, all were refused with noTarget within 3 s. The calls began before the entry had reached the targets, whose first probe had failed; the next is 3 s later. A fault of the test.

The test now waits until both targets are eligible, and the engines hold all drafts (new fault Held of the stand-in) until at least the 360 calls that find no room are refused. It is stricter: at least 360 refused where one was enough, at least the 48 that run answered where one was enough, and none answered while the engines hold. A failure names the reasons.

--- a/internal/program/trial/routing_test.go
+++ b/internal/program/trial/routing_test.go
@@ -17,6 +17,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/program/entry"
 	"wagtailshelf.example/wagtailshelf/internal/program/trial"
+	"wagtailshelf.example/wagtailshelf/internal/standin/engine"
 	"wagtailshelf.example/wagtailshelf/internal/standin/platform"
 	"wagtailshelf.example/wagtailshelf/internal/standin/service"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/retry"
@@ -244,33 +245,59 @@
 	require.Equal(t, http.StatusOK, callGet(t, d, "/agenda/lists/anne", trial.SmallKey).StatusCode)
 }
 
-// Six hundred drafts arrive at once, far more than two engines may run and queue.
-// Each caller promptly gets its complete draft, or a refusal as not run with a
-// retry delay. Refused requests aren't retried again and again: retries stay
-// within the retry budget.
+// The limits in the trial's documents.
+const (
+	runsPerTarget   = 24
+	queuedPerTarget = 96
+)
+
+// Six hundred drafts arrive at once at two engines that hold all drafts until as many
+// calls are refused as the engines have no room for. Each caller promptly gets its
+// complete draft, or a refusal as not run with a retry delay, and those that run are
+// answered. Refused requests aren't retried again and again: retries stay within the
+// retry budget.
 func TestAllTargetsFull(t *testing.T) {
 	d := newDeployment(t)
+	engines := d.Targets[:2]
+	for _, target := range engines {
+		requireEligible(t, d, target.Name, true) // on a busy machine the first probe may have failed
+		target.Engine.SetFaults(engine.Faults{Held: true})
+	}
 	const calls = 600
+	running := len(engines) * runsPerTarget
+	room := running + len(engines)*queuedPerTarget
 	var answered, refused atomic.Int64
+	var mu sync.Mutex
+	reasons := make(map[string]int) // of refusals
 	var wg sync.WaitGroup
 	for i := range calls {
 		wg.Go(func() {
-			resp := call(t, d, http.MethodPost, "/redaction/v1/draft", []string{trial.SmallKey, trial.LargeKey}[i%2], `{"prompt":"bonjour","maxTokens":200}`)
+			resp := call(t, d, http.MethodPost, "/redaction/v1/draft", []string{trial.SmallKey, trial.LargeKey}[i%2], `{"prompt":"bonjour","maxTokens":8}`)
 			switch resp.StatusCode {
 			case http.StatusOK:
 				assert.Equal(t, "answered", resp.Trailer.Get(caller.OutcomeHeader))
 				answered.Add(1)
 			default:
-				assert.Equal(t, "notRun", resp.Header.Get(caller.OutcomeHeader))
+				reason := resp.Header.Get(caller.ReasonHeader)
+				assert.Equal(t, "notRun", resp.Header.Get(caller.OutcomeHeader), reason)
 				assert.NotEmpty(t, resp.Header.Get("Retry-After"))
+				mu.Lock()
+				reasons[reason]++
+				mu.Unlock()
 				refused.Add(1)
 			}
 		})
 	}
+	full := assert.Eventually(t, func() bool { return refused.Load() >= int64(calls-room) }, testTimeout, time.Millisecond)
+	assert.Zero(t, answered.Load(), "a held draft is answered")
+	for _, target := range engines {
+		target.Engine.SetFaults(engine.Faults{})
+	}
 	wg.Wait()
+	t.Logf("%d answered, refused: %v", answered.Load(), reasons)
+	require.True(t, full, "%d refused", refused.Load())
 	require.EqualValues(t, calls, answered.Load()+refused.Load())
-	require.Positive(t, answered.Load())
-	require.Positive(t, refused.Load())
+	require.GreaterOrEqual(t, answered.Load(), int64(running))
 	state, err := d.Entries[0].State(testContext(t))
 	require.NoError(t, err)
 	for _, r := range state.Routers {
@@ -281,7 +308,7 @@
 				require.Zero(t, target.InFlight, "%s", target.Name)
 			}
 			require.LessOrEqual(t, r.Retries.Retries, uint64(0.2*calls+retry.DefaultConfig().Burst))
-			t.Logf("%d answered, %d refused, %d retries", answered.Load(), refused.Load(), r.Retries.Retries)
+			t.Logf("%d retries", r.Retries.Retries)
 		}
 	}
 }
--- a/internal/standin/engine/config.go
+++ b/internal/standin/engine/config.go
@@ -67,6 +67,7 @@
 // Faults are the faults that an engine simulates. The zero value is a healthy engine.
 type Faults struct {
 	Stalled    bool    `json:"stalled"`    // the rank begins no step, so its group waits
+	Held       bool    `json:"held"`       // steps make no tokens, and no response begins
 	Slow       float64 `json:"slow"`       // factor on its step time; 0 for 1
 	CloseAfter int     `json:"closeAfter"` // number of tokens after which streams break; 0 for never
 	Silent     bool    `json:"silent"`     // requests run, but no response is sent
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -97,7 +97,7 @@
 }
 
 // advance completes a step: it makes one token for each request in the batch whose
-// prefill is done.
+// prefill is done, unless the runs are held.
 func (e *Engine) advance() {
 	e.steps++
 	e.busyTime += e.stepTime
@@ -106,6 +106,10 @@
 		if r.state != running {
 			continue
 		}
+		if e.faults.Held {
+			remaining = append(remaining, r)
+			continue
+		}
 		if r.prefill > 0 {
 			r.prefill--
 			remaining = append(remaining, r)
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -166,7 +166,7 @@
 			<-r.Context().Done()
 			return
 		}
-		if !started {
+		if !started && !p.faults.Held {
 			w.Header().Set("Content-Type", "text/event-stream")
 			w.WriteHeader(http.StatusOK)
 			started = true
@@ -185,7 +185,9 @@
 			// Without the end event and the last chunk the client detects the truncation.
 			panic(http.ErrAbortHandler)
 		}
-		flush(w)
+		if started {
+			flush(w)
+		}
 		select {
 		case <-p.changed:
 		case <-r.Context().Done():
