A config whose last tenant was removed admits nobody

A config with an empty list of tenants admitted everybody: callers with the key that it took away, and with keys that never were, were served, and their keys were passed on to targets.

Cause: keys were required if there was a workspace.

--- a/internal/program/gateway/config.go
+++ b/internal/program/gateway/config.go
@@ -110,7 +110,7 @@
 				Int64("inForce", next.config.Version).Bool("newEra", p.FirstOfEra).Msg("")
 			continue
 		}
-		next.config = c.Object
+		next.config = c.Object.Following(next.config)
 	}
 	if next.config == nil {
 		return
--- a/internal/program/gateway/eras_test.go
+++ b/internal/program/gateway/eras_test.go
@@ -17,6 +17,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
+	"wagtailshelf.example/wagtailshelf/platform"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
@@ -113,6 +114,19 @@
 	requireConfig(t, g, 15, true)
 }
 
+// A configuration without the tenants of the one before revokes their keys.
+func TestLastTenantsKeyIsRevoked(t *testing.T) {
+	g := newGateway()
+	for n, text := range []string{`{"version":1,"tenants":[{"name":"acme","api_keys":["k1"]}]}`, `{"version":2}`, `{"version":3}`} {
+		config, err := platform.ParseConfig([]byte(text))
+		require.NoError(t, err)
+		g.installConfig(deployed.Elapsed(), feed.Page[*routing.Config]{Changes: []feed.Change[*routing.Config]{{Name: "main", Object: config}}})
+		require.EqualValues(t, n+1, g.currentConfig().Config.Version)
+		require.True(t, g.currentConfig().Config.RequiresKeys())
+	}
+	require.Nil(t, g.currentConfig().Config.WorkspaceOf("k1"))
+}
+
 // requireConfig checks the active version, and whether it is proved to be the newest.
 func requireConfig(t *testing.T, g *Gateway, version int64, fresh bool) {
 	t.Helper()
--- a/internal/traffic/routing/routing.go
+++ b/internal/traffic/routing/routing.go
@@ -131,6 +131,7 @@
 	Routes     []Route
 	Services   []Service
 	Workspaces []Workspace
+	Keyed      bool // requests need a key, also if there are no workspaces
 	Limits     Limits
 
 	byHost   map[string][]*Route // longest prefix first
@@ -175,9 +176,21 @@
 	return nil
 }
 
-// RequiresKeys reports whether requests need a key, which they do if there are workspaces.
+// RequiresKeys reports whether requests need a key.
 func (c *Config) RequiresKeys() bool {
-	return len(c.Workspaces) > 0
+	return c.Keyed || len(c.Workspaces) > 0
+}
+
+// Following returns the configuration as the successor of an earlier one, which may be nil.
+// If requests needed a key before, they still do. Otherwise the keys that c revokes would be
+// accepted, and so would any other.
+func (c *Config) Following(earlier *Config) *Config {
+	if earlier == nil || !earlier.RequiresKeys() || c.RequiresKeys() {
+		return c
+	}
+	keyed := *c
+	keyed.Keyed = true
+	return &keyed
 }
 
 // WorkspaceOf returns the workspace that the key belongs to, or nil.
--- a/internal/traffic/routing/routing_test.go
+++ b/internal/traffic/routing/routing_test.go
@@ -43,3 +43,17 @@
 	require.False(t, (&Route{Kind: Streaming}).Idempotent())
 	require.True(t, (&Route{Kind: Streaming, Resumable: true}).Idempotent())
 }
+
+// Without the last workspace, the keys that were revoked must not work again.
+func TestKeysStayRequiredWithoutWorkspaces(t *testing.T) {
+	open := New(Config{})
+	keyed := New(Config{Workspaces: []Workspace{{Name: "acme", Keys: []string{"k1"}}}})
+	require.False(t, open.Following(nil).RequiresKeys())
+	require.False(t, open.Following(open).RequiresKeys())
+	require.True(t, keyed.Following(open).RequiresKeys())
+	later := open.Following(keyed)
+	require.True(t, later.RequiresKeys())
+	require.Nil(t, later.WorkspaceOf("k1"))
+	require.True(t, open.Following(later).RequiresKeys())
+	require.False(t, open.RequiresKeys(), "a configuration never changes")
+}
