Take SIGHUP over before the other packages are initialised

SIGHUP shortly after the start of a process ended it.

Cause: the reloader took the signal over, after the initialisation of all packages (some 4.5 ms), the settings and the gateway. A signal that comes while the process starts stays pending for the reloader. Only processes that serve take it over.

Open, and listed: the first 3 to 4 ms, in which the system loads the program and other packages are initialised.

TestHangupWhileSettingsAreRead holds a real process at the reading of its settings; without this change it fails 3 of 3 with "signal: hangup".

--- a/internal/program/deployed/reload.go
+++ b/internal/program/deployed/reload.go
@@ -4,11 +4,11 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
+
+	"wagtailshelf.example/wagtailshelf/internal/program/hangup"
 )
 
 // reloadInterval is how often the settings file is checked, as it may also change without a
@@ -26,9 +26,6 @@
 // Run reloads the settings on SIGHUP and when the file has changed. Settings with findings are not
 // applied; the findings are logged.
 func (r *Reloader) Run(ctx context.Context) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	tick := time.NewTicker(reloadInterval)
 	defer tick.Stop()
 	for {
@@ -36,7 +33,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-hup:
+		case <-hangup.Signals:
 			signalled = true
 		case <-tick.C:
 		}
