TestSilentConnections and its neighbours print the logs when they fail

A sighting told nothing: the processes of these tests logged only panics. They log to a buffer now, with the rank, and a failure prints it: which rank plans, why a map is kept (paced, not worth, balanced), how each switch ended, and which map is active where. Seen with a failure forced in a scratch copy.

TestSilentConnections was not provoked: 0 of 30 beside 6 busy processes on 2 cores, 0 of 9 beside 12 on 3, with the race detector. Trials with delays were not made.

--- a/internal/program/rank/rank_test.go
+++ b/internal/program/rank/rank_test.go
@@ -1,6 +1,7 @@
 package rank
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -63,6 +64,36 @@
 	incarnations [ranks]host.Incarnation
 	processes    [ranks]*process
 	document     *document.Document
+	logged       *logBuffer
+}
+
+// logBuffer holds what the processes log, with the rank in each line.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write appends a line.
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+// printIfFailed prints the lines of a test that has failed.
+func (b *logBuffer) printIfFailed(t *testing.T) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t.Failed() {
+		t.Logf("logs:\n%s", b.text.String())
+	}
+}
+
+func (d *deployment) logger(rank int) *log.Logger {
+	return &log.Logger{
+		Level: log.DebugLevel, TimeFormat: "15:04:05.000",
+		Context: log.NewContext(nil).Int("rank", rank).Value(), Writer: &log.IOWriter{Writer: d.logged},
+	}
 }
 
 func name(rank int) host.Name { return host.Name(fmt.Sprintf("rank-%d", rank)) }
@@ -77,7 +108,8 @@
 	m, err := expertmap.Even(shape)
 	require.NoError(t, err)
 	cfg.Step, cfg.Map = time.Millisecond, m
-	d := &deployment{t: t, engines: standinengine.NewGroup(cfg, ranks)}
+	d := &deployment{t: t, engines: standinengine.NewGroup(cfg, ranks), logged: new(logBuffer)}
+	t.Cleanup(func() { d.logged.printIfFailed(t) })
 	t.Cleanup(d.engines.Close)
 	d.platform = standinplatform.New(standinplatform.Config{})
 	d.url = serve(t, d.platform)
@@ -148,7 +180,7 @@
 	client := platform.New(platform.Config{URL: d.url})
 	orders := engine.New(engine.Config{Target: netip.MustParseAddrPort(strings.TrimPrefix(d.targets[rank], "http://"))})
 	p.Member = NewMember(MemberConfig{
-		Peers: peers, Platform: client, Engine: orders, Log: &log.Logger{Level: log.PanicLevel}, Metrics: metrics.NewSet(),
+		Peers: peers, Platform: client, Engine: orders, Log: d.logger(rank), Metrics: metrics.NewSet(),
 		Landing: 50 * time.Millisecond, Heartbeat: 200 * time.Millisecond,
 		Planning: planner.Config{
 			Lease:  lease.Config{Length: 600 * time.Millisecond},
