Probe requests whose suspects all come together while nothing is known to be harmless

Callers saw: after a start of all entries a rack that loses its power under requests which all have two parts in common has the whole service refused for a minute. With one such part a probe follows at once; with two there was none, as no request has one suspect alone.

Now a request with all of them is a probe one step later than one with a single suspect: 5 s after the last of two crashes, 30 s after three, then no more. It applies only while no part of the service was answered within two minutes.

Ruled out: the same at once, as it costs a server more where smaller sets are a moment later.

--- a/internal/traffic/quarantine/trial.go
+++ b/internal/traffic/quarantine/trial.go
@@ -154,6 +154,9 @@
 	case len(missing(p.almost, of)) > 0:
 		return delay + doubtfulTrialDelay, Subset, true
 	}
+	if a.noAnswers && a.crashes+1 < len(probeDelays) {
+		return probeDelays[a.crashes+1], NoneAnswered, true
+	}
 	return 0, "", false
 }
 
--- a/internal/traffic/quarantine/trial_test.go
+++ b/internal/traffic/quarantine/trial_test.go
@@ -221,3 +221,22 @@
 	require.Len(t, probes, 2)
 	require.Equal(t, HoldOver, probes[1].Why)
 }
+
+// Guards against a service that refuses all requests for a minute: after a start of all entries a rack lost its power
+// under requests that all have several parts in common, before any of them was answered.
+func TestPartsOfAllRequestsAfterAStart(t *testing.T) {
+	q := New("a")
+	for n := range crashesAtOnce {
+		crashParts(q, at(time.Duration(n-crashesAtOnce+1)*time.Millisecond), fmt.Sprint("i-", n), preamble, topic)
+	}
+	require.True(t, q.Check(start, own(preamble, topic)...).Quarantined)
+	serve(t, q, at(5*time.Second), preamble, topic)
+	for n := range 2 {
+		now := at(time.Hour + time.Duration(n)*5*time.Second)
+		crashParts(q, now, fmt.Sprint("j-", n), preamble, topic)
+	}
+	crashTrial(t, q, at(time.Hour+11*time.Second), "j-2", preamble, topic)
+	require.True(t, q.Check(at(time.Hour+40*time.Second), own(preamble, topic)...).Quarantined)
+	crashTrial(t, q, at(time.Hour+42*time.Second), "j-3", preamble, topic)
+	require.Equal(t, 2*time.Hour, q.Check(at(time.Hour+42*time.Second), own(preamble, topic)...).After, "the third is proof")
+}
