--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -16,10 +16,12 @@
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/delivery"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/notice"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/ratelimit"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
+	"wagtailshelf.example/wagtailshelf/internal/wire/presence"
 	"wagtailshelf.example/wagtailshelf/internal/wire/space"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
 	"wagtailshelf.example/wagtailshelf/platform"
@@ -131,7 +133,7 @@
 // call is one request that is being served.
 type call struct {
 	f         *Forwarder
-	w         http.ResponseWriter
+	out       *delivery.Delivery
 	r         *http.Request
 	ctx       context.Context
 	in        platform.Incoming
@@ -150,25 +152,30 @@
 	verdict    quarantine.Verdict // of the current attempt
 	tried      []string           // IDs of the targets of earlier attempts
 	sent       int                // number of times that the request was written to a target
-	stream     streamState
-	unframed   bool        // the newest response states no length and ends with its connection
-	repeat     bool        // a repeat of the request is reserved in the retry budget
-	leftSlow   atomic.Bool // the request moves away from a slow target, and a repeat is reserved for that
-	stranded   atomic.Bool // the host of a target that the request was sent to is unreachable
+	failure    *failureAnswer     // a target's failure response to pass on if no target gives a better one
+	sentAt     time.Time          // when the current attempt began
+	// examined receives whether the target of the current attempt still runs; nil if its connection
+	// has not ended.
+	examined <-chan presence.Presence
+	unframed bool        // the newest response states no length and ends with its connection
+	repeat   bool        // a repeat of the request is reserved in the retry budget
+	leftSlow atomic.Bool // the request moves away from a slow target, and a repeat is reserved for that
+	stranded atomic.Bool // the host of a target that the request was sent to is unreachable
 }
 
 // ServeHTTP serves one request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{f: f, w: w, r: r, begin: f.Now(), in: platform.ReadIncoming(r.Header)}
+	c := &call{f: f, r: r, begin: f.Now(), in: platform.ReadIncoming(r.Header)}
+	c.out = delivery.New(w, c.in.LastEventID)
 	c.rec.ID, c.rec.Parts = c.in.ID, c.in.SharedParts
 	defer func() {
 		c.held.Release()
-		c.stream.failure.release()
-		c.rec.Took, c.rec.LastEvent = f.Now().Sub(c.begin), c.stream.lastID
+		c.failure.release()
+		c.rec.Took, c.rec.Events, c.rec.LastEvent = f.Now().Sub(c.begin), c.out.Events(), c.out.LastID()
 		f.OnEnd(c.rec)
 	}()
 	if f.Draining.Load() {
-		w.Header().Set("Connection", "close")
+		c.out.SetHeader("Connection", "close")
 	}
 	if !c.admit() || !c.readBody() {
 		return
@@ -218,7 +225,7 @@
 	// The key may have been revoked since; only a fresh configuration proves that it is valid.
 	if configuration.Age > c.f.KeyMaxAge() {
 		// With a new connection the caller may reach another entry.
-		c.w.Header().Set("Connection", "close")
+		c.out.SetHeader("Connection", "close")
 		c.refuse(http.StatusServiceUnavailable, "rulesTooOld", c.staleConfigDelay())
 		return false
 	}
@@ -234,17 +241,17 @@
 		return false
 	}
 	c.held = c.f.Space.Hold(space.Callers)
-	defer c.boundBodyTime()()
+	liftBound := c.boundBodyTime()
 	text, err := space.ReadAll(c.r.Body, c.r.ContentLength, limits.BodyBytes, c.held)
 	switch {
 	case errors.Is(err, space.ErrTooLong):
-		c.w.Header().Set("Connection", "close")
+		c.out.SetHeader("Connection", "close")
 		c.endUnread(Denied, "bodyTooLarge", http.StatusRequestEntityTooLarge)
 		return false
 	case errors.Is(err, space.ErrNoSpace):
 		c.held.Release() // while the rest of the body is read
-		c.w.Header().Set("Connection", "close")
-		c.w.Header().Set("Retry-After", retryAfterText(c.retryDelaySpread()))
+		c.out.SetHeader("Connection", "close")
+		c.out.SetHeader("Retry-After", retryAfterText(c.retryDelaySpread()))
 		c.endUnread(NotRun, reasonNoSpace, http.StatusServiceUnavailable)
 		return false
 	case err != nil:
@@ -252,6 +259,7 @@
 		c.rec.Outcome, c.rec.Reason = CallerLeft, "bodyNotRead"
 		panic(http.ErrAbortHandler)
 	}
+	liftBound()
 	c.body = text
 	return true
 }
@@ -263,7 +271,7 @@
 	if n := c.r.ContentLength; n >= 0 && n < space.Free {
 		return func() {}
 	}
-	connection := http.NewResponseController(c.w)
+	connection := c.out.Controller()
 	set := func(t time.Time) {
 		// This fails only for a connection that is closed, or that can't have deadlines.
 		_ = connection.SetReadDeadline(t)
@@ -283,7 +291,7 @@
 // bounds. If the connection were closed with bytes unread, it would be reset, and the caller, which
 // still writes, would lose the response.
 func (c *call) endUnread(o Outcome, reason string, status int) {
-	connection := http.NewResponseController(c.w)
+	connection := c.out.Controller()
 	// These fail only for a connection that is closed or can't have deadlines: the body is then
 	// read without a bound in time, or not at all.
 	_ = connection.EnableFullDuplex()
--- a/internal/wire/caller/answer.go
+++ b/internal/wire/caller/answer.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -31,6 +32,7 @@
 	headSent  bool // the status line and the header were sent
 	isStream  bool // the answer is an event stream
 	written   uint64
+	last      []byte // the last bytes written, as many as show whether an event is complete
 	err       error
 }
 
@@ -98,6 +100,8 @@
 	}
 	n, err := a.w.Write(data)
 	a.written += uint64(n)
+	a.last = append(a.last, data[max(n-len(eventEnd), 0):n]...)
+	a.last = a.last[max(len(a.last)-len(eventEnd), 0):]
 	if err == nil {
 		err = a.control.Flush()
 	}
@@ -108,7 +112,7 @@
 func (a *Answer) Err() error { return a.err }
 
 // Finish ends the answer. It panics with [http.ErrAbortHandler] if the caller has to
-// notice that the answer is truncated; net/http then resets the connection.
+// notice that the answer is truncated; net/http then closes the connection.
 func (a *Answer) Finish(res request.Result) {
 	switch {
 	case res.Outcome == request.Answered:
@@ -132,14 +136,23 @@
 	}
 }
 
-// abort resets the connection, so that the caller notices that the answer is truncated.
-// Returning from the handler would end a chunked body as if it were complete.
+// eventEnd is the longest end of an event.
+const eventEnd = "\n\r\n"
+
+// afterEvent reports whether all events that the caller has got are complete.
+func (a *Answer) afterEvent() bool {
+	return len(a.last) == 0 || bytes.HasSuffix(a.last, []byte("\n\n")) || bytes.HasSuffix(a.last, []byte(eventEnd))
+}
+
+// abort closes the connection, so that the caller notices that the answer is truncated.
+// Returning from the handler would end a chunked body as if it were complete. A stream says so in an
+// event of its own, unless that would be joined to an event of which the caller has only a part.
 func (a *Answer) abort(res request.Result) {
-	if a.isStream && a.err == nil {
+	if a.isStream && a.err == nil && a.afterEvent() {
 		body, err := json.Marshal(a.problem(res, ""))
 		if err == nil {
 			fmt.Fprintf(a.w, "event: %s\ndata: %s\n\n", ErrorEvent, body)
-			_ = a.control.Flush() // the connection is reset next, whether this succeeds or not
+			_ = a.control.Flush() // the connection is closed next, whether this succeeds or not
 		}
 	}
 	panic(http.ErrAbortHandler)
