--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -62,7 +62,8 @@
 	missing       *missing
 	departed      *departed
 	config        atomic.Pointer[knownConfig]
-	targetsListed atomic.Bool // whether a list of targets was read
+	targetsListed atomic.Bool               // whether a list of targets was read
+	askedAt       atomic.Pointer[time.Time] // when planners were first asked for the other entries' configuration version; nil before
 	draining      atomic.Bool
 	planners      planners
 	heartbeats    uint64 // number of heartbeat rounds; used only by the goroutine that sends them
@@ -107,6 +108,7 @@
 	m.NewGauge("wagtailshelf_caller_connections_accepted", func() float64 { return float64(g.connections.accepted.Load()) })
 	g.pool.OnDial = dialled.Inc
 	g.pool.MaxIdle = g.idleConnections
+	g.roster.OnRegained = g.targetRegained
 	g.admit.Targets = g.serving
 	g.admit.RulesFor = g.limits
 	g.admit.OnGroupChange = g.logGroupState
@@ -114,6 +116,7 @@
 	g.admit.OnNoticeChange = g.applyNotice
 	g.crashes = crashes.NewKeeper(quarantine.New(string(s.Name)), l)
 	g.crashes.Quarantine.OnChange = g.logQuarantine
+	g.crashes.Quarantine.OnProbe = func(p quarantine.Probe) { crashes.LogProbe(g.log, p) }
 	g.crashes.Quarantine.Turn = g.probeTurn
 	m.NewGauge("wagtailshelf_quarantined", func() float64 { return float64(g.crashes.Quarantine.Quarantined()) })
 	g.setUpCrashStore()
--- a/internal/program/gateway/targets.go
+++ b/internal/program/gateway/targets.go
@@ -65,48 +65,69 @@
 }
 
 func (g *Gateway) applyTarget(c feed.Change[roster.Target]) {
-	g.departed.reported(c.Name)
-	if c.Removed {
-		g.targetVanished(time.Now(), c.Name)
-		return
-	}
-	g.missing.found(c.Name)
 	known, found := g.roster.Get(c.Name)
-	if c.Unreadable {
-		if g.roster.MarkUnreadable(c.Name) {
-			g.log.Warn().Str("event", "targetUnreadable").Str("target", c.Name).Msg("")
+	if !c.Removed && !c.Unreadable && found {
+		if why := g.doubt(known, c.Object); why != "" {
+			g.departed.hold(time.Now(), c.Object)
+			g.doubtTarget(c.Object, why)
+			return
 		}
-		return
 	}
+	g.departed.reported(c.Name)
 	switch {
-	case found && known.SameIncarnation(c.Object):
-		// A target that has announced its shutdown doesn't come back in this incarnation.
-		c.Object.Leaving = c.Object.Leaving || known.Leaving
-		c.Object.LeavingSince = known.LeavingSince
-		if c.Object.ListedAt.Era == known.ListedAt.Era {
-			c.Object.ListedAt, c.Object.Displaced = known.ListedAt, known.Displaced
-		} // Otherwise this era's revisions decide which of two targets at one address is live.
-	case found:
-		g.targetRestarted(known, &c.Object)
-	}
-	if found && c.Object.Leaving && !known.Leaving { // a target first seen as leaving may have announced that long ago
-		c.Object.LeavingSince = g.missing.newsSince()
-	}
-	for _, id := range g.roster.Put(c.Object) {
-		g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", "addressTaken").Str("by", c.Name).Msg("")
+	case c.Removed:
+		g.targetVanished(time.Now(), c.Name)
+	case c.Unreadable:
+		g.doubtTarget(roster.Target{ID: c.Name}, doubtMalformed)
+	default:
+		g.putTarget(c.Object)
+	}
+}
+
+// putTarget applies an entry that counts as its target's own word.
+func (g *Gateway) putTarget(t roster.Target) {
+	g.missing.found(t.ID)
+	known, found := g.roster.Get(t.ID)
+	// What was never at the address that its entry named has said nothing, such as that it leaves.
+	neverThere := known.Replaced && moved(known, t)
+	sameIncarnation := found && known.SameIncarnation(t) && !neverThere
+	if sameIncarnation {
+		keepIncarnation(known, &t)
+	}
+	if found && (!sameIncarnation || moved(known, t)) {
+		g.targetRestarted(known, &t)
+	}
+	if found && t.Leaving && !known.Leaving { // a target first seen as leaving may have announced that long ago
+		t.LeavingSince = g.missing.newsSince()
+	}
+	for _, id := range g.roster.Put(t) {
+		g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", "addressTaken").Str("by", t.ID).Msg("")
 	}
 	// This comes after Put, which would otherwise overwrite a leaving notice that arrives at
 	// the same moment.
-	if since, leaves := g.admit.Listed(time.Now(), c.Object); leaves {
-		g.markLeaving(c.Object, since)
+	if since, leaves := g.admit.Listed(time.Now(), t); leaves {
+		g.markLeaving(t, since)
 	}
-	if !found || known.Leaving != c.Object.Leaving {
-		g.log.Info().Str("event", "target").Str("target", c.Name).Str("service", c.Object.Service).
-			Bool("leaving", c.Object.Leaving).Stringer("address", c.Object.Address).
-			Stringer("at", c.Object.ChangedAt).Int64("beat", c.Object.Heartbeats).Time("born", c.Object.Started).Msg("")
+	if !found || known.Leaving != t.Leaving || known.Unreadable {
+		g.log.Info().Str("event", "target").Str("target", t.ID).Str("service", loggedID(t.Service)).
+			Bool("leaving", t.Leaving).Stringer("address", t.Address).
+			Stringer("at", t.ChangedAt).Int64("beat", t.Heartbeats).Time("born", t.Started).Msg("")
 	}
 }
 
+// keepIncarnation carries over what a later entry of the same incarnation does not change.
+func keepIncarnation(known roster.Target, t *roster.Target) {
+	// A target that has announced its shutdown doesn't come back in this incarnation.
+	t.Leaving = t.Leaving || known.Leaving
+	t.LeavingSince, t.Replaced = known.LeavingSince, known.Replaced
+	if t.Started.IsZero() {
+		t.Started = known.Started
+	}
+	if t.ListedAt.Era == known.ListedAt.Era {
+		t.ListedAt = known.ListedAt
+	} // Otherwise this era's revisions decide which of two targets at one address is live.
+}
+
 // targetRestarted discards the state of a target's earlier incarnation. Both have the same
 // id, so a connection, request slot or failure of the earlier one would be attributed to the
 // new one.
@@ -153,10 +174,21 @@
 }
 
 // targetReplaced handles the response of a server that it is not the target expected at its
-// address. The list may show that target for some more seconds.
-func (g *Gateway) targetReplaced(id string) {
-	if g.roster.MarkLeaving(id, time.Time{}) {
-		g.log.Info().Str("event", "targetGone").Str("target", id).Str("reason", "anotherAnswers").Msg("")
+// address. The list may show that target for some more seconds. It says nothing of a later
+// incarnation than the one that the request was sent to, nor of this one if it names a server at
+// another address as the one at fault.
+func (g *Gateway) targetReplaced(t roster.Target, named string) {
+	known, found := g.roster.Get(t.ID)
+	if !found {
+		return
+	}
+	other, namesOther := g.roster.Get(named)
+	if moved(t, known) || !t.SameIncarnation(known) || namesOther && other.Address != t.Address {
+		g.log.Info().Str("event", "targetStays").Str("target", t.ID).Str("reason", "misdirectedForOther").Str("named", loggedID(named)).Msg("")
+		return
+	}
+	if g.roster.MarkReplaced(t.ID) {
+		g.log.Info().Str("event", "targetGone").Str("target", t.ID).Str("reason", "anotherAnswers").Msg("")
 	}
 }
 
@@ -182,10 +214,12 @@
 }
 
 // resolveHeldTargets decides on targets that were kept or withheld: those that stay missing are
-// removed, and those from a backup whose entries have not expired are live.
+// removed, and withheld entries that have not expired are of live servers.
 func (g *Gateway) resolveHeldTargets(now time.Time) {
-	for _, t := range g.departed.due(now) {
-		g.applyTarget(feed.Change[roster.Target]{Name: t.ID, Object: t})
+	if !g.missing.storeIsFailing() { // otherwise the entries may have expired unnoticed
+		for _, t := range g.departed.due(now) {
+			g.putTarget(t)
+		}
 	}
 	for id, s := range g.missing.due(now) {
 		g.applyMissing(id, s)
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -214,7 +214,7 @@
 	meta := platform.ReadResponse(answer.Status, answer.Header)
 	a.Notice, a.Status, a.Unframed = meta.Notice, answer.Status, answer.Unframed
 	if answer.Status == http.StatusMisdirectedRequest {
-		c.f.OnMisdirected(target.ID) // the response is another server's: its headers do not describe this target
+		c.noteMisdirected(target, answer.Status, meta)
 	} else {
 		c.noteTarget(t, a, meta)
 	}
@@ -297,6 +297,9 @@
 	}
 	if meta.NotRun {
 		answer.Finish(c.f.Now(), answer.Discard(), meta.KeepAlive)
+		if c.refusedCondition(answer.Status) {
+			return resultNotRun, admission.End{}, reasonNotRun
+		}
 		if meta.WaitsFor != "" {
 			c.f.Admission.GroupClosed(c.f.Now(), t.Target())
 			return resultNotRun, admission.End{Closed: true}, reasonNotRun
@@ -312,8 +315,7 @@
 	}
 	isStream := success && c.route.Kind == routing.Streaming
 	if c.out.Begun() && !isStream || isStream && c.out.StartRun(answer.Status) != nil {
-		answer.Finish(c.f.Now(), false, 0)
-		return resultUnknown, admission.End{}, reasonNoStream
+		return c.leaveStream(answer, reasonNoStream)
 	}
 	if isStream {
 		return c.relay(t, a, answer, meta)
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/delivery"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/notice"
@@ -44,12 +45,14 @@
 	Budget              *Budget
 	Now                 func() time.Time
 	Draining            *atomic.Bool
-	OnMisdirected       func(id string)         // called when another server responds at a target's address
-	OnEnd               func(Record)            // called at the end of each request
-	OnConnectionFailure func(ConnectionFailure) // called for each connection that failed during a request
+	OnMisdirected       func(t roster.Target, named string) // called when a target's address refuses a request as misdirected, and may name the server at fault
+	OnEnd               func(Record)                        // called at the end of each request
+	OnConnectionFailure func(ConnectionFailure)             // called for each connection that failed during a request
 	// Quarantine decides which requests are not sent to targets, because they crash them.
 	Quarantine        *quarantine.Quarantine
 	OtherEntriesFresh func() bool // reports whether other entries have a fresh configuration; nil if that is never known
+
+	numberings delivery.Numberings
 }
 
 // Outcome is the way in which a request ended.
@@ -315,6 +318,7 @@
 func (c *call) run() {
 	c.service = c.route.Pick(rand.Float64())
 	c.rec.Service = c.service
+	c.out.SetNumbering(c.f.numberings.Of(c.service))
 	c.f.Budget.CountRequest(c.f.Now(), c.service)
 	defer c.releaseRepeats()
 	defer c.releaseSlot()
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -90,7 +90,7 @@
 		}},
 		Now:           time.Now,
 		Draining:      new(atomic.Bool),
-		OnMisdirected: func(id string) { b.targets.MarkLeaving(id, time.Time{}) },
+		OnMisdirected: func(t roster.Target, _ string) { b.targets.MarkLeaving(t.ID, time.Time{}) },
 		OnConnectionFailure: func(f ConnectionFailure) {
 			f.Examined <- presence.Probe(t.Context(), f.Target.Address)
 			close(f.Examined)
--- a/internal/traffic/forward/slot_test.go
+++ b/internal/traffic/forward/slot_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
@@ -59,7 +60,7 @@
 func TestPanicKeepsNoSlot(t *testing.T) {
 	s := standin.NewServer(t, whenBad(func(w standin.Reply) { w.Misdirected() }))
 	b := newTestbed(t, s)
-	b.OnMisdirected = func(string) { panic(http.ErrAbortHandler) }
+	b.OnMisdirected = func(roster.Target, string) { panic(http.ErrAbortHandler) }
 	requireSlotsFree(t, b, s)
 	require.Equal(t, Unknown, b.firstEnded().Outcome)
 	require.Equal(t, reasonPanic, b.firstEnded().Reason)
@@ -69,7 +70,7 @@
 // ended, the request would never be sent again.
 func TestPanicEndsItsProbe(t *testing.T) {
 	b := newTestbed(t, standin.NewServer(t, func(w standin.Reply, _ standin.Request) { w.Misdirected() }))
-	b.OnMisdirected = func(string) { panic(http.ErrAbortHandler) }
+	b.OnMisdirected = func(roster.Target, string) { panic(http.ErrAbortHandler) }
 	f := b.crashTwoTargets(http.MethodPost, "/safe/x", "fatal")
 	probeDue := time.Now().Add(5 * time.Minute)
 	b.Now = func() time.Time { return probeDue }
