--- a/internal/traffic/forward/space_test.go
+++ b/internal/traffic/forward/space_test.go
@@ -209,3 +209,15 @@
 		})
 	}
 }
+
+// A caller whose upload is refused sends no more, and doesn't close its connection. The entry must
+// close it, or such connections would be held on and on.
+func TestConnectionOfARefusedUploadEnds(t *testing.T) {
+	b := newSpaceTestbed(t)
+	b.Space.Total = 0
+	u := b.beginUpload("/unsafe/x", 200_000)
+	require.True(t, u.refused(t))
+	require.NoError(t, u.conn.SetReadDeadline(time.Now().Add(5*unreadBodyTime)))
+	_, err := u.r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
