--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -322,10 +322,10 @@
 	}
 	held := c.f.Space.Hold(t.Target().Address)
 	body, err := answer.ReadAll(maxAnswerBytes, held)
-	a.Bound = upstream.Bound(err)
 	complete := err == nil && (!a.Unframed || c.targetRuns(t))
 	answer.Finish(c.f.Now(), complete, meta.KeepAlive)
 	if !complete {
+		a.Bound = upstream.Bound(err)
 		held.Release()
 		return resultUnknown, admission.End{Failed: c.ctx.Err() == nil}, c.failureReason(reasonCut)
 	}
