Bound interim responses by their bytes, not by their number

Callers saw: a response behind two interim ones was given up (connectionBroke, 502), as these counted among the two that are read. Now their heads count for the bound of 32 KiB of the head that follows.

Evidence: TestInterimResponses failed before and passes; TestHeadWithoutEnd passes in all its forms.

--- a/internal/wire/upstream/exchange.go
+++ b/internal/wire/upstream/exchange.go
@@ -31,8 +31,7 @@
 	// is read: such a body fits into the initial windows of a new connection.
 	smallBody = 8 << 10
 	// maxResponses is how many responses are read in search of the one to the request,
-	// before the connection is closed. Informational responses and responses to other
-	// requests count.
+	// before the connection is closed. Responses to other requests count.
 	maxResponses = 2
 	// maxForeign bounds the body of a response to another request, which is read since the one to the
 	// request may follow.
@@ -103,9 +102,6 @@
 		if err != nil {
 			return nil, err
 		}
-		if w.StatusCode >= 100 && w.StatusCode < 200 {
-			continue
-		}
 		if w.StatusCode < 200 || w.StatusCode > 599 {
 			// The HTTP server that passes it on to the caller panics at some of these.
 			return nil, merry.Appendf(ErrMalformed, "status %d", w.StatusCode)
--- a/internal/wire/upstream/head.go
+++ b/internal/wire/upstream/head.go
@@ -36,16 +36,20 @@
 	return n, err
 }
 
-// readHead reads the head of the next response on the connection.
+// readHead reads the head of the next response on the connection. Interim responses before it are
+// skipped; their heads count for the bound, which is all that bounds their number.
 func (c *Conn) readHead(method string) (*http.Response, error) {
 	c.in.inHead, c.in.left = true, maxHeadBytes
 	defer func() { c.in.inHead = false }()
-	w, err := http.ReadResponse(c.r, &http.Request{Method: method})
-	switch {
-	case errors.Is(err, ErrHeadTooLong):
-		return nil, merry.Wrap(ErrHeadTooLong)
-	case err != nil:
-		return nil, merry.Wrap(ErrConnectionFailed, merry.AppendMessage(err.Error()))
+	for {
+		w, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		switch {
+		case errors.Is(err, ErrHeadTooLong):
+			return nil, merry.Wrap(ErrHeadTooLong)
+		case err != nil:
+			return nil, merry.Wrap(ErrConnectionFailed, merry.AppendMessage(err.Error()))
+		case w.StatusCode < 100 || w.StatusCode >= 200:
+			return w, nil
+		}
 	}
-	return w, nil
 }
