--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -245,7 +245,7 @@
 		return false
 	}
 	c.held = c.f.Space.Hold(space.Callers)
-	defer c.boundBodyTime()()
+	liftBound := c.boundBodyTime()
 	text, err := space.ReadAll(c.r.Body, c.r.ContentLength, limits.BodyBytes, c.held)
 	switch {
 	case errors.Is(err, space.ErrTooLong):
@@ -263,6 +263,7 @@
 		c.rec.Outcome, c.rec.Reason = CallerLeft, "bodyNotRead"
 		panic(http.ErrAbortHandler)
 	}
+	liftBound()
 	c.body = text
 	return true
 }
