A few servers that drop events don't make gaps a service's way of numbering

A run counts as one without a gap from its second event on, not only where it is complete, and a third of the runs must have gaps, not a quarter: at the start five in a row, three before.

--- a/internal/traffic/delivery/delivery.go
+++ b/internal/traffic/delivery/delivery.go
@@ -159,7 +159,6 @@
 	if d.order.partial {
 		return ErrEndsEarly
 	}
-	d.order.endRun()
 	d.begin(h)
 	d.ended = true
 	return nil
--- a/internal/traffic/delivery/numbering.go
+++ b/internal/traffic/delivery/numbering.go
@@ -5,7 +5,7 @@
 const (
 	// sparseShare is the share of a service's runs that must have a gap for gaps to be its way of
 	// numbering.
-	sparseShare = 0.25
+	sparseShare = 1.0 / 3
 	// assumedRuns is how many runs without a gap a service is assumed to have had.
 	assumedRuns = 8
 	// maxRuns bounds the runs that are counted, so that newer ones weigh more.
@@ -14,7 +14,7 @@
 
 // Numbering tells how the servers of a service number the events of their streams. Numbers that rise by
 // one show that an event is missing; where they rise in other steps, as offsets do, they don't. A service
-// is taken to number by one until many of its runs have gaps. It is safe for concurrent use.
+// is taken to number by one until a third of its runs have gaps. It is safe for concurrent use.
 type Numbering struct {
 	mu         sync.Mutex
 	runs, gaps float64
--- a/internal/traffic/delivery/order.go
+++ b/internal/traffic/delivery/order.go
@@ -13,8 +13,9 @@
 	last      uint64 // number of the last event; 0 if the caller has none
 	lastID    string // as the target wrote it; "" if the caller has no event with a number
 	joint     bool   // the next event is the first of a run that goes on after lastID
-	sparse    bool   // the current run has had a gap, and gaps are the service's way of numbering
-	counted   bool   // the current run is counted in numbering
+	events    int    // of the current run
+	gap       bool   // the current run has had a gap
+	sparse    bool   // gaps are the service's way of numbering, as of that gap
 	partial   bool   // a run was cut within the event that follows
 	// unnumbered is set if the last event had no number: no other run can go on after it.
 	unnumbered atomic.Bool
@@ -29,14 +30,7 @@
 }
 
 // startRun prepares for the first event of a run.
-func (o *order) startRun() { o.joint, o.sparse, o.counted = o.lastID != "", false, false }
-
-// endRun counts a run that has ended without a gap.
-func (o *order) endRun() {
-	if !o.counted && o.lastID != "" {
-		o.numbering.note(false)
-	}
-}
+func (o *order) startRun() { o.joint, o.events, o.gap, o.sparse = o.lastID != "", 0, false, false }
 
 // admit takes the next event of a run, unless it is out of order. A neutral one may stand anywhere.
 func (o *order) admit(ev upstream.Event) error {
@@ -54,6 +48,10 @@
 	}
 	if numbered {
 		o.last, o.lastID = n, ev.ID
+		o.events++
+	}
+	if o.events == 2 && !o.gap {
+		o.numbering.note(false)
 	}
 	o.unnumbered.Store(!numbered)
 	o.joint, o.partial = false, false
@@ -62,8 +60,8 @@
 
 // gapAllowed reports whether a gap in the numbers of the current run does not mean that an event is missing.
 func (o *order) gapAllowed() bool {
-	if !o.counted {
-		o.sparse, o.counted = o.numbering.note(true), true
+	if !o.gap {
+		o.sparse, o.gap = o.numbering.note(true), true
 	}
 	return o.sparse
 }
