A run counts once for its service's way of numbering

Events without a number behind the second one counted the run again each time, so that a service whose numbers have gaps might never be known as one.

--- a/internal/traffic/delivery/delivery_test.go
+++ b/internal/traffic/delivery/delivery_test.go
@@ -123,3 +123,18 @@
 	}
 	require.True(t, n.note(true), "the service has changed its way")
 }
+
+// Guards against events without numbers that count as runs, and hide how a service numbers.
+func TestRunCountsOnce(t *testing.T) {
+	var n Numbering
+	d, _ := newDelivery("")
+	d.SetNumbering(&n)
+	require.NoError(t, d.StartRun(head))
+	require.NoError(t, d.Event(head, event(1), false))
+	require.NoError(t, d.Event(head, event(2), false))
+	for range 5 {
+		require.NoError(t, d.Event(head, upstream.Event{Bytes: []byte("data: x\n\n")}, false))
+	}
+	require.NoError(t, d.Event(head, event(3), false))
+	require.EqualValues(t, 1, n.runs)
+}
--- a/internal/traffic/delivery/order.go
+++ b/internal/traffic/delivery/order.go
@@ -13,7 +13,7 @@
 	last      uint64 // number of the last event; 0 if the caller has none
 	lastID    string // as the target wrote it; "" if the caller has no event with a number
 	joint     bool   // the next event is the first of a run that goes on after lastID
-	events    int    // of the current run
+	numbers   int    // events of the current run with a number
 	gap       bool   // the current run has had a gap
 	sparse    bool   // gaps are the service's way of numbering, as of that gap
 	partial   bool   // a run was cut within the event that follows
@@ -30,7 +30,7 @@
 }
 
 // startRun prepares for the first event of a run.
-func (o *order) startRun() { o.joint, o.events, o.gap, o.sparse = o.lastID != "", 0, false, false }
+func (o *order) startRun() { o.joint, o.numbers, o.gap, o.sparse = o.lastID != "", 0, false, false }
 
 // admit takes the next event of a run, unless it is out of order. A neutral one may stand anywhere.
 func (o *order) admit(ev upstream.Event) error {
@@ -48,16 +48,22 @@
 	}
 	if numbered {
 		o.last, o.lastID = n, ev.ID
-		o.events++
-	}
-	if o.events == 2 && !o.gap {
-		o.numbering.note(false)
+		o.countNumber()
 	}
 	o.unnumbered.Store(!numbered)
 	o.joint, o.partial = false, false
 	return nil
 }
 
+// countNumber counts an event with a number. From its second one on, a run without a gap says how its
+// service numbers.
+func (o *order) countNumber() {
+	o.numbers++
+	if o.numbers == 2 && !o.gap {
+		o.numbering.note(false)
+	}
+}
+
 // gapAllowed reports whether a gap in the numbers of the current run does not mean that an event is missing.
 func (o *order) gapAllowed() bool {
 	if !o.gap {
