Tests of the gateway: start waits until the entry listens

Once in 5 runs beside load (17 on 8 cores, race detector) the first request of a test met "connection refused": start asked whether the entry knows enough to serve, and its listener came later. The balancer's question has both, so callers of the platform are not sent there.

--- a/internal/program/gateway/crashes_test.go
+++ b/internal/program/gateway/crashes_test.go
@@ -46,7 +46,7 @@
 	return netip.AddrFrom4([4]byte{127, byte(64 + os.Getpid()%128), byte(n >> 8), byte(n)})
 }
 
-// start starts an entry and waits until it is ready.
+// start starts an entry and waits until it is ready, as its balancer would see it.
 func start(t *testing.T, name host.Name, store netip.AddrPort) *running {
 	ip := newHost()
 	s := deployed.Settings{
@@ -74,7 +74,7 @@
 		require.NoError(t, <-ended)
 	})
 	t.Cleanup(end)
-	require.Eventually(t, g.ready, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { return g.ready() && g.intake.Works(ctx) }, time.Minute, time.Millisecond)
 	return &running{callers: s.Listen.Callers, gateway: g, logged: logged, stop: end}
 }
 
