--- a/review/harness-2/store.go
+++ b/review/harness-2/store.go
@@ -52,6 +52,7 @@
 	silent   bool                 // no call is answered
 	// leaders are the holders that processes wrote under a condition, by the name of the object.
 	leaders map[string]string
+	told    map[string]int // how many watches were answered with an event, by what it says of which server
 	ended   chan struct{}
 	server  *http.Server
 }
@@ -59,7 +60,7 @@
 func newStore(at string, r *record) (*store, error) {
 	s := &store{
 		record: r, era: 1, objects: make(map[string]map[string]object), changed: make(chan struct{}),
-		beats: make(map[string]time.Time), leaders: make(map[string]string), ended: make(chan struct{}),
+		beats: make(map[string]time.Time), leaders: make(map[string]string), told: make(map[string]int), ended: make(chan struct{}),
 	}
 	l, err := net.Listen("tcp4", at)
 	if err != nil {
@@ -255,6 +256,7 @@
 			}
 		}
 		if len(events) > 0 || over {
+			s.noteTold(kind, after)
 			s.answer(w, true, 0, map[string]any{"events": events, "current_rev": s.revision})
 			s.mu.Unlock()
 			return
@@ -273,6 +275,36 @@
 	}
 }
 
+// noteTold notes which changes of servers a watch is answered with. The caller holds the lock.
+func (s *store) noteTold(kind string, after int64) {
+	for _, c := range s.changes {
+		if kind == "servers" && c.kind == kind && c.object.Metadata.Revision > after {
+			what := said(c)
+			s.told[what]++
+			s.record.note("store: a watch is told that %s", what)
+		}
+	}
+}
+
+// said returns what a change says of a server.
+func said(c change) string {
+	if c.removed {
+		return c.object.Metadata.Name + " is gone"
+	}
+	var spec struct {
+		State string `json:"state"`
+	}
+	_ = json.Unmarshal(c.object.Spec, &spec) // one that can't be read has no state
+	return c.object.Metadata.Name + " is " + spec.State
+}
+
+// watchesTold returns how many watches were told something of a server.
+func (s *store) watchesTold(what string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.told[what]
+}
+
 func (s *store) change(w http.ResponseWriter, r *http.Request, kind, name string) {
 	var in object
 	if r.Method != http.MethodDelete {
