--- a/review/harness-2/limit.go
+++ b/review/harness-2/limit.go
@@ -13,6 +13,7 @@
 	limitSpan    = 4 * time.Second
 	limitMost    = 1.5*needyRate*4 + 5 // in limitSpan
 	touchTime    = 3 * time.Second
+	cutTime      = 5 * time.Second // the default of the kind srv_cut
 )
 
 // limitCase has a server in need name a limit. Then it is cut off from the store for some seconds, but not from the
@@ -49,7 +50,7 @@
 	time.Sleep(5 * time.Second)
 	if trouble {
 		needy.setCut(true)
-		time.Sleep(6 * time.Second)
+		time.Sleep(cutTime)
 		needy.setCut(false)
 	}
 	time.Sleep(8 * time.Second)
