Review: a limit that is forgotten after a pause of requests, seen besides

harness-2 has 'quiet' (no case): a server names Server-Limit 2, nobody asks for its service for 82 s, then 100 requesters do. The entries end the limit after 76 s without an answer (ratelimit.Limit.Expire). TROUBLE=0, without the pause: held.

--- a/review/harness-2/limit.go
+++ b/review/harness-2/limit.go
@@ -55,20 +55,7 @@
 	}
 	time.Sleep(8 * time.Second)
 	t.end()
-	var broken []string
-	list := needy.arrivals()
-	for i, a := range list {
-		n := 0
-		for _, b := range list[i:] {
-			if b.at.Sub(a.at) <= limitSpan {
-				n++
-			}
-		}
-		if since := a.at.Sub(named); since > touchTime && float64(n) > limitMost {
-			broken = append(broken, fmt.Sprintf("%s gets %d requests in the %s from %.3f s after it had named %g a second; %g are allowed",
-				needy.id, n, limitSpan, since.Seconds(), needyRate, float64(limitMost)))
-		}
-	}
+	broken := overLimit(needy, named, needyRate, limitMost)
 	w.noteLogs(needy.id)
 	t.report(len(broken))
 	return broken, nil
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -26,6 +26,7 @@
 	"left":    leftCase,
 	"foreign": foreignCase,
 	"limit":   limitCase,
+	"quiet":   quietCase,
 }
 
 func main() {
