--- a/internal/program/deployed/settings.go
+++ b/internal/program/deployed/settings.go
@@ -4,15 +4,13 @@
 
 import (
 	"net/netip"
-	"strconv"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
 	"wagtailshelf.example/wagtailshelf/internal/record/finding"
 	"wagtailshelf.example/wagtailshelf/internal/record/source"
 	"wagtailshelf.example/wagtailshelf/internal/wire/ingress"
+	"wagtailshelf.example/wagtailshelf/platform"
 )
 
 // Settings are the settings of one process. The platform fills them in from a template.
@@ -26,25 +24,8 @@
 	Target     Target          `yaml:"target"`
 	Bounds     Bounds          `yaml:"bounds"`
 	Memory     int             `yaml:"memoryMB"` // of the process
-	// Descriptors is how many descriptors the process may have open; 0 for the kernel's limit.
-	Descriptors Count `yaml:"descriptors"`
-}
-
-// Count is a number that a template may have no value for.
-type Count int
-
-// UnmarshalText reads a number. An empty text is 0.
-func (c *Count) UnmarshalText(text []byte) error {
-	if len(text) == 0 {
-		*c = 0
-		return nil
-	}
-	n, err := strconv.Atoi(string(text))
-	if err != nil {
-		return merry.Errorf("%q is not a whole number", text)
-	}
-	*c = Count(n)
-	return nil
+	// Limits holds the other limits of the process, as the platform's table of them.
+	Limits platform.Limits `yaml:"limits"`
 }
 
 // megabyte is the unit of Settings.Memory, in bytes.
@@ -52,7 +33,7 @@
 
 // Resources returns what the process has.
 func (s Settings) Resources() ingress.Resources {
-	return ingress.Resources{Memory: int64(s.Memory) * megabyte, Descriptors: int(s.Descriptors)}.Fill()
+	return ingress.Resources{Memory: int64(s.Memory) * megabyte, Descriptors: s.Limits.Descriptors}.Fill()
 }
 
 // Listen holds the addresses that the process listens on.
@@ -125,5 +106,4 @@
 	{"bounds.repeatWindow", "bounds.repeatWindow must be above 0", func(s Settings) bool { return s.Bounds.RepeatWindow <= 0 }},
 	{"bounds.heartbeat", "bounds.heartbeat must not be below 0", func(s Settings) bool { return s.Bounds.Heartbeat < 0 }},
 	{"memoryMB", "memoryMB must be above 0", func(s Settings) bool { return s.Memory <= 0 }},
-	{"descriptors", "descriptors must not be below 0", func(s Settings) bool { return s.Descriptors < 0 }},
 }
--- a/internal/program/deployed/settings_test.go
+++ b/internal/program/deployed/settings_test.go
@@ -11,14 +11,14 @@
 	const text = "role: sidecar\nname: p\naddress: 127.0.0.1\ndataCentre: z\nstore: 127.0.0.1:1\nmemoryMB: 100\n" +
 		"listen: {metrics: \"127.0.0.1:2\", peers: \"127.0.0.1:3\"}\ntarget: {address: \"127.0.0.1:4\", service: s}\n" +
 		"bounds: {apply: 2s, revoke: 5s, drain: 2s, grace: 8s, repeatWindow: 10s}\n"
-	for value, want := range map[string]Count{`""`: 0, `"4100"`: 4100, `4100`: 4100} {
-		s, findings := Load("s.yaml", []byte(text+"descriptors: "+value+"\n"))
+	for value, want := range map[string]int{`""`: 0, `'{"max_fds": 4100}'`: 4100, `'{"memory_mb": 100}'`: 0} {
+		s, findings := Load("s.yaml", []byte(text+"limits: "+value+"\n"))
 		require.NoError(t, findings.Err(), value)
-		require.Equal(t, want, s.Descriptors)
+		require.Equal(t, want, s.Limits.Descriptors)
 		require.Positive(t, s.Resources().Descriptors)
 	}
-	for _, value := range []string{`"x"`, `-1`, `"1.5"`} {
-		_, findings := Load("s.yaml", []byte(text+"descriptors: "+value+"\n"))
+	for _, value := range []string{`"x"`, `4100`, `'{"max_fds": -1}'`, `'{"max_fds": 1.5}'`, `'{"max_fds": "x"}'`} {
+		_, findings := Load("s.yaml", []byte(text+"limits: "+value+"\n"))
 		require.Error(t, findings.Err(), value)
 	}
 }
