--- a/internal/traffic/forward/space_test.go
+++ b/internal/traffic/forward/space_test.go
@@ -216,7 +216,7 @@
 	stamped := func(headers string) string { return standin.Wire("id-1", headers, "") }
 	for name, c := range map[string]struct{ begin, bound, reason string }{
 		"a head without end":           {"", "head", reasonBroken},
-		"an impossible status":         {"HTTP/1.1 020 Odd\r\n\r\n", "status", reasonBroken},
+		"an impossible status":         {"HTTP/1.1 020 Odd\r\n\r\n", "malformed", reasonBroken},
 		"a body without end":           {stamped(""), "space", reasonCut},
 		"a stated length that is long": {stamped("Content-Length: 1000000000\r\n"), "length", reasonCut},
 		"a foreign body without end":   {standin.Wire("another", "", ""), "length", reasonBroken},
--- a/internal/wire/engine/call.go
+++ b/internal/wire/engine/call.go
@@ -11,6 +11,8 @@
 	"net/url"
 	"sync/atomic"
 	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/wire/response"
 )
 
 // Defaults of a [Config].
@@ -21,9 +23,8 @@
 )
 
 const (
-	maxIdleConns   = 256
-	idleTimeout    = 15 * time.Second
-	maxHeaderBytes = 64 << 10
+	maxIdleConns = 256
+	idleTimeout  = 15 * time.Second
 )
 
 // ErrSilent reports that the target sent nothing for longer than allowed.
@@ -57,8 +58,8 @@
 // Client sends calls to one target. It is safe for concurrent use.
 type Client struct {
 	cfg    Config
-	pooled *http.Transport // keeps connections
-	fresh  *http.Transport // dials for each call
+	pooled *response.Transport // keeps connections
+	fresh  *response.Transport // dials for each call
 }
 
 // New returns a client of one target.
@@ -75,16 +76,16 @@
 	if cfg.Dial == nil {
 		cfg.Dial = (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext
 	}
-	pooled := &http.Transport{
-		DialContext:            cfg.Dial,
-		MaxIdleConnsPerHost:    maxIdleConns,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-		DisableCompression:     true, // answers are passed on unchanged
+	transport := func(fresh bool) *response.Transport {
+		return response.NewTransport(&http.Transport{
+			DialContext:         cfg.Dial,
+			MaxIdleConnsPerHost: maxIdleConns,
+			IdleConnTimeout:     idleTimeout,
+			DisableKeepAlives:   fresh,
+			DisableCompression:  true, // answers are passed on unchanged
+		})
 	}
-	fresh := pooled.Clone()
-	fresh.DisableKeepAlives = true
-	return &Client{cfg: cfg, pooled: pooled, fresh: fresh}
+	return &Client{cfg: cfg, pooled: transport(false), fresh: transport(true)}
 }
 
 // Close closes the idle connections.
@@ -131,7 +132,7 @@
 // those with a safe method or an Idempotency-Key header whose body can be read again. A
 // request that may not run twice therefore gets a new connection: on that the transport
 // never retries, and a failed dial proves that the target received nothing.
-func (c *Client) transport(call Call) *http.Transport {
+func (c *Client) transport(call Call) *response.Transport {
 	if call.Repeatable {
 		return c.pooled
 	}
--- a/internal/wire/intake/intake.go
+++ b/internal/wire/intake/intake.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"wagtailshelf.example/wagtailshelf/internal/wire/response"
 )
 
 // timeout bounds a check. Callers give up if nothing reads their request for a second.
@@ -67,10 +69,11 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", c.selfAddress().String())
+	plain, err := d.DialContext(ctx, "tcp", c.selfAddress().String())
 	if err != nil {
 		return err
 	}
+	conn := response.NewConn(plain)
 	defer func() { _ = conn.Close() }()
 	deadline, _ := ctx.Deadline()
 	if err := conn.SetDeadline(deadline); err != nil {
@@ -81,6 +84,9 @@
 	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: self\r\nConnection: close\r\n\r\n"); err != nil {
 		return err
 	}
+	if err := conn.Begin(nil); err != nil {
+		return err
+	}
 	answer, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxAnswer)), nil)
 	if err != nil {
 		return err
--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -17,6 +17,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/record/budget"
 	"wagtailshelf.example/wagtailshelf/internal/record/object"
+	"wagtailshelf.example/wagtailshelf/internal/wire/response"
 )
 
 // Defaults of a [Config].
@@ -30,8 +31,6 @@
 const (
 	maxIdleConns = 4
 	idleTimeout  = 30 * time.Second
-	// maxHeadBytes bounds the head of a response; heads have some hundred bytes.
-	maxHeadBytes = 32 << 10
 )
 
 // Errors of calls that were not sent.
@@ -105,14 +104,12 @@
 		base = nil
 	}
 	addr := &addresses{list: cfg.Addresses, dialer: cfg.Dial}
-	transport := &http.Transport{
+	transport := response.NewTransport(&http.Transport{
 		DialContext:         addr.dial,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 		ForceAttemptHTTP2:   false,
-
-		MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	})
 	return &Client{
 		cfg:  cfg,
 		base: base,
--- a/internal/wire/rankport/rankport.go
+++ b/internal/wire/rankport/rankport.go
@@ -20,6 +20,7 @@
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/wire/response"
 	"wagtailshelf.example/wagtailshelf/internal/wire/space"
 )
 
@@ -97,8 +98,6 @@
 	maxDecoding = 2
 	// maxMessage bounds the answer to one.
 	maxMessage = 4 << 20
-	// maxHeadBytes bounds the head of a response; heads have some hundred bytes.
-	maxHeadBytes = 32 << 10
 	// callTimeout covers the sidecar's own call to its engine.
 	callTimeout = 350 * time.Millisecond
 	// lookTimeout bounds a poll: a lost packet is sent again after 200 ms.
@@ -190,9 +189,9 @@
 // NewClient returns a client with a connection pool of its own.
 func NewClient() *Client {
 	return &Client{client: &http.Client{
-		Transport: &http.Transport{
-			MaxIdleConnsPerHost: 2, IdleConnTimeout: 5 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
-		},
+		Transport: response.NewTransport(&http.Transport{
+			MaxIdleConnsPerHost: 2, IdleConnTimeout: 5 * time.Second, DisableCompression: true,
+		}),
 	}}
 }
 
--- a/internal/wire/upstream/exchange.go
+++ b/internal/wire/upstream/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"wagtailshelf.example/wagtailshelf/internal/wire/response"
 	"wagtailshelf.example/wagtailshelf/internal/wire/space"
 )
 
@@ -20,8 +21,6 @@
 	// ErrConnectionFailed reports that the connection failed after bytes were written: the
 	// request may have run.
 	ErrConnectionFailed = merry.New("the connection failed")
-	// ErrMalformed reports a response that HTTP doesn't allow.
-	ErrMalformed = merry.New("the response is malformed")
 	// ErrTruncated reports a response that ended before it was complete.
 	ErrTruncated = merry.New("the response is truncated")
 )
@@ -63,7 +62,8 @@
 	conn     *Conn
 	pool     *Pool
 	stop     func() bool
-	written  chan error // result of writing the body; nil if it was written before the response was read
+	written  chan error // receives the result of writing the body; nil if that is known
+	writeErr error      // the result, once it is known
 	reusable bool
 	closed   bool
 }
@@ -102,10 +102,6 @@
 		if err != nil {
 			return nil, err
 		}
-		if w.StatusCode < 200 || w.StatusCode > 599 {
-			// The HTTP server that passes it on to the caller panics at some of these.
-			return nil, merry.Appendf(ErrMalformed, "status %d", w.StatusCode)
-		}
 		if !matches(w.Header) {
 			if err := discard(w.Body, maxForeign); err != nil {
 				return nil, merry.Wrap(ErrConnectionFailed, merry.WithCause(err))
@@ -169,11 +165,12 @@
 // on a reused connection, the target would then read the rest of the body as the next request.
 func (a *Answer) sent() bool {
 	if a.written == nil {
-		return true
+		return a.writeErr == nil
 	}
 	select {
-	case err := <-a.written:
-		return err == nil
+	case a.writeErr = <-a.written:
+		a.written = nil
+		return a.writeErr == nil
 	default:
 		return false
 	}
@@ -217,10 +214,10 @@
 // fail; "" if none did.
 func Bound(err error) string {
 	switch {
-	case errors.Is(err, ErrHeadTooLong):
+	case errors.Is(err, response.ErrHeadTooLong):
 		return "head"
-	case errors.Is(err, ErrMalformed):
-		return "status"
+	case errors.Is(err, response.ErrMalformed):
+		return "malformed"
 	case errors.Is(err, space.ErrTooLong):
 		return "length"
 	case errors.Is(err, space.ErrNoSpace):
--- a/internal/wire/upstream/exchange_test.go
+++ b/internal/wire/upstream/exchange_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/wire/response"
 )
 
 const (
@@ -108,9 +110,9 @@
 // A long head, and a body that is longer than a head may be, must not be taken for bytes without
 // end.
 func TestLongHeadAndBodyAreRead(t *testing.T) {
-	body := strings.Repeat("0", 4*maxHeadBytes)
+	body := strings.Repeat("0", 128<<10)
 	to := serve(t, func(w io.Writer) {
-		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nConnection: close\r\nName: "+strings.Repeat("0", maxHeadBytes/2)+
+		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nConnection: close\r\nName: "+strings.Repeat("0", 16<<10)+
 			"\r\nContent-Length: 131072\r\n\r\n"+body) // what arrives is checked
 	})
 	a, err := send(t, to)
@@ -129,7 +131,7 @@
 				_, _ = io.WriteString(w, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 0\r\n\r\n") // what arrives is checked
 			})
 			_, err := send(t, to)
-			require.ErrorIs(t, err, ErrMalformed)
+			require.ErrorIs(t, err, response.ErrMalformed)
 		})
 	}
 }
--- a/internal/wire/upstream/pool.go
+++ b/internal/wire/upstream/pool.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"wagtailshelf.example/wagtailshelf/internal/wire/response"
 )
 
 const (
@@ -56,9 +58,8 @@
 
 // Conn is a connection to a target. It carries one request at a time.
 type Conn struct {
-	net    net.Conn
-	in     *headReader
-	r      *bufio.Reader // reads from in
+	net    *response.Conn
+	r      *bufio.Reader
 	w      *bufio.Writer
 	target netip.AddrPort
 	Reused bool // it has carried an earlier request
@@ -93,12 +94,11 @@
 		return nil, err
 	}
 	p.OnDial()
-	in := &headReader{r: conn}
+	in := response.NewConn(conn)
 	return &Conn{
-		net:    conn,
-		in:     in,
+		net:    in,
 		r:      bufio.NewReaderSize(in, bufferSize),
-		w:      bufio.NewWriterSize(conn, bufferSize),
+		w:      bufio.NewWriterSize(in, bufferSize),
 		target: target,
 		keep:   defaultKeep,
 	}, nil
@@ -178,10 +178,8 @@
 // target that was unreachable for a while would receive, and run, a request whose caller has
 // long gone.
 func (c *Conn) Abort() {
-	if tcp, isTCP := c.net.(*net.TCPConn); isTCP {
-		// It fails only on a connection that is closed already.
-		_ = tcp.SetLinger(0)
-	}
+	// It fails only on a connection that is closed already.
+	_ = c.net.SetLinger(0)
 	c.Close()
 }
 
@@ -191,11 +189,7 @@
 	if c.r.Buffered() > 0 {
 		return false
 	}
-	tcp, isTCP := c.net.(*net.TCPConn)
-	if !isTCP {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
+	raw, err := c.net.SyscallConn()
 	if err != nil {
 		return false
 	}
