--- a/internal/traffic/forward/faulty_test.go
+++ b/internal/traffic/forward/faulty_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -68,3 +69,23 @@
 		})
 	}
 }
+
+// Guards against a caller that gets a part of a body as a complete answer, as the server resets the connection while
+// the request is still being written.
+func TestPartOfAnAnswerToAnUpload(t *testing.T) {
+	const size = 16 << 20
+	s := serveConnections(t, func(c *net.TCPConn) {
+		_, _ = c.Write([]byte(standin.Wire("id-1", "", "a part"))) // what arrives is checked
+		time.Sleep(time.Millisecond)
+		_ = c.SetLinger(0)
+	})
+	for _, path := range []string{"/unsafe/x", "/safe/x"} {
+		for range 10 {
+			b := newTestbed(t, s)
+			b.configuration.Config.Limits.BodyBytes = size
+			a := b.do(t.Context(), http.MethodPost, path, "", strings.Repeat("x", size))
+			require.NoError(t, a.err)
+			require.Equal(t, http.StatusBadGateway, a.status, "body %q", a.body)
+		}
+	}
+}
--- a/internal/wire/engine/faulty_test.go
+++ b/internal/wire/engine/faulty_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,6 +61,18 @@
 	return string(text), err
 }
 
+// Guards against the part of an answer that a sidecar takes for all of it, as the target resets the connection while
+// the request is still being written.
+func TestAnswerToAnUploadThatIsReset(t *testing.T) {
+	c := connectRaw(t, "HTTP/1.1 200 OK\r\n\r\na part", 0)
+	for range 30 {
+		for _, repeatable := range []bool{false, true} {
+			text, err := read(t, c, strings.Repeat("x", 8<<20), repeatable)
+			require.Error(t, err, "answer %q", text)
+		}
+	}
+}
+
 // Guards against a sidecar that passes on what a faulty target sent in place of an answer.
 func TestFaultyHeadsAreNoAnswer(t *testing.T) {
 	for name, head := range map[string]string{
--- a/internal/wire/response/conn.go
+++ b/internal/wire/response/conn.go
@@ -1,19 +1,29 @@
 // Package response guards what the process reads as an HTTP client: that the head of a response can be read in one way
-// only.
+// only, and that a body that ends with its connection ends where its sender ended it.
 //
 // Everything that the process calls over HTTP is read through a [Conn]: targets, engines, the store and peers.
 package response
 
 import (
 	"errors"
+	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
+
+	"github.com/ansel1/merry/v2"
+	"golang.org/x/sys/unix"
 )
 
-// Conn is a client's connection. Its reads fail on a head that is malformed.
+// ErrReset reports the end of a connection that its peer did not close, or closed before it had received everything.
+var ErrReset = merry.New("the connection was reset")
+
+// Conn is a client's connection. Its reads fail on a head that is malformed, and on the end of a connection that was
+// reset, or that ends before its peer has received what was written.
 type Conn struct {
 	net.Conn
-	head headCheck
+	head   headCheck
+	failed atomic.Bool // a read or write has failed
 }
 
 // NewConn returns a connection on which no response is expected yet.
@@ -26,12 +36,33 @@
 // Begin expects the response to a request. The bytes that were read of it before are its beginning.
 func (c *Conn) Begin(arrived []byte) error { return c.head.begin(arrived) }
 
-// Read reads from the connection. It fails with [ErrMalformed] or [ErrHeadTooLong].
+// Read reads from the connection. It fails with [ErrMalformed], [ErrHeadTooLong] or [ErrReset].
+//
+// The system reports a reset only once. If a write has received it, a read that follows finds what looks like
+// the end that a peer makes by closing, and a truncated body would be taken for a complete one. A peer that closes the
+// connection while a request is on its way resets it when the rest arrives, which may be after the read.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if malformed := c.head.arrive(p[:n]); malformed != nil {
 		return 0, malformed
 	}
+	switch {
+	case errors.Is(err, io.EOF):
+		if !c.Delivered() {
+			return n, merry.Wrap(ErrReset)
+		}
+	case err != nil:
+		c.failed.Store(true)
+	}
+	return n, err
+}
+
+// Write writes to the connection.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.failed.Store(true)
+	}
 	return n, err
 }
 
@@ -52,3 +83,39 @@
 	}
 	return tcp.SetLinger(seconds)
 }
+
+// tcpClosed is the state of a connection that was reset, in the numbers of TCP_INFO. A peer that closes it leaves it in
+// another state until this side closes it too.
+const tcpClosed = 7
+
+// state is what the system knows of a connection.
+type state struct {
+	reset       bool
+	undelivered bool // bytes that were written have not been acknowledged
+}
+
+// state returns the state of the connection; the zero state if the system doesn't tell.
+func (c *Conn) state() state {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return state{}
+	}
+	var s state
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return
+		}
+		s = state{reset: info.State == tcpClosed, undelivered: info.Unacked > 0 || info.Notsent_bytes > 0}
+	})
+	if err != nil {
+		return state{reset: true} // this side has closed it, so nothing proves how it would have ended
+	}
+	return s
+}
+
+// Delivered reports whether the peer has received all that was written, and the connection was not reset.
+func (c *Conn) Delivered() bool {
+	s := c.state()
+	return !c.failed.Load() && !s.reset && !s.undelivered
+}
--- a/internal/wire/response/transport.go
+++ b/internal/wire/response/transport.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+
+	"github.com/ansel1/merry/v2"
 )
 
 // Transport is a transport of the standard library whose connections are guarded by [Conn]. It is safe for concurrent
@@ -35,12 +39,53 @@
 
 // RoundTrip sends a request and reads the head of its response.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	written := make(chan error, maxAttempts)
 	trace := &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
+			for len(written) > 0 {
+				<-written // of an attempt on a connection that had ended
+			}
 			if c, guarded := i.Conn.(*Conn); guarded {
 				_ = c.Begin(nil) // fails only for bytes that have arrived
 			}
 		},
+		WroteRequest: func(i httptrace.WroteRequestInfo) { written <- i.Err },
+	}
+	w, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if w.ContentLength < 0 && len(w.TransferEncoding) == 0 {
+		w.Body = &unframedBody{ReadCloser: w.Body, ctx: r.Context(), written: written}
+	}
+	return w, nil
+}
+
+// maxAttempts is more than how often the standard library's transport writes one request.
+const maxAttempts = 16
+
+// unframedBody is a body that ends with its connection. Its end proves that it is complete only if the request was
+// written before.
+type unframedBody struct {
+	io.ReadCloser
+	ctx     context.Context
+	written chan error
+}
+
+// Read reads from the body.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	select {
+	case failed := <-b.written:
+		b.written <- failed
+		if failed != nil {
+			return n, merry.Wrap(ErrReset, merry.WithCause(failed))
+		}
+		return n, io.EOF
+	case <-b.ctx.Done():
+		return n, merry.Wrap(ErrReset, merry.WithCause(b.ctx.Err()))
 	}
-	return t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 }
--- a/internal/wire/response/transport_test.go
+++ b/internal/wire/response/transport_test.go
@@ -88,6 +88,21 @@
 	}
 }
 
+// Guards against the part of a body that is taken for all of it, as the server resets the connection while the request
+// is being written.
+func TestTransportReadsNoEndOfAReset(t *testing.T) {
+	url := serve(t, func(_ int, c *net.TCPConn) {
+		_, _ = io.WriteString(c, ok+"\r\na part") // what arrives is checked
+		time.Sleep(time.Millisecond)
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	})
+	for range 100 {
+		body, err := fetch(newClient(t), url, make([]byte, 8<<20))
+		require.Error(t, err, "body %q", body)
+	}
+}
+
 // Guards against a sound response without a length that is taken for a truncated one.
 func TestTransportReadsAnUnframedBody(t *testing.T) {
 	url := serve(t, func(_ int, c *net.TCPConn) {
--- a/internal/wire/upstream/exchange.go
+++ b/internal/wire/upstream/exchange.go
@@ -112,6 +112,9 @@
 		a.Status, a.Header = w.StatusCode, w.Header
 		a.Unframed = w.ContentLength < 0 && len(w.TransferEncoding) == 0 && r.Method != http.MethodHead
 		a.Body, a.length = w.Body, w.ContentLength
+		if a.Unframed {
+			a.Body = unframedBody{r: w.Body, a: a}
+		}
 		if w.Close || a.Unframed {
 			a.reusable = false
 		}
@@ -176,6 +179,37 @@
 	}
 }
 
+// awaitSent waits until the request was written, or can't be any more: the end of its context ends its connection.
+func (a *Answer) awaitSent() error {
+	if a.written != nil {
+		a.writeErr, a.written = <-a.written, nil
+	}
+	if a.writeErr == nil && !a.conn.net.Delivered() {
+		return response.ErrReset
+	}
+	return a.writeErr
+}
+
+// unframedBody is a body that ends with its connection. Its end proves that it is complete only if the target has
+// received the complete request: one that fails while the request is still on its way closes or resets the
+// connection as well, and the part of a body before that would be taken for all of it.
+type unframedBody struct {
+	r io.Reader
+	a *Answer
+}
+
+// Read reads from the body.
+func (b unframedBody) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if err := b.a.awaitSent(); err != nil {
+		return n, merry.Wrap(ErrTruncated, merry.WithCause(err))
+	}
+	return n, io.EOF
+}
+
 // DisableReuse excludes the connection from reuse.
 func (a *Answer) DisableReuse() { a.reusable = false }
 
