--- a/internal/operator/role/deployed.go
+++ b/internal/operator/role/deployed.go
@@ -4,7 +4,6 @@
 	"context"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -21,13 +20,8 @@
 // ErrNoSettings reports that neither the flag nor the platform names a settings file.
 var ErrNoSettings = merry.New("no settings file: none was given, and the platform names none")
 
-const (
-	// memoryShare is the share of the process's memory that is set as the memory
-	// limit of the Go runtime. The rest is for memory that the runtime does not
-	// count: stacks of the C library and socket buffers.
-	memoryShare = 0.7
-	megabyte    = 1 << 20
-)
+// megabyte is the unit of the platform's settings, in bytes.
+const megabyte = 1 << 20
 
 // serveCommand returns the command that runs the role given by the platform's settings.
 func serveCommand() *cli.Command {
@@ -59,7 +53,7 @@
 }
 
 func serveRole(ctx context.Context, s deployed.Settings, r *deployed.Reloader) error {
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory) * megabyte))
+	limitMemory(int64(s.Memory) * megabyte)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	m := metrics.NewSet()
--- a/internal/operator/role/entry.go
+++ b/internal/operator/role/entry.go
@@ -24,7 +24,7 @@
 		Metrics:      b.metrics,
 		DrainDelay:   b.settings.Drain.Delay,
 		DrainTimeout: b.settings.Drain.Bound,
-		Resources:    b.resources(),
+		Resources:    b.resources,
 	})
 	if err != nil {
 		return err
@@ -56,5 +56,10 @@
 		Timeout:   b.settings.Timeouts.PlatformCall,
 		MaxWait:   b.settings.Timeouts.PlatformTurn,
 		Metrics:   b.metrics,
+		MaxReply:  min(platform.DefaultMaxReply, int64(replyShare*float64(b.resources.Memory))),
 	})
 }
+
+// replyShare is the part of the process's memory that one reply of the platform may have: it is there as bytes, and
+// decoded, and several calls go on at the same time.
+const replyShare = 0.1
--- a/internal/operator/role/role.go
+++ b/internal/operator/role/role.go
@@ -63,6 +63,7 @@
 	log       *log.Logger
 	metrics   *metrics.Set
 	out       io.Writer
+	resources ingress.Resources // that the process has
 }
 
 func load(cmd *cli.Command, role host.Role) (*base, error) {
@@ -125,6 +126,7 @@
 		log:       logger(s),
 		metrics:   metrics.NewSet(),
 		out:       out,
+		resources: claimResources(s),
 	}, nil
 }
 
@@ -150,7 +152,7 @@
 	p.Reload = b.reload
 	p.Admin.Operators = b.operators
 	p.Admin.Metrics = b.metrics
-	p.Admin.Resources = b.resources()
+	p.Admin.Resources = b.resources
 	p.Admin.Log = b.log
 	if err := p.Admin.Listen(b.settings.Listen.Administration); err != nil {
 		return err
@@ -161,10 +163,12 @@
 	return err
 }
 
-// resources returns what the settings give the process.
-func (b *base) resources() ingress.Resources {
-	l := b.settings.Limits
-	return ingress.Resources{Memory: int64(l.Memory) * 1e6, Descriptors: l.Descriptors}
+// claimResources returns what the process has, by its settings or by what it knows itself, and limits the memory that its
+// runtime takes of that. Without the limit, garbage would fill what the runtime does not count.
+func claimResources(s setting.Settings) ingress.Resources {
+	r := ingress.Resources{Memory: int64(s.Limits.Memory) * 1e6, Descriptors: s.Limits.Descriptors}.Fill()
+	limitMemory(r.Memory)
+	return r
 }
 
 // printAddress prints the address that a listener of the process is bound to.
--- a/internal/operator/role/sidecar.go
+++ b/internal/operator/role/sidecar.go
@@ -20,6 +20,7 @@
 		Log:        b.log,
 		Metrics:    b.metrics,
 		DrainBound: b.settings.Drain.Bound,
+		Memory:     b.resources.Memory,
 		Platform:   client,
 	})
 	if err != nil {
--- a/internal/program/abuse/deployed_test.go
+++ b/internal/program/abuse/deployed_test.go
@@ -56,21 +56,31 @@
 			store.PutServer(fmt.Sprint(service, "-", n), service, standin.NewServer(t, answer).Address)
 		}
 	}
+	return startEntry(t, store, []standin.Route{
+		{Name: "app", Kind: "unsafe", Service: "app"},
+		{Name: "long", Kind: "safe", Service: "long"},
+		{Name: "stream", Kind: "streaming", Service: "stream"},
+	})
+}
+
+// startEntry starts an entry with some routes, and waits until it is ready.
+func startEntry(t *testing.T, store *standin.Store, routes []standin.Route) *deployment {
+	t.Helper()
 	require.NoError(t, store.PutConfig(standin.Config{
 		Version: 1, Host: host, Plain: "app", HeaderBytes: legalHead, BodyBytes: legalBody, Workspaces: map[string][]string{"w": {"caller"}},
-		Routes: []standin.Route{
-			{Name: "app", Kind: "unsafe", Service: "app"},
-			{Name: "long", Kind: "safe", Service: "long"},
-			{Name: "stream", Kind: "streaming", Service: "stream"},
-		},
+		Routes: routes,
 	}))
 	d := &deployment{callers: freeAddress(t), readiness: freeAddress(t), metrics: freeAddress(t), peers: freeAddress(t)}
-	d.process = startDeployed(t, entryBounds, store, fmt.Sprintf(
-		"role: entry\nlisten:\n  callers: %s\n  readiness: %s\n  metrics: %s\n  peers: %s\n", d.callers, d.readiness, d.metrics, d.peers))
+	d.process = startDeployed(t, entryBounds, store, entrySettings(d))
 	d.requireReady(t)
 	return d
 }
 
+// entrySettings returns the settings of an entry that are not those of all processes.
+func entrySettings(d *deployment) string {
+	return fmt.Sprintf("role: entry\nlisten:\n  callers: %s\n  readiness: %s\n  metrics: %s\n  peers: %s\n", d.callers, d.readiness, d.metrics, d.peers)
+}
+
 // newSidecar starts a sidecar beside a model server.
 func newSidecar(t *testing.T) *deployment {
 	t.Helper()
@@ -90,7 +100,13 @@
 // startDeployed starts a process with settings as the platform's templates give them.
 func startDeployed(t *testing.T, b bounds, store *standin.Store, settings string) *process {
 	t.Helper()
-	settings += fmt.Sprintf("name: p\naddress: 127.0.0.1\ndataCentre: z\nstore: %s\nmemoryMB: %d\n%s", store.Address, b.memory*int64(*scale)/megabyte, settingsBounds)
+	return startDeployedAt(t, b, store.Address, settings)
+}
+
+// startDeployedAt starts a process whose store is at an address.
+func startDeployedAt(t *testing.T, b bounds, store netip.AddrPort, settings string) *process {
+	t.Helper()
+	settings += fmt.Sprintf("name: p\naddress: 127.0.0.1\ndataCentre: z\nstore: %s\nmemoryMB: %d\n%s", store, b.memory*int64(*scale)/megabyte, settingsBounds)
 	file := filepath.Join(t.TempDir(), "settings.yaml")
 	require.NoError(t, os.WriteFile(file, []byte(settings), 0o600))
 	return startProcess(t, b, nil, "serve", "--settings", file)
--- a/internal/program/abuse/interface_test.go
+++ b/internal/program/abuse/interface_test.go
@@ -23,6 +23,8 @@
 var (
 	ownEntryBounds   = bounds{memory: 150 * megabyte, descriptors: 600}
 	ownSidecarBounds = bounds{memory: 100 * megabyte, descriptors: 300}
+	// roomy is what the stand-ins get.
+	roomy = bounds{memory: 1000 * megabyte, descriptors: 2000}
 )
 
 // tour is the deployment of README's tour, on other ports.
@@ -49,15 +51,23 @@
 const operatorToken = "d7b44809a0359169b755a7030186df928be6b79eff65dc6534e17aacbca31c49" // digest of "tour"
 
 func newTour(t *testing.T) *tour {
+	t.Helper()
+	engine := freeAddress(t)
+	startProcess(t, roomy, nil, "standin", "engine", "--listen", engine.String())
+	w := startTour(t, engine)
+	w.requireServes(t)
+	return w
+}
+
+// startTour starts the deployment in front of a model engine, and applies the document.
+func startTour(t *testing.T, engine netip.AddrPort) *tour {
 	t.Helper()
 	w := &tour{t: t, dir: t.TempDir(), callers: freeAddress(t), administration: freeAddress(t), sidecarAdministration: freeAddress(t)}
 	w.run("keys", "issue", "entry-1")
 	w.run("keys", "issue", "--role", "sidecar", "engine-1")
-	store, engine := freeAddress(t), freeAddress(t)
+	store := freeAddress(t)
 	w.peers, w.sidecarPeers = freeAddress(t), freeAddress(t)
-	roomy := bounds{memory: 1000 * megabyte, descriptors: 2000}
 	startProcess(t, roomy, nil, "standin", "platform", "--listen", store.String())
-	startProcess(t, roomy, nil, "standin", "engine", "--listen", engine.String())
 	w.sidecar = w.start(ownSidecarBounds, "sidecar", "engine-1", store,
 		fmt.Sprintf("listen: {peers: %s, administration: %s}\ntarget: {address: %s, kind: model}\n", w.sidecarPeers, w.sidecarAdministration, engine))
 	w.entry = w.start(ownEntryBounds, "entry", "entry-1", store,
@@ -70,7 +80,6 @@
 		_, err := w.command("document", "apply", "--administration", w.administration.String(), "--wait", file)
 		return err == nil
 	}, hangLimit, 100*time.Millisecond)
-	w.requireServes(t)
 	return w
 }
 
--- a/internal/program/sidecar/call.go
+++ b/internal/program/sidecar/call.go
@@ -104,7 +104,7 @@
 		return s.copyEvents(ctx, callCtx, j, head, resp)
 	}
 	s.desk.putBook(ctx, head)
-	reason := s.copyAnswer(ctx, j, resp.Body)
+	reason := s.copyAnswer(ctx, callCtx, j, resp.Body)
 	if reason == request.NoReason && isUnframed(resp) && s.targetEnded(callCtx) {
 		return request.EngineTruncated
 	}
@@ -157,14 +157,14 @@
 	return book.Event{Kind: book.EngineEnd, ID: j.id, Reason: request.EngineTruncated}
 }
 
-func (s *Sidecar) copyAnswer(ctx context.Context, j job, body io.Reader) request.Reason {
+func (s *Sidecar) copyAnswer(ctx, callCtx context.Context, j job, body io.Reader) request.Reason {
 	buf := readBuffers.Get().(*[readBytes]byte)
 	defer readBuffers.Put(buf)
 	for {
 		n, err := body.Read(buf[:])
 		if n > 0 {
 			data := append([]byte(nil), buf[:n]...) // the book keeps it
-			s.desk.putBook(ctx, book.Event{Kind: book.EngineData, ID: j.id, Data: data})
+			s.desk.putData(ctx, callCtx, j, data)
 		}
 		if err == io.EOF {
 			return request.NoReason
--- a/internal/program/sidecar/desk.go
+++ b/internal/program/sidecar/desk.go
@@ -44,6 +44,7 @@
 	kind   deskEventKind
 	book   book.Event
 	books  []book.Event
+	flow   *flow // counts the data of book
 	queue  workspace.Event
 	stream *entryStream
 	load   chan<- workspace.Load
@@ -92,6 +93,7 @@
 	answerBegun  bool // the target has sent the head of its answer
 	recovered    bool // begun by an earlier incarnation of the sidecar
 	failed       bool // the target gave no complete answer
+	flow         *flow
 }
 
 func newDesk(l *log.Logger, c *counts, bookCfg book.Config, queueCfg workspace.Config) *desk {
@@ -130,6 +132,14 @@
 	return d.put(ctx, deskEvent{kind: deskBook, book: ev})
 }
 
+// putData puts a part of a target's answer on the ring, once the parts before it are far enough on their way. The wait
+// ends with callCtx, and the reading of the answer then too.
+func (d *desk) putData(ctx, callCtx context.Context, j job, data []byte) {
+	j.flow.await(callCtx)
+	j.flow.add(len(data))
+	d.put(ctx, deskEvent{kind: deskBook, book: book.Event{Kind: book.EngineData, ID: j.id, Data: data}, flow: j.flow})
+}
+
 // serve handles events until ctx ends.
 func (d *desk) serve(ctx context.Context) error {
 	for {
@@ -161,6 +171,7 @@
 	switch ev.kind {
 	case deskBook:
 		d.handleBook(now, ev.book)
+		ev.flow.remove(len(ev.book.Data))
 	case deskBooks:
 		for _, b := range ev.books {
 			d.handleBook(now, b)
@@ -236,7 +247,7 @@
 func (d *desk) applyBook(now time.Time, a book.Action) {
 	switch a.Kind {
 	case book.Send:
-		d.send(a.Peer, a.Message)
+		d.send(a)
 	case book.CloseStream:
 		d.resetStream(a.Peer)
 	case book.Admit:
@@ -276,7 +287,7 @@
 		return
 	}
 	d.nextTicket++
-	j := &job{id: a.ID, ticket: d.nextTicket, deadline: a.Arrived.Add(a.Call.Remaining)}
+	j := &job{id: a.ID, ticket: d.nextTicket, deadline: a.Arrived.Add(a.Call.Remaining), flow: newFlow()}
 	d.jobs[a.ID] = j
 	d.tickets[j.ticket] = a.ID
 	d.enqueue(deskEvent{kind: deskQueue, queue: workspace.Event{Kind: workspace.Arrive, Request: workspace.Request{
--- a/internal/program/sidecar/events.go
+++ b/internal/program/sidecar/events.go
@@ -8,8 +8,8 @@
 	"net/http"
 )
 
-// maxEventBytes is the largest incomplete event that is buffered.
-const maxEventBytes = 1 << 20
+// maxEventBytes is the largest incomplete event that is buffered; events have some hundred bytes.
+const maxEventBytes = 256 << 10
 
 // endName is the name of the event that ends a stream.
 const endName = "end"
--- a/internal/program/sidecar/line.go
+++ b/internal/program/sidecar/line.go
@@ -10,11 +10,14 @@
 	"wagtailshelf.example/wagtailshelf/internal/wire/peer"
 )
 
-// maxWaitingMessages is the largest number of messages that wait for an entry that
-// reads slowly: about twenty seconds of an answer at one token a step. The book keeps
-// the answer itself, so a stream that overflows is reset, and the entry attaches again
-// at the offset that it has reached.
-const maxWaitingMessages = 4096
+// maxWaitingMessages and maxWaitingBytes bound the messages that wait for an entry that
+// reads slowly: about twenty seconds of an answer at one token a step, and more bytes
+// than the book keeps of an answer. A stream that overflows is reset, and the entry
+// attaches again at the offset that it has reached.
+const (
+	maxWaitingMessages = 4096
+	maxWaitingBytes    = 2 << 20
+)
 
 // entryStream is one stream of an entry. It carries the messages of one request.
 type entryStream struct {
@@ -24,7 +27,14 @@
 	ready  chan struct{} // signals that waiting is not empty
 
 	mu      sync.Mutex
-	waiting []request.Message // grows as needed up to maxWaitingMessages
+	waiting []waitingMessage // grows as needed up to maxWaitingMessages
+	bytes   int              // of their data
+}
+
+// waitingMessage is a message with what counts its data; nil if nothing does.
+type waitingMessage struct {
+	request.Message
+	flow *flow
 }
 
 func newEntryStream(p book.Peer, s *peer.Stream) *entryStream {
@@ -32,13 +42,15 @@
 }
 
 // put adds a message to send; false if too many are waiting.
-func (l *entryStream) put(m request.Message) bool {
+func (l *entryStream) put(m request.Message, f *flow) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.waiting) >= maxWaitingMessages {
+	if len(l.waiting) >= maxWaitingMessages || l.bytes+len(m.Data) > maxWaitingBytes {
 		return false
 	}
-	l.waiting = append(l.waiting, m)
+	l.waiting = append(l.waiting, waitingMessage{m, f})
+	l.bytes += len(m.Data)
+	f.add(len(m.Data))
 	select {
 	case l.ready <- struct{}{}:
 	default:
@@ -47,23 +59,38 @@
 }
 
 // takeAll returns all waiting messages, and uses the memory of spare for the next ones.
-func (l *entryStream) takeAll(spare []request.Message) []request.Message {
+func (l *entryStream) takeAll(spare []waitingMessage) []waitingMessage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	taken := l.waiting
-	l.waiting = spare[:0]
+	l.waiting, l.bytes = spare[:0], 0
 	return taken
 }
 
-// send sends a message on a stream, if it is still open.
-func (d *desk) send(p book.Peer, m request.Message) {
-	l := d.streams[p]
+// discard drops the waiting messages.
+func (l *entryStream) discard() { removeAll(l.takeAll(nil)) }
+
+// removeAll removes messages that were sent or dropped from what counts their data.
+func removeAll(messages []waitingMessage) {
+	for _, m := range messages {
+		m.flow.remove(len(m.Data))
+	}
+}
+
+// send sends a message on a stream, if it is still open. The stream of the request itself slows the target
+// down; those of others with the same key do not, as their entries must not make its caller wait.
+func (d *desk) send(a book.Action) {
+	l := d.streams[a.Peer]
 	if l == nil {
 		return
 	}
-	if !l.put(m) {
+	var f *flow
+	if j := d.jobs[a.Message.ID]; j != nil && !a.Join {
+		f = j.flow
+	}
+	if !l.put(a.Message, f) {
 		d.counts.overflows.Inc()
-		d.resetStream(p)
+		d.resetStream(a.Peer)
 	}
 }
 
@@ -79,6 +106,7 @@
 	if l := d.streams[p]; l != nil {
 		delete(d.streams, p)
 		close(l.closed)
+		l.discard()
 	}
 }
 
@@ -93,7 +121,7 @@
 // write sends the waiting messages until the desk closes the stream. The last message
 // of an answer, or a refusal, ends it.
 func (l *entryStream) write(ctx context.Context) error {
-	var batch []request.Message
+	var batch []waitingMessage
 	for {
 		select {
 		case <-ctx.Done():
@@ -104,6 +132,7 @@
 		}
 		batch = l.takeAll(batch)
 		ended, err := l.writeBatch(batch)
+		removeAll(batch)
 		if err != nil || ended {
 			return err
 		}
@@ -111,9 +140,9 @@
 }
 
 // writeBatch sends messages together and reports whether they end the stream.
-func (l *entryStream) writeBatch(batch []request.Message) (ended bool, err error) {
+func (l *entryStream) writeBatch(batch []waitingMessage) (ended bool, err error) {
 	for _, m := range batch {
-		if err := l.stream.Add(frame.KindRequest, m); err != nil {
+		if err := l.stream.Add(frame.KindRequest, m.Message); err != nil {
 			return false, err
 		}
 		if m.Kind.Last() {
--- a/internal/program/sidecar/requestsrecover.go
+++ b/internal/program/sidecar/requestsrecover.go
@@ -12,7 +12,7 @@
 func (d *desk) recover(a book.Action) {
 	j := &job{
 		id: a.ID, call: a.Call, header: a.Header, body: a.Body,
-		deadline: a.Arrived.Add(a.Call.Remaining), recovered: true,
+		deadline: a.Arrived.Add(a.Call.Remaining), recovered: true, flow: newFlow(),
 	}
 	d.jobs[a.ID] = j
 	d.startRecovery(*j)
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -32,6 +32,10 @@
 // is a long way between data centres.
 const leaveGrace = time.Second
 
+// bookShare is the part of the process's memory that the bodies and answers of the book may have. They take up to
+// twice their size.
+const bookShare = 0.15
+
 // Config configures a [Sidecar].
 type Config struct {
 	Identity   host.Identity
@@ -43,6 +47,7 @@
 	Metrics    *metrics.Set
 	Admission  workspace.Config
 	DrainBound time.Duration // longest wait of Drain for requests in flight
+	Memory     int64         // of the process, in bytes; 0 if it is not known
 
 	// Platform serves the documents. Without it the sidecar reads no documents and uses
 	// only this configuration; for tests of other parts.
@@ -93,6 +98,9 @@
 	s.peers.Identity.Address = listener.Addr()
 	bounds := book.DefaultConfig(cfg.Identity.Incarnation)
 	bounds.Recovers = cfg.Model
+	if cfg.Memory > 0 {
+		bounds.MaxBytes = min(bounds.MaxBytes, int(bookShare*float64(cfg.Memory)))
+	}
 	s.desk = newDesk(cfg.Log, newCounts(cfg.Metrics), bounds, cfg.Admission)
 	if cfg.Platform != nil {
 		s.documents = s.newDocuments()
--- a/internal/program/sidecar/stream.go
+++ b/internal/program/sidecar/stream.go
@@ -34,7 +34,7 @@
 func (s *Sidecar) copyEvents(ctx, callCtx context.Context, j job, head book.Event, resp *http.Response) request.Reason {
 	var sent passedOn
 	for resumes := 0; ; resumes++ {
-		err := s.copyCompleteEvents(ctx, j, &head, newEventReader(resp, &sent))
+		err := s.copyCompleteEvents(ctx, callCtx, j, &head, newEventReader(resp, &sent))
 		_ = resp.Body.Close() // the stream has ended
 		if err == io.EOF {
 			s.putHead(ctx, &head)
@@ -55,7 +55,7 @@
 // copyCompleteEvents forwards the head only with the first event. An engine sends the
 // head before its first step. Forwarded then, it would bind the request to an engine
 // that may never make a step, while another could answer.
-func (s *Sidecar) copyCompleteEvents(ctx context.Context, j job, head *book.Event, events *eventReader) error {
+func (s *Sidecar) copyCompleteEvents(ctx, callCtx context.Context, j job, head *book.Event, events *eventReader) error {
 	buf := readBuffers.Get().(*[readBytes]byte)
 	defer readBuffers.Put(buf)
 	for {
@@ -64,7 +64,7 @@
 			return err
 		}
 		s.putHead(ctx, head)
-		s.desk.putBook(ctx, book.Event{Kind: book.EngineData, ID: j.id, Data: complete})
+		s.desk.putData(ctx, callCtx, j, complete)
 	}
 }
 
--- a/internal/traffic/book/answer.go
+++ b/internal/traffic/book/answer.go
@@ -32,11 +32,11 @@
 	for _, l := range r.listeners {
 		b.sendFrom(r, l, ev.Data)
 	}
-	r.kept = append(r.kept, ev.Data...)
+	r.kept.add(ev.Data)
 	b.bytes += len(ev.Data)
-	b.trim(r, len(r.kept)-b.cfg.MaxAnswerBytes)
+	b.trim(r, r.kept.size-b.cfg.MaxAnswerBytes)
 	if over := b.bytes - b.cfg.MaxBytes; over > 0 && !b.evict(0) {
-		b.trim(r, min(over, len(r.kept)))
+		b.trim(r, min(over, r.kept.size))
 	}
 }
 
@@ -58,7 +58,7 @@
 	if n <= 0 {
 		return
 	}
-	r.kept = r.kept[n:]
+	r.kept.drop(n)
 	r.base += uint64(n)
 	b.bytes -= n
 }
@@ -72,7 +72,7 @@
 		if oldest == nil {
 			return false
 		}
-		b.trim(oldest, len(oldest.kept))
+		b.trim(oldest, oldest.kept.size)
 	}
 	return true
 }
@@ -80,7 +80,7 @@
 func (b *Book) oldestFinished() *record {
 	var oldest *record
 	for _, r := range b.order {
-		if r.forgotten || r.state != finished || len(r.kept) == 0 {
+		if r.forgotten || r.state != finished || r.kept.size == 0 {
 			continue
 		}
 		if oldest == nil || r.finishedAt.Before(oldest.finishedAt) {
@@ -223,7 +223,11 @@
 	b.sendTo(r, l, request.Message{Kind: request.Seen})
 	if r.status != 0 {
 		b.sendTo(r, l, b.headOf(r))
-		b.sendChunks(r, l, m.Offset, r.kept[m.Offset-r.base:])
+		offset := m.Offset
+		r.kept.from(int(m.Offset-r.base), func(data []byte) {
+			b.sendChunks(r, l, offset, data)
+			offset += uint64(len(data))
+		})
 	}
 	if r.state == finished {
 		b.sendTo(r, l, b.endOf(r))
--- a/internal/traffic/book/book.go
+++ b/internal/traffic/book/book.go
@@ -253,7 +253,7 @@
 
 func (b *Book) forget(r *record) {
 	b.release(r)
-	b.bytes -= len(r.body) + len(r.kept)
+	b.bytes -= len(r.body) + r.kept.size
 	delete(b.records, r.id)
 	for _, l := range r.listeners {
 		delete(b.byPeer, l.peer)
@@ -288,7 +288,7 @@
 
 func (b *Book) sendTo(r *record, l listener, m request.Message) {
 	m.ID, m.Attempt, m.Incarnation = r.id, l.attempt, b.cfg.Incarnation
-	b.emit(Action{Kind: Send, Peer: l.peer, Message: m})
+	b.emit(Action{Kind: Send, Peer: l.peer, Message: m, Join: l.join})
 }
 
 func (b *Book) emit(a Action) {
--- a/internal/traffic/book/event.go
+++ b/internal/traffic/book/event.go
@@ -54,7 +54,7 @@
 
 // Kinds of actions.
 const (
-	Send         ActionKind = iota + 1 // send Message to Peer
+	Send         ActionKind = iota + 1 // send Message to Peer; Join: its stream is that of another request with the same key
 	CloseStream                        // reset Peer's stream: its message gets no reply
 	Admit                              // ask admission to let ID run: Call, Arrived
 	Withdraw                           // cancel the Admit of ID
@@ -73,6 +73,7 @@
 	Kind      ActionKind
 	Peer      Peer
 	Message   request.Message
+	Join      bool
 	ID        request.ID
 	Call      request.Call
 	Header    []request.Field
--- a/internal/traffic/book/record.go
+++ b/internal/traffic/book/record.go
@@ -49,7 +49,7 @@
 	holdsSlot    bool // admission counts the request as running
 	status       int
 	answerHeader []request.Field
-	kept         []byte // bytes of the answer from offset base on
+	kept         tail // bytes of the answer from offset base on
 	base         uint64
 	endReason    request.Reason
 	finishedAt   time.Time
@@ -57,7 +57,7 @@
 }
 
 func (r *record) answerLength() uint64 {
-	return r.base + uint64(len(r.kept))
+	return r.base + uint64(r.kept.size)
 }
 
 // addListener adds a stream; false if there are limit listeners already. A stream
--- a/internal/traffic/book/sweep.go
+++ b/internal/traffic/book/sweep.go
@@ -100,7 +100,7 @@
 	if now.Before(r.finishedAt.Add(keep)) {
 		return
 	}
-	b.trim(r, len(r.kept))
+	b.trim(r, r.kept.size)
 	margin := r.call.Remaining/100 + time.Second
 	if r.holdsSlot || now.Before(r.deadline.Add(margin)) {
 		return
--- a/internal/wire/engine/call.go
+++ b/internal/wire/engine/call.go
@@ -19,7 +19,7 @@
 const (
 	DefaultDialTimeout   = time.Second
 	DefaultReportTimeout = 2 * time.Second
-	DefaultMaxReport     = 16 << 20 // bytes
+	DefaultMaxReport     = 2 << 20 // bytes; MaxEvents events have some 600 KiB
 )
 
 const (
--- a/internal/wire/engine/report.go
+++ b/internal/wire/engine/report.go
@@ -6,13 +6,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/order"
+
+	"wagtailshelf.example/wagtailshelf/internal/wire/space"
 )
 
 // ErrNoReadBack reports that an engine can't report the state of its orders.
@@ -156,12 +157,12 @@
 		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, c.cfg.MaxReport+1))
+	body, err := space.ReadAll(resp.Body, resp.ContentLength, c.cfg.MaxReport, nil)
+	if errors.Is(err, space.ErrTooLong) {
+		return 0, nil, fmt.Errorf("%w: more than %d bytes", ErrInvalid, c.cfg.MaxReport)
+	}
 	if err != nil {
 		return 0, nil, &CallError{Err: err}
 	}
-	if int64(len(body)) > c.cfg.MaxReport {
-		return 0, nil, fmt.Errorf("%w: more than %d bytes", ErrInvalid, c.cfg.MaxReport)
-	}
 	return resp.StatusCode, body, nil
 }
