Entry: what cannot end before the process does is not passed on (LOST)

What callers saw: in a planned stop, in calm, uploads that ended late in the grace were passed on and cut with no answer at its end, requests that may not be repeated among them: of 38, 6 or 7 where the service takes 1.5 s, 24 where it takes 5 s.

Cause: nothing between a whole request and its target asked when the process has to be gone; nor did what waits in the queue, a second attempt or a resumption.

Change: forward.Drain knows the end. An attempt is sent only if the request's deadline is before it, or the slowest recent attempt of its route still fits, with a margin for requests that are read after callers stopped coming. All others, and bodies that still come, are refused at once: 503, not run, Retry-After 20 ms. traffic/peak holds the largest of recent values, which gateway had for itself.

Why this works: a request that is passed on ends by itself before the process does, by its own deadline or by what its route took, and the rest is not run.

--- a/internal/program/gateway/callers.go
+++ b/internal/program/gateway/callers.go
@@ -38,7 +38,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	return g.drain(s)
+	return g.drainCallers(s)
 }
 
 // callerServer returns the server for callers.
@@ -64,16 +64,18 @@
 	return routing.Limits{}
 }
 
-// drain keeps serving until the balancer has taken the entry out, then waits for the requests
+// drainCallers keeps serving until the balancer has taken the entry out, then waits for the requests
 // in flight. Connections that callers keep open stay usable until the end; each response
 // announces that it is the last one on its connection.
-func (g *Gateway) drain(s *ingress.Server) error {
+func (g *Gateway) drainCallers(s *ingress.Server) error {
 	begin := time.Now()
-	g.draining.Store(true)
+	grace := g.bounds.Load().Grace
+	lag, end := min(balancerLag, grace/2), begin.Add(grace-killMargin)
+	g.drain.Begin(begin.Add(lag), end)
 	g.log.Info().Str("event", "draining").Msg("")
-	time.Sleep(balancerLag)
-	left := g.bounds.Load().Grace - killMargin - time.Since(begin)
-	ctx, cancel := context.WithTimeout(context.Background(), left)
+	time.Sleep(lag)
+	g.drain.Late()
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := s.Shutdown(ctx)
 	if err != nil {
--- a/internal/program/gateway/callers_test.go
+++ b/internal/program/gateway/callers_test.go
@@ -22,7 +22,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- g.serveOn(ctx, l) }()
 	end()
-	require.Eventually(t, g.draining.Load, 10*time.Second, time.Millisecond)
+	require.Eventually(t, g.drain.Begun, 10*time.Second, time.Millisecond)
 	callers := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for range 20 {
 		w, err := callers.Get("http://" + l.Addr().String() + "/x")
--- a/internal/program/gateway/digest.go
+++ b/internal/program/gateway/digest.go
@@ -80,7 +80,7 @@
 	if r == nil {
 		return
 	}
-	fresh := !g.draining.Load() && g.provenAge(now, r) < g.maxFreshAge()
+	fresh := !g.drain.Begun() && g.provenAge(now, r) < g.maxFreshAge()
 	g.heartbeats++
 	rates := digest.FromReports(g.admit.RecentRates(now, rateReportLifetime, digest.MaxRates, g.heartbeats))
 	for _, s := range r.config.Services {
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -62,7 +62,7 @@
 	config        atomic.Pointer[knownConfig]
 	targetsListed atomic.Bool               // whether a list of targets was read
 	askedAt       atomic.Pointer[time.Time] // when planners were first asked for the other entries' configuration version; nil before
-	draining      atomic.Bool
+	drain         *forward.Drain
 	planners      planners
 	heartbeats    uint64 // number of heartbeat rounds; used only by the goroutine that sends them
 	forward       *forward.Forwarder
@@ -88,6 +88,7 @@
 		roster:    roster.New(),
 		missing:   newMissing(),
 		departed:  newDeparted(),
+		drain:     forward.NewDrain(),
 		pool:      upstream.NewPool(),
 		admit:     admission.New(),
 		failures:  make(chan forward.ConnectionFailure, failureRing),
@@ -133,7 +134,7 @@
 			return forward.Limits{Ratio: b.RepeatRatio, Window: b.RepeatWindow, Fixed: b.RepeatSlack / g.sharingEntries(time.Now())}
 		}},
 		Now:                 time.Now,
-		Draining:            &g.draining,
+		Drain:               g.drain,
 		OnMisdirected:       g.targetReplaced,
 		OtherEntriesFresh:   func() bool { return g.planners.otherEntriesFresh(time.Now()) },
 		OnEnd:               g.requestEnded,
@@ -213,7 +214,7 @@
 // ready reports whether the entry's configuration and targets are good enough to serve callers, and
 // it knows which requests crash targets.
 func (g *Gateway) ready() bool {
-	if g.draining.Load() || !g.targetsListed.Load() || !g.crashes.Loaded() {
+	if g.drain.Begun() || !g.targetsListed.Load() || !g.crashes.Loaded() {
 		return false
 	}
 	r := g.config.Load()
--- a/internal/program/gateway/knowledge_test.go
+++ b/internal/program/gateway/knowledge_test.go
@@ -83,7 +83,7 @@
 	require.False(t, g.ready(), "the crashes that others saw are not known")
 	g.crashes.MarkLoaded()
 	require.True(t, g.ready())
-	g.draining.Store(true)
+	g.drain.Begin(time.Now(), time.Now().Add(time.Second))
 	require.False(t, g.ready())
 }
 
@@ -236,27 +236,11 @@
 	g.applyPlannerUpdate(netip.AddrPort{}, digest.Update{Service: "svc", Entries: 4})
 	require.GreaterOrEqual(t, g.sharingEntries(time.Now()), 16.0, "the others may still send")
 	require.GreaterOrEqual(t, g.sharingEntries(now.Add(time.Minute)), 16.0, "the last report is too old")
-	later := now.Add(2*recentMaxSpan + time.Second)
+	later := now.Add(2*entriesSpan + time.Second)
 	g.planners.accept(later, netip.AddrPort{}, digest.Update{Service: "svc", Entries: 4})
 	require.InDelta(t, 6, g.sharingEntries(later), 0, "the others are gone for long")
 }
 
-func TestRecentMax(t *testing.T) {
-	var m recentMax
-	now := time.Now()
-	require.Zero(t, m.value())
-	m.add(now, 16)
-	for at := now; at.Before(now.Add(recentMaxSpan)); at = at.Add(time.Second) {
-		m.add(at, 3)
-		require.Equal(t, 16, m.value())
-	}
-	m.add(now.Add(2*recentMaxSpan), 4)
-	m.add(now.Add(3*recentMaxSpan), 3)
-	require.Equal(t, 4, m.value())
-	m.add(now.Add(6*recentMaxSpan), 2)
-	require.Equal(t, 2, m.value())
-}
-
 // Guards against using the last target of a service for its drain time from when an entry learns that it
 // leaves, which may be long after the target announced it.
 func TestLastTargetIsUsedFromItsAnnouncementOn(t *testing.T) {
--- a/internal/program/gateway/planners.go
+++ b/internal/program/gateway/planners.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/traffic/peak"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/ratelimit"
 	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
 )
@@ -38,12 +39,15 @@
 	maxGroupName = 256
 )
 
+// entriesSpan is how long the number of entries that a planner reported counts at least.
+const entriesSpan = 10 * time.Minute
+
 // planners holds the planners of all groups. Each group has its own: an entry that used only the
 // newest of a service's planners would know nothing of the free slots of the other groups.
 type planners struct {
 	mu          sync.Mutex
 	byGroup     map[roster.Group]planner
-	mostEntries recentMax // of the numbers of entries that were reported
+	mostEntries peak.Peak[int] // of the numbers of entries that were reported
 }
 
 // accept reports whether an update is from the newest planner of its group, and remembers that
@@ -59,7 +63,7 @@
 	if found && d.Term < previous.term && now.Sub(previous.updatedAt) < staleTermWindow {
 		return false
 	}
-	p.mostEntries.add(now, d.Entries)
+	p.mostEntries.Add(now, entriesSpan, d.Entries)
 	if p.byGroup == nil {
 		p.byGroup = make(map[roster.Group]planner)
 	}
@@ -129,7 +133,7 @@
 func (p *planners) mostEntryCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.mostEntries.value()
+	return p.mostEntries.Value()
 }
 
 // senders returns the number of entries and the index of this one among them, as reported by the
--- a/internal/program/gateway/removal_test.go
+++ b/internal/program/gateway/removal_test.go
@@ -125,7 +125,7 @@
 		defer close(stopped)
 		s.entry.stop()
 	}()
-	require.Eventually(t, s.entry.gateway.draining.Load, 10*time.Second, time.Millisecond)
+	require.Eventually(t, s.entry.gateway.drain.Begun, 10*time.Second, time.Millisecond)
 	s.store.Remove("servers", "leaves")
 	listsOne := func() bool { return len(s.entry.gateway.roster.Serving("app")) == 1 }
 	require.Eventually(t, listsOne, drainTime, time.Millisecond)
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -43,6 +43,9 @@
 	now := c.f.Now()
 	a.Took = now.Sub(begin)
 	a.Result = reason
+	if reason == reasonAnswered || reason == reasonTimeout {
+		c.f.slowest.add(now, c.route.Name, a.Took)
+	}
 	c.rec.Attempts = append(c.rec.Attempts, a)
 	c.slot = nil
 	c.f.Admission.Done(now, t, end)
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -45,7 +45,7 @@
 	Space               *space.Budget // bounds the bytes of bodies that are held; nil for no bound
 	Budget              *Budget
 	Now                 func() time.Time
-	Draining            *atomic.Bool
+	Drain               *Drain                              // of the process
 	OnMisdirected       func(t roster.Target, named string) // called when a target's address refuses a request as misdirected, and may name the server at fault
 	OnEnd               func(Record)                        // called at the end of each request
 	OnConnectionFailure func(ConnectionFailure)             // called for each connection that failed during a request
@@ -54,6 +54,7 @@
 	OtherEntriesFresh func() bool // reports whether other entries have a fresh configuration; nil if that is never known
 
 	numberings delivery.Numberings
+	slowest    slowest
 }
 
 // Outcome is the way in which a request ended.
@@ -150,6 +151,7 @@
 	body      []byte
 	held      *space.Hold // of the body
 	begin     time.Time
+	readAt    time.Time // when the whole request had been read
 	deadline  time.Time
 	rec       Record
 	service   string
@@ -183,8 +185,8 @@
 		c.rec.Took, c.rec.Events, c.rec.LastEvent = f.Now().Sub(c.begin), c.out.Events(), c.out.LastID()
 		f.OnEnd(c.rec)
 	}()
-	if f.Draining.Load() {
-		c.out.SetHeader("Connection", "close")
+	if f.Drain.Begun() {
+		c.announceClose()
 	}
 	if !c.admit() {
 		return
@@ -258,9 +260,16 @@
 	c.held = c.f.Space.Hold(space.Callers)
 	c.held.MayYield(func() { c.boundBody(time.Now()) })
 	c.boundBody(c.bodyDeadline())
+	defer c.yieldWhenLate()()
 	text, err := space.ReadAll(c.r.Body, c.r.ContentLength, limits.BodyBytes, c.held)
 	yielded := c.held.Complete()
 	switch {
+	case yielded && c.tooLate():
+		c.held.Release()
+		c.out.SetHeader("Connection", "close")
+		c.out.SetHeader("Retry-After", retryAfterText(c.retryDelayWithin(otherEntryDelay)))
+		c.endUnread(NotRun, reasonDraining, http.StatusServiceUnavailable)
+		return false
 	case errors.Is(err, space.ErrTooLong):
 		c.out.SetHeader("Connection", "close")
 		c.endUnread(Denied, "bodyTooLarge", http.StatusRequestEntityTooLarge)
@@ -281,7 +290,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.boundBody(time.Time{})
-	c.body = text
+	c.body, c.readAt = text, c.f.Now()
 	return true
 }
 
@@ -348,7 +357,7 @@
 	defer c.releaseSlot()
 	for {
 		// Checked before the request is queued, so that a quarantined one is refused at once.
-		if c.refuseQuarantined(c.checkQuarantine()) {
+		if c.refuseQuarantined(c.checkQuarantine()) || c.refuseDraining() {
 			return
 		}
 		t, ok := c.acquireTarget()
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -89,7 +89,7 @@
 			return Limits{Ratio: 0.2, Window: 10 * time.Second, Fixed: 10}
 		}},
 		Now:           time.Now,
-		Draining:      new(atomic.Bool),
+		Drain:         NewDrain(),
 		OnMisdirected: func(t roster.Target, _ string) { b.targets.MarkLeaving(t.ID, time.Time{}) },
 		OnConnectionFailure: func(f ConnectionFailure) {
 			f.Examined <- presence.Probe(t.Context(), f.Target.Address)
@@ -489,7 +489,7 @@
 
 func TestDrainingClosesConnections(t *testing.T) {
 	b := newTestbed(t, standin.NewServer(t, complete("hello")))
-	b.Draining.Store(true)
+	b.Drain.Begin(time.Now().Add(time.Second), time.Now().Add(8*time.Second))
 	r := standin.NewCall(http.MethodGet, b.url+"/safe/x", "id-1", "", 1500, nil)
 	r.Host = host
 	w, err := http.DefaultClient.Do(r)
--- a/internal/traffic/forward/wait.go
+++ b/internal/traffic/forward/wait.go
@@ -76,10 +76,7 @@
 
 // await waits in the queue for a target. If it returns false, the request has ended.
 func (c *call) await(t *admission.Ticket, since time.Time) bool {
-	limit := c.queueLimit()
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	v := c.awaitGrant(t, timer.C)
+	v := c.awaitGrant(t, since.Add(c.queueLimit()))
 	now := c.f.Now()
 	c.rec.Queued += now.Sub(since)
 	select {
@@ -95,16 +92,21 @@
 	default:
 	}
 	c.f.Admission.Abandon(now, t)
-	if c.callerLeft() || c.refuseQuarantined(v) {
+	if c.callerLeft() || c.refuseQuarantined(v) || c.refuseDraining() {
 		return false
 	}
 	c.giveUp(http.StatusServiceUnavailable, "queueTooLong", c.retryDelaySpread())
 	return false
 }
 
-// awaitGrant waits until admission has granted or refused the ticket, timeUp fires, the context
-// ends or the request is quarantined. It returns the verdict of the quarantine in the last case.
-func (c *call) awaitGrant(t *admission.Ticket, timeUp <-chan time.Time) quarantine.Verdict {
+// awaitGrant waits until admission has granted or refused the ticket, the time is until, the context
+// ends, the request is quarantined, or it may not be sent any more since the process ends. It returns the verdict of
+// the quarantine.
+func (c *call) awaitGrant(t *admission.Ticket, until time.Time) quarantine.Verdict {
+	timeLeft := func() time.Duration { return min(until.Sub(c.f.Now()), c.startable(c.f.Now())) }
+	wait := time.NewTimer(timeLeft())
+	defer wait.Stop()
+	drained := c.f.Drain.begun.Done()
 	for {
 		quarantined := c.f.Quarantine.NextQuarantined()
 		if v := c.checkQuarantine(); v.Quarantined {
@@ -115,11 +117,14 @@
 			return quarantine.Verdict{}
 		case <-t.Refused():
 			return quarantine.Verdict{}
-		case <-timeUp:
+		case <-wait.C:
 			return quarantine.Verdict{}
 		case <-c.ctx.Done():
 			return quarantine.Verdict{}
 		case <-quarantined:
+		case <-drained:
+			wait.Reset(timeLeft())
+			drained = nil
 		}
 	}
 }
--- a/internal/wire/space/space.go
+++ b/internal/wire/space/space.go
@@ -143,6 +143,23 @@
 	return h.yielded
 }
 
+// Yield gives the space back, and ends the reading of the body, unless it has been read.
+func (h *Hold) Yield() {
+	if h == nil || h.budget == nil {
+		return
+	}
+	h.budget.mu.Lock()
+	yield := h.yield
+	if yield == nil || h.yielded {
+		h.budget.mu.Unlock()
+		return
+	}
+	h.yielded = true
+	h.budget.giveBack(h)
+	h.budget.mu.Unlock()
+	yield()
+}
+
 // Grow reserves the space for a body of a size, and reports whether there was enough.
 func (h *Hold) Grow(now time.Time, size int64) bool {
 	if h == nil || h.budget == nil {
