--- a/platform/json.go
+++ b/internal/wire/rawjson/rawjson.go
@@ -1,4 +1,9 @@
-package platform
+// Package rawjson splits JSON texts that other processes write, however deep they are nested.
+//
+// The parser of the standard library refuses a text as a whole if any part of it is nested too deeply. Of a list of
+// objects that anybody can write to, one such object would keep everybody from reading the others. So such texts are
+// split first, and decoded part by part.
+package rawjson
 
 import (
 	"bytes"
@@ -7,15 +12,11 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// The parser of the standard library refuses a text as a whole if any part of it is nested too deeply. Anybody can
-// write an object to the store; one such object would keep everybody from reading the list that it is in. So texts
-// with objects of other writers are split first, however deep they are, and decoded part by part.
+// ErrSyntax reports a text that is no JSON object or array, or that does not end.
+var ErrSyntax = merry.New("no JSON object or array")
 
-// errNotJSON reports a text that can't be split.
-var errNotJSON = merry.New("no JSON object or array")
-
-// splitObject calls f for each member of an object. The values share the memory of the text.
-func splitObject(text []byte, f func(name string, value json.RawMessage)) error {
+// members calls f for each member of an object. The values share the memory of the text.
+func members(text []byte, f func(name string, value json.RawMessage)) error {
 	return split(text, '{', '}', func(rest []byte) ([]byte, error) {
 		quoted, rest, err := cutValue(rest)
 		if err != nil {
@@ -27,7 +28,7 @@
 		}
 		rest = trimSpace(rest)
 		if len(rest) == 0 || rest[0] != ':' {
-			return nil, merry.Wrap(errNotJSON)
+			return nil, merry.Wrap(ErrSyntax)
 		}
 		value, rest, err := cutValue(rest[1:])
 		if err == nil {
@@ -37,9 +38,9 @@
 	})
 }
 
-// splitArray returns the elements of an array, which share the memory of the text. A null, or nothing, is an empty
+// Elements returns the elements of an array, which share the memory of the text. A null, or nothing, is an empty
 // array.
-func splitArray(text []byte) ([]json.RawMessage, error) {
+func Elements(text []byte) ([]json.RawMessage, error) {
 	if text = trimSpace(text); len(text) == 0 || string(text) == "null" {
 		return nil, nil
 	}
@@ -59,7 +60,7 @@
 func split(text []byte, open, end byte, part func(rest []byte) ([]byte, error)) error {
 	rest := trimSpace(text)
 	if len(rest) == 0 || rest[0] != open {
-		return merry.Wrap(errNotJSON)
+		return merry.Wrap(ErrSyntax)
 	}
 	rest = trimSpace(rest[1:])
 	if len(rest) > 0 && rest[0] == end {
@@ -73,11 +74,11 @@
 		rest = trimSpace(rest)
 		switch {
 		case len(rest) == 0:
-			return merry.Wrap(errNotJSON)
+			return merry.Wrap(ErrSyntax)
 		case rest[0] == end:
 			return endOf(rest[1:])
 		case rest[0] != ',':
-			return merry.Wrap(errNotJSON)
+			return merry.Wrap(ErrSyntax)
 		}
 		rest = rest[1:]
 	}
@@ -86,7 +87,7 @@
 // endOf checks that nothing follows.
 func endOf(rest []byte) error {
 	if len(trimSpace(rest)) > 0 {
-		return merry.Wrap(errNotJSON)
+		return merry.Wrap(ErrSyntax)
 	}
 	return nil
 }
@@ -102,7 +103,7 @@
 		case '"':
 			n := stringLength(text[i:])
 			if n == 0 {
-				return nil, nil, merry.Wrap(errNotJSON)
+				return nil, nil, merry.Wrap(ErrSyntax)
 			}
 			i += n - 1
 			if depth == 0 {
@@ -124,7 +125,7 @@
 		}
 	}
 	if depth > 0 {
-		return nil, nil, merry.Wrap(errNotJSON)
+		return nil, nil, merry.Wrap(ErrSyntax)
 	}
 	return scalar(text, len(text))
 }
@@ -132,7 +133,7 @@
 // scalar cuts a value that ends before a byte.
 func scalar(text []byte, end int) (value, rest []byte, err error) {
 	if end == 0 {
-		return nil, nil, merry.Wrap(errNotJSON)
+		return nil, nil, merry.Wrap(ErrSyntax)
 	}
 	return text[:end], text[end:], nil
 }
@@ -150,27 +151,23 @@
 	return 0
 }
 
-// field decodes a member of an object. Without the member, or with null, the value stays as it is.
-type field struct {
-	name string
-	into any
+// Field is a member of an object to decode.
+type Field struct {
+	Name string
+	Into any // a pointer as for [json.Unmarshal]; a [json.RawMessage] gets the text, however deep it is
 }
 
-// decodeFields decodes some members of an object, and ignores all others. It goes on after one that does not decode.
-// A raw message gets the text of its member, however deep it is.
-func decodeFields(text []byte, fields ...field) error {
+// Decode decodes some members of an object, and ignores all others. Without the member, or with null, a value stays as
+// it is. It goes on after a member that does not decode, and returns the first error.
+func Decode(text []byte, fields ...Field) error {
 	var failed error
-	err := splitObject(text, func(name string, value json.RawMessage) {
+	err := members(text, func(name string, value json.RawMessage) {
 		for _, f := range fields {
-			if f.name != name {
-				continue
-			}
-			if raw, isRaw := f.into.(*json.RawMessage); isRaw {
-				*raw = value
+			if f.Name != name {
 				continue
 			}
-			if err := json.Unmarshal(value, f.into); err != nil && failed == nil {
-				failed = malformedf("%s: %v", name, err)
+			if err := f.decode(value); err != nil && failed == nil {
+				failed = merry.Wrap(err, merry.AppendMessage(name))
 			}
 		}
 	})
@@ -179,3 +176,11 @@
 	}
 	return failed
 }
+
+func (f Field) decode(value json.RawMessage) error {
+	if raw, isRaw := f.Into.(*json.RawMessage); isRaw {
+		*raw = value
+		return nil
+	}
+	return json.Unmarshal(value, f.Into)
+}
