--- a/internal/program/gateway/eras_test.go
+++ b/internal/program/gateway/eras_test.go
@@ -235,6 +235,13 @@
 		g.resolveHeldTargets(now.Add(restoredEntryLifetime))
 		requireServing(t, g, "a")
 	})
+	t.Run("its entry is listed again, unchanged", func(t *testing.T) { // as after the history was dropped
+		g, now := withheldTarget()
+		g.applyTargetList(now, feed.Page[roster.Target]{Changes: backup.Changes})
+		requireServing(t, g)
+		g.resolveHeldTargets(now.Add(restoredEntryLifetime))
+		requireServing(t, g, "a")
+	})
 	t.Run("it writes its entry", func(t *testing.T) {
 		g, _ := withheldTarget()
 		g.applyTarget(listed("a", noon, 71, 9))
--- a/internal/program/gateway/left.go
+++ b/internal/program/gateway/left.go
@@ -66,6 +66,15 @@
 	return true
 }
 
+// isWithheld reports whether an entry is withheld, and has not been written since. A list that repeats it, as after
+// the store has dropped its history, says nothing new of its server.
+func (l *departed) isWithheld(t roster.Target) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held, found := l.withheld[t.ID]
+	return found && held.target.ChangedAt == t.ChangedAt
+}
+
 // hold withholds an entry that is not known to be its server's own, until it expires, is written
 // again, or has remained for so long that it must be.
 func (l *departed) hold(now time.Time, t roster.Target) {
--- a/internal/program/gateway/targets.go
+++ b/internal/program/gateway/targets.go
@@ -50,6 +50,9 @@
 	for _, c := range p.Changes {
 		listed[c.Name] = true
 		known, _ := g.roster.Get(c.Name)
+		if !c.Unreadable && g.departed.isWithheld(c.Object) {
+			continue
+		}
 		if p.FirstOfEra && !c.Unreadable && g.departed.withhold(now, c.Object, known) {
 			g.log.Info().Str("event", "targetOfCopy").Str("target", c.Name).Stringer("at", c.Object.ChangedAt).Msg("")
 			continue
