--- a/internal/traffic/forward/drain_test.go
+++ b/internal/traffic/forward/drain_test.go
@@ -62,7 +62,7 @@
 func TestWhatCannotBeSentIsRefused(t *testing.T) {
 	ended := make(chan struct{})
 	t.Cleanup(func() { close(ended) })
-	s := standin.NewServer(t, func(w standin.Reply, r standin.Request) {
+	s := standin.NewServer(t, func(_ standin.Reply, r standin.Request) {
 		select {
 		case <-ended:
 		case <-r.Done:
--- a/internal/wire/response/conn.go
+++ b/internal/wire/response/conn.go
@@ -23,7 +23,7 @@
 type Conn struct {
 	net.Conn
 	head   headCheck
-	failed atomic.Bool // a read or write has failed
+	failed atomic.Bool // a write has failed
 }
 
 // NewConn returns a connection on which no response is expected yet.
@@ -46,13 +46,8 @@
 	if malformed := c.head.arrive(p[:n]); malformed != nil {
 		return 0, malformed
 	}
-	switch {
-	case errors.Is(err, io.EOF):
-		if !c.Delivered() {
-			return n, merry.Wrap(ErrReset)
-		}
-	case err != nil:
-		c.failed.Store(true)
+	if errors.Is(err, io.EOF) && !c.Delivered() {
+		return n, merry.Wrap(ErrReset)
 	}
 	return n, err
 }
