--- a/internal/program/abuse/target_test.go
+++ b/internal/program/abuse/target_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"wagtailshelf.example/wagtailshelf/internal/standin/rawserver"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
@@ -60,26 +61,14 @@
 // newEndless starts a server each of whose connections gets the next form, until the other side closes it.
 func newEndless(t *testing.T) (at netip.AddrPort, served *atomic.Int64) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
 	served = new(atomic.Int64)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return // the test has ended
-			}
-			t.Cleanup(func() { _ = c.Close() }) // the process may have closed it
-			go serveEndless(c, served)
-		}
-	}()
-	return netip.MustParseAddrPort(l.Addr().String()), served
+	at = rawserver.Start(t, func(c *net.TCPConn, r *bufio.Reader) { serveEndless(c, r, served) })
+	return at, served
 }
 
-func serveEndless(c net.Conn, served *atomic.Int64) {
+func serveEndless(c net.Conn, requests *bufio.Reader, served *atomic.Int64) {
 	defer c.Close()
-	r, err := http.ReadRequest(bufio.NewReader(c))
+	r, err := http.ReadRequest(requests)
 	if err != nil {
 		return // a check whether the server listens
 	}
--- a/internal/traffic/forward/faulty_test.go
+++ b/internal/traffic/forward/faulty_test.go
@@ -1,41 +1,22 @@
 package forward
 
 import (
-	"bufio"
 	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"wagtailshelf.example/wagtailshelf/internal/standin/rawserver"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
-// serveConnections starts a server that reads the head of the first request of each connection, and passes the
-// connection on.
-func serveConnections(t *testing.T, serve func(c *net.TCPConn)) *standin.Server {
+// serveConnections starts a server that answers with bytes.
+func serveConnections(t *testing.T, answer func(c *net.TCPConn)) *standin.Server {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() }) // this fails only if it is closed already
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return // the test has ended
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					serve(c.(*net.TCPConn))
-				}
-			}()
-		}
-	}()
-	return &standin.Server{Address: netip.MustParseAddrPort(l.Addr().String())}
+	return &standin.Server{Address: rawserver.StartOnce(t, answer)}
 }
 
 // Guards against callers that get what a faulty server sent for an answer: with a line that is no header field,
--- a/internal/wire/engine/faulty_test.go
+++ b/internal/wire/engine/faulty_test.go
@@ -1,18 +1,16 @@
 package engine_test
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
-	"net/http"
-	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"wagtailshelf.example/wagtailshelf/internal/standin/rawserver"
 	"wagtailshelf.example/wagtailshelf/internal/wire/engine"
 )
 
@@ -20,27 +18,12 @@
 // then, or closes it.
 func connectRaw(t *testing.T, text string, linger int) *engine.Client {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return // the test has ended
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, text) // what arrives is checked
-				time.Sleep(time.Millisecond)
-				_ = c.(*net.TCPConn).SetLinger(linger)
-			}()
-		}
-	}()
-	c := engine.New(engine.Config{Target: netip.MustParseAddrPort(l.Addr().String())})
+	at := rawserver.StartOnce(t, func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, text) // what arrives is checked
+		time.Sleep(time.Millisecond)
+		_ = c.SetLinger(linger)
+	})
+	c := engine.New(engine.Config{Target: at})
 	t.Cleanup(c.Close)
 	return c
 }
--- a/internal/wire/response/transport_test.go
+++ b/internal/wire/response/transport_test.go
@@ -10,33 +10,23 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/standin/rawserver"
 )
 
 // serve starts a server that reads the head of each request and lets answer respond, and returns its URL.
 func serve(t *testing.T, answer func(n int, c *net.TCPConn)) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return // the test has ended
+	at := rawserver.Start(t, func(c *net.TCPConn, r *bufio.Reader) {
+		defer c.Close()
+		for n := 0; ; n++ {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
 			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				for n := 0; ; n++ {
-					if _, err := http.ReadRequest(r); err != nil {
-						return
-					}
-					answer(n, c.(*net.TCPConn))
-				}
-			}()
+			answer(n, c)
 		}
-	}()
-	return "http://" + l.Addr().String() + "/"
+	})
+	return "http://" + at.String() + "/"
 }
 
 // newClient returns a client that is closed with the test.
--- a/internal/wire/upstream/exchange_test.go
+++ b/internal/wire/upstream/exchange_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"wagtailshelf.example/wagtailshelf/internal/standin/rawserver"
 	"wagtailshelf.example/wagtailshelf/internal/wire/response"
 )
 
@@ -29,24 +30,11 @@
 // serve starts a server that answers the first request of each connection by calling answer, and
 // leaves the connection open. It returns the server's address.
 func serve(t *testing.T, answer func(w io.Writer)) netip.AddrPort {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return // the test has ended
-			}
-			t.Cleanup(func() { _ = c.Close() }) // the peer may have closed it
-			go func() {
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					answer(c)
-				}
-			}()
+	return rawserver.Start(t, func(c *net.TCPConn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			answer(c)
 		}
-	}()
-	return netip.MustParseAddrPort(l.Addr().String())
+	})
 }
 
 // repeat writes a text again and again, until the other side closes the connection or withoutEnd
