--- a/internal/program/abuse/target_test.go
+++ b/internal/program/abuse/target_test.go
@@ -25,37 +25,45 @@
 // faultTime is how long a faulty server is called.
 const faultTime = 6 * time.Second
 
-// endlessForm is a response that begins with a text, in which %s is the ID of its request, and goes on with
-// repetitions of another one.
-type endlessForm struct{ begin, rest string }
-
-const (
-	stampedHead = "HTTP/1.1 200 OK\r\nWagtailshelf-Request-Id: %s\r\nWagtailshelf-Server-Stamp: s\r\n"
-	streamHead  = stampedHead + "Content-Type: text/event-stream\r\n"
-	chunk       = "400\r\n" // 1 KiB
-)
+// endlessForm is a response that begins with a text and goes on with repetitions of another one. The first is made for
+// the ID of its request.
+type endlessForm struct {
+	begin func(id string) string
+	rest  string
+}
+
+// chunk begins a chunk of 1 KiB.
+const chunk = "400\r\n"
+
+// text returns a beginning that is the same for each request.
+func text(begin string) func(string) string { return func(string) string { return begin } }
+
+// stamped returns the beginning of a response with the server's stamp, with further fields.
+func stamped(fields string) func(string) string {
+	return func(id string) string { return standin.Wire(id, fields, "") }
+}
 
 var endlessForms = []endlessForm{
-	{"", "0"}, // a status line
-	{"HTTP/1.1 200 OK\r\nName: ", "0"},
-	{"HTTP/1.1 200 OK\r\n", "a: b\r\n"},
-	{"", "HTTP/1.1 100 Continue\r\n\r\n"},
-	{stampedHead + "\r\n", "0"}, // a body that ends with its connection
-	{stampedHead + "Content-Length: 100000000000\r\n\r\n", "0"},
-	{stampedHead + "Transfer-Encoding: chunked\r\n\r\n", chunk + strings.Repeat("0", 1<<10) + "\r\n"},
-	{stampedHead + "Transfer-Encoding: chunked\r\n\r\n", "0"},                        // a chunk's length
-	{stampedHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "a: b\r\n"},            // trailers
-	{stampedHead + "Transfer-Encoding: chunked\r\n\r\n", "1;" + chunk + "0\r\n"},     // chunks of a byte
-	{"HTTP/1.1 503 Full\r\nWagtailshelf-Not-Executed: 1\r\n\r\n", "0"},               // a refusal
-	{"HTTP/1.1 500 Failed\r\nWagtailshelf-Server-Stamp: s\r\n\r\n", "0"},             // a failure
-	{"HTTP/1.1 200 OK\r\nWagtailshelf-Request-Id: another\r\n\r\n", "0"},             // an answer to another request
-	{streamHead + "\r\n", "data: 0\n"},                                               // one event
-	{streamHead + "\r\n", "0"},                                                       // one line of it
-	{streamHead + "\r\n", ": comment\n\n"},                                           // events without effect
-	{streamHead + "\r\n", "id: 1\ndata: " + strings.Repeat("0", 32<<10) + "\n\n"},    // events out of order
-	{"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n", `{"a":[0,0,0],`},   // a report
-	{"HTTP/1.1 200 OK\r\nStore-Era: 1\r\n\r\n" + `{"items":[`, `{"metadata":null},`}, // a list
-	{"HTTP/1.1 200 OK\r\nStore-Era: 1\r\n\r\n" + `{"items":[`, "["},
+	{text(""), "0"}, // a status line
+	{text("HTTP/1.1 200 OK\r\nName: "), "0"},
+	{text("HTTP/1.1 200 OK\r\n"), "a: b\r\n"},
+	{text(""), "HTTP/1.1 100 Continue\r\n\r\n"},
+	{stamped(""), "0"}, // a body that ends with its connection
+	{stamped("Content-Length: 100000000000\r\n"), "0"},
+	{stamped("Transfer-Encoding: chunked\r\n"), chunk + strings.Repeat("0", 1<<10) + "\r\n"},
+	{stamped("Transfer-Encoding: chunked\r\n"), "0"},                                                        // a chunk's length
+	{func(id string) string { return stamped("Transfer-Encoding: chunked\r\n")(id) + "0\r\n" }, "a: b\r\n"}, // trailers
+	{stamped("Transfer-Encoding: chunked\r\n"), "1;" + chunk + "0\r\n"},                                     // chunks of a byte
+	{text(standin.RefusalHead + "\r\n"), "0"},
+	{func(id string) string { return strings.Replace(stamped("")(id), "200 OK", "500 Failed", 1) }, "0"},
+	{func(string) string { return stamped("")("another") }, "0"},                                             // an answer to another request
+	{stamped("Content-Type: text/event-stream\r\n"), "data: 0\n"},                                            // one event
+	{stamped("Content-Type: text/event-stream\r\n"), "0"},                                                    // one line of it
+	{stamped("Content-Type: text/event-stream\r\n"), ": comment\n\n"},                                        // events without effect
+	{stamped("Content-Type: text/event-stream\r\n"), "id: 1\ndata: " + strings.Repeat("0", 32<<10) + "\n\n"}, // events out of order
+	{text("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"), `{"a":[0,0,0],`},                     // a report
+	{text(standin.StoreHead + "\r\n" + `{"items":[`), `{"metadata":null},`},                                  // a list
+	{text(standin.StoreHead + "\r\n" + `{"items":[`), "["},
 }
 
 // newEndless starts a server each of whose connections gets the next form, until the other side closes it.
@@ -73,11 +81,7 @@
 		return // a check whether the server listens
 	}
 	form := endlessForms[int(served.Add(1))%len(endlessForms)]
-	begin := form.begin
-	if strings.Contains(begin, "%s") {
-		begin = fmt.Sprintf(begin, standin.RequestID(r))
-	}
-	if _, err := c.Write([]byte(begin)); err != nil {
+	if _, err := c.Write([]byte(form.begin(standin.RequestID(r)))); err != nil {
 		return
 	}
 	for rest := []byte(strings.Repeat(form.rest, 1+(64<<10)/len(form.rest))); ; {
