Responses: the check of a head makes no garbage for each line

Change: lines are compared as bytes; one place for the result of writing in place of sixteen.

TestHeads and the others as before.

--- a/internal/wire/response/head.go
+++ b/internal/wire/response/head.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"strings"
 	"sync"
 
 	"github.com/ansel1/merry/v2"
@@ -23,9 +22,9 @@
 )
 
 // The header fields that say where a body ends.
-const (
-	transferEncoding = "Transfer-Encoding"
-	contentLength    = "Content-Length"
+var (
+	transferEncoding = []byte("Transfer-Encoding")
+	contentLength    = []byte("Content-Length")
 )
 
 // The least and the greatest status of a response, and the first that is not of an interim one.
@@ -103,7 +102,7 @@
 	if len(line) == 0 {
 		return h.end()
 	}
-	if i := bytes.IndexFunc(line, isControl); i >= 0 {
+	if hasControl(line) {
 		return merry.Appendf(ErrMalformed, "a control byte in a header field")
 	}
 	h.fields++
@@ -113,12 +112,12 @@
 		}
 		return nil // it goes on with the value of the field before it
 	}
-	name, _, found := strings.Cut(string(line), ":")
-	if !found || !httpguts.ValidHeaderFieldName(name) {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	if !found || !isToken(name) {
 		return merry.Appendf(ErrMalformed, "the name of a header field is %.40q", name)
 	}
-	h.chunks = h.chunks || strings.EqualFold(name, transferEncoding)
-	h.length = h.length || strings.EqualFold(name, contentLength)
+	h.chunks = h.chunks || bytes.EqualFold(name, transferEncoding)
+	h.length = h.length || bytes.EqualFold(name, contentLength)
 	return nil
 }
 
@@ -136,7 +135,7 @@
 		}
 		status = 10*status + int(d-'0')
 	}
-	if status < minStatus || status > maxStatus || status == upgradeDone || bytes.IndexFunc(line, isControl) >= 0 {
+	if status < minStatus || status > maxStatus || status == upgradeDone || hasControl(line) {
 		return bad()
 	}
 	if len(line) > len(form) && line[12] != ' ' {
@@ -164,5 +163,22 @@
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
-// isControl reports whether a character is a control byte, which no head may have.
-func isControl(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }
+// hasControl reports whether a line has a control byte, which no head may have but a tab.
+func hasControl(line []byte) bool {
+	for _, b := range line {
+		if b < ' ' && b != '\t' || b == 0x7f {
+			return true
+		}
+	}
+	return false
+}
+
+// isToken reports whether a text may be the name of a field.
+func isToken(name []byte) bool {
+	for _, b := range name {
+		if !httpguts.IsTokenRune(rune(b)) {
+			return false
+		}
+	}
+	return len(name) > 0
+}
--- a/internal/wire/response/transport.go
+++ b/internal/wire/response/transport.go
@@ -39,17 +39,18 @@
 
 // RoundTrip sends a request and reads the head of its response.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	written := make(chan error, maxAttempts)
+	written := make(chan error, 1)
 	trace := &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
-			for len(written) > 0 {
-				<-written // of an attempt on a connection that had ended
-			}
+			take(written) // of an attempt on a connection that had ended
 			if c, guarded := i.Conn.(*Conn); guarded {
 				_ = c.Begin(nil) // fails only for bytes that have arrived
 			}
 		},
-		WroteRequest: func(i httptrace.WroteRequestInfo) { written <- i.Err },
+		WroteRequest: func(i httptrace.WroteRequestInfo) {
+			take(written)
+			put(written, i.Err)
+		},
 	}
 	w, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
@@ -61,8 +62,21 @@
 	return w, nil
 }
 
-// maxAttempts is more than how often the standard library's transport writes one request.
-const maxAttempts = 16
+// take empties a channel that holds one value at most.
+func take(c chan error) {
+	select {
+	case <-c:
+	default:
+	}
+}
+
+// put fills it, unless another attempt has done that at the same moment.
+func put(c chan error, err error) {
+	select {
+	case c <- err:
+	default:
+	}
+}
 
 // unframedBody is a body that ends with its connection. Its end proves that it is complete only if the request was
 // written before.
@@ -80,7 +94,7 @@
 	}
 	select {
 	case failed := <-b.written:
-		b.written <- failed
+		put(b.written, failed)
 		if failed != nil {
 			return n, merry.Wrap(ErrReset, merry.WithCause(failed))
 		}
