Limits: what a target named last holds until it names none (LIMIT)

Cause: a limit that no answer had named for a minute was forgotten, at all entries at the same moment.

Change: silence says nothing. An entry that leaves a target to two others asks it itself once nobody has heard of it for a minute, half as often as an even share and spread, as it would else never learn of an end that it was not told. The word 'silence' in targetUnlimited goes.

Tests: TestLimitExpires demanded the fault; TestLimitOutlastsAPause, TestEntryVerifiesALimit and TestLimitOutlastsSilence take its place: the limit holds for any pause, and an entry that hears nothing asks again. TestRateChangesAreReportedOnce waits for an hour, and demands that nothing is reported. The last two failed before.

Why this works: senders ask again at each turn as long as they have requests, so an end is learned with the first of them, and before it nobody sends more than a turn.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -185,7 +185,6 @@
 func (c *Controller) Tick(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.expireRates(now)
 	for service := range c.services {
 		c.advance(now, service)
 		c.turnAway(now, service)
--- a/internal/traffic/admission/rate.go
+++ b/internal/traffic/admission/rate.go
@@ -14,7 +14,7 @@
 	Target string
 	Active bool // the target takes no more than the rate
 	Rate   ratelimit.Rate
-	Source string        // where the view comes from: "answer", "entry", "kept" from before the target was not listed, or "silence", if nobody named the rate again
+	Source string        // where the view comes from: "answer", "entry", or "kept" from before the target was not listed
 	Age    time.Duration // of the report it comes from
 }
 
@@ -132,16 +132,3 @@
 	s.limit, s.knownSince = kept.limit, kept.knownSince
 	c.reportRate(t.ID, s, "kept", now.Sub(s.limit.NamedAt()))
 }
-
-// expireRates ends rate limits that no response has confirmed for long.
-func (c *Controller) expireRates(now time.Time) {
-	for id, s := range c.targets {
-		if !s.limit.Active() {
-			continue
-		}
-		namedAt := s.limit.NamedAt()
-		if s.limit.Expire(now, id, c.RulesFor(s.group.Service).Senders) {
-			c.reportRate(id, s, "silence", now.Sub(namedAt))
-		}
-	}
-}
--- a/internal/traffic/ratelimit/limit.go
+++ b/internal/traffic/ratelimit/limit.go
@@ -28,11 +28,19 @@
 	// LeastRate is the lowest rate that is kept to: a target that takes nothing gets one request in
 	// ten seconds, whose response shows whether it still takes nothing.
 	LeastRate Rate = 0.1
-	// rateLifetime is how long a rate holds that is not named again. Entries that may send to the
-	// target try it more often; after this time none of them has requests for it.
+	// rateLifetime is how long an entry that sends nothing to a rate-limited target relies on the senders to
+	// learn when the limit ends. They send more often if they have requests for it.
 	rateLifetime = time.Minute
+	// verifyFactor is how many times less than an even share an entry sends then. Together with two senders,
+	// all of them stay below one and a half times the rate.
+	verifyFactor = 2
 )
 
+// verifyInterval returns the least time between two requests of an entry that verifies a limit.
+func (s Senders) verifyInterval(rate Rate) time.Duration {
+	return seconds(verifyFactor * max(s.Count, float64(s.Index)) / float64(max(rate, LeastRate)))
+}
+
 // interval returns the least time between two requests of this entry to a rate-limited target. Ok
 // is false if it sends none, as other entries do.
 func (s Senders) interval(target string, rate Rate) (d time.Duration, ok bool) {
@@ -83,6 +91,7 @@
 	evenShare role = iota + 1 // the entry does not know its index, and sends an even share
 	sender                    // it is one of the senders
 	idle                      // other entries send
+	verifier                  // others should send, but nobody has named the rate for long
 )
 
 // Active reports whether the target takes no more than a rate.
@@ -129,20 +138,6 @@
 	return true
 }
 
-// Expire ends a limit whose rate was not named again for long, and returns whether it did. A limit
-// stays while the entry has to wait longer than that for its own turn.
-func (l *Limit) Expire(now time.Time, target string, s Senders) bool {
-	if !l.Active() {
-		return false
-	}
-	interval, _ := s.interval(target, l.rate)
-	if interval > math.MaxInt64/4 || now.Sub(l.namedAt) < rateLifetime+2*interval {
-		return false
-	}
-	l.namedAt, l.endedAt = time.Time{}, l.namedAt
-	return true
-}
-
 // Next returns when this entry may send the next request. Ok is false if other entries send.
 func (l *Limit) Next(now time.Time, target string, s Senders) (at time.Time, ok bool) {
 	interval, ok := s.interval(target, l.rate)
@@ -152,8 +147,10 @@
 		current = evenShare
 	case ok:
 		current = sender
+	case now.Sub(l.namedAt) >= rateLifetime:
+		current, interval, ok = verifier, s.verifyInterval(l.rate), true
 	}
-	if l.role == 0 {
+	if l.role == 0 && current != verifier {
 		l.role = current
 	}
 	if current != l.role {
@@ -164,6 +161,9 @@
 		return time.Time{}, false
 	}
 	at = l.roleSince.Add(time.Duration(l.phase * float64(interval)))
+	if current == verifier && l.lastSent.Before(l.roleSince) {
+		return at, true // those that sent together before would do so again after one interval
+	}
 	if again := l.lastSent.Add(interval); !l.lastSent.IsZero() && again.After(at) {
 		at = again
 	}
