--- a/internal/program/trial/rest_test.go
+++ b/internal/program/trial/rest_test.go
@@ -27,7 +27,13 @@
 	require.NoError(t, err)
 	require.NoError(t, d.Put(testContext(t), "agenda", trial.AgendaDocument(d.Targets[2:], "")))
 	serves := func(body string) bool {
-		return post(t, d, "/agenda/outcomes", trial.SmallKey, body).StatusCode == http.StatusCreated
+		resp := post(t, d, "/agenda/outcomes", trial.SmallKey, body)
+		if resp.StatusCode == http.StatusCreated {
+			return true
+		}
+		text, err := io.ReadAll(resp.Body)
+		t.Logf("%s: status %d, %s, error %v", body, resp.StatusCode, text, err)
+		return false
 	}
 	require.Eventually(t, func() bool {
 		return serves("warm") && len(second.Service.Logged()) > 0
