Log: a reader that is gone ends no process, and one that is slow holds none up (FAULT)

What the users saw: processes that ended by themselves; they kept no logs.

Cause: a write to standard output or standard error whose reader is gone raises SIGPIPE, which ended the process at its next line, also after each new start. Found beside it: the processes of the own interface wrote each line to standard error themselves, and stood still for good before they served if nobody read it. What libraries print (panics of handlers, accepts that fail) went to standard error past the log, under a lock.

Change: processes that serve ignore SIGPIPE, so that the write fails. internal/program/sink writes the lines of all of them from a bounded queue, and counts lines without room (wagtailshelf_log_lines_dropped_total) and lines that can't be written (wagtailshelf_log_lines_failed_total); it takes libraries' messages in as lines (event library). It replaces the library's own asynchronous writer, which reads a line's buffer after it has handed it over: a data race, which hid all others in processes built with the race detector. The last lines are flushed when a process ends, for a second at most. The own interface logs the addresses that it listens on (event listening) in place of a print.

--- a/internal/operator/role/deployed.go
+++ b/internal/operator/role/deployed.go
@@ -13,6 +13,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
 	"wagtailshelf.example/wagtailshelf/internal/program/gateway"
 	"wagtailshelf.example/wagtailshelf/internal/program/signals"
+	"wagtailshelf.example/wagtailshelf/internal/program/sink"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
 
@@ -31,6 +32,7 @@
 			&cli.StringFlag{Name: settingsFlag, Usage: "`FILE` with the settings; that of the platform if not given"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
+			signals.IgnoreBrokenPipes()
 			ctx, stop := signals.Stop(ctx)
 			defer stop()
 			hangups := signals.Hangups() // from before the settings are read
@@ -57,7 +59,10 @@
 func serveRole(ctx context.Context, s deployed.Settings, r *deployed.Reloader) error {
 	limitMemory(int64(s.Memory) * megabyte)
 	m := metrics.NewSet()
-	r.Log = deployed.NewLog(s, m)
+	lines := sink.New(os.Stdout, m)
+	defer lines.Flush(flushLimit)
+	r.Log = deployed.NewLog(s, lines)
+	sink.CaptureLibraries(r.Log)
 	if s.Role == host.Sidecar {
 		return companion.New(s, r.Log, m).Run(ctx, r)
 	}
--- a/internal/operator/role/entry.go
+++ b/internal/operator/role/entry.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	b.printAddress("callers", e.Addr())
+	b.log.Info().Str("event", "listening").Str("listener", "callers").Stringer("address", e.Addr()).Msg("")
 	return b.serve(ctx, &process.Program{
 		Run:   e.Run,
 		Drain: e.Drain,
--- a/internal/operator/role/reload_test.go
+++ b/internal/operator/role/reload_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"os"
 	"path/filepath"
 	"testing"
@@ -60,7 +59,7 @@
 	require.NoError(t, err)
 	s, list := setting.Load("s", text)
 	require.NoError(t, list.Err())
-	b, err := build(s, io.Discard)
+	b, err := build(s)
 	require.NoError(t, err)
 	b.file = h.path("s")
 	return h, b
--- a/internal/operator/role/role.go
+++ b/internal/operator/role/role.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
-	"net/netip"
 	"os"
 	"time"
 
@@ -19,12 +17,16 @@
 	"wagtailshelf.example/wagtailshelf/internal/program/process"
 	"wagtailshelf.example/wagtailshelf/internal/program/setting"
 	"wagtailshelf.example/wagtailshelf/internal/program/signals"
+	"wagtailshelf.example/wagtailshelf/internal/program/sink"
 	"wagtailshelf.example/wagtailshelf/internal/wire/credential"
 	"wagtailshelf.example/wagtailshelf/internal/wire/ingress"
 )
 
 const settingsFlag = "settings"
 
+// flushLimit is how long the last log lines of a process may take to be written.
+const flushLimit = time.Second
+
 // ErrRole reports settings for a role other than that of the command.
 var ErrRole = merry.New("the settings are for another role")
 
@@ -45,12 +47,15 @@
 			&cli.StringFlag{Name: settingsFlag, Required: true, Usage: "`FILE` with the settings; - for standard input"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
+			signals.IgnoreBrokenPipes()
 			stops, hangups := signals.Stops(), signals.Hangups() // from before the settings are read
 			b, err := load(cmd, role)
 			if err != nil {
 				return err
 			}
 			b.stops, b.hangups = stops, hangups
+			defer b.lines.Flush(flushLimit)
+			sink.CaptureLibraries(b.log)
 			return serve(ctx, b)
 		},
 	}
@@ -63,9 +68,9 @@
 	identity  host.Identity
 	keys      *credential.Store
 	operators *credential.TokenSet
+	lines     *sink.Sink // of the log
 	log       *log.Logger
 	metrics   *metrics.Set
-	out       io.Writer
 	resources ingress.Resources // that the process has
 	stops     <-chan os.Signal  // as those of the program
 	hangups   <-chan os.Signal
@@ -84,7 +89,7 @@
 	if s.Role != role {
 		return nil, merry.Wrap(ErrRole, merry.AppendMessagef("%s is for role %s", file, s.Role))
 	}
-	b, err := build(s, cmd.Root().Writer)
+	b, err := build(s)
 	if err != nil {
 		return nil, err
 	}
@@ -99,7 +104,7 @@
 	return os.ReadFile(file)
 }
 
-func build(s setting.Settings, out io.Writer) (*base, error) {
+func build(s setting.Settings) (*base, error) {
 	material, err := s.TLS.Material(os.ReadFile)
 	if err != nil {
 		return nil, err
@@ -112,6 +117,8 @@
 	if err != nil {
 		return nil, err
 	}
+	m := metrics.NewSet()
+	lines := sink.New(os.Stderr, m)
 	return &base{
 		settings: s,
 		identity: host.Identity{
@@ -128,9 +135,9 @@
 		},
 		keys:      keys,
 		operators: operators,
-		log:       logger(s),
-		metrics:   metrics.NewSet(),
-		out:       out,
+		lines:     lines,
+		log:       logger(s, lines),
+		metrics:   m,
 		resources: claimResources(s),
 	}, nil
 }
@@ -142,12 +149,12 @@
 	setting.Error: log.ErrorLevel,
 }
 
-// logger returns a logger that writes JSON lines to standard error.
-func logger(s setting.Settings) *log.Logger {
+// logger returns a logger of JSON lines.
+func logger(s setting.Settings, to *sink.Sink) *log.Logger {
 	return &log.Logger{
 		Level:   levels[s.Log.Level],
 		Context: log.NewContext(nil).Str("host", string(s.Name)).Str("role", string(s.Role)).Value(),
-		Writer:  &log.IOWriter{Writer: os.Stderr},
+		Writer:  to,
 	}
 }
 
@@ -176,8 +183,3 @@
 	limitMemory(r.Memory)
 	return r
 }
-
-// printAddress prints the address that a listener of the process is bound to.
-func (b *base) printAddress(listener string, addr netip.AddrPort) {
-	fmt.Fprintf(b.out, "%s %s\n", listener, addr)
-}
--- a/internal/operator/role/sidecar.go
+++ b/internal/operator/role/sidecar.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	b.printAddress("peers", s.Addr())
+	b.log.Info().Str("event", "listening").Str("listener", "peers").Stringer("address", s.Addr()).Msg("")
 	return b.serve(ctx, &process.Program{
 		Run:   s.Run,
 		Drain: s.Drain,
--- a/internal/program/signals/signals.go
+++ b/internal/program/signals/signals.go
@@ -32,3 +32,7 @@
 	signal.Notify(c, syscall.SIGHUP)
 	return c
 }
+
+// IgnoreBrokenPipes makes a write to standard output or standard error fail if its reader is gone. By default it ends the
+// process, which would stop serving because nobody reads its log.
+func IgnoreBrokenPipes() { signal.Ignore(syscall.SIGPIPE) }
