--- a/internal/operator/command/wait_test.go
+++ b/internal/operator/command/wait_test.go
@@ -50,7 +50,7 @@
 	require.NoError(s.t, err)
 	client := platform.New(platform.Config{URL: "http://" + s.platformAddress})
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
-	e, err := entry.New(entry.Config{
+	e, err := entry.New(context.Background(), entry.Config{
 		Identity: id, Callers: loopback, Peers: loopback, Platform: client, Keys: keys, Metrics: metrics.NewSet(),
 		Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 	})
--- a/internal/operator/role/entry.go
+++ b/internal/operator/role/entry.go
@@ -14,7 +14,7 @@
 func runEntry(ctx context.Context, b *base) error {
 	client := b.platform()
 	defer client.Close()
-	e, err := entry.New(entry.Config{
+	e, err := entry.New(b.opening, entry.Config{
 		Identity:     b.identity,
 		Callers:      b.settings.Listen.Callers,
 		Peers:        b.settings.Listen.Peers,
--- a/internal/operator/role/role.go
+++ b/internal/operator/role/role.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"os"
 	"time"
@@ -48,7 +49,10 @@
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			signals.IgnoreBrokenPipes()
-			stops, hangups := signals.Stops(), signals.Hangups() // from before the settings are read
+			// From before the settings are read. The process can also be stopped while it waits for its addresses.
+			stops, hangups := signals.Stops(), signals.Hangups()
+			opening, opened := signals.Stop(ctx)
+			defer opened()
 			b, err := load(cmd, role)
 			if err != nil {
 				return err
@@ -56,7 +60,11 @@
 			b.stops, b.hangups = stops, hangups
 			defer b.lines.Flush(flushLimit)
 			sink.CaptureLibraries(b.log)
-			return serve(ctx, b)
+			b.opening = opening
+			if err := serve(ctx, b); !errors.Is(err, context.Canceled) {
+				return err
+			}
+			return nil
 		},
 	}
 }
@@ -72,6 +80,7 @@
 	log       *log.Logger
 	metrics   *metrics.Set
 	resources ingress.Resources // that the process has
+	opening   context.Context   // ends when the process is asked to stop
 	stops     <-chan os.Signal  // as those of the program
 	hangups   <-chan os.Signal
 }
@@ -167,7 +176,7 @@
 	p.Admin.Metrics = b.metrics
 	p.Admin.Resources = b.resources
 	p.Admin.Log = b.log
-	if err := p.Admin.Listen(b.settings.Listen.Administration); err != nil {
+	if err := p.Admin.Listen(b.opening, b.settings.Listen.Administration); err != nil {
 		return err
 	}
 	b.log.Info().Uint64("incarnation", uint64(b.identity.Incarnation)).Msg("started")
--- a/internal/operator/role/sidecar.go
+++ b/internal/operator/role/sidecar.go
@@ -11,7 +11,7 @@
 func runSidecar(ctx context.Context, b *base) error {
 	client := b.platform()
 	defer client.Close()
-	s, err := sidecar.New(sidecar.Config{
+	s, err := sidecar.New(b.opening, sidecar.Config{
 		Identity:   b.identity,
 		Listen:     b.settings.Listen.Peers,
 		Target:     b.settings.Target.Address,
--- a/internal/program/companion/companion.go
+++ b/internal/program/companion/companion.go
@@ -13,15 +13,16 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/oklog/run"
 	"github.com/phuslu/log"
 
 	"wagtailshelf.example/wagtailshelf/internal/expert/changeover"
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
 	"wagtailshelf.example/wagtailshelf/internal/expert/seating"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/ratelimit"
+	"wagtailshelf.example/wagtailshelf/internal/wire/address"
 	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
 	"wagtailshelf.example/wagtailshelf/internal/wire/ingress"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
@@ -49,7 +50,8 @@
 
 	preparedMaps []*expertmap.Map // latest prepared maps, the newest last; orders send a new map as changes to one of them
 
-	socket      *digest.Socket
+	socket      *digest.Socket // not used by others before socketOpen is closed
+	socketOpen  chan struct{}
 	entries     map[netip.AddrPort]entry
 	targetRates ratelimit.Reports // rates of rate-limited targets, from the entries' heartbeats
 	// ratesSentAt is when targetRates was last sent to the entries, and ratesRound counts
@@ -67,6 +69,7 @@
 		metrics:        m,
 		store:          platform.NewStore(s.Store),
 		engines:        platform.NewEngineClient(),
+		socketOpen:     make(chan struct{}),
 		peers:          rankport.NewClient(),
 		malformed:      deployed.NewMalformed(l, m),
 		planners:       make(map[roster.GroupName]*plannerView),
@@ -83,36 +86,37 @@
 
 // Run serves until the context ends.
 func (c *Companion) Run(ctx context.Context, r *deployed.Reloader) error {
-	socket, err := digest.Open(c.settings.Listen.Peers)
-	if err != nil {
-		return err
-	}
-	c.socket = socket
-	var group run.Group
-	addActor := func(serve func(context.Context) error) {
-		ctx, cancel := context.WithCancel(ctx)
-		group.Add(func() error { return serve(ctx) }, func(error) { cancel() })
-	}
 	// A sidecar applies no setting while it runs: the reloader only logs that the settings changed.
 	r.Apply = func(deployed.Settings) {}
-	addActor(r.Run)
-	addActor(c.servePeers)
-	addActor(func(ctx context.Context) error {
-		return socket.Serve(ctx, c.receiveHeartbeat, func(netip.AddrPort, digest.Update) {})
-	})
-	addActor(c.seekLeadership)
-	addActor(func(ctx context.Context) error {
+	tasks := deployed.NewTasks(c.log, c.metrics)
+	tasks.Add(ctx, "reload", r.Run)
+	tasks.Add(ctx, "peers", c.servePeers)
+	tasks.Add(ctx, "datagrams", c.serveDatagrams)
+	tasks.Add(ctx, "planning", c.seekLeadership)
+	tasks.Add(ctx, "metrics", func(ctx context.Context) error {
 		return deployed.ServeMetrics(ctx, c.settings, c.log, c.metrics)
 	})
-	c.log.Info().Str("event", "started").Str("role", "sidecar").Msg("")
-	err = group.Run()
-	c.log.Info().Str("event", "stopped").Err(err).Msg("")
-	return err
+	return tasks.Run(ctx, host.Sidecar)
+}
+
+// serveDatagrams opens the socket for datagrams and serves it. The socket stays open if serving ends early.
+func (c *Companion) serveDatagrams(ctx context.Context) error {
+	if c.socket == nil {
+		at := c.settings.Listen.Peers
+		s := address.Socket{Name: "datagrams", Address: at, Log: c.log}
+		socket, err := address.Open(ctx, s, func() (*digest.Socket, error) { return digest.Open(at) })
+		if err != nil {
+			return err
+		}
+		c.socket = socket
+		close(c.socketOpen)
+	}
+	return c.socket.Serve(ctx, c.receiveHeartbeat, func(netip.AddrPort, digest.Update) {})
 }
 
 // entry is the state of one entry process, from its last heartbeat or from another planner.
 type entry struct {
-	address       netip.AddrPort
+	at            netip.AddrPort
 	demand        float64
 	configFresh   bool // its configuration is fresh enough to serve all callers
 	configVersion int64
@@ -124,7 +128,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	c.addEntry(entry{address: from, demand: h.Demand, configFresh: h.Fresh, configVersion: h.ConfigVersion, lastHeartbeat: now})
+	c.addEntry(entry{at: from, demand: h.Demand, configFresh: h.Fresh, configVersion: h.ConfigVersion, lastHeartbeat: now})
 	for _, w := range digest.ToReports(h.Rates) {
 		c.targetRates.Add(now, w)
 	}
@@ -136,7 +140,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, e := range list {
-		c.addEntry(entry{address: e.Address, demand: e.Demand, configFresh: e.Fresh, lastHeartbeat: now})
+		c.addEntry(entry{at: e.Address, demand: e.Demand, configFresh: e.Fresh, lastHeartbeat: now})
 	}
 }
 
@@ -146,13 +150,13 @@
 
 // addEntry records the state of an entry. If there are too many, those that are known keep their place.
 func (c *Companion) addEntry(e entry) {
-	if _, known := c.entries[e.address]; !known && len(c.entries) >= maxEntries {
+	if _, known := c.entries[e.at]; !known && len(c.entries) >= maxEntries {
 		c.removeSilent(e.lastHeartbeat)
 		if len(c.entries) >= maxEntries {
 			return
 		}
 	}
-	c.entries[e.address] = e
+	c.entries[e.at] = e
 }
 
 // removeSilent removes the entries whose last heartbeat is not recent.
@@ -189,7 +193,7 @@
 	defer c.mu.Unlock()
 	c.removeSilent(now)
 	list := slices.Collect(maps.Values(c.entries))
-	slices.SortFunc(list, func(a, b entry) int { return a.address.Compare(b.address) })
+	slices.SortFunc(list, func(a, b entry) int { return a.at.Compare(b.at) })
 	return list
 }
 
--- a/internal/program/companion/seek.go
+++ b/internal/program/companion/seek.go
@@ -35,6 +35,11 @@
 // record in the store decides between several candidates. Two planners at the same time
 // for a moment are safe, because the engines' own checks decide each map switch.
 func (c *Companion) seekLeadership(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-c.socketOpen: // a planner that can't send updates would be of no use
+	}
 	var turn leadershipTurn
 	for sleep(ctx, leaderCheckInterval) {
 		now := time.Now()
--- a/internal/program/companion/tell.go
+++ b/internal/program/companion/tell.go
@@ -34,7 +34,7 @@
 		d.Ranks = p.members(v)
 		for i, e := range entries {
 			d.Index = i + 1
-			p.c.socket.SendUpdate(e.address, d)
+			p.c.socket.SendUpdate(e.at, d)
 		}
 		return
 	}
@@ -59,7 +59,7 @@
 			d.Ranks[n].Grant = grants[i][ranks[n]]
 		}
 		d.Index = i + 1
-		p.c.socket.SendUpdate(e.address, d)
+		p.c.socket.SendUpdate(e.at, d)
 	}
 }
 
@@ -100,7 +100,7 @@
 	s.entriesSentAt = now
 	var list []rankport.Entry
 	for _, e := range p.c.liveEntries(now) {
-		list = append(list, rankport.Entry{Address: e.address, Demand: e.demand, Fresh: e.configFresh})
+		list = append(list, rankport.Entry{Address: e.at, Demand: e.demand, Fresh: e.configFresh})
 	}
 	return list
 }
--- a/internal/program/deployed/serve.go
+++ b/internal/program/deployed/serve.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
+	"wagtailshelf.example/wagtailshelf/internal/wire/address"
 	"wagtailshelf.example/wagtailshelf/internal/wire/ingress"
 )
 
@@ -24,13 +25,10 @@
 	Metrics *metrics.Set
 }
 
-// Open returns the listener's socket, and its server, which bounds what is held for clients.
-func (l Listener) Open(s *http.Server) (net.Listener, *ingress.Server, error) {
-	socket, err := ingress.Listen(l.Address)
-	if err != nil {
-		return nil, nil, err
-	}
-	return socket, l.Server(s), nil
+// Open opens the listener's socket. While its address is taken, it waits until the context ends.
+func (l Listener) Open(ctx context.Context) (net.Listener, error) {
+	s := address.Socket{Name: l.Name, Address: l.Address, Log: l.Log}
+	return address.Open(ctx, s, func() (net.Listener, error) { return ingress.Listen(l.Address) })
 }
 
 // Server returns a server that bounds what is held for clients.
@@ -42,10 +40,11 @@
 
 // Serve serves until the context ends.
 func (l Listener) Serve(ctx context.Context, h http.Handler) error {
-	socket, s, err := l.Open(&http.Server{Handler: h})
+	socket, err := l.Open(ctx)
 	if err != nil {
 		return err
 	}
+	s := l.Server(&http.Server{Handler: h})
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
 	if err := s.Serve(socket); ctx.Err() == nil {
--- a/internal/program/entry/documents_test.go
+++ b/internal/program/entry/documents_test.go
@@ -44,7 +44,7 @@
 	keys, err := credential.NewStore(material, time.Now)
 	require.NoError(t, err)
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
-	e, err := New(Config{
+	e, err := New(t.Context(), Config{
 		Identity: host.Identity{Name: id.Name, Role: id.Role, DataCentre: "mtl-a", Incarnation: 1},
 		Callers:  loopback,
 		Peers:    loopback,
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -22,6 +22,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/record/object"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/target"
+	"wagtailshelf.example/wagtailshelf/internal/wire/address"
 	"wagtailshelf.example/wagtailshelf/internal/wire/caller"
 	"wagtailshelf.example/wagtailshelf/internal/wire/credential"
 	"wagtailshelf.example/wagtailshelf/internal/wire/ingress"
@@ -87,8 +88,8 @@
 	crashes *crashes.Keeper
 }
 
-// New opens the entry's sockets. [Entry.Run] serves them.
-func New(cfg Config) (*Entry, error) {
+// New opens the entry's sockets. While their addresses are taken, it waits until opening ends. [Entry.Run] serves them.
+func New(opening context.Context, cfg Config) (*Entry, error) {
 	ctx, stop := context.WithCancel(context.Background())
 	e := &Entry{
 		cfg:            cfg,
@@ -112,7 +113,7 @@
 		Socket:    cfg.Socket,
 	}
 	e.pool = peer.NewPool(e.peers)
-	if err := e.listen(); err != nil {
+	if err := e.listen(opening); err != nil {
 		stop()
 		return nil, err
 	}
@@ -126,12 +127,14 @@
 }
 
 // listen opens both sockets, or neither if one fails.
-func (e *Entry) listen() error {
-	peerListener, err := peer.Listen(e.peers, e.cfg.Peers)
+func (e *Entry) listen(ctx context.Context) error {
+	s := address.Socket{Name: "peers", Address: e.cfg.Peers, Log: e.cfg.Log}
+	peerListener, err := address.Open(ctx, s, func() (*peer.Listener, error) { return peer.Listen(e.peers, e.cfg.Peers) })
 	if err != nil {
 		return err
 	}
-	callerListener, err := ingress.Listen(e.cfg.Callers)
+	s = address.Socket{Name: "callers", Address: e.cfg.Callers, Log: e.cfg.Log}
+	callerListener, err := address.Open(ctx, s, func() (net.Listener, error) { return ingress.Listen(e.cfg.Callers) })
 	if err != nil {
 		peerListener.Close()
 		return err
--- a/internal/program/gateway/callers.go
+++ b/internal/program/gateway/callers.go
@@ -21,7 +21,7 @@
 )
 
 func (g *Gateway) serveCallers(ctx context.Context) error {
-	l, err := ingress.Listen(g.settings.Listen.Callers)
+	l, err := g.listener("callers", g.settings.Listen.Callers, ingress.Callers).Open(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/program/gateway/digest.go
+++ b/internal/program/gateway/digest.go
@@ -8,19 +8,29 @@
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/program/task"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
+	"wagtailshelf.example/wagtailshelf/internal/wire/address"
 	"wagtailshelf.example/wagtailshelf/internal/wire/digest"
 )
 
 // exchangeWithPlanners sends heartbeats to planners and receives the updates of their groups.
 func (g *Gateway) exchangeWithPlanners(ctx context.Context) error {
-	socket, err := digest.Open(g.settings.Listen.Peers)
+	peers := g.settings.Listen.Peers
+	s := address.Socket{Name: "peers", Address: peers, Log: g.log}
+	socket, err := address.Open(ctx, s, func() (*digest.Socket, error) { return digest.Open(peers) })
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // closes the socket
 	ended := make(chan error, 1)
-	go func() { ended <- socket.Serve(ctx, func(netip.AddrPort, digest.Heartbeat) {}, g.applyPlannerUpdate) }()
+	go func() {
+		ended <- task.Guard(func() error {
+			return socket.Serve(ctx, func(netip.AddrPort, digest.Heartbeat) {}, g.applyPlannerUpdate)
+		})
+	}()
 	tick := time.NewTicker(digest.HeartbeatInterval)
 	defer tick.Stop()
 	ask := time.NewTicker(askInterval)
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/oklog/run"
 	"github.com/phuslu/log"
 
+	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/program/crashes"
 	"wagtailshelf.example/wagtailshelf/internal/program/deployed"
@@ -162,30 +162,23 @@
 // Run serves until the context ends, then waits for the requests in flight to end. All other tasks
 // run until then: the requests in flight are still sent to targets, which may leave meanwhile.
 func (g *Gateway) Run(ctx context.Context, r *deployed.Reloader) error {
-	var group run.Group
-	addActor := func(ctx context.Context, serve func(context.Context) error) {
-		ctx, cancel := context.WithCancel(ctx)
-		group.Add(func() error { return serve(ctx) }, func(error) { cancel() })
-	}
-	addTask := func(serve func(context.Context) error) { addActor(context.WithoutCancel(ctx), serve) }
 	r.Apply = g.apply
-	addTask(r.Run)
-	addTask(g.followConfig)
-	addTask(g.followTargets)
-	addTask(g.runTicks)
-	addTask(g.exchangeWithPlanners)
-	addTask(g.followFailures)
-	addTask(g.followCrashes)
-	addTask(g.crashes.Run)
-	addTask(g.serveReadiness)
-	addTask(func(ctx context.Context) error {
+	tasks := deployed.NewTasks(g.log, g.metrics)
+	lasting := context.WithoutCancel(ctx)
+	tasks.Add(lasting, "reload", r.Run)
+	tasks.Add(lasting, "config", g.followConfig)
+	tasks.Add(lasting, "targets", g.followTargets)
+	tasks.Add(lasting, "ticks", g.runTicks)
+	tasks.Add(lasting, "planners", g.exchangeWithPlanners)
+	tasks.Add(lasting, "failures", g.followFailures)
+	tasks.Add(lasting, "crashes", g.followCrashes)
+	tasks.Add(lasting, "crashRecord", g.crashes.Run)
+	tasks.Add(lasting, "readiness", g.serveReadiness)
+	tasks.Add(lasting, "metrics", func(ctx context.Context) error {
 		return deployed.ServeMetrics(ctx, g.settings, g.log, g.metrics)
 	})
-	addActor(ctx, g.serveCallers)
-	g.log.Info().Str("event", "started").Str("role", "entry").Msg("")
-	err := group.Run()
-	g.log.Info().Str("event", "stopped").Err(err).Msg("")
-	return err
+	tasks.Add(ctx, "callers", g.serveCallers)
+	return tasks.Run(ctx, host.Entry)
 }
 
 func (g *Gateway) runTicks(ctx context.Context) error {
--- a/internal/program/lifetime/address_test.go
+++ b/internal/program/lifetime/address_test.go
@@ -26,3 +26,21 @@
 		}
 	}
 }
+
+// Guards against a process that can't be stopped while it waits for an address.
+func TestStopWhileAnAddressIsTaken(t *testing.T) {
+	for _, r := range roles(t) {
+		for _, a := range r.addresses {
+			t.Run(r.name+" "+a.name+" "+a.network, func(t *testing.T) {
+				release, err := take(a.network, a.at)
+				require.NoError(t, err)
+				defer release()
+				p := r.start(t)
+				p.Await(takenTime)
+				p.Signal(15)
+				require.True(t, p.Await(limit))
+				require.Empty(t, p.EndedByItself())
+			})
+		}
+	}
+}
--- a/internal/program/process/admin.go
+++ b/internal/program/process/admin.go
@@ -13,6 +13,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/phuslu/log"
 
+	"wagtailshelf.example/wagtailshelf/internal/wire/address"
 	"wagtailshelf.example/wagtailshelf/internal/wire/credential"
 	"wagtailshelf.example/wagtailshelf/internal/wire/ingress"
 )
@@ -50,9 +51,10 @@
 	listener net.Listener
 }
 
-// Listen opens the server's socket.
-func (a *Admin) Listen(addr netip.AddrPort) error {
-	listener, err := ingress.Listen(addr)
+// Listen opens the server's socket. While its address is taken, it waits until ctx ends.
+func (a *Admin) Listen(ctx context.Context, addr netip.AddrPort) error {
+	s := address.Socket{Name: "administration", Address: addr, Log: a.Log}
+	listener, err := address.Open(ctx, s, func() (net.Listener, error) { return ingress.Listen(addr) })
 	if err != nil {
 		return err
 	}
--- a/internal/program/process/process_test.go
+++ b/internal/program/process/process_test.go
@@ -32,7 +32,7 @@
 		Operators: ring,
 		Metrics:   metrics.NewSet(),
 	}
-	require.NoError(t, admin.Listen(netip.MustParseAddrPort("127.0.0.1:0")))
+	require.NoError(t, admin.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0")))
 	drained := make(chan struct{})
 	return &process.Program{
 		Run: func(ctx context.Context) error {
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/program/rank"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/book"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/workspace"
+	"wagtailshelf.example/wagtailshelf/internal/wire/address"
 	"wagtailshelf.example/wagtailshelf/internal/wire/credential"
 	"wagtailshelf.example/wagtailshelf/internal/wire/engine"
 	"wagtailshelf.example/wagtailshelf/internal/wire/frame"
@@ -76,8 +77,8 @@
 	reportedAt time.Time
 }
 
-// New opens the sidecar's socket. Run serves it.
-func New(cfg Config) (*Sidecar, error) {
+// New opens the sidecar's socket. While its address is taken, it waits until opening ends. Run serves it.
+func New(opening context.Context, cfg Config) (*Sidecar, error) {
 	s := &Sidecar{
 		cfg:       cfg,
 		target:    engine.New(engine.Config{Target: cfg.Target}),
@@ -90,7 +91,8 @@
 		ServerTLS: cfg.Keys.Server(),
 		OnControl: s.onControl,
 	}
-	listener, err := peer.Listen(s.peers, cfg.Listen)
+	socket := address.Socket{Name: "peers", Address: cfg.Listen, Log: cfg.Log}
+	listener, err := address.Open(opening, socket, func() (*peer.Listener, error) { return peer.Listen(s.peers, cfg.Listen) })
 	if err != nil {
 		return nil, err
 	}
--- a/internal/program/trial/deployment.go
+++ b/internal/program/trial/deployment.go
@@ -200,7 +200,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e, err := entry.New(entry.Config{
+	e, err := entry.New(context.Background(), entry.Config{
 		Identity:     d.identity(name, host.Entry, dataCentre),
 		Callers:      loopback,
 		Peers:        loopback,
--- a/internal/program/trial/port.go
+++ b/internal/program/trial/port.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"net/netip"
@@ -21,15 +22,17 @@
 // openSidecar creates a sidecar, which opens its socket. It chooses a free port
 // if none is given.
 func openSidecar(cfg sidecar.Config) (*sidecar.Sidecar, error) {
+	once, cancel := context.WithCancel(context.Background())
+	cancel() // an address that is taken stays so
 	if cfg.Listen.Port() != 0 {
-		return sidecar.New(cfg)
+		return sidecar.New(once, cfg)
 	}
 	address := cfg.Listen.Addr()
 	var err error
 	for range portTries {
 		var s *sidecar.Sidecar
 		cfg.Listen = netip.AddrPortFrom(address, firstPort+uint16(rand.IntN(lastPort-firstPort)))
-		if s, err = sidecar.New(cfg); err == nil {
+		if s, err = sidecar.New(once, cfg); err == nil {
 			return s, nil
 		}
 		if !errors.Is(err, syscall.EADDRINUSE) {
