Ingress: no data race between a refusal and the end of the server

Cause: the goroutine that serves a connection notes that its request was refused, and Server.Close, which closes all connections from another, reads that to decide whether the client may still write. Change: the note is atomic.

--- a/internal/wire/ingress/conn.go
+++ b/internal/wire/ingress/conn.go
@@ -54,9 +54,9 @@
 	cost      int64     // memory that it takes up
 	received  bool      // bytes were read since the connection was idle
 	ahead     int       // requests in a row that had been sent ahead
-	lingers   bool      // its request was refused, and the client may still write
 
 	readingBody atomic.Bool // the handler waits for bytes of the body
+	lingers     atomic.Bool // its request was refused, and the client may still write; the end of the server reads it too
 }
 
 // Read reads from the client, and accounts for what it read.
@@ -161,13 +161,13 @@
 	c.server.table.close(&c.client)
 	_ = c.SetWriteDeadline(time.Now().Add(lingerTime)) // fails only if the connection is closed
 	if _, err := io.WriteString(c.TCPConn, text); err == nil {
-		c.lingers = true
+		c.lingers.Store(true)
 	}
 }
 
 // Close closes the connection. One whose request was refused is read for a while before, if not too many are.
 func (c *conn) Close() error {
-	if !c.lingers {
+	if !c.lingers.Load() {
 		return c.TCPConn.Close()
 	}
 	select {
