Soak: processes with the race detector, SIGHUP at a random moment of each start, and no end by itself

Now each process gets SIGHUP at a random moment of the first 30 ms of each start (seeded apart, so that the kept seeds draw what they drew), and a run fails if a process ended by itself, if its log has a data race, a panic, a message of a library or a task that ended.

--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -9,8 +9,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,6 +19,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"wagtailshelf.example/wagtailshelf/internal/standin/program"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
@@ -34,9 +33,8 @@
 )
 
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "wagtailshelf")
-	output, err := exec.Command("go", "build", "-o", binary, "wagtailshelf.example/wagtailshelf/cmd/wagtailshelf").CombinedOutput()
-	require.NoError(t, err, "%s", output)
+	binary, err := program.Build(t.TempDir(), "-race")
+	require.NoError(t, err)
 	for _, k := range knownSeeds(t) {
 		t.Run(fmt.Sprint(k.seed), func(t *testing.T) { soak(t, binary, k.seed, k.groups, k.backups) })
 	}
@@ -128,6 +126,7 @@
 	for _, g := range w.groups {
 		require.Empty(t, g.MixedSteps(), "all ranks of %s have one map in each step", g.Name)
 	}
+	w.checkProcesses()
 	require.Empty(t, w.problems)
 	t.Logf("%d more streams complete, %d of them after the caller went on by itself; runs at the servers: %s", c.pieceStreams.Load(), c.resumedStreams.Load(), w.faulty.Forms())
 	t.Logf("%d streams and %d other requests complete, %d refused, %d unknown or truncated; %d restores of the store, seen %d times by processes",
@@ -385,7 +384,7 @@
 			p.signal(syscall.SIGKILL)
 			p.await(settleLimit)
 			w.noteDisturbance(p)
-			p.start(w.t, w.binary)
+			p.start(w)
 		case 1:
 			p.signal(syscall.SIGSTOP)
 			undoAfter(d, func() {
@@ -401,7 +400,7 @@
 				p.await(settleLimit)
 			}
 			w.noteDisturbance(p)
-			p.start(w.t, w.binary)
+			p.start(w)
 		case 3:
 			p.signal(syscall.SIGHUP)
 		case 4:
--- a/internal/program/soak/world_test.go
+++ b/internal/program/soak/world_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"wagtailshelf.example/wagtailshelf/internal/standin/program"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
@@ -29,55 +30,71 @@
 
 var shape = standin.Shape{Layers: 2, Experts: 12, ExpertSlots: 6}
 
-// process is a program that the soak test has started.
+// process is a program that the soak test has started, once or several times.
 type process struct {
 	name     string
 	settings string
-	mu       sync.Mutex
-	cmd      *exec.Cmd
 	logFile  *os.File
-	exited   chan struct{}
+	mu       sync.Mutex
+	running  *program.Process
+	draws    *rand.Rand // of what happens at its starts
+	starts   int
 }
 
-// start starts or restarts the program.
-func (p *process) start(t *testing.T, binary string) {
+// start starts or restarts the program, and sends SIGHUP at a random moment of the start.
+func (p *process) start(w *world) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cmd = exec.Command(binary, "serve", "--settings", p.settings)
-	p.cmd.Stdout, p.cmd.Stderr = p.logFile, p.logFile
-	require.NoError(t, p.cmd.Start())
-	exited := make(chan struct{})
-	p.exited = exited
-	cmd := p.cmd
-	go func() {
-		_ = cmd.Wait() // a killed process ends with an error
-		close(exited)
-	}()
+	p.checkEnd(w)
+	cmd := exec.Command(w.binary, "serve", "--settings", p.settings)
+	cmd.Stdout, cmd.Stderr = p.logFile, p.logFile
+	started, err := program.Start(cmd)
+	require.NoError(w.t, err)
+	p.running = started
+	p.starts++
+	moment := time.Duration(p.draws.Int64N(int64(maxStartTime)))
+	w.signalling.Go(func() {
+		time.Sleep(moment)
+		for !started.Handles(syscall.SIGHUP) { // before the program's first instruction, the system ends it
+			if !started.Lives() {
+				return
+			}
+			time.Sleep(100 * time.Microsecond)
+		}
+		started.Signal(syscall.SIGHUP)
+	})
 }
 
-func (p *process) signal(s syscall.Signal) {
+// maxStartTime is how long after the start of a process it gets SIGHUP at the latest.
+const maxStartTime = 30 * time.Millisecond
+
+// checkEnd reports a problem if the process has ended by itself.
+func (p *process) checkEnd(w *world) {
+	if p.running == nil {
+		return
+	}
+	if end := p.running.EndedByItself(); end != "" {
+		w.problem("%s has ended by itself: %s", p.name, end)
+	}
+}
+
+// current returns the process that was started last.
+func (p *process) current() *program.Process {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = p.cmd.Process.Signal(s) // the process may have ended meanwhile
+	return p.running
 }
 
+func (p *process) signal(s syscall.Signal) { p.current().Signal(s) }
+
 // await waits for the process to end and reports whether it ended within the limit.
-func (p *process) await(limit time.Duration) bool {
-	p.mu.Lock()
-	exited := p.exited
-	p.mu.Unlock()
-	select {
-	case <-exited:
-		return true
-	case <-time.After(limit):
-		return false
-	}
-}
+func (p *process) await(limit time.Duration) bool { return p.current().Await(limit) }
 
 // world is a deployment on loopback addresses.
 type world struct {
 	t            *testing.T
 	r            *rand.Rand
+	seed         uint64
 	binary       string
 	dir          string
 	store        *standin.Store
@@ -98,6 +115,7 @@
 	config       *standin.Config    // the latest that the operator wrote
 	notifiers    []*notifier        // servers that send target notices
 	faulty       *standin.Streaming // servers that cut and misnumber streams
+	signalling   sync.WaitGroup     // goroutines that send a signal to a process that starts
 
 	mu           sync.Mutex
 	problems     []string
@@ -165,7 +183,7 @@
 // newWorld starts a deployment whose model service has the given number of groups.
 func newWorld(t *testing.T, binary string, seed uint64, groups int) *world {
 	w := &world{
-		t: t, r: rand.New(rand.NewPCG(seed, 7)), binary: binary, dir: t.TempDir(),
+		t: t, r: rand.New(rand.NewPCG(seed, 7)), seed: seed, binary: binary, dir: t.TempDir(),
 		store: standin.NewStore(t), ledger: standin.NewLedger(),
 	}
 	port := freePort(t)
@@ -215,11 +233,11 @@
 	text := settings + fmt.Sprintf("name: %s\ndataCentre: z\nstore: %s\nmemoryMB: 200\nbounds:\n"+
 		"  apply: 2s\n  revoke: %s\n  drain: 2s\n  grace: %s\n  stall: 1500ms\n  heartbeat: 1200ms\n  repeatRatio: 0.2\n  repeatSlack: 90\n  repeatWindow: 10s\n",
 		name, proxy.Address, revoke, grace)
-	p := &process{name: name, settings: filepath.Join(w.dir, name+".yaml")}
+	p := &process{name: name, settings: filepath.Join(w.dir, name+".yaml"), draws: rand.New(rand.NewPCG(w.seed, uint64(400+len(w.proxies))))}
 	require.NoError(w.t, os.WriteFile(p.settings, []byte(text), 0o600))
 	p.logFile, err = os.Create(filepath.Join(w.dir, name+".log"))
 	require.NoError(w.t, err)
-	p.start(w.t, w.binary)
+	p.start(w)
 	return p
 }
 
@@ -340,10 +358,11 @@
 
 // stopAll ends the processes and proxies that the soak test started, and nothing else.
 func (w *world) stopAll() {
+	w.signalling.Wait()
 	for _, p := range append(w.entries, w.sidecars...) {
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
-		p.await(5 * time.Second)
+		p.await(settleLimit)
 		_ = p.logFile.Close() // the process that wrote to it has ended
 	}
 	for _, p := range w.proxies {
@@ -351,6 +370,22 @@
 	}
 }
 
+// checkProcesses reports a problem for each process that has ended by itself, has a data race, or has a task that ended.
+func (w *world) checkProcesses() {
+	for _, p := range append(w.entries, w.sidecars...) {
+		p.mu.Lock()
+		p.checkEnd(w)
+		p.mu.Unlock()
+		text, err := os.ReadFile(p.logFile.Name())
+		require.NoError(w.t, err)
+		for _, sign := range []string{"WARNING: DATA RACE", `"event":"taskEnded"`, `"event":"library"`, "panic: ", "fatal error: "} {
+			if at := bytes.Index(text, []byte(sign)); at >= 0 {
+				w.problem("%s: %s", p.name, text[at:min(at+3000, len(text))])
+			}
+		}
+	}
+}
+
 // logs returns the log lines of all processes that contain a text, such as a request id.
 func (w *world) logs(text string) string {
 	var b bytes.Buffer
