Settings: a file that is still being written ends no start (FAULT)

What callers saw: nothing of their own; the system doesn't start. Cause: a process read its settings once, and ended with 1 if they were missing, empty or cut, though the platform places them as it starts the process. Change: such a file is read again until it has stayed the same for a second, as a file that is being written doesn't; only then are the findings an operator's to mend. What can't be read twice (a pipe, standard input) is read once.

--- a/internal/operator/role/deployed.go
+++ b/internal/operator/role/deployed.go
@@ -14,6 +14,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/program/gateway"
 	"wagtailshelf.example/wagtailshelf/internal/program/signals"
 	"wagtailshelf.example/wagtailshelf/internal/program/sink"
+	"wagtailshelf.example/wagtailshelf/internal/record/finding"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
 
@@ -43,12 +44,13 @@
 			if file == "" {
 				return ErrNoSettings
 			}
-			text, err := os.ReadFile(file)
+			var s deployed.Settings
+			text, err := readSettled(ctx, file, func(text []byte) error {
+				var findings finding.List
+				s, findings = deployed.Load(file, text)
+				return findings.Err()
+			})
 			if err != nil {
-				return merry.Wrap(err)
-			}
-			s, findings := deployed.Load(file, text)
-			if err := findings.Err(); err != nil {
 				return err
 			}
 			return serveRole(ctx, s, &deployed.Reloader{File: file, Text: text, Hangups: hangups})
--- a/internal/operator/role/role.go
+++ b/internal/operator/role/role.go
@@ -19,6 +19,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/program/setting"
 	"wagtailshelf.example/wagtailshelf/internal/program/signals"
 	"wagtailshelf.example/wagtailshelf/internal/program/sink"
+	"wagtailshelf.example/wagtailshelf/internal/record/finding"
 	"wagtailshelf.example/wagtailshelf/internal/wire/credential"
 	"wagtailshelf.example/wagtailshelf/internal/wire/ingress"
 )
@@ -53,7 +54,7 @@
 			stops, hangups := signals.Stops(), signals.Hangups()
 			opening, opened := signals.Stop(ctx)
 			defer opened()
-			b, err := load(cmd, role)
+			b, err := load(opening, cmd, role)
 			if err != nil {
 				return err
 			}
@@ -85,16 +86,12 @@
 	hangups   <-chan os.Signal
 }
 
-func load(cmd *cli.Command, role host.Role) (*base, error) {
+func load(ctx context.Context, cmd *cli.Command, role host.Role) (*base, error) {
 	file := cmd.String(settingsFlag)
-	text, err := read(cmd, file)
+	s, err := read(ctx, cmd, file)
 	if err != nil {
 		return nil, err
 	}
-	s, findings := setting.Load(file, text)
-	if err := findings.Err(); err != nil {
-		return nil, err
-	}
 	if s.Role != role {
 		return nil, merry.Wrap(ErrRole, merry.AppendMessagef("%s is for role %s", file, s.Role))
 	}
@@ -106,11 +103,21 @@
 	return b, nil
 }
 
-func read(cmd *cli.Command, file string) ([]byte, error) {
-	if file == "-" {
-		return io.ReadAll(cmd.Root().Reader)
+func read(ctx context.Context, cmd *cli.Command, file string) (s setting.Settings, err error) {
+	decode := func(text []byte) error {
+		var findings finding.List
+		s, findings = setting.Load(file, text)
+		return findings.Err()
+	}
+	if file != "-" {
+		_, err = readSettled(ctx, file, decode)
+		return s, err
+	}
+	text, err := io.ReadAll(cmd.Root().Reader)
+	if err != nil {
+		return s, err
 	}
-	return os.ReadFile(file)
+	return s, decode(text)
 }
 
 func build(s setting.Settings) (*base, error) {
