Datagrams: no duration of another process ends an entry where it is logged (FAULT)

Found while looking for the class elsewhere: one datagram at an entry's peers port, a planner update whose age is the least int64, ended the process: the logging library panics on that duration (index out of range [-15]). Anybody who reaches the port can send it; a planner never does. Change: the age is at least 0 where a datagram is decoded, as those of rates are.

--- a/internal/program/lifetime/role_test.go
+++ b/internal/program/lifetime/role_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -183,6 +184,11 @@
 // settings returns the file with the role's settings.
 func (r role) settings() string { return r.args[slices.Index(r.args, "--settings")+1] }
 
+// address returns the address of a listener.
+func (r role) address(name string) netip.AddrPort {
+	return r.addresses[slices.IndexFunc(r.addresses, func(a address) bool { return a.name == name })].at
+}
+
 // logged returns what processes of the role have logged.
 func (r role) logged(t *testing.T) string {
 	t.Helper()
@@ -191,6 +197,12 @@
 	return string(text)
 }
 
+// hasLogged reports whether processes of the role have logged a text.
+func (r role) hasLogged(t *testing.T, text string) bool {
+	t.Helper()
+	return strings.Contains(r.logged(t), text)
+}
+
 // start starts a process of the role, which ends with the test. Its log is shown if the test fails.
 func (r role) start(t *testing.T, prepare ...func(*exec.Cmd)) *program.Process {
 	t.Helper()
--- a/internal/program/lifetime/signal_test.go
+++ b/internal/program/lifetime/signal_test.go
@@ -4,7 +4,6 @@
 	"io"
 	"os"
 	"os/exec"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -70,7 +69,7 @@
 			require.NoError(t, os.WriteFile(file, text, 0o600))
 			require.NoError(t, pipe.Close())
 			r.requireServes(t, p)
-			require.Eventually(t, func() bool { return strings.Contains(r.logged(t), "reload") }, limit, time.Millisecond)
+			require.Eventually(t, func() bool { return r.hasLogged(t, "reload") }, limit, time.Millisecond)
 		})
 	}
 }
--- a/internal/wire/digest/digest.go
+++ b/internal/wire/digest/digest.go
@@ -169,6 +169,7 @@
 			heartbeat(from, *m.Hello)
 		}
 		if m.Digest != nil {
+			m.Digest.Age = max(m.Digest.Age, 0) // anybody can send a datagram; the shortest duration can't be logged
 			update(from, *m.Digest)
 		}
 		if m.Ping != 0 {
