--- a/internal/program/companion/look.go
+++ b/internal/program/companion/look.go
@@ -13,6 +13,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/expert/places"
 	"wagtailshelf.example/wagtailshelf/internal/expert/plan"
 	"wagtailshelf.example/wagtailshelf/internal/expert/seating"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/task"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
 )
 
@@ -148,9 +149,10 @@
 
 // pollRank polls a rank through its sidecar, or reads the engine's report directly if the
 // sidecar does not answer.
-func (p *planner) pollRank(ctx context.Context, s *modelServer, l rankport.Poll) (rankport.State, error) {
+func (p *planner) pollRank(ctx context.Context, s *modelServer, l rankport.Poll) (state rankport.State, err error) {
+	defer task.Catch(&err)
 	l.Asker = p.asker
-	state, err := p.c.peers.Poll(ctx, s.sidecarAddr, l)
+	state, err = p.c.peers.Poll(ctx, s.sidecarAddr, l)
 	if err == nil || errors.Is(err, rankport.ErrSuperseded) {
 		return state, err
 	}
--- a/internal/program/companion/move.go
+++ b/internal/program/companion/move.go
@@ -15,6 +15,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/expert/places"
 	"wagtailshelf.example/wagtailshelf/internal/expert/plan"
 	"wagtailshelf.example/wagtailshelf/internal/expert/seating"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/task"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
 )
@@ -274,11 +275,20 @@
 		Reachable: func(ctx context.Context) error { return p.checkReachable(ctx, v) },
 		Ranks:     len(v.ranks),
 		Epoch:     v.epoch,
-		Order: func(ctx context.Context, rank int, o changeover.Order) changeover.Result {
-			if rank == own {
-				return p.orderOwnEngine(ctx, o)
+		Order: func(ctx context.Context, rank int, o changeover.Order) (res changeover.Result) {
+			err := task.Guard(func() error {
+				if rank == own {
+					res = p.orderOwnEngine(ctx, o)
+				} else {
+					res = p.sendOrder(ctx, v.ranks[rank], o)
+				}
+				return nil
+			})
+			if err != nil {
+				task.Report(p.c.log, "order", err)
+				return changeover.Unanswered
 			}
-			return p.sendOrder(ctx, v.ranks[rank], o)
+			return res
 		},
 		ReadReport: func(ctx context.Context, rank int) (changeover.Report, error) {
 			state, err := p.pollRank(ctx, v.ranks[rank], rankport.Poll{})
--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -12,6 +12,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
 	"wagtailshelf.example/wagtailshelf/internal/expert/places"
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/task"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
 )
@@ -141,7 +142,14 @@
 	rebalancingEnded := make(chan struct{})
 	go func() {
 		defer close(rebalancingEnded)
-		p.keepRebalancing(ctx)
+		defer cancel() // a term without rebalancing is of no use; the next begins with what the ranks report
+		err := task.Guard(func() error {
+			p.keepRebalancing(ctx)
+			return nil
+		})
+		if err != nil {
+			task.Report(c.log, "rebalancing", err)
+		}
 	}()
 	err := p.keepPolling(ctx)
 	cancel()
--- a/internal/program/deployed/tasks.go
+++ b/internal/program/deployed/tasks.go
@@ -8,7 +8,7 @@
 	"github.com/phuslu/log"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
-	"wagtailshelf.example/wagtailshelf/internal/program/task"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/task"
 )
 
 // Tasks are the tasks of a process.
--- a/internal/program/gateway/breaks.go
+++ b/internal/program/gateway/breaks.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/task"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/wire/presence"
@@ -164,10 +165,15 @@
 }
 
 // probe finds out whether a target listens.
-func (g *Gateway) probe(ctx context.Context, t roster.Target) presence.Presence {
-	seen := presence.Probe(ctx, t.Address)
-	if seen == presence.Listening {
-		g.pool.OnDial()
+func (g *Gateway) probe(ctx context.Context, t roster.Target) (seen presence.Presence) {
+	err := task.Guard(func() error {
+		if seen = presence.Probe(ctx, t.Address); seen == presence.Listening {
+			g.pool.OnDial()
+		}
+		return nil
+	})
+	if err != nil {
+		task.Report(g.log, "probe", err)
 	}
 	return seen
 }
--- a/internal/program/gateway/callers.go
+++ b/internal/program/gateway/callers.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"wagtailshelf.example/wagtailshelf/internal/fleet/task"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/ingress"
 	"wagtailshelf.example/wagtailshelf/internal/wire/reset"
@@ -32,7 +33,7 @@
 func (g *Gateway) serveOn(ctx context.Context, l net.Listener) error {
 	s := g.callerServer(g.forward)
 	ended := make(chan error, 1)
-	go func() { ended <- s.Serve(l) }()
+	go func() { ended <- task.Guard(func() error { return s.Serve(l) }) }()
 	select {
 	case err := <-ended:
 		return err
--- a/internal/program/soak/soak_test.go
+++ b/internal/program/soak/soak_test.go
@@ -86,6 +86,8 @@
 	}
 	t.Cleanup(func() {
 		if t.Failed() {
+			w.checkProcesses()
+			t.Log(w.problems)
 			t.Log(w.logTails())
 		}
 	})
