Settings: a whole number that is written as a fraction ends no start (FAULT)

A process did not start where the platform writes its memory or its descriptors as 284.0, 4100.0 or 4.1e3: DEPLOY calls figures of settings whole numbers and fractions.

--- a/internal/operator/role/deployed.go
+++ b/internal/operator/role/deployed.go
@@ -59,7 +59,7 @@
 }
 
 func serveRole(ctx context.Context, s deployed.Settings, r *deployed.Reloader) error {
-	limitMemory(int64(s.Memory) * megabyte)
+	limitMemory(int64(s.Memory * megabyte))
 	m := metrics.NewSet()
 	lines := sink.New(os.Stdout, m)
 	defer lines.Flush(flushLimit)
--- a/internal/program/deployed/settings.go
+++ b/internal/program/deployed/settings.go
@@ -3,6 +3,7 @@
 package deployed
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -23,7 +24,7 @@
 	Listen     Listen          `yaml:"listen"`
 	Target     Target          `yaml:"target"`
 	Bounds     Bounds          `yaml:"bounds"`
-	Memory     int             `yaml:"memoryMB"` // of the process
+	Memory     float64         `yaml:"memoryMB"` // of the process
 	// Limits holds the other limits of the process, as the platform's table of them.
 	Limits platform.Limits `yaml:"limits"`
 }
@@ -33,7 +34,7 @@
 
 // Resources returns what the process has.
 func (s Settings) Resources() ingress.Resources {
-	return ingress.Resources{Memory: int64(s.Memory) * megabyte, Descriptors: s.Limits.Descriptors}.Fill()
+	return ingress.Resources{Memory: int64(s.Memory * megabyte), Descriptors: s.Limits.Descriptors}.Fill()
 }
 
 // Listen holds the addresses that the process listens on.
@@ -105,5 +106,5 @@
 	{"bounds.repeatSlack", "bounds.repeatSlack must not be below 0", func(s Settings) bool { return s.Bounds.RepeatSlack < 0 }},
 	{"bounds.repeatWindow", "bounds.repeatWindow must be above 0", func(s Settings) bool { return s.Bounds.RepeatWindow <= 0 }},
 	{"bounds.heartbeat", "bounds.heartbeat must not be below 0", func(s Settings) bool { return s.Bounds.Heartbeat < 0 }},
-	{"memoryMB", "memoryMB must be above 0", func(s Settings) bool { return s.Memory <= 0 }},
+	{"memoryMB", "memoryMB must be above 0", func(s Settings) bool { return !(s.Memory > 0) || math.IsInf(s.Memory, 0) }},
 }
--- a/internal/program/deployed/settings_test.go
+++ b/internal/program/deployed/settings_test.go
@@ -11,7 +11,7 @@
 	const text = "role: sidecar\nname: p\naddress: 127.0.0.1\ndataCentre: z\nstore: 127.0.0.1:1\nmemoryMB: 100\n" +
 		"listen: {metrics: \"127.0.0.1:2\", peers: \"127.0.0.1:3\"}\ntarget: {address: \"127.0.0.1:4\", service: s}\n" +
 		"bounds: {apply: 2s, revoke: 5s, drain: 2s, grace: 8s, repeatWindow: 10s}\n"
-	for value, want := range map[string]int{`""`: 0, `'{"max_fds": 4100}'`: 4100, `'{"memory_mb": 100}'`: 0} {
+	for value, want := range map[string]int{`""`: 0, `'{"max_fds": 4100}'`: 4100, `'{"max_fds": 4100.0}'`: 4100, `'{"max_fds": 4.1e3}'`: 4100, `'{"memory_mb": 100}'`: 0} {
 		s, findings := Load("s.yaml", []byte(text+"limits: "+value+"\n"))
 		require.NoError(t, findings.Err(), value)
 		require.Equal(t, want, s.Limits.Descriptors)
@@ -22,3 +22,19 @@
 		require.Error(t, findings.Err(), value)
 	}
 }
+
+// Guards against a process that does not start where the platform writes its memory as a fraction.
+func TestMemory(t *testing.T) {
+	const text = "role: sidecar\nname: p\naddress: 127.0.0.1\ndataCentre: z\nstore: 127.0.0.1:1\n" +
+		"listen: {metrics: \"127.0.0.1:2\", peers: \"127.0.0.1:3\"}\ntarget: {address: \"127.0.0.1:4\", service: s}\n" +
+		"bounds: {apply: 2s, revoke: 5s, drain: 2s, grace: 8s, repeatWindow: 10s}\n"
+	for value, want := range map[string]int64{"284": 284_000_000, "284.0": 284_000_000, "283.5": 283_500_000} {
+		s, findings := Load("s.yaml", []byte(text+"memoryMB: "+value+"\n"))
+		require.NoError(t, findings.Err(), value)
+		require.Equal(t, want, s.Resources().Memory)
+	}
+	for _, value := range []string{"0", "-1", ".nan", ".inf", "many"} {
+		_, findings := Load("s.yaml", []byte(text+"memoryMB: "+value+"\n"))
+		require.Error(t, findings.Err(), value)
+	}
+}
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -94,7 +94,7 @@
 		failures:  make(chan forward.ConnectionFailure, failureRing),
 		malformed: deployed.NewMalformed(l, m),
 	}
-	bodies := &space.Budget{Total: int64(bodyShare * float64(s.Memory) * megabyte)}
+	bodies := &space.Budget{Total: int64(bodyShare * s.Memory * megabyte)}
 	m.NewGauge("wagtailshelf_body_bytes", func() float64 { return float64(bodies.Used()) })
 	took := m.NewHistogram("wagtailshelf_intake_check_seconds")
 	g.intake = &intake.Check{
