Own interface: tasks that follow the store end no process

Same class: followers of documents, hosts, entries and crash records, reports and observations of the project's own entry and sidecar are started again if they end. What keeps the state of all calls (the sidecar's desk, a rank's map switches) and the QUIC socket still end the process: state that a panic left half changed can't be trusted, and a socket that failed isn't opened again. Tests of entry, sidecar and trial with the race detector passed.

--- a/internal/fleet/task/task.go
+++ b/internal/fleet/task/task.go
@@ -58,14 +58,14 @@
 // after its own context ended.
 func (g *Group) Add(ctx context.Context, name string, serve func(context.Context) error) {
 	ctx, cancel := context.WithCancel(ctx)
-	g.tasks.Add(func() error { return g.keep(ctx, name, serve) }, func(error) { cancel() })
+	g.tasks.Add(func() error { return g.Keep(ctx, name, serve) }, func(error) { cancel() })
 }
 
 // Run runs the tasks, and returns the error of the first one that returned.
 func (g *Group) Run() error { return g.tasks.Run() }
 
-// keep runs a task until its context ends.
-func (g *Group) keep(ctx context.Context, name string, serve func(context.Context) error) error {
+// Keep runs a task until its context ends, as the group does with its own.
+func (g *Group) Keep(ctx context.Context, name string, serve func(context.Context) error) error {
 	for {
 		err := Guard(func() error { return serve(ctx) })
 		if ctx.Err() != nil {
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/phuslu/log"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/task"
 	"wagtailshelf.example/wagtailshelf/internal/program/crashes"
 	"wagtailshelf.example/wagtailshelf/internal/program/documents"
 	"wagtailshelf.example/wagtailshelf/internal/record/object"
@@ -216,11 +217,12 @@
 func (e *Entry) Run(ctx context.Context) error {
 	defer e.stop()
 	var g run.Group
-	for _, follow := range []func(context.Context) error{
-		e.docs.Run, e.followHosts, e.followEntries, e.followCrashes, e.crashes.Run,
+	tasks := task.Group{Log: e.cfg.Log, Metrics: e.cfg.Metrics}
+	for name, follow := range map[string]func(context.Context) error{
+		"documents": e.docs.Run, "hosts": e.followHosts, "entries": e.followEntries, "crashes": e.followCrashes, "crashRecord": e.crashes.Run,
 	} {
 		followCtx, stop := context.WithCancel(ctx)
-		g.Add(func() error { return follow(followCtx) }, func(error) { stop() })
+		g.Add(func() error { return tasks.Keep(followCtx, name, follow) }, func(error) { stop() })
 	}
 	peerCtx, stopPeers := context.WithCancel(ctx)
 	g.Add(func() error { return e.peerListener.Serve(peerCtx, servePeerConn) }, func(error) {
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -12,6 +12,7 @@
 	"github.com/phuslu/log"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/fleet/task"
 	"wagtailshelf.example/wagtailshelf/internal/program/documents"
 	"wagtailshelf.example/wagtailshelf/internal/program/rank"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/book"
@@ -127,15 +128,19 @@
 	s.desk.startRecovery = func(j job) { s.startRecovery(ctx, j) }
 	var g run.Group
 	s.addActor(ctx, &g, s.desk.serve)
-	s.addActor(ctx, &g, s.report)
+	tasks := task.Group{Log: s.cfg.Log, Metrics: s.cfg.Metrics}
+	addTask := func(name string, serve func(context.Context) error) {
+		s.addActor(ctx, &g, func(ctx context.Context) error { return tasks.Keep(ctx, name, serve) })
+	}
+	addTask("report", s.report)
 	if s.documents != nil {
-		s.addActor(ctx, &g, s.documents.Run)
+		addTask("documents", s.documents.Run)
 	}
 	if s.group != nil {
 		s.addActor(ctx, &g, s.group.Run)
 	}
 	if s.cfg.Model {
-		s.addActor(ctx, &g, s.observe)
+		addTask("observe", s.observe)
 	}
 	s.addActor(ctx, &g, func(ctx context.Context) error { return s.listener.Serve(ctx, s.serveConn) })
 	g.Add(func() error {
