--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -42,3 +43,64 @@
 		}
 	})
 }
+
+// Heads are complete heads of responses, in the forms in which a body may follow or be absent.
+var Heads = map[string]string{
+	"length":        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n",
+	"no bytes":      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nContent-Type: application/json\r\n\r\n",
+	"chunks":        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n",
+	"neither":       "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n",
+	"HTTP/1.0":      "HTTP/1.0 200 OK\r\nContent-Type: application/json\r\n\r\n",
+	"stream":        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
+	"bare feeds":    "HTTP/1.1 200 OK\nContent-Type: application/json\nContent-Length: 0\n\n",
+	"interim first": "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	"no content":    "HTTP/1.1 204 No Content\r\nContent-Type: application/json\r\n\r\n",
+	"not modified":  "HTTP/1.1 304 Not Modified\r\nContent-Type: application/json\r\n\r\n",
+}
+
+// wholeResponse is a complete response after which a connection can be used again.
+const wholeResponse = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
+
+// RequireHeadsWhole checks that a call fails whose response ends in the middle of its head, after any of its bytes, as the
+// server closes or resets the connection. With reused, the call before it on the connection gets a whole response; else
+// it is the first one.
+func RequireHeadsWhole(t *testing.T, reused bool, call func(to netip.AddrPort) error) {
+	t.Helper()
+	for form, head := range Heads {
+		t.Run(form, func(t *testing.T) {
+			for length := 1; length < len(head); length++ {
+				for _, reset := range []bool{false, true} {
+					at := Start(t, func(c *net.TCPConn, r *bufio.Reader) { cutHead(c, r, reused, head[:length], reset) })
+					if reused {
+						_ = call(at) // what follows is checked
+					}
+					if err := call(at); err == nil {
+						t.Errorf("reset %t: %q was taken for a response", reset, head[:length])
+					}
+				}
+			}
+		})
+	}
+}
+
+// cutHead answers the request of a connection with the beginning of a head. With reused, the first one gets a whole
+// response.
+func cutHead(c *net.TCPConn, r *bufio.Reader, reused bool, beginning string, reset bool) {
+	defer c.Close()
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body) // the client may have gone
+		if !reused {
+			break
+		}
+		reused = false
+		_, _ = io.WriteString(c, wholeResponse)
+	}
+	_, _ = io.WriteString(c, beginning)
+	if reset {
+		_ = c.SetLinger(0) // Close then resets the connection
+	}
+}
