--- a/internal/program/lifetime/output_test.go
+++ b/internal/program/lifetime/output_test.go
@@ -57,3 +57,20 @@
 	}
 	require.NoError(t, syscall.SetNonblock(fd, false))
 }
+
+// Guards against a process that can't end because nobody reads why.
+func TestErrorIsNotRead(t *testing.T) {
+	for _, r := range roles(t) {
+		t.Run(r.name, func(t *testing.T) {
+			require.NoError(t, os.WriteFile(r.settings(), []byte("role: none\n"), 0o600))
+			output, input, err := os.Pipe()
+			require.NoError(t, err)
+			defer output.Close()
+			fill(t, input)
+			p := r.start(t, func(cmd *exec.Cmd) { cmd.Stdout, cmd.Stderr = input, input })
+			require.NoError(t, input.Close())
+			require.True(t, p.Await(limit))
+			require.Equal(t, "exit status 1", p.End())
+		})
+	}
+}
