--- a/internal/program/abuse/process_test.go
+++ b/internal/program/abuse/process_test.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/standin/program"
 )
 
 const (
@@ -43,10 +45,8 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	binary = filepath.Join(dir, "wagtailshelf")
-	output, err := exec.Command("go", "build", "-o", binary, "wagtailshelf.example/wagtailshelf/cmd/wagtailshelf").CombinedOutput()
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "%v\n%s", err, output)
+	if binary, err = program.Build(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return m.Run()
