Settings: listeners of a process have different addresses

Change: settings in which two listeners share an address are refused at the start, since no waiting helps (TestListenersHaveDifferentAddresses failed before on three forms).

--- a/internal/program/abuse/deployed_test.go
+++ b/internal/program/abuse/deployed_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"wagtailshelf.example/wagtailshelf/internal/standin/program"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
@@ -70,7 +71,7 @@
 		Version: 1, Host: host, Plain: "app", HeaderBytes: legalHead, BodyBytes: legalBody, Workspaces: map[string][]string{"w": {"caller"}},
 		Routes: routes,
 	}))
-	d := &deployment{callers: freeAddress(t), readiness: freeAddress(t), metrics: freeAddress(t), peers: freeAddress(t)}
+	d := &deployment{callers: program.FreeAddress(t), readiness: program.FreeAddress(t), metrics: program.FreeAddress(t), peers: program.FreeAddress(t)}
 	d.process = startDeployed(t, entryBounds, store, entrySettings(d))
 	d.requireReady(t)
 	return d
@@ -85,12 +86,12 @@
 func newSidecar(t *testing.T) *deployment {
 	t.Helper()
 	store := standin.NewStore(t)
-	engine := freeAddress(t)
+	engine := program.FreeAddress(t)
 	g, err := standin.NewGroup("g", []netip.AddrPort{engine}, standin.Shape{Layers: 2, Experts: 12, ExpertSlots: 12}, 15*time.Millisecond, standin.NewLedger())
 	require.NoError(t, err)
 	t.Cleanup(g.Close)
 	g.Register(store, "gen")
-	d := &deployment{metrics: freeAddress(t), peers: freeAddress(t)}
+	d := &deployment{metrics: program.FreeAddress(t), peers: program.FreeAddress(t)}
 	d.process = startDeployed(t, sidecarBounds, store, fmt.Sprintf(
 		"role: sidecar\nlisten:\n  metrics: %s\n  peers: %s\ntarget:\n  address: %s\n  service: gen\n", d.metrics, d.peers, engine))
 	d.requireMetrics(t)
--- a/internal/program/abuse/interface_test.go
+++ b/internal/program/abuse/interface_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"wagtailshelf.example/wagtailshelf/internal/standin/program"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
@@ -52,7 +53,7 @@
 
 func newTour(t *testing.T) *tour {
 	t.Helper()
-	engine := freeAddress(t)
+	engine := program.FreeAddress(t)
 	startProcess(t, roomy, nil, "standin", "engine", "--listen", engine.String())
 	w := startTour(t, engine)
 	w.requireServes(t)
@@ -62,11 +63,11 @@
 // startTour starts the deployment in front of a model engine, and applies the document.
 func startTour(t *testing.T, engine netip.AddrPort) *tour {
 	t.Helper()
-	w := &tour{t: t, dir: t.TempDir(), callers: freeAddress(t), administration: freeAddress(t), sidecarAdministration: freeAddress(t)}
+	w := &tour{t: t, dir: t.TempDir(), callers: program.FreeAddress(t), administration: program.FreeAddress(t), sidecarAdministration: program.FreeAddress(t)}
 	w.run("keys", "issue", "entry-1")
 	w.run("keys", "issue", "--role", "sidecar", "engine-1")
-	store := freeAddress(t)
-	w.peers, w.sidecarPeers = freeAddress(t), freeAddress(t)
+	store := program.FreeAddress(t)
+	w.peers, w.sidecarPeers = program.FreeAddress(t), program.FreeAddress(t)
 	startProcess(t, roomy, nil, "standin", "platform", "--listen", store.String())
 	w.sidecar = w.start(ownSidecarBounds, "sidecar", "engine-1", store,
 		fmt.Sprintf("listen: {peers: %s, administration: %s}\ntarget: {address: %s, kind: model}\n", w.sidecarPeers, w.sidecarAdministration, engine))
--- a/internal/program/abuse/process_test.go
+++ b/internal/program/abuse/process_test.go
@@ -5,8 +5,6 @@
 import (
 	"bufio"
 	"fmt"
-	"net"
-	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -154,12 +152,3 @@
 	}
 	return string(text[max(len(text)-3000, 0):])
 }
-
-// freeAddress returns an address whose port is free.
-func freeAddress(t *testing.T) netip.AddrPort {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
-}
--- a/internal/program/abuse/target_test.go
+++ b/internal/program/abuse/target_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"wagtailshelf.example/wagtailshelf/internal/standin/program"
 	"wagtailshelf.example/wagtailshelf/internal/standin/rawserver"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
@@ -170,7 +171,7 @@
 // Guards against an entry that keeps what a faulty store sends.
 func TestEntryStoreWithoutEnd(t *testing.T) {
 	at, served := newEndless(t)
-	d := &deployment{callers: freeAddress(t), readiness: freeAddress(t), metrics: freeAddress(t), peers: freeAddress(t)}
+	d := &deployment{callers: program.FreeAddress(t), readiness: program.FreeAddress(t), metrics: program.FreeAddress(t), peers: program.FreeAddress(t)}
 	d.process = startDeployedAt(t, entryBounds, at, entrySettings(d))
 	requireThroughout(t, func(t *testing.T) {
 		d.requireMetrics(t)
@@ -190,7 +191,7 @@
 // Guards against a sidecar that keeps what the store sends, which it calls to lead its group.
 func TestSidecarStoreWithoutEnd(t *testing.T) {
 	store, served := newEndless(t)
-	ranks := []netip.AddrPort{freeAddress(t), freeAddress(t)}
+	ranks := []netip.AddrPort{program.FreeAddress(t), program.FreeAddress(t)}
 	g, err := standin.NewGroup("g", ranks, standin.Shape{Layers: 2, Experts: 12, ExpertSlots: 12}, 15*time.Millisecond, standin.NewLedger())
 	require.NoError(t, err)
 	t.Cleanup(g.Close)
@@ -203,7 +204,7 @@
 	t.Helper()
 	var sidecars []*deployment
 	for range count {
-		d := &deployment{metrics: freeAddress(t), peers: freeAddress(t)}
+		d := &deployment{metrics: program.FreeAddress(t), peers: program.FreeAddress(t)}
 		d.process = startDeployedAt(t, sidecarBounds, store, fmt.Sprintf(
 			"role: sidecar\nlisten:\n  metrics: %s\n  peers: %s\ntarget:\n  address: %s\n  service: gen\n", d.metrics, d.peers, engine))
 		sidecars = append(sidecars, d)
--- a/internal/program/deployed/settings.go
+++ b/internal/program/deployed/settings.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
@@ -45,6 +46,21 @@
 	Peers     netip.AddrPort `yaml:"peers"` // for other processes of the system; the port is the same on all hosts
 }
 
+// shared reports whether two listeners of a process have the same address, which the second would wait for in vain. An
+// entry's peers send it datagrams only.
+func (l Listen) shared(r host.Role) bool {
+	list := []netip.AddrPort{l.Callers, l.Readiness, l.Metrics}
+	if r == host.Sidecar {
+		list = []netip.AddrPort{l.Metrics, l.Peers}
+	}
+	for i, at := range list {
+		if at.Port() != 0 && slices.Contains(list[:i], at) {
+			return true
+		}
+	}
+	return false
+}
+
 // Target is the target behind a sidecar.
 type Target struct {
 	Address netip.AddrPort `yaml:"address"`
@@ -97,6 +113,7 @@
 	{"listen.callers", "an entry needs listen.callers", func(s Settings) bool { return s.Role == host.Entry && s.Listen.Callers.Port() == 0 }},
 	{"listen.readiness", "an entry needs listen.readiness", func(s Settings) bool { return s.Role == host.Entry && s.Listen.Readiness.Port() == 0 }},
 	{"listen.peers", "listen.peers has no port", func(s Settings) bool { return s.Listen.Peers.Port() == 0 }},
+	{"listen", "the listeners need different addresses", func(s Settings) bool { return s.Listen.shared(s.Role) }},
 	{"target.address", "a sidecar needs target.address", func(s Settings) bool { return s.Role == host.Sidecar && s.Target.Address.Port() == 0 }},
 	{"bounds.apply", "bounds.apply must be above 0", func(s Settings) bool { return s.Bounds.Apply <= 0 }},
 	{"bounds.revoke", "bounds.revoke must be above 0", func(s Settings) bool { return s.Bounds.Revoke <= 0 }},
--- a/internal/program/deployed/settings_test.go
+++ b/internal/program/deployed/settings_test.go
@@ -38,3 +38,20 @@
 		require.Error(t, findings.Err(), value)
 	}
 }
+
+// Guards against a process that waits in vain for an address that one of its own listeners has.
+func TestListenersHaveDifferentAddresses(t *testing.T) {
+	const text = "name: p\naddress: 127.0.0.1\ndataCentre: z\nstore: 127.0.0.1:1\nmemoryMB: 100\n" +
+		"target: {address: \"127.0.0.1:4\", service: s}\nbounds: {apply: 2s, revoke: 5s, drain: 2s, grace: 8s, repeatWindow: 10s}\n"
+	for listen, different := range map[string]bool{
+		`role: entry` + "\n" + `listen: {callers: "127.0.0.1:5", readiness: "127.0.0.1:6", metrics: "127.0.0.1:7", peers: "127.0.0.1:7"}`: true,
+		`role: entry` + "\n" + `listen: {callers: "127.0.0.1:5", readiness: "127.0.0.1:6", metrics: "127.0.0.1:5", peers: "127.0.0.1:8"}`: false,
+		`role: entry` + "\n" + `listen: {callers: "127.0.0.1:5", readiness: "127.0.0.1:5", metrics: "127.0.0.1:7", peers: "127.0.0.1:8"}`: false,
+		`role: entry` + "\n" + `listen: {callers: "127.0.0.1:5", readiness: "127.0.0.2:5", metrics: "127.0.0.3:5", peers: "127.0.0.1:8"}`: true,
+		`role: sidecar` + "\n" + `listen: {metrics: "127.0.0.1:7", peers: "127.0.0.1:8"}`:                                                 true,
+		`role: sidecar` + "\n" + `listen: {metrics: "127.0.0.1:7", peers: "127.0.0.1:7"}`:                                                 false,
+	} {
+		_, findings := Load("s.yaml", []byte(text+listen+"\n"))
+		require.Equal(t, different, findings.Err() == nil, "%s: %v", listen, findings)
+	}
+}
--- a/internal/program/lifetime/address_test.go
+++ b/internal/program/lifetime/address_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"wagtailshelf.example/wagtailshelf/internal/standin/program"
 )
 
 // takenTime is how long another process has an address, beyond the start of the one under test.
@@ -15,7 +17,7 @@
 	for _, r := range roles(t) {
 		for _, a := range r.addresses {
 			t.Run(r.name+" "+a.name+" "+a.network, func(t *testing.T) {
-				release, err := take(a.network, a.at)
+				release, err := program.Take(a.network, a.at)
 				require.NoError(t, err)
 				p := r.start(t)
 				ended := p.Await(takenTime)
@@ -32,7 +34,7 @@
 	for _, r := range roles(t) {
 		for _, a := range r.addresses {
 			t.Run(r.name+" "+a.name+" "+a.network, func(t *testing.T) {
-				release, err := take(a.network, a.at)
+				release, err := program.Take(a.network, a.at)
 				require.NoError(t, err)
 				defer release()
 				p := r.start(t)
--- a/internal/program/lifetime/role_test.go
+++ b/internal/program/lifetime/role_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -74,9 +73,9 @@
 	"  repeatRatio: 0.2\n  repeatSlack: 90\n  repeatWindow: 10s\n"
 
 func deployedEntry(t *testing.T, dir string) role {
-	callers, readiness, metrics, peers := freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t)
+	callers, readiness, metrics, peers := program.FreeAddress(t), program.FreeAddress(t), program.FreeAddress(t), program.FreeAddress(t)
 	text := fmt.Sprintf("role: entry\nname: e\ndataCentre: z\naddress: 127.0.0.1\nstore: %s\nlisten: {callers: %s, readiness: %s, metrics: %s, peers: %s}\n",
-		freeAddress(t), callers, readiness, metrics, peers)
+		program.FreeAddress(t), callers, readiness, metrics, peers)
 	return role{
 		name: "entry on the platform", args: []string{"serve", "--settings", write(t, dir, "entry", text+bounds)}, observed: metrics,
 		addresses: []address{{"callers", "tcp", callers}, {"readiness", "tcp", readiness}, {"metrics", "tcp", metrics}, {"peers", "udp", peers}},
@@ -84,9 +83,9 @@
 }
 
 func deployedSidecar(t *testing.T, dir string) role {
-	metrics, peers := freeAddress(t), freeAddress(t)
+	metrics, peers := program.FreeAddress(t), program.FreeAddress(t)
 	text := fmt.Sprintf("role: sidecar\nname: s\ndataCentre: z\naddress: 127.0.0.1\nstore: %s\nlisten: {metrics: %s, peers: %s}\ntarget: {address: %s, service: app}\n",
-		freeAddress(t), metrics, peers, freeAddress(t))
+		program.FreeAddress(t), metrics, peers, program.FreeAddress(t))
 	return role{
 		name: "sidecar on the platform", args: []string{"serve", "--settings", write(t, dir, "sidecar", text+bounds)}, observed: metrics,
 		addresses: []address{{"metrics", "tcp", metrics}, {"peers", "udp", peers}, {"peers", "tcp", peers}},
@@ -94,10 +93,10 @@
 }
 
 func ownEntry(t *testing.T, dir string) role {
-	callers, administration, peers := freeAddress(t), freeAddress(t), freeAddress(t)
+	callers, administration, peers := program.FreeAddress(t), program.FreeAddress(t), program.FreeAddress(t)
 	keys := issue(t, dir, "entry-1")
 	text := fmt.Sprintf("role: entry\nname: entry-1\ndataCentre: z\nplatform: [%s]\nlisten: {callers: %s, administration: %s, peers: %s}\n",
-		freeAddress(t), callers, administration, peers)
+		program.FreeAddress(t), callers, administration, peers)
 	return role{
 		name: "entry", args: []string{"entry", "--settings", write(t, dir, "own-entry", text+keys+drain)}, observed: administration,
 		addresses: []address{{"callers", "tcp", callers}, {"administration", "tcp", administration}, {"peers", "udp", peers}},
@@ -105,10 +104,10 @@
 }
 
 func ownSidecar(t *testing.T, dir string) role {
-	administration, peers := freeAddress(t), freeAddress(t)
+	administration, peers := program.FreeAddress(t), program.FreeAddress(t)
 	keys := issue(t, dir, "engine-1", "--role", "sidecar")
 	text := fmt.Sprintf("role: sidecar\nname: engine-1\ndataCentre: z\nplatform: [%s]\nlisten: {administration: %s, peers: %s}\ntarget: {address: %s, kind: model}\n",
-		freeAddress(t), administration, peers, freeAddress(t))
+		program.FreeAddress(t), administration, peers, program.FreeAddress(t))
 	return role{
 		name: "sidecar", args: []string{"sidecar", "--settings", write(t, dir, "own-sidecar", text+keys+drain)}, observed: administration,
 		addresses: []address{{"administration", "tcp", administration}, {"peers", "udp", peers}},
@@ -137,50 +136,6 @@
 	return file
 }
 
-// usedAddresses are the addresses that freeAddress has returned.
-var usedAddresses = make(map[netip.AddrPort]bool)
-
-// freeAddress returns an address whose port is free for TCP and UDP, another one each time.
-func freeAddress(t *testing.T) netip.AddrPort {
-	t.Helper()
-	for {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		require.NoError(t, err)
-		at := netip.MustParseAddrPort(l.Addr().String())
-		_ = l.Close() // nobody has connected
-		if !usedAddresses[at] && isFree("udp", at) {
-			usedAddresses[at] = true
-			return at
-		}
-	}
-}
-
-// isFree reports whether nobody listens on an address.
-func isFree(network string, at netip.AddrPort) bool {
-	taken, err := take(network, at)
-	if err != nil {
-		return false
-	}
-	taken()
-	return true
-}
-
-// take listens on an address until the returned function is called.
-func take(network string, at netip.AddrPort) (release func(), err error) {
-	if network == "udp" {
-		c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
-		if err != nil {
-			return nil, err
-		}
-		return func() { _ = c.Close() }, nil // nothing is sent
-	}
-	l, err := net.Listen("tcp4", at.String())
-	if err != nil {
-		return nil, err
-	}
-	return func() { _ = l.Close() }, nil // nobody has to be served
-}
-
 // settings returns the file with the role's settings.
 func (r role) settings() string { return r.args[slices.Index(r.args, "--settings")+1] }
 
@@ -234,7 +189,7 @@
 			return true
 		}
 		for _, a := range r.addresses {
-			if isFree(a.network, a.at) {
+			if program.IsFree(a.network, a.at) {
 				return false
 			}
 		}
