--- a/internal/program/soak/world_test.go
+++ b/internal/program/soak/world_test.go
@@ -38,7 +38,6 @@
 	mu       sync.Mutex
 	running  *program.Process
 	draws    *rand.Rand // of what happens at its starts
-	starts   int
 }
 
 // start starts or restarts the program, and sends SIGHUP at a random moment of the start.
@@ -51,7 +50,6 @@
 	started, err := program.Start(cmd)
 	require.NoError(w.t, err)
 	p.running = started
-	p.starts++
 	moment := time.Duration(p.draws.Int64N(int64(maxStartTime)))
 	w.signalling.Go(func() {
 		time.Sleep(moment)
