Tasks beside the programs; names that a newcomer reads

program/task was moved to fleet for a use that did not stay, and reads the clock; only programs use it. signals.UntilStopped is a context, signals.Stops a channel. Tests of real processes build the program in one place (program.Main). No behaviour changed.

--- a/internal/operator/role/deployed.go
+++ b/internal/operator/role/deployed.go
@@ -34,7 +34,7 @@
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			signals.IgnoreBrokenPipes()
-			ctx, stop := signals.Stop(ctx)
+			ctx, stop := signals.UntilStopped(ctx)
 			defer stop()
 			hangups := signals.Hangups() // from before the settings are read
 			file := cmd.String(settingsFlag)
--- a/internal/operator/role/role.go
+++ b/internal/operator/role/role.go
@@ -52,7 +52,7 @@
 			signals.IgnoreBrokenPipes()
 			// From before the settings are read. The process can also be stopped while it waits for its addresses.
 			stops, hangups := signals.Stops(), signals.Hangups()
-			opening, opened := signals.Stop(ctx)
+			opening, opened := signals.UntilStopped(ctx)
 			defer opened()
 			b, err := load(opening, cmd, role)
 			if err != nil {
--- a/internal/program/abuse/process_test.go
+++ b/internal/program/abuse/process_test.go
@@ -32,23 +32,7 @@
 // binary is the program under test. It is built without the race detector, which would multiply its memory.
 var binary string
 
-func TestMain(m *testing.M) {
-	os.Exit(buildAndRun(m))
-}
-
-func buildAndRun(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "abuse")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(dir)
-	if binary, err = program.Build(dir); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(program.Main(m, &binary)) }
 
 // bounds are what a process is given.
 type bounds struct {
--- a/internal/program/companion/look.go
+++ b/internal/program/companion/look.go
@@ -13,7 +13,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/expert/places"
 	"wagtailshelf.example/wagtailshelf/internal/expert/plan"
 	"wagtailshelf.example/wagtailshelf/internal/expert/seating"
-	"wagtailshelf.example/wagtailshelf/internal/fleet/task"
+	"wagtailshelf.example/wagtailshelf/internal/program/task"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
 )
 
--- a/internal/program/companion/plan.go
+++ b/internal/program/companion/plan.go
@@ -12,7 +12,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/expert/expertmap"
 	"wagtailshelf.example/wagtailshelf/internal/expert/places"
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
-	"wagtailshelf.example/wagtailshelf/internal/fleet/task"
+	"wagtailshelf.example/wagtailshelf/internal/program/task"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/rankport"
 )
--- a/internal/program/deployed/tasks.go
+++ b/internal/program/deployed/tasks.go
@@ -8,7 +8,7 @@
 	"github.com/phuslu/log"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
-	"wagtailshelf.example/wagtailshelf/internal/fleet/task"
+	"wagtailshelf.example/wagtailshelf/internal/program/task"
 )
 
 // Tasks are the tasks of a process.
--- a/internal/program/entry/entry.go
+++ b/internal/program/entry/entry.go
@@ -17,9 +17,9 @@
 	"github.com/phuslu/log"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
-	"wagtailshelf.example/wagtailshelf/internal/fleet/task"
 	"wagtailshelf.example/wagtailshelf/internal/program/crashes"
 	"wagtailshelf.example/wagtailshelf/internal/program/documents"
+	"wagtailshelf.example/wagtailshelf/internal/program/task"
 	"wagtailshelf.example/wagtailshelf/internal/record/object"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/target"
--- a/internal/program/gateway/callers.go
+++ b/internal/program/gateway/callers.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"wagtailshelf.example/wagtailshelf/internal/fleet/task"
+	"wagtailshelf.example/wagtailshelf/internal/program/task"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/ingress"
 	"wagtailshelf.example/wagtailshelf/internal/wire/reset"
--- a/internal/program/gateway/digest.go
+++ b/internal/program/gateway/digest.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
-	"wagtailshelf.example/wagtailshelf/internal/fleet/task"
+	"wagtailshelf.example/wagtailshelf/internal/program/task"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/routing"
 	"wagtailshelf.example/wagtailshelf/internal/wire/address"
--- a/internal/program/lifetime/role_test.go
+++ b/internal/program/lifetime/role_test.go
@@ -23,23 +23,7 @@
 // binary is the program under test.
 var binary string
 
-func TestMain(m *testing.M) {
-	os.Exit(buildAndRun(m))
-}
-
-func buildAndRun(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "lifetime")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(dir)
-	if binary, err = program.Build(dir); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(program.Main(m, &binary)) }
 
 // address is an address that a process listens on.
 type address struct {
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -12,9 +12,9 @@
 	"github.com/phuslu/log"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
-	"wagtailshelf.example/wagtailshelf/internal/fleet/task"
 	"wagtailshelf.example/wagtailshelf/internal/program/documents"
 	"wagtailshelf.example/wagtailshelf/internal/program/rank"
+	"wagtailshelf.example/wagtailshelf/internal/program/task"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/book"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/workspace"
 	"wagtailshelf.example/wagtailshelf/internal/wire/address"
--- a/internal/program/signals/signals.go
+++ b/internal/program/signals/signals.go
@@ -14,8 +14,8 @@
 	"syscall"
 )
 
-// Stop returns a context that ends when SIGTERM or SIGINT asks the process to stop. Its cause names the signal.
-func Stop(ctx context.Context) (context.Context, context.CancelFunc) {
+// UntilStopped returns a context that ends when SIGTERM or SIGINT asks the process to stop. Its cause names the signal.
+func UntilStopped(ctx context.Context) (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 }
 
--- a/internal/standin/program/program.go
+++ b/internal/standin/program/program.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -29,6 +30,22 @@
 	return file, nil
 }
 
+// Main builds the program for the tests of a package, runs them, and returns their exit status. The file is there while
+// they run.
+func Main(m *testing.M, file *string) int {
+	dir, err := os.MkdirTemp("", "program")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	if *file, err = Build(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
 // Process is a process that a test has started.
 type Process struct {
 	cmd    *exec.Cmd
