A stand-in server ends before its test does

No caller sees this: it is a fault of the tests, not of the product.

Cause: rawserver.Start closed the connections when the test ended, and did not wait for the goroutines that serve them. Its handler reads until the client has closed the connection, closes its own side, and logs the error to the test. If the cleanup closes the connection first, that is after the end of the test. standin.NewRaw was a second copy with the same fault.

Change: Start owns its connections, closes them as the test ends, and waits until serve has returned for each. NewRaw uses it. The number that NewRaw passed on was only counted.

A search over the syntax trees for t and its assertions in goroutines and in handlers of connections found these two places, and one in a handler of HTTP whose test waits for the response.

--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -7,31 +7,75 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
 )
 
-// Start starts a server that passes each connection to serve, with the reader of its requests. Connections that are
-// still open are closed when the test ends. It returns the server's address.
+// Start starts a server that passes each connection to serve, with the reader of its requests. When the test ends, the
+// connections are closed, and serve has returned for each of them: it may use the test. Start returns the server's
+// address.
 func Start(t testing.TB, serve func(c *net.TCPConn, r *bufio.Reader)) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() }) // this fails only if it is closed already
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return // the test has ended
-			}
-			t.Cleanup(func() { _ = c.Close() }) // either side may have closed it
-			go serve(c.(*net.TCPConn), bufio.NewReader(c))
-		}
-	}()
+	s := &server{serve: serve}
+	s.running.Go(func() { s.accept(l) })
+	t.Cleanup(func() {
+		_ = l.Close() // this fails only if it is closed already
+		s.close()
+		s.running.Wait()
+	})
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
+// server is a server that has been started.
+type server struct {
+	serve   func(c *net.TCPConn, r *bufio.Reader)
+	running sync.WaitGroup
+
+	mu     sync.Mutex
+	conns  []*net.TCPConn
+	closed bool
+}
+
+// accept serves the connections of a listener until it is closed.
+func (s *server) accept(l *net.TCPListener) {
+	for {
+		c, err := l.AcceptTCP()
+		if err != nil {
+			return // the test has ended
+		}
+		if !s.add(c) {
+			_ = c.Close() // nobody uses it
+			return
+		}
+		s.running.Go(func() { s.serve(c, bufio.NewReader(c)) })
+	}
+}
+
+// add notes a connection, unless the server is closed.
+func (s *server) add(c *net.TCPConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns = append(s.conns, c)
+	return true
+}
+
+// close closes the connections. Either side may have closed them already.
+func (s *server) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for _, c := range s.conns {
+		_ = c.Close()
+	}
+}
+
 // StartOnce starts a server that reads the head of the first request of each connection, calls answer, and closes the
 // connection.
 func StartOnce(t testing.TB, answer func(c *net.TCPConn)) netip.AddrPort {
--- a/internal/traffic/forward/connection_test.go
+++ b/internal/traffic/forward/connection_test.go
@@ -19,7 +19,7 @@
 // that connection, so the next request uses a new one.
 func TestConnectionWithLateAnswersIsNotKept(t *testing.T) {
 	var connections atomic.Int64
-	s := standin.NewRaw(t, func(_ int, c *bufio.ReadWriter) {
+	s := standin.NewRaw(t, func(c *bufio.ReadWriter) {
 		connections.Add(1)
 		for {
 			if _, err := http.ReadRequest(c.Reader); err != nil {
@@ -40,7 +40,7 @@
 // next request on the connection, so the next request needs a new one.
 func TestConnectionIsNotKeptWithoutTheWholeBody(t *testing.T) {
 	const long = 32 << 20 // more than the system buffers for one connection
-	s := standin.NewRaw(t, func(_ int, c *bufio.ReadWriter) {
+	s := standin.NewRaw(t, func(c *bufio.ReadWriter) {
 		if _, err := http.ReadRequest(c.Reader); err != nil {
 			return
 		}
@@ -61,7 +61,7 @@
 // so it uses a new connection.
 func TestConnectionToAnEarlierIncarnationIsNotUsed(t *testing.T) {
 	var connections atomic.Int64
-	s := standin.NewRaw(t, func(_ int, c *bufio.ReadWriter) {
+	s := standin.NewRaw(t, func(c *bufio.ReadWriter) {
 		connections.Add(1)
 		for {
 			if _, err := http.ReadRequest(c.Reader); err != nil {
--- a/internal/traffic/forward/discard_test.go
+++ b/internal/traffic/forward/discard_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,7 +43,7 @@
 
 // beginning returns a server whose responses begin with a text and have no end.
 func beginning(t *testing.T, text string, rest func(c *bufio.ReadWriter)) *standin.Server {
-	return standin.NewRaw(t, func(_ int, c *bufio.ReadWriter) {
+	return standin.NewRaw(t, func(c *bufio.ReadWriter) {
 		if _, err := http.ReadRequest(c.Reader); err == nil {
 			_, _ = c.WriteString(text) // what arrives is checked
 			rest(c)
@@ -78,9 +79,9 @@
 
 // A refusal with a body is read to its end, so that its connection is used again.
 func TestConnectionOfARefusalIsKept(t *testing.T) {
-	connections := make(chan int, 8)
-	s := standin.NewRaw(t, func(n int, c *bufio.ReadWriter) {
-		connections <- n
+	var connections atomic.Int64
+	s := standin.NewRaw(t, func(c *bufio.ReadWriter) {
+		connections.Add(1)
 		for {
 			if _, err := http.ReadRequest(c.Reader); err != nil {
 				return
@@ -94,5 +95,5 @@
 		requireRefused(t, b.call(http.MethodPost, "/unsafe/x"), http.StatusServiceUnavailable)
 		time.Sleep(time.Second / 2) // the server is avoided for a moment
 	}
-	require.Len(t, connections, 1)
+	require.EqualValues(t, 1, connections.Load())
 }
--- a/internal/traffic/forward/order_more_test.go
+++ b/internal/traffic/forward/order_more_test.go
@@ -97,7 +97,7 @@
 // Guards against a response that is lost behind several interim ones.
 func TestInterimResponses(t *testing.T) {
 	const interim = "HTTP/1.1 103 Early Hints\r\n\r\n"
-	s := standin.NewRaw(t, func(_ int, c *bufio.ReadWriter) {
+	s := standin.NewRaw(t, func(c *bufio.ReadWriter) {
 		if _, err := http.ReadRequest(c.Reader); err != nil {
 			return
 		}
