A response without a length is complete only if its target did not restart

What callers saw: the beginning of a response, given as all of it (200, "hel" of "hello"), and a stream that ended before its last event, if the target crashed in the middle of a response without a length and was back before the entry asked whether it runs.

Cause: the end of such a response was proven by a probe of the target's address 10 ms after it. That proves that a process listens, not that it is the one that answered. An entry that does not run for a moment asks later still.

Change: wire/witness. A witness is another, idle connection to the target, opened when the head of a response without a length arrives, and used for a second by the exchanges that begin then. It ends with the process. Open 10 ms after the end of the response: complete. Both ended together: cut. One that ends while the exchange goes on was closed for being idle; the exchange gets another one, and the age is remembered, so that later exchanges don't use one that is about to be closed. No witness: the probe, as before. The log has witness=runs, ended or none for each attempt; a counter has the same.

Why it works: connections are closed by the kernel as their process ends, and a connection that was open while the other one was leads to the same process.

--- a/internal/program/gateway/breaks.go
+++ b/internal/program/gateway/breaks.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"wagtailshelf.example/wagtailshelf/internal/fleet/roster"
 	"wagtailshelf.example/wagtailshelf/internal/program/task"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/forward"
@@ -18,9 +21,6 @@
 	// failureRing is how many connection failures may wait to be examined: all of an entry's
 	// requests, when a group of 256 ranks ends. More are dropped and counted.
 	failureRing = 4096
-	// probeDelay is how long after a connection failure a target is probed. A process that ends
-	// closes its connections one by one, and its listener before or after them.
-	probeDelay = 10 * time.Millisecond
 	// maxProbeDelay bounds the delay of a probe for failures that go on.
 	maxProbeDelay = 30 * time.Millisecond
 	// maxLoggedRequests bounds the requests that one log line lists.
@@ -58,7 +58,7 @@
 func (b *failedTarget) startProbe(now time.Time) {
 	var ready []failedRequest
 	for _, r := range b.requests {
-		if now.Sub(r.at) < probeDelay {
+		if now.Sub(r.at) < presence.Settle {
 			b.later = append(b.later, r)
 			continue
 		}
@@ -114,7 +114,7 @@
 	t := f.pending[r.Target.ID]
 	switch {
 	case t == nil:
-		t = &failedTarget{target: r.Target, since: now, due: now.Add(probeDelay), requests: []failedRequest{r}}
+		t = &failedTarget{target: r.Target, since: now, due: now.Add(presence.Settle), requests: []failedRequest{r}}
 		f.pending[r.Target.ID] = t
 		go sendAt(ctx, t.due, t, f.due)
 	case t.due.IsZero():
@@ -122,7 +122,7 @@
 	default:
 		t.requests = append(t.requests, r)
 		if last := t.since.Add(maxProbeDelay); !r.Ended && t.due.Before(last) {
-			t.due = minTime(now.Add(probeDelay), last)
+			t.due = minTime(now.Add(presence.Settle), last)
 		}
 	}
 }
@@ -164,6 +164,19 @@
 	}
 }
 
+// setUpWitnesses has witnesses opened that are kept as idle connections are.
+func (g *Gateway) setUpWitnesses(dialled *metrics.Counter) {
+	g.witnesses.OnDial = dialled.Inc
+	g.witnesses.Keep = func(at netip.AddrPort) bool { return g.idleConnections(at) > 0 }
+	g.witnesses.Go = func(f func()) {
+		go func() {
+			if err := task.Guard(func() error { f(); return nil }); err != nil {
+				task.Report(g.log, "witness", err)
+			}
+		}()
+	}
+}
+
 // probe finds out whether a target listens.
 func (g *Gateway) probe(ctx context.Context, t roster.Target) (seen presence.Presence) {
 	err := task.Guard(func() error {
--- a/internal/program/gateway/breaks_more_test.go
+++ b/internal/program/gateway/breaks_more_test.go
@@ -36,11 +36,11 @@
 			return done
 		}
 		sound := failed() // a proper response without a length
-		time.Sleep(probeDelay * 7 / 10)
+		time.Sleep(presence.Settle * 7 / 10)
 		crashed, at := failed(), time.Now()
-		time.Sleep(probeDelay * 6 / 10)
+		time.Sleep(presence.Settle * 6 / 10)
 		require.NoError(t, l.Close())
-		inTime := time.Since(at) < probeDelay // otherwise this machine is too slow to tell
+		inTime := time.Since(at) < presence.Settle // otherwise this machine is too slow to tell
 		<-sound
 		if p := <-crashed; inTime {
 			judged++
--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/wire/intake"
 	"wagtailshelf.example/wagtailshelf/internal/wire/space"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
+	"wagtailshelf.example/wagtailshelf/internal/wire/witness"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
 
@@ -67,6 +68,7 @@
 	heartbeats    uint64 // number of heartbeat rounds; used only by the goroutine that sends them
 	forward       *forward.Forwarder
 	pool          *upstream.Pool
+	witnesses     *witness.Set
 	admit         *admission.Controller
 	failures      chan forward.ConnectionFailure // connection failures whose cause is not known yet
 	crashes       *crashes.Keeper
@@ -90,6 +92,7 @@
 		departed:  newDeparted(),
 		drain:     forward.NewDrain(),
 		pool:      upstream.NewPool(),
+		witnesses: witness.New(),
 		admit:     admission.New(),
 		failures:  make(chan forward.ConnectionFailure, failureRing),
 		malformed: deployed.NewMalformed(l, m),
@@ -107,6 +110,7 @@
 	m.NewGauge("wagtailshelf_caller_connections_accepted", func() float64 { return float64(g.connections.accepted.Load()) })
 	g.pool.OnDial = dialled.Inc
 	g.pool.MaxIdle = g.idleConnections
+	g.setUpWitnesses(dialled)
 	g.roster.OnRegained = g.targetRegained
 	g.admit.Targets = g.serving
 	g.admit.RulesFor = g.limits
@@ -128,6 +132,7 @@
 		UnknownMaxAge: func() time.Duration { return time.Duration(configTrust * float64(g.bounds.Load().Revoke)) },
 		Admission:     g.admit,
 		Pool:          g.pool,
+		Witnesses:     g.witnesses,
 		Space:         bodies,
 		Budget: &forward.Budget{Started: time.Now(), OnDecision: g.noteRepeat, Limits: func() forward.Limits {
 			b := g.bounds.Load()
@@ -178,6 +183,7 @@
 		return deployed.ServeMetrics(ctx, g.settings, g.log, g.metrics)
 	})
 	tasks.Add(ctx, "callers", g.serveCallers)
+	defer g.witnesses.Close()
 	return tasks.Run(ctx, host.Entry)
 }
 
@@ -197,6 +203,7 @@
 			if now.Sub(lastSweep) >= sweepInterval {
 				lastSweep = now
 				g.pool.Sweep(now)
+				g.witnesses.Sweep(now)
 				g.crashes.Quarantine.Sweep(now)
 				g.admit.Sweep(now, func(id string) bool { _, found := g.roster.Get(id); return found })
 			}
--- a/internal/program/gateway/observe.go
+++ b/internal/program/gateway/observe.go
@@ -106,6 +106,9 @@
 		if a.Bound != "" {
 			g.metrics.GetOrCreateCounter(fmt.Sprintf(`wagtailshelf_answers_over_bound_total{bound=%q}`, a.Bound)).Inc()
 		}
+		if a.Unframed {
+			g.metrics.GetOrCreateCounter(fmt.Sprintf(`wagtailshelf_unframed_answers_total{witness=%q}`, a.Witness)).Inc()
+		}
 		if !a.Notice.Empty() {
 			g.metrics.GetOrCreateCounter("wagtailshelf_notice_answers_total").Inc()
 		}
@@ -146,7 +149,7 @@
 
 // describeAttempt returns the log text of an attempt: the target, the result and its duration, when the
 // request was written to the target, what was known of the target when it was chosen, the status of its
-// response, the bound that its bytes exceeded, which events of a stream it sent, the rate that it gave, and its notice.
+// response, what a witness told at the end of one without a length, the bound that its bytes exceeded, which events of a stream it sent, the rate that it gave, and its notice.
 func describeAttempt(a forward.Attempt) string {
 	text := fmt.Sprintf("%s %s %dms sent=%dms reused=%t load=%d loadAge=%dms",
 		a.Target, a.Result, a.Took.Milliseconds(), a.Sent.Milliseconds(), a.Reused, a.Seen.Load, a.Seen.Age.Milliseconds())
@@ -154,7 +157,7 @@
 		text += fmt.Sprintf(" status=%d", a.Status)
 	}
 	if a.Unframed {
-		text += " unframed=true"
+		text += " unframed=true witness=" + a.Witness.String()
 	}
 	if a.Bound != "" {
 		text += " bound=" + a.Bound
--- a/internal/program/gateway/unframed_test.go
+++ b/internal/program/gateway/unframed_test.go
@@ -7,12 +7,14 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"wagtailshelf.example/wagtailshelf/internal/standin/rawserver"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
@@ -24,6 +26,29 @@
 	armed      atomic.Bool
 }
 
+// incarnation is a process that runs at the address of a server.
+type incarnation struct {
+	listener net.Listener
+	mu       sync.Mutex
+	conns    []net.Conn
+}
+
+// end closes all that the process has open, as its end does.
+func (i *incarnation) end() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, c := range i.conns {
+		_ = c.Close() // it may be closed already
+	}
+	_ = i.listener.Close() // the server has only this listener
+}
+
+func (i *incarnation) add(c net.Conn) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.conns = append(i.conns, c)
+}
+
 // start starts a server. It crashes once it has responded to the first request after the set was armed, if
 // that reached it.
 func (u *unframedServers) start(t *testing.T) netip.AddrPort {
@@ -37,13 +62,15 @@
 // listen serves the connections of a listener until it is closed.
 func (u *unframedServers) listen(t *testing.T, at netip.AddrPort, l net.Listener) {
 	t.Cleanup(func() { _ = l.Close() }) // closed already if the server has crashed
+	i := &incarnation{listener: l}
 	go func() {
 		for {
 			conn, err := l.Accept()
 			if err != nil {
 				break
 			}
-			go u.serve(conn, l)
+			i.add(conn)
+			go u.serve(conn, i)
 		}
 		if !u.back || t.Context().Err() != nil {
 			return
@@ -54,7 +81,7 @@
 	}()
 }
 
-func (u *unframedServers) serve(conn net.Conn, l net.Listener) {
+func (u *unframedServers) serve(conn net.Conn, i *incarnation) {
 	defer conn.Close()
 	r, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
@@ -64,12 +91,15 @@
 	if r.Header.Get("Last-Event-Id") != "" {
 		body = u.rest
 	}
-	if u.armed.CompareAndSwap(true, false) {
+	crashes := u.armed.CompareAndSwap(true, false)
+	if crashes {
 		body = u.cut
-		_ = l.Close() // the server has only this listener
 	}
 	// The test checks what arrives.
 	_, _ = io.WriteString(conn, standin.Wire(standin.RequestID(r), "", body))
+	if crashes {
+		i.end()
+	}
 }
 
 // Guards against a response without a length that looks complete although its target crashed.
@@ -132,3 +162,45 @@
 	status, body, _ = e.call(t, "id-1", "/unsafe/x", "")
 	require.Equal(t, http.StatusBadGateway, status, "%q: %v", body, e.logged.of("request"))
 }
+
+// Guards against sound responses without a length that count as truncated since their server closes the connections on
+// which no request comes.
+func TestUnframedResponsesOfAServerThatClosesIdleConnections(t *testing.T) {
+	t.Parallel()
+	const idle, run, callers = 500 * time.Millisecond, 20 * time.Millisecond, 4
+	store := standin.NewStore(t)
+	require.NoError(t, store.PutConfig(standin.Config{
+		Version: 1, Host: callsHost, Plain: "app", Workspaces: map[string][]string{"acme": {"k1"}},
+		Routes: []standin.Route{{Name: "unsafe", Kind: "unsafe", Service: "app"}},
+	}))
+	store.PutServer("i-0", "app", rawserver.Start(t, func(c *net.TCPConn, r *bufio.Reader) {
+		defer c.Close()
+		_ = c.SetReadDeadline(time.Now().Add(idle)) // fails only if it is closed
+		if q, err := http.ReadRequest(r); err == nil && standin.RequestID(q) != "" {
+			wait := run
+			if q.URL.Path == "/unsafe/long" {
+				wait = 2 * idle
+			}
+			_, _ = io.WriteString(c, standin.Wire(standin.RequestID(q), "", "hel")) // what arrives is checked
+			time.Sleep(wait)
+			_, _ = io.WriteString(c, "lo")
+		}
+	}))
+	e := start(t, "entry-1", store.Address)
+	var cut atomic.Int64
+	var g sync.WaitGroup
+	for n := range callers {
+		g.Go(func() {
+			for k := range 100 {
+				if status, body, _ := e.call(t, fmt.Sprint("id-", n, "-", k), "/unsafe/x", ""); status != http.StatusOK || body != "hello" {
+					cut.Add(1)
+				}
+			}
+		})
+	}
+	g.Wait()
+	require.LessOrEqual(t, cut.Load(), int64(callers), "once, until the entry knows when the server closes them: %v", e.logged.of("request"))
+	status, body, _ := e.call(t, "id-long", "/unsafe/long", "")
+	require.Equal(t, http.StatusOK, status, "%v", e.logged.of("request"))
+	require.Equal(t, "hello", body)
+}
--- a/internal/program/sidecar/call.go
+++ b/internal/program/sidecar/call.go
@@ -28,10 +28,6 @@
 	streamIdle = 3 * time.Second
 )
 
-// probeDelay is how long after the end of an answer that only its connection's end delimits the target is
-// probed: that end is the same whether the answer was complete or its process ended.
-const probeDelay = 10 * time.Millisecond
-
 // readBytes is the size of one read of a target's answer.
 const readBytes = 32 << 10
 
@@ -116,7 +112,7 @@
 func (s *Sidecar) targetEnded(ctx context.Context) bool {
 	select {
 	case <-ctx.Done():
-	case <-time.After(probeDelay):
+	case <-time.After(presence.Settle):
 	}
 	return presence.Probe(ctx, s.cfg.Target) == presence.Absent
 }
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -207,6 +207,8 @@
 		conn.Close()
 		return resultNotRun, admission.End{}, reasonNotSent
 	}
+	c.watch = c.f.Witnesses.Watch(c.f.Now(), target.Address, conn.Open)
+	defer c.watch.Stop()
 	req := upstream.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Body: c.body,
 		Header: platform.RequestHeader(c.r.Header, c.outgoing(target.ID, left)),
@@ -315,6 +317,9 @@
 	}
 	c.f.Admission.ResponseBegun(c.f.Now(), t.Target())
 	c.unframed = answer.Unframed
+	if answer.Unframed {
+		c.watch.Seek()
+	}
 	success := answer.Status >= 200 && answer.Status < 300
 	if !meta.Stamped || success && (meta.Encoded || meta.ID != c.in.ID) {
 		answer.Finish(c.f.Now(), false, 0)
--- a/internal/traffic/forward/forward.go
+++ b/internal/traffic/forward/forward.go
@@ -26,6 +26,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/wire/presence"
 	"wagtailshelf.example/wagtailshelf/internal/wire/space"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
+	"wagtailshelf.example/wagtailshelf/internal/wire/witness"
 	"wagtailshelf.example/wagtailshelf/platform"
 )
 
@@ -42,6 +43,7 @@
 	UnknownMaxAge       func() time.Duration // maximum age of a configuration that can prove a route or key unknown
 	Admission           *admission.Controller
 	Pool                *upstream.Pool
+	Witnesses           *witness.Set  // tell whether targets that end responses without a length still run
 	Space               *space.Budget // bounds the bytes of bodies that are held; nil for no bound
 	Budget              *Budget
 	Now                 func() time.Time
@@ -113,6 +115,8 @@
 	Status int                 // of the response; 0 if none was received
 	// Unframed is set if the response stated no length and ended with its connection.
 	Unframed bool
+	// Witness is what was known of the target at that end.
+	Witness witness.Proof
 	// Bound is the bound on a response's bytes that ended the attempt; "" if none did.
 	Bound  string
 	Stream StreamPart
@@ -167,10 +171,11 @@
 	// examined receives whether the target of the current attempt still runs; nil if its connection
 	// has not ended.
 	examined <-chan presence.Presence
-	unframed bool        // the newest response states no length and ends with its connection
-	repeat   bool        // a repeat of the request is reserved in the retry budget
-	leftSlow atomic.Bool // the request moves away from a slow target, and a repeat is reserved for that
-	stranded atomic.Bool // the host of a target that the request was sent to is unreachable
+	watch    *witness.Watch // of the target of the current attempt
+	unframed bool           // the newest response states no length and ends with its connection
+	repeat   bool           // a repeat of the request is reserved in the retry budget
+	leftSlow atomic.Bool    // the request moves away from a slow target, and a repeat is reserved for that
+	stranded atomic.Bool    // the host of a target that the request was sent to is unreachable
 }
 
 // ServeHTTP serves one request.
--- a/internal/traffic/forward/forward_test.go
+++ b/internal/traffic/forward/forward_test.go
@@ -25,6 +25,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/wire/presence"
 	"wagtailshelf.example/wagtailshelf/internal/wire/reset"
 	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
+	"wagtailshelf.example/wagtailshelf/internal/wire/witness"
 	"wagtailshelf.example/wagtailshelf/platform/standin"
 )
 
@@ -85,6 +86,7 @@
 		UnknownMaxAge: func() time.Duration { return 3 * time.Second },
 		Admission:     admit,
 		Pool:          upstream.NewPool(),
+		Witnesses:     witness.New(),
 		Budget: &Budget{Limits: func() Limits {
 			return Limits{Ratio: 0.2, Window: 10 * time.Second, Fixed: 10}
 		}},
--- a/internal/traffic/forward/suspect.go
+++ b/internal/traffic/forward/suspect.go
@@ -8,6 +8,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/traffic/admission"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/quarantine"
 	"wagtailshelf.example/wagtailshelf/internal/wire/presence"
+	"wagtailshelf.example/wagtailshelf/internal/wire/witness"
 )
 
 // ConnectionFailure describes a connection to a target that failed during a request.
@@ -120,11 +121,15 @@
 }
 
 // endProven reports whether the end of a response proves that it is complete. The end of a response without a
-// length does so only if its target still runs: it may have crashed in the middle of it.
+// length does so only if its target still runs: it may have crashed in the middle of it. Without a witness, a process
+// that listens there is taken for the target, since few are back so soon.
 func (c *call) endProven(t *admission.Ticket, a *Attempt) bool {
 	if !a.Unframed {
 		return true
 	}
+	if a.Witness = c.watch.End(c.ctx); a.Witness != witness.None {
+		return a.Witness == witness.Runs
+	}
 	c.examine(t.Target(), c.sentAt, c.f.Now(), true)
 	select {
 	case p := <-c.examined:
--- a/internal/wire/presence/presence.go
+++ b/internal/wire/presence/presence.go
@@ -14,6 +14,10 @@
 // sent again only after a second, so a slightly longer wait would not help.
 const timeout = 250 * time.Millisecond
 
+// Settle is how long after the end of a connection it is asked whether its process has ended. A process that ends closes
+// its connections one by one, and its listener before or after them.
+const Settle = 10 * time.Millisecond
+
 // Presence is the result of an attempt to connect to an address.
 type Presence uint8
 
--- a/internal/wire/response/conn.go
+++ b/internal/wire/response/conn.go
@@ -79,12 +79,16 @@
 	return tcp.SetLinger(seconds)
 }
 
-// tcpClosed is the state of a connection that was reset, in the numbers of TCP_INFO. A peer that closes it leaves it in
-// another state until this side closes it too.
-const tcpClosed = 7
+// States of a connection, in the numbers of TCP_INFO.
+const (
+	tcpOpen         = 1
+	tcpClosed       = 7 // it was reset
+	tcpClosedByPeer = 8 // the peer has closed it, and this side has not
+)
 
 // state is what the system knows of a connection.
 type state struct {
+	tcp         uint8
 	reset       bool
 	undelivered bool // bytes that were written have not been acknowledged
 }
@@ -101,7 +105,7 @@
 		if err != nil {
 			return
 		}
-		s = state{reset: info.State == tcpClosed, undelivered: info.Unacked > 0 || info.Notsent_bytes > 0}
+		s = state{tcp: info.State, reset: info.State == tcpClosed, undelivered: info.Unacked > 0 || info.Notsent_bytes > 0}
 	})
 	if err != nil {
 		return state{reset: true} // this side has closed it, so nothing proves how it would have ended
@@ -114,3 +118,10 @@
 	s := c.state()
 	return !c.failed.Load() && !s.reset && !s.undelivered
 }
+
+// Open reports whether neither side has closed the connection, as far as the system knows. What arrived need not have
+// been read.
+func (c *Conn) Open() bool { return c.state().tcp == tcpOpen }
+
+// ClosedByPeer reports whether the peer has closed the connection, or ended, and this side has not closed it.
+func (c *Conn) ClosedByPeer() bool { return c.state().tcp == tcpClosedByPeer }
--- a/internal/wire/upstream/pool.go
+++ b/internal/wire/upstream/pool.go
@@ -8,7 +8,6 @@
 import (
 	"bufio"
 	"context"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -19,16 +18,6 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a connection, which takes some
-	// milliseconds. A lost SYN packet is sent again only after a second, so a slightly
-	// longer wait would not help; the request goes to another target instead.
-	dialTimeout = 250 * time.Millisecond
-	// userTimeout is how long written bytes may stay unacknowledged, and
-	// probeInterval the interval of the keep-alive probes on an idle connection. A connection
-	// that became silent, or whose host did, is closed within some two seconds.
-	userTimeout   = 1500 * time.Millisecond
-	probeInterval = 700 * time.Millisecond
-	probeCount    = 2
 	// defaultKeep is how long an idle connection may be reused if the target doesn't
 	// state how long it keeps it open.
 	defaultKeep = 4 * time.Second
@@ -82,19 +71,11 @@
 		c.Reused = true
 		return c, nil
 	}
-	d := net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount,
-		},
-		ControlContext: setUserTimeout,
-	}
-	conn, err := d.DialContext(ctx, "tcp4", target.String())
+	in, err := Dial(ctx, target)
 	if err != nil {
 		return nil, err
 	}
 	p.OnDial()
-	in := response.NewConn(conn)
 	return &Conn{
 		net:    in,
 		r:      bufio.NewReaderSize(in, bufferSize),
@@ -168,6 +149,9 @@
 	}
 }
 
+// Open reports whether neither side has closed the connection, as far as the system knows.
+func (c *Conn) Open() bool { return c.net.Open() }
+
 // Close ends the connection.
 func (c *Conn) Close() {
 	// An error of closing adds nothing to the result of the request.
--- /dev/null
+++ b/internal/wire/witness/witness.go
@@ -0,0 +1,286 @@
+// Package witness tells whether the process that served an exchange still runs as the exchange ends.
+//
+// A process that listens at an address may be another one than a moment before. A witness is a connection to the address
+// on which nothing is sent, opened while the connection of the exchange was open: it ends with the process that both
+// lead to. If it outlasts the exchange, that process runs. If both end together, the process may have ended.
+package witness
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net/netip"
+	"sync"
+	"time"
+
+	"wagtailshelf.example/wagtailshelf/internal/wire/presence"
+	"wagtailshelf.example/wagtailshelf/internal/wire/response"
+	"wagtailshelf.example/wagtailshelf/internal/wire/upstream"
+)
+
+const (
+	// maxLife is for how long exchanges that begin use a witness. Servers close a connection on which no request
+	// comes, few of them within two seconds. One that is closed so together with an exchange looks like an end.
+	maxLife = time.Second
+	// lifeFraction is the fraction of the age at which a server has closed a witness during which exchanges use the
+	// next one, and knownFor for how long that age is known.
+	lifeFraction = 0.6
+	knownFor     = time.Minute
+	// leastLife is how long a witness has lived that is replaced while an exchange goes on. A server that takes no
+	// further connections closes them at once, and would be asked again and again.
+	leastLife = time.Second
+)
+
+// Proof is what is known of the process that served an exchange.
+type Proof uint8
+
+// The proofs.
+const (
+	None  Proof = iota // there is no witness
+	Runs               // it still runs
+	Ended              // it may have ended, together with the exchange
+)
+
+// String returns the proof as it is logged.
+func (p Proof) String() string { return [...]string{"none", "runs", "ended"}[p] }
+
+// Set is the witnesses that a process has. Its fields are set before the first exchange. It is safe for concurrent use.
+type Set struct {
+	OnDial func()                       // called for each witness that was opened
+	Keep   func(at netip.AddrPort) bool // reports whether a witness stays open while no exchange needs it
+	Go     func(f func())               // runs a function in a goroutine
+
+	mu     sync.Mutex
+	newest map[netip.AddrPort]*witness // those that exchanges may still join
+	lives  map[netip.AddrPort]lifetime // of witnesses at servers that close them early
+	closed bool
+}
+
+// lifetime is for how long exchanges use a witness, and when that was found.
+type lifetime struct {
+	life  time.Duration
+	since time.Time
+}
+
+// witness is a connection on which nothing is sent. The set's mutex guards it.
+type witness struct {
+	at      netip.AddrPort
+	conn    *response.Conn // nil while it is being opened
+	opened  time.Time
+	watches map[*Watch]struct{}
+}
+
+// Watch is what the witnesses tell of one exchange. The set's mutex guards it.
+type Watch struct {
+	set     *Set
+	at      netip.AddrPort
+	open    func() bool // reports whether neither side has closed the connection of the exchange
+	witness *witness    // nil if there is none
+	ended   bool        // the witness ended together with the exchange
+	stopped bool
+}
+
+// New returns a set without witnesses.
+func New() *Set {
+	return &Set{
+		OnDial: func() {},
+		Keep:   func(netip.AddrPort) bool { return true },
+		Go:     func(f func()) { go f() },
+		newest: make(map[netip.AddrPort]*witness),
+		lives:  make(map[netip.AddrPort]lifetime),
+	}
+}
+
+// Watch begins to watch an exchange, before its request is sent. The function open reports whether neither side has
+// closed its connection. [Watch.Stop] must follow.
+func (s *Set) Watch(now time.Time, at netip.AddrPort, open func() bool) *Watch {
+	x := &Watch{set: s, at: at, open: open}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w := s.newest[at]; w != nil && w.conn != nil && now.Sub(w.opened) < s.life(at) && w.conn.Open() {
+		x.join(w)
+	}
+	return x
+}
+
+// Seek opens a witness for an exchange that goes on, unless it has one. It does not wait for it.
+func (x *Watch) Seek() {
+	x.set.mu.Lock()
+	defer x.set.mu.Unlock()
+	x.seek()
+}
+
+func (x *Watch) seek() {
+	s := x.set
+	if x.witness != nil || x.ended || x.stopped || s.closed {
+		return
+	}
+	w := s.newest[x.at]
+	if w == nil || w.conn != nil {
+		old := w
+		w = &witness{at: x.at, watches: make(map[*Watch]struct{})}
+		s.newest[x.at] = w
+		s.closeUnneeded(old)
+		s.Go(func() { s.follow(w) })
+	}
+	x.join(w)
+}
+
+// End returns what is known of the process, now that the connection of the exchange has ended. It waits for the time
+// in which a process that ends closes its connections, if there is a witness.
+func (x *Watch) End(ctx context.Context) Proof {
+	p := x.proof()
+	if p != Runs {
+		return p
+	}
+	select {
+	case <-ctx.Done():
+		return None
+	case <-time.After(presence.Settle):
+		return x.proof()
+	}
+}
+
+func (x *Watch) proof() Proof {
+	x.set.mu.Lock()
+	defer x.set.mu.Unlock()
+	switch {
+	case x.ended:
+		return Ended
+	case x.witness == nil || x.witness.conn == nil:
+		return None
+	case x.witness.conn.Open():
+		return Runs
+	case x.witness.conn.ClosedByPeer():
+		return Ended
+	}
+	return None
+}
+
+// Stop ends the watch.
+func (x *Watch) Stop() {
+	x.set.mu.Lock()
+	defer x.set.mu.Unlock()
+	x.stopped = true
+	w := x.witness
+	x.leave()
+	x.set.closeUnneeded(w)
+}
+
+func (x *Watch) join(w *witness) {
+	x.witness = w
+	w.watches[x] = struct{}{}
+}
+
+func (x *Watch) leave() {
+	if x.witness != nil {
+		delete(x.witness.watches, x)
+		x.witness = nil
+	}
+}
+
+// Sweep closes the witnesses that no exchange needs any more.
+func (s *Set) Sweep(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for at, w := range s.newest {
+		if w.conn != nil && now.Sub(w.opened) >= s.life(at) {
+			delete(s.newest, at)
+			s.closeUnneeded(w)
+		}
+	}
+	maps.DeleteFunc(s.lives, func(_ netip.AddrPort, l lifetime) bool { return now.Sub(l.since) >= knownFor })
+}
+
+// life returns for how long exchanges with an address use a witness.
+func (s *Set) life(at netip.AddrPort) time.Duration {
+	if l, found := s.lives[at]; found {
+		return l.life
+	}
+	return maxLife
+}
+
+// Close closes all witnesses. The exchanges that go on have none.
+func (s *Set) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for at, w := range s.newest {
+		delete(s.newest, at)
+		w.close()
+	}
+}
+
+// closeUnneeded closes a witness that no exchange has, and none may join or it may not be kept for that.
+func (s *Set) closeUnneeded(w *witness) {
+	if w == nil || len(w.watches) > 0 || s.newest[w.at] == w && s.Keep(w.at) {
+		return
+	}
+	w.close()
+}
+
+// close closes the connection. The goroutine that follows it removes it from the set.
+func (w *witness) close() {
+	if w.conn != nil {
+		_ = w.conn.Close() // it may have ended already
+	}
+}
+
+// follow opens a witness and waits for its end.
+func (s *Set) follow(w *witness) {
+	conn, err := upstream.Dial(context.Background(), w.at)
+	if err == nil {
+		s.OnDial()
+		defer conn.Close()
+	}
+	if !s.begin(time.Now(), w, conn) {
+		return
+	}
+	_, err = conn.Read(make([]byte, 1))
+	ended := time.Now()
+	time.Sleep(presence.Settle)
+	s.end(ended, w, errors.Is(err, io.EOF))
+}
+
+// begin notes that a witness is open, or with no connection that it can't be opened, and reports whether it is needed.
+// An exchange that has ended meanwhile may have ended with another process than that of the witness.
+func (s *Set) begin(now time.Time, w *witness, conn *response.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.conn, w.opened = conn, now
+	for x := range w.watches {
+		if conn == nil || !x.open() {
+			x.leave()
+		}
+	}
+	needed := conn != nil && !s.closed && (len(w.watches) > 0 || s.newest[w.at] == w && s.Keep(w.at))
+	if !needed && s.newest[w.at] == w {
+		delete(s.newest, w.at)
+	}
+	return needed
+}
+
+// end notes that a witness ended at some time: if byPeer is set, the process closed it, or ended. It had not ended if
+// exchanges go on; they get another witness.
+func (s *Set) end(now time.Time, w *witness, byPeer bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.newest[w.at] == w {
+		delete(s.newest, w.at)
+	}
+	age := now.Sub(w.opened)
+	runs := byPeer
+	for x := range w.watches {
+		x.leave()
+		switch open := x.open(); {
+		case !open && byPeer:
+			x.ended, runs = true, false
+		case open && age >= leastLife:
+			x.seek()
+		}
+	}
+	if life := time.Duration(lifeFraction * float64(age)); runs && life < maxLife {
+		s.lives[w.at] = lifetime{life: life, since: now}
+	}
+}
