--- a/internal/standin/rawserver/rawserver_test.go
+++ b/internal/standin/rawserver/rawserver_test.go
@@ -15,7 +15,7 @@
 func TestServerEndsWithItsTest(t *testing.T) {
 	var served atomic.Int64
 	require.True(t, t.Run("inner", func(t *testing.T) {
-		at := Start(t, func(c *net.TCPConn, r *bufio.Reader) {
+		at := Start(t, func(_ *net.TCPConn, r *bufio.Reader) {
 			_, _ = io.Copy(io.Discard, r) // until the connection is closed
 			time.Sleep(20 * time.Millisecond)
 			served.Add(1)
