A sidecar takes no part of an answer for all of it when its target is back at once

What callers saw: the part of an answer without a length that had arrived as the target crashed, given as the whole answer, if the target was back before the sidecar's probe.

Change: the sidecar of the own interface watches its target's process with wire/witness from the head of such an answer on; the client of targets says which connection a call has. A line answerCut names the request.

On the way, of the witness itself: a target that serves one connection after the other would wait for a request on a witness, and an exchange that waits for its response with that witness would wait with it. An exchange whose response has not begun lets go of a witness after its life; and a sidecar, whose target may be such a server, keeps none between answers. TestServerOfOneConnectionAtATime, TestExchangesShareAWitness. An exchange joins a witness that is there when its response begins, too.

--- a/internal/program/gateway/breaks.go
+++ b/internal/program/gateway/breaks.go
@@ -164,17 +164,11 @@
 	}
 }
 
-// setUpWitnesses has witnesses opened that are kept as idle connections are.
+// setUpWitnesses has witnesses kept where idle connections are. Targets serve several connections at a time.
 func (g *Gateway) setUpWitnesses(dialled *metrics.Counter) {
 	g.witnesses.OnDial = dialled.Inc
 	g.witnesses.Keep = func(at netip.AddrPort) bool { return g.idleConnections(at) > 0 }
-	g.witnesses.Go = func(f func()) {
-		go func() {
-			if err := task.Guard(func() error { f(); return nil }); err != nil {
-				task.Report(g.log, "witness", err)
-			}
-		}()
-	}
+	g.witnesses.Go = func(f func()) { task.Go(g.log, "witness", f) }
 }
 
 // probe finds out whether a target listens.
--- a/internal/program/gateway/unframed_test.go
+++ b/internal/program/gateway/unframed_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"wagtailshelf.example/wagtailshelf/internal/standin/rawserver"
@@ -22,84 +23,41 @@
 type unframedServers struct {
 	cut, whole string // bodies of the response of the server that crashes, and of all others
 	rest       string // body of the response to a request that resumes a stream
-	back       bool   // whether the server that crashes listens again at once
+	back       bool   // whether the server that crashes runs again at once
 	armed      atomic.Bool
 }
 
-// incarnation is a process that runs at the address of a server.
-type incarnation struct {
-	listener net.Listener
-	mu       sync.Mutex
-	conns    []net.Conn
-}
-
-// end closes all that the process has open, as its end does.
-func (i *incarnation) end() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for _, c := range i.conns {
-		_ = c.Close() // it may be closed already
-	}
-	_ = i.listener.Close() // the server has only this listener
-}
-
-func (i *incarnation) add(c net.Conn) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.conns = append(i.conns, c)
-}
-
 // start starts a server. It crashes once it has responded to the first request after the set was armed, if
 // that reached it.
 func (u *unframedServers) start(t *testing.T) netip.AddrPort {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	at := netip.MustParseAddrPort(l.Addr().String())
-	u.listen(t, at, l)
-	return at
-}
-
-// listen serves the connections of a listener until it is closed.
-func (u *unframedServers) listen(t *testing.T, at netip.AddrPort, l net.Listener) {
-	t.Cleanup(func() { _ = l.Close() }) // closed already if the server has crashed
-	i := &incarnation{listener: l}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				break
+	var p *rawserver.Process
+	p = rawserver.StartProcess(t, func(c *net.TCPConn, r *bufio.Reader) {
+		if u.answer(c, r) {
+			p.End()
+			if u.back {
+				assert.NoError(t, p.Run())
 			}
-			i.add(conn)
-			go u.serve(conn, i)
 		}
-		if !u.back || t.Context().Err() != nil {
-			return
-		}
-		if again, err := net.Listen("tcp4", at.String()); err == nil {
-			u.listen(t, at, again)
-		}
-	}()
+	})
+	return p.Address
 }
 
-func (u *unframedServers) serve(conn net.Conn, i *incarnation) {
-	defer conn.Close()
-	r, err := http.ReadRequest(bufio.NewReader(conn))
+// answer answers the request of a connection, and reports whether the server crashes then.
+func (u *unframedServers) answer(c net.Conn, r *bufio.Reader) (crashes bool) {
+	defer c.Close()
+	q, err := http.ReadRequest(r)
 	if err != nil {
-		return
+		return false
 	}
 	body := u.whole
-	if r.Header.Get("Last-Event-Id") != "" {
+	if q.Header.Get("Last-Event-Id") != "" {
 		body = u.rest
 	}
-	crashes := u.armed.CompareAndSwap(true, false)
-	if crashes {
+	if crashes = u.armed.CompareAndSwap(true, false); crashes {
 		body = u.cut
 	}
-	// The test checks what arrives.
-	_, _ = io.WriteString(conn, standin.Wire(standin.RequestID(r), "", body))
-	if crashes {
-		i.end()
-	}
+	_, _ = io.WriteString(c, standin.Wire(standin.RequestID(q), "", body)) // the test checks what arrives
+	return crashes
 }
 
 // Guards against a response without a length that looks complete although its target crashed.
--- a/internal/program/sidecar/call.go
+++ b/internal/program/sidecar/call.go
@@ -16,6 +16,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/wire/caller"
 	"wagtailshelf.example/wagtailshelf/internal/wire/engine"
 	"wagtailshelf.example/wagtailshelf/internal/wire/presence"
+	"wagtailshelf.example/wagtailshelf/internal/wire/witness"
 )
 
 const (
@@ -64,6 +65,9 @@
 		c.Idle = streamIdle
 		defer s.cancelAbandoned(ctx, callCtx, j)
 	}
+	var watch watched
+	c.Connected = func(open func() bool) { watch.begin(s.witnesses.Watch(time.Now(), s.cfg.Target, open)) }
+	defer watch.stop()
 	resp, err := s.target.Do(callCtx, c)
 	if err != nil {
 		failure := failureEvent(j, err)
@@ -80,7 +84,7 @@
 		s.desk.put(ctx, deskEvent{kind: deskBooks, books: events})
 		return
 	}
-	reason := s.crashReason(ctx, s.copyBody(ctx, callCtx, j, head, resp))
+	reason := s.crashReason(ctx, s.copyBody(ctx, callCtx, j, head, resp, &watch))
 	s.desk.putBook(ctx, book.Event{Kind: book.EngineEnd, ID: j.id, Reason: reason})
 }
 
@@ -95,21 +99,32 @@
 	return request.EngineCrashed
 }
 
-func (s *Sidecar) copyBody(ctx, callCtx context.Context, j job, head book.Event, resp *http.Response) request.Reason {
+func (s *Sidecar) copyBody(ctx, callCtx context.Context, j job, head book.Event, resp *http.Response, w *watched) request.Reason {
 	if s.cfg.Model && isEventStream(resp) {
 		return s.copyEvents(ctx, callCtx, j, head, resp)
 	}
 	s.desk.putBook(ctx, head)
+	if isUnframed(resp) {
+		w.seek(time.Now())
+	}
 	reason := s.copyAnswer(ctx, callCtx, j, resp.Body)
-	if reason == request.NoReason && isUnframed(resp) && s.targetEnded(callCtx) {
+	if reason != request.NoReason || !isUnframed(resp) {
+		return reason
+	}
+	proof := w.end(callCtx)
+	if s.targetEnded(callCtx, proof) {
+		s.cfg.Log.Warn().Str("event", "answerCut").Stringer("id", j.id).Stringer("witness", proof).Msg("")
 		return request.EngineTruncated
 	}
-	return reason
+	return request.NoReason
 }
 
-// targetEnded reports whether the target's process has ended. A process that ends closes its connections one by
-// one, and its listener before or after them.
-func (s *Sidecar) targetEnded(ctx context.Context) bool {
+// targetEnded reports whether the target's process has ended, or may have, after what a witness told. Without one, a
+// process that listens is taken for the target.
+func (s *Sidecar) targetEnded(ctx context.Context, p witness.Proof) bool {
+	if p != witness.None {
+		return p == witness.Ended
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(presence.Settle):
--- a/internal/program/sidecar/resume_test.go
+++ b/internal/program/sidecar/resume_test.go
@@ -83,11 +83,20 @@
 
 // callEngine makes a call to an engine and returns what the sidecar reported.
 func callEngine(t *testing.T, e *scriptedEngine, model bool) result {
-	at := netip.MustParseAddrPort(e.listener.Addr().String())
+	res := callTarget(t, netip.MustParseAddrPort(e.listener.Addr().String()), model)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	res.asked = e.asked
+	return res
+}
+
+// callTarget makes a call to a target and returns what the sidecar reported.
+func callTarget(t *testing.T, at netip.AddrPort, model bool) result {
 	s := &Sidecar{
-		cfg:    Config{Target: at, Model: model, Log: &log.Logger{Level: log.PanicLevel}},
-		target: engine.New(engine.Config{Target: at}),
-		desk:   newDesk(&log.Logger{Level: log.PanicLevel}, newCounts(metrics.NewSet()), book.DefaultConfig(1), workspace.Config{}),
+		cfg:       Config{Target: at, Model: model, Log: &log.Logger{Level: log.PanicLevel}},
+		target:    engine.New(engine.Config{Target: at}),
+		witnesses: newWitnesses(&log.Logger{Level: log.PanicLevel}),
+		desk:      newDesk(&log.Logger{Level: log.PanicLevel}, newCounts(metrics.NewSet()), book.DefaultConfig(1), workspace.Config{}),
 	}
 	t.Cleanup(s.target.Close)
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
@@ -104,9 +113,6 @@
 				res.reason = max(res.reason, b.Reason)
 			}
 		default:
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			res.asked = e.asked
 			return res
 		}
 	}
--- a/internal/program/sidecar/sidecar.go
+++ b/internal/program/sidecar/sidecar.go
@@ -23,6 +23,7 @@
 	"wagtailshelf.example/wagtailshelf/internal/wire/frame"
 	"wagtailshelf.example/wagtailshelf/internal/wire/peer"
 	"wagtailshelf.example/wagtailshelf/internal/wire/platform"
+	"wagtailshelf.example/wagtailshelf/internal/wire/witness"
 )
 
 // settleTimeout is the longest time that a drained sidecar waits for entries to close
@@ -63,6 +64,8 @@
 	listener *peer.Listener
 	target   *engine.Client
 	desk     *desk
+	// witnesses tell whether the target still runs when an answer without a length ends.
+	witnesses *witness.Set
 
 	documents *documents.Documents // nil without Config.Platform
 	group     *rank.Member         // nil without a platform, or if the target is a plain service
@@ -83,6 +86,7 @@
 	s := &Sidecar{
 		cfg:       cfg,
 		target:    engine.New(engine.Config{Target: cfg.Target}),
+		witnesses: newWitnesses(cfg.Log),
 		reportNow: make(chan struct{}, 1),
 		conns:     make(map[*peer.Conn]bool),
 	}
@@ -153,6 +157,7 @@
 	err := g.Run()
 	s.calls.Wait()
 	s.target.Close()
+	s.witnesses.Close()
 	return err
 }
 
--- a/internal/program/task/task.go
+++ b/internal/program/task/task.go
@@ -46,6 +46,15 @@
 	return f()
 }
 
+// Go runs a function in a goroutine. A panic is logged, and ends only that.
+func Go(l *log.Logger, name string, f func()) {
+	go func() {
+		if err := Guard(func() error { f(); return nil }); err != nil {
+			Report(l, name, err)
+		}
+	}()
+}
+
 // Group is the tasks of a process.
 type Group struct {
 	Log     *log.Logger
--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -16,66 +16,87 @@
 // address.
 func Start(t testing.TB, serve func(c *net.TCPConn, r *bufio.Reader)) netip.AddrPort {
 	t.Helper()
-	l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
-	if err != nil {
+	return StartProcess(t, serve).Address
+}
+
+// Process is a server that can end, as a process does, and run again at its address.
+type Process struct {
+	Address netip.AddrPort
+
+	serve   func(c *net.TCPConn, r *bufio.Reader)
+	running sync.WaitGroup
+
+	mu       sync.Mutex
+	listener *net.TCPListener // nil while it doesn't run
+	conns    []*net.TCPConn
+}
+
+// StartProcess starts a server as [Start] does.
+func StartProcess(t testing.TB, serve func(c *net.TCPConn, r *bufio.Reader)) *Process {
+	t.Helper()
+	p := &Process{Address: netip.MustParseAddrPort("127.0.0.1:0"), serve: serve}
+	if err := p.Run(); err != nil {
 		t.Fatal(err)
 	}
-	s := &server{serve: serve}
-	s.running.Go(func() { s.accept(l) })
 	t.Cleanup(func() {
-		_ = l.Close() // this fails only if it is closed already
-		s.close()
-		s.running.Wait()
+		p.End()
+		p.running.Wait()
 	})
-	return netip.MustParseAddrPort(l.Addr().String())
+	return p
 }
 
-// server is a server that has been started.
-type server struct {
-	serve   func(c *net.TCPConn, r *bufio.Reader)
-	running sync.WaitGroup
+// Run lets the server listen at its address. It must have ended.
+func (p *Process) Run() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(p.Address))
+	if err != nil {
+		return err
+	}
+	p.Address, p.listener = netip.MustParseAddrPort(l.Addr().String()), l
+	p.running.Go(func() { p.accept(l) })
+	return nil
+}
 
-	mu     sync.Mutex
-	conns  []*net.TCPConn
-	closed bool
+// End closes all that the server has open. Either side may have closed a connection already.
+func (p *Process) End() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		_ = c.Close()
+	}
+	if p.listener != nil {
+		_ = p.listener.Close()
+	}
+	p.listener, p.conns = nil, nil
 }
 
 // accept serves the connections of a listener until it is closed.
-func (s *server) accept(l *net.TCPListener) {
+func (p *Process) accept(l *net.TCPListener) {
 	for {
 		c, err := l.AcceptTCP()
 		if err != nil {
-			return // the test has ended
+			return // it has ended
 		}
-		if !s.add(c) {
+		if !p.add(l, c) {
 			_ = c.Close() // nobody uses it
 			return
 		}
-		s.running.Go(func() { s.serve(c, bufio.NewReader(c)) })
+		p.running.Go(func() { p.serve(c, bufio.NewReader(c)) })
 	}
 }
 
-// add notes a connection, unless the server is closed.
-func (s *server) add(c *net.TCPConn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed {
+// add notes a connection of a listener, unless that is closed.
+func (p *Process) add(l *net.TCPListener, c *net.TCPConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != l {
 		return false
 	}
-	s.conns = append(s.conns, c)
+	p.conns = append(p.conns, c)
 	return true
 }
 
-// close closes the connections. Either side may have closed them already.
-func (s *server) close() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closed = true
-	for _, c := range s.conns {
-		_ = c.Close()
-	}
-}
-
 // StartOnce starts a server that reads the head of the first request of each connection, calls answer, and closes the
 // connection.
 func StartOnce(t testing.TB, answer func(c *net.TCPConn)) netip.AddrPort {
--- a/internal/traffic/forward/attempt.go
+++ b/internal/traffic/forward/attempt.go
@@ -318,7 +318,7 @@
 	c.f.Admission.ResponseBegun(c.f.Now(), t.Target())
 	c.unframed = answer.Unframed
 	if answer.Unframed {
-		c.watch.Seek()
+		c.watch.Seek(c.f.Now())
 	}
 	success := answer.Status >= 200 && answer.Status < 300
 	if !meta.Stamped || success && (meta.Encoded || meta.ID != c.in.ID) {
--- a/internal/wire/engine/call.go
+++ b/internal/wire/engine/call.go
@@ -106,6 +106,10 @@
 	Repeatable    bool          // idempotent: may use a pooled connection
 	FirstByte     time.Duration // longest wait for the answer's head; 0 for no limit
 	Idle          time.Duration // longest wait for more of the body; 0 for no limit
+
+	// Connected is called for each connection that the call is about to be sent on; nil for none. The function open
+	// reports whether neither side has closed it.
+	Connected func(open func() bool)
 }
 
 // Do sends a call and returns the answer as soon as its head has arrived. The
@@ -113,7 +117,12 @@
 func (c *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		sent.Store(true)
+		if c, guarded := i.Conn.(*response.Conn); guarded && call.Connected != nil {
+			call.Connected(c.Open)
+		}
+	}}
 	req := c.request(httptrace.WithClientTrace(ctx, trace), call)
 	timer := newSilenceTimer(call.FirstByte, cancel)
 	resp, err := c.transport(call).RoundTrip(req)
--- a/internal/wire/witness/witness.go
+++ b/internal/wire/witness/witness.go
@@ -48,7 +48,7 @@
 // Set is the witnesses that a process has. Its fields are set before the first exchange. It is safe for concurrent use.
 type Set struct {
 	OnDial func()                       // called for each witness that was opened
-	Keep   func(at netip.AddrPort) bool // reports whether a witness stays open while no exchange needs it
+	Keep   func(at netip.AddrPort) bool // reports whether a witness stays open for exchanges that are to begin
 	Go     func(f func())               // runs a function in a goroutine
 
 	mu     sync.Mutex
@@ -77,6 +77,7 @@
 	at      netip.AddrPort
 	open    func() bool // reports whether neither side has closed the connection of the exchange
 	witness *witness    // nil if there is none
+	served  bool        // its response has begun
 	ended   bool        // the witness ended together with the exchange
 	stopped bool
 }
@@ -98,35 +99,62 @@
 	x := &Watch{set: s, at: at, open: open}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if w := s.newest[at]; w != nil && w.conn != nil && now.Sub(w.opened) < s.life(at) && w.conn.Open() {
+	if w := s.newest[at]; w != nil && s.Keep(at) && s.usable(now, w) {
 		x.join(w)
 	}
 	return x
 }
 
-// Seek opens a witness for an exchange that goes on, unless it has one. It does not wait for it.
-func (x *Watch) Seek() {
+// Seek finds a witness for an exchange whose response has begun, unless it has one. It does not wait for it.
+func (x *Watch) Seek(now time.Time) {
 	x.set.mu.Lock()
 	defer x.set.mu.Unlock()
-	x.seek()
+	x.served = true
+	x.seek(now)
 }
 
-func (x *Watch) seek() {
+func (x *Watch) seek(now time.Time) {
 	s := x.set
 	if x.witness != nil || x.ended || x.stopped || s.closed {
 		return
 	}
 	w := s.newest[x.at]
-	if w == nil || w.conn != nil {
-		old := w
+	switch {
+	case w != nil && w.conn == nil: // it is seen once it is open whether the exchange goes on
+	case w != nil && s.usable(now, w):
+		if !x.open() {
+			return
+		}
+	default:
+		if w != nil {
+			s.retire(w)
+		}
 		w = &witness{at: x.at, watches: make(map[*Watch]struct{})}
 		s.newest[x.at] = w
-		s.closeUnneeded(old)
 		s.Go(func() { s.follow(w) })
 	}
 	x.join(w)
 }
 
+// usable reports whether exchanges may still join a witness.
+func (s *Set) usable(now time.Time, w *witness) bool {
+	return w.conn != nil && now.Sub(w.opened) < s.life(w.at) && w.conn.Open()
+}
+
+// retire lets no more exchanges join a witness. Those that wait for a response leave it: a server that serves one
+// connection after the other would wait for a request of the witness before it serves them.
+func (s *Set) retire(w *witness) {
+	if s.newest[w.at] == w {
+		delete(s.newest, w.at)
+	}
+	for x := range w.watches {
+		if !x.served {
+			x.leave()
+		}
+	}
+	s.closeUnneeded(w)
+}
+
 // End returns what is known of the process, now that the connection of the exchange has ended. It waits for the time
 // in which a process that ends closes its connections, if there is a witness.
 func (x *Watch) End(ctx context.Context) Proof {
@@ -186,8 +214,7 @@
 	defer s.mu.Unlock()
 	for at, w := range s.newest {
 		if w.conn != nil && now.Sub(w.opened) >= s.life(at) {
-			delete(s.newest, at)
-			s.closeUnneeded(w)
+			s.retire(w)
 		}
 	}
 	maps.DeleteFunc(s.lives, func(_ netip.AddrPort, l lifetime) bool { return now.Sub(l.since) >= knownFor })
@@ -277,7 +304,7 @@
 		case !open && byPeer:
 			x.ended, runs = true, false
 		case open && age >= leastLife:
-			x.seek()
+			x.seek(time.Now())
 		}
 	}
 	if life := time.Duration(lifeFraction * float64(age)); runs && life < maxLife {
--- a/internal/wire/witness/witness_test.go
+++ b/internal/wire/witness/witness_test.go
@@ -50,7 +50,7 @@
 // witnessed begins an exchange that has a witness, and returns the server's ends of both connections.
 func (b *testbed) witnessed() (x *Watch, exchange, w *net.TCPConn) {
 	x, exchange = b.exchange()
-	x.Seek()
+	x.Seek(time.Now())
 	w = <-b.conns
 	require.Eventually(b.t, func() bool { return x.proof() == Runs }, patience, time.Millisecond)
 	return x, exchange, w
@@ -163,7 +163,7 @@
 	x, exchange := b.exchange()
 	require.NoError(t, exchange.Close())
 	time.Sleep(presence.Settle)
-	x.Seek()
+	x.Seek(time.Now())
 	<-b.conns
 	require.Eventually(t, func() bool { return !b.has(x) }, patience, time.Millisecond)
 	require.Equal(t, None, x.End(t.Context()))
@@ -176,38 +176,58 @@
 	s := New()
 	x := s.Watch(time.Now(), netip.MustParseAddrPort("127.0.0.1:1"), func() bool { return true })
 	defer x.Stop()
-	x.Seek()
+	x.Seek(time.Now())
 	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return x.witness == nil }, patience, time.Millisecond)
 	require.Equal(t, None, x.End(t.Context()))
 	require.Empty(t, s.newest)
 }
 
 func TestExchangesShareAWitness(t *testing.T) {
+	for _, keep := range []bool{false, true} {
+		b := newTestbed(t)
+		b.Keep = func(netip.AddrPort) bool { return keep }
+		first, _, _ := b.witnessed()
+		first.Seek(time.Now())
+		second, _ := b.exchange()
+		require.Equal(t, keep, b.has(second))
+		second.Seek(time.Now())
+		require.Equal(t, Runs, second.End(t.Context()))
+		require.EqualValues(t, 1, b.dialed.Load())
+	}
+}
+
+// Guards against an exchange that waits for ever, since its server waits for a request of the witness first.
+func TestServerOfOneConnectionAtATime(t *testing.T) {
 	b := newTestbed(t)
-	first, _, _ := b.witnessed()
-	first.Seek()
-	second, _ := b.exchange()
-	second.Seek()
-	require.Equal(t, Runs, second.End(t.Context()))
-	require.EqualValues(t, 1, b.dialed.Load())
+	x, _, w := b.witnessed()
+	waiting, _ := b.exchange()
+	require.True(t, b.has(waiting))
+	x.Stop()
+	b.Sweep(time.Now().Add(maxLife))
+	requireClosed(t, w)
+	require.False(t, b.has(waiting))
+}
+
+// requireClosed requires that the other side closes a connection.
+func requireClosed(t *testing.T, w *net.TCPConn) {
+	t.Helper()
+	require.NoError(t, w.SetReadDeadline(time.Now().Add(patience)))
+	_, err := w.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
 }
 
 // Guards against connections that stay open though nobody needs them, or are closed though somebody does.
 func TestUnneededWitnessIsClosed(t *testing.T) {
-	closed := func(t *testing.T, w *net.TCPConn) {
-		require.NoError(t, w.SetReadDeadline(time.Now().Add(patience)))
-		_, err := w.Read(make([]byte, 1))
-		require.ErrorIs(t, err, io.EOF)
-	}
 	t.Run("with the last exchange", func(t *testing.T) {
 		b := newTestbed(t)
 		b.Keep = func(netip.AddrPort) bool { return false }
 		x, _, w := b.witnessed()
 		other, _ := b.exchange()
+		other.Seek(time.Now())
 		x.Stop()
 		require.Equal(t, Runs, other.proof())
 		other.Stop()
-		closed(t, w)
+		requireClosed(t, w)
 	})
 	t.Run("after its life", func(t *testing.T) {
 		b := newTestbed(t)
@@ -219,16 +239,16 @@
 		require.Equal(t, Runs, x.proof())
 		require.Nil(t, b.Watch(later, b.at, func() bool { return true }).witness)
 		x.Stop()
-		closed(t, w)
+		requireClosed(t, w)
 	})
 	t.Run("with the set", func(t *testing.T) {
 		b := newTestbed(t)
 		x, _, w := b.witnessed()
 		b.Close()
-		closed(t, w)
+		requireClosed(t, w)
 		require.Equal(t, None, x.End(t.Context()))
 		require.Eventually(t, func() bool { return !b.has(x) }, patience, time.Millisecond)
-		x.Seek()
+		x.Seek(time.Now())
 		require.False(t, b.has(x))
 	})
 }
