A caller that reads slowly gets the whole of a response without a length

What callers would see: the response cut (or a stream resumed for nothing), if the caller reads it so slowly that its server, which ended it long ago, has closed the idle witness meanwhile.

Cause: a witness that ended was compared with the connection of the exchange at that moment only; that one had ended too, seconds before.

Change: each witness is looked at four times a second; an exchange whose connection was seen closed twice while the witness was open has been outlasted by it, and its process ran on. The same look retires a witness after its life, in place of the gateway's tick, and all witnesses are known, so that closing the set closes those that are not the newest too.

Test: TestEndIsAskedForLate fails without that look ("ended" in place of "runs").

--- a/internal/program/gateway/gateway.go
+++ b/internal/program/gateway/gateway.go
@@ -203,7 +203,6 @@
 			if now.Sub(lastSweep) >= sweepInterval {
 				lastSweep = now
 				g.pool.Sweep(now)
-				g.witnesses.Sweep(now)
 				g.crashes.Quarantine.Sweep(now)
 				g.admit.Sweep(now, func(id string) bool { _, found := g.roster.Get(id); return found })
 			}
--- a/internal/wire/witness/witness.go
+++ b/internal/wire/witness/witness.go
@@ -11,6 +11,7 @@
 	"io"
 	"maps"
 	"net/netip"
+	"os"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 	// leastLife is how long a witness has lived that is replaced while an exchange goes on. A server that takes no
 	// further connections closes them at once, and would be asked again and again.
 	leastLife = time.Second
+	// checkInterval is the time between two looks at a witness. It is longer than a process takes to end.
+	checkInterval = 250 * time.Millisecond
 )
 
 // Proof is what is known of the process that served an exchange.
@@ -52,6 +55,7 @@
 	Go     func(f func())               // runs a function in a goroutine
 
 	mu     sync.Mutex
+	all    map[*witness]struct{}
 	newest map[netip.AddrPort]*witness // those that exchanges may still join
 	lives  map[netip.AddrPort]lifetime // of witnesses at servers that close them early
 	closed bool
@@ -78,6 +82,8 @@
 	open    func() bool // reports whether neither side has closed the connection of the exchange
 	witness *witness    // nil if there is none
 	served  bool        // its response has begun
+	closed  bool        // its connection was seen to be closed while the witness was open
+	outlasted bool        // the witness has outlasted it
 	ended   bool        // the witness ended together with the exchange
 	stopped bool
 }
@@ -88,6 +94,7 @@
 		OnDial: func() {},
 		Keep:   func(netip.AddrPort) bool { return true },
 		Go:     func(f func()) { go f() },
+		all:    make(map[*witness]struct{}),
 		newest: make(map[netip.AddrPort]*witness),
 		lives:  make(map[netip.AddrPort]lifetime),
 	}
@@ -130,7 +137,7 @@
 			s.retire(w)
 		}
 		w = &witness{at: x.at, watches: make(map[*Watch]struct{})}
-		s.newest[x.at] = w
+		s.all[w], s.newest[x.at] = struct{}{}, w
 		s.Go(func() { s.follow(w) })
 	}
 	x.join(w)
@@ -138,7 +145,7 @@
 
 // usable reports whether exchanges may still join a witness.
 func (s *Set) usable(now time.Time, w *witness) bool {
-	return w.conn != nil && now.Sub(w.opened) < s.life(w.at) && w.conn.Open()
+	return w.conn != nil && now.Sub(w.opened) < s.life(now, w.at) && w.conn.Open()
 }
 
 // retire lets no more exchanges join a witness. Those that wait for a response leave it: a server that serves one
@@ -174,6 +181,8 @@
 	x.set.mu.Lock()
 	defer x.set.mu.Unlock()
 	switch {
+	case x.outlasted:
+		return Runs
 	case x.ended:
 		return Ended
 	case x.witness == nil || x.witness.conn == nil:
@@ -208,21 +217,9 @@
 	}
 }
 
-// Sweep closes the witnesses that no exchange needs any more.
-func (s *Set) Sweep(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for at, w := range s.newest {
-		if w.conn != nil && now.Sub(w.opened) >= s.life(at) {
-			s.retire(w)
-		}
-	}
-	maps.DeleteFunc(s.lives, func(_ netip.AddrPort, l lifetime) bool { return now.Sub(l.since) >= knownFor })
-}
-
 // life returns for how long exchanges with an address use a witness.
-func (s *Set) life(at netip.AddrPort) time.Duration {
-	if l, found := s.lives[at]; found {
+func (s *Set) life(now time.Time, at netip.AddrPort) time.Duration {
+	if l, found := s.lives[at]; found && now.Sub(l.since) < knownFor {
 		return l.life
 	}
 	return maxLife
@@ -233,8 +230,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
-	for at, w := range s.newest {
-		delete(s.newest, at)
+	for w := range s.all {
 		w.close()
 	}
 }
@@ -264,12 +260,39 @@
 	if !s.begin(time.Now(), w, conn) {
 		return
 	}
-	_, err = conn.Read(make([]byte, 1))
+	err = s.await(w, conn)
 	ended := time.Now()
 	time.Sleep(presence.Settle)
 	s.end(ended, w, errors.Is(err, io.EOF))
 }
 
+// await waits for the end of a witness and returns how it ended.
+func (s *Set) await(w *witness, conn *response.Conn) error {
+	for {
+		_ = conn.SetReadDeadline(time.Now().Add(checkInterval)) // fails only if it is closed, as reading does then
+		_, err := conn.Read(make([]byte, 1))
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		s.check(time.Now(), w)
+	}
+}
+
+// check retires a witness after its life, and notes which exchanges it has outlasted: an entry may pass the end of a
+// response on long after it has come, when the witness has ended too.
+func (s *Set) check(now time.Time, w *witness) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for x := range w.watches {
+		closed := w.conn.Open() && !x.open()
+		x.outlasted = x.outlasted || closed && x.closed
+		x.closed = closed
+	}
+	if now.Sub(w.opened) >= s.life(now, w.at) {
+		s.retire(w)
+	}
+}
+
 // begin notes that a witness is open, or with no connection that it can't be opened, and reports whether it is needed.
 // An exchange that has ended meanwhile may have ended with another process than that of the witness.
 func (s *Set) begin(now time.Time, w *witness, conn *response.Conn) bool {
@@ -282,8 +305,8 @@
 		}
 	}
 	needed := conn != nil && !s.closed && (len(w.watches) > 0 || s.newest[w.at] == w && s.Keep(w.at))
-	if !needed && s.newest[w.at] == w {
-		delete(s.newest, w.at)
+	if !needed {
+		s.forget(w)
 	}
 	return needed
 }
@@ -293,21 +316,28 @@
 func (s *Set) end(now time.Time, w *witness, byPeer bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.newest[w.at] == w {
-		delete(s.newest, w.at)
-	}
+	s.forget(w)
 	age := now.Sub(w.opened)
 	runs := byPeer
 	for x := range w.watches {
 		x.leave()
 		switch open := x.open(); {
 		case !open && byPeer:
-			x.ended, runs = true, false
+			x.ended, runs = !x.outlasted, x.outlasted && runs
 		case open && age >= leastLife:
 			x.seek(time.Now())
 		}
 	}
+	maps.DeleteFunc(s.lives, func(_ netip.AddrPort, l lifetime) bool { return now.Sub(l.since) >= knownFor })
 	if life := time.Duration(lifeFraction * float64(age)); runs && life < maxLife {
 		s.lives[w.at] = lifetime{life: life, since: now}
 	}
 }
+
+// forget removes a witness that has ended.
+func (s *Set) forget(w *witness) {
+	delete(s.all, w)
+	if s.newest[w.at] == w {
+		delete(s.newest, w.at)
+	}
+}
--- a/internal/wire/witness/witness_test.go
+++ b/internal/wire/witness/witness_test.go
@@ -141,8 +141,19 @@
 	require.True(t, b.has(young) || time.Since(begin) > timeout/2, "a machine that is too slow can't tell")
 	old := b.Watch(time.Now().Add(timeout*7/10), b.at, func() bool { return true })
 	require.False(t, b.has(old))
-	b.Sweep(time.Now().Add(knownFor + time.Second))
-	require.Equal(t, maxLife, b.life(b.at))
+	require.Equal(t, maxLife, b.life(time.Now().Add(knownFor), b.at))
+}
+
+// Guards against a sound response that counts as truncated since its caller reads it slowly: its server has ended it
+// long ago, and closes the witness before the caller has it all.
+func TestEndIsAskedForLate(t *testing.T) {
+	b := newTestbed(t)
+	x, exchange, w := b.witnessed()
+	require.NoError(t, exchange.Close())
+	time.Sleep(3 * checkInterval)
+	require.NoError(t, w.Close())
+	time.Sleep(5 * presence.Settle)
+	require.Equal(t, Runs, x.End(t.Context()))
 }
 
 // A server resets the connections that are too many for it.
@@ -203,7 +214,6 @@
 	waiting, _ := b.exchange()
 	require.True(t, b.has(waiting))
 	x.Stop()
-	b.Sweep(time.Now().Add(maxLife))
 	requireClosed(t, w)
 	require.False(t, b.has(waiting))
 }
@@ -232,12 +242,10 @@
 	t.Run("after its life", func(t *testing.T) {
 		b := newTestbed(t)
 		x, _, w := b.witnessed()
-		b.Sweep(time.Now())
-		require.Equal(t, Runs, x.proof())
-		later := time.Now().Add(maxLife)
-		b.Sweep(later)
+		time.Sleep(maxLife + 2*checkInterval)
 		require.Equal(t, Runs, x.proof())
-		require.Nil(t, b.Watch(later, b.at, func() bool { return true }).witness)
+		next, _ := b.exchange()
+		require.False(t, b.has(next))
 		x.Stop()
 		requireClosed(t, w)
 	})
