--- a/internal/wire/witness/witness.go
+++ b/internal/wire/witness/witness.go
@@ -77,15 +77,15 @@
 
 // Watch is what the witnesses tell of one exchange. The set's mutex guards it.
 type Watch struct {
-	set     *Set
-	at      netip.AddrPort
-	open    func() bool // reports whether neither side has closed the connection of the exchange
-	witness *witness    // nil if there is none
-	served  bool        // its response has begun
-	closed  bool        // its connection was seen to be closed while the witness was open
+	set       *Set
+	at        netip.AddrPort
+	open      func() bool // reports whether neither side has closed the connection of the exchange
+	witness   *witness    // nil if there is none
+	served    bool        // its response has begun
+	closed    bool        // its connection was seen to be closed while the witness was open
 	outlasted bool        // the witness has outlasted it
-	ended   bool        // the witness ended together with the exchange
-	stopped bool
+	ended     bool        // the witness ended together with the exchange
+	stopped   bool
 }
 
 // New returns a set without witnesses.
