A panic in a part of a request of the own interface ends that part only

What callers would see: a panic while one stream, call of a target or claim was handled ended the process, and with it the requests of all others.

Cause: those parts have goroutines of their own, which nothing guarded.

Change: at an entry, the parts of a request (its streams, connections being opened, claims) start in one place, exchange.async, which turns a panic into the event of their failure. At a sidecar, a call that panics has ended with its outcome unknown, and a stream that panics has failed. Each leaves a line taskEnded with the stack.

--- a/internal/program/entry/attempt.go
+++ b/internal/program/entry/attempt.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
 	"wagtailshelf.example/wagtailshelf/internal/fleet/host"
+	"wagtailshelf.example/wagtailshelf/internal/program/task"
 	"wagtailshelf.example/wagtailshelf/internal/record/document"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/target"
@@ -149,8 +151,8 @@
 		return nil
 	}
 	x.streams[number] = stream
-	x.running++
-	go func() { x.ends <- x.read(ctx, conn, stream, number) }()
+	silent := request.Event{Kind: request.ConnectionSilent, Conn: number}
+	x.async(ctx, "stream", silent, func() error { return x.read(ctx, conn, stream, number) })
 	return stream
 }
 
@@ -189,6 +191,19 @@
 	return m, m.Validate()
 }
 
+// async runs a part of the request in a goroutine, and hands an event to the request if that part panics.
+func (x *exchange) async(ctx context.Context, name string, panicked request.Event, run func() error) {
+	x.running++
+	go func() {
+		err := task.Guard(run)
+		if p := new(task.PanicError); errors.As(err, &p) {
+			task.Report(x.entry.log, name, err)
+			x.sendEvent(ctx, panicked)
+		}
+		x.ends <- err
+	}()
+}
+
 // sendEvent hands an event to the request's goroutine; false if ctx ends first.
 func (x *exchange) sendEvent(ctx context.Context, ev request.Event) bool {
 	select {
@@ -206,8 +221,8 @@
 		x.enqueue(request.Event{Kind: request.ConnectFailed, Target: a.Target})
 		return
 	}
-	x.running++
-	go func() { x.ends <- x.dial(ctx, a, address, name) }()
+	failed := request.Event{Kind: request.ConnectFailed, Target: a.Target}
+	x.async(ctx, "dial", failed, func() error { return x.dial(ctx, a, address, name) })
 }
 
 func (x *exchange) dial(ctx context.Context, a request.Action, address netip.AddrPort, name host.Name) error {
--- a/internal/program/entry/claim.go
+++ b/internal/program/entry/claim.go
@@ -12,6 +12,7 @@
 // claim claims the request's Idempotency-Key.
 func (x *exchange) claim(ctx context.Context, a request.Action) {
 	answer := make(chan request.Event, 1)
+	refused := request.Event{Kind: request.ClaimRefused, Reason: request.ClaimsFull}
 	sent := x.claimManager().trySend(claimMessage{
 		kind:   claimEventMessage,
 		answer: answer,
@@ -24,11 +25,10 @@
 		},
 	})
 	if !sent {
-		x.enqueue(request.Event{Kind: request.ClaimRefused, Reason: request.ClaimsFull})
+		x.enqueue(refused)
 		return
 	}
-	x.running++
-	go func() { x.ends <- x.awaitClaim(ctx, answer) }()
+	x.async(ctx, "claim", refused, func() error { return x.awaitClaim(ctx, answer) })
 }
 
 // awaitClaim passes the result of the claim on to the request. If the request ends
--- a/internal/program/sidecar/call.go
+++ b/internal/program/sidecar/call.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"wagtailshelf.example/wagtailshelf/internal/program/task"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/book"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
 	"wagtailshelf.example/wagtailshelf/internal/wire/caller"
@@ -51,10 +52,18 @@
 	go func() {
 		defer s.calls.Done()
 		defer cancel()
-		s.call(ctx, callCtx, j)
+		s.guard(ctx, j, func() { s.call(ctx, callCtx, j) })
 	}()
 }
 
+// guard runs a call. If it panics, the call has ended, and it is not known what the target did.
+func (s *Sidecar) guard(ctx context.Context, j job, run func()) {
+	if err := task.Guard(func() error { run(); return nil }); err != nil {
+		task.Report(s.cfg.Log, "call", err)
+		s.desk.putBook(ctx, book.Event{Kind: book.EngineEnd, ID: j.id, Reason: request.EngineTruncated})
+	}
+}
+
 // call makes a call and reports it to the desk. It puts events on the ring under ctx,
 // which outlives the call's own callCtx.
 func (s *Sidecar) call(ctx, callCtx context.Context, j job) {
--- a/internal/program/sidecar/requestsrecover.go
+++ b/internal/program/sidecar/requestsrecover.go
@@ -27,7 +27,7 @@
 	go func() {
 		defer s.calls.Done()
 		defer cancel()
-		s.recoverRun(ctx, callCtx, j)
+		s.guard(ctx, j, func() { s.recoverRun(ctx, callCtx, j) })
 	}()
 }
 
--- a/internal/program/sidecar/serve.go
+++ b/internal/program/sidecar/serve.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 
+	"wagtailshelf.example/wagtailshelf/internal/program/task"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/book"
 	"wagtailshelf.example/wagtailshelf/internal/traffic/request"
 	"wagtailshelf.example/wagtailshelf/internal/wire/peer"
@@ -70,13 +72,13 @@
 	}
 	written := make(chan error, 1)
 	go func() {
-		err := l.write(ctx)
+		err := s.guardStream(func() error { return l.write(ctx) })
 		if err != nil {
 			s.desk.put(ctx, deskEvent{kind: deskStreamFailed, stream: l})
 		}
 		written <- err
 	}()
-	err := l.read(ctx, s.desk)
+	err := s.guardStream(func() error { return l.read(ctx, s.desk) })
 	s.desk.putBook(ctx, book.Event{Kind: book.StreamClosed, Peer: l.peer, Settled: err == io.EOF})
 	<-written
 	if err == io.EOF {
@@ -84,3 +86,12 @@
 	}
 	return err
 }
+
+// guardStream serves a direction of a stream, which fails if it panics.
+func (s *Sidecar) guardStream(serve func() error) error {
+	err := task.Guard(serve)
+	if p := new(task.PanicError); errors.As(err, &p) {
+		task.Report(s.cfg.Log, "stream", err)
+	}
+	return err
+}
